--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GO ?= go
+MODULES = $(filter-out tools,$(shell sed -n 's|^	\./||p' go.work))
+PACKAGES = $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+.PHONY: all build generate lint test demo bench chaos report
+
+all: lint test
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+generate:
+	$(GO) tool go-jsonschema --only-models --tags json -t -p messenger --capitalization ID -o messenger/frame.gen.go messenger/schema/frame.json
+
+lint:
+	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "run gofmt -w on: $$unformatted"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck -checks 'all,-ST1003' $(PACKAGES)
+	$(GO) tool revive -config tools/revive.toml -set_exit_status $(PACKAGES)
+
+test:
+	$(GO) test $(PACKAGES)
+
+demo:
+	@$(GO) run ./cmd/monsoonload demo
+
+bench:
+	@$(GO) run ./cmd/monsoonload bench $(BENCH_FLAGS)
+
+chaos:
+	@$(GO) run ./cmd/monsoonload chaos $(CHAOS_FLAGS)
