--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 generate:
-	$(GO) tool go-jsonschema --only-models --tags json -t -p messenger --capitalization ID -o messenger/frame.gen.go messenger/schema/frame.json
+	$(GO) tool go-jsonschema --only-models --min-sized-ints --tags json -t -p messenger --capitalization ID -o messenger/frame.gen.go messenger/schema/frame.json
 
 lint:
 	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "run gofmt -w on: $$unformatted"; exit 1; fi
--- /dev/null
+++ b/connector/dial.go
@@ -0,0 +1,100 @@
+package connector
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+)
+
+// peerPath is the HTTP path of the peer listener.
+const peerPath = "/peer"
+
+// startDial starts to connect unless an attempt runs or the back-off forbids it,
+// and returns how long to wait for a result.
+func (p *peer) startDial() time.Duration {
+	address := p.hub.addressOf(p)
+	p.mutex.Lock()
+	wait := time.Until(p.retryAt)
+	start := wait <= 0 && !p.dialing && address != ""
+	p.dialing = p.dialing || start
+	p.mutex.Unlock()
+	if wait > 0 {
+		return min(wait, p.hub.timing.MaxAge)
+	}
+	if start {
+		p.hub.start(func() { p.dial(address) })
+	}
+	return p.hub.timing.MaxAge
+}
+
+// dial connects once. On failure it sets the time of the next attempt.
+func (p *peer) dial(address string) {
+	l, err := p.hub.dial(address, p.id)
+	if err == nil {
+		err = p.hub.attach(l)
+		if err != nil {
+			l.abort()
+		}
+	}
+	if err != nil {
+		p.hub.counters.handshakesFailed.Add(1)
+		p.hub.options.Logger.Debug("peer not reached", "peer", p.id, "address", address, "error", err)
+	}
+	p.hub.moved(p, l, err)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.dialing = false
+	if err != nil {
+		t := p.hub.timing
+		p.backoff = min(max(2*p.backoff, t.MinBackoff), t.MaxBackoff)
+		p.retryAt = time.Now().Add(p.backoff/2 + rand.N(p.backoff/2))
+	}
+	signal(p.changed)
+}
+
+// dial opens a connection to the address and authenticates both ends.
+func (h *Hub) dial(address, id string) (*link, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, h.timing.Handshake)
+	defer cancel()
+	c, r, err := websocket.Dial(ctx, "ws://"+address+peerPath, &websocket.DialOptions{
+		HTTPClient: h.client, CompressionMode: websocket.CompressionDisabled})
+	if r != nil && r.Body != nil {
+		_ = r.Body.Close()
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to a peer")
+	}
+	l, err := h.greet(ctx, c)
+	if err != nil {
+		_ = c.CloseNow()
+		return nil, err
+	}
+	l.dialed = address
+	h.counters.connections.Add(1)
+	if id != "" && id != l.id {
+		h.options.Logger.Info("another daemon answers at the address", "address", address, "expected", id, "found", l.id)
+	}
+	return l, nil
+}
+
+// moved handles an answer from a daemon other than the entry stands for. Frames
+// for an address go to the daemon that answers there. Frames for a named daemon
+// that another one answers for are dropped.
+func (h *Hub) moved(p *peer, l *link, err error) {
+	if err != nil || p.id == l.id {
+		return
+	}
+	if p.id != "" {
+		h.counters.dropped.Add(uint64(p.queue.clear()))
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if to := h.peers[l.id]; to != nil {
+		p.queue.move(&to.queue)
+		signal(to.pending)
+	}
+}
--- /dev/null
+++ b/connector/hub.go
@@ -0,0 +1,269 @@
+// Package connector keeps one authenticated WebSocket connection per pair of
+// daemons and exchanges batched frames over it. Delivery is not guaranteed:
+// frames are dropped when a peer is unreachable or slow.
+package connector
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/encoder"
+	"monsoondeck.example/messenger"
+)
+
+var (
+	// ErrOptions reports options that New does not accept.
+	ErrOptions = errors.New("connector options are invalid")
+
+	// ErrUnauthenticated reports a peer that does not know the fleet secret.
+	ErrUnauthenticated = errors.New("peer is not authenticated")
+
+	// ErrStale reports a peer or frame with an older incarnation than one already
+	// seen of the same daemon.
+	ErrStale = errors.New("peer has an older incarnation")
+
+	// ErrSelf reports a connection of a daemon to itself.
+	ErrSelf = errors.New("peer is this daemon")
+
+	// errClosed reports that the hub is closed.
+	errClosed = errors.New("hub is closed")
+)
+
+// Peer names a daemon and the address of its peer listener. An empty ID stands
+// for whichever daemon answers at Address.
+type Peer struct{ ID, Address string }
+
+// Dialer opens the TCP connections to peers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Options configures a Hub. Zero values of Logger, Dialer and Timing select
+// defaults.
+type Options struct {
+	// Self is the name of this daemon.
+	Self string
+	// Incarnation is that of this process; a restart must raise it.
+	Incarnation uint64
+	// Secret is shared by the fleet; at least MinSecretBytes.
+	Secret []byte
+	Logger *slog.Logger
+	Dialer Dialer
+	Timing Timing
+}
+
+// MinSecretBytes is the shortest accepted fleet secret.
+const MinSecretBytes = 16
+
+// receivedFrames is the length of the channel of received frames. It absorbs one
+// frame from each of 320 peers with room to spare.
+const receivedFrames = 1024
+
+// Hub holds the connections of one daemon. It is safe for concurrent use.
+type Hub struct {
+	options  Options
+	timing   Timing
+	encoder  *encoder.Encoder
+	client   *http.Client
+	received chan *messenger.Frame
+	counters counters
+	started  time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	// mutex is taken before that of a peer.
+	mutex  sync.Mutex
+	closed bool
+	// peers holds the known daemons by ID, and by "@" and address those whose ID
+	// is not known yet.
+	peers map[string]*peer
+	// names maps the addresses of peers addressed without an ID to the ID that
+	// answered there.
+	names map[string]string
+	// newest holds the largest incarnation seen of each daemon.
+	newest map[string]uint64
+}
+
+// New returns a Hub and a function that closes its connections and waits for its
+// goroutines. The error matches ErrOptions.
+func New(o Options) (*Hub, func(), error) {
+	if o.Self == "" {
+		return nil, nil, errors.Wrap(ErrOptions, "Self is empty")
+	}
+	if len(o.Secret) < MinSecretBytes {
+		return nil, nil, errors.Wrapf(ErrOptions, "Secret has %d bytes, at least %d are needed", len(o.Secret), MinSecretBytes)
+	}
+	e, err := encoder.New()
+	if err != nil {
+		return nil, nil, err
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Dialer == nil {
+		// Keep-alive packets on hundreds of mostly idle connections would take a
+		// fifth of the control traffic budget; idle connections are checked on use.
+		o.Dialer = &net.Dialer{KeepAlive: -1}
+	}
+	h := &Hub{
+		options:  o,
+		timing:   o.Timing.withDefaults(),
+		encoder:  e,
+		received: make(chan *messenger.Frame, receivedFrames),
+		peers:    make(map[string]*peer),
+		names:    make(map[string]string),
+		newest:   make(map[string]uint64),
+		started:  time.Now(),
+	}
+	h.client = &http.Client{Transport: &http.Transport{DialContext: o.Dialer.DialContext, DisableKeepAlives: true}}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	return h, h.close, nil
+}
+
+// Send applies merge to the frame that is being filled for the peer and sends
+// the frame within the batch time. Send never blocks. merge runs before Send
+// returns, with the peer locked: it must not call the Hub and must not keep the
+// frame. Frames that cannot be sent within Timing.MaxAge are dropped.
+func (h *Hub) Send(to Peer, merge func(f *messenger.Frame)) {
+	p := h.peer(to)
+	if p == nil {
+		return
+	}
+	if n := p.queue.merge(time.Now(), merge); n > 0 {
+		h.counters.dropped.Add(uint64(n))
+	}
+	signal(p.pending)
+}
+
+// Received returns the channel of frames from authenticated peers. Sender and
+// Incarnation of each frame are those that the peer proved at the handshake.
+// A receiver that falls behind slows the peers' connections down. The channel is
+// closed after the Hub.
+func (h *Hub) Received() <-chan *messenger.Frame { return h.received }
+
+// Stats returns the counts since New.
+func (h *Hub) Stats() Stats { return h.counters.stats() }
+
+// peer returns the entry of the peer and starts its goroutine if it is new; nil
+// if the hub is closed or to is this daemon.
+func (h *Hub) peer(to Peer) *peer {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed || to.ID == h.options.Self {
+		return nil
+	}
+	id := to.ID
+	if id == "" {
+		id = h.names[to.Address]
+	}
+	return h.peerLocked(id, to.Address)
+}
+
+// peerLocked returns the entry for the ID, or for the address if the ID is
+// empty, and makes one if there is none.
+func (h *Hub) peerLocked(id, address string) *peer {
+	key := id
+	if id == "" {
+		key = "@" + address
+	}
+	p := h.peers[key]
+	if p == nil {
+		p = newPeer(h, key, id)
+		h.peers[key] = p
+		h.startLocked(p.run)
+	}
+	if address != "" {
+		p.address = address
+	}
+	p.touch()
+	return p
+}
+
+// attach makes the link that of the peer whose identity the handshake proved.
+func (h *Hub) attach(l *link) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return errClosed
+	}
+	if l.incarnation < h.newest[l.id] {
+		return errors.Wrapf(ErrStale, "%s", l.id)
+	}
+	h.newest[l.id] = l.incarnation
+	p := h.peerLocked(l.id, "")
+	if l.dialed != "" {
+		h.names[l.dialed] = l.id
+	}
+	h.startLocked(func() { h.read(p, l) })
+	p.attach(l)
+	return nil
+}
+
+// start runs f in a goroutine that close waits for; it does nothing once the hub
+// is closed. The caller must not hold the mutex of the hub.
+func (h *Hub) start(f func()) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.closed {
+		h.startLocked(f)
+	}
+}
+
+func (h *Hub) startLocked(f func()) { h.group.Go(f) }
+
+// retire removes the peer if it was not used for the idle time; it reports
+// whether it did.
+func (h *Hub) retire(p *peer) bool {
+	if p.unused() < h.timing.Idle {
+		return false
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if p.unused() < h.timing.Idle {
+		return false
+	}
+	delete(h.peers, p.key)
+	for a, id := range h.names {
+		if id == p.id {
+			delete(h.names, a)
+		}
+	}
+	return true
+}
+
+// fresh reports whether the incarnation is the newest of the daemon.
+func (h *Hub) fresh(id string, incarnation uint64) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return incarnation >= h.newest[id]
+}
+
+// clock returns the time since New on the monotonic clock; never 0.
+func (h *Hub) clock() time.Duration { return time.Since(h.started) + 1 }
+
+func (h *Hub) addressOf(p *peer) string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return p.address
+}
+
+func (h *Hub) close() {
+	h.mutex.Lock()
+	if h.closed {
+		h.mutex.Unlock()
+		return
+	}
+	h.closed = true
+	h.mutex.Unlock()
+	h.cancel()
+	h.group.Wait()
+	close(h.received)
+}
--- /dev/null
+++ b/connector/hub_test.go
@@ -0,0 +1,45 @@
+package connector
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"monsoondeck.example/messenger"
+)
+
+var testSecret = []byte("0123456789abcdef")
+
+// startHub returns a hub that listens on loopback, and its address.
+func startHub(t *testing.T, id string, incarnation uint64, change ...func(*Options)) (*Hub, string) {
+	t.Helper()
+	o := Options{Self: id, Incarnation: incarnation, Secret: testSecret}
+	for _, f := range change {
+		f(&o)
+	}
+	h, stop, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewServer(h)
+	t.Cleanup(func() { stop(); s.Close() })
+	return h, strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestFramesReachThePeer(t *testing.T) {
+	a, aa := startHub(t, "a", 1)
+	b, ab := startHub(t, "b", 2)
+	a.Send(Peer{Address: ab}, func(f *messenger.Frame) { f.Probes = append(f.Probes, messenger.Probe{Nonce: 7}) })
+	f := <-b.Received()
+	if f.Sender != "a" || f.Incarnation != 1 || len(f.Probes) != 1 || f.Probes[0].Nonce != 7 {
+		t.Fatalf("received %+v", f)
+	}
+	b.Send(Peer{ID: "a", Address: aa}, func(f *messenger.Frame) { f.ProbeAcks = append(f.ProbeAcks, messenger.ProbeAck{Nonce: 7}) })
+	f = <-a.Received()
+	if f.Sender != "b" || len(f.ProbeAcks) != 1 {
+		t.Fatalf("received %+v", f)
+	}
+	if a.Stats().Connections != 1 {
+		t.Fatalf("%+v", a.Stats())
+	}
+}
--- /dev/null
+++ b/connector/peer.go
@@ -0,0 +1,228 @@
+package connector
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"monsoondeck.example/messenger"
+)
+
+// peer sends the frames for one daemon. One goroutine, run, writes; dialing and
+// checks of connections run beside it.
+type peer struct {
+	hub *Hub
+	key string
+	// id is empty for a daemon that is known only by its address.
+	id string
+	// address is guarded by the mutex of the hub.
+	address string
+	// used is the time of the last use by the clock of the hub.
+	used  atomic.Int64
+	queue queue
+	// pending and changed wake run: messages wait, or links changed.
+	pending, changed chan struct{}
+
+	mutex sync.Mutex
+	// links holds the open connections, newest last. There is one, except while it
+	// is decided which of two simultaneous connections stays.
+	links   []*link
+	dialing bool
+	backoff time.Duration
+	retryAt time.Time
+}
+
+func newPeer(h *Hub, key, id string) *peer {
+	return &peer{hub: h, key: key, id: id, pending: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
+}
+
+func (p *peer) touch() { p.used.Store(int64(p.hub.clock())) }
+
+func (p *peer) unused() time.Duration { return p.hub.clock() - time.Duration(p.used.Load()) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// run sends queued frames until the hub closes or the peer is forgotten.
+func (p *peer) run() {
+	defer p.abortLinks()
+	for {
+		select {
+		case <-p.pending:
+			if !p.sleep(p.hub.timing.Batch) {
+				return
+			}
+			p.flush()
+		case <-time.After(p.hub.timing.Answer):
+			p.check()
+			if p.hub.retire(p) {
+				return
+			}
+		case <-p.hub.ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *peer) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-p.hub.ctx.Done():
+		return false
+	}
+}
+
+// flush writes the queued frames, and connects first where needed. It returns
+// when none is left, or when the peer's frames have moved to another entry.
+func (p *peer) flush() {
+	for {
+		l := p.connected()
+		if l == nil {
+			if !p.connect() {
+				return
+			}
+			continue
+		}
+		p.check()
+		f, dropped := p.queue.take(time.Now(), p.hub.timing.MaxAge)
+		p.hub.counters.dropped.Add(uint64(dropped))
+		if f == nil {
+			return
+		}
+		p.write(l, f)
+	}
+}
+
+// write encodes and sends a frame, in parts if it is too large.
+func (p *peer) write(l *link, f *messenger.Frame) {
+	h := p.hub
+	f.Sender, f.Incarnation = h.options.Self, h.options.Incarnation
+	l.sequence++
+	f.Sequence = l.sequence
+	b, err := h.encoder.Encode(*f)
+	if err != nil {
+		if first, second, ok := split(f); ok {
+			p.write(l, first)
+			p.write(l, second)
+			return
+		}
+		h.counters.dropped.Add(1)
+		h.options.Logger.Error("frame not sent", "peer", l.id, "error", err)
+		return
+	}
+	if err := l.write(h.ctx, b, h.timing.Ping); err != nil {
+		h.counters.dropped.Add(1)
+		l.abort()
+		p.detach(l)
+		return
+	}
+	h.counters.framesSent.Add(1)
+	h.counters.bytesSent.Add(uint64(len(b)))
+}
+
+// connect waits for a connection, which it dials if the back-off allows. It
+// reports false when there is nothing left to send.
+func (p *peer) connect() bool {
+	n := p.queue.expire(time.Now(), p.hub.timing.MaxAge)
+	p.hub.counters.dropped.Add(uint64(n))
+	if p.queue.empty() {
+		return false
+	}
+	select {
+	case <-p.changed:
+	case <-time.After(p.startDial()):
+	case <-p.hub.ctx.Done():
+		return false
+	}
+	return true
+}
+
+// connected returns the newest link; nil if there is none.
+func (p *peer) connected() *link {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.links) == 0 {
+		return nil
+	}
+	return p.links[len(p.links)-1]
+}
+
+// attach adds a link and closes those that it replaces: links of an older
+// incarnation, and links that the same side dialed earlier. The caller holds the
+// mutex of the hub.
+func (p *peer) attach(l *link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.links = slices.DeleteFunc(p.links, func(o *link) bool {
+		replaced := o.incarnation < l.incarnation || (o.dialed == "") == (l.dialed == "")
+		if replaced {
+			o.abort()
+		}
+		return replaced
+	})
+	p.links = append(p.links, l)
+	p.backoff, p.retryAt = 0, time.Time{}
+	if len(p.links) > 1 && p.hub.options.Self < l.id {
+		p.arbitrate(p.links[0], p.links[1])
+	}
+	signal(p.changed)
+}
+
+// arbitrate decides which of two simultaneous connections stays. Only the daemon
+// with the smaller ID decides, and it prefers the connection that it dialed; the
+// other one stays if the preferred one does not answer.
+func (p *peer) arbitrate(a, b *link) {
+	if a.dialed == "" {
+		a, b = b, a
+	}
+	p.hub.startLocked(func() {
+		if a.alive(p.hub.ctx, p.hub.timing.Ping) {
+			_ = b.conn.Close(websocket.StatusNormalClosure, reasonDuplicate)
+			p.detach(b)
+			return
+		}
+		a.abort()
+		p.detach(a)
+	})
+}
+
+func (p *peer) detach(l *link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.links = slices.DeleteFunc(p.links, func(o *link) bool { return o == l })
+	signal(p.changed)
+}
+
+func (p *peer) abortLinks() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, l := range p.links {
+		l.abort()
+	}
+	p.links = nil
+}
+
+// check pings the peer if it has not answered for a while, and closes the link
+// if the ping is not answered either.
+func (p *peer) check() {
+	l := p.connected()
+	if l == nil || !l.silent(p.hub.timing.Answer) || !l.checking.CompareAndSwap(false, true) {
+		return
+	}
+	p.hub.start(func() {
+		defer l.checking.Store(false)
+		if !l.alive(p.hub.ctx, p.hub.timing.Ping) {
+			p.hub.options.Logger.Warn("peer connection does not answer", "peer", l.id)
+			l.abort()
+			p.detach(l)
+		}
+	})
+}
--- /dev/null
+++ b/connector/queue.go
@@ -0,0 +1,137 @@
+package connector
+
+import (
+	"sync"
+	"time"
+
+	"monsoondeck.example/messenger"
+)
+
+const (
+	// maxQueued bounds the frames that wait for one peer.
+	maxQueued = 8
+
+	// maxFrameEntries is the number of entries at which a frame is closed for
+	// further messages. At about 60 bytes for an entry this is a quarter of the
+	// frame size limit.
+	maxFrameEntries = 1024
+)
+
+// queue holds the frames that wait for one peer, oldest first. Messages are
+// merged into the last frame.
+type queue struct {
+	mutex  sync.Mutex
+	frames []queued
+}
+
+type queued struct {
+	frame *messenger.Frame
+	// since is when the first message was merged.
+	since time.Time
+}
+
+// merge applies f to the last frame, or to a new one if the last is full, and
+// returns how many old frames it dropped to stay within maxQueued.
+func (q *queue) merge(now time.Time, f func(*messenger.Frame)) int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	n := len(q.frames)
+	if n == 0 || entries(q.frames[n-1].frame) >= maxFrameEntries {
+		q.frames = append(q.frames, queued{frame: &messenger.Frame{}, since: now})
+		n++
+	}
+	f(q.frames[n-1].frame)
+	if n <= maxQueued {
+		return 0
+	}
+	q.frames = append(q.frames[:0], q.frames[1:]...)
+	return 1
+}
+
+// take removes the oldest frame; nil if there is none. It drops frames older
+// than maxAge and returns their number.
+func (q *queue) take(now time.Time, maxAge time.Duration) (f *messenger.Frame, dropped int) {
+	dropped = q.expire(now, maxAge)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if len(q.frames) == 0 {
+		return nil, dropped
+	}
+	f = q.frames[0].frame
+	q.frames = append(q.frames[:0], q.frames[1:]...)
+	return f, dropped
+}
+
+// expire drops the frames older than maxAge and returns their number.
+func (q *queue) expire(now time.Time, maxAge time.Duration) int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	n := 0
+	for n < len(q.frames) && now.Sub(q.frames[n].since) > maxAge {
+		n++
+	}
+	q.frames = append(q.frames[:0], q.frames[n:]...)
+	return n
+}
+
+// clear removes every frame and returns their number.
+func (q *queue) clear() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	n := len(q.frames)
+	q.frames = nil
+	return n
+}
+
+// move appends the frames of q to the other queue and empties q.
+func (q *queue) move(other *queue) {
+	q.mutex.Lock()
+	frames := q.frames
+	q.frames = nil
+	q.mutex.Unlock()
+	other.mutex.Lock()
+	defer other.mutex.Unlock()
+	other.frames = append(other.frames, frames...)
+	if n := len(other.frames) - maxQueued; n > 0 {
+		other.frames = append(other.frames[:0], other.frames[n:]...)
+	}
+}
+
+func (q *queue) empty() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.frames) == 0
+}
+
+// entries counts the list entries of a frame.
+func entries(f *messenger.Frame) int {
+	n := len(f.HostMarks)
+	for i := range f.Probes {
+		n += 1 + len(f.Probes[i].Updates)
+	}
+	for i := range f.ProbeAcks {
+		n += 1 + len(f.ProbeAcks[i].Updates)
+	}
+	for i := range f.Demands {
+		n += 1 + len(f.Demands[i].Entries)
+	}
+	for i := range f.Grants {
+		n += 1 + len(f.Grants[i].Entries)
+	}
+	for i := range f.Settlements {
+		n += 1 + len(f.Settlements[i].Entries)
+	}
+	for i := range f.Holdings {
+		n += 1 + len(f.Holdings[i].Entries)
+	}
+	for i := range f.ServiceReports {
+		n += 1 + len(f.ServiceReports[i].Entries)
+	}
+	for i := range f.ServiceTotals {
+		n += 1 + len(f.ServiceTotals[i].Entries)
+	}
+	for i := range f.ConfigPushes {
+		n += 1 + len(f.ConfigPushes[i].Body)/64
+	}
+	return n
+}
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -5,22 +5,22 @@
 // ConfigPush carries one configuration delta or snapshot.
 type ConfigPush struct {
 	// Version the delta applies to; 0 marks a snapshot.
-	Base int `json:"base"`
+	Base uint64 `json:"base"`
 
 	// JSON encoding of the delta or snapshot.
 	Body string `json:"body"`
 
 	// How often the message may still be forwarded.
-	Hops int `json:"hops"`
+	Hops uint64 `json:"hops"`
 
 	// Version after the change.
-	Version int `json:"version"`
+	Version uint64 `json:"version"`
 }
 
 // ConfigRequest asks for every change after a version.
 type ConfigRequest struct {
 	// Newest version of the sender.
-	After int `json:"after"`
+	After uint64 `json:"after"`
 }
 
 // Demand replaces the sender's earlier demand of the listed client accounts at one
@@ -30,7 +30,7 @@
 	Entries []DemandEntry `json:"entries,omitempty,omitzero"`
 
 	// Shard epoch known to the sender; 0 is unknown.
-	Epoch int `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
 
 	// Shard key.
 	Shard string `json:"shard"`
@@ -42,19 +42,19 @@
 	Account string `json:"account"`
 
 	// Prompt prefix hash of the first waiting request; 0 is none.
-	Affinity int `json:"affinity"`
+	Affinity uint64 `json:"affinity"`
 
 	// Mean estimated cost of the waiting requests, in units.
 	Estimate float64 `json:"estimate"`
 
 	// Age of the oldest waiting request, in milliseconds.
-	OldestMs int `json:"oldestMs"`
+	OldestMs uint64 `json:"oldestMs"`
 
 	// Largest grant id of this shard and epoch received for the account.
-	Seen int `json:"seen"`
+	Seen uint64 `json:"seen"`
 
 	// Requests waiting.
-	Waiting int `json:"waiting"`
+	Waiting uint64 `json:"waiting"`
 }
 
 // Frame is the unit of transmission between daemons: a header and the messages
@@ -79,22 +79,22 @@
 	HostMarks []HostMark `json:"hostMarks,omitempty,omitzero"`
 
 	// Incarnation of the sender.
-	Incarnation int `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation"`
 
 	// The sender is shutting down.
 	Leaving *bool `json:"leaving,omitempty,omitzero"`
 
-	// Membership probe.
-	Probe *Probe `json:"probe,omitempty,omitzero"`
+	// Answers to probes.
+	ProbeAcks []ProbeAck `json:"probeAcks,omitempty,omitzero"`
 
-	// Answer to a probe.
-	ProbeAck *ProbeAck `json:"probeAck,omitempty,omitzero"`
+	// Membership probes.
+	Probes []Probe `json:"probes,omitempty,omitzero"`
 
 	// Daemon that sends the frame.
 	Sender string `json:"sender"`
 
 	// Increasing per sender incarnation and peer.
-	Sequence int `json:"sequence"`
+	Sequence uint64 `json:"sequence"`
 
 	// Service granted, for aggregators.
 	ServiceReports []ServiceReport `json:"serviceReports,omitempty,omitzero"`
@@ -106,7 +106,7 @@
 	Settlements []Settlements `json:"settlements,omitempty,omitzero"`
 
 	// Protocol version.
-	Version int `json:"version"`
+	Version uint64 `json:"version"`
 }
 
 // Grant permits the receiver to send one request of a client account to a target.
@@ -118,7 +118,7 @@
 	Estimate float64 `json:"estimate"`
 
 	// Increasing per shard and epoch.
-	ID int `json:"id"`
+	ID uint64 `json:"id"`
 
 	// Target.
 	Target string `json:"target"`
@@ -130,7 +130,7 @@
 	Entries []Grant `json:"entries,omitempty,omitzero"`
 
 	// Shard epoch.
-	Epoch int `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
 
 	// Shard key.
 	Shard string `json:"shard"`
@@ -145,7 +145,7 @@
 	Cost float64 `json:"cost"`
 
 	// Grant id.
-	ID int `json:"id"`
+	ID uint64 `json:"id"`
 
 	// Target.
 	Target string `json:"target"`
@@ -157,7 +157,7 @@
 	Entries []Holding `json:"entries,omitempty,omitzero"`
 
 	// Epoch of the listed grants.
-	Epoch int `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
 
 	// Shard key.
 	Shard string `json:"shard"`
@@ -166,16 +166,16 @@
 // HostMark spreads the host list's view of a target.
 type HostMark struct {
 	// How often the message may still be forwarded.
-	Hops int `json:"hops"`
+	Hops uint64 `json:"hops"`
 
 	// Incarnation of the target that is marked.
-	Incarnation int `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation"`
 
 	// Whether the target is leaving.
 	Leaving bool `json:"leaving"`
 
 	// Revision of the host list; larger is newer.
-	Revision int `json:"revision"`
+	Revision uint64 `json:"revision"`
 
 	// Target.
 	Target string `json:"target"`
@@ -193,22 +193,22 @@
 	ID string `json:"id"`
 
 	// Process incarnation; larger is newer.
-	Incarnation int `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation"`
 
 	// Counter that the daemon raises to refute a suspicion.
-	Refutation int `json:"refutation"`
+	Refutation uint64 `json:"refutation"`
 
 	// 0 alive, 1 suspect, 2 dead, 3 left.
-	State int `json:"state"`
+	State uint64 `json:"state"`
 }
 
 // Probe asks a member for an acknowledgement.
 type Probe struct {
 	// Newest configuration version of the sender.
-	ConfigVersion int `json:"configVersion"`
+	ConfigVersion uint64 `json:"configVersion"`
 
 	// Chosen by the prober, repeated in the acknowledgement.
-	Nonce int `json:"nonce"`
+	Nonce uint64 `json:"nonce"`
 
 	// Daemon that waits for the acknowledgement.
 	Origin string `json:"origin"`
@@ -223,10 +223,10 @@
 // ProbeAck answers a probe.
 type ProbeAck struct {
 	// Newest configuration version of the subject.
-	ConfigVersion int `json:"configVersion"`
+	ConfigVersion uint64 `json:"configVersion"`
 
 	// Nonce of the probe.
-	Nonce int `json:"nonce"`
+	Nonce uint64 `json:"nonce"`
 
 	// Daemon that waits for the acknowledgement.
 	Origin string `json:"origin"`
@@ -259,10 +259,10 @@
 	Entries []ServiceEntry `json:"entries,omitempty,omitzero"`
 
 	// Epoch of the reporting shard.
-	Epoch int `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
 
 	// Account group.
-	Group int `json:"group"`
+	Group uint64 `json:"group"`
 
 	// Pool.
 	Pool string `json:"pool"`
@@ -277,10 +277,10 @@
 	Entries []TotalEntry `json:"entries,omitempty,omitzero"`
 
 	// Epoch that reported.
-	Epoch int `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
 
 	// Account group.
-	Group int `json:"group"`
+	Group uint64 `json:"group"`
 
 	// Pool.
 	Pool string `json:"pool"`
@@ -298,16 +298,16 @@
 	Cost float64 `json:"cost"`
 
 	// Time to the first byte of the answer, in milliseconds.
-	FirstTokenMs int `json:"firstTokenMs"`
+	FirstTokenMs uint64 `json:"firstTokenMs"`
 
 	// Grant id.
-	ID int `json:"id"`
+	ID uint64 `json:"id"`
 
 	// Mean time between tokens, in milliseconds; 0 is unknown.
 	IntervalMs float64 `json:"intervalMs"`
 
 	// 0 unused, 1 complete, 2 refused, 3 failed, 4 cancelled.
-	Result int `json:"result"`
+	Result uint64 `json:"result"`
 
 	// Target of the grant.
 	Target string `json:"target"`
@@ -319,7 +319,7 @@
 	Entries []Settlement `json:"entries,omitempty,omitzero"`
 
 	// Epoch of the grants.
-	Epoch int `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
 
 	// Shard key.
 	Shard string `json:"shard"`
