Complete the membership protocol in detector

Cause: members must be found, suspected, removed and found again without a coordination service. Change: direct and indirect probes, suspicion, refutation, bounded gossip, digests that let daemons with different views compare them, probes of absent addresses, quiet suspicion in a daemon that hears nothing, two checks before a removal.

--- /dev/null
+++ b/detector/fleet_test.go
@@ -0,0 +1,282 @@
+package detector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/encoder"
+	"monsoondeck.example/messenger"
+)
+
+// tick is the time between calls of Tick in a test fleet.
+const tick = 100 * time.Millisecond
+
+// fleet connects detectors through a network in memory, on virtual time.
+type fleet struct {
+	now      time.Duration
+	random   *rand.Rand
+	nodes    []*node
+	messages []message
+	// blocked holds the directed pairs of nodes that are cut.
+	blocked map[[2]int]bool
+	// loss and repeat are probabilities; maxDelay bounds the random delay, which
+	// also reorders messages.
+	loss, repeat float64
+	maxDelay     time.Duration
+	// mutant changes a node or a message before delivery, to break the protocol.
+	mutant  func(n *node, s *Send)
+	encoder *encoder.Encoder
+	// bytes counts what the nodes sent, largest is the largest number of facts in a
+	// message, and lowest the smallest number of members that a running node listed.
+	bytes, largest, lowest int
+	failure                error
+}
+
+type node struct {
+	*Detector
+	index           int
+	settings        Settings
+	incarnation     uint64
+	stopped, frozen bool
+	// leaving is set when the daemon has announced its stop.
+	leaving bool
+	// timed, direct and full count the messages sent by Tick, the direct probes and
+	// the answers above one for a message received, in the current second.
+	timed, direct, full int
+	// newest holds the largest incarnation and refutation seen of each member.
+	newest map[string][2]uint64
+}
+
+type message struct {
+	at       time.Duration
+	from, to int
+	send     Send
+}
+
+func name(i int) string { return fmt.Sprintf("daemon%03d", i) }
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250) }
+
+func newFleet(n int, seed uint64, s Settings) *fleet {
+	e, err := encoder.New()
+	if err != nil {
+		panic(err)
+	}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]int]bool{}, maxDelay: 5 * time.Millisecond,
+		encoder: e, lowest: n}
+	for i := range n {
+		f.nodes = append(f.nodes, &node{index: i, settings: s})
+		f.start(i)
+	}
+	return f
+}
+
+// start starts a new process of the daemon. Only its seeds survive.
+func (f *fleet) start(i int) {
+	n := f.nodes[i]
+	n.incarnation += 1 + uint64(f.random.IntN(1000))
+	n.stopped, n.frozen, n.leaving, n.newest = false, false, false, map[string][2]uint64{}
+	self := Member{ID: name(i), Address: address(i), DataCentre: fmt.Sprintf("dc%d", i%4), Incarnation: n.incarnation}
+	n.Detector = New(self, n.settings, rand.New(rand.NewPCG(f.random.Uint64(), 2)))
+	n.AddSeeds([]string{address(0), address(1)})
+}
+
+// run advances the time in ticks.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now += tick
+		for _, n := range f.nodes {
+			if !n.stopped && !n.frozen {
+				sends := n.Tick(f.now)
+				n.timed += len(sends)
+				if n.current.subject != nil && n.current.sent == f.now {
+					n.direct++
+				}
+				f.post(n, sends)
+				f.lowest = min(f.lowest, len(n.Members()))
+			}
+		}
+		f.deliver()
+		if f.now%time.Second == 0 {
+			f.checkBounds()
+		}
+	}
+}
+
+func (f *fleet) post(n *node, sends []Send) {
+	for _, s := range sends {
+		to := slices.IndexFunc(f.nodes, func(o *node) bool { return s.To == name(o.index) || s.To == "" && s.Address == address(o.index) })
+		f.count(n, s)
+		copies := 1
+		if f.random.Float64() < f.repeat {
+			copies = 2
+		}
+		for range copies {
+			if to >= 0 && f.random.Float64() >= f.loss {
+				delay := time.Duration(f.random.Int64N(int64(f.maxDelay)))
+				f.messages = append(f.messages, message{at: f.now + delay, from: n.index, to: to, send: s})
+			}
+		}
+	}
+}
+
+func (f *fleet) count(n *node, s Send) {
+	var frame messenger.Frame
+	if s.Probe != nil {
+		frame.Probes = []messenger.Probe{*s.Probe}
+		f.largest = max(f.largest, len(s.Probe.Updates))
+	} else {
+		frame.ProbeAcks = []messenger.ProbeAck{*s.Ack}
+		f.largest = max(f.largest, len(s.Ack.Updates))
+	}
+	frame.Sender, frame.Incarnation, frame.Sequence = name(n.index), 1<<62+n.incarnation, 1000
+	b, err := f.encoder.Encode(frame)
+	if err != nil {
+		f.failure = err
+	}
+	f.bytes += len(b)
+}
+
+// deliver hands over the messages that are due, including the answers that
+// arrive before the next tick.
+func (f *fleet) deliver() {
+	for {
+		slices.SortStableFunc(f.messages, func(a, b message) int { return int(a.at - b.at) })
+		if len(f.messages) == 0 || f.messages[0].at >= f.now+tick {
+			return
+		}
+		due := f.messages
+		f.messages = nil
+		for i, m := range due {
+			if m.at >= f.now+tick {
+				f.messages = append(f.messages, due[i:]...)
+				break
+			}
+			f.handle(m)
+		}
+	}
+}
+
+func (f *fleet) handle(m message) {
+	n := f.nodes[m.to]
+	if n.stopped || f.blocked[[2]int{m.from, m.to}] {
+		return
+	}
+	if n.frozen {
+		m.at = f.now + tick
+		f.messages = append(f.messages, m)
+		return
+	}
+	if f.mutant != nil {
+		f.mutant(n, &m.send)
+	}
+	var sends []Send
+	if s := m.send; s.Probe != nil {
+		sends = n.HandleProbe(f.now, name(m.from), *s.Probe)
+	} else {
+		sends = n.HandleAck(f.now, name(m.from), *s.Ack)
+	}
+	n.full += max(0, len(sends)-1)
+	f.post(n, sends)
+	f.failure = errors.CombineErrors(f.failure, n.checkOrder())
+}
+
+// checkBounds reports a node that sent more than the settings allow: direct and
+// indirect probes of one member and of each check, the probes of absent addresses
+// in a period, and one full answer. Two periods can begin in a second.
+func (f *fleet) checkBounds() {
+	for _, n := range f.nodes {
+		s := Settings{}.withDefaults()
+		if limit := 2 * ((1+s.IndirectProbes)*(1+s.MaxChecks) + s.RejoinProbes); n.timed > limit {
+			f.failure = errors.Newf("%s sent %d messages in a second, limit %d", name(n.index), n.timed, limit)
+		}
+		if n.direct > 2 {
+			f.failure = errors.Newf("%s sent %d direct probes in a second", name(n.index), n.direct)
+		}
+		if limit := 2 * len(f.nodes); n.full > limit {
+			f.failure = errors.Newf("%s sent %d more answers than messages received, limit %d", name(n.index), n.full, limit)
+		}
+		if limit := n.settings.MaxUpdates; limit > 0 && f.largest > limit {
+			f.failure = errors.Newf("a message has %d facts, limit %d", f.largest, limit)
+		}
+		n.timed, n.direct, n.full = 0, 0, 0
+	}
+}
+
+// cut blocks the messages from the first nodes to the others, and those of the
+// other direction if both is set.
+func (f *fleet) cut(from, to []int, both bool) {
+	for _, i := range from {
+		for _, j := range to {
+			f.blocked[[2]int{i, j}] = true
+			f.blocked[[2]int{j, i}] = f.blocked[[2]int{j, i}] || both
+		}
+	}
+}
+
+// checkOrder reports a member whose incarnation or refutation went back.
+func (n *node) checkOrder() error {
+	for _, m := range n.Members() {
+		known := n.newest[m.ID]
+		v := [2]uint64{m.Incarnation, m.Refutation}
+		if v[0] < known[0] || v[0] == known[0] && v[1] < known[1] {
+			return errors.Newf("%s replaced %v of %s by %v", name(n.index), known, m.ID, v)
+		}
+		n.newest[m.ID] = v
+	}
+	return nil
+}
+
+// updatesOf returns the facts of a message.
+func updatesOf(s *Send) []messenger.MemberUpdate {
+	if s.Probe != nil {
+		return s.Probe.Updates
+	}
+	return s.Ack.Updates
+}
+
+// converged reports whether every running node lists exactly the running nodes
+// as alive, in their current incarnation.
+func (f *fleet) converged() bool {
+	var want []Member
+	for _, n := range f.nodes {
+		if !n.stopped {
+			want = append(want, Member{ID: name(n.index), Incarnation: n.incarnation})
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.stopped && !slices.EqualFunc(n.Members(), want, func(a, b Member) bool {
+			return a.ID == b.ID && a.Incarnation == b.Incarnation && a.State == Alive
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
+// converge runs until the fleet has converged and returns how long it took.
+func (f *fleet) converge(limit time.Duration) (time.Duration, error) {
+	start := f.now
+	for !f.converged() {
+		if f.now-start >= limit {
+			return 0, errors.Newf("views differ %v after the last fault: %s", limit, f.views())
+		}
+		f.run(tick)
+	}
+	return f.now - start, f.failure
+}
+
+func (f *fleet) views() string {
+	s := ""
+	for _, n := range f.nodes[:min(8, len(f.nodes))] {
+		s += fmt.Sprintf("\n%s (incarnation %d, stopped %v):", name(n.index), n.incarnation, n.stopped)
+		for _, m := range n.Members() {
+			s += fmt.Sprintf(" %s/%d/%d/%v", m.ID, m.Incarnation, m.Refutation, m.State)
+		}
+	}
+	return s
+}
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -207,13 +207,18 @@
 	// Newest configuration version of the sender.
 	ConfigVersion uint64 `json:"configVersion"`
 
+	// Digest of the sender's view of the membership; views with equal digests are
+	// equal.
+	Digest uint32 `json:"digest"`
+
 	// Chosen by the prober, repeated in the acknowledgement.
 	Nonce uint64 `json:"nonce"`
 
-	// Daemon that waits for the acknowledgement.
+	// Daemon that waits for the acknowledgement; empty stands for the sender.
 	Origin string `json:"origin"`
 
-	// Daemon to probe; differs from the receiver in an indirect probe.
+	// Daemon to probe; differs from the receiver in an indirect probe. Empty stands
+	// for whichever daemon receives the probe.
 	Subject string `json:"subject"`
 
 	// Membership facts to spread.
@@ -225,10 +230,14 @@
 	// Newest configuration version of the subject.
 	ConfigVersion uint64 `json:"configVersion"`
 
+	// Digest of the sender's view of the membership; views with equal digests are
+	// equal.
+	Digest uint32 `json:"digest"`
+
 	// Nonce of the probe.
 	Nonce uint64 `json:"nonce"`
 
-	// Daemon that waits for the acknowledgement.
+	// Daemon that waits for the acknowledgement; empty stands for the receiver.
 	Origin string `json:"origin"`
 
 	// Daemon that is alive.
