Use integer keys on the wire

Cause: string keys were more than half of most encoded entries. Change: make generate runs a second step that gives each field of the generated types its position in the schema as CBOR key and leaves zero values out.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 generate:
 	$(GO) tool go-jsonschema --only-models --min-sized-ints --tags json -t -p messenger --capitalization ID -o messenger/frame.gen.go messenger/schema/frame.json
+	$(GO) run ./messenger/internal/tagger messenger/schema/frame.json messenger/frame.gen.go
 
 lint:
 	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "run gofmt -w on: $$unformatted"; exit 1; fi
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -109,7 +109,7 @@
 // from a malformed one.
 func (e *Encoder) cause(b []byte) error {
 	var h struct {
-		Version uint64 `json:"version"`
+		Version uint64 `cbor:"1,keyasint"`
 	}
 	if err := e.decode.Unmarshal(b, &h); err == nil && h.Version != Version {
 		return ErrVersion
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -5,343 +5,343 @@
 // ConfigPush carries one configuration delta or snapshot.
 type ConfigPush struct {
 	// Version the delta applies to; 0 marks a snapshot.
-	Base uint64 `json:"base"`
+	Base uint64 `json:"base" cbor:"2,keyasint,omitempty"`
 
 	// JSON encoding of the delta or snapshot.
-	Body string `json:"body"`
+	Body string `json:"body" cbor:"4,keyasint,omitempty"`
 
 	// How often the message may still be forwarded.
-	Hops uint64 `json:"hops"`
+	Hops uint64 `json:"hops" cbor:"3,keyasint,omitempty"`
 
 	// Version after the change.
-	Version uint64 `json:"version"`
+	Version uint64 `json:"version" cbor:"1,keyasint,omitempty"`
 }
 
 // ConfigRequest asks for every change after a version.
 type ConfigRequest struct {
 	// Newest version of the sender.
-	After uint64 `json:"after"`
+	After uint64 `json:"after" cbor:"1,keyasint,omitempty"`
 }
 
 // Demand replaces the sender's earlier demand of the listed client accounts at one
 // shard.
 type Demand struct {
 	// Client accounts whose demand changed.
-	Entries []DemandEntry `json:"entries,omitempty,omitzero"`
+	Entries []DemandEntry `json:"entries,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
 	// Shard epoch known to the sender; 0 is unknown.
-	Epoch uint64 `json:"epoch"`
+	Epoch uint64 `json:"epoch" cbor:"2,keyasint,omitempty"`
 
 	// Shard key.
-	Shard string `json:"shard"`
+	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
 
 // DemandEntry states how much work of one client account waits at the sender.
 type DemandEntry struct {
 	// Client account.
-	Account string `json:"account"`
+	Account string `json:"account" cbor:"1,keyasint,omitempty"`
 
 	// Prompt prefix hash of the first waiting request; 0 is none.
-	Affinity uint64 `json:"affinity"`
+	Affinity uint64 `json:"affinity" cbor:"6,keyasint,omitempty"`
 
 	// Mean estimated cost of the waiting requests, in units.
-	Estimate float64 `json:"estimate"`
+	Estimate float64 `json:"estimate" cbor:"3,keyasint,omitempty"`
 
 	// Age of the oldest waiting request, in milliseconds.
-	OldestMs uint64 `json:"oldestMs"`
+	OldestMs uint64 `json:"oldestMs" cbor:"4,keyasint,omitempty"`
 
 	// Largest grant id of this shard and epoch received for the account.
-	Seen uint64 `json:"seen"`
+	Seen uint64 `json:"seen" cbor:"5,keyasint,omitempty"`
 
 	// Requests waiting.
-	Waiting uint64 `json:"waiting"`
+	Waiting uint64 `json:"waiting" cbor:"2,keyasint,omitempty"`
 }
 
 // Frame is the unit of transmission between daemons: a header and the messages
 // batched for one peer.
 type Frame struct {
 	// Configuration changes.
-	ConfigPushes []ConfigPush `json:"configPushes,omitempty,omitzero"`
+	ConfigPushes []ConfigPush `json:"configPushes,omitempty,omitzero" cbor:"14,keyasint,omitempty"`
 
 	// Request for configuration.
-	ConfigRequest *ConfigRequest `json:"configRequest,omitempty,omitzero"`
+	ConfigRequest *ConfigRequest `json:"configRequest,omitempty,omitzero" cbor:"15,keyasint,omitempty"`
 
 	// Waiting work by shard.
-	Demands []Demand `json:"demands,omitempty,omitzero"`
+	Demands []Demand `json:"demands,omitempty,omitzero" cbor:"8,keyasint,omitempty"`
 
 	// Grants by shard.
-	Grants []Grants `json:"grants,omitempty,omitzero"`
+	Grants []Grants `json:"grants,omitempty,omitzero" cbor:"9,keyasint,omitempty"`
 
 	// Grants in use by shard.
-	Holdings []Holdings `json:"holdings,omitempty,omitzero"`
+	Holdings []Holdings `json:"holdings,omitempty,omitzero" cbor:"11,keyasint,omitempty"`
 
 	// Host list facts.
-	HostMarks []HostMark `json:"hostMarks,omitempty,omitzero"`
+	HostMarks []HostMark `json:"hostMarks,omitempty,omitzero" cbor:"16,keyasint,omitempty"`
 
 	// Incarnation of the sender.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation" cbor:"3,keyasint,omitempty"`
 
 	// The sender is shutting down.
-	Leaving *bool `json:"leaving,omitempty,omitzero"`
+	Leaving *bool `json:"leaving,omitempty,omitzero" cbor:"7,keyasint,omitempty"`
 
 	// Answers to probes.
-	ProbeAcks []ProbeAck `json:"probeAcks,omitempty,omitzero"`
+	ProbeAcks []ProbeAck `json:"probeAcks,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 
 	// Membership probes.
-	Probes []Probe `json:"probes,omitempty,omitzero"`
+	Probes []Probe `json:"probes,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
 	// Daemon that sends the frame.
-	Sender string `json:"sender"`
+	Sender string `json:"sender" cbor:"2,keyasint,omitempty"`
 
 	// Increasing per sender incarnation and peer.
-	Sequence uint64 `json:"sequence"`
+	Sequence uint64 `json:"sequence" cbor:"4,keyasint,omitempty"`
 
 	// Service granted, for aggregators.
-	ServiceReports []ServiceReport `json:"serviceReports,omitempty,omitzero"`
+	ServiceReports []ServiceReport `json:"serviceReports,omitempty,omitzero" cbor:"12,keyasint,omitempty"`
 
 	// Fleet totals, for shard owners.
-	ServiceTotals []ServiceTotals `json:"serviceTotals,omitempty,omitzero"`
+	ServiceTotals []ServiceTotals `json:"serviceTotals,omitempty,omitzero" cbor:"13,keyasint,omitempty"`
 
 	// Ended grants by shard.
-	Settlements []Settlements `json:"settlements,omitempty,omitzero"`
+	Settlements []Settlements `json:"settlements,omitempty,omitzero" cbor:"10,keyasint,omitempty"`
 
 	// Protocol version.
-	Version uint64 `json:"version"`
+	Version uint64 `json:"version" cbor:"1,keyasint,omitempty"`
 }
 
 // Grant permits the receiver to send one request of a client account to a target.
 type Grant struct {
 	// Client account.
-	Account string `json:"account"`
+	Account string `json:"account" cbor:"2,keyasint,omitempty"`
 
 	// Units charged in advance.
-	Estimate float64 `json:"estimate"`
+	Estimate float64 `json:"estimate" cbor:"4,keyasint,omitempty"`
 
 	// Increasing per shard and epoch.
-	ID uint64 `json:"id"`
+	ID uint64 `json:"id" cbor:"1,keyasint,omitempty"`
 
 	// Target.
-	Target string `json:"target"`
+	Target string `json:"target" cbor:"3,keyasint,omitempty"`
 }
 
 // Grants lists new grants of one shard.
 type Grants struct {
 	// New grants.
-	Entries []Grant `json:"entries,omitempty,omitzero"`
+	Entries []Grant `json:"entries,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
 	// Shard epoch.
-	Epoch uint64 `json:"epoch"`
+	Epoch uint64 `json:"epoch" cbor:"2,keyasint,omitempty"`
 
 	// Shard key.
-	Shard string `json:"shard"`
+	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
 
 // Holding is a grant in use.
 type Holding struct {
 	// Client account.
-	Account string `json:"account"`
+	Account string `json:"account" cbor:"2,keyasint,omitempty"`
 
 	// Units used so far.
-	Cost float64 `json:"cost"`
+	Cost float64 `json:"cost" cbor:"4,keyasint,omitempty"`
 
 	// Grant id.
-	ID uint64 `json:"id"`
+	ID uint64 `json:"id" cbor:"1,keyasint,omitempty"`
 
 	// Target.
-	Target string `json:"target"`
+	Target string `json:"target" cbor:"3,keyasint,omitempty"`
 }
 
 // Holdings lists every grant of one shard that the sender holds, with progress.
 type Holdings struct {
 	// Grants in use.
-	Entries []Holding `json:"entries,omitempty,omitzero"`
+	Entries []Holding `json:"entries,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
 	// Epoch of the listed grants.
-	Epoch uint64 `json:"epoch"`
+	Epoch uint64 `json:"epoch" cbor:"2,keyasint,omitempty"`
 
 	// Shard key.
-	Shard string `json:"shard"`
+	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
 
 // HostMark spreads the host list's view of a target.
 type HostMark struct {
 	// How often the message may still be forwarded.
-	Hops uint64 `json:"hops"`
+	Hops uint64 `json:"hops" cbor:"5,keyasint,omitempty"`
 
 	// Incarnation of the target that is marked.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint,omitempty"`
 
 	// Whether the target is leaving.
-	Leaving bool `json:"leaving"`
+	Leaving bool `json:"leaving" cbor:"3,keyasint,omitempty"`
 
 	// Revision of the host list; larger is newer.
-	Revision uint64 `json:"revision"`
+	Revision uint64 `json:"revision" cbor:"4,keyasint,omitempty"`
 
 	// Target.
-	Target string `json:"target"`
+	Target string `json:"target" cbor:"1,keyasint,omitempty"`
 }
 
 // MemberUpdate is one membership fact spread by gossip.
 type MemberUpdate struct {
 	// Peer listener address, host:port.
-	Address string `json:"address"`
+	Address string `json:"address" cbor:"2,keyasint,omitempty"`
 
 	// Data centre of the daemon.
-	DataCentre string `json:"dataCentre"`
+	DataCentre string `json:"dataCentre" cbor:"3,keyasint,omitempty"`
 
 	// Daemon name.
-	ID string `json:"id"`
+	ID string `json:"id" cbor:"1,keyasint,omitempty"`
 
 	// Process incarnation; larger is newer.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation" cbor:"5,keyasint,omitempty"`
 
 	// Counter that the daemon raises to refute a suspicion.
-	Refutation uint64 `json:"refutation"`
+	Refutation uint64 `json:"refutation" cbor:"6,keyasint,omitempty"`
 
 	// 0 alive, 1 suspect, 2 dead, 3 left.
-	State uint64 `json:"state"`
+	State uint64 `json:"state" cbor:"4,keyasint,omitempty"`
 }
 
 // Probe asks a member for an acknowledgement.
 type Probe struct {
 	// Newest configuration version of the sender.
-	ConfigVersion uint64 `json:"configVersion"`
+	ConfigVersion uint64 `json:"configVersion" cbor:"4,keyasint,omitempty"`
 
 	// Digest of the sender's view of the membership; views with equal digests are
 	// equal.
-	Digest uint32 `json:"digest"`
+	Digest uint32 `json:"digest" cbor:"5,keyasint,omitempty"`
 
 	// Chosen by the prober, repeated in the acknowledgement.
-	Nonce uint64 `json:"nonce"`
+	Nonce uint64 `json:"nonce" cbor:"1,keyasint,omitempty"`
 
 	// Daemon that waits for the acknowledgement; empty stands for the sender.
-	Origin string `json:"origin"`
+	Origin string `json:"origin" cbor:"3,keyasint,omitempty"`
 
 	// Daemon to probe; differs from the receiver in an indirect probe. Empty stands
 	// for whichever daemon receives the probe.
-	Subject string `json:"subject"`
+	Subject string `json:"subject" cbor:"2,keyasint,omitempty"`
 
 	// Membership facts to spread.
-	Updates []MemberUpdate `json:"updates,omitempty,omitzero"`
+	Updates []MemberUpdate `json:"updates,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 }
 
 // ProbeAck answers a probe.
 type ProbeAck struct {
 	// Newest configuration version of the subject.
-	ConfigVersion uint64 `json:"configVersion"`
+	ConfigVersion uint64 `json:"configVersion" cbor:"4,keyasint,omitempty"`
 
 	// Digest of the sender's view of the membership; views with equal digests are
 	// equal.
-	Digest uint32 `json:"digest"`
+	Digest uint32 `json:"digest" cbor:"5,keyasint,omitempty"`
 
 	// Nonce of the probe.
-	Nonce uint64 `json:"nonce"`
+	Nonce uint64 `json:"nonce" cbor:"1,keyasint,omitempty"`
 
 	// Daemon that waits for the acknowledgement; empty stands for the receiver.
-	Origin string `json:"origin"`
+	Origin string `json:"origin" cbor:"3,keyasint,omitempty"`
 
 	// Daemon that is alive.
-	Subject string `json:"subject"`
+	Subject string `json:"subject" cbor:"2,keyasint,omitempty"`
 
 	// Membership facts to spread.
-	Updates []MemberUpdate `json:"updates,omitempty,omitzero"`
+	Updates []MemberUpdate `json:"updates,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 }
 
 // ServiceEntry reports service granted by one shard owner.
 type ServiceEntry struct {
 	// Client account.
-	Account string `json:"account"`
+	Account string `json:"account" cbor:"1,keyasint,omitempty"`
 
 	// Units granted since the owner took the shard.
-	Cumulative float64 `json:"cumulative"`
+	Cumulative float64 `json:"cumulative" cbor:"2,keyasint,omitempty"`
 
 	// Part of cumulative that known already contains.
-	Included float64 `json:"included"`
+	Included float64 `json:"included" cbor:"3,keyasint,omitempty"`
 
 	// Fleet total known to the owner, in units.
-	Known float64 `json:"known"`
+	Known float64 `json:"known" cbor:"4,keyasint,omitempty"`
 }
 
 // ServiceReport carries the service granted by one shard to an aggregator.
 type ServiceReport struct {
 	// Client accounts with changes.
-	Entries []ServiceEntry `json:"entries,omitempty,omitzero"`
+	Entries []ServiceEntry `json:"entries,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
 	// Epoch of the reporting shard.
-	Epoch uint64 `json:"epoch"`
+	Epoch uint64 `json:"epoch" cbor:"4,keyasint,omitempty"`
 
 	// Account group.
-	Group uint64 `json:"group"`
+	Group uint64 `json:"group" cbor:"2,keyasint,omitempty"`
 
 	// Pool.
-	Pool string `json:"pool"`
+	Pool string `json:"pool" cbor:"1,keyasint,omitempty"`
 
 	// Reporting shard.
-	Shard string `json:"shard"`
+	Shard string `json:"shard" cbor:"3,keyasint,omitempty"`
 }
 
 // ServiceTotals answers a service report.
 type ServiceTotals struct {
 	// Fleet totals.
-	Entries []TotalEntry `json:"entries,omitempty,omitzero"`
+	Entries []TotalEntry `json:"entries,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
 	// Epoch that reported.
-	Epoch uint64 `json:"epoch"`
+	Epoch uint64 `json:"epoch" cbor:"4,keyasint,omitempty"`
 
 	// Account group.
-	Group uint64 `json:"group"`
+	Group uint64 `json:"group" cbor:"2,keyasint,omitempty"`
 
 	// Pool.
-	Pool string `json:"pool"`
+	Pool string `json:"pool" cbor:"1,keyasint,omitempty"`
 
 	// Shard that reported.
-	Shard string `json:"shard"`
+	Shard string `json:"shard" cbor:"3,keyasint,omitempty"`
 }
 
 // Settlement ends a grant.
 type Settlement struct {
 	// Client account; lets a new epoch charge an old grant.
-	Account string `json:"account"`
+	Account string `json:"account" cbor:"6,keyasint,omitempty"`
 
 	// Units used; 0 for a grant that was returned unused.
-	Cost float64 `json:"cost"`
+	Cost float64 `json:"cost" cbor:"2,keyasint,omitempty"`
 
 	// Time to the first byte of the answer, in milliseconds.
-	FirstTokenMs uint64 `json:"firstTokenMs"`
+	FirstTokenMs uint64 `json:"firstTokenMs" cbor:"4,keyasint,omitempty"`
 
 	// Grant id.
-	ID uint64 `json:"id"`
+	ID uint64 `json:"id" cbor:"1,keyasint,omitempty"`
 
 	// Mean time between tokens, in milliseconds; 0 is unknown.
-	IntervalMs float64 `json:"intervalMs"`
+	IntervalMs float64 `json:"intervalMs" cbor:"5,keyasint,omitempty"`
 
 	// 0 unused, 1 complete, 2 refused, 3 failed, 4 cancelled.
-	Result uint64 `json:"result"`
+	Result uint64 `json:"result" cbor:"3,keyasint,omitempty"`
 
 	// Target of the grant.
-	Target string `json:"target"`
+	Target string `json:"target" cbor:"7,keyasint,omitempty"`
 }
 
 // Settlements ends grants of one shard.
 type Settlements struct {
 	// Ended grants.
-	Entries []Settlement `json:"entries,omitempty,omitzero"`
+	Entries []Settlement `json:"entries,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
 	// Epoch of the grants.
-	Epoch uint64 `json:"epoch"`
+	Epoch uint64 `json:"epoch" cbor:"2,keyasint,omitempty"`
 
 	// Shard key.
-	Shard string `json:"shard"`
+	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
 
 // TotalEntry is the fleet total of one client account.
 type TotalEntry struct {
 	// Client account.
-	Account string `json:"account"`
+	Account string `json:"account" cbor:"1,keyasint,omitempty"`
 
 	// Cumulative units of the receiving shard that total contains.
-	Included float64 `json:"included"`
+	Included float64 `json:"included" cbor:"3,keyasint,omitempty"`
 
 	// Units received in the fleet.
-	Total float64 `json:"total"`
+	Total float64 `json:"total" cbor:"2,keyasint,omitempty"`
 }
