Serve model and service requests end to end

The daemon had no caller side yet. The receiver authenticates callers, checks and reads requests, waits for a permit and has the dispatcher run them; the dispatcher sends one attempt, checks the request id of the answer, copies it and reports the outcome and units.

Non-repeatable requests use a transport without keep-alive, so net/http can never replay them, and their last check runs between dial and write.

--- /dev/null
+++ b/router/dispatcher/dispatcher.go
@@ -0,0 +1,140 @@
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of Options.
+const (
+	defaultDialTimeout   = time.Second
+	defaultAnswerTimeout = 5 * time.Minute
+	defaultStallTimeout  = time.Minute
+	defaultWriteTimeout  = 30 * time.Second
+	defaultProgress      = 500 * time.Millisecond
+	defaultIdle          = 64
+	defaultResumes       = 3
+	// captureLimit bounds answers kept in memory, also those stored in claims.
+	captureLimit = 64 << 10
+)
+
+// Options configures a Dispatcher. Zero values select defaults.
+type Options struct {
+	// Incarnation identifies this run of the daemon in request ids.
+	Incarnation uint64
+	DialTimeout time.Duration
+	// AnswerTimeout bounds the wait for the first byte of an answer.
+	AnswerTimeout time.Duration
+	// StallTimeout bounds the wait between two reads of an answer.
+	StallTimeout time.Duration
+	// WriteTimeout bounds one write to the caller.
+	WriteTimeout time.Duration
+	// ProgressInterval is the time between two calls of Request.Progress.
+	ProgressInterval time.Duration
+	// IdlePerTarget bounds the pooled connections to one target.
+	IdlePerTarget int
+	// Resumes bounds the attempts to resume one broken stream; negative: none.
+	Resumes int
+}
+
+// Dispatcher sends requests to targets. It is safe for concurrent use.
+type Dispatcher struct {
+	options  Options
+	prefix   string
+	sequence atomic.Uint64
+	// pooled serves repeatable requests over reused connections.
+	pooled *http.Transport
+	// fresh opens one connection per request and never replays.
+	fresh *http.Transport
+	stats counters
+}
+
+type counters struct{ wrong, resumed, broken atomic.Uint64 }
+
+// Stats are totals since New.
+type Stats struct {
+	// WrongAnswers were dropped because they carried another request id.
+	WrongAnswers uint64
+	// Resumed counts streams continued after a break.
+	Resumed uint64
+	// Broken counts answers that did not arrive whole.
+	Broken uint64
+}
+
+// New returns a Dispatcher and a function that closes its idle connections.
+func New(o Options) (*Dispatcher, func()) {
+	o = o.withDefaults()
+	d := &Dispatcher{options: o, prefix: strconv.FormatUint(o.Incarnation, 16) + "-"}
+	d.pooled = d.transport(false)
+	d.fresh = d.transport(true)
+	return d, func() { d.pooled.CloseIdleConnections(); d.fresh.CloseIdleConnections() }
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, defaultDialTimeout)
+	setDefault(&o.AnswerTimeout, defaultAnswerTimeout)
+	setDefault(&o.StallTimeout, defaultStallTimeout)
+	setDefault(&o.WriteTimeout, defaultWriteTimeout)
+	setDefault(&o.ProgressInterval, defaultProgress)
+	setDefault(&o.IdlePerTarget, defaultIdle)
+	setDefault(&o.Resumes, defaultResumes)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Stats returns the totals so far.
+func (d *Dispatcher) Stats() Stats {
+	return Stats{
+		WrongAnswers: d.stats.wrong.Load(),
+		Resumed:      d.stats.resumed.Load(),
+		Broken:       d.stats.broken.Load(),
+	}
+}
+
+func (d *Dispatcher) transport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: d.options.DialTimeout}
+	dial := dialer.DialContext
+	if fresh {
+		dial = checkedDial(dial)
+	}
+	return &http.Transport{
+		DialContext:         dial,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: d.options.IdlePerTarget,
+		IdleConnTimeout:     30 * time.Second,
+	}
+}
+
+type beforeSendKey struct{}
+
+// checkedDial runs the check of the request after its connection has opened.
+// At that point no byte has been sent, so a failure is still NotRun.
+func checkedDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		check, ok := ctx.Value(beforeSendKey{}).(func() error)
+		if !ok {
+			return c, nil
+		}
+		if err := check(); err != nil {
+			return nil, errors.CombineErrors(err, c.Close())
+		}
+		return c, nil
+	}
+}
--- /dev/null
+++ b/router/dispatcher/meter.go
@@ -0,0 +1,145 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// unitsPerPromptToken and unitsPerSecond: design page, section 3.1.
+	unitsPerPromptToken = 0.1
+	unitsPerSecond      = 50
+)
+
+// meter counts the service that one attempt uses. A timer reports progress
+// and cancels the attempt when the target sends nothing for too long.
+type meter struct {
+	start    time.Time
+	engine   bool
+	options  Options
+	prompt   float64
+	progress func(float64)
+	cancel   context.CancelCauseFunc
+	// lastID is the id of the exchange that delivers the answer.
+	lastID string
+
+	tokens      atomic.Int64
+	first, last atomic.Int64 // nanoseconds after start, 0: none
+	touched     atomic.Int64 // nanoseconds after start of the last sign of life
+	answering   atomic.Bool
+	usage       atomic.Pointer[usage]
+
+	// mutex keeps progress from running after end.
+	mutex sync.Mutex
+	timer *time.Timer
+	ended bool
+	spent time.Duration
+}
+
+// usage is the engine's own count.
+type usage struct {
+	PromptTokens     float64 `json:"prompt_tokens"`
+	CompletionTokens float64 `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens float64 `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func (m *meter) begin(o Options, r *Request, cancel context.CancelCauseFunc) {
+	m.start = time.Now()
+	m.engine, m.options, m.prompt = r.Target.Engine, o, r.PromptTokens
+	m.progress, m.cancel = r.Progress, cancel
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.timer = time.AfterFunc(o.ProgressInterval, m.tick)
+}
+
+func (m *meter) tick() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.ended {
+		return
+	}
+	limit := m.options.AnswerTimeout
+	if m.answering.Load() {
+		limit = m.options.StallTimeout
+	}
+	if time.Since(m.start)-time.Duration(m.touched.Load()) > limit {
+		m.cancel(ErrStalled)
+	}
+	if m.progress != nil {
+		m.progress(m.units())
+	}
+	m.timer.Reset(m.options.ProgressInterval)
+}
+
+func (m *meter) end() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.ended = true
+	m.spent = time.Since(m.start)
+	m.timer.Stop()
+}
+
+// touch notes a sign of life of the target.
+func (m *meter) touch() {
+	m.answering.Store(true)
+	m.touched.Store(int64(time.Since(m.start)))
+}
+
+// event notes the arrival of an event at now; tokens is 1 if it carries output.
+func (m *meter) event(now time.Duration, tokens int64) {
+	m.touched.Store(int64(now))
+	if tokens == 0 {
+		return
+	}
+	m.tokens.Add(tokens)
+	m.last.Store(int64(now))
+	if m.first.Load() == 0 {
+		m.first.Store(int64(now))
+	}
+}
+
+// units returns the service used so far.
+func (m *meter) units() float64 {
+	if !m.engine {
+		spent := m.spent
+		if spent == 0 {
+			spent = time.Since(m.start)
+		}
+		return unitsPerSecond * spent.Seconds()
+	}
+	if u := m.usage.Load(); u != nil {
+		return u.CompletionTokens + unitsPerPromptToken*max(0, u.PromptTokens-u.Details.CachedTokens)
+	}
+	return float64(m.tokens.Load()) + unitsPerPromptToken*m.prompt
+}
+
+func (m *meter) firstToken() time.Duration { return time.Duration(m.first.Load()) }
+
+func (m *meter) interval() time.Duration {
+	n := m.tokens.Load()
+	if n < 2 {
+		return 0
+	}
+	return time.Duration((m.last.Load() - m.first.Load()) / (n - 1))
+}
+
+var usageName = []byte(`"usage"`)
+
+// readUsage looks for a usage object in a JSON document of the engine.
+func (m *meter) readUsage(document []byte) {
+	if !bytes.Contains(document, usageName) {
+		return
+	}
+	var d struct {
+		Usage *usage `json:"usage"`
+	}
+	if json.Unmarshal(document, &d) == nil && d.Usage != nil {
+		m.usage.Store(d.Usage)
+	}
+}
--- /dev/null
+++ b/router/receiver/receiver.go
@@ -0,0 +1,177 @@
+package receiver
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"monsoondeck.example/router/dispatcher"
+)
+
+// Defaults of Options.
+const (
+	defaultBodyBytes   = 8 << 20
+	defaultHeaderBytes = 32 << 10
+	defaultBodyMemory  = 256 << 20
+	defaultBodyTimeout = 30 * time.Second
+	defaultDeadline    = time.Minute
+	maximumDeadline    = time.Hour
+	defaultAttempts    = 3
+)
+
+// Options configures a Handler. Waiter, Configs and Dispatcher are required;
+// zero values of the limits select defaults.
+type Options struct {
+	Waiter     Waiter
+	Configs    Configs
+	Dispatcher Dispatcher
+	// Retries is the retry budget; nil: no retries.
+	Retries Retries
+	Logger  *slog.Logger
+	// BodyBytes bounds one request body, HeaderBytes its headers.
+	BodyBytes   int64
+	HeaderBytes int
+	// BodyMemory bounds all bodies in memory.
+	BodyMemory int64
+	// BodyTimeout bounds the time to receive one body.
+	BodyTimeout time.Duration
+	// Deadline applies to requests that name none.
+	Deadline time.Duration
+	// Attempts bounds the targets tried for one repeatable request.
+	Attempts int
+}
+
+// Dispatcher sends one request to one target and copies the answer.
+type Dispatcher interface {
+	Do(ctx context.Context, w http.ResponseWriter, r *dispatcher.Request) dispatcher.Report
+}
+
+// Handler serves callers.
+type Handler struct {
+	options Options
+	// bodyMemory is the number of body bytes held now.
+	bodyMemory atomic.Int64
+}
+
+// New returns the handler of the caller listener.
+func New(o Options) *Handler {
+	setDefault(&o.BodyBytes, defaultBodyBytes)
+	setDefault(&o.HeaderBytes, defaultHeaderBytes)
+	setDefault(&o.BodyMemory, defaultBodyMemory)
+	setDefault(&o.BodyTimeout, defaultBodyTimeout)
+	setDefault(&o.Deadline, defaultDeadline)
+	setDefault(&o.Attempts, defaultAttempts)
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Handler{options: o}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id, valid := requestID(r)
+	h.limitReading(w, r)
+	f := h.check(r)
+	if !valid {
+		f = notRun(http.StatusBadRequest, "badRequestId", "X-Request-Id must be 1 to 128 visible ASCII characters")
+	}
+	if f == nil {
+		f = h.serve(w, r, id)
+	}
+	if f != nil {
+		f.write(w, id)
+	}
+}
+
+// limitReading bounds the time to receive the body, also of a request that is
+// rejected unread, and removes the write deadline of an earlier request.
+func (h *Handler) limitReading(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Time{})
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Now().Add(h.options.BodyTimeout))
+	}
+}
+
+func requestID(r *http.Request) (string, bool) {
+	id := r.Header.Get(dispatcher.HeaderRequestID)
+	if id == "" {
+		return rand.Text(), true
+	}
+	visible := strings.IndexFunc(id, func(c rune) bool { return c < '!' || c > '~' }) < 0
+	if len(id) > 128 || !visible {
+		return rand.Text(), false
+	}
+	return id, true
+}
+
+// check rejects requests for which no further work is due.
+func (h *Handler) check(r *http.Request) *failure {
+	if !r.ProtoAtLeast(1, 1) {
+		// HTTP/1.0 has no framing that tells a cut answer from a whole one.
+		return notRun(http.StatusHTTPVersionNotSupported, "httpVersion", "use HTTP/1.1 or HTTP/2")
+	}
+	size := len(r.RequestURI)
+	for k, v := range r.Header {
+		for i := range v {
+			size += len(k) + len(v[i])
+		}
+	}
+	if size > h.options.HeaderBytes {
+		return notRun(http.StatusRequestHeaderFieldsTooLarge, "headerTooLarge", "the headers are too large")
+	}
+	return nil
+}
+
+// authenticate finds the account of the caller's key.
+func authenticate(c Config, r *http.Request) (Account, *failure) {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return Account{}, notRun(http.StatusUnauthorized, "noKey", "send Authorization: Bearer <key>")
+	}
+	a, ok := c.AccountByKeyHash(keyHash(key))
+	if !ok {
+		return Account{}, notRun(http.StatusUnauthorized, "unknownKey", "the key is not known; it may have been rotated")
+	}
+	return a, nil
+}
+
+// serve handles a request up to its reply, or returns the error reply.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, id string) *failure {
+	config, ok := h.options.Configs.Current()
+	if !ok {
+		return notRun(http.StatusServiceUnavailable, "noConfiguration", "the router has no configuration yet").after(time.Second)
+	}
+	account, f := authenticate(config, r)
+	if f != nil {
+		return f
+	}
+	j, f := h.route(r)
+	if f != nil {
+		return f
+	}
+	j.id, j.account = id, account
+	if f := h.readControls(r, j); f != nil {
+		return f
+	}
+	release, f := h.readBody(w, r, j)
+	if f != nil {
+		return f
+	}
+	defer release()
+	if f := j.parse(config); f != nil {
+		return f
+	}
+	return h.run(r.Context(), w, j)
+}
--- /dev/null
+++ b/router/receiver/suite_test.go
@@ -0,0 +1,205 @@
+package receiver_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"monsoondeck.example/router/dispatcher"
+	"monsoondeck.example/router/receiver"
+)
+
+func TestReceiver(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "receiver")
+}
+
+// waiter grants the targets of its list in turn and records settlements.
+type waiter struct {
+	mutex   sync.Mutex
+	targets []receiver.Target
+	err     error
+	asked   []receiver.Request
+	settled []receiver.Settlement
+	// expire is the number of permits that expire before dispatch.
+	expire int
+}
+
+func (w *waiter) Wait(_ context.Context, r receiver.Request) (receiver.Permit, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.asked = append(w.asked, r)
+	if w.err != nil {
+		return nil, w.err
+	}
+	for _, t := range w.targets {
+		if !contains(r.Exclude, t.ID) {
+			return &permit{w: w, target: t}, nil
+		}
+	}
+	return nil, receiver.ErrDeadline
+}
+
+func contains(list []string, s string) bool {
+	for _, l := range list {
+		if l == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *waiter) settlements() []receiver.Settlement {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]receiver.Settlement(nil), w.settled...)
+}
+
+type permit struct {
+	w      *waiter
+	target receiver.Target
+}
+
+func (p *permit) Target() receiver.Target { return p.target }
+func (p *permit) Progress(float64)        {}
+func (p *permit) Settle(s receiver.Settlement) {
+	p.w.mutex.Lock()
+	defer p.w.mutex.Unlock()
+	p.w.settled = append(p.w.settled, s)
+}
+
+func (p *permit) Dispatchable() error {
+	p.w.mutex.Lock()
+	defer p.w.mutex.Unlock()
+	if p.w.expire > 0 {
+		p.w.expire--
+		return receiver.ErrExpired
+	}
+	return nil
+}
+
+// budget allows a number of retries.
+type budget struct{ left int }
+
+func (b *budget) Request(string)    {}
+func (b *budget) Allow(string) bool { b.left--; return b.left >= 0 }
+
+type config struct {
+	accounts map[string]receiver.Account
+	pools    map[string][]receiver.Target
+}
+
+func (c config) AccountByKeyHash(h string) (receiver.Account, bool) {
+	a, ok := c.accounts[h]
+	return a, ok
+}
+func (c config) Pool(name string) []receiver.Target { return c.pools[name] }
+
+type configs struct{ config receiver.Config }
+
+func (c configs) Current() (receiver.Config, bool) { return c.config, c.config != nil }
+
+// echo sends the request id back, as every target does.
+func echo(f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		f(w, r)
+	}
+}
+
+// fixture is a router with small targets on real sockets.
+type fixture struct {
+	url     string
+	waiter  *waiter
+	options receiver.Options
+}
+
+// newFixture serves pools "model" (engine) and "orders" (service) by handlers,
+// one target each per handler.
+func newFixture(change func(o *receiver.Options, d *dispatcher.Options), handlers ...http.HandlerFunc) *fixture {
+	f := &fixture{waiter: &waiter{}}
+	var d dispatcher.Options
+	f.options = receiver.Options{Waiter: f.waiter}
+	c := config{accounts: map[string]receiver.Account{keyHash: {ID: "acme", Pools: []string{"model", "orders", "nowhere"}}}, pools: map[string][]receiver.Target{}}
+	for i, h := range handlers {
+		s := httptest.NewServer(h)
+		DeferCleanup(s.Close)
+		f.waiter.targets = append(f.waiter.targets, receiver.Target{ID: string(rune('a' + i)), Address: s.Listener.Addr().String()})
+	}
+	c.pools["model"] = withKind(f.waiter.targets, receiver.KindEngine)
+	c.pools["secret"] = c.pools["model"]
+	c.pools["orders"] = withKind(f.waiter.targets, receiver.KindService)
+	f.options.Configs = configs{c}
+	if change != nil {
+		change(&f.options, &d)
+	}
+	var closeIdle func()
+	f.options.Dispatcher, closeIdle = func() (receiver.Dispatcher, func()) { return dispatcher.New(d) }()
+	DeferCleanup(closeIdle)
+	f.url = listen(receiver.New(f.options))
+	return f
+}
+
+func withKind(list []receiver.Target, k receiver.Kind) []receiver.Target {
+	result := append([]receiver.Target{{ID: "none"}}[:0:0], list...)
+	for i := range result {
+		result[i].Kind = k
+	}
+	if len(result) == 0 {
+		result = []receiver.Target{{ID: "none", Kind: k}}
+	}
+	return result
+}
+
+func listen(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := receiver.NewServer(h, slog.New(slog.DiscardHandler))
+	go func() {
+		defer GinkgoRecover()
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			Fail(err.Error())
+		}
+	}()
+	DeferCleanup(s.Close)
+	return "http://" + l.Addr().String()
+}
+
+// keyHash is the SHA-256 of "secret".
+const keyHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+
+func (f *fixture) request(method, path, body string, headers ...string) *http.Request {
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return r
+}
+
+func (f *fixture) do(method, path, body string, headers ...string) (*http.Response, string) {
+	return send(f.request(method, path, body, headers...))
+}
+
+func send(r *http.Request) (*http.Response, string) {
+	res, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	b, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Body.Close()).To(Succeed())
+	return res, string(b)
+}
+
+const ask = `{"model":"model","messages":[{"role":"user","content":"hi"}],"max_tokens":5}`
+const askStream = `{"model":"model","stream":true,"messages":[{"role":"user","content":"hi"}],"max_tokens":5}`
