Add stand-ins of the platform and of the targets

The routers need targets, a table service, an object store and a host list to be tested against. Package emulator serves a set of them in one process; each is an http.Handler built by New in its own package.

The load client writes its own id and the real length of the answer into the last user message, the body or the query. Routers replace X-Request-Id, so the oracle could not be compared with what callers were told otherwise, and a cost that routers cannot see keeps the hints rough.

A started plain request runs to its end when its client goes away, as an order desk does; a cut stream aborts the connection and never ends cleanly.

--- /dev/null
+++ b/emulator/engine/chat.go
@@ -0,0 +1,174 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"monsoondeck.example/emulator/oracle"
+	"monsoondeck.example/emulator/wire"
+)
+
+const (
+	maxBody          = 8 << 20
+	defaultMaxTokens = 16
+)
+
+// chatRequest is the body of POST /v1/chat/completions.
+type chatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Usage is the token count of an answer.
+type Usage struct {
+	PromptTokens        int           `json:"prompt_tokens"`
+	CompletionTokens    int           `json:"completion_tokens"`
+	TotalTokens         int           `json:"total_tokens"`
+	PromptTokensDetails PromptDetails `json:"prompt_tokens_details"`
+}
+
+// PromptDetails says how much of the prompt was cached.
+type PromptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(wire.HeaderRequestID)
+	w.Header().Set(wire.HeaderRequestID, e.answerID(id))
+	var c chatRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&c); err != nil {
+		wire.Refuse(w, http.StatusBadRequest, "body", err.Error())
+		return
+	}
+	if c.Model != e.settings.Model {
+		wire.Refuse(w, http.StatusNotFound, "model", "model "+c.Model+" is not loaded")
+		return
+	}
+	a := e.newRun(id, c, r.Header)
+	if e.faults.RefuseAll() || !e.admit(a) {
+		wire.Refuse(w, http.StatusTooManyRequests, "full", "the waiting room is full")
+		return
+	}
+	e.answer(w, r, a, c.Stream, 0)
+}
+
+func (e *Engine) answerID(id string) string {
+	if !e.faults.TakeForeignID() {
+		return id
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lastID == "" || e.lastID == id {
+		return "foreign-" + id
+	}
+	return e.lastID
+}
+
+func (e *Engine) newRun(id string, c chatRequest, h http.Header) *run {
+	var words []string
+	var d wire.Directive
+	for _, m := range c.Messages {
+		words = append(words, strings.Fields(m.Content)...)
+		if m.Role == "user" {
+			d = wire.ParseDirective(m.Content)
+		}
+	}
+	total := c.MaxTokens
+	if total <= 0 {
+		total = defaultMaxTokens
+	}
+	if d.Tokens > 0 && (c.MaxTokens <= 0 || d.Tokens < total) {
+		total = d.Tokens
+	}
+	text := d.Request
+	if text == "" {
+		text = id
+	}
+	return &run{
+		execution: oracle.Execution{
+			RequestID: id, CallerRequestID: d.Request, IdempotencyKey: h.Get(wire.HeaderIdempotencyKey),
+			Target: e.settings.ID, Pool: e.settings.Model, Account: h.Get(wire.HeaderAccount),
+		},
+		id: id, text: text, prompt: newPromptUse(words), total: total,
+		state: oracle.StateRunning, notify: make(chan struct{}, 1),
+	}
+}
+
+// progress returns the state of a run for its handler.
+func (e *Engine) progress(a *run) (produced int, s oracle.State, u Usage) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u = Usage{PromptTokens: a.prompt.tokens, CompletionTokens: a.produced, TotalTokens: a.prompt.tokens + a.produced}
+	u.PromptTokensDetails.CachedTokens = a.prompt.cached
+	return a.produced, a.state, u
+}
+
+// answer sends the tokens of a run from an offset on. It panics with
+// http.ErrAbortHandler when the answer is cut, so that the client sees a broken
+// connection and never a short answer.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, a *run, stream bool, offset int) {
+	s := newSender(w, e.settings.Model, a, stream, offset)
+	breakAt, broken := -1, false
+	if stream {
+		breakAt, broken = e.faults.TakeBreak()
+	}
+	for {
+		select {
+		case <-a.notify:
+		case <-r.Context().Done():
+			e.remove(a, time.Now())
+			panic(http.ErrAbortHandler)
+		}
+		produced, state, usage := e.progress(a)
+		if broken && produced >= breakAt {
+			s.tokens(min(produced, breakAt))
+			e.remove(a, time.Now())
+			panic(http.ErrAbortHandler)
+		}
+		s.tokens(produced)
+		switch state {
+		case oracle.StateComplete:
+			if e.faults.TakeLostAnswer() {
+				panic(http.ErrAbortHandler)
+			}
+			s.end(usage)
+			return
+		case oracle.StateCut:
+			panic(http.ErrAbortHandler)
+		case oracle.StateRunning:
+		}
+	}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	e.mu.Lock()
+	var found *run
+	for _, a := range append(append([]*run(nil), e.running...), e.waiting...) {
+		if a.id == id {
+			found = a
+		}
+	}
+	_, suspended := e.suspended[id]
+	e.mu.Unlock()
+	if found != nil {
+		e.remove(found, time.Now())
+	}
+	e.mu.Lock()
+	delete(e.suspended, id)
+	e.mu.Unlock()
+	if found == nil && !suspended {
+		wire.WriteError(w, http.StatusNotFound, "request", "no such request")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/emulator/run.go
@@ -0,0 +1,84 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+)
+
+// Exit codes of Run.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Streams are the standard streams of a process.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+type options struct {
+	Engines  []string `arg:"--engine,separate" help:"engine: id=ID,model=NAME,slots=N,rate=TOKENS_PER_SECOND[,prefill=RATE][,waiting=N][,cache=TOKENS][,resume=DURATION][,listen=ADDRESS]"`
+	Services []string `arg:"--service,separate" help:"plain service: id=ID,name=NAME,slots=N[,waiting=N][,duration=DURATION][,listen=ADDRESS]"`
+	Table    string   `arg:"--table" help:"table service: [listen=ADDRESS][,reads=RATE][,writes=RATE]; 'on' for the defaults"`
+	Objects  string   `arg:"--objects" help:"object store: [listen=ADDRESS][,reads=RATE][,writes=RATE]; 'on' for the defaults"`
+	Hosts    string   `arg:"--hosts" help:"host list: [listen=ADDRESS][,lag=DURATION]; 'on' for the defaults"`
+	Oracle   string   `arg:"--oracle" help:"address of the execution record" default:"127.0.0.1:0"`
+}
+
+func (options) Description() string {
+	return "monsoonemu serves stand-ins of the platform and of the targets. It prints one JSON line per stand-in with its address, then {\"kind\":\"ready\"}, and serves until SIGINT or SIGTERM."
+}
+
+// Run serves the stand-ins described by flags until the process is told to
+// stop. It returns the exit code.
+func Run(args, _ []string, streams Streams) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	return run(ctx, args, streams)
+}
+
+func run(ctx context.Context, args []string, streams Streams) int {
+	var o options
+	p, err := arg.NewParser(arg.Config{Program: "monsoonemu", Out: streams.Err}, &o)
+	if err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	switch err := p.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		p.WriteHelp(streams.Out)
+		return ExitDone
+	case err != nil:
+		return fail(streams, ExitUsage, err)
+	}
+	settings, err := o.settings()
+	if err != nil {
+		return fail(streams, ExitUsage, err)
+	}
+	set, cleanup, err := New(settings)
+	if err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	defer cleanup()
+	e := json.NewEncoder(streams.Out)
+	for _, x := range append(set.Endpoints(), Endpoint{Kind: "ready"}) {
+		if err := e.Encode(x); err != nil {
+			return fail(streams, ExitFailed, err)
+		}
+	}
+	<-ctx.Done()
+	return ExitDone
+}
+
+func fail(streams Streams, code int, err error) int {
+	_, _ = fmt.Fprintf(streams.Err, "monsoonemu: %v\nRun monsoonemu --help for its flags.\n", err)
+	return code
+}
--- /dev/null
+++ b/emulator/table/table.go
@@ -0,0 +1,160 @@
+// Package table emulates the platform's transactional table service.
+package table
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"monsoondeck.example/emulator/fault"
+)
+
+// Settings of a table service.
+type Settings struct {
+	// ReadsPerSecond and WritesPerSecond limit the service; 0 is unlimited.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+}
+
+// Row is one row. Value is base64 in JSON.
+type Row struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Condition requires a row to be at a revision; 0 requires it to be absent.
+type Condition struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
+// Transaction is applied as a whole or not at all.
+type Transaction struct {
+	Conditions []Condition `json:"conditions"`
+	Puts       []Row       `json:"puts"`
+	Deletes    []string    `json:"deletes"`
+}
+
+// Stats counts the requests of a table service.
+type Stats struct {
+	Reads     int `json:"reads"`
+	Writes    int `json:"writes"`
+	Conflicts int `json:"conflicts"`
+	OverRate  int `json:"overRate"`
+}
+
+// Table is an http.Handler that emulates the table service.
+type Table struct {
+	faults        *fault.Faults
+	reads, writes *Rate
+
+	mu       sync.Mutex
+	rows     map[string]Row
+	keys     []string // sorted
+	revision uint64
+	stats    Stats
+}
+
+// New returns an empty table.
+func New(s Settings) *Table {
+	return &Table{
+		faults: fault.New(), rows: map[string]Row{},
+		reads: NewRate(s.ReadsPerSecond), writes: NewRate(s.WritesPerSecond),
+	}
+}
+
+// Faults returns the faults of the table service.
+func (t *Table) Faults() *fault.Faults { return t.faults }
+
+// Stats returns the request counts so far.
+func (t *Table) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
+}
+
+// Read returns a row.
+func (t *Table) Read(key string) (Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[key]
+	return r, ok
+}
+
+// List returns up to limit rows with a prefix, in key order, after a key.
+func (t *Table) List(prefix, after string, limit int) []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, found := slices.BinarySearch(t.keys, max(prefix, after))
+	if found && t.keys[i] == after {
+		i++
+	}
+	out := []Row{}
+	for ; i < len(t.keys) && len(out) < limit && strings.HasPrefix(t.keys[i], prefix); i++ {
+		out = append(out, t.rows[t.keys[i]])
+	}
+	return out
+}
+
+// Transact applies a transaction. It returns the new revision, or the key of
+// the first condition that failed.
+func (t *Table) Transact(x Transaction) (revision uint64, failed string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range x.Conditions {
+		if t.rows[c.Key].Revision != c.Revision {
+			t.stats.Conflicts++
+			return 0, c.Key, false
+		}
+	}
+	t.revision++
+	for _, p := range x.Puts {
+		t.put(Row{Key: p.Key, Value: p.Value, Revision: t.revision})
+	}
+	for _, k := range x.Deletes {
+		t.remove(k)
+	}
+	return t.revision, "", true
+}
+
+func (t *Table) put(r Row) {
+	if _, ok := t.rows[r.Key]; !ok {
+		i, _ := slices.BinarySearch(t.keys, r.Key)
+		t.keys = slices.Insert(t.keys, i, r.Key)
+	}
+	t.rows[r.Key] = r
+}
+
+func (t *Table) remove(key string) {
+	if i, ok := slices.BinarySearch(t.keys, key); ok {
+		t.keys = slices.Delete(t.keys, i, i+1)
+		delete(t.rows, key)
+	}
+}
+
+func (t *Table) countRead(now time.Time) bool {
+	return t.count(t.reads.Take(now), &t.stats.Reads)
+}
+
+func (t *Table) countWrite(now time.Time) bool {
+	return t.count(t.writes.Take(now), &t.stats.Writes)
+}
+
+func (t *Table) count(ok bool, n *int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ok {
+		*n++
+	} else {
+		t.stats.OverRate++
+	}
+	return ok
+}
+
+func clampLimit(n int) int {
+	const maxRows = 1000
+	return cmp.Or(min(max(n, 0), maxRows), maxRows)
+}
