--- /dev/null
+++ b/configurer/config_test.go
@@ -0,0 +1,163 @@
+package configurer_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"monsoondeck.example/configurer"
+)
+
+// Guards against a delta that loses or adds rows, against an index that differs
+// from the rows, and against a change of the value it was made from.
+func TestDifferenceLeadsFromOneConfigToTheOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawConfig(t, 3), drawConfig(t, 4)
+		before := encoded(t, from)
+		d := configurer.Difference(from, to)
+		d.Version = 4
+		got, err := from.WithDelta(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSame(t, got, to)
+		if encoded(t, from) != before {
+			t.Fatal("WithDelta changed the configuration that it started from")
+		}
+	})
+}
+
+// Guards against fields that the JSON encoding drops.
+func TestEncodingKeepsEverything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		_, deltas := drawHistory(t)
+		want := drawConfig(t, 9)
+		var got configurer.Config
+		if err := json.Unmarshal([]byte(encoded(t, want)), &got); err != nil {
+			t.Fatal(err)
+		}
+		requireSame(t, got, want)
+		var d configurer.Delta
+		if err := json.Unmarshal([]byte(encoded(t, deltas[0])), &d); err != nil || encoded(t, d) != encoded(t, deltas[0]) {
+			t.Fatalf("delta %v: %v", d, err)
+		}
+	})
+}
+
+// Guards against a wrong change that is taken silently.
+func TestWithDeltaRejects(t *testing.T) {
+	hash := configurer.KeyHash("k")
+	account := func(id string, share float64, hashes ...string) configurer.Account {
+		return configurer.Account{ID: id, Share: share, KeyHashes: hashes}
+	}
+	c, err := configurer.New(5, []configurer.Account{account("a", 1, hash)}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	puts := func(rows ...configurer.Account) configurer.Delta {
+		return configurer.Delta{Base: 5, Version: 6, PutAccounts: rows}
+	}
+	for name, tc := range map[string]struct {
+		delta configurer.Delta
+		want  error
+	}{
+		"stale":              {configurer.Delta{Base: 4, Version: 5}, configurer.ErrStale},
+		"gap":                {configurer.Delta{Base: 6, Version: 7}, configurer.ErrVersionGap},
+		"stepping over":      {configurer.Delta{Base: 4, Version: 6}, configurer.ErrVersionGap},
+		"backwards":          {configurer.Delta{Base: 5, Version: 5}, configurer.ErrInvalid},
+		"no share":           {puts(account("b", 0)), configurer.ErrInvalid},
+		"share not a number": {puts(account("b", math.NaN())), configurer.ErrInvalid},
+		"infinite share":     {puts(account("b", math.Inf(1))), configurer.ErrInvalid},
+		"no ID":              {puts(account("", 1)), configurer.ErrInvalid},
+		"key taken":          {puts(account("b", 1, hash)), configurer.ErrInvalid},
+		"put twice":          {puts(account("b", 1), account("b", 2)), configurer.ErrInvalid},
+		"target no slots":    {configurer.Delta{Base: 5, Version: 6, PutTargets: []configurer.Target{{ID: "t", Address: "h:1"}}}, configurer.ErrInvalid},
+		"operator no key":    {configurer.Delta{Base: 5, Version: 6, PutOperators: []configurer.Operator{{Name: "o"}}}, configurer.ErrInvalid},
+	} {
+		if got, err := c.WithDelta(tc.delta); !errors.Is(err, tc.want) || got.Version() != 5 {
+			t.Errorf("%s: version %d, error %v, want %v", name, got.Version(), err, tc.want)
+		}
+	}
+	moved, err := c.WithDelta(puts(account("a", 1), account("b", 1, hash)))
+	if owner, _ := moved.AccountByKeyHash(hash); err != nil || owner.ID != "b" {
+		t.Errorf("a key that moves within one change belongs to %q: %v", owner.ID, err)
+	}
+}
+
+// largeConfig has the size to design for: 19,000 accounts and 3,300 targets.
+func largeConfig(b *testing.B) configurer.Config {
+	b.Helper()
+	var accounts []configurer.Account
+	var targets []configurer.Target
+	for i := range 19_000 {
+		accounts = append(accounts, configurer.Account{
+			ID: fmt.Sprintf("account-%05d", i), Name: fmt.Sprintf("Client account %d", i), Share: 1 + float64(i%7),
+			KeyHashes: []string{configurer.KeyHash(fmt.Sprint(i))}, Pools: []string{"model-01", "model-02"}, QueueLimit: 64,
+		})
+	}
+	for i := range 3_300 {
+		targets = append(targets, configurer.Target{
+			ID: fmt.Sprintf("target-%04d", i), DataCentre: fmt.Sprintf("dc-%d", i%4), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+			Kind: configurer.KindEngine, Pools: []string{fmt.Sprintf("model-%02d", i%16)}, Slots: 32, State: configurer.StateActive,
+		})
+	}
+	c, err := configurer.New(1, accounts, targets, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return c
+}
+
+func BenchmarkWithDelta(b *testing.B) {
+	c := largeConfig(b)
+	account, _ := c.Account("account-09999")
+	target, _ := c.Target("target-0999")
+	change := configurer.Delta{ID: "6f1d1a0e5b7c4d21", Author: "haruka", Time: time.Unix(1_780_000_000, 0).UTC(), Base: 1, Version: 2}
+	one, drain := change, change
+	one.PutAccounts = []configurer.Account{account.WithKeyHash(configurer.KeyHash("new"))}
+	drain.PutTargets = []configurer.Target{target.WithState(configurer.StateDraining)}
+	for name, d := range map[string]configurer.Delta{"account": one, "drain": drain} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.WithDelta(d); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(encoded(b, d))), "bytes/delta")
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	c := largeConfig(b)
+	body := []byte(encoded(b, c))
+	b.Run("encode", func(b *testing.B) {
+		for b.Loop() {
+			encoded(b, c)
+		}
+		b.ReportMetric(float64(len(body)), "bytes")
+	})
+	b.Run("load", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			var loaded configurer.Config
+			if err := json.Unmarshal(body, &loaded); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("lookup", func(b *testing.B) {
+		hash := configurer.KeyHash("9999")
+		for b.Loop() {
+			if _, ok := c.AccountByKeyHash(hash); !ok {
+				b.Fatal("not found")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/configurer/replica_test.go
@@ -0,0 +1,133 @@
+package configurer_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"monsoondeck.example/configurer"
+)
+
+type merger interface {
+	Offer(configurer.Delta) ([]configurer.Delta, error)
+	OfferConfig(configurer.Config) bool
+	Current() (configurer.Config, bool)
+}
+
+// mergeProperty: whatever arrives in whatever order, the version never
+// decreases, the content is that of the committed version, and a replay of
+// everything ends at the newest version.
+func mergeProperty(start func() merger) func(*rapid.T) {
+	return func(t *rapid.T) {
+		configs, deltas := drawHistory(t)
+		m, version := start(), uint64(0)
+		check := func() {
+			c, _ := m.Current()
+			if c.Version() < version {
+				t.Fatalf("version fell from %d to %d", version, c.Version())
+			}
+			version = c.Version()
+			requireSame(t, c, configs[version])
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "messages") {
+			i := rapid.IntRange(0, len(deltas)-1).Draw(t, "index")
+			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+				m.OfferConfig(configs[i+1])
+			} else if _, err := m.Offer(deltas[i]); err != nil {
+				t.Fatal(err)
+			}
+			check()
+		}
+		for _, d := range deltas {
+			if _, err := m.Offer(d); err != nil {
+				t.Fatal(err)
+			}
+			check()
+		}
+		if version != uint64(len(deltas)) {
+			t.Fatalf("replay ends at version %d of %d", version, len(deltas))
+		}
+	}
+}
+
+// Guards against a configuration that reverts or depends on the order of
+// arrival (P8).
+func TestReplicaConvergesInAnyOrder(t *testing.T) {
+	rapid.Check(t, mergeProperty(func() merger { return configurer.NewReplica(4) }))
+}
+
+// adoptsAnySnapshot takes snapshots without comparing versions.
+type adoptsAnySnapshot struct {
+	*configurer.Replica
+	adopted *configurer.Config
+}
+
+func (m *adoptsAnySnapshot) OfferConfig(c configurer.Config) bool { m.adopted = &c; return true }
+func (m *adoptsAnySnapshot) Offer(d configurer.Delta) ([]configurer.Delta, error) {
+	applied, err := m.Replica.Offer(d)
+	if len(applied) > 0 {
+		m.adopted = nil
+	}
+	return applied, err
+}
+func (m *adoptsAnySnapshot) Current() (configurer.Config, bool) {
+	if m.adopted != nil {
+		return *m.adopted, true
+	}
+	return m.Replica.Current()
+}
+
+// ignoresBase applies a delta to whatever version it has.
+type ignoresBase struct{ c configurer.Config }
+
+func (m *ignoresBase) Current() (configurer.Config, bool) { return m.c, true }
+func (m *ignoresBase) OfferConfig(c configurer.Config) bool {
+	if c.Version() > m.c.Version() {
+		m.c = c
+	}
+	return true
+}
+func (m *ignoresBase) Offer(d configurer.Delta) ([]configurer.Delta, error) {
+	d.Base = m.c.Version()
+	next, err := m.c.WithDelta(d)
+	if errors.Is(err, configurer.ErrStale) || errors.Is(err, configurer.ErrInvalid) {
+		return nil, nil
+	}
+	m.c = next
+	return nil, err
+}
+
+func TestMergePropertyCatchesBrokenMerges(t *testing.T) {
+	requireCaught(t, mergeProperty(func() merger { return &adoptsAnySnapshot{Replica: configurer.NewReplica(4)} }))
+	requireCaught(t, mergeProperty(func() merger { return &ignoresBase{} }))
+}
+
+// Guards against deltas for members that are behind that do not lead from their
+// version to the current one.
+func TestReplicaServesMembersThatAreBehind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		configs, deltas := drawHistory(t)
+		ahead := configurer.NewReplica(3)
+		for _, d := range deltas {
+			if _, err := ahead.Offer(d); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range configs {
+			missing, ok := ahead.After(uint64(i))
+			if kept := i >= len(deltas)-3; ok != kept {
+				t.Fatalf("deltas after %d of %d are kept: %t", i, len(deltas), ok)
+			}
+			c, err := configs[i], error(nil)
+			for _, d := range missing {
+				if c, err = c.WithDelta(d); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if ok {
+				requireSame(t, c, configs[len(configs)-1])
+			}
+		}
+	})
+}
