--- /dev/null
+++ b/provider/committer/commit_test.go
@@ -0,0 +1,261 @@
+package committer_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/provider"
+	"monsoondeck.example/provider/committer"
+)
+
+func newCommitter(m *memory) *committer.Committer {
+	return committer.New(committer.Options{Table: m, Objects: store{m}, SnapshotEvery: 5, Backoff: time.Nanosecond})
+}
+
+func change(id string) configurer.Delta {
+	return configurer.Delta{ID: id, Author: "op-" + id, PutAccounts: []configurer.Account{{ID: "a-" + id, Share: 1}}}
+}
+
+func load(t rapid.TB, m *memory) configurer.Config {
+	c, err := newCommitter(m).Load(context.Background())
+	if err != nil {
+		t.Fatalf("load: %+v", err)
+	}
+	return c
+}
+
+// commitProperty: operators commit from versions that may be old, through a
+// table that loses, delays and refuses. What each is told is true: done means
+// committed, every definite failure means never committed.
+func commitProperty(distort func(*memory)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		m := newMemory()
+		distort(m)
+		told := map[string]error{}
+		seen := []configurer.Config{{}}
+		for i := range rapid.IntRange(1, 8).Draw(t, "operators") {
+			m.faults = nil
+			for range rapid.IntRange(0, 6).Draw(t, "faults") {
+				m.faults = append(m.faults, fault(rapid.IntRange(0, int(faultCount)-1).Draw(t, "fault")))
+			}
+			base := seen[max(0, len(seen)-1-rapid.IntRange(0, 1).Draw(t, "age"))]
+			if rapid.Bool().Draw(t, "race") {
+				m.before = func() { // another operator commits between read and transaction
+					_, _, told[fmt.Sprint("racer", i)] = newCommitter(m).Commit(context.Background(), load(t, m), change(fmt.Sprint("racer", i)), "race")
+				}
+			}
+			id := fmt.Sprint("main", i)
+			_, _, told[id] = newCommitter(m).Commit(context.Background(), base, change(id), "test")
+			m.before = nil
+			seen = append(seen, load(t, m))
+		}
+		m.arrive()
+		final := load(t, m)
+		for id, err := range told {
+			_, committed := final.Account("a-" + id)
+			switch {
+			case err == nil && !committed:
+				t.Fatalf("%s was told done but is not committed", id)
+			case err != nil && !errors.Is(err, provider.ErrUnknown) && committed:
+				t.Fatalf("%s was told %q but is committed", id, err)
+			}
+		}
+		if int(final.Version()) != final.AccountCount() {
+			t.Fatalf("version %d has %d accounts: a change was lost or done twice", final.Version(), final.AccountCount())
+		}
+	}
+}
+
+// Guards against a wrong report to an operator and against lost or doubled
+// changes.
+func TestCommitTellsTheTruth(t *testing.T) {
+	rapid.Check(t, commitProperty(func(*memory) {}))
+}
+
+type recorder struct {
+	testing.TB
+	failed bool
+}
+
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) FailNow()              { r.failed = true; runtime.Goexit() }
+
+func TestCommitPropertyCatchesBrokenClients(t *testing.T) {
+	for name, distort := range map[string]func(error) error{
+		"reports a lost answer as unavailable": func(err error) error {
+			if errors.Is(err, provider.ErrUnknown) {
+				return provider.ErrUnavailable
+			}
+			return err
+		},
+		"reports a refusal as done": func(err error) error {
+			if errors.Is(err, provider.ErrUnavailable) {
+				return nil
+			}
+			return err
+		},
+	} {
+		r, done := &recorder{TB: t}, make(chan struct{})
+		go func() {
+			defer close(done)
+			rapid.Check(r, commitProperty(func(m *memory) { m.distort = distort }))
+		}()
+		<-done
+		if !r.failed {
+			t.Errorf("the property holds for a client that %s", name)
+		}
+	}
+}
+
+// Guards against a loser of a race who is not told what was changed and by whom.
+func TestLoserIsToldWhoWon(t *testing.T) {
+	m, ctx := newMemory(), context.Background()
+	m.before = func() {
+		if _, _, err := newCommitter(m).Commit(ctx, configurer.Config{}, change("first"), "account addkey"); err != nil {
+			t.Error(err)
+		}
+	}
+	_, _, err := newCommitter(m).Commit(ctx, configurer.Config{}, change("second"), "sheet apply")
+	var conflict *committer.ConflictError
+	if !errors.As(err, &conflict) || len(conflict.Changes) != 1 || conflict.Changes[0].PutAccounts[0].ID != "a-first" ||
+		!strings.Contains(err.Error(), "version 1 by op-first") {
+		t.Fatalf("the loser is told %v", err)
+	}
+	records, err := newCommitter(m).History(ctx, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	results := map[string]committer.Result{}
+	for _, r := range records {
+		results[r.Author] = r.Result
+	}
+	if results["op-first"] != committer.ResultCommitted || results["op-second"] != committer.ResultConflict {
+		t.Fatalf("audit trail %v", records)
+	}
+}
+
+// Guards against a change that blocks every daemon because it cannot be applied.
+func TestCommitRefusesWhatCannotBeApplied(t *testing.T) {
+	m := newMemory()
+	d := change("x")
+	d.PutAccounts[0].Share = 0
+	_, _, err := newCommitter(m).Commit(context.Background(), configurer.Config{}, d, "test")
+	_, _, empty := newCommitter(m).Commit(context.Background(), configurer.Config{}, configurer.Delta{}, "test")
+	if !errors.Is(err, configurer.ErrInvalid) || !errors.Is(empty, committer.ErrEmpty) || len(m.rows) != 0 {
+		t.Fatalf("errors %v and %v, rows %v", err, empty, m.rows)
+	}
+}
+
+// grow commits changes up to a version.
+func grow(t *testing.T, m *memory, version uint64) configurer.Config {
+	t.Helper()
+	c := load(t, m)
+	for c.Version() < version {
+		var err error
+		if c, _, err = newCommitter(m).Commit(context.Background(), c, change(fmt.Sprintf("%03d", c.Version()+1)), "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c
+}
+
+// Guards against a configuration that is lost with its newest snapshots, and
+// against compaction that removes what recovery needs or nothing at all.
+func TestLoadRecoversFromOlderSnapshots(t *testing.T) {
+	m := newMemory()
+	want := grow(t, m, 33)
+	var keys []string
+	keys, _ = store{m}.List(context.Background(), "")
+	if len(keys) != 3 || !strings.HasSuffix(keys[0], "20") {
+		t.Fatalf("snapshots %v", keys)
+	}
+	if _, kept := m.rows["config/change/00000000000000000020"]; kept {
+		t.Error("a change row that no kept snapshot needs is still there")
+	}
+	check := func(damage string) {
+		if got := load(t, m); got.Digest() != want.Digest() || got.Version() != want.Version() {
+			t.Errorf("%s: version %d, want %d", damage, got.Version(), want.Version())
+		}
+	}
+	check("whole")
+	m.objects[keys[2]][len(m.objects[keys[2]])-9] ^= 1
+	check("newest snapshot damaged")
+	delete(m.objects, keys[2])
+	check("newest snapshot missing")
+	m.objects[keys[1]] = m.objects[keys[0]]
+	check("second one replaced by an older one")
+	m.down = true
+	if _, err := newCommitter(m).Load(context.Background()); !errors.Is(err, provider.ErrUnavailable) {
+		t.Errorf("with the object store down: %v", err)
+	}
+	m.down = false
+	delete(m.objects, keys[0])
+	if _, err := newCommitter(m).Load(context.Background()); !errors.Is(err, committer.ErrDamaged) {
+		t.Errorf("without a readable snapshot: %v", err)
+	}
+}
+
+// Guards against compaction that trusts snapshots that it has not read.
+func TestCompactionDoesNotCountDamagedSnapshots(t *testing.T) {
+	m := newMemory()
+	grow(t, m, 12)
+	for key := range m.objects {
+		m.objects[key] = []byte("{}\n")
+	}
+	want := grow(t, m, 24)
+	for key := range m.objects {
+		m.objects[key] = nil
+	}
+	if got := load(t, m); got.Digest() != want.Digest() {
+		t.Errorf("version %d, want %d", got.Version(), want.Version())
+	}
+}
+
+// Guards against a poller that misses changes, reverts on a stale read or keeps
+// waiting for rows that are gone.
+func TestPoll(t *testing.T) {
+	m, ctx := newMemory(), context.Background()
+	grow(t, m, 33)
+	for _, tc := range []struct {
+		after uint64
+		want  int
+		err   error
+	}{{33, 0, nil}, {32, 1, nil}, {20, 13, nil}, {19, 0, committer.ErrCompacted}, {34, 0, committer.ErrStaleRead}} {
+		deltas, err := newCommitter(m).Poll(ctx, tc.after)
+		if len(deltas) != tc.want || !errors.Is(err, tc.err) {
+			t.Errorf("after %d: %d deltas, error %v", tc.after, len(deltas), err)
+		}
+	}
+	m.reads["config/head"] = provider.ErrUnavailable
+	if _, err := newCommitter(m).Poll(ctx, 3); !errors.Is(err, provider.ErrUnavailable) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against a history in the wrong order or without its limit.
+func TestHistoryIsNewestFirst(t *testing.T) {
+	m := newMemory()
+	grow(t, m, 12)
+	records, err := newCommitter(m).History(context.Background(), 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var versions []uint64
+	for _, r := range records {
+		versions = append(versions, r.To)
+	}
+	if !slices.Equal(versions, []uint64{12, 11, 10}) {
+		t.Errorf("versions %v", versions)
+	}
+}
--- /dev/null
+++ b/provider/committer/committer.go
@@ -0,0 +1,186 @@
+// Package committer commits configuration changes and audit records to the
+// table service, keeps snapshots in the object store, and loads the
+// configuration from both.
+package committer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/provider"
+)
+
+const (
+	// DefaultSnapshotEvery is the number of changes between snapshots.
+	DefaultSnapshotEvery = 200
+	// commitAttempts bounds how often one change is sent when answers are lost.
+	commitAttempts = 5
+	// commitBackoff is the pause before the second attempt; it doubles after that.
+	commitBackoff = 50 * time.Millisecond
+	// pageRows is the number of rows per list or delete call.
+	pageRows = 100
+)
+
+// Errors of this package; calls also return those of provider.
+var (
+	// ErrStaleRead: the table service answered with an older state than the
+	// caller already has. The caller keeps what it has.
+	ErrStaleRead = errors.New("table service answered with an older version")
+	// ErrCompacted: change rows that the caller lacks are not kept any more; the
+	// whole configuration must be loaded.
+	ErrCompacted = errors.New("changes are not kept any more")
+	// ErrDamaged: no snapshot and change rows lead to the current version.
+	ErrDamaged = errors.New("configuration cannot be recovered from the platform")
+	// ErrEmpty: the change puts and removes nothing.
+	ErrEmpty = errors.New("change is empty")
+)
+
+// Options configures a Committer.
+type Options struct {
+	Table   provider.Table
+	Objects provider.Objects
+	// Now returns the time of a change; nil is time.Now.
+	Now func() time.Time
+	// Warn is told of faults that were worked around, such as an unreadable
+	// snapshot; nil ignores them.
+	Warn func(error)
+	// SnapshotEvery is the number of changes between snapshots; 0 is
+	// DefaultSnapshotEvery.
+	SnapshotEvery uint64
+	// Backoff is the pause before the second attempt to commit; 0 is 50 ms.
+	Backoff time.Duration
+}
+
+// Committer reads and writes the configuration. It is safe for concurrent use.
+type Committer struct{ o Options }
+
+// New returns a Committer.
+func New(o Options) *Committer {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Warn == nil {
+		o.Warn = func(error) {}
+	}
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if o.Backoff == 0 {
+		o.Backoff = commitBackoff
+	}
+	return &Committer{o: o}
+}
+
+// Keys of the rows. Versions have 20 digits so that the order of keys is the
+// order of versions.
+const (
+	headKey      = "config/head"
+	changePrefix = "config/change/"
+	auditPrefix  = "config/audit/"
+)
+
+func changeKey(version uint64) string { return fmt.Sprintf("%s%020d", changePrefix, version) }
+
+func auditKey(version uint64, id string) string {
+	return fmt.Sprintf("%s%020d-%s", auditPrefix, version, id)
+}
+
+// head names the last committed change.
+type head struct {
+	Version  uint64 `json:"version"`
+	ChangeID string `json:"changeId"`
+}
+
+// readHead returns the head and its revision; both are zero when nothing has
+// been committed yet.
+func (c *Committer) readHead(ctx context.Context) (head, uint64, error) {
+	row, err := c.o.Table.Read(ctx, headKey)
+	if errors.Is(err, provider.ErrNotFound) {
+		return head{}, 0, nil
+	}
+	if err != nil {
+		return head{}, 0, errors.Wrap(err, "read the configuration's head")
+	}
+	var h head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return head{}, 0, errors.Mark(errors.Wrapf(err, "decode %s", headKey), ErrDamaged)
+	}
+	return h, row.Revision, nil
+}
+
+// changesAfter lists the deltas that follow a version without a gap, at most
+// limit of them; 0 is no limit. It ends at the first gap.
+func (c *Committer) changesAfter(ctx context.Context, version uint64, limit int) ([]configurer.Delta, error) {
+	var deltas []configurer.Delta
+	for next := version; ; {
+		rows, err := c.o.Table.List(ctx, changePrefix, changeKey(next), pageRows)
+		if err != nil {
+			return nil, errors.Wrap(err, "list changes")
+		}
+		for _, r := range rows {
+			d, err := decodeChange(r)
+			if err != nil {
+				return nil, err
+			}
+			if d.Base != next || (limit > 0 && len(deltas) == limit) {
+				return deltas, nil
+			}
+			deltas, next = append(deltas, d), d.Version
+		}
+		if len(rows) < pageRows {
+			return deltas, nil
+		}
+	}
+}
+
+func decodeChange(r provider.Row) (configurer.Delta, error) {
+	var d configurer.Delta
+	if err := json.Unmarshal(r.Value, &d); err != nil {
+		return d, errors.Mark(errors.Wrapf(err, "decode %s", r.Key), ErrDamaged)
+	}
+	if !strings.HasSuffix(r.Key, fmt.Sprintf("%020d", d.Version)) {
+		return d, errors.Wrapf(ErrDamaged, "%s holds version %d", r.Key, d.Version)
+	}
+	return d, nil
+}
+
+// Poll returns the changes after a version, oldest first, and none when there is
+// nothing new. Errors: ErrStaleRead, ErrCompacted, ErrDamaged,
+// provider.ErrUnavailable.
+func (c *Committer) Poll(ctx context.Context, after uint64) ([]configurer.Delta, error) {
+	h, _, err := c.readHead(ctx)
+	switch {
+	case err != nil:
+		return nil, err
+	case h.Version == after:
+		return nil, nil
+	case h.Version < after:
+		return nil, errors.Wrapf(ErrStaleRead, "version %d, have %d", h.Version, after)
+	}
+	return c.Changes(ctx, after)
+}
+
+// Changes returns the changes after a version that is older than the current
+// one. Errors: ErrCompacted, ErrDamaged, provider.ErrUnavailable.
+func (c *Committer) Changes(ctx context.Context, after uint64) ([]configurer.Delta, error) {
+	deltas, err := c.changesAfter(ctx, after, 0)
+	if err == nil && len(deltas) == 0 {
+		err = errors.Wrapf(ErrCompacted, "after version %d", after)
+	}
+	return deltas, err
+}
+
+// newID returns a change ID.
+func newID() string {
+	var id [12]byte
+	_, _ = rand.Read(id[:]) // documented never to fail
+	return hex.EncodeToString(id[:])
+}
