Compress large change rows and retry late reads of the head

Cause: a first sheet of 19,000 accounts makes a change of 4 MB of JSON, 5.4 MB in base64, above the 4 MB that the stand-in of the table service accepts in one transaction; and a late read of the head failed a commit at once. Change: change rows above 16 KB are compressed; a head older than the configuration that a change starts from is read again, up to five times.

--- a/provider/committer/commit.go
+++ b/provider/committer/commit.go
@@ -75,13 +75,18 @@
 
 func (c *Committer) commit(ctx context.Context, d configurer.Delta, action string) error {
 	h, revision, err := c.readHead(ctx)
-	switch {
-	case err != nil:
+	for pause := c.o.Backoff; err == nil && h.Version < d.Base; pause *= 2 {
+		// A late read; a few more tries see the version that from was loaded at.
+		if pause >= c.o.Backoff<<commitAttempts || !sleep(ctx, pause) {
+			return errors.Mark(errors.Wrapf(ErrStaleRead, "version %d, have %d", h.Version, d.Base), provider.ErrUnavailable)
+		}
+		h, revision, err = c.readHead(ctx)
+	}
+	if err != nil {
 		return err
-	case h.Version > d.Base:
+	}
+	if h.Version > d.Base {
 		return c.conflict(ctx, d)
-	case h.Version < d.Base:
-		return errors.Mark(errors.Wrapf(ErrStaleRead, "version %d, have %d", h.Version, d.Base), provider.ErrUnavailable)
 	}
 	puts, err := rowsOf(d, action)
 	if err != nil {
@@ -92,12 +97,15 @@
 }
 
 func rowsOf(d configurer.Delta, action string) ([]provider.Row, error) {
-	var puts []provider.Row
+	change, err := encodeChange(d)
+	if err != nil {
+		return nil, err
+	}
+	puts := []provider.Row{{Key: changeKey(d.Version), Value: change}}
 	for _, p := range []struct {
 		key   string
 		value any
 	}{
-		{changeKey(d.Version), d},
 		{headKey, head{Version: d.Version, ChangeID: d.ID}},
 		{auditKey(d.Version, d.ID), recordOf(d, action, ResultCommitted)},
 	} {
--- a/provider/committer/commit_test.go
+++ b/provider/committer/commit_test.go
@@ -259,3 +259,60 @@
 		t.Errorf("versions %v", versions)
 	}
 }
+
+// Guards against a large change that is too big for one transaction or cannot be
+// read again, and against a late read that fails a commit.
+func TestLargeChangeAfterLateRead(t *testing.T) {
+	m, ctx, large := newMemory(), context.Background(), configurer.Delta{Author: "mei"}
+	for i := range 19_000 {
+		large.PutAccounts = append(large.PutAccounts, configurer.Account{
+			ID: fmt.Sprintf("account-%05d", i), Share: 1, KeyHashes: []string{configurer.KeyHash(fmt.Sprint(i))}, Pools: []string{"large", "small"}})
+	}
+	before := grow(t, m, 1)
+	late := committer.New(committer.Options{Table: &lateReads{memory: m, left: 2}, Objects: store{m}, Backoff: time.Nanosecond})
+	after, _, err := late.Commit(ctx, before, large, "sheet apply")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := load(t, m); got.Digest() != after.Digest() {
+		t.Errorf("loaded %s, committed %s", got.Digest(), after.Digest())
+	}
+	if size := len(m.rows["config/change/00000000000000000002"].Value); size > 2<<20 {
+		t.Errorf("the change has %d bytes", size)
+	}
+}
+
+// lateReads answers the first reads from the empty state.
+type lateReads struct {
+	*memory
+	left int
+}
+
+func (l *lateReads) Read(ctx context.Context, key string) (provider.Row, error) {
+	if l.left--; l.left >= 0 {
+		return provider.Row{}, provider.ErrNotFound
+	}
+	return l.memory.Read(ctx, key)
+}
+
+func BenchmarkRecovery(b *testing.B) {
+	m, large := newMemory(), configurer.Delta{Author: "mei"}
+	for i := range 19_000 {
+		large.PutAccounts = append(large.PutAccounts, configurer.Account{
+			ID: fmt.Sprintf("account-%05d", i), Name: fmt.Sprintf("Client account %d", i), Share: 1 + float64(i%7),
+			KeyHashes: []string{configurer.KeyHash(fmt.Sprint(i))}, Pools: []string{"model-01", "model-02"}, QueueLimit: 64})
+	}
+	c := committer.New(committer.Options{Table: m, Objects: store{m}, SnapshotEvery: 1})
+	if _, _, err := c.Commit(context.Background(), configurer.Config{}, large, "sheet apply"); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := c.Load(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for _, object := range m.objects {
+		b.ReportMetric(float64(len(object)), "snapshotBytes")
+	}
+	b.ReportMetric(float64(len(m.rows["config/change/00000000000000000001"].Value)), "changeBytes")
+}
--- a/provider/committer/committer.go
+++ b/provider/committer/committer.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -141,17 +140,6 @@
 	}
 }
 
-func decodeChange(r provider.Row) (configurer.Delta, error) {
-	var d configurer.Delta
-	if err := json.Unmarshal(r.Value, &d); err != nil {
-		return d, errors.Mark(errors.Wrapf(err, "decode %s", r.Key), ErrDamaged)
-	}
-	if !strings.HasSuffix(r.Key, fmt.Sprintf("%020d", d.Version)) {
-		return d, errors.Wrapf(ErrDamaged, "%s holds version %d", r.Key, d.Version)
-	}
-	return d, nil
-}
-
 // Poll returns the changes after a version, oldest first, and none when there is
 // nothing new. Errors: ErrStaleRead, ErrCompacted, ErrDamaged,
 // provider.ErrUnavailable.
--- a/provider/committer/snapshot.go
+++ b/provider/committer/snapshot.go
@@ -2,13 +2,11 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,8 +22,6 @@
 	// keepSnapshots is the number of readable snapshots that compaction keeps, so
 	// that two of them may be lost or damaged.
 	keepSnapshots = 3
-	// maxSnapshotBytes bounds an unpacked snapshot; 19,000 accounts need 4 MB.
-	maxSnapshotBytes = 256 << 20
 )
 
 // snapshotHeader is the first line of a snapshot object; the compressed JSON of
@@ -39,20 +35,16 @@
 func snapshotKey(version uint64) string { return fmt.Sprintf("%s%020d", snapshotPrefix, version) }
 
 func encodeSnapshot(config configurer.Config) ([]byte, error) {
-	var packed bytes.Buffer
-	w := gzip.NewWriter(&packed)
-	if err := json.NewEncoder(w).Encode(config); err != nil {
-		return nil, errors.Wrap(err, "encode snapshot")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress snapshot")
+	packed, err := pack(config)
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot")
 	}
-	sum := sha256.Sum256(packed.Bytes())
+	sum := sha256.Sum256(packed)
 	header, err := json.Marshal(snapshotHeader{Version: config.Version(), SHA256: hex.EncodeToString(sum[:])})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot header")
 	}
-	return slices.Concat(header, []byte("\n"), packed.Bytes()), nil
+	return slices.Concat(header, []byte("\n"), packed), nil
 }
 
 func decodeSnapshot(object []byte, version uint64) (configurer.Config, error) {
@@ -64,13 +56,9 @@
 	if sum := sha256.Sum256(body); hex.EncodeToString(sum[:]) != header.SHA256 {
 		return configurer.Config{}, errors.Wrap(ErrDamaged, "snapshot does not match its checksum")
 	}
-	r, err := gzip.NewReader(bytes.NewReader(body))
-	if err != nil {
-		return configurer.Config{}, errors.Wrapf(ErrDamaged, "unpack snapshot: %v", err)
-	}
 	var config configurer.Config
-	if err := json.NewDecoder(io.LimitReader(r, maxSnapshotBytes)).Decode(&config); err != nil {
-		return configurer.Config{}, errors.Wrapf(ErrDamaged, "decode snapshot: %v", err)
+	if err := unpack(body, &config); err != nil {
+		return configurer.Config{}, errors.Wrap(err, "snapshot")
 	}
 	if config.Version() != version || header.Version != version {
 		return configurer.Config{}, errors.Wrapf(ErrDamaged, "snapshot %d holds version %d", version, config.Version())
