Add lagging reports, resumption, orders and a weight store to the stand-ins

Routers must work with engines whose load reports and cache events are late and gapped, that resume and cancel streams, that export and import cache blocks, and that take orders with or without a check of the fencing number. All of these are settings or faults of the stand-ins now; the table service can also answer stale reads.

A broken stream frees its slot at once and is kept for the resume window; a resumption continues the same execution, so the oracle does not count a second run. A break fault counts tokens from the resumed offset, because an absolute count broke every resumption before its first token.

go test -race -count=3 ./emulator/... passes.

--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -15,6 +15,7 @@
 	"monsoondeck.example/emulator/oracle"
 	"monsoondeck.example/emulator/service"
 	"monsoondeck.example/emulator/table"
+	"monsoondeck.example/emulator/weights"
 )
 
 // Sentinel errors of New.
@@ -30,6 +31,7 @@
 	KindObjects = "objects"
 	KindHosts   = "hosts"
 	KindOracle  = "oracle"
+	KindWeights = "weights"
 )
 
 // Listen is the address a stand-in listens at; port 0 chooses a free port.
@@ -42,6 +44,8 @@
 	Table    *TableSettings
 	Objects  *ObjectsSettings
 	Hosts    *HostsSettings
+	// Weights is the store that all engines of the set load models from.
+	Weights *WeightsSettings
 	// Oracle is always kept; it is served when an address is set.
 	Oracle Listen
 }
@@ -76,6 +80,12 @@
 	hosts.Settings
 }
 
+// WeightsSettings add an address to the settings of a weight store.
+type WeightsSettings struct {
+	Listen Listen
+	weights.Settings
+}
+
 // Endpoint is one served stand-in.
 type Endpoint struct {
 	Kind    string `json:"kind"`
@@ -91,6 +101,7 @@
 	Table    *table.Table
 	Objects  *objects.Store
 	Hosts    *hosts.List
+	Weights  *weights.Store
 
 	endpoints []Endpoint
 	cleanups  []func()
@@ -127,7 +138,16 @@
 }
 
 func (s *Set) start(settings Settings) error {
+	if x := settings.Weights; x != nil {
+		s.Weights = weights.New(x.Settings)
+		if err := s.serve(KindWeights, "", x.Listen, s.Weights); err != nil {
+			return err
+		}
+	}
 	for _, x := range settings.Engines {
+		if s.Weights != nil && x.Weights == nil {
+			x.Weights = s.Weights
+		}
 		e, cleanup, err := engine.New(x.Settings, s.Oracle)
 		if err != nil {
 			return err
--- a/emulator/engine/batch.go
+++ b/emulator/engine/batch.go
@@ -28,8 +28,10 @@
 	produced  int
 	total     int
 	state     oracle.State
-	notify    chan struct{}
-	expiry    time.Time // while suspended
+	// notify wakes the handler that sends the answer; it is closed when another
+	// handler takes over.
+	notify chan struct{}
+	expiry time.Time // while suspended
 }
 
 func (r *run) finish(s oracle.State) {
@@ -43,18 +45,40 @@
 	r.signal()
 }
 
+// attach makes the caller the handler of the run, in place of an earlier one.
+func (r *run) attach() chan struct{} {
+	if r.notify != nil {
+		close(r.notify)
+	}
+	r.notify = make(chan struct{}, 1)
+	r.signal()
+	return r.notify
+}
+
 func (r *run) signal() {
+	if r.notify == nil {
+		return
+	}
 	select {
 	case r.notify <- struct{}{}:
 	default:
 	}
 }
 
-// admit puts a run in a slot or in the waiting room. It reports false when both
-// are full.
-func (e *Engine) admit(r *run) bool {
+// admit places a run and attaches the caller to it.
+func (e *Engine) admit(r *run) (notify chan struct{}, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.place(r) {
+		return nil, false
+	}
+	e.lastID = r.id
+	return r.attach(), true
+}
+
+// place puts a run in a slot or in the waiting room. It reports false when both
+// are full.
+func (e *Engine) place(r *run) bool {
 	switch {
 	case len(e.running) < e.settings.Slots:
 		e.start(r)
@@ -63,7 +87,7 @@
 	default:
 		return false
 	}
-	e.lastID = r.id
+	e.noteLoad(time.Now())
 	select {
 	case e.wake <- struct{}{}:
 	default:
@@ -137,16 +161,18 @@
 	for _, r := range e.running {
 		r.advance(to, tokens, prefillTokens)
 	}
+	for _, r := range e.running {
+		if r.state == oracle.StateComplete {
+			e.suspend(r, to)
+		}
+	}
 	e.running = slices.DeleteFunc(e.running, func(r *run) bool { return r.state != oracle.StateRunning })
 	for len(e.waiting) > 0 && len(e.running) < e.settings.Slots {
 		e.start(e.waiting[0])
 		e.waiting = e.waiting[1:]
 	}
-	for id, r := range e.suspended {
-		if to.After(r.expiry) {
-			delete(e.suspended, id)
-		}
-	}
+	e.expire(to)
+	e.noteLoad(to)
 }
 
 func (r *run) advance(now time.Time, tokens, prefillTokens float64) {
@@ -172,18 +198,21 @@
 
 // remove takes a run whose client has gone out of the batch. A run that has
 // started stays available for resumption for the resume window.
-func (e *Engine) remove(r *run, now time.Time) {
+func (e *Engine) remove(r *run, notify chan struct{}, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r.state != oracle.StateRunning {
+	if r.state != oracle.StateRunning || r.notify != notify {
 		return
 	}
+	e.cut(r)
+	e.suspend(r, now)
+}
+
+// cut ends a run and frees its slot.
+func (e *Engine) cut(r *run) {
 	r.finish(oracle.StateCut)
 	same := func(o *run) bool { return o == r }
 	e.running = slices.DeleteFunc(e.running, same)
 	e.waiting = slices.DeleteFunc(e.waiting, same)
-	if e.settings.ResumeWindow > 0 && r.record != nil {
-		r.expiry = now.Add(e.settings.ResumeWindow)
-		e.suspended[r.id] = r
-	}
+	e.noteLoad(time.Now())
 }
--- a/emulator/engine/cache.go
+++ b/emulator/engine/cache.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"hash/fnv"
 	"io"
+	"time"
 )
 
 // blockTokens is the size of a block of the prefix cache. A prefix is cached in
@@ -36,10 +37,11 @@
 	limit  int // blocks
 	blocks map[uint64]*list.Element
 	order  *list.List // most recently used first
+	log    eventLog
 }
 
-func newCache(tokens int) *cache {
-	return &cache{limit: tokens / blockTokens, blocks: map[uint64]*list.Element{}, order: list.New()}
+func newCache(tokens, eventGap int) *cache {
+	return &cache{limit: tokens / blockTokens, blocks: map[uint64]*list.Element{}, order: list.New(), log: eventLog{gap: eventGap}}
 }
 
 func (c *cache) tokens() int { return c.order.Len() * blockTokens }
@@ -68,7 +70,20 @@
 	}
 	for c.order.Len() >= c.limit {
 		last := c.order.Back()
-		delete(c.blocks, c.order.Remove(last).(uint64))
+		removed := c.order.Remove(last).(uint64)
+		delete(c.blocks, removed)
+		c.log.add(EventRemoved, removed, time.Now())
 	}
 	c.blocks[block] = c.order.PushFront(block)
+	c.log.add(EventStored, block, time.Now())
+}
+
+// export returns the blocks, least recently used first, so that an import in
+// this order keeps their order of use.
+func (c *cache) export() []Block {
+	out := []Block{}
+	for e := c.order.Back(); e != nil; e = e.Prev() {
+		out = append(out, Block{e.Value.(uint64)})
+	}
+	return out
 }
--- a/emulator/engine/chat.go
+++ b/emulator/engine/chat.go
@@ -49,16 +49,25 @@
 		wire.Refuse(w, http.StatusBadRequest, "body", err.Error())
 		return
 	}
-	if c.Model != e.settings.Model {
-		wire.Refuse(w, http.StatusNotFound, "model", "model "+c.Model+" is not loaded")
+	if resumed := r.Header.Get(wire.HeaderResumeRequest); resumed != "" {
+		e.serveResume(w, r, resumed)
+		return
+	}
+	if !e.serves(c.Model) {
+		wire.Refuse(w, http.StatusNotFound, "model", "model "+c.Model+" is not served")
+		return
+	}
+	if e.faults.RefuseAll() {
+		wire.Refuse(w, http.StatusTooManyRequests, "full", "the waiting room is full")
 		return
 	}
 	a := e.newRun(id, c, r.Header)
-	if e.faults.RefuseAll() || !e.admit(a) {
+	notify, ok := e.admit(a)
+	if !ok {
 		wire.Refuse(w, http.StatusTooManyRequests, "full", "the waiting room is full")
 		return
 	}
-	e.answer(w, r, a, c.Stream, 0)
+	e.answer(w, r, a, notify, c.Stream, 0)
 }
 
 func (e *Engine) answerID(id string) string {
@@ -96,10 +105,10 @@
 	return &run{
 		execution: oracle.Execution{
 			RequestID: id, CallerRequestID: d.Request, IdempotencyKey: h.Get(wire.HeaderIdempotencyKey),
-			Target: e.settings.ID, Pool: e.settings.Model, Account: h.Get(wire.HeaderAccount),
+			Target: e.settings.ID, Pool: c.Model, Account: h.Get(wire.HeaderAccount),
 		},
 		id: id, text: text, prompt: newPromptUse(words), total: total,
-		state: oracle.StateRunning, notify: make(chan struct{}, 1),
+		state: oracle.StateRunning,
 	}
 }
 
@@ -115,23 +124,27 @@
 // answer sends the tokens of a run from an offset on. It panics with
 // http.ErrAbortHandler when the answer is cut, so that the client sees a broken
 // connection and never a short answer.
-func (e *Engine) answer(w http.ResponseWriter, r *http.Request, a *run, stream bool, offset int) {
-	s := newSender(w, e.settings.Model, a, stream, offset)
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, a *run, notify chan struct{}, stream bool, offset int) {
+	s := newSender(w, a.execution.Pool, a, stream, offset)
 	breakAt, broken := -1, false
 	if stream {
 		breakAt, broken = e.faults.TakeBreak()
+		breakAt += offset
 	}
 	for {
 		select {
-		case <-a.notify:
+		case _, attached := <-notify:
+			if !attached {
+				panic(http.ErrAbortHandler)
+			}
 		case <-r.Context().Done():
-			e.remove(a, time.Now())
+			e.remove(a, notify, time.Now())
 			panic(http.ErrAbortHandler)
 		}
 		produced, state, usage := e.progress(a)
 		if broken && produced >= breakAt {
 			s.tokens(min(produced, breakAt))
-			e.remove(a, time.Now())
+			e.remove(a, notify, time.Now())
 			panic(http.ErrAbortHandler)
 		}
 		s.tokens(produced)
@@ -148,27 +161,3 @@
 		}
 	}
 }
-
-func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	e.mu.Lock()
-	var found *run
-	for _, a := range append(append([]*run(nil), e.running...), e.waiting...) {
-		if a.id == id {
-			found = a
-		}
-	}
-	_, suspended := e.suspended[id]
-	e.mu.Unlock()
-	if found != nil {
-		e.remove(found, time.Now())
-	}
-	e.mu.Lock()
-	delete(e.suspended, id)
-	e.mu.Unlock()
-	if found == nil && !suspended {
-		wire.WriteError(w, http.StatusNotFound, "request", "no such request")
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -11,7 +11,6 @@
 
 	"monsoondeck.example/emulator/fault"
 	"monsoondeck.example/emulator/oracle"
-	"monsoondeck.example/emulator/wire"
 )
 
 // ErrSettings is returned by New for settings that cannot work.
@@ -37,6 +36,16 @@
 	CacheTokens int
 	// ResumeWindow is how long a broken stream can be resumed; 0 is never.
 	ResumeWindow time.Duration
+	// LoadLag is how old the reports of GET /v1/load are.
+	LoadLag time.Duration
+	// CacheEventLag is how late cache events become visible.
+	CacheEventLag time.Duration
+	// CacheEventGap loses every n-th cache event; 0 loses none.
+	CacheEventGap int
+	// IgnoreFence makes the engine accept orders with old fencing numbers.
+	IgnoreFence bool
+	// Weights is where ordered models are loaded from; nil loads at once.
+	Weights Weights
 }
 
 func (s Settings) check() error {
@@ -62,6 +71,8 @@
 	waiting     []*run
 	suspended   map[string]*run
 	cache       *cache
+	orders      orders
+	loads       []stampedLoad // oldest first
 	lastID      string
 }
 
@@ -84,12 +95,19 @@
 		stopped:     make(chan struct{}),
 		incarnation: 1,
 		suspended:   map[string]*run{},
-		cache:       newCache(s.CacheTokens),
+		cache:       newCache(s.CacheTokens, s.CacheEventGap),
+		orders:      newOrders(s.Model),
 	}
+	e.noteLoad(time.Now())
 	o.SetSlots(s.ID, s.Slots)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
 	e.mux.HandleFunc("DELETE /v1/requests/{id}", e.serveCancel)
 	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
+	e.mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	e.mux.HandleFunc("GET /v1/orders", e.serveOrderRecord)
+	e.mux.HandleFunc("GET /v1/cache/events", e.serveEvents)
+	e.mux.HandleFunc("GET /v1/cache/blocks", e.serveExport)
+	e.mux.HandleFunc("POST /v1/cache/blocks", e.serveImport)
 	go e.loop()
 	return e, e.close, nil
 }
@@ -130,35 +148,6 @@
 	}
 	e.running, e.waiting = nil, nil
 	e.suspended = map[string]*run{}
-	e.cache = newCache(e.settings.CacheTokens)
-}
-
-// Load is the answer of GET /v1/load.
-type Load struct {
-	ID          string  `json:"id"`
-	Model       string  `json:"model"`
-	Incarnation uint64  `json:"incarnation"`
-	Slots       int     `json:"slots"`
-	Running     int     `json:"running"`
-	Waiting     int     `json:"waiting"`
-	CacheTokens int     `json:"cacheTokens"`
-	CacheUsage  float64 `json:"cacheUsage"`
-}
-
-func (e *Engine) load() Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	l := Load{
-		ID: e.settings.ID, Model: e.settings.Model, Incarnation: e.incarnation,
-		Slots: e.settings.Slots, Running: len(e.running), Waiting: len(e.waiting),
-		CacheTokens: e.cache.tokens(),
-	}
-	if e.settings.CacheTokens > 0 {
-		l.CacheUsage = float64(l.CacheTokens) / float64(e.settings.CacheTokens)
-	}
-	return l
-}
-
-func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	wire.WriteJSON(w, http.StatusOK, e.load())
+	e.cache = newCache(e.settings.CacheTokens, e.settings.CacheEventGap)
+	e.orders = newOrders(e.settings.Model)
 }
--- /dev/null
+++ b/emulator/engine/load.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"monsoondeck.example/emulator/wire"
+)
+
+// noteInterval bounds the rate of entries in the load history.
+const noteInterval = 20 * time.Millisecond
+
+// Load is the answer of GET /v1/load.
+type Load struct {
+	ID          string   `json:"id"`
+	Models      []string `json:"models"`
+	Role        string   `json:"role"`
+	Incarnation uint64   `json:"incarnation"`
+	Slots       int      `json:"slots"`
+	Running     int      `json:"running"`
+	Waiting     int      `json:"waiting"`
+	CacheTokens int      `json:"cacheTokens"`
+	CacheUsage  float64  `json:"cacheUsage"`
+}
+
+// stampedLoad is a load at the time it was measured.
+type stampedLoad struct {
+	at   time.Time
+	load Load
+}
+
+// Load returns the current load, without the lag of reports.
+func (e *Engine) Load() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.currentLoad()
+}
+
+func (e *Engine) currentLoad() Load {
+	l := Load{
+		ID: e.settings.ID, Models: e.orders.loaded(), Role: e.orders.role, Incarnation: e.incarnation,
+		Slots: e.settings.Slots, Running: len(e.running), Waiting: len(e.waiting),
+		CacheTokens: e.cache.tokens(),
+	}
+	if e.settings.CacheTokens > 0 {
+		l.CacheUsage = float64(l.CacheTokens) / float64(e.settings.CacheTokens)
+	}
+	return l
+}
+
+// noteLoad keeps the current load for lagging reports.
+func (e *Engine) noteLoad(now time.Time) {
+	if e.settings.LoadLag <= 0 {
+		return
+	}
+	e.loads = append(e.loads, stampedLoad{now, e.currentLoad()})
+	if n := len(e.loads); n > 2 && now.Sub(e.loads[n-3].at) < noteInterval {
+		e.loads[n-2] = e.loads[n-1]
+		e.loads = e.loads[:n-1]
+	}
+}
+
+// reportedLoad returns the load as it was before the lag.
+func (e *Engine) reportedLoad(now time.Time) Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settings.LoadLag <= 0 {
+		return e.currentLoad()
+	}
+	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.settings.LoadLag {
+		e.loads = e.loads[1:]
+	}
+	if len(e.loads) == 0 {
+		return e.currentLoad()
+	}
+	return e.loads[0].load
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	wire.WriteJSON(w, http.StatusOK, e.reportedLoad(time.Now()))
+}
--- a/emulator/fault/fault.go
+++ b/emulator/fault/fault.go
@@ -41,6 +41,9 @@
 	ForeignIDs *int `json:"foreignIds,omitempty"`
 	// RefuseAll refuses every request before it runs.
 	RefuseAll *bool `json:"refuseAll,omitempty"`
+	// StaleReadMs makes a table service answer reads with the state of that many
+	// milliseconds ago.
+	StaleReadMs *int `json:"staleReadMs,omitempty"`
 	// Restart loses all state but durable rows and starts a new incarnation.
 	Restart bool `json:"restart,omitempty"`
 }
@@ -60,6 +63,7 @@
 	breakAfterTokens int
 	foreignIDs       int
 	refuseAll        bool
+	staleReads       time.Duration
 }
 
 // New returns Faults without any fault.
@@ -83,6 +87,9 @@
 	set(&f.current.breakAfterTokens, c.BreakAfterTokens)
 	set(&f.current.foreignIDs, c.ForeignIDs)
 	set(&f.current.refuseAll, c.RefuseAll)
+	if c.StaleReadMs != nil {
+		f.current.staleReads = time.Duration(*c.StaleReadMs) * time.Millisecond
+	}
 }
 
 func set[T any](to, from *T) {
@@ -105,6 +112,13 @@
 	return f.current.refuseAll
 }
 
+// StaleReads returns how old the state is that reads see.
+func (f *Faults) StaleReads() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.staleReads
+}
+
 // TakeLostAnswer tells whether the answer to this request is to be lost.
 func (f *Faults) TakeLostAnswer() bool {
 	f.mu.Lock()
--- a/emulator/flags.go
+++ b/emulator/flags.go
@@ -12,6 +12,7 @@
 	"monsoondeck.example/emulator/objects"
 	"monsoondeck.example/emulator/service"
 	"monsoondeck.example/emulator/table"
+	"monsoondeck.example/emulator/weights"
 )
 
 // ErrFlag marks flags that cannot be read.
@@ -127,6 +128,11 @@
 		s.Hosts = &HostsSettings{f.listen(), hosts.Settings{Lag: f.duration("lag", 0)}}
 		all = errors.CombineErrors(all, f.end())
 	}
+	if o.Weights != "" {
+		f := parseFields("weights", o.Weights)
+		s.Weights = &WeightsSettings{f.listen(), weights.Settings{LoadsPerSecond: f.number("loads", 0), LoadTime: f.duration("time", 0)}}
+		all = errors.CombineErrors(all, f.end())
+	}
 	return all
 }
 
@@ -137,6 +143,8 @@
 		Slots: int(f.number("slots", 0)), TokensPerSecond: f.number("rate", 0),
 		PromptTokensPerSecond: f.number("prefill", 0), WaitingRoom: int(f.number("waiting", 0)),
 		CacheTokens: int(f.number("cache", 0)), ResumeWindow: f.duration("resume", 0),
+		LoadLag: f.duration("loadLag", 0), CacheEventLag: f.duration("eventLag", 0),
+		CacheEventGap: int(f.number("eventGap", 0)), IgnoreFence: f.text("ignoreFence", "false") == "true",
 	}}
 	return s, f.end()
 }
--- a/emulator/table/table.go
+++ b/emulator/table/table.go
@@ -56,6 +56,7 @@
 	keys     []string // sorted
 	revision uint64
 	stats    Stats
+	history  []change // oldest first
 }
 
 // New returns an empty table.
@@ -78,10 +79,10 @@
 
 // Read returns a row.
 func (t *Table) Read(key string) (Row, bool) {
+	stale := t.faults.StaleReads()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.rows[key]
-	return r, ok
+	return t.rowAt(key, time.Now().Add(-stale))
 }
 
 // List returns up to limit rows with a prefix, in key order, after a key.
@@ -112,9 +113,11 @@
 	}
 	t.revision++
 	for _, p := range x.Puts {
+		t.remember(p.Key, time.Now())
 		t.put(Row{Key: p.Key, Value: p.Value, Revision: t.revision})
 	}
 	for _, k := range x.Deletes {
+		t.remember(k, time.Now())
 		t.remove(k)
 	}
 	return t.revision, "", true
