Use module configurer for accounts, pools and targets

The receiver had local copies of the types until the module existed. Token events without content no longer count as output, so that the offset of a resumed stream equals the number of tokens received.

The specs pass.

--- a/router/dispatcher/events.go
+++ b/router/dispatcher/events.go
@@ -25,6 +25,7 @@
 	dataField    = []byte("data:")
 	doneValue    = []byte("[DONE]")
 	emptyChoices = []byte(`"choices":[]`)
+	emptyDelta   = []byte(`"delta":{}`)
 )
 
 // copyEvents passes on an engine's event stream, event by event. Only whole
@@ -75,7 +76,7 @@
 	tokens := int64(0)
 	if !done && len(data) > 0 {
 		a.meter.readUsage(data)
-		if !bytes.Contains(data, emptyChoices) {
+		if !bytes.Contains(data, emptyChoices) && !bytes.Contains(data, emptyDelta) {
 			tokens = 1
 		}
 	}
--- a/router/receiver/interfaces.go
+++ b/router/receiver/interfaces.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/configurer"
 )
 
 // Errors of Waiter and Permit.
@@ -44,7 +46,7 @@
 
 // Permit is the right to send one request to one target.
 type Permit interface {
-	Target() Target
+	Target() configurer.Target
 	// Progress reports the units used so far, cumulative.
 	Progress(units float64)
 	// Settle ends the permit; it is called exactly once.
@@ -80,7 +82,7 @@
 
 // Configs gives the configuration in force; false while there is none.
 type Configs interface {
-	Current() (Config, bool)
+	Current() (configurer.Config, bool)
 }
 
 // Retries is the retry budget.
--- a/router/receiver/job.go
+++ b/router/receiver/job.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"monsoondeck.example/configurer"
 )
 
 const (
@@ -29,7 +31,7 @@
 // job is one caller's request.
 type job struct {
 	id      string
-	account Account
+	account configurer.Account
 	pool    string
 	engine  bool
 	method  string
@@ -115,11 +117,11 @@
 }
 
 // parse reads the body, finds the pool and checks that the account may use it.
-func (j *job) parse(c Config) *failure {
-	kind := KindService
+func (j *job) parse(c configurer.Config) *failure {
+	kind := configurer.KindService
 	j.estimate = defaultService
 	if j.engine {
-		kind = KindEngine
+		kind = configurer.KindEngine
 		if f := j.parseCompletion(); f != nil {
 			return f
 		}
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"monsoondeck.example/configurer"
 	"monsoondeck.example/router/dispatcher"
 )
 
@@ -135,14 +136,14 @@
 }
 
 // authenticate finds the account of the caller's key.
-func authenticate(c Config, r *http.Request) (Account, *failure) {
+func authenticate(c configurer.Config, r *http.Request) (configurer.Account, *failure) {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
-		return Account{}, notRun(http.StatusUnauthorized, "noKey", "send Authorization: Bearer <key>")
+		return configurer.Account{}, notRun(http.StatusUnauthorized, "noKey", "send Authorization: Bearer <key>")
 	}
-	a, ok := c.AccountByKeyHash(keyHash(key))
+	a, ok := c.AccountByKeyHash(configurer.KeyHash(key))
 	if !ok {
-		return Account{}, notRun(http.StatusUnauthorized, "unknownKey", "the key is not known; it may have been rotated")
+		return configurer.Account{}, notRun(http.StatusUnauthorized, "unknownKey", "the key is not known; it may have been rotated")
 	}
 	return a, nil
 }
--- a/router/receiver/suite_test.go
+++ b/router/receiver/suite_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"monsoondeck.example/configurer"
 	"monsoondeck.example/router/dispatcher"
 	"monsoondeck.example/router/receiver"
 )
@@ -27,7 +29,7 @@
 // waiter grants the targets of its list in turn and records settlements.
 type waiter struct {
 	mutex   sync.Mutex
-	targets []receiver.Target
+	targets []configurer.Target
 	err     error
 	asked   []receiver.Request
 	settled []receiver.Settlement
@@ -43,22 +45,13 @@
 		return nil, w.err
 	}
 	for _, t := range w.targets {
-		if !contains(r.Exclude, t.ID) {
+		if !slices.Contains(r.Exclude, t.ID) {
 			return &permit{w: w, target: t}, nil
 		}
 	}
 	return nil, receiver.ErrDeadline
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *waiter) settlements() []receiver.Settlement {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -67,11 +60,11 @@
 
 type permit struct {
 	w      *waiter
-	target receiver.Target
+	target configurer.Target
 }
 
-func (p *permit) Target() receiver.Target { return p.target }
-func (p *permit) Progress(float64)        {}
+func (p *permit) Target() configurer.Target { return p.target }
+func (p *permit) Progress(float64)          {}
 func (p *permit) Settle(s receiver.Settlement) {
 	p.w.mutex.Lock()
 	defer p.w.mutex.Unlock()
@@ -94,20 +87,9 @@
 func (b *budget) Request(string)    {}
 func (b *budget) Allow(string) bool { b.left--; return b.left >= 0 }
 
-type config struct {
-	accounts map[string]receiver.Account
-	pools    map[string][]receiver.Target
-}
-
-func (c config) AccountByKeyHash(h string) (receiver.Account, bool) {
-	a, ok := c.accounts[h]
-	return a, ok
-}
-func (c config) Pool(name string) []receiver.Target { return c.pools[name] }
-
-type configs struct{ config receiver.Config }
+type configs struct{ config configurer.Config }
 
-func (c configs) Current() (receiver.Config, bool) { return c.config, c.config != nil }
+func (c configs) Current() (configurer.Config, bool) { return c.config, c.config.Version() > 0 }
 
 // echo sends the request id back, as every target does.
 func echo(f http.HandlerFunc) http.HandlerFunc {
@@ -130,15 +112,18 @@
 	f := &fixture{waiter: &waiter{}}
 	var d dispatcher.Options
 	f.options = receiver.Options{Waiter: f.waiter}
-	c := config{accounts: map[string]receiver.Account{keyHash: {ID: "acme", Pools: []string{"model", "orders", "nowhere"}}}, pools: map[string][]receiver.Target{}}
 	for i, h := range handlers {
 		s := httptest.NewServer(h)
 		DeferCleanup(s.Close)
-		f.waiter.targets = append(f.waiter.targets, receiver.Target{ID: string(rune('a' + i)), Address: s.Listener.Addr().String()})
+		f.waiter.targets = append(f.waiter.targets, configurer.Target{ID: string(rune('a' + i)), Address: s.Listener.Addr().String()})
 	}
-	c.pools["model"] = withKind(f.waiter.targets, receiver.KindEngine)
-	c.pools["secret"] = c.pools["model"]
-	c.pools["orders"] = withKind(f.waiter.targets, receiver.KindService)
+	c, err := configurer.New(1, []configurer.Account{{
+		ID: "acme", Share: 1, KeyHashes: []string{configurer.KeyHash("secret")}, Pools: []string{"model", "orders"},
+	}}, []configurer.Target{
+		{ID: "e", Address: "127.0.0.1:1", Kind: configurer.KindEngine, Pools: []string{"model", "private"}, Slots: 1},
+		{ID: "s", Address: "127.0.0.1:1", Kind: configurer.KindService, Pools: []string{"orders"}, Slots: 1},
+	}, nil)
+	Expect(err).NotTo(HaveOccurred())
 	f.options.Configs = configs{c}
 	if change != nil {
 		change(&f.options, &d)
@@ -150,17 +135,6 @@
 	return f
 }
 
-func withKind(list []receiver.Target, k receiver.Kind) []receiver.Target {
-	result := append([]receiver.Target{{ID: "none"}}[:0:0], list...)
-	for i := range result {
-		result[i].Kind = k
-	}
-	if len(result) == 0 {
-		result = []receiver.Target{{ID: "none", Kind: k}}
-	}
-	return result
-}
-
 func listen(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -175,9 +149,6 @@
 	return "http://" + l.Addr().String()
 }
 
-// keyHash is the SHA-256 of "secret".
-const keyHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
-
 func (f *fixture) request(method, path, body string, headers ...string) *http.Request {
 	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
