Serve requests end to end through the daemon

Cause: the parts existed only as libraries. The daemon joins them: the control goroutine queues requests, reports demand to shard owners, hands grants to waiting requests and settles them; the locator assigns shards by rendezvous hashing; the poller reads the platform; the admin listener serves metrics, health, status and explanations.

A spec with the stand-ins in one process sends model and service requests through three daemons: all complete. The detector knows only its own daemon so far, so each daemon schedules all targets by itself.

Ruled out: one shard per pool where a target serves several pools, because two owners would both count its slots; shards are keyed by the set of pools instead.

--- /dev/null
+++ b/cmd/monsoonemu/main.go
@@ -0,0 +1,13 @@
+// Command monsoonemu serves stand-ins of the platform and of the targets.
+package main
+
+import (
+	"os"
+
+	"monsoondeck.example/emulator"
+	"monsoondeck.example/logger"
+)
+
+func main() {
+	os.Exit(emulator.Run(os.Args[1:], os.Environ(), logger.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+}
--- /dev/null
+++ b/router/controller/configuration.go
@@ -0,0 +1,236 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/connector"
+	"monsoondeck.example/logger"
+	"monsoondeck.example/messenger"
+)
+
+// storedDelta is a recent change, kept for members that are behind.
+type storedDelta struct {
+	version uint64
+	body    string
+}
+
+const (
+	// keptDeltas covers more than an hour of changes at 6,400 a day.
+	keptDeltas = 500
+	// pushFanout and pushHops spread a change to 4+16+64+256 daemons.
+	pushFanout = 4
+	pushHops   = 3
+	// maxPushBytes keeps a batch of changes below the limit of a frame.
+	maxPushBytes = 128 << 10
+	// askPeriod paces requests for configuration to one a period.
+	askPeriod = 250 * time.Millisecond
+)
+
+// configMessage brings a complete configuration from the platform or a peer.
+type configMessage struct{ config configurer.Config }
+
+// SetConfig puts a complete configuration in force unless it is older than the
+// one in force.
+func (c *Controller) SetConfig(config configurer.Config) { c.post(configMessage{config}) }
+
+func (m configMessage) apply(c *Controller, now time.Duration) {
+	if c.configured && m.config.Version() <= c.config.Version() {
+		return
+	}
+	c.deltas = nil
+	c.putInForce(m.config, now)
+}
+
+// deltasMessage brings changes that the poller has read from the platform.
+type deltasMessage struct{ deltas []configurer.Delta }
+
+// ApplyDeltas puts changes in force and spreads them.
+func (c *Controller) ApplyDeltas(deltas []configurer.Delta) { c.post(deltasMessage{deltas}) }
+
+func (m deltasMessage) apply(c *Controller, now time.Duration) {
+	for _, d := range m.deltas {
+		body, err := json.Marshal(d)
+		if err == nil {
+			c.applyDelta(d, string(body), pushHops, now)
+		}
+	}
+}
+
+// applyDelta puts one change in force and forwards it if it was new.
+func (c *Controller) applyDelta(d configurer.Delta, body string, hops uint64, now time.Duration) {
+	if !c.configured && d.Base != 0 {
+		return
+	}
+	next, err := c.config.WithDelta(d)
+	if err != nil {
+		if !errors.Is(err, configurer.ErrStale) {
+			logger.Emit(c.options.Logger, logger.ConfigRejected, slog.Uint64("version", d.Version), slog.Any("error", err))
+		}
+		return
+	}
+	c.deltas = append(c.deltas, storedDelta{d.Version, body})
+	if len(c.deltas) > keptDeltas {
+		c.deltas = slices.Delete(c.deltas, 0, len(c.deltas)-keptDeltas)
+	}
+	c.putInForce(next, now)
+	if hops > 0 {
+		c.push(messenger.ConfigPush{Version: d.Version, Base: d.Base, Hops: hops - 1, Body: body})
+	}
+}
+
+func (c *Controller) putInForce(config configurer.Config, now time.Duration) {
+	c.config = config
+	c.configured = true
+	logger.Emit(c.options.Logger, logger.ConfigApplied, slog.Uint64("version", config.Version()))
+	c.expireWaiters(now)
+	c.locate()
+}
+
+// push sends a change to a few random members.
+func (c *Controller) push(p messenger.ConfigPush) {
+	for _, id := range c.randomMembers(pushFanout) {
+		c.send(id, func(f *messenger.Frame) { f.ConfigPushes = append(f.ConfigPushes, p) })
+	}
+}
+
+func (c *Controller) randomMembers(count int) []string {
+	var ids []string
+	for id := range c.members {
+		if id != c.options.Self.ID {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	c.options.Random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(count, len(ids))]
+}
+
+// noteVersion asks a member for changes that this daemon lacks.
+func (c *Controller) noteVersion(member string, version uint64) {
+	now := c.now()
+	if version <= c.config.Version() || now-c.lastAsk < askPeriod {
+		return
+	}
+	c.lastAsk = now
+	c.send(member, func(f *messenger.Frame) {
+		f.ConfigRequest = &messenger.ConfigRequest{After: c.config.Version()}
+	})
+}
+
+// requestMissingConfig asks peers while this daemon has no configuration.
+func (c *Controller) requestMissingConfig(now time.Duration) {
+	if c.configured || now-c.lastAsk < askPeriod {
+		return
+	}
+	c.lastAsk = now
+	for _, id := range c.randomMembers(1) {
+		c.send(id, func(f *messenger.Frame) { f.ConfigRequest = &messenger.ConfigRequest{} })
+	}
+}
+
+func (c *Controller) handleConfigFrame(f *messenger.Frame, now time.Duration) {
+	for _, p := range f.ConfigPushes {
+		c.handlePush(f.Sender, p, now)
+	}
+	if f.ConfigRequest != nil && c.configured {
+		c.answerConfigRequest(f.Sender, f.ConfigRequest.After)
+	}
+	for _, m := range f.HostMarks {
+		c.applyMark(m)
+	}
+}
+
+func (c *Controller) handlePush(from string, p messenger.ConfigPush, now time.Duration) {
+	if p.Version <= c.config.Version() {
+		return
+	}
+	if p.Base == 0 && p.Body == "" || p.Base > c.config.Version() || p.Base > 0 && !c.configured {
+		c.fetch(from)
+		return
+	}
+	var d configurer.Delta
+	err := json.Unmarshal([]byte(p.Body), &d)
+	if err != nil {
+		logger.Emit(c.options.Logger, logger.ConfigRejected, slog.Uint64("version", p.Version), slog.Any("error", err))
+		return
+	}
+	c.applyDelta(d, p.Body, p.Hops, now)
+}
+
+// answerConfigRequest sends the changes after a version, or, when they are no
+// longer kept, the news that a complete configuration must be fetched.
+func (c *Controller) answerConfigRequest(to string, after uint64) {
+	var pushes []messenger.ConfigPush
+	size := 0
+	for _, d := range c.deltas {
+		if d.version <= after {
+			continue
+		}
+		pushes = append(pushes, messenger.ConfigPush{Version: d.version, Base: d.version - 1, Body: d.body})
+		size += len(d.body)
+	}
+	complete := len(pushes) > 0 && pushes[0].Base == after && size <= maxPushBytes
+	if !complete {
+		pushes = []messenger.ConfigPush{{Version: c.config.Version()}}
+	}
+	c.send(to, func(f *messenger.Frame) { f.ConfigPushes = append(f.ConfigPushes, pushes...) })
+}
+
+// fetch asks the fetcher goroutine for the complete configuration of a peer.
+func (c *Controller) fetch(from string) {
+	m, ok := c.members[from]
+	if !ok {
+		return
+	}
+	select {
+	case c.fetches <- connector.Peer{ID: m.ID, Address: m.Address}:
+	default: // a fetch is already under way
+	}
+}
+
+// Fetches returns the peers from which a complete configuration should be
+// fetched; at most one is pending.
+func (c *Controller) Fetches() <-chan connector.Peer { return c.fetches }
+
+// marksMessage brings the host list's view of the targets.
+type marksMessage struct{ marks []messenger.HostMark }
+
+// SetHostMarks applies what the host list says of targets and spreads changes.
+func (c *Controller) SetHostMarks(marks []messenger.HostMark) { c.post(marksMessage{marks}) }
+
+func (m marksMessage) apply(c *Controller, _ time.Duration) {
+	for _, mark := range m.marks {
+		mark.Hops = pushHops
+		c.applyMark(mark)
+	}
+}
+
+// applyMark keeps the newest mark of a target and forwards it if it was new.
+func (c *Controller) applyMark(m messenger.HostMark) {
+	old, known := c.marks[m.Target]
+	if known && (old.Revision >= m.Revision || old.Leaving == m.Leaving && old.Incarnation == m.Incarnation) {
+		return
+	}
+	if !known && !m.Leaving {
+		return
+	}
+	c.marks[m.Target] = m
+	if m.Leaving {
+		logger.Emit(c.options.Logger, logger.TargetLeaving, slog.String("target", m.Target))
+	}
+	c.publish()
+	c.scheduleOwned(c.now())
+	if m.Hops == 0 {
+		return
+	}
+	m.Hops--
+	for _, id := range c.randomMembers(pushFanout) {
+		c.send(id, func(f *messenger.Frame) { f.HostMarks = append(f.HostMarks, m) })
+	}
+}
--- /dev/null
+++ b/router/controller/controller.go
@@ -0,0 +1,218 @@
+// Package controller owns the control state of a daemon: membership, the
+// configuration in force, waiting requests, grants and owned shards. One
+// goroutine, Run, changes that state; other goroutines send it messages and
+// read immutable snapshots.
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/connector"
+	"monsoondeck.example/detector"
+	"monsoondeck.example/limiter"
+	"monsoondeck.example/messenger"
+	"monsoondeck.example/router/locator"
+	"monsoondeck.example/scheduler/aggregator"
+)
+
+// Hub sends frames to other daemons without blocking.
+type Hub interface {
+	Send(to connector.Peer, merge func(f *messenger.Frame))
+	Received() <-chan *messenger.Frame
+}
+
+// Timing holds the periods and limits of the control loop.
+type Timing struct {
+	// Coalesce is the time for which changes of demand are gathered.
+	Coalesce time.Duration
+	// Spill is the wait after which demand goes to other data centres' shards.
+	Spill time.Duration
+	// Exchange is the period of reports to the aggregators.
+	Exchange time.Duration
+	// Holdings is the period of holdings reports.
+	Holdings time.Duration
+	// Lease is how long a grant that its holder does not list keeps its slot.
+	Lease time.Duration
+	// Rebuild is the longest wait of a new shard owner for holdings.
+	Rebuild time.Duration
+	// GrantLife is the time in which a router must use a grant.
+	GrantLife time.Duration
+	// MaxWait is the longest time that a request without a deadline waits.
+	MaxWait time.Duration
+}
+
+// DefaultTiming returns the periods that the design page gives.
+func DefaultTiming() Timing {
+	return Timing{
+		Coalesce:  2 * time.Millisecond,
+		Spill:     20 * time.Millisecond,
+		Exchange:  500 * time.Millisecond,
+		Holdings:  time.Second,
+		Lease:     3 * time.Second,
+		Rebuild:   300 * time.Millisecond,
+		GrantLife: 2 * time.Second,
+		MaxWait:   60 * time.Second,
+	}
+}
+
+// Options are the dependencies of a Controller.
+type Options struct {
+	Self      detector.Member
+	Seeds     []string
+	Policy    locator.Policy
+	Timing    Timing
+	Detector  detector.Settings
+	Admission limiter.AdmissionSettings
+	// Concurrency is the template for the limits of targets; the slots come
+	// from the configuration.
+	Concurrency limiter.ConcurrencySettings
+	Hub         Hub
+	Logger      *slog.Logger
+	Random      *rand.Rand
+	// Start is the origin of the monotonic times in all pure modules.
+	Start time.Time
+}
+
+// Controller is the control state of one daemon.
+type Controller struct {
+	options   Options
+	messages  chan message
+	done      chan struct{}
+	fetches   chan connector.Peer
+	snapshot  atomic.Pointer[Snapshot]
+	admission *limiter.Admission
+	metrics   metrics
+	rates     *rates
+	histories *histories
+
+	// The fields below belong to the control goroutine.
+	detector   *detector.Detector
+	members    map[string]detector.Member
+	seen       []detector.Member
+	leaving    map[string]bool
+	config     configurer.Config
+	configured bool
+	deltas     []storedDelta
+	marks      map[string]messenger.HostMark
+	locator    *locator.Map
+	queues     map[queueKey]*queue
+	dirty      map[queueKey]bool
+	unspilled  map[queueKey]bool
+	links      map[string]*link
+	held       map[string]*permit
+	owned      map[string]*ownedShard
+	groups     map[groupKey]*aggregator.Aggregator
+	loopback   *messenger.Frame
+	stopping   bool
+	lastAsk    time.Duration
+}
+
+// New returns a Controller that has no configuration yet.
+func New(o Options) *Controller {
+	c := &Controller{
+		options:   o,
+		messages:  make(chan message, messageBuffer),
+		done:      make(chan struct{}),
+		fetches:   make(chan connector.Peer, 1),
+		admission: limiter.NewAdmission(o.Admission),
+		detector:  detector.New(o.Self, o.Detector, o.Random),
+		members:   map[string]detector.Member{},
+		leaving:   map[string]bool{},
+		marks:     map[string]messenger.HostMark{},
+		queues:    map[queueKey]*queue{},
+		dirty:     map[queueKey]bool{},
+		unspilled: map[queueKey]bool{},
+		links:     map[string]*link{},
+		held:      map[string]*permit{},
+		owned:     map[string]*ownedShard{},
+		groups:    map[groupKey]*aggregator.Aggregator{},
+		histories: newHistories(),
+		rates:     newRates(),
+	}
+	c.detector.AddSeeds(o.Seeds)
+	c.snapshot.Store(&Snapshot{})
+	c.locateIfChanged()
+	return c
+}
+
+// messageBuffer lets traffic goroutines go on while the loop handles a frame.
+const messageBuffer = 4096
+
+// message is a typed event that a traffic goroutine sends to the loop.
+type message interface {
+	apply(c *Controller, now time.Duration)
+}
+
+// post hands a message to the loop; it does nothing after the loop has ended.
+func (c *Controller) post(m message) {
+	select {
+	case c.messages <- m:
+	case <-c.done:
+	}
+}
+
+func (c *Controller) now() time.Duration { return time.Since(c.options.Start) }
+
+// Run handles messages, frames and timers until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	defer close(c.done)
+	stopMeter := c.metrics.lockThread()
+	defer stopMeter()
+	timers := newTimers(c.options.Timing)
+	defer timers.stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.abandonQueues()
+			return
+		case m := <-c.messages:
+			m.apply(c, c.now())
+			c.drainMessages()
+		case f := <-c.options.Hub.Received():
+			c.handleFrame(f, c.now())
+		case <-timers.coalesce.C:
+			c.flushDemand(c.now())
+		case <-timers.probe.C:
+			c.handleSends(c.detector.Tick(c.now()))
+			c.metrics.readThread()
+		case <-timers.exchange.C:
+			c.reportService()
+		case <-timers.holdings.C:
+			c.handleSecond(c.now())
+		}
+		c.handleLoopback(c.now())
+		c.locateIfChanged()
+		if len(c.dirty) > 0 || len(c.unspilled) > 0 {
+			timers.armCoalesce(c.options.Timing.Coalesce)
+		}
+	}
+}
+
+// drainMessages handles the messages that are already there, so that demand
+// and settlements of one moment share a frame.
+func (c *Controller) drainMessages() {
+	for range messageBuffer {
+		select {
+		case m := <-c.messages:
+			m.apply(c, c.now())
+		default:
+			return
+		}
+	}
+}
+
+// handleSecond does the periodic work that bounds the age of soft state.
+func (c *Controller) handleSecond(now time.Duration) {
+	c.expireWaiters(now)
+	c.reportHoldings()
+	c.refreshDemand()
+	c.rates.forget(now)
+	c.scheduleOwned(now)
+	c.requestMissingConfig(now)
+	c.publish()
+}
--- /dev/null
+++ b/router/controller/histories.go
@@ -0,0 +1,72 @@
+package controller
+
+import (
+	"sync"
+	"time"
+
+	"monsoondeck.example/router/locator"
+)
+
+// keptHistories bounds the memory for explanations of past requests.
+const keptHistories = 4096
+
+// History explains the wait of one request.
+type History struct {
+	RequestID  string        `json:"requestID"`
+	Account    string        `json:"account"`
+	Pool       string        `json:"pool"`
+	Waited     time.Duration `json:"waitedNanoseconds"`
+	Target     string        `json:"target"`
+	Shard      string        `json:"shard"`
+	Owner      string        `json:"owner"`
+	QueueAhead int           `json:"queueAhead"`
+	GrantedAt  time.Time     `json:"grantedAt"`
+}
+
+// histories is a ring of the newest explanations. The loop writes it, the
+// admin listener reads it.
+type histories struct {
+	mutex sync.Mutex
+	ring  []History
+	next  int
+}
+
+func newHistories() *histories { return &histories{ring: make([]History, 0, keptHistories)} }
+
+func (h *histories) granted(w *waiter, target string, s locator.Shard, now time.Duration) {
+	entry := History{
+		RequestID: w.request.ID, Account: w.request.Account, Pool: w.request.Pool,
+		Waited: now - w.enqueued, Target: target, Shard: s.Key, Owner: s.Owner,
+		QueueAhead: w.ahead, GrantedAt: time.Now(),
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if len(h.ring) < keptHistories {
+		h.ring = append(h.ring, entry)
+		return
+	}
+	h.ring[h.next] = entry
+	h.next = (h.next + 1) % keptHistories
+}
+
+// Request returns the explanations of a request, one for each grant.
+func (c *Controller) Request(id string) []History {
+	return c.histories.find(func(e History) bool { return e.RequestID == id })
+}
+
+// Account returns the explanations of an account's newest requests.
+func (c *Controller) Account(id string) []History {
+	return c.histories.find(func(e History) bool { return e.Account == id })
+}
+
+func (h *histories) find(match func(History) bool) []History {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	found := []History{}
+	for _, e := range h.ring {
+		if match(e) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/router/controller/owners.go
@@ -0,0 +1,268 @@
+package controller
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"monsoondeck.example/limiter"
+	"monsoondeck.example/logger"
+	"monsoondeck.example/messenger"
+	"monsoondeck.example/router/locator"
+	"monsoondeck.example/scheduler"
+)
+
+// ownedShard is a shard that this daemon schedules.
+type ownedShard struct {
+	shard     locator.Shard
+	epoch     uint64
+	scheduler *scheduler.Scheduler
+	// limits has one entry for each target of shard.
+	limits map[string]*targetLimit
+}
+
+// targetLimit is what the owner has learnt about one target.
+type targetLimit struct {
+	concurrency *limiter.Concurrency
+	incarnation uint64
+	slots       int
+	inFlight    int
+	ejected     bool
+}
+
+// acquire starts to schedule a shard.
+func (c *Controller) acquire(s locator.Shard, now time.Duration) {
+	epoch := uint64(c.options.Start.Add(now).UnixMicro())
+	o := &ownedShard{shard: s, epoch: epoch, limits: map[string]*targetLimit{}}
+	o.scheduler = scheduler.New(scheduler.Settings{
+		Epoch:         epoch,
+		Lease:         c.options.Timing.Lease,
+		RebuildWindow: c.options.Timing.Rebuild,
+		CapSeconds:    scheduler.DefaultCapSeconds,
+	})
+	o.scheduler.SetMembers(now, c.routersOf())
+	c.owned[s.Key] = o
+	c.updateOwned(o, s, now)
+	logger.Emit(c.options.Logger, logger.ShardAcquired, slog.String("shard", s.Key), slog.Uint64("epoch", epoch))
+}
+
+// routersOf returns the daemons that may send demand to an owned shard. Under
+// the policies without sharing it is this daemon alone.
+func (c *Controller) routersOf() []string {
+	if c.options.Policy == locator.Alone || c.options.Policy == locator.Static {
+		return []string{c.options.Self.ID}
+	}
+	names := make([]string, 0, len(c.members))
+	for name := range c.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// updateOwned gives the scheduler the targets of the present configuration.
+func (c *Controller) updateOwned(o *ownedShard, s locator.Shard, now time.Duration) {
+	o.shard = s
+	kept := map[string]*targetLimit{}
+	for _, t := range s.Targets {
+		slots := max(t.Slots/c.locator.SlotDivisor(), 1)
+		l := o.limits[t.ID]
+		if l == nil || l.incarnation != t.Incarnation || l.slots != slots {
+			settings := c.options.Concurrency
+			settings.Slots = slots
+			l = &targetLimit{concurrency: limiter.NewConcurrency(settings), incarnation: t.Incarnation, slots: slots}
+		}
+		kept[t.ID] = l
+	}
+	o.limits = kept
+	c.applyLimits(o, now)
+}
+
+// applyLimits tells the scheduler how many slots each target has now.
+func (c *Controller) applyLimits(o *ownedShard, now time.Duration) {
+	snapshot := c.snapshot.Load()
+	targets := make([]scheduler.Target, 0, len(o.shard.Targets))
+	for _, t := range o.shard.Targets {
+		l := o.limits[t.ID]
+		limit := l.concurrency.Limit(now)
+		c.noteEjection(t.ID, l, limit)
+		if snapshot.Draining(t) {
+			limit = 0
+		}
+		targets = append(targets, scheduler.Target{ID: t.ID, Limit: limit})
+	}
+	o.scheduler.SetTargets(now, targets)
+}
+
+func (c *Controller) noteEjection(target string, l *targetLimit, limit int) {
+	ejected := limit == 0
+	if ejected == l.ejected {
+		return
+	}
+	l.ejected = ejected
+	event := logger.TargetBack
+	if ejected {
+		event = logger.TargetEjected
+	}
+	logger.Emit(c.options.Logger, event, slog.String("target", target))
+}
+
+// scheduleOwned refreshes limits, which change with time as well, and sends
+// the grants that became possible.
+func (c *Controller) scheduleOwned(now time.Duration) {
+	for _, o := range c.owned {
+		c.applyLimits(o, now)
+		c.sendGrants(o, now)
+	}
+}
+
+// sendGrants sends all grants that the scheduler can make now.
+func (c *Controller) sendGrants(o *ownedShard, now time.Duration) {
+	lists := map[string]*messenger.Grants{}
+	for _, g := range o.scheduler.Grants(now) {
+		list := lists[g.Member]
+		if list == nil {
+			list = &messenger.Grants{Shard: o.shard.Key, Epoch: o.epoch}
+			lists[g.Member] = list
+		}
+		list.Entries = append(list.Entries, messenger.Grant{ID: g.ID, Account: g.Account, Target: g.Target, Estimate: g.Estimate})
+		if l := o.limits[g.Target]; l != nil {
+			l.inFlight++
+		}
+	}
+	for member, list := range lists {
+		c.send(member, func(f *messenger.Frame) { f.Grants = append(f.Grants, *list) })
+	}
+}
+
+func (c *Controller) handleDemand(from string, d messenger.Demand, now time.Duration) {
+	o := c.owned[d.Shard]
+	if o == nil {
+		return
+	}
+	demands := make([]scheduler.Demand, 0, len(d.Entries))
+	for _, e := range d.Entries {
+		account, ok := c.config.Account(e.Account)
+		if !ok {
+			continue
+		}
+		demand := scheduler.Demand{Account: e.Account, Weight: account.Share, Waiting: int(e.Waiting), Estimate: e.Estimate, Affinity: e.Affinity}
+		if d.Epoch == o.epoch {
+			demand.Seen = e.Seen
+		}
+		demands = append(demands, demand)
+	}
+	o.scheduler.SetDemand(now, from, demands)
+	c.sendGrants(o, now)
+}
+
+func (c *Controller) handleHoldings(from string, h messenger.Holdings, now time.Duration) {
+	o := c.owned[h.Shard]
+	if o == nil {
+		return
+	}
+	holdings := make([]scheduler.Holding, 0, len(h.Entries))
+	for _, e := range h.Entries {
+		holdings = append(holdings, scheduler.Holding{ID: e.ID, Account: e.Account, Target: e.Target, Cost: e.Cost})
+	}
+	o.scheduler.SetHoldings(now, from, h.Epoch, holdings)
+	c.sendGrants(o, now)
+}
+
+func (c *Controller) handleSettlements(from string, s messenger.Settlements, now time.Duration) {
+	o := c.owned[s.Shard]
+	if o == nil {
+		return
+	}
+	settlements := make([]scheduler.Settlement, 0, len(s.Entries))
+	for _, e := range s.Entries {
+		settlements = append(settlements, scheduler.Settlement{ID: e.ID, Account: e.Account, Target: e.Target, Cost: e.Cost})
+		c.observe(o, s.Epoch, e, now)
+	}
+	o.scheduler.Settle(now, from, s.Epoch, settlements)
+	c.applyLimits(o, now)
+	c.sendGrants(o, now)
+}
+
+// observe teaches the limit of a target from one ended grant.
+func (c *Controller) observe(o *ownedShard, epoch uint64, e messenger.Settlement, now time.Duration) {
+	l := o.limits[e.Target]
+	if l == nil {
+		return
+	}
+	l.concurrency.Observe(now, limiter.Observation{
+		InFlight:   l.inFlight,
+		Result:     limiter.Result(e.Result),
+		FirstToken: time.Duration(e.FirstTokenMs) * time.Millisecond,
+		Interval:   time.Duration(e.IntervalMs * float64(time.Millisecond)),
+	})
+	if epoch == o.epoch {
+		l.inFlight = max(l.inFlight-1, 0)
+	}
+}
+
+// groupKey names the totals of a group of client accounts in the shards of the
+// same pools.
+type groupKey struct {
+	pools string
+	group int
+}
+
+// reportService sends the service granted since the last report to the
+// aggregators.
+func (c *Controller) reportService() {
+	for key, o := range c.owned {
+		reports := map[int]*messenger.ServiceReport{}
+		for _, s := range o.scheduler.Reports() {
+			group := c.locator.Group(s.Account)
+			if reports[group] == nil {
+				reports[group] = &messenger.ServiceReport{Pool: o.shard.PoolKey(), Group: uint64(group), Shard: key, Epoch: o.epoch}
+			}
+			reports[group].Entries = append(reports[group].Entries, messenger.ServiceEntry{
+				Account: s.Account, Cumulative: s.Cumulative, Included: s.Included, Known: s.Known,
+			})
+		}
+		for group, report := range reports {
+			to := c.locator.Aggregator(o.shard.PoolKey(), group)
+			if to != "" {
+				c.send(to, func(f *messenger.Frame) { f.ServiceReports = append(f.ServiceReports, *report) })
+			}
+		}
+	}
+}
+
+func (c *Controller) handleServiceReport(from string, r messenger.ServiceReport) {
+	entries := make([]scheduler.Service, 0, len(r.Entries))
+	for _, e := range r.Entries {
+		entries = append(entries, scheduler.Service{Account: e.Account, Cumulative: e.Cumulative, Included: e.Included, Known: e.Known})
+	}
+	answer := messenger.ServiceTotals{Pool: r.Pool, Group: r.Group, Shard: r.Shard, Epoch: r.Epoch}
+	for _, t := range c.group(groupKey{r.Pool, int(r.Group)}).Apply(r.Shard, r.Epoch, entries) {
+		answer.Entries = append(answer.Entries, messenger.TotalEntry{Account: t.Account, Total: t.Total, Included: t.Included})
+	}
+	c.send(from, func(f *messenger.Frame) { f.ServiceTotals = append(f.ServiceTotals, answer) })
+}
+
+func (c *Controller) handleServiceTotals(t messenger.ServiceTotals, now time.Duration) {
+	o := c.owned[t.Shard]
+	if o == nil || o.epoch != t.Epoch {
+		return
+	}
+	totals := make([]scheduler.Total, 0, len(t.Entries))
+	for _, e := range t.Entries {
+		totals = append(totals, scheduler.Total{Account: e.Account, Total: e.Total, Included: e.Included})
+	}
+	o.scheduler.ApplyTotals(totals)
+	c.sendGrants(o, now)
+}
+
+// shardNames lists the owned shards for the status page.
+func (c *Controller) shardNames() []string {
+	names := make([]string, 0, len(c.owned))
+	for key := range c.owned {
+		names = append(names, key)
+	}
+	slices.SortFunc(names, strings.Compare)
+	return names
+}
--- /dev/null
+++ b/router/controller/permit.go
@@ -0,0 +1,99 @@
+package controller
+
+import (
+	"math"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/messenger"
+	"monsoondeck.example/router/receiver"
+)
+
+// permit is a grant in the hands of a traffic goroutine.
+type permit struct {
+	controller *Controller
+	target     configurer.Target
+	account    string
+	shard      string
+	owner      string
+	epoch      uint64
+	id         uint64
+	// expires is a monotonic time, so that a pause of the process uses it up.
+	expires time.Duration
+	// units holds the bits of a float64: units used so far.
+	units   atomic.Uint64
+	settled atomic.Bool
+}
+
+// key identifies the grant among those of all shards and epochs.
+func (p *permit) key() string { return grantKey(p.shard, p.epoch, p.id) }
+
+func grantKey(shard string, epoch, id uint64) string {
+	return shard + "#" + strconv.FormatUint(epoch, 36) + "#" + strconv.FormatUint(id, 36)
+}
+
+// Target returns the target that the grant is for.
+func (p *permit) Target() configurer.Target { return p.target }
+
+// Progress records the units used so far; the next holdings report carries it.
+func (p *permit) Progress(units float64) { p.units.Store(math.Float64bits(units)) }
+
+func (p *permit) used() float64 { return math.Float64frombits(p.units.Load()) }
+
+// Dispatchable returns receiver.ErrExpired when the grant's time has passed or
+// the target is leaving. It is the last check before the first byte is sent.
+func (p *permit) Dispatchable() error {
+	if p.controller.now() > p.expires {
+		return receiver.ErrExpired
+	}
+	if p.controller.Snapshot().Draining(p.target) {
+		return receiver.ErrExpired
+	}
+	return nil
+}
+
+// Settle ends the grant; calls after the first do nothing.
+func (p *permit) Settle(s receiver.Settlement) {
+	if p.settled.Swap(true) {
+		return
+	}
+	p.controller.post(settleMessage{permit: p, settlement: s})
+}
+
+type settleMessage struct {
+	permit     *permit
+	settlement receiver.Settlement
+}
+
+func (m settleMessage) apply(c *Controller, _ time.Duration) {
+	delete(c.held, m.permit.key())
+	c.settle(m.permit.shard, m.permit.owner, m.permit.epoch, messenger.Settlement{
+		ID:           m.permit.id,
+		Account:      m.permit.account,
+		Target:       m.permit.target.ID,
+		Cost:         m.settlement.Units,
+		Result:       uint64(m.settlement.Result),
+		FirstTokenMs: uint64(m.settlement.FirstToken / time.Millisecond),
+		IntervalMs:   float64(m.settlement.Interval) / float64(time.Millisecond),
+	})
+}
+
+// settle tells the granting daemon and, if the shard has moved, its present
+// owner, which must charge the client account too.
+func (c *Controller) settle(shard, owner string, epoch uint64, s messenger.Settlement) {
+	add := func(f *messenger.Frame) {
+		for i := range f.Settlements {
+			if f.Settlements[i].Shard == shard && f.Settlements[i].Epoch == epoch {
+				f.Settlements[i].Entries = append(f.Settlements[i].Entries, s)
+				return
+			}
+		}
+		f.Settlements = append(f.Settlements, messenger.Settlements{Shard: shard, Epoch: epoch, Entries: []messenger.Settlement{s}})
+	}
+	c.send(owner, add)
+	if current, ok := c.locator.Shard(shard); ok && current.Owner != owner {
+		c.send(current.Owner, add)
+	}
+}
--- /dev/null
+++ b/router/controller/snapshot.go
@@ -0,0 +1,63 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/messenger"
+)
+
+// Snapshot is an immutable view of the control state for traffic goroutines.
+type Snapshot struct {
+	// Config is in force only if Configured is set.
+	Config     configurer.Config
+	Configured bool
+	// Members is sorted and contains this daemon.
+	Members []string
+	// Shards lists the shards that this daemon owns, sorted.
+	Shards []string
+	// Waiting is the number of requests in queues.
+	Waiting int
+	// Held is the number of grants in use.
+	Held int
+	// Poller is the daemon of this data centre that reads the platform.
+	Poller string
+	marks  map[string]messenger.HostMark
+}
+
+// Draining tells whether a target must get no new work, by configuration or by
+// the host list. A mark holds for the marked incarnation of the target only.
+func (s *Snapshot) Draining(t configurer.Target) bool {
+	if current, ok := s.Config.Target(t.ID); !ok || current.State == configurer.StateDraining {
+		return true
+	}
+	mark, ok := s.marks[t.ID]
+	return ok && mark.Leaving && mark.Incarnation >= t.Incarnation
+}
+
+// Snapshot returns the newest view; it is never nil.
+func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
+
+// Current returns the configuration in force, if there is one.
+func (c *Controller) Current() (configurer.Config, bool) {
+	s := c.snapshot.Load()
+	return s.Config, s.Configured
+}
+
+// publish stores a new view of the control state.
+func (c *Controller) publish() {
+	s := &Snapshot{
+		Config:     c.config,
+		Configured: c.configured,
+		Members:    slices.Sorted(maps.Keys(c.members)),
+		Shards:     c.shardNames(),
+		Held:       len(c.held),
+		Poller:     c.locator.Poller(c.options.Self.DataCentre),
+		marks:      maps.Clone(c.marks),
+	}
+	for _, q := range c.queues {
+		s.Waiting += len(q.waiters)
+	}
+	c.snapshot.Store(s)
+}
--- /dev/null
+++ b/router/peer.go
@@ -0,0 +1,86 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/connector"
+	"monsoondeck.example/router/authenticator"
+	"monsoondeck.example/router/controller"
+)
+
+// configPath serves the complete configuration to other daemons, because it
+// does not fit into a frame.
+const configPath = "/peer/config"
+
+const (
+	fetchTimeout = 5 * time.Second
+	// maxConfigBytes bounds a fetched configuration; 19,000 client accounts need
+	// less than 10 MB.
+	maxConfigBytes = 64 << 20
+)
+
+// peerHandler serves other daemons.
+func peerHandler(hub *connector.Hub, control *controller.Controller, auth *authenticator.Authenticator) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/peer", hub)
+	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := auth.Verify(r); err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		config, ok := control.Current()
+		if !ok {
+			http.Error(w, "this daemon has no configuration yet", http.StatusNotFound)
+			return
+		}
+		// A failed write means that the peer has gone.
+		_ = json.NewEncoder(w).Encode(config)
+	})
+	return mux
+}
+
+// fetcher fetches complete configurations from peers.
+type fetcher struct {
+	control *controller.Controller
+	auth    *authenticator.Authenticator
+	client  *http.Client
+}
+
+func newFetcher(control *controller.Controller, auth *authenticator.Authenticator) *fetcher {
+	return &fetcher{control: control, auth: auth, client: &http.Client{Timeout: fetchTimeout}}
+}
+
+func (f *fetcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-f.control.Fetches():
+			// A failed fetch is repeated when the next probe shows the gap again.
+			if config, err := f.fetch(ctx, peer); err == nil {
+				f.control.SetConfig(config)
+			}
+		}
+	}
+}
+
+func (f *fetcher) fetch(ctx context.Context, peer connector.Peer) (configurer.Config, error) {
+	var config configurer.Config
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Address+configPath, nil)
+	if err != nil {
+		return config, err
+	}
+	f.auth.Sign(r)
+	answer, err := f.client.Do(r)
+	if err != nil {
+		return config, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	err = json.NewDecoder(io.LimitReader(answer.Body, maxConfigBytes)).Decode(&config)
+	return config, err
+}
--- a/router/receiver/interfaces.go
+++ b/router/receiver/interfaces.go
@@ -26,6 +26,8 @@
 
 // Request is what the Waiter needs to know about a caller's request.
 type Request struct {
+	// ID is the request id that the caller sees.
+	ID            string
 	Account, Pool string
 	// Estimate is the expected cost in units.
 	Estimate float64
--- a/router/receiver/run.go
+++ b/router/receiver/run.go
@@ -42,6 +42,7 @@
 
 func (j *job) wait(exclude []string) Request {
 	return Request{
+		ID:      j.id,
 		Account: j.account.ID, Pool: j.pool, Estimate: j.estimate, Affinity: j.affinity,
 		Deadline: j.deadline, Exclude: exclude, Bytes: int64(cap(j.body)),
 	}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,237 @@
+// Package router assembles a daemon: the listeners for callers, other daemons
+// and operators around the control state.
+package router
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/connector"
+	"monsoondeck.example/detector"
+	"monsoondeck.example/limiter"
+	"monsoondeck.example/logger"
+	"monsoondeck.example/provider"
+	"monsoondeck.example/provider/committer"
+	"monsoondeck.example/router/administrator"
+	"monsoondeck.example/router/authenticator"
+	"monsoondeck.example/router/controller"
+	"monsoondeck.example/router/dispatcher"
+	"monsoondeck.example/router/locator"
+	"monsoondeck.example/router/poller"
+	"monsoondeck.example/router/receiver"
+	"monsoondeck.example/router/settings"
+)
+
+// ErrAborted reports a stop that cut requests in flight.
+var ErrAborted = errors.New("daemon was stopped before its requests had ended")
+
+// Daemon is one router process.
+type Daemon struct {
+	settings   settings.Settings
+	logger     *slog.Logger
+	controller *controller.Controller
+	poller     *poller.Poller
+	fetcher    *fetcher
+	caller     *server
+	peer       *server
+	admin      *server
+	// stopping is set when the graceful stop begins.
+	stopping atomic.Bool
+	// active counts the callers' requests in flight.
+	active atomic.Int64
+}
+
+// New opens the listeners and returns a daemon and a function that closes
+// everything at once. The settings must be valid.
+func New(s settings.Settings, l *slog.Logger) (*Daemon, func(), error) {
+	s = s.WithDefaults()
+	d := &Daemon{settings: s, logger: l}
+	var cleanups []func()
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	for _, step := range []func() (func(), error){d.openListeners, d.assemble} {
+		clean, err := step()
+		if err != nil {
+			cleanup()
+			return nil, nil, err
+		}
+		cleanups = append(cleanups, clean)
+	}
+	return d, cleanup, nil
+}
+
+func (d *Daemon) openListeners() (func(), error) {
+	d.caller, d.peer, d.admin = &server{name: "caller"}, &server{name: "peer"}, &server{name: "admin"}
+	closeAll := func() {
+		for _, s := range []*server{d.caller, d.peer, d.admin} {
+			s.close()
+		}
+	}
+	for s, address := range map[*server]string{d.caller: d.settings.CallerAddress, d.peer: d.settings.PeerAddress, d.admin: d.settings.AdminAddress} {
+		if err := s.listen(address); err != nil {
+			closeAll()
+			return nil, err
+		}
+	}
+	return closeAll, nil
+}
+
+// assemble builds the parts of the daemon around its control state.
+func (d *Daemon) assemble() (func(), error) {
+	start := time.Now()
+	incarnation := uint64(start.UnixMicro())
+	random := rand.New(rand.NewPCG(incarnation, rand.Uint64()))
+	advertise := d.settings.Advertise
+	if advertise == d.settings.PeerAddress {
+		advertise = d.peer.address() // resolves port 0
+	}
+	hub, closeHub, err := connector.New(connector.Options{
+		Self: d.settings.ID, Incarnation: incarnation, Secret: []byte(d.settings.FleetSecret), Logger: d.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	self := detector.Member{ID: d.settings.ID, Address: advertise, DataCentre: d.settings.DataCentre, Incarnation: incarnation}
+	d.controller = controller.New(d.controlOptions(self, hub, random, start))
+	d.poller = d.newPoller(random)
+	auth := authenticator.New(d.settings.ID, []byte(d.settings.FleetSecret), time.Now)
+	d.fetcher = newFetcher(d.controller, auth)
+	dispatch, closeDispatch := dispatcher.New(dispatcher.Options{Incarnation: incarnation})
+	d.caller.serveWith(receiver.NewServer(d.count(d.newReceiver(dispatch)), d.logger))
+	d.peer.serveWith(&http.Server{Handler: peerHandler(hub, d.controller, auth), ReadHeaderTimeout: peerHeaderTimeout})
+	d.admin.serveWith(&http.Server{ReadHeaderTimeout: peerHeaderTimeout, Handler: administrator.New(administrator.Options{
+		Control: d.controller, Hub: hub.Stats, Dispatcher: dispatch.Stats, Ready: d.ready,
+		ID: d.settings.ID, DataCentre: d.settings.DataCentre, Incarnation: incarnation,
+	})})
+	return func() { closeHub(); closeDispatch() }, nil
+}
+
+func (d *Daemon) controlOptions(self detector.Member, hub *connector.Hub, random *rand.Rand, start time.Time) controller.Options {
+	timing := controller.DefaultTiming()
+	timing.MaxWait = d.settings.MaxWait
+	return controller.Options{
+		Self: self, Seeds: d.settings.SeedList(), Policy: locator.Policy(d.settings.Policy), Timing: timing,
+		Admission:   limiter.AdmissionSettings{AccountRequests: d.settings.QueueLimit, AccountBytes: d.settings.QueueBytes},
+		Concurrency: limiter.ConcurrencySettings{FirstToken: d.settings.FirstToken, Interval: d.settings.TokenInterval},
+		Hub:         hub, Logger: d.logger, Random: random, Start: start,
+	}
+}
+
+func (d *Daemon) newPoller(random *rand.Rand) *poller.Poller {
+	source := committer.New(committer.Options{
+		Table:   provider.NewTable(provider.Options{URL: d.settings.TableURL}),
+		Objects: provider.NewObjects(provider.Options{URL: d.settings.ObjectsURL}),
+		Warn:    func(err error) { logger.Emit(d.logger, logger.SnapshotUnreadable, slog.Any("error", err)) },
+	})
+	var hosts poller.Hosts
+	if d.settings.HostsURL != "" {
+		hosts = provider.NewHosts(provider.Options{URL: d.settings.HostsURL})
+	}
+	return poller.New(d.settings.ID, source, hosts, d.controller, d.logger, random)
+}
+
+func (d *Daemon) newReceiver(dispatch *dispatcher.Dispatcher) http.Handler {
+	return receiver.New(receiver.Options{
+		Waiter: d.controller, Configs: d.controller, Dispatcher: dispatch, Logger: d.logger,
+		Retries: newRetryBudgets(),
+	})
+}
+
+func (d *Daemon) ready() bool {
+	_, configured := d.controller.Current()
+	return configured && !d.stopping.Load()
+}
+
+// count keeps the number of requests in flight and asks callers to close their
+// connections once the daemon is stopping.
+func (d *Daemon) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.active.Add(1)
+		defer d.active.Add(-1)
+		if d.stopping.Load() && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Addresses returns the addresses of the caller, peer and admin listeners.
+func (d *Daemon) Addresses() (caller, peer, admin string) {
+	return d.caller.address(), d.peer.address(), d.admin.address()
+}
+
+// Run serves until the first signal on stop, then stops gracefully. A second
+// signal stops at once; Run then returns ErrAborted if requests were cut.
+func (d *Daemon) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, 3)
+	for _, s := range []*server{d.admin, d.peer, d.caller} {
+		go func() { failed <- s.run() }()
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); d.controller.Run(ctx) }()
+	go d.poller.Run(ctx)
+	go d.fetcher.run(ctx)
+	caller, peer, _ := d.Addresses()
+	logger.Emit(d.logger, logger.DaemonStarted, slog.String("daemon", d.settings.ID),
+		slog.String("dataCentre", d.settings.DataCentre), slog.String("caller", caller), slog.String("peer", peer))
+	var err error
+	select {
+	case err = <-failed:
+		logger.Emit(d.logger, logger.ListenerFailed, slog.Any("error", err))
+	case <-ctx.Done():
+	case <-stop:
+		err = d.stop(stop)
+	}
+	cancel()
+	<-ended
+	return err
+}
+
+// peerHeaderTimeout bounds how long an idle connection may send nothing.
+const peerHeaderTimeout = 10 * time.Second
+
+// server is one listener with its HTTP server.
+type server struct {
+	name     string
+	listener *net.TCPListener
+	http     *http.Server
+}
+
+func (s *server) listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "open the %s listener", s.name)
+	}
+	s.listener = l.(*net.TCPListener)
+	return nil
+}
+
+func (s *server) serveWith(h *http.Server) { s.http = h }
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+func (s *server) run() error {
+	err := s.http.Serve(s.listener)
+	return errors.Wrapf(err, "%s listener", s.name)
+}
+
+func (s *server) close() {
+	if s.http != nil {
+		_ = s.http.Close()
+	}
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,136 @@
+package router_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/emulator"
+	"monsoondeck.example/emulator/engine"
+	"monsoondeck.example/emulator/objects"
+	"monsoondeck.example/emulator/service"
+	"monsoondeck.example/emulator/table"
+	"monsoondeck.example/provider"
+	"monsoondeck.example/provider/committer"
+	"monsoondeck.example/router"
+	"monsoondeck.example/router/settings"
+)
+
+func TestRouter(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "router")
+}
+
+const (
+	callerKey   = "key-of-forge-a"
+	fleetSecret = "a secret that the whole fleet shares"
+	patience    = 30 * time.Second
+)
+
+// deployment is a set of stand-ins with daemons in front of them.
+type deployment struct {
+	standIns *emulator.Set
+	commits  *committer.Committer
+	daemons  []*router.Daemon
+}
+
+func newDeployment() *deployment {
+	set, cleanup, err := emulator.New(emulator.Settings{
+		Table:    &emulator.TableSettings{Listen: "127.0.0.1:0", Settings: table.Settings{ReadsPerSecond: 2000, WritesPerSecond: 500}},
+		Objects:  &emulator.ObjectsSettings{Listen: "127.0.0.1:0", Settings: objects.Settings{ReadsPerSecond: 2000, WritesPerSecond: 500}},
+		Engines:  []emulator.EngineSettings{{Listen: "127.0.0.1:0", Settings: engine.Settings{ID: "engine-1", Model: "quotes", Slots: 4, TokensPerSecond: 500}}},
+		Services: []emulator.ServiceSettings{{Listen: "127.0.0.1:0", Settings: service.Settings{ID: "desk-1", Name: "orders", Slots: 2}}},
+		Oracle:   "127.0.0.1:0",
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(cleanup)
+	return &deployment{standIns: set, commits: committer.New(committer.Options{
+		Table:   provider.NewTable(provider.Options{URL: "http://" + set.Address("table", "")}),
+		Objects: provider.NewObjects(provider.Options{URL: "http://" + set.Address("objects", "")}),
+	})}
+}
+
+// startDaemon starts one more daemon that knows the first as its seed.
+func (d *deployment) startDaemon(id string) *router.Daemon {
+	s := settings.Settings{
+		ID: id, DataCentre: "dc1", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
+		TableURL: "http://" + d.standIns.Address("table", ""), ObjectsURL: "http://" + d.standIns.Address("objects", ""),
+		FleetSecret: fleetSecret, Policy: "fleet", QueueLimit: 100, QueueBytes: 1 << 20, MaxWait: patience,
+		StopTimeout: patience, FirstToken: 10 * time.Second, TokenInterval: time.Second,
+	}
+	if len(d.daemons) > 0 {
+		_, s.Seeds, _ = d.daemons[0].Addresses()
+	}
+	daemon, cleanup, err := router.New(s, slog.New(slog.DiscardHandler))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	d.daemons = append(d.daemons, daemon)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = daemon.Run(ctx, nil) }()
+	ginkgo.DeferCleanup(func() { cancel(); <-done; cleanup() })
+	return daemon
+}
+
+// configure commits the client account and the stand-ins' targets.
+func (d *deployment) configure() {
+	_, _, err := d.commits.Commit(context.Background(), configurer.Config{}, configurer.Delta{
+		ID: "first", Author: "test",
+		PutAccounts: []configurer.Account{{ID: "forge-a", Name: "Forge A", Share: 1, Pools: []string{"quotes", "orders"}, KeyHashes: []string{configurer.KeyHash(callerKey)}}},
+		PutTargets: []configurer.Target{
+			{ID: "engine-1", DataCentre: "dc1", Address: d.standIns.Address("engine", "engine-1"), Kind: configurer.KindEngine, Pools: []string{"quotes"}, Slots: 4, State: configurer.StateActive},
+			{ID: "desk-1", DataCentre: "dc1", Address: d.standIns.Address("service", "desk-1"), Kind: configurer.KindService, Pools: []string{"orders"}, Slots: 2, State: configurer.StateActive},
+		},
+	}, "test")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// call sends one request and returns the answer with its body.
+func call(daemon *router.Daemon, path, body string) (*http.Response, string) {
+	caller, _, _ := daemon.Addresses()
+	r, err := http.NewRequest(http.MethodPost, "http://"+caller+path, strings.NewReader(body))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+callerKey)
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(r)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return answer, string(text)
+}
+
+const completion = `{"model":"quotes","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"a rowing machine"}]}`
+
+var _ = ginkgo.Describe("daemon", func() {
+	// Guards against a daemon that answers before it knows who may call.
+	ginkgo.It("answers 503 and notRun without a configuration", func() {
+		answer, _ := call(newDeployment().startDaemon("r1"), "/v1/chat/completions", completion)
+		gomega.Expect(answer.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(answer.Header.Get("Monsoondeck-Outcome")).To(gomega.Equal("notRun"))
+	})
+
+	// Guards against a break anywhere in the path from caller to target.
+	ginkgo.It("serves model and service requests through every daemon", func() {
+		d := newDeployment()
+		d.configure()
+		for _, id := range []string{"r1", "r2", "r3"} {
+			daemon := d.startDaemon(id)
+			gomega.Eventually(func() int {
+				answer, _ := call(daemon, "/services/orders/stock", "{}")
+				return answer.StatusCode
+			}, patience).Should(gomega.Equal(http.StatusOK))
+			answer, body := call(daemon, "/v1/chat/completions", completion)
+			gomega.Expect(answer.StatusCode).To(gomega.Equal(http.StatusOK))
+			gomega.Expect(body).To(gomega.ContainSubstring("[DONE]"))
+			gomega.Expect(answer.Trailer.Get("Monsoondeck-Outcome")).To(gomega.Equal("complete"))
+		}
+	})
+})
--- /dev/null
+++ b/router/stop.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"monsoondeck.example/logger"
+)
+
+// acceptDrain is how long the caller listener goes on accepting after the lame
+// duck time. A deadline on the listener takes effect only once the kernel's
+// accept queue is empty, so that no queued connection is reset.
+const acceptDrain = 50 * time.Millisecond
+
+// farewellFlush lets the last frames leave before the connections close.
+const farewellFlush = 50 * time.Millisecond
+
+// stop ends the daemon gracefully: duties move to other daemons, callers are
+// served until the balancer has noticed, and every request is finished.
+func (d *Daemon) stop(second <-chan struct{}) error {
+	d.stopping.Store(true)
+	logger.Emit(d.logger, logger.DaemonStopping, slog.Int64("inFlight", d.active.Load()))
+	d.controller.Leave()
+	select {
+	case <-time.After(d.settings.LameDuck):
+	case <-second:
+		return d.abort()
+	}
+	_ = d.caller.listener.SetDeadline(time.Now().Add(acceptDrain))
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
+	defer cancel()
+	finished := make(chan error, 1)
+	go func() {
+		time.Sleep(acceptDrain)
+		finished <- d.caller.http.Shutdown(ctx)
+	}()
+	select {
+	case err := <-finished:
+		if err != nil {
+			return d.abort()
+		}
+	case <-second:
+		return d.abort()
+	}
+	d.controller.Farewell()
+	time.Sleep(farewellFlush)
+	logger.Emit(d.logger, logger.DaemonStopped)
+	return nil
+}
+
+// abort ends the daemon at once and says how many requests it cut.
+func (d *Daemon) abort() error {
+	cut := d.active.Load()
+	if cut == 0 {
+		logger.Emit(d.logger, logger.DaemonStopped)
+		return nil
+	}
+	logger.Emit(d.logger, logger.DaemonAborted, slog.Int64("cut", cut))
+	return ErrAborted
+}
