Compute rendezvous weights from two hashes

Cause: a recomputation concatenated and hashed the key with each of 80 candidates for each of 320 shards and listed the candidates anew each time. Change: the hash of a key and of a candidate are computed once and mixed; candidates are listed once for each recomputation.

Owners change once with this version, as at any change of hash.

--- a/router/locator/locator.go
+++ b/router/locator/locator.go
@@ -63,6 +63,10 @@
 	groups  int
 	policy  Policy
 	self    string
+	// eligible are the daemons that may own state, local the same by data
+	// centre.
+	eligible []candidate
+	local    map[string][]candidate
 }
 
 // New computes the assignment for a configuration and a set of daemons.
@@ -75,6 +79,7 @@
 		policy:  policy,
 		self:    self.ID,
 	}
+	m.findCandidates()
 	for _, s := range split(targets, policy) {
 		s.Owner = m.owner(s)
 		m.shards[s.Key] = s
@@ -140,12 +145,12 @@
 	if m.policy != Fleet {
 		return ""
 	}
-	return highest(pools+"/"+strconv.Itoa(group), m.eligible(""))
+	return highest(pools+"/"+strconv.Itoa(group), m.eligible)
 }
 
 // Poller returns the daemon of a data centre that reads the platform.
 func (m *Map) Poller(dataCentre string) string {
-	return highest("poller/"+dataCentre, m.eligible(dataCentre))
+	return highest("poller/"+dataCentre, m.local[dataCentre])
 }
 
 // SlotDivisor is the number of daemons that divide a target's slots.
@@ -161,46 +166,64 @@
 	case Alone, Static:
 		return m.self
 	case Central:
-		return highest("central", m.eligible(""))
+		return highest("central", m.eligible)
 	}
-	if candidates := m.eligible(s.DataCentre); len(candidates) > 0 {
-		return highest(s.Key, candidates)
+	if local := m.local[s.DataCentre]; len(local) > 0 {
+		return highest(s.Key, local)
 	}
-	return highest(s.Key, m.eligible(""))
+	return highest(s.Key, m.eligible)
 }
 
-// eligible returns the daemons of a data centre that may own state; an empty
-// data centre means all. When all daemons are shutting down, all are eligible.
-func (m *Map) eligible(dataCentre string) []string {
-	var eligible, all []string
+// candidate is a daemon that may own state, with the hash of its id.
+type candidate struct {
+	id   string
+	hash uint64
+}
+
+// findCandidates fills the lists of daemons that may own state. When all
+// daemons are shutting down, all may.
+func (m *Map) findCandidates() {
+	var all []candidate
+	m.local = map[string][]candidate{}
 	for _, d := range m.daemons {
-		if dataCentre != "" && d.DataCentre != dataCentre {
-			continue
-		}
-		all = append(all, d.ID)
+		c := candidate{d.ID, xxhash.Sum64String(d.ID)}
+		all = append(all, c)
 		if d.Eligible {
-			eligible = append(eligible, d.ID)
+			m.eligible = append(m.eligible, c)
+			m.local[d.DataCentre] = append(m.local[d.DataCentre], c)
 		}
 	}
-	if len(eligible) == 0 && dataCentre == "" {
-		return all
+	if len(m.eligible) == 0 {
+		m.eligible = all
 	}
-	return eligible
 }
 
 // highest implements rendezvous hashing: the candidate with the highest weight
 // wins, so that a change of members moves only the keys of the changed member.
-func highest(key string, candidates []string) string {
+func highest(key string, candidates []candidate) string {
 	var best string
 	var bestWeight uint64
+	hash := xxhash.Sum64String(key)
 	for _, c := range candidates {
-		if w := weight(key, c); best == "" || w > bestWeight {
-			best, bestWeight = c, w
+		if w := mix(hash ^ c.hash); best == "" || w > bestWeight {
+			best, bestWeight = c.id, w
 		}
 	}
 	return best
 }
 
-func weight(key, candidate string) uint64 {
-	return xxhash.Sum64String(key + "\x00" + candidate)
+func weight(key, id string) uint64 {
+	return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(id))
+}
+
+// mix is the finaliser of a 64-bit hash function: every input bit changes every
+// output bit with equal probability. It lets the weight of a pair follow from
+// two hashes that are computed once.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return h
 }
