--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -26,6 +26,16 @@
 	Received() <-chan *messenger.Frame
 }
 
+// Membership is the view of the live daemons. Members returns the same slice
+// until a change.
+type Membership interface {
+	Tick(now time.Duration) []detector.Send
+	HandleProbe(now time.Duration, from string, p messenger.Probe) []detector.Send
+	HandleAck(now time.Duration, from string, a messenger.ProbeAck) []detector.Send
+	Members() []detector.Member
+	Leave(now time.Duration) []detector.Send
+}
+
 // Timing holds the periods and limits of the control loop.
 type Timing struct {
 	// Coalesce is the time for which changes of demand are gathered.
@@ -62,20 +72,19 @@
 
 // Options are the dependencies of a Controller.
 type Options struct {
-	Self      detector.Member
-	Seeds     []string
-	Policy    locator.Policy
-	Timing    Timing
-	Detector  detector.Settings
-	Admission limiter.AdmissionSettings
+	Self       detector.Member
+	Membership Membership
+	Policy     locator.Policy
+	Timing     Timing
+	Admission  limiter.AdmissionSettings
 	// Concurrency is the template for the limits of targets; the slots come
 	// from the configuration.
 	Concurrency limiter.ConcurrencySettings
 	Hub         Hub
 	Logger      *slog.Logger
 	Random      *rand.Rand
-	// Start is the origin of the monotonic times in all pure modules.
-	Start time.Time
+	// Clock returns a monotonic time, the same for all pure modules.
+	Clock func() time.Duration
 }
 
 // Controller is the control state of one daemon.
@@ -91,7 +100,6 @@
 	histories *histories
 
 	// The fields below belong to the control goroutine.
-	detector   *detector.Detector
 	members    map[string]detector.Member
 	seen       []detector.Member
 	leaving    map[string]bool
@@ -109,7 +117,9 @@
 	groups     map[groupKey]*aggregator.Aggregator
 	loopback   *messenger.Frame
 	stopping   bool
-	lastAsk    time.Duration
+	// epochs counts the shards acquired so far.
+	epochs  uint64
+	lastAsk time.Duration
 }
 
 // New returns a Controller that has no configuration yet.
@@ -120,7 +130,6 @@
 		done:      make(chan struct{}),
 		fetches:   make(chan connector.Peer, 1),
 		admission: limiter.NewAdmission(o.Admission),
-		detector:  detector.New(o.Self, o.Detector, o.Random),
 		members:   map[string]detector.Member{},
 		leaving:   map[string]bool{},
 		marks:     map[string]messenger.HostMark{},
@@ -134,7 +143,6 @@
 		histories: newHistories(),
 		rates:     newRates(),
 	}
-	c.detector.AddSeeds(o.Seeds)
 	c.snapshot.Store(&Snapshot{})
 	c.locateIfChanged()
 	return c
@@ -156,7 +164,7 @@
 	}
 }
 
-func (c *Controller) now() time.Duration { return time.Since(c.options.Start) }
+func (c *Controller) now() time.Duration { return c.options.Clock() }
 
 // Run handles messages, frames and timers until the context ends.
 func (c *Controller) Run(ctx context.Context) {
@@ -178,7 +186,7 @@
 		case <-timers.coalesce.C:
 			c.flushDemand(c.now())
 		case <-timers.probe.C:
-			c.handleSends(c.detector.Tick(c.now()))
+			c.handleSends(c.options.Membership.Tick(c.now()))
 			c.metrics.readThread()
 		case <-timers.exchange.C:
 			c.reportService()
--- a/router/controller/membership.go
+++ b/router/controller/membership.go
@@ -24,11 +24,11 @@
 	}
 	for _, p := range f.Probes {
 		c.noteVersion(f.Sender, p.ConfigVersion)
-		c.handleSends(c.detector.HandleProbe(now, f.Sender, p))
+		c.handleSends(c.options.Membership.HandleProbe(now, f.Sender, p))
 	}
 	for _, a := range f.ProbeAcks {
 		c.noteVersion(a.Subject, a.ConfigVersion)
-		c.handleSends(c.detector.HandleAck(now, f.Sender, a))
+		c.handleSends(c.options.Membership.HandleAck(now, f.Sender, a))
 	}
 }
 
@@ -58,7 +58,7 @@
 
 // locateIfChanged recomputes owners after a change of members.
 func (c *Controller) locateIfChanged() {
-	members := c.detector.Members()
+	members := c.options.Membership.Members()
 	if c.seen != nil && len(members) == len(c.seen) && (len(members) == 0 || &members[0] == &c.seen[0]) {
 		return
 	}
--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -31,9 +31,11 @@
 	ejected     bool
 }
 
-// acquire starts to schedule a shard.
+// acquire starts to schedule a shard. The epoch differs from those of earlier
+// owners, because incarnations are start times in microseconds.
 func (c *Controller) acquire(s locator.Shard, now time.Duration) {
-	epoch := uint64(c.options.Start.Add(now).UnixMicro())
+	c.epochs++
+	epoch := c.options.Self.Incarnation + c.epochs
 	o := &ownedShard{shard: s, epoch: epoch, limits: map[string]*targetLimit{}}
 	o.scheduler = scheduler.New(scheduler.Settings{
 		Epoch:         epoch,
--- a/router/controller/queue.go
+++ b/router/controller/queue.go
@@ -115,7 +115,7 @@
 // cancelMessage removes a waiter whose caller has gone.
 type cancelMessage struct{ waiter *waiter }
 
-func (m cancelMessage) apply(c *Controller, now time.Duration) {
+func (m cancelMessage) apply(c *Controller, _ time.Duration) {
 	key := queueKey{m.waiter.request.Pool, m.waiter.request.Account}
 	if q := c.queues[key]; q != nil && q.remove(m.waiter) {
 		c.touch(key)
--- a/router/controller/stop.go
+++ b/router/controller/stop.go
@@ -41,6 +41,6 @@
 func (m farewellMessage) apply(c *Controller, now time.Duration) {
 	c.stopping = true
 	c.abandonQueues()
-	c.handleSends(c.detector.Leave(now))
+	c.handleSends(c.options.Membership.Leave(now))
 	close(m.sent)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -117,13 +117,16 @@
 }
 
 func (d *Daemon) controlOptions(self detector.Member, hub *connector.Hub, random *rand.Rand, start time.Time) controller.Options {
+	members := detector.New(self, detector.Settings{}, random)
+	members.AddSeeds(d.settings.SeedList())
 	timing := controller.DefaultTiming()
 	timing.MaxWait = d.settings.MaxWait
 	return controller.Options{
-		Self: self, Seeds: d.settings.SeedList(), Policy: locator.Policy(d.settings.Policy), Timing: timing,
+		Self: self, Membership: members, Policy: locator.Policy(d.settings.Policy), Timing: timing,
 		Admission:   limiter.AdmissionSettings{AccountRequests: d.settings.QueueLimit, AccountBytes: d.settings.QueueBytes},
 		Concurrency: limiter.ConcurrencySettings{FirstToken: d.settings.FirstToken, Interval: d.settings.TokenInterval},
-		Hub:         hub, Logger: d.logger, Random: random, Start: start,
+		Hub:         hub, Logger: d.logger, Random: random,
+		Clock: func() time.Duration { return time.Since(start) },
 	}
 }
 
