--- a/router/controller/demand.go
+++ b/router/controller/demand.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"monsoondeck.example/messenger"
@@ -65,7 +68,7 @@
 			c.dirty[key] = true
 		}
 	}
-	for key := range c.dirty {
+	for _, key := range sortedKeys(c.dirty) {
 		delete(c.dirty, key)
 		c.gatherDemand(key, now, pending)
 	}
@@ -136,11 +139,12 @@
 }
 
 func (c *Controller) sendDemands(pending map[string]*messenger.Demand) {
-	for key, d := range pending {
+	for _, key := range slices.Sorted(maps.Keys(pending)) {
 		s, ok := c.locator.Shard(key)
 		if !ok {
 			continue
 		}
+		d := pending[key]
 		c.send(s.Owner, func(f *messenger.Frame) { f.Demands = append(f.Demands, *d) })
 	}
 }
@@ -149,12 +153,14 @@
 // message delays a request by one period at most.
 func (c *Controller) refreshDemand() {
 	pending := map[string]*messenger.Demand{}
-	for key, s := range c.locator.Shards() {
+	for _, s := range c.sortedShards() {
+		key := s.Key
 		l := c.links[key]
 		if l == nil || l.owner != s.Owner {
 			continue
 		}
-		for account, believed := range l.believed {
+		for _, account := range slices.Sorted(maps.Keys(l.believed)) {
+			believed := l.believed[account]
 			actual := c.waiting(s, account)
 			if actual == 0 && believed == 0 {
 				delete(l.believed, account)
@@ -174,3 +180,10 @@
 		c.touch(key)
 	}
 }
+
+// sortedKeys orders queues, so that the same events lead to the same messages.
+func sortedKeys(set map[queueKey]bool) []queueKey {
+	return slices.SortedFunc(maps.Keys(set), func(a, b queueKey) int {
+		return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.account, b.account))
+	})
+}
--- a/router/controller/grants.go
+++ b/router/controller/grants.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"monsoondeck.example/messenger"
@@ -105,18 +108,20 @@
 			}
 		}
 	}
-	for k, list := range lists {
+	for _, k := range sortedHoldings(lists) {
 		s, ok := c.locator.Shard(k.shard)
 		if !ok {
 			continue
 		}
+		list := lists[k]
 		c.send(s.Owner, func(f *messenger.Frame) { f.Holdings = append(f.Holdings, *list) })
 	}
 }
 
 func (c *Controller) holdings() map[holdingsKey]*messenger.Holdings {
 	lists := map[holdingsKey]*messenger.Holdings{}
-	for _, p := range c.held {
+	for _, key := range slices.Sorted(maps.Keys(c.held)) {
+		p := c.held[key]
 		k := holdingsKey{p.shard, p.epoch}
 		if lists[k] == nil {
 			lists[k] = &messenger.Holdings{Shard: p.shard, Epoch: p.epoch}
@@ -132,9 +137,11 @@
 // owner waits for it before it grants. An empty list counts as a report.
 func (c *Controller) announceHoldings(s locator.Shard) {
 	sent := false
-	for k, list := range c.holdings() {
+	lists := c.holdings()
+	for _, k := range sortedHoldings(lists) {
 		if k.shard == s.Key {
 			sent = true
+			list := lists[k]
 			c.send(s.Owner, func(f *messenger.Frame) { f.Holdings = append(f.Holdings, *list) })
 		}
 	}
@@ -142,3 +149,10 @@
 		c.send(s.Owner, func(f *messenger.Frame) { f.Holdings = append(f.Holdings, messenger.Holdings{Shard: s.Key}) })
 	}
 }
+
+// sortedHoldings orders lists, so that the same events lead to the same messages.
+func sortedHoldings(lists map[holdingsKey]*messenger.Holdings) []holdingsKey {
+	return slices.SortedFunc(maps.Keys(lists), func(a, b holdingsKey) int {
+		return cmp.Or(cmp.Compare(a.shard, b.shard), cmp.Compare(a.epoch, b.epoch))
+	})
+}
--- a/router/controller/membership.go
+++ b/router/controller/membership.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"monsoondeck.example/connector"
@@ -117,7 +119,8 @@
 			logger.Emit(c.options.Logger, logger.ShardReleased, slog.String("shard", key), slog.Uint64("epoch", o.epoch))
 		}
 	}
-	for key, s := range c.locator.Shards() {
+	for _, s := range c.sortedShards() {
+		key := s.Key
 		if s.Owner != c.options.Self.ID {
 			continue
 		}
@@ -133,7 +136,8 @@
 
 // moveLinks reports held grants to the daemons that became owners.
 func (c *Controller) moveLinks(previous *locator.Map) {
-	for key, s := range c.locator.Shards() {
+	for _, s := range c.sortedShards() {
+		key := s.Key
 		if previous != nil {
 			if old, ok := previous.Shard(key); ok && old.Owner == s.Owner {
 				continue
@@ -157,3 +161,10 @@
 	}
 	return c.groups[key]
 }
+
+// sortedShards orders shards, so that the same events lead to the same messages.
+func (c *Controller) sortedShards() []locator.Shard {
+	return slices.SortedFunc(maps.Values(c.locator.Shards()), func(a, b locator.Shard) int {
+		return strings.Compare(a.Key, b.Key)
+	})
+}
--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -72,7 +73,8 @@
 		l := o.limits[t.ID]
 		if l == nil || l.incarnation != t.Incarnation || l.slots != slots {
 			settings := c.options.Concurrency
-			settings.Slots = slots
+			// The sheet's slots are the most that the operators allow.
+			settings.Slots, settings.Maximum = slots, slots
 			l = &targetLimit{concurrency: limiter.NewConcurrency(settings), incarnation: t.Incarnation, slots: slots}
 		}
 		kept[t.ID] = l
@@ -113,7 +115,8 @@
 // scheduleOwned refreshes limits, which change with time as well, and sends
 // the grants that became possible.
 func (c *Controller) scheduleOwned(now time.Duration) {
-	for _, o := range c.owned {
+	for _, key := range c.shardNames() {
+		o := c.owned[key]
 		c.applyLimits(o, now)
 		c.sendGrants(o, now)
 	}
@@ -133,8 +136,8 @@
 			l.inFlight++
 		}
 	}
-	for member, list := range lists {
-		c.send(member, func(f *messenger.Frame) { f.Grants = append(f.Grants, *list) })
+	for _, member := range slices.Sorted(maps.Keys(lists)) {
+		c.send(member, func(f *messenger.Frame) { f.Grants = append(f.Grants, *lists[member]) })
 	}
 }
 
@@ -214,7 +217,8 @@
 // reportService sends the service granted since the last report to the
 // aggregators.
 func (c *Controller) reportService() {
-	for key, o := range c.owned {
+	for _, key := range c.shardNames() {
+		o := c.owned[key]
 		reports := map[int]*messenger.ServiceReport{}
 		for _, s := range o.scheduler.Reports() {
 			group := c.locator.Group(s.Account)
@@ -225,7 +229,8 @@
 				Account: s.Account, Cumulative: s.Cumulative, Included: s.Included, Known: s.Known,
 			})
 		}
-		for group, report := range reports {
+		for _, group := range slices.Sorted(maps.Keys(reports)) {
+			report := reports[group]
 			to := c.locator.Aggregator(o.shard.PoolKey(), group)
 			if to != "" {
 				c.send(to, func(f *messenger.Frame) { f.ServiceReports = append(f.ServiceReports, *report) })
