Complete the scheduler and state its fairness bound

Cause: the first version had no caps, refunds, affinity or protection from lost, late and repeated messages, and no tests.

Change: leases in listing order, a bounded memory of ended grants so that a settlement is charged once and a grant that is listed after its lease takes up its slot again, cap and lift rules, measured pool rate, prefix affinity, demand that follows its member, Bound with the formula and a model of routers, owners and aggregators with lost, late, repeated and reordered messages, owner loss, router loss and partition.

Ruled out: ignoring demand whose Seen falls, because a router that restarts under the same name would never be served; capping debt from the account's own requests, because a request that costs more than the cap would be partly free and the gap would grow without bound.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -2,13 +2,20 @@
 
 import (
 	"container/heap"
+	"slices"
+	"strings"
 	"time"
 )
 
+// idleGrace is the time without a grantable request after which an account counts as idle.
+// A backlogged account has none for a moment while its next demand is in transit, and must
+// not lose credit then. The value is the exchange interval.
+const idleGrace = 500 * time.Millisecond
+
 // SetDemand states the waiting requests of a member. An entry replaces the member's earlier
 // entry for the same account; accounts that are not listed keep theirs.
 func (s *Scheduler) SetDemand(now time.Duration, member string, demands []Demand) {
-	s.begin(now)
+	s.tick(now)
 	m := s.member(member)
 	for _, d := range demands {
 		s.setDemand(m, d)
@@ -17,65 +24,69 @@
 
 func (s *Scheduler) setDemand(m *member, stated Demand) {
 	a := s.account(stated.Account)
-	if stated.Weight > 0 {
-		a.weight = stated.Weight
-	}
+	s.setWeight(a, stated.Weight)
 	d := m.demands[a]
 	if d == nil {
-		d = &demand{member: m, account: a, position: -1}
+		d = &demand{member: m, account: a}
 		m.demands[a] = d
 	}
-	if stated.Seen > s.lastID {
-		stated.Seen = 0 // The id belongs to an earlier epoch.
-	}
-	if stated.Seen < d.seen {
-		return // The message was overtaken by a later one.
+	seen := stated.Seen
+	if seen > s.lastID {
+		seen = 0 // The id belongs to an earlier epoch.
 	}
-	d.seen = stated.Seen
 	d.waiting = max(stated.Waiting, 0)
-	d.estimate = max(stated.Estimate, 0)
+	d.estimate = units(stated.Estimate)
 	d.affinity = stated.Affinity
 	n := 0
-	for n < len(d.unseen) && d.unseen[n] <= d.seen {
+	for n < len(d.unseen) && d.unseen[n] <= seen {
 		n++
 	}
 	d.unseen = append(d.unseen[:0], d.unseen[n:]...)
 	s.refresh(d)
+	s.tidy(d)
+}
+
+// tidy drops a demand that no waiting request and no held grant needs, so that memory
+// follows the backlog.
+func (s *Scheduler) tidy(d *demand) {
+	if d.held == 0 && d.grantable() <= 0 && d.member.demands[d.account] == d {
+		delete(d.member.demands, d.account)
+	}
 }
 
 // refresh files the demand, and its account, among those with grantable requests.
 func (s *Scheduler) refresh(d *demand) {
-	ready := d.member.live && d.grantable() > 0
 	a := d.account
-	switch {
-	case ready && d.position < 0:
-		d.position = len(a.ready)
-		a.ready = append(a.ready, d)
-	case !ready && d.position >= 0:
-		last := len(a.ready) - 1
-		a.ready[d.position] = a.ready[last]
-		a.ready[d.position].position = d.position
-		a.ready[last] = nil
-		a.ready = a.ready[:last]
-		d.position = -1
+	ready := d.grantable() > 0 && d.member.available()
+	if ready && d.element == nil {
+		d.element = a.ready.PushBack(d)
+	} else if !ready && d.element != nil {
+		a.ready.Remove(d.element)
+		d.element = nil
 	}
-	switch {
-	case len(a.ready) > 0 && a.index < 0:
+	if a.ready.Len() > 0 && a.index < 0 {
 		s.lift(a)
+		s.activeWeight += a.weight
 		heap.Push(&s.active, a)
-	case len(a.ready) == 0 && a.index >= 0:
+	} else if a.ready.Len() == 0 && a.index >= 0 {
+		a.idle = s.now
 		heap.Remove(&s.active, a.index)
+		s.activeWeight -= a.weight
+		if len(s.active) == 0 {
+			s.activeWeight = 0
+		}
 	}
 }
 
-// lift raises an account that returns from idle to the smallest virtual time of the active
-// accounts, so that idle accounts accumulate no credit.
-func (s *Scheduler) lift(a *account) {
-	level := s.floor
-	if len(s.active) > 0 {
-		level = s.active[0].virtual
+func (s *Scheduler) refreshMember(m *member) {
+	demands := make([]*demand, 0, len(m.demands))
+	for _, d := range m.demands {
+		demands = append(demands, d)
+	}
+	slices.SortFunc(demands, func(a, b *demand) int { return strings.Compare(a.account.name, b.account.name) })
+	for _, d := range demands {
+		s.refresh(d)
 	}
-	a.virtual = max(a.virtual, level)
 }
 
 func (s *Scheduler) dropDemands(m *member) {
