--- a/limiter/admission.go
+++ b/limiter/admission.go
@@ -31,12 +31,34 @@
 	settings AdmissionSettings
 	mutex    sync.Mutex
 	queues   map[string]*queue
+	limits   map[string]int
 	bytes    int64
 }
 
 // NewAdmission returns an Admission with empty queues.
 func NewAdmission(s AdmissionSettings) *Admission {
-	return &Admission{settings: s, queues: map[string]*queue{}}
+	return &Admission{settings: s, queues: map[string]*queue{}, limits: map[string]int{}}
+}
+
+// SetAccountRequests replaces AccountRequests for one account; 0 restores it.
+func (a *Admission) SetAccountRequests(account string, requests int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if requests > 0 {
+		a.limits[account] = requests
+	} else {
+		delete(a.limits, account)
+	}
+}
+
+// Waiting returns the number of admitted requests of an account that have not been released.
+func (a *Admission) Waiting(account string) int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if q := a.queues[account]; q != nil {
+		return q.requests
+	}
+	return 0
 }
 
 // Admit takes a place in the account's queue. The caller gives it back with release, once or
@@ -49,7 +71,12 @@
 		q = &queue{}
 	}
 	s := a.settings
-	if s.AccountRequests > 0 && q.requests >= s.AccountRequests {
+	bytes = max(bytes, 0)
+	requests, found := a.limits[account]
+	if !found {
+		requests = s.AccountRequests
+	}
+	if requests > 0 && q.requests >= requests {
 		return nil, ErrQueueFull
 	}
 	if s.AccountBytes > 0 && q.bytes+bytes > s.AccountBytes || s.TotalBytes > 0 && a.bytes+bytes > s.TotalBytes {
