--- /dev/null
+++ b/parser/property_test.go
@@ -0,0 +1,191 @@
+package parser_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/parser"
+)
+
+// A fixed seed gives the same verdict on every run; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.shrinktime": "1s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+type recorder struct {
+	testing.TB
+	failed bool
+}
+
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) FailNow()              { r.failed = true; runtime.Goexit() }
+
+// requireCaught fails the test when the property holds for a broken variant.
+func requireCaught(t *testing.T, property func(*rapid.T)) {
+	t.Helper()
+	r, done := &recorder{TB: t}, make(chan struct{})
+	go func() {
+		defer close(done)
+		rapid.Check(r, property)
+	}()
+	<-done
+	if !r.failed {
+		t.Error("the property holds for the broken variant")
+	}
+}
+
+func drawConfig(t *rapid.T) configurer.Config {
+	pools := []string{"large", "small"}
+	var accounts []configurer.Account
+	targets := []configurer.Target{
+		{ID: "t0", DataCentre: "d", Address: "127.0.0.1:80", Kind: configurer.KindEngine, Pools: pools, Slots: 4, State: configurer.StateActive},
+	}
+	for i := range 5 {
+		if rapid.Bool().Draw(t, "account") {
+			accounts = append(accounts, configurer.Account{
+				ID: fmt.Sprintf("a%d", i), Name: rapid.SampledFrom([]string{"", "a;b", "c,\"d\"", "Liège"}).Draw(t, "name"),
+				Share:      rapid.Float64Range(0.001, 1e6).Draw(t, "share"),
+				KeyHashes:  []string{configurer.KeyHash(fmt.Sprint(i, rapid.IntRange(0, 2).Draw(t, "key")))},
+				Pools:      rapid.SliceOfNDistinct(rapid.SampledFrom(pools), 1, 2, rapid.ID).Draw(t, "pools"),
+				QueueLimit: rapid.IntRange(0, 3).Draw(t, "limit"),
+			})
+		}
+		if rapid.Bool().Draw(t, "target") {
+			targets = append(targets, configurer.Target{
+				ID: fmt.Sprintf("s%d", i), DataCentre: "d", Address: fmt.Sprintf("[::1]:%d", i+1), Kind: configurer.KindService, Pools: []string{"orders"},
+				Slots: rapid.IntRange(1, 9).Draw(t, "slots"), Incarnation: rapid.Uint64Range(0, 2).Draw(t, "incarnation"),
+				State: rapid.SampledFrom([]configurer.State{configurer.StateActive, configurer.StateDraining}).Draw(t, "state"),
+			})
+		}
+	}
+	c, err := configurer.New(rapid.Uint64Range(1, 99).Draw(t, "version"), accounts, targets,
+		[]configurer.Operator{{Name: "mei", KeyHash: configurer.KeyHash("mei"), Role: configurer.RoleEditor}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func written(t rapid.TB, c configurer.Config) string {
+	var text bytes.Buffer
+	if err := parser.Write(&text, c); err != nil {
+		t.Fatal(err)
+	}
+	return text.String()
+}
+
+type applier func(parser.Sheet, configurer.Config) configurer.Delta
+
+// applyProperty: a written sheet parses to the same configuration, and its delta
+// turns any other configuration into it.
+func applyProperty(apply applier) func(*rapid.T) {
+	return func(t *rapid.T) {
+		want, from := drawConfig(t), drawConfig(t)
+		sheet, err := parser.Parse(strings.NewReader(written(t, want)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if sheet.Base() != want.Version() || sheet.Config().Digest() != want.Digest() {
+			t.Fatalf("the sheet reads as\n%s, want\n%s", written(t, sheet.Config()), written(t, want))
+		}
+		d := apply(sheet, from)
+		d.Version = d.Base + 1
+		got, err := from.WithDelta(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Digest() != want.Digest() {
+			t.Fatalf("applied\n%s, want\n%s", written(t, got), written(t, want))
+		}
+	}
+}
+
+// Guards against a sheet that does not give what the planners wrote.
+func TestApplyGivesTheSheet(t *testing.T) {
+	rapid.Check(t, applyProperty(func(s parser.Sheet, c configurer.Config) configurer.Delta { d, _ := s.Apply(c); return d }))
+	requireCaught(t, applyProperty(func(s parser.Sheet, c configurer.Config) configurer.Delta {
+		d, _ := s.Apply(c)
+		d.RemoveTargets = nil
+		return d
+	}))
+}
+
+// faultyProperty: a sheet that was cut off, or whose cell was replaced by
+// nonsense, is refused as a whole.
+func faultyProperty(parse func(io.Reader) (parser.Sheet, error)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		text := written(t, drawConfig(t))
+		end := strings.LastIndex(text, "end")
+		switch rapid.IntRange(0, 2).Draw(t, "damage") {
+		case 0:
+			text = text[:rapid.IntRange(0, end+2).Draw(t, "length")]
+		case 1: // between rows, which leaves every row whole
+			rows := strings.SplitAfter(text[:end], "\n")
+			text = strings.Join(rows[:rapid.IntRange(0, len(rows)).Draw(t, "rows")], "")
+		default:
+			column := rapid.SampledFrom([]string{",engine,", ",editor", "\naccount,", "\ntarget,", ",large", ":80,"}).Draw(t, "cell")
+			if !strings.Contains(text, column) {
+				return
+			}
+			text = strings.Replace(text, column, column[:1]+"?#"+column[1:], 1)
+		}
+		sheet, err := parse(strings.NewReader(text))
+		if !errors.Is(err, parser.ErrFaulty) || sheet.Config().Version() != 0 || sheet.Config().TargetCount() != 0 {
+			t.Fatalf("accepted with error %v:\n%s", err, text)
+		}
+	}
+}
+
+// Guards against a truncated or damaged sheet that is applied in part.
+func TestFaultySheetIsRefused(t *testing.T) {
+	rapid.Check(t, faultyProperty(parser.Parse))
+	requireCaught(t, faultyProperty(func(r io.Reader) (parser.Sheet, error) {
+		return parser.Parse(io.MultiReader(r, strings.NewReader("\nend\n"))) // does not need the end row
+	}))
+}
+
+// Guards against panics, and against a sheet that changes when it is exported
+// and read again.
+func FuzzParse(f *testing.F) {
+	f.Add(valid())
+	f.Add("\ufeff" + strings.ReplaceAll(valid(), "\n", "\r\n"))
+	f.Add(strings.ReplaceAll(valid(), ",", ";"))
+	f.Add(valid()[:200])
+	for _, name := range []string{"kitakaze", "smidsverbond"} {
+		text, err := os.ReadFile("../examples/" + name + ".csv")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(string(text))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		sheet, err := parser.Parse(strings.NewReader(text))
+		if err != nil {
+			if !errors.Is(err, parser.ErrFaulty) {
+				t.Fatalf("error %v", err)
+			}
+			return
+		}
+		again, err := parser.Parse(strings.NewReader(written(t, sheet.Config())))
+		if err != nil || again.Config().Digest() != sheet.Config().Digest() {
+			t.Fatalf("error %v for the export of\n%s", err, text)
+		}
+	})
+}
--- /dev/null
+++ b/parser/reader.go
@@ -0,0 +1,153 @@
+package parser
+
+import (
+	"bytes"
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxBytes bounds a sheet; 19,000 accounts and 3,300 targets need 4 MB.
+const maxBytes = 64 << 20
+
+// record is one row with cells that are not empty, by column.
+type record struct {
+	row   int
+	cells map[string]string
+}
+
+// readText returns the text without byte-order mark, or adds a fault.
+func readText(r io.Reader, faults *Faults) (string, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
+	if err != nil {
+		return "", errors.Wrap(err, "read sheet")
+	}
+	switch {
+	case len(body) > maxBytes:
+		faults.add(0, "", "more than 64 MB", "at most 64 MB")
+	case bytes.HasPrefix(body, []byte("\xff\xfe")), bytes.HasPrefix(body, []byte("\xfe\xff")):
+		faults.add(0, "", "UTF-16 text", "CSV UTF-8 (choose it when saving)")
+	case !utf8.Valid(body):
+		faults.add(firstInvalidRow(body), "", "bytes that are not UTF-8", "CSV UTF-8 (choose it when saving)")
+	}
+	return strings.TrimPrefix(string(body), "\ufeff"), nil
+}
+
+func firstInvalidRow(body []byte) int {
+	row := 1
+	for len(body) > 0 {
+		r, size := utf8.DecodeRune(body)
+		if r == utf8.RuneError && size == 1 {
+			break
+		}
+		if r == '\n' {
+			row++
+		}
+		body = body[size:]
+	}
+	return row
+}
+
+// separator returns the more frequent of the separators that spreadsheets write,
+// counted in the header row, whose names contain none of them.
+func separator(text string) rune {
+	header, _, _ := strings.Cut(text, "\n")
+	best := ','
+	for _, s := range ";\t" {
+		if strings.Count(header, string(s)) > strings.Count(header, string(best)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// readRecords splits the text into records up to the end row. The first record
+// names the columns. Rows without content are skipped. It is complete when the
+// header has no fault and the end row was reached, so that rules about all rows
+// can be checked.
+func readRecords(text string, faults *Faults) (records []record, complete bool) {
+	reader := csv.NewReader(strings.NewReader(text))
+	reader.Comma, reader.FieldsPerRecord = separator(text), -1
+	var header []string
+	row, ended := 0, false
+	for {
+		fields, err := reader.Read()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		var parse *csv.ParseError
+		if errors.As(err, &parse) {
+			// What follows cannot be told apart reliably.
+			faults.add(parse.StartLine, "", "a quote that is not closed or stands inside a cell", "quotes around the whole cell, doubled inside")
+			return records, false
+		}
+		if isBlank(fields) {
+			continue
+		}
+		row, _ = reader.FieldPos(0)
+		switch {
+		case header == nil:
+			if header = readHeader(row, fields, faults); len(faults.List) > 0 {
+				return nil, false
+			}
+		case ended:
+			faults.add(row, "kind", quote(fields[0]), "nothing after the end row")
+		default:
+			next := readRecord(row, header, fields, faults)
+			ended = next.cells["kind"] == string(kindEnd)
+			records = append(records, next)
+		}
+	}
+	switch {
+	case header == nil:
+		faults.add(0, "", "an empty file", "a header row, rows and an end row")
+	case !ended:
+		faults.add(row+1, "kind", "the end of the file", "an end row; without it the sheet may be truncated")
+	}
+	return records, ended
+}
+
+func isBlank(fields []string) bool {
+	return strings.TrimSpace(strings.Join(fields, "")) == ""
+}
+
+func readHeader(row int, fields []string, faults *Faults) []string {
+	header := make([]string, len(fields))
+	for i, f := range fields {
+		name := strings.TrimSpace(f)
+		switch {
+		case name == "":
+		case !isColumn(name):
+			faults.add(row, name, "an unknown column", strings.Join(columns(), ", "))
+		case contains(header, name):
+			faults.add(row, name, "the column twice", "each column once")
+		default:
+			header[i] = name
+		}
+	}
+	for _, name := range requiredColumns() {
+		if !contains(header, name) {
+			faults.add(row, name, "no such column", "a header with "+strings.Join(requiredColumns(), ", "))
+		}
+	}
+	return header
+}
+
+func readRecord(row int, header, fields []string, faults *Faults) record {
+	cells := make(map[string]string, len(fields))
+	for i, f := range fields {
+		cell := strings.TrimSpace(f)
+		switch {
+		case cell == "":
+		case i >= len(header) || header[i] == "":
+			faults.add(row, fmt.Sprintf("number %d", i+1), quote(cell), "cells under a known column only")
+		default:
+			cells[header[i]] = cell
+		}
+	}
+	return record{row: row, cells: cells}
+}
