Add the operators' tool

Cause: operators check, compare and apply sheets, drain targets, make keys and look at the fleet, and must be told accurately what happened. Change: operator.Run with one package per command, a session of settings, clients, streams and sign-in, two-line errors and exit codes 0 to 5. Operators sign in with a named key checked against the configuration; the first sheet must contain the operator who applies it. A new key is printed even when the outcome is unknown, because it may be in force. Proof: scenarios through Run against the stand-ins of table service and object store: sign-in, faulty sheets, losses, a race, lost answers, outage, keys, unreachable daemons, output formats.

--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,319 @@
+package operator_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/emulator/objects"
+	"monsoondeck.example/emulator/table"
+	"monsoondeck.example/logger"
+	"monsoondeck.example/operator"
+)
+
+// fleet is a platform of stand-ins that operators work on.
+type fleet struct {
+	t       *testing.T
+	table   string
+	objects string
+	daemons []string
+	// intercept runs before each request to the table service; it may answer or
+	// abort it.
+	intercept func(w http.ResponseWriter, r *http.Request) (handled bool)
+	out, err  bytes.Buffer
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, intercept: func(http.ResponseWriter, *http.Request) bool { return false }}
+	rows := table.New(table.Settings{})
+	tableServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !f.intercept(w, r) {
+			rows.ServeHTTP(w, r)
+		}
+	}))
+	objectServer := httptest.NewServer(objects.New(objects.Settings{}))
+	t.Cleanup(tableServer.Close)
+	t.Cleanup(objectServer.Close)
+	f.table, f.objects = tableServer.URL, objectServer.URL
+	return f
+}
+
+// started returns a fleet with the example of Kitakaze as version 1.
+func started(t *testing.T) *fleet {
+	f := newFleet(t)
+	f.want(0, "haruka", "sheet", "apply", "../examples/kitakaze.csv")
+	return f
+}
+
+// runAs runs a command of an operator with the example's key.
+func (f *fleet) runAs(name string, args ...string) int {
+	return f.run(name, "example-key-"+name, args...)
+}
+
+func (f *fleet) run(name, key string, args ...string) int {
+	f.out.Reset()
+	f.err.Reset()
+	return operator.Run(args, []string{
+		"MONSOONDECK_TABLE_URL=" + f.table, "MONSOONDECK_OBJECTS_URL=" + f.objects, "MONSOONDECK_DAEMONS=" + strings.Join(f.daemons, ","),
+		"MONSOONDECK_OPERATOR=" + name, "MONSOONDECK_OPERATOR_KEY=" + key,
+	}, logger.Streams{In: strings.NewReader(""), Out: &f.out, Err: &f.err})
+}
+
+func (f *fleet) want(code int, name string, args ...string) {
+	f.t.Helper()
+	if got := f.runAs(name, args...); got != code {
+		f.t.Fatalf("%s: %v ends with %d, want %d\n%s%s", name, args, got, code, f.out.String(), f.err.String())
+	}
+	if lines := strings.Split(strings.TrimSpace(f.err.String()), "\n"); code != 0 && len(lines) < 2 {
+		f.t.Errorf("%v: an error needs a line that says what failed and one that says what to do, got %q", args, f.err.String())
+	}
+}
+
+func (f *fleet) wantText(buffer *bytes.Buffer, parts ...string) {
+	f.t.Helper()
+	for _, p := range parts {
+		if !strings.Contains(buffer.String(), p) {
+			f.t.Errorf("no %q in\n%s", p, buffer.String())
+		}
+	}
+}
+
+// sheet writes a sheet that is the current configuration with replacements.
+func (f *fleet) sheet(replacements ...string) string {
+	f.t.Helper()
+	f.want(0, "haruka", "sheet", "show", "--csv")
+	path := filepath.Join(f.t.TempDir(), "sheet.csv")
+	if err := os.WriteFile(path, []byte(strings.NewReplacer(replacements...).Replace(f.out.String())), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+func (f *fleet) version() string {
+	f.t.Helper()
+	f.want(0, "haruka", "sheet", "history", "--limit", "1")
+	version, _, _ := strings.Cut(f.out.String(), "\t")
+	return version
+}
+
+// Guards against a first sheet that anybody can apply or that has no operator
+// who applies it, and against caller keys that work for operators.
+func TestSignIn(t *testing.T) {
+	f := newFleet(t)
+	first := []string{"sheet", "apply", "../examples/kitakaze.csv"}
+	if code := f.run("haruka", "", first...); code != 2 {
+		t.Errorf("without a key: %d", code)
+	}
+	if code := f.run("haruka", "wrong", first...); code != 4 {
+		t.Errorf("with a wrong key: %d", code)
+	}
+	f.want(4, "sora", first...) // may only read
+	f.want(4, "lotte", first...)
+	f.want(1, "haruka", "sheet", "show")
+	f.want(0, "haruka", first...)
+	f.want(0, "sora", "sheet", "show")
+	f.want(4, "sora", "target", "drain", "quote-01")
+	f.want(4, "sapporo-showroom", "sheet", "show")
+	if code := f.run("haruka", "example-key-sapporo-showroom", "sheet", "show"); code != 4 {
+		t.Errorf("with a caller's key: %d", code)
+	}
+	f.want(0, "haruka", "sheet", "history")
+	f.wantText(&f.out, "sora\ttarget drain\trefused")
+}
+
+// Guards against a faulty sheet that changes anything.
+func TestFaultySheetChangesNothing(t *testing.T) {
+	f := started(t)
+	for _, path := range []string{f.sheet("quote-07", "Quote 07"), f.sheet("\nend", "\naccount"), f.sheet(",editor", ",boss")} {
+		f.want(1, "haruka", "sheet", "check", path)
+		f.want(1, "haruka", "sheet", "apply", path)
+		f.wantText(&f.err, "nothing was changed")
+	}
+	if v := f.version(); v != "1" {
+		t.Errorf("version %s", v)
+	}
+}
+
+// Guards against losses that are applied without the operator naming them.
+func TestLossesNeedConfirmation(t *testing.T) {
+	f := started(t)
+	old := f.sheet()
+	f.want(0, "ren", "target", "drain", "quote-01")
+	f.want(3, "haruka", "sheet", "apply", old)
+	f.wantText(&f.err, "by ren in version 2", "--confirm quote-01")
+	f.want(2, "haruka", "sheet", "apply", old, "--confirm", "quote-01") // no terminal
+	f.want(0, "haruka", "sheet", "apply", old, "--confirm", "quote-01", "--yes")
+
+	rows := func(text string) bool { return strings.HasPrefix(text, "account,dealer-") }
+	f.want(0, "haruka", "sheet", "show", "--csv")
+	var few []string
+	for line := range strings.Lines(f.out.String()) {
+		if !rows(line) {
+			few = append(few, line)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "few.csv")
+	if err := os.WriteFile(path, []byte(strings.Join(few, "")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.want(4, "haruka", "sheet", "apply", path, "--yes", "--confirm", "dealer-otaru")
+	f.wantText(&f.err, "dealer-wakkanai")
+	f.want(0, "haruka", "sheet", "show")
+	if lines := strings.Count(f.out.String(), "\n"); lines != 16 {
+		t.Errorf("%d accounts", lines)
+	}
+	f.want(0, "haruka", "sheet", "diff", path)
+	f.wantText(&f.out, "remove\taccount\tdealer-otaru")
+	f.want(2, "haruka", "target", "drain", "orders-1", "orders-2", "orders-3")
+	f.wantText(&f.err, "no active target in pool orders")
+	f.want(2, "haruka", "account", "rotatekey", "dealer-otaru")
+	if v := f.version(); v != "3" {
+		t.Errorf("version %s", v)
+	}
+}
+
+// Guards against a race in which both operators are told that they won.
+func TestLoserOfARaceIsTold(t *testing.T) {
+	f := started(t)
+	f.intercept = func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.Method == http.MethodPost {
+			f.intercept = func(http.ResponseWriter, *http.Request) bool { return false }
+			other := &fleet{t: t, table: f.table, objects: f.objects}
+			other.want(0, "ren", "account", "addkey", "dealer-otaru")
+		}
+		return false
+	}
+	f.want(3, "haruka", "target", "drain", "quote-01")
+	f.wantText(&f.err, "version 2 by ren", "put account dealer-otaru")
+}
+
+// Guards against a wrong report when the table service loses answers or is down.
+func TestOutcomes(t *testing.T) {
+	f := started(t)
+	abort := func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
+	f.intercept = func(w http.ResponseWriter, r *http.Request) bool {
+		return r.Method == http.MethodPost && abort(w, r)
+	}
+	f.want(5, "haruka", "target", "drain", "quote-01")
+	f.want(5, "haruka", "account", "addkey", "dealer-otaru")
+	if key := strings.TrimSpace(f.out.String()); len(key) != 48 {
+		t.Errorf("a key that may be in force is not shown: %q", key)
+	}
+	f.intercept = func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	f.want(1, "haruka", "target", "drain", "quote-01")
+	f.wantText(&f.err, "nothing was changed")
+}
+
+// Guards against keys that do not work after they were given out, or work after
+// they were removed.
+func TestKeys(t *testing.T) {
+	f := started(t)
+	hashes := func() string {
+		f.want(0, "haruka", "sheet", "show", "--json", "id,keyHashes")
+		return f.out.String()
+	}
+	f.want(0, "haruka", "account", "addkey", "dealer-otaru")
+	added := configurer.KeyHash(strings.TrimSpace(f.out.String()))
+	old := configurer.KeyHash("example-key-dealer-otaru")
+	if list := hashes(); !strings.Contains(list, added) || !strings.Contains(list, old) {
+		t.Errorf("after addkey: %s", list)
+	}
+	f.want(2, "haruka", "account", "rotatekey", "dealer-otaru", "--yes", "--remove", "xyz")
+	f.want(0, "haruka", "account", "rotatekey", "dealer-otaru", "--yes", "--remove", old[:12])
+	rotated := configurer.KeyHash(strings.TrimSpace(f.out.String()))
+	if list := hashes(); !strings.Contains(list, added) || !strings.Contains(list, rotated) || strings.Contains(list, old) {
+		t.Errorf("after rotatekey: %s", list)
+	}
+	f.want(2, "haruka", "account", "addkey", "nobody")
+}
+
+// Guards against a report that claims a version for daemons that gave no answer.
+func TestFleetStatusNamesUnreachableDaemons(t *testing.T) {
+	f := started(t)
+	daemon := func(answers map[string]any) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answer, ok := answers[r.URL.Path]
+			if !ok {
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			_ = json.NewEncoder(w).Encode(answer)
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	goneAddress := strings.TrimPrefix(gone.URL, "http://")
+	current := daemon(map[string]any{
+		"/v1/status":                map[string]any{"id": "r1", "configVersion": 1, "members": []string{"r1", "r2"}},
+		"/v1/requests/q 1":          []map[string]any{{"requestID": "q 1", "waitedNanoseconds": 2_500_000, "target": "quote-01"}},
+		"/v1/accounts/dealer-otaru": []map[string]any{{"requestID": "q 2", "account": "dealer-otaru"}},
+	})
+	f.daemons = []string{current}
+	f.want(1, "sora", "fleet", "status")
+	f.wantText(&f.err, "members not asked: r2")
+	f.daemons = []string{current, daemon(map[string]any{"/v1/status": map[string]any{"id": "r2", "configVersion": 1}})}
+	f.want(0, "sora", "fleet", "status")
+	f.wantText(&f.out, "r1\tcurrent", "r2\tcurrent")
+	f.daemons = append(f.daemons, goneAddress)
+	f.want(1, "sora", "fleet", "status")
+	f.wantText(&f.out, goneAddress+"\t\tunreachable")
+	f.wantText(&f.err, "cannot be reached: "+goneAddress)
+	f.want(0, "haruka", "target", "drain", "quote-01")
+	f.want(1, "sora", "fleet", "status")
+	f.wantText(&f.err, "behind: r1, r2")
+
+	f.want(0, "sora", "request", "explain", "q 1")
+	f.wantText(&f.out, "2.5", "quote-01", current)
+	f.wantText(&f.err, goneAddress)
+	f.want(1, "sora", "request", "explain", "q9")
+	f.wantText(&f.err, "not reached: "+goneAddress)
+	f.want(0, "sora", "account", "explain", "dealer-otaru")
+	f.wantText(&f.err, "share 1", "pool quote")
+
+	f.table = "http://" + goneAddress // the platform is down
+	f.want(0, "sora", "request", "explain", "q 1")
+	f.want(1, "sora", "fleet", "status")
+	f.wantText(&f.err, "accepted version: not known")
+}
+
+// Guards against output that scripts cannot use, and against wrong calls that
+// act.
+func TestOutputAndUsage(t *testing.T) {
+	f := started(t)
+	f.want(0, "sora", "sheet", "show", "targets", "--json", "id,slots")
+	var targets []struct {
+		ID    string
+		Slots int
+	}
+	if err := json.NewDecoder(&f.out).Decode(&targets); err != nil || len(targets) != 13 || targets[0].Slots != 16 {
+		t.Errorf("targets %v, error %v", targets, err)
+	}
+	f.want(2, "haruka", "target", "drain", "quote-01", "--json", "idd")
+	f.want(2, "haruka", "target", "drain", "quote-01", "quote-99")
+	f.want(2, "haruka", "sheet", "show", "hosts")
+	f.want(2, "haruka", "sheet", "apply", "missing.csv")
+	f.want(2, "haruka", "sheet")
+	f.want(2, "haruka", "sheet", "remove")
+	f.want(2, "haruka", "target", "drain")
+	f.want(2, "haruka", "fleet", "status")
+	f.want(0, "haruka", "target", "drain", "--help")
+	f.wantText(&f.out, "TARGET", "--yes")
+	if v := f.version(); v != "1" {
+		t.Errorf("version %s", v)
+	}
+	if code := operator.Run([]string{"sheet", "show"}, nil, logger.Streams{In: strings.NewReader(""), Out: io.Discard, Err: io.Discard}); code != 2 {
+		t.Errorf("without settings: %d", code)
+	}
+}
--- /dev/null
+++ b/operator/request/explainer/explainer.go
@@ -0,0 +1,33 @@
+// Package explainer implements "request explain".
+package explainer
+
+import (
+	"context"
+
+	"monsoondeck.example/operator/fleetclient"
+	"monsoondeck.example/operator/printer"
+	"monsoondeck.example/operator/session"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	ID string `arg:"positional,required" placeholder:"REQUEST" help:"ID of the request"`
+	printer.Flags
+}
+
+// Run prints how a request was scheduled, as far as the daemons that can be
+// reached know.
+func (o *Options) Run(ctx context.Context, s *session.Session) error {
+	records := fleetclient.Histories()
+	if err := records.Check(o.Flags); err != nil {
+		return err
+	}
+	if _, err := s.SignInToRead(ctx, "request explain"); err != nil {
+		return err
+	}
+	answers, err := fleetclient.Ask[[]fleetclient.History](ctx, s, "requests", o.ID)
+	if err != nil {
+		return err
+	}
+	return fleetclient.PrintHistories(s, records, answers, "request "+o.ID, o.Flags)
+}
--- /dev/null
+++ b/operator/sheet/applier/applier.go
@@ -0,0 +1,97 @@
+// Package applier implements "sheet apply".
+package applier
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/operator/failure"
+	"monsoondeck.example/operator/printer"
+	"monsoondeck.example/operator/session"
+	"monsoondeck.example/operator/sheet/checker"
+	"monsoondeck.example/operator/sheet/differ"
+	"monsoondeck.example/parser"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	File    string `arg:"positional,required" help:"sheet, or - for standard input"`
+	Yes     bool   `arg:"--yes" help:"do not ask for confirmation"`
+	Confirm string `arg:"--confirm" placeholder:"NAME,NAME" help:"names of what is lost, for a sheet that loses much or undoes changes"`
+	printer.Flags
+}
+
+const action = "sheet apply"
+
+// Run makes the sheet the configuration, as a whole or not at all.
+func (o *Options) Run(ctx context.Context, s *session.Session) error {
+	result := &printer.Records{Fields: []string{"version", "accounts", "targets", "operators", "rowsChanged"}}
+	if err := result.Check(o.Flags); err != nil {
+		return err
+	}
+	sheet, err := checker.Read(s, o.File, printer.Flags{})
+	if err != nil {
+		return err
+	}
+	store, config, err := s.SignIn(ctx, true, action)
+	if store == nil {
+		return err
+	}
+	// A configuration that does not exist yet has no operators; the first sheet
+	// brings them, and the one who applies it must be among them.
+	if config.Version() == 0 {
+		err = s.Permit(sheet.Config(), true)
+	}
+	if err != nil {
+		return err
+	}
+	d, losses, err := differ.Compare(ctx, store, config, sheet)
+	if err != nil {
+		return err
+	}
+	if d.Rows() == 0 {
+		s.Progress("the configuration is as in the sheet already")
+	} else if config, err = o.apply(ctx, s, store, config, d, losses); err != nil {
+		return err
+	}
+	result.Add(config.Version(), config.AccountCount(), config.TargetCount(), config.OperatorCount(), d.Rows())
+	return s.Printer().Print(result, o.Flags)
+}
+
+func (o *Options) apply(ctx context.Context, s *session.Session, store session.Store, config configurer.Config,
+	d configurer.Delta, losses parser.Losses) (configurer.Config, error) {
+	for _, line := range differ.Warnings(losses) {
+		s.Progress("%s", line)
+	}
+	if err := o.checkNames(losses); err != nil {
+		return config, err
+	}
+	if losses.Removes() || len(losses.Undone) > 0 {
+		show := printer.Printer{Out: s.Streams.Err, Terminal: true}
+		if err := show.Print(differ.Records(config, d), printer.Flags{}); err != nil {
+			return config, err
+		}
+		if err := s.Confirm(fmt.Sprintf("This changes %d rows of version %d.", d.Rows(), config.Version()), o.Yes); err != nil {
+			return config, err
+		}
+	}
+	return s.Commit(ctx, store, config, d, action+" "+o.File)
+}
+
+// checkNames requires the names of what is lost.
+func (o *Options) checkNames(losses parser.Losses) error {
+	given := strings.Split(o.Confirm, ",")
+	missing := slices.DeleteFunc(losses.ToConfirm(), func(name string) bool { return slices.Contains(given, name) })
+	if len(missing) == 0 {
+		return nil
+	}
+	what, code := "the sheet removes more than 20% of the accounts or targets", failure.CodeNotPermitted
+	if len(losses.Undone) > 0 {
+		what, code = "the sheet loses rows or undoes changes made since its export", failure.CodeConflict
+	}
+	return failure.New(code, what+", nothing was changed",
+		"If that is intended, add --confirm "+strings.Join(losses.ToConfirm(), ",")+" ; otherwise export a new sheet.")
+}
--- /dev/null
+++ b/operator/sheet/differ/differ.go
@@ -0,0 +1,96 @@
+// Package differ implements "sheet diff".
+package differ
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/operator/failure"
+	"monsoondeck.example/operator/printer"
+	"monsoondeck.example/operator/session"
+	"monsoondeck.example/operator/sheet/checker"
+	"monsoondeck.example/parser"
+	"monsoondeck.example/provider/committer"
+)
+
+// Options are the arguments of the command.
+type Options struct {
+	File string `arg:"positional,required" help:"sheet, or - for standard input"`
+	printer.Flags
+}
+
+// Run prints what applying a sheet would change.
+func (o *Options) Run(ctx context.Context, s *session.Session) error {
+	if err := Records(configurer.Config{}, configurer.Delta{}).Check(o.Flags); err != nil {
+		return err
+	}
+	sheet, err := checker.Read(s, o.File, printer.Flags{})
+	if err != nil {
+		return err
+	}
+	store, config, err := s.SignIn(ctx, false, "sheet diff")
+	if store == nil {
+		return err
+	}
+	d, losses, err := Compare(ctx, store, config, sheet)
+	if err != nil {
+		return err
+	}
+	for _, line := range Warnings(losses) {
+		s.Progress("%s", line)
+	}
+	return s.Printer().Print(Records(config, d), o.Flags)
+}
+
+// Compare returns what the sheet changes in the configuration and what it loses,
+// including what it undoes of the changes made since its export.
+func Compare(ctx context.Context, store session.Store, config configurer.Config, sheet parser.Sheet) (configurer.Delta, parser.Losses, error) {
+	var since []configurer.Delta
+	switch {
+	case sheet.Base() > config.Version():
+		return configurer.Delta{}, parser.Losses{}, failure.New(failure.CodeConflict,
+			fmt.Sprintf("the sheet was exported from version %d, but the configuration is at version %d", sheet.Base(), config.Version()),
+			"Check that the sheet and the settings belong to the same fleet.")
+	case sheet.Base() < config.Version():
+		var err error
+		since, err = store.Changes(ctx, sheet.Base())
+		if errors.Is(err, committer.ErrCompacted) {
+			return configurer.Delta{}, parser.Losses{}, failure.New(failure.CodeConflict,
+				fmt.Sprintf("the sheet was exported from version %d; the changes since then are not kept any more", sheet.Base()),
+				"Export the current sheet with 'sheet show --csv' and repeat the planners' changes in it.")
+		}
+		if err != nil {
+			return configurer.Delta{}, parser.Losses{}, err
+		}
+	}
+	d, losses := sheet.Apply(config, since...)
+	return d, losses, nil
+}
+
+// Records are the changes, one per column.
+func Records(from configurer.Config, d configurer.Delta) *printer.Records {
+	r := &printer.Records{Fields: []string{"action", "kind", "id", "column", "before", "after"}}
+	if d.Rows() == 0 {
+		return r
+	}
+	for _, c := range parser.Describe(from, d) {
+		r.Add(c.Action, c.Kind, c.ID, c.Column, c.Before, c.After)
+	}
+	return r
+}
+
+// Warnings tells in words what the sheet loses.
+func Warnings(l parser.Losses) []string {
+	var lines []string
+	if l.Removes() {
+		lines = append(lines, fmt.Sprintf("the sheet removes %d of %d accounts, %d of %d targets and %d operators",
+			len(l.Accounts), l.AccountsBefore, len(l.Targets), l.TargetsBefore, len(l.Operators)))
+	}
+	for _, u := range l.Undone {
+		lines = append(lines, fmt.Sprintf("the sheet undoes the change of %s %s by %s in version %d", u.Kind, u.ID, u.Author, u.Version))
+	}
+	return lines
+}
--- /dev/null
+++ b/operator/target/drainer/drainer.go
@@ -0,0 +1,18 @@
+// Package drainer implements "target drain".
+package drainer
+
+import (
+	"context"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/operator/session"
+	"monsoondeck.example/operator/target/stater"
+)
+
+// Options are the arguments of the command.
+type Options struct{ stater.Options }
+
+// Run stops new requests to targets; requests in flight finish.
+func (o *Options) Run(ctx context.Context, s *session.Session) error {
+	return o.Set(ctx, s, configurer.StateDraining, "target drain")
+}
--- /dev/null
+++ b/operator/target/undrainer/undrainer.go
@@ -0,0 +1,18 @@
+// Package undrainer implements "target undrain".
+package undrainer
+
+import (
+	"context"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/operator/session"
+	"monsoondeck.example/operator/target/stater"
+)
+
+// Options are the arguments of the command.
+type Options struct{ stater.Options }
+
+// Run lets targets receive requests again.
+func (o *Options) Run(ctx context.Context, s *session.Session) error {
+	return o.Set(ctx, s, configurer.StateActive, "target undrain")
+}
