Keep configuration rows in copy-on-write B-trees of pointers

Cause: the radix trees took most of the 25.9 MB that a configuration of the size to design for retained, a fifth of a daemon's 128 MB; the heap profile showed 14.3 MB in their inserts, with two channels per entry. Change: tidwall/btree with a copied head per version, which leaves the published version unwritten; rows are pointers. Proof: a new test fails when versions share writes, and with -race when the published tree itself is marked.

--- a/configurer/builder.go
+++ b/configurer/builder.go
@@ -5,32 +5,24 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
-	iradix "github.com/hashicorp/go-immutable-radix/v2"
 )
 
 // builder collects the changes of one delta; the configuration that it started
 // from stays as it was.
 type builder struct {
-	accounts  *iradix.Txn[Account]
-	targets   *iradix.Txn[Target]
-	operators *iradix.Txn[Operator]
-	keys      *iradix.Txn[Account]
+	accounts  index[Account]
+	targets   index[Target]
+	operators index[Operator]
+	keys      index[Account]
 	pools     map[string]map[string]*Target // changed targets by pool; nil means removed
 	old       Config
 	sum       digest
 }
 
-func transaction[V any](t *iradix.Tree[V]) *iradix.Txn[V] {
-	if t == nil {
-		t = iradix.New[V]()
-	}
-	return t.Txn()
-}
-
 func newBuilder(c Config) *builder {
 	return &builder{
-		accounts: transaction(c.accounts), targets: transaction(c.targets),
-		operators: transaction(c.operators), keys: transaction(c.keys),
+		accounts: c.accounts.writable(), targets: c.targets.writable(),
+		operators: c.operators.writable(), keys: c.keys.writable(),
 		pools: map[string]map[string]*Target{}, old: c, sum: c.sum,
 	}
 }
@@ -66,19 +58,19 @@
 		if o.Name == "" || o.KeyHash == "" {
 			return errors.Wrapf(ErrInvalid, "operator %q has no name or no key", o.Name)
 		}
-		b.operators.Insert([]byte(o.Name), o)
+		b.operators.set(o.Name, &o)
 		b.sum.toggle("operator", o)
 	}
 	return nil
 }
 
 func (b *builder) removeAccount(id string) {
-	old, ok := b.accounts.Delete([]byte(id))
+	old, ok := b.accounts.remove(id)
 	if !ok {
 		return
 	}
 	for _, h := range old.KeyHashes {
-		b.keys.Delete([]byte(h))
+		b.keys.remove(h)
 	}
 	b.sum.toggle("account", old)
 }
@@ -88,11 +80,11 @@
 		return errors.Wrapf(ErrInvalid, "account %q: share %v, queue limit %d", a.ID, a.Share, a.QueueLimit)
 	}
 	for _, h := range a.KeyHashes {
-		if other, taken := b.keys.Insert([]byte(h), a); taken && other.ID != a.ID {
+		if other, taken := b.keys.set(h, &a); taken && other.ID != a.ID {
 			return errors.Wrapf(ErrInvalid, "accounts %q and %q have the same key", other.ID, a.ID)
 		}
 	}
-	if _, twice := b.accounts.Insert([]byte(a.ID), a); twice {
+	if _, twice := b.accounts.set(a.ID, &a); twice {
 		return errors.Wrapf(ErrInvalid, "account %q is put twice", a.ID)
 	}
 	b.sum.toggle("account", a)
@@ -100,7 +92,7 @@
 }
 
 func (b *builder) removeTarget(id string) {
-	old, ok := b.targets.Delete([]byte(id))
+	old, ok := b.targets.remove(id)
 	if !ok {
 		return
 	}
@@ -114,7 +106,7 @@
 	if t.ID == "" || t.Address == "" || t.Slots < 1 {
 		return errors.Wrapf(ErrInvalid, "target %q: address %q, slots %d", t.ID, t.Address, t.Slots)
 	}
-	b.targets.Insert([]byte(t.ID), t)
+	b.targets.set(t.ID, &t)
 	for _, p := range t.Pools {
 		b.setPool(p, t.ID, &t)
 	}
@@ -130,23 +122,23 @@
 }
 
 func (b *builder) removeOperator(name string) {
-	if old, ok := b.operators.Delete([]byte(name)); ok {
+	if old, ok := b.operators.remove(name); ok {
 		b.sum.toggle("operator", old)
 	}
 }
 
 func (b *builder) config(version uint64) Config {
-	pools := transaction(b.old.pools)
+	pools := b.old.pools.writable()
 	for name, changes := range b.pools {
 		if list := poolWith(b.old.Pool(name), changes); len(list) > 0 {
-			pools.Insert([]byte(name), list)
+			pools.set(name, &list)
 		} else {
-			pools.Delete([]byte(name))
+			pools.remove(name)
 		}
 	}
 	return Config{
-		version: version, accounts: b.accounts.Commit(), targets: b.targets.Commit(),
-		operators: b.operators.Commit(), keys: b.keys.Commit(), pools: pools.Commit(), sum: b.sum,
+		version: version, accounts: b.accounts, targets: b.targets,
+		operators: b.operators, keys: b.keys, pools: pools, sum: b.sum,
 	}
 }
 
--- a/configurer/config_test.go
+++ b/configurer/config_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -152,6 +154,21 @@
 			}
 		}
 	})
+	b.Run("retained", func(b *testing.B) {
+		var before, after runtime.MemStats
+		for b.Loop() {
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var loaded configurer.Config
+			if err := json.Unmarshal(body, &loaded); err != nil {
+				b.Fatal(err)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(loaded)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heapBytes")
+	})
 	b.Run("lookup", func(b *testing.B) {
 		hash := configurer.KeyHash("9999")
 		for b.Loop() {
@@ -161,3 +178,39 @@
 		}
 	})
 }
+
+// Guards against versions that change each other, and against data races between
+// goroutines that read a version and derive others from it.
+func TestVersionsAreIndependent(t *testing.T) {
+	var base configurer.Delta
+	for i := range 500 {
+		base.PutAccounts = append(base.PutAccounts, configurer.Account{ID: fmt.Sprintf("a%03d", i), Share: 1})
+	}
+	base.Version = 1
+	first, err := configurer.Config{}.WithDelta(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := encoded(t, first)
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			c := first
+			for k := range 50 {
+				d := configurer.Delta{Base: c.Version(), Version: c.Version() + 1, RemoveAccounts: []string{fmt.Sprintf("a%03d", 8*k+i)}}
+				d.PutAccounts = []configurer.Account{{ID: fmt.Sprintf("b%d-%d", i, k), Share: 1}, {ID: fmt.Sprintf("a%03d", (8*k+i+1)%500), Share: 2}}
+				var err error
+				if c, err = c.WithDelta(d); err != nil {
+					t.Error(err)
+				}
+			}
+			if _, ok := c.Account(fmt.Sprintf("b%d-0", (i+1)%8)); ok {
+				t.Error("a version has a row of another one")
+			}
+			if encoded(t, first) != before {
+				t.Error("the first version has changed")
+			}
+		})
+	}
+	group.Wait()
+}
--- a/configurer/delta.go
+++ b/configurer/delta.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	iradix "github.com/hashicorp/go-immutable-radix/v2"
 )
 
 // Errors of WithDelta.
@@ -75,14 +74,14 @@
 	return d
 }
 
-func rowDifference[V any](from, to *iradix.Tree[V], equal func(a, b V) bool) (puts []V, removes []string) {
-	for id, v := range entries(to) {
-		if old, ok := get(from, id); !ok || !equal(old, v) {
+func rowDifference[V any](from, to index[V], equal func(a, b V) bool) (puts []V, removes []string) {
+	for id, v := range to.entries() {
+		if old, ok := from.get(id); !ok || !equal(old, v) {
 			puts = append(puts, v)
 		}
 	}
-	for id := range entries(from) {
-		if _, ok := get(to, id); !ok {
+	for id := range from.entries() {
+		if _, ok := to.get(id); !ok {
 			removes = append(removes, id)
 		}
 	}
--- a/parser/property_test.go
+++ b/parser/property_test.go
@@ -189,3 +189,42 @@
 		}
 	})
 }
+
+func BenchmarkFullSize(b *testing.B) {
+	var accounts []configurer.Account
+	var targets []configurer.Target
+	for i := range 19_000 {
+		accounts = append(accounts, configurer.Account{
+			ID: fmt.Sprintf("account-%05d", i), Name: fmt.Sprintf("Client account %d", i), Share: 1 + float64(i%7),
+			KeyHashes: []string{configurer.KeyHash(fmt.Sprint(i))}, Pools: []string{"model-01", "model-02"}, QueueLimit: 64})
+	}
+	for i := range 3_300 {
+		targets = append(targets, configurer.Target{
+			ID: fmt.Sprintf("target-%04d", i), DataCentre: "dc-1", Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+			Kind: configurer.KindEngine, Pools: []string{fmt.Sprintf("model-%02d", i%16)}, Slots: 32, State: configurer.StateActive})
+	}
+	c, err := configurer.New(1, accounts, targets, []configurer.Operator{{Name: "mei", KeyHash: configurer.KeyHash("mei"), Role: configurer.RoleEditor}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	text := written(b, c)
+	b.Run("parse", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := parser.Parse(strings.NewReader(text)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(text)), "bytes")
+	})
+	sheet, err := parser.Parse(strings.NewReader(text))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("apply", func(b *testing.B) {
+		for b.Loop() {
+			if d, _ := sheet.Apply(c); d.Rows() > 0 {
+				b.Fatal("rows differ")
+			}
+		}
+	})
+}
