--- a/emulator/wire/wire.go
+++ b/emulator/wire/wire.go
@@ -17,6 +17,7 @@
 	HeaderRefused        = "X-Request-Refused"
 	HeaderAccount        = "Monsoondeck-Account"
 	HeaderIdempotencyKey = "Monsoondeck-Idempotency-Key"
+	HeaderCallerRequest  = "Monsoondeck-Request-Id"
 	HeaderResumeRequest  = "X-Resume-Request"
 	HeaderResumeOffset   = "X-Resume-Offset"
 )
--- /dev/null
+++ b/generator/loader/complete.go
@@ -0,0 +1,79 @@
+package loader
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// complete sends a call until it has an outcome that a caller would accept, as
+// callers behind a load balancer do: a router that cannot be reached is replaced
+// by the next one at once, a request that did not run is sent again after a
+// pause, and a keyed request with unknown outcome is repeated with its key.
+func (l *Loader) complete(ctx context.Context, c *call, r *rand.Rand) Result {
+	x := Result{
+		ID: c.id, Key: c.key, Account: c.account.ID, Pool: c.kind.Pool, Start: time.Now(),
+		Repeatable: c.key == "" && (!c.kind.Service || c.kind.Method == http.MethodGet),
+	}
+	l.setOpen(x)
+	at := r.IntN(len(c.account.Routers))
+	for attempt := 1; ; attempt++ {
+		outcome, status, retry, err := l.sendAnywhere(ctx, c, at)
+		x.Outcome, x.Status = outcome, status
+		x.Outcomes = append(x.Outcomes, outcome)
+		if errors.Is(err, ErrWrong) {
+			x.Wrong = err
+		}
+		again := outcome == OutcomeUnsent || outcome == OutcomeNotRun && retryable(status) ||
+			outcome == OutcomeUnknown && c.key != "" && status != http.StatusConflict
+		if !again || x.Wrong != nil || attempt >= l.settings.Attempts || !wait(ctx, min(max(retry, minBackOff), maxBackOff)) {
+			break
+		}
+	}
+	x.End = time.Now()
+	l.setClosed(x)
+	return x
+}
+
+func retryable(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// sendAnywhere sends the call to the first router that can be reached.
+func (l *Loader) sendAnywhere(ctx context.Context, c *call, at int) (o Outcome, status int, retry time.Duration, err error) {
+	for i := range c.account.Routers {
+		router := c.account.Routers[(at+i)%len(c.account.Routers)]
+		if o, status, retry, err = c.send(ctx, l, router); o != OutcomeUnsent {
+			return o, status, retry, err
+		}
+	}
+	return o, status, retry, err
+}
+
+func (l *Loader) setOpen(x Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[x.ID] = x
+}
+
+func (l *Loader) setClosed(x Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, x.ID)
+	l.results = append(l.results, x)
+}
+
+// Snapshot returns the results so far and the requests that are still open,
+// whose End is zero.
+func (l *Loader) Snapshot() (done, open []Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	done = append(done, l.results...)
+	for _, x := range l.open {
+		open = append(open, x)
+	}
+	return done, open
+}
--- /dev/null
+++ b/generator/verifier/verifier.go
@@ -0,0 +1,92 @@
+// Package verifier compares what callers were told with what the targets ran.
+package verifier
+
+import (
+	"monsoondeck.example/emulator/oracle"
+	"monsoondeck.example/generator/loader"
+)
+
+// Counts are the findings over a set of requests. A correct fleet has no wrong,
+// duplicated and falseNotRun requests.
+type Counts struct {
+	Completed int
+	NotRun    int
+	Unknown   int
+	// Unsent requests found no router that could be reached.
+	Unsent int
+	// Wrong answers are incomplete, foreign or contradict their outcome, or
+	// claim completion without an execution.
+	Wrong int
+	// Duplicated counts the runs beyond the first of non-repeatable requests.
+	Duplicated int
+	// FalseNotRun counts requests whose every attempt was told "not run"
+	// although a target ran them.
+	FalseNotRun int
+	// Findings describes the first faults.
+	Findings []string
+}
+
+const maxFindings = 20
+
+// Compare compares the results of callers with the executions of the targets.
+func Compare(results []loader.Result, executions []oracle.Execution) Counts {
+	runs := map[string]int{}
+	complete := map[string]bool{}
+	for _, e := range executions {
+		runs[e.CallerRequestID]++
+		if e.State == oracle.StateComplete {
+			complete[e.CallerRequestID] = true
+		}
+	}
+	var c Counts
+	for _, r := range results {
+		c.add(r, runs[r.ID], complete[r.ID])
+	}
+	return c
+}
+
+func (c *Counts) add(r loader.Result, runs int, ran bool) {
+	switch r.Outcome {
+	case loader.OutcomeComplete:
+		c.Completed++
+	case loader.OutcomeNotRun:
+		c.NotRun++
+	case loader.OutcomeUnknown:
+		c.Unknown++
+	case loader.OutcomeUnsent:
+		c.Unsent++
+	}
+	switch {
+	case r.Wrong != nil:
+		c.Wrong++
+		c.find("wrong: " + r.Wrong.Error())
+	case r.Outcome == loader.OutcomeComplete && r.Status == 200 && !ran:
+		c.Wrong++
+		c.find("wrong: " + r.ID + " was told complete without a complete execution")
+	}
+	if !r.Repeatable && runs > 1 {
+		c.Duplicated += runs - 1
+		c.find("duplicated: " + r.ID)
+	}
+	if runs > 0 && neverRan(r.Outcomes) {
+		c.FalseNotRun++
+		c.find("falseNotRun: " + r.ID)
+	}
+}
+
+func (c *Counts) find(text string) {
+	if len(c.Findings) < maxFindings {
+		c.Findings = append(c.Findings, text)
+	}
+}
+
+// neverRan tells whether the caller was told or found at every attempt that the
+// request did not run.
+func neverRan(outcomes []loader.Outcome) bool {
+	for _, o := range outcomes {
+		if o != loader.OutcomeNotRun && o != loader.OutcomeUnsent {
+			return false
+		}
+	}
+	return len(outcomes) > 0
+}
