Add the launcher of real processes and the bench command

Starts stand-ins and daemons, puts the configuration in force, plays a scenario and prints the measures.

--- /dev/null
+++ b/generator/bench/bench.go
@@ -0,0 +1,149 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/generator/deployment"
+	"monsoondeck.example/generator/launcher"
+	"monsoondeck.example/generator/loader"
+	"monsoondeck.example/logger"
+)
+
+// Exit codes of Run.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Run measures one run and returns the exit code.
+func Run(args, _ []string, streams logger.Streams) int {
+	var o Options
+	p, err := arg.NewParser(arg.Config{Program: "monsoonload bench", Out: streams.Err}, &o)
+	if err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	switch err := p.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		p.WriteHelp(streams.Out)
+		return ExitDone
+	case err != nil:
+		return fail(streams, ExitUsage, err)
+	}
+	if err := o.check(); err != nil {
+		return fail(streams, ExitUsage, err)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	lines, err := Measure(ctx, o, streams.Err)
+	if err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	e := json.NewEncoder(streams.Out)
+	for _, l := range lines {
+		if err := e.Encode(l); err != nil {
+			return fail(streams, ExitFailed, err)
+		}
+	}
+	return ExitDone
+}
+
+func fail(streams logger.Streams, code int, err error) int {
+	_, _ = fmt.Fprintf(streams.Err, "monsoonload bench: %v\nRun monsoonload bench --help for its flags.\n", err)
+	return code
+}
+
+// Measure starts the fleet, runs the scenario and returns the measures.
+// Progress goes to log.
+func Measure(ctx context.Context, o Options, log io.Writer) ([]Line, error) {
+	d, err := o.deployment()
+	if err != nil {
+		return nil, err
+	}
+	programs, remove, err := launcher.Build(ctx, o.programs(), log)
+	if err != nil {
+		return nil, err
+	}
+	defer remove()
+	processLog := io.Discard
+	if o.Verbose {
+		processLog = log
+	}
+	fleet, stop, err := launcher.New(ctx, launcher.Options{Programs: programs, Deployment: d, Policy: o.Policy, Log: processLog})
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	r := run{options: o, deployment: d, fleet: fleet, log: log}
+	return r.measure(ctx)
+}
+
+// run is one measurement.
+type run struct {
+	options    Options
+	deployment deployment.Deployment
+	fleet      *launcher.Fleet
+	log        io.Writer
+
+	start    time.Time
+	from, to time.Time
+}
+
+// drainTime is how long open requests may take beyond their deadline after the
+// load has ended.
+const drainTime = 20 * time.Second
+
+func (r *run) measure(ctx context.Context) ([]Line, error) {
+	load, cleanup, err := loader.New(loader.Settings{
+		Accounts: r.deployment.Load(r.fleet.Callers(), r.flood()), Seed: r.options.Seed, Deadline: r.options.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer cleanup()
+	r.start = time.Now()
+	r.from, r.to = r.start.Add(r.options.Warmup), r.start.Add(r.options.Duration)
+	r.progress("loading for %v", r.options.Duration)
+	loading, cancel := context.WithDeadline(ctx, r.to.Add(r.options.Deadline+drainTime))
+	defer cancel()
+	done := make(chan []loader.Result, 1)
+	go func() { done <- load.Run(loading, r.options.Duration) }()
+	scenario := make(chan error, 1)
+	go func() { scenario <- r.play(ctx) }()
+	controls := r.watchControls(ctx)
+	results := <-done
+	r.progress("%d requests have ended", len(results))
+	if err := errors.CombineErrors(ctx.Err(), <-scenario); err != nil {
+		return nil, errors.Wrap(err, "scenario")
+	}
+	record, err := r.fleet.Record(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return r.lines(load, results, record, <-controls), nil
+}
+
+func (r *run) progress(format string, args ...any) {
+	// Progress is not needed for the result.
+	_, _ = fmt.Fprintf(r.log, "bench %s/%s: "+format+"\n", append([]any{r.options.Scenario, r.options.Policy}, args...)...)
+}
+
+func sleepUntil(ctx context.Context, at time.Time) error {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/generator/bench/lines.go
@@ -0,0 +1,86 @@
+package bench
+
+import (
+	"time"
+
+	"monsoondeck.example/generator/analyser"
+	"monsoondeck.example/generator/launcher"
+	"monsoondeck.example/generator/loader"
+	"monsoondeck.example/generator/verifier"
+)
+
+// Line is one measure of one run.
+type Line struct {
+	Measure    string  `json:"measure"`
+	Deployment string  `json:"deployment"`
+	Scenario   string  `json:"scenario"`
+	Policy     string  `json:"policy"`
+	Seed       uint64  `json:"seed"`
+	Value      float64 `json:"value"`
+	Unit       string  `json:"unit"`
+}
+
+// exchangeInterval and messageDelay are the delays of section 3.3 of the design
+// page. The message delay includes the 2 ms over which frames are batched.
+const (
+	exchangeInterval = 500 * time.Millisecond
+	batchDelay       = 2 * time.Millisecond
+)
+
+func (r *run) lines(load *loader.Loader, results []loader.Result, record launcher.Record, c controlRates) []Line {
+	input := analyser.Input{
+		Pool: r.deployment.Model, Shares: map[string]float64{}, From: r.from, To: r.to, Slots: map[string]int{},
+		Requests: results, Executions: record.Executions, Services: record.Services, Busy: record.Busy,
+	}
+	for _, a := range r.deployment.Accounts {
+		input.Shares[a.ID] = a.Share
+	}
+	for _, e := range r.deployment.Engines {
+		input.Slots[e.ID] = e.Slots
+	}
+	gap, use := input.Gap(), input.Utilisation()
+	first, last := input.Halves()
+	firstGap, lastGap := first.Gap(), last.Gap()
+	counts := verifier.Compare(results, record.Executions)
+	for _, f := range counts.Findings {
+		r.progress("%s", f)
+	}
+	r.progress("largest gap between %s and %s; %d pairs of accounts waited together; work waited in %.0f%% of the window",
+		gap.A, gap.B, gap.Pairs, 100*use.Waiting)
+	bound := input.Bound(analyser.Delays{Exchange: exchangeInterval, Message: r.deployment.PeerDelay + batchDelay})
+	var out []Line
+	add := func(measure string, value float64, unit string) {
+		out = append(out, Line{measure, r.options.Deployment, r.options.Scenario, r.options.Policy, r.options.Seed, value, unit})
+	}
+	add("fairnessGap", gap.Value, "unitsPerWeight")
+	add("fairnessGapBound", bound, "unitsPerWeight")
+	if firstGap.Value > 0 {
+		add("fairnessGapGrowth", lastGap.Value/firstGap.Value, "ratio")
+	}
+	add("utilisation", use.Value, "ratio")
+	add("controlBytesPerDaemonSecond", c.bytes, "bytesPerSecond")
+	add("controlCpuCores", c.cores, "coresPerDaemon")
+	add("firstTokenP95Seconds", load.FirstToken.Quantile(0.95).Seconds(), "seconds")
+	add("betweenTokensP95Seconds", load.BetweenTokens.Quantile(0.95).Seconds(), "seconds")
+	add("unitsPerSecond", r.unitsPerSecond(record), "unitsPerSecond")
+	for _, n := range []struct {
+		measure string
+		value   int
+	}{
+		{"completed", counts.Completed}, {"notRun", counts.NotRun}, {"unknown", counts.Unknown}, {"unsent", counts.Unsent},
+		{"wrong", counts.Wrong}, {"duplicated", counts.Duplicated}, {"falseNotRun", counts.FalseNotRun},
+	} {
+		add(n.measure, float64(n.value), "requests")
+	}
+	return out
+}
+
+func (r *run) unitsPerSecond(record launcher.Record) float64 {
+	var units float64
+	for _, s := range record.Services {
+		if at := time.UnixMilli(s.Bucket); s.Pool == r.deployment.Model && !at.Before(r.from) && at.Before(r.to) {
+			units += s.Units
+		}
+	}
+	return units / r.to.Sub(r.from).Seconds()
+}
--- /dev/null
+++ b/generator/launcher/build.go
@@ -0,0 +1,48 @@
+package launcher
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Programs are the paths of the programs that a fleet consists of. Fault may be
+// empty; links between daemons are then direct.
+type Programs struct {
+	Daemon, Emulator, Fault string
+}
+
+// Names of the programs.
+const (
+	daemonProgram   = "monsoond"
+	emulatorProgram = "monsoonemu"
+	faultProgram    = "monsoonfault"
+)
+
+// Build builds the programs that have no path yet into a temporary directory.
+// It must run within the repository. The clean-up function removes the
+// directory.
+func Build(ctx context.Context, p Programs, log io.Writer) (Programs, func(), error) {
+	directory, err := os.MkdirTemp("", "monsoon")
+	if err != nil {
+		return p, nil, errors.Mark(err, ErrStart)
+	}
+	cleanup := func() { _ = os.RemoveAll(directory) }
+	for name, path := range map[string]*string{daemonProgram: &p.Daemon, emulatorProgram: &p.Emulator} {
+		if *path != "" {
+			continue
+		}
+		*path = filepath.Join(directory, name)
+		c := exec.CommandContext(ctx, "go", "build", "-o", *path, "monsoondeck.example/cmd/"+name)
+		c.Stdout, c.Stderr = log, log
+		if err := c.Run(); err != nil {
+			cleanup()
+			return p, nil, errors.Mark(errors.Wrapf(err, "build %s", name), ErrStart)
+		}
+	}
+	return p, cleanup, nil
+}
--- /dev/null
+++ b/generator/launcher/fleet.go
@@ -0,0 +1,236 @@
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/emulator"
+	"monsoondeck.example/generator/deployment"
+	"monsoondeck.example/provider"
+	"monsoondeck.example/provider/committer"
+)
+
+const (
+	fleetSecret  = "a secret for processes on one machine"
+	startTimeout = 20 * time.Second
+	// stopGrace is how long a daemon may take to stop gracefully at clean-up.
+	stopGrace = 500 * time.Millisecond
+	pollPause = 50 * time.Millisecond
+)
+
+// Options of a Fleet.
+type Options struct {
+	Programs   Programs
+	Deployment deployment.Deployment
+	Policy     string
+	// Settings are additional environment variables of the daemons.
+	Settings []string
+	// Log receives the standard error of all processes.
+	Log io.Writer
+}
+
+// Fleet is a running deployment: daemons, stand-ins and the proxy between them.
+type Fleet struct {
+	Daemons   []*Daemon
+	Committer *committer.Committer
+
+	options   Options
+	emulator  *Process
+	endpoints []emulator.Endpoint
+	links     *links
+	client    *http.Client
+
+	mu     sync.Mutex
+	config configurer.Config
+}
+
+// New starts a deployment, puts its configuration in force and waits until every
+// daemon is ready. The clean-up function ends all processes.
+func New(ctx context.Context, o Options) (*Fleet, func(), error) {
+	f := &Fleet{options: o, client: &http.Client{Timeout: 5 * time.Second}}
+	if err := f.start(ctx); err != nil {
+		f.close()
+		return nil, nil, err
+	}
+	return f, f.close, nil
+}
+
+func (f *Fleet) close() {
+	var group sync.WaitGroup
+	for _, d := range f.Daemons {
+		if p := d.current(); p != nil {
+			group.Go(func() { p.stop(stopGrace) })
+		}
+	}
+	group.Wait()
+	if f.links != nil {
+		f.links.close()
+	}
+	if f.emulator != nil {
+		f.emulator.stop(stopGrace)
+	}
+	f.client.CloseIdleConnections()
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout+time.Duration(len(f.options.Deployment.Routers))*time.Second)
+	defer cancel()
+	if err := f.startEmulator(ctx); err != nil {
+		return err
+	}
+	var err error
+	if f.links, err = newLinks(ctx, f.options); err != nil {
+		return err
+	}
+	f.Committer = committer.New(committer.Options{
+		Table:   provider.NewTable(provider.Options{URL: f.URL(emulator.KindTable, "")}),
+		Objects: provider.NewObjects(provider.Options{URL: f.URL(emulator.KindObjects, "")}),
+	})
+	address := func(id string) string {
+		return f.Address(emulator.KindEngine, id) + f.Address(emulator.KindService, id)
+	}
+	if err := f.Commit(ctx, f.options.Deployment.Delta(address), "start"); err != nil {
+		return errors.Wrap(err, "commit the configuration")
+	}
+	if err := f.startDaemons(ctx); err != nil {
+		return err
+	}
+	return f.Ready(ctx)
+}
+
+func (f *Fleet) startEmulator(ctx context.Context) error {
+	ready := make(chan struct{})
+	p, err := start(emulatorProgram, f.options.Programs.Emulator, f.options.Deployment.EmulatorArguments(), nil, f.options.Log, func(line []byte) {
+		var e emulator.Endpoint
+		if json.Unmarshal(line, &e) != nil {
+			return
+		}
+		if e.Kind == "ready" {
+			close(ready)
+			return
+		}
+		f.endpoints = append(f.endpoints, e)
+	})
+	if err != nil {
+		return err
+	}
+	f.emulator = p
+	select {
+	case <-ready:
+		return nil
+	case <-p.Done():
+	case <-ctx.Done():
+	}
+	return errors.Wrap(ErrNotReady, emulatorProgram)
+}
+
+// Address returns the address of a stand-in, or "" when there is none.
+func (f *Fleet) Address(kind, id string) string {
+	for _, e := range f.endpoints {
+		if e.Kind == kind && e.ID == id {
+			return e.Address
+		}
+	}
+	return ""
+}
+
+// URL returns the base URL of a stand-in.
+func (f *Fleet) URL(kind, id string) string { return "http://" + f.Address(kind, id) }
+
+// Commit makes a change of the configuration.
+func (f *Fleet) Commit(ctx context.Context, d configurer.Delta, action string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next, _, err := f.Committer.Commit(ctx, f.config, d, action)
+	f.config = next
+	return err
+}
+
+// Config returns the configuration that was committed last.
+func (f *Fleet) Config() configurer.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+func (f *Fleet) startDaemons(ctx context.Context) error {
+	ports, err := freeAddresses(3 * len(f.options.Deployment.Routers))
+	if err != nil {
+		return err
+	}
+	for i, centre := range f.options.Deployment.Routers {
+		d := &Daemon{
+			ID: fmt.Sprintf("router-%d", i+1), DataCentre: centre,
+			Caller: ports[3*i], Peer: ports[3*i+1], Admin: ports[3*i+2], Advertise: ports[3*i+1], fleet: f,
+		}
+		if err := f.links.connect(ctx, d); err != nil {
+			return err
+		}
+		f.Daemons = append(f.Daemons, d)
+	}
+	for _, d := range f.Daemons {
+		if err := d.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ready waits until every running daemon is ready and knows all others.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for _, d := range f.Daemons {
+		for {
+			s, err := d.Status(ctx)
+			if err == nil && s.Ready && len(s.Members) >= len(f.Daemons) {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Wrapf(ErrNotReady, "%s: status %+v: %v", d.ID, s, err)
+			case <-time.After(pollPause):
+			}
+		}
+	}
+	return nil
+}
+
+// Callers returns the caller addresses of all daemons.
+func (f *Fleet) Callers() []string {
+	var out []string
+	for _, d := range f.Daemons {
+		out = append(out, d.Caller)
+	}
+	return out
+}
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Mark(err, ErrStart)
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+func join(addresses []string) string { return strings.Join(addresses, ",") }
--- /dev/null
+++ b/generator/run.go
@@ -0,0 +1,34 @@
+// Package generator loads, measures and breaks a fleet.
+package generator
+
+import (
+	"fmt"
+
+	"monsoondeck.example/generator/bench"
+	"monsoondeck.example/logger"
+)
+
+const usage = `Usage: monsoonload COMMAND [FLAGS]
+
+Commands:
+  bench   measure a fleet of processes under a scenario
+Run monsoonload COMMAND --help for the flags of a command.
+`
+
+// Run runs one command and returns the exit code.
+func Run(args, env []string, streams logger.Streams) int {
+	commands := map[string]func(args, env []string, streams logger.Streams) int{
+		"bench": bench.Run,
+	}
+	if len(args) > 0 {
+		if command, ok := commands[args[0]]; ok {
+			return command(args[1:], env, streams)
+		}
+		if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
+			_, _ = fmt.Fprint(streams.Out, usage)
+			return bench.ExitDone
+		}
+	}
+	_, _ = fmt.Fprint(streams.Err, usage)
+	return bench.ExitUsage
+}
