--- a/generator/analyser/gap.go
+++ b/generator/analyser/gap.go
@@ -26,8 +26,8 @@
 			if service[a] == nil || service[b] == nil {
 				continue
 			}
-			v, any := largestDifference(service[a], service[b], backlogged[a], backlogged[b])
-			if any {
+			v, together := largestDifference(service[a], service[b], backlogged[a], backlogged[b])
+			if together {
 				g.Pairs++
 			}
 			if v > g.Value {
@@ -41,19 +41,19 @@
 // largestDifference returns the largest difference over any window of buckets in
 // which both are backlogged. Within such a run of buckets it is the range of the
 // cumulative difference.
-func largestDifference(a, b []float64, waitA, waitB []bool) (gap float64, any bool) {
+func largestDifference(a, b []float64, waitA, waitB []bool) (gap float64, together bool) {
 	var sum, low, high float64
 	for i := range a {
 		if !waitA[i] || !waitB[i] {
 			sum, low, high = 0, 0, 0
 			continue
 		}
-		any = true
+		together = true
 		sum += a[i] - b[i]
 		low, high = min(low, sum), max(high, sum)
 		gap = max(gap, high-low)
 	}
-	return gap, any
+	return gap, together
 }
 
 // Halves returns the input limited to the first and to the last half.
--- a/generator/bench/lines.go
+++ b/generator/bench/lines.go
@@ -45,6 +45,7 @@
 	for _, f := range counts.Findings {
 		r.progress("%s", f)
 	}
+	r.progress("ends of requests: %v", counts.Ends)
 	r.progress("largest gap between %s and %s; %d pairs of accounts waited together; work waited in %.0f%% of the window",
 		gap.A, gap.B, gap.Pairs, 100*use.Waiting)
 	bound := input.Bound(analyser.Delays{Exchange: exchangeInterval, Message: r.deployment.PeerDelay + batchDelay})
--- a/generator/launcher/daemon.go
+++ b/generator/launcher/daemon.go
@@ -40,11 +40,14 @@
 	env := append([]string{
 		"MONSOOND_ID=" + d.ID, "MONSOOND_DATA_CENTRE=" + d.DataCentre,
 		"MONSOOND_CALLER_ADDRESS=" + d.Caller, "MONSOOND_PEER_ADDRESS=" + d.Peer, "MONSOOND_ADMIN_ADDRESS=" + d.Admin,
-		"MONSOOND_ADVERTISE=" + d.Advertise, "MONSOOND_SEEDS=" + join(seeds),
+		"MONSOOND_ADVERTISE=" + d.Advertise,
 		"MONSOOND_TABLE_URL=" + f.URL(emulator.KindTable, ""), "MONSOOND_OBJECTS_URL=" + f.URL(emulator.KindObjects, ""),
 		"MONSOOND_HOSTS_URL=" + f.URL(emulator.KindHosts, ""), "MONSOOND_FLEET_SECRET=" + fleetSecret,
 		"MONSOOND_POLICY=" + f.options.Policy,
 	}, f.options.Settings...)
+	if len(seeds) > 0 {
+		env = append(env, "MONSOOND_SEEDS="+strings.Join(seeds, ","))
+	}
 	p, err := start(d.ID, f.options.Programs.Daemon, nil, env, f.options.Log, nil)
 	if err != nil {
 		return err
--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -195,6 +194,8 @@
 				break
 			}
 			select {
+			case <-d.Process().Done():
+				return errors.Wrapf(ErrNotReady, "%s has ended", d.ID)
 			case <-ctx.Done():
 				return errors.Wrapf(ErrNotReady, "%s: status %+v: %v", d.ID, s, err)
 			case <-time.After(pollPause):
@@ -232,5 +233,3 @@
 	}
 	return out, nil
 }
-
-func join(addresses []string) string { return strings.Join(addresses, ",") }
--- /dev/null
+++ b/generator/loader/loader_test.go
@@ -0,0 +1,152 @@
+package loader
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/emulator/engine"
+	"monsoondeck.example/emulator/oracle"
+	"monsoondeck.example/emulator/service"
+)
+
+// stream builds an answer as a router sends it.
+func stream(events ...string) io.Reader {
+	var b strings.Builder
+	for _, e := range events {
+		switch {
+		case strings.HasPrefix(e, "event: "):
+			b.WriteString(e + "\n\n")
+		default:
+			b.WriteString("data: " + e + "\n\n")
+		}
+	}
+	return strings.NewReader(b.String())
+}
+
+func token(text string) string { return `{"choices":[{"delta":{"content":"` + text + `"}}]}` }
+
+const ending = `{"choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"completion_tokens":2}}`
+
+// Guards against a check that lets foreign, short or reordered answers pass,
+// which would make the whole measurement worthless.
+func TestStreamCheckFindsEveryFault(t *testing.T) {
+	own := `event: outcome` + "\n" + `data: {"outcome":"complete","requestId":"r"}`
+	foreign := `event: outcome` + "\n" + `data: {"outcome":"complete","requestId":"s"}`
+	for name, test := range map[string]struct {
+		events []string
+		want   error
+	}{
+		"whole":          {[]string{token("r:0 "), token("r:1 "), ending, "[DONE]", own}, nil},
+		"merged tokens":  {[]string{token("r:0 r:1 "), ending, "[DONE]"}, nil},
+		"short":          {[]string{token("r:0 "), ending, "[DONE]"}, ErrWrong},
+		"long":           {[]string{token("r:0 "), token("r:1 "), token("r:2 "), ending, "[DONE]"}, ErrWrong},
+		"reordered":      {[]string{token("r:1 "), token("r:0 "), ending, "[DONE]"}, ErrWrong},
+		"foreign":        {[]string{token("s:0 "), token("s:1 "), ending, "[DONE]"}, ErrWrong},
+		"no usage":       {[]string{token("r:0 "), token("r:1 "), "[DONE]"}, ErrWrong},
+		"after the end":  {[]string{token("r:0 "), token("r:1 "), ending, "[DONE]", token("r:2 ")}, ErrWrong},
+		"foreign result": {[]string{token("r:0 "), token("r:1 "), ending, "[DONE]", foreign}, ErrWrong},
+		"cut":            {[]string{token("r:0 "), token("r:1 "), ending}, ErrCut},
+		"error event":    {[]string{token("r:0 "), "event: error\ndata: {}"}, ErrCut},
+	} {
+		s := streamReader{request: "r", tokens: 2, start: time.Now(), first: &Histogram{}, between: &Histogram{}}
+		if err := s.read(stream(test.events...)); !errors.Is(err, test.want) || (err == nil) != (test.want == nil) {
+			t.Errorf("%s: %v, want %v", name, err, test.want)
+		}
+	}
+}
+
+// gateway is a minimal router: it strips the path prefix of services and states
+// the outcome.
+func gateway(t *testing.T, e, s http.Handler) string {
+	t.Helper()
+	proxy := func(h http.Handler) *httputil.ReverseProxy {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		target, err := url.Parse(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := httputil.NewSingleHostReverseProxy(target)
+		p.FlushInterval = -1
+		p.ModifyResponse = func(r *http.Response) error {
+			outcome := OutcomeComplete
+			if r.StatusCode != http.StatusOK {
+				outcome = OutcomeNotRun
+			}
+			r.Header.Set(headerOutcome, string(outcome))
+			return nil
+		}
+		return p
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/services/orders/", http.StripPrefix("/services/orders", proxy(s)))
+	mux.Handle("/", proxy(e))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against a load client that loses requests, or whose ids do not reach
+// the oracle.
+func TestEveryRequestIsCheckedAndRecorded(t *testing.T) {
+	o := oracle.New()
+	e, cleanup, err := engine.New(engine.Settings{ID: "e", Model: "m", Slots: 8, TokensPerSecond: 1000, WaitingRoom: 100}, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cleanup()
+	s, err := service.New(service.Settings{ID: "s", Name: "orders", Slots: 8, WaitingRoom: 100}, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	router := gateway(t, e, s)
+	kinds := []Kind{
+		{Name: "stream", Pool: "m", Frequency: 2, Stream: true, MeanTokens: 5, MaxTokens: 20, PromptWords: 3},
+		{Name: "whole", Pool: "m", Frequency: 1, MeanTokens: 5, MaxTokens: 20, PrefixWords: 20},
+		{Name: "read", Pool: "orders", Frequency: 1, Service: true, Method: http.MethodGet, Path: "/stock", MeanDuration: time.Millisecond},
+		{Name: "write", Pool: "orders", Frequency: 1, Service: true, Method: http.MethodPost, Path: "/orders", Keyed: true, MeanDuration: time.Millisecond},
+	}
+	unreachable := "127.0.0.1:1"
+	l, closeIdle, err := New(Settings{Seed: 1, Accounts: []Account{
+		{ID: "closed", Key: "k", Routers: []string{unreachable, router}, Kinds: kinds, Workers: 2, Latency: true},
+		{ID: "open", Key: "k", Routers: []string{router}, Kinds: kinds, Rate: 50},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeIdle()
+	results := l.Run(t.Context(), 300*time.Millisecond)
+	runs := map[string]int{}
+	for _, x := range o.Executions() {
+		runs[x.CallerRequestID]++
+	}
+	for _, r := range results {
+		if r.Outcome != OutcomeComplete || r.Wrong != nil || runs[r.ID] != 1 || r.Repeatable == (r.Key != "") {
+			t.Errorf("%+v, %d runs", r, runs[r.ID])
+		}
+	}
+	if len(results) == 0 || len(results) != len(o.Executions()) || l.FirstToken.Count() == 0 {
+		t.Fatalf("%d results, %d executions, %d first tokens", len(results), len(o.Executions()), l.FirstToken.Count())
+	}
+}
+
+// Guards against quantiles that are off by more than a bucket.
+func TestHistogramQuantile(t *testing.T) {
+	var h Histogram
+	for i := range 1000 {
+		h.Add(time.Duration(i+1) * time.Millisecond)
+	}
+	for q, want := range map[float64]time.Duration{0.5: 500 * time.Millisecond, 0.95: 950 * time.Millisecond, 1: time.Second} {
+		if got := h.Quantile(q); got < want || float64(got) > float64(want)*histogramGrowth {
+			t.Errorf("quantile %v: %v, want %v", q, got, want)
+		}
+	}
+}
--- a/generator/loader/stream.go
+++ b/generator/loader/stream.go
@@ -53,13 +53,21 @@
 // read reads a stream to its end. Errors: ErrWrong, ErrCut.
 func (s *streamReader) read(body io.Reader) error {
 	r := bufio.NewReader(body)
-	done := false
+	done, name := false, ""
 	for {
 		line, err := r.ReadBytes('\n')
-		if data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("data: ")); ok {
+		line = bytes.TrimRight(line, "\r\n")
+		if field, ok := bytes.CutPrefix(line, []byte("event: ")); ok {
+			name = string(field)
+		}
+		if data, ok := bytes.CutPrefix(line, []byte("data: ")); ok {
 			switch {
+			case name != "":
+				if err := s.named(name, data); err != nil {
+					return err
+				}
 			case done:
-				return errors.Wrap(ErrWrong, "an event after [DONE]")
+				return errors.Wrapf(ErrWrong, "%s: event %.200q after [DONE]", s.request, data)
 			case string(data) == "[DONE]":
 				done = true
 			default:
@@ -67,6 +75,7 @@
 					return err
 				}
 			}
+			name = ""
 		}
 		switch {
 		case err == io.EOF && done:
@@ -82,6 +91,21 @@
 	}
 }
 
+// named checks an event that the router adds to the stream.
+func (s *streamReader) named(name string, data []byte) error {
+	var o struct {
+		Outcome   Outcome `json:"outcome"`
+		RequestID string  `json:"requestId"`
+	}
+	switch {
+	case name == "error":
+		return errors.Wrapf(ErrCut, "error event %.200q", data)
+	case name != "outcome" || json.Unmarshal(data, &o) != nil || o.Outcome != OutcomeComplete || o.RequestID != s.request:
+		return errors.Wrapf(ErrWrong, "%s: event %s with %.200q", s.request, name, data)
+	}
+	return nil
+}
+
 func (s *streamReader) event(data []byte) error {
 	var c streamChunk
 	if err := json.Unmarshal(data, &c); err != nil {
--- a/generator/run.go
+++ b/generator/run.go
@@ -5,12 +5,14 @@
 	"fmt"
 
 	"monsoondeck.example/generator/bench"
+	"monsoondeck.example/generator/load"
 	"monsoondeck.example/logger"
 )
 
 const usage = `Usage: monsoonload COMMAND [FLAGS]
 
 Commands:
+  load    send load to a running fleet and check the answers
   bench   measure a fleet of processes under a scenario
 Run monsoonload COMMAND --help for the flags of a command.
 `
@@ -19,6 +21,7 @@
 func Run(args, env []string, streams logger.Streams) int {
 	commands := map[string]func(args, env []string, streams logger.Streams) int{
 		"bench": bench.Run,
+		"load":  load.Run,
 	}
 	if len(args) > 0 {
 		if command, ok := commands[args[0]]; ok {
--- a/generator/verifier/verifier.go
+++ b/generator/verifier/verifier.go
@@ -2,6 +2,8 @@
 package verifier
 
 import (
+	"fmt"
+
 	"monsoondeck.example/emulator/oracle"
 	"monsoondeck.example/generator/loader"
 )
@@ -22,6 +24,8 @@
 	// FalseNotRun counts requests whose every attempt was told "not run"
 	// although a target ran them.
 	FalseNotRun int
+	// Ends counts the requests by outcome and HTTP status.
+	Ends map[string]int
 	// Findings describes the first faults.
 	Findings []string
 }
@@ -38,7 +42,7 @@
 			complete[e.CallerRequestID] = true
 		}
 	}
-	var c Counts
+	c := Counts{Ends: map[string]int{}}
 	for _, r := range results {
 		c.add(r, runs[r.ID], complete[r.ID])
 	}
@@ -46,6 +50,7 @@
 }
 
 func (c *Counts) add(r loader.Result, runs int, ran bool) {
+	c.Ends[fmt.Sprintf("%s/%d", r.Outcome, r.Status)]++
 	switch r.Outcome {
 	case loader.OutcomeComplete:
 		c.Completed++
