--- /dev/null
+++ b/generator/report/plot.go
@@ -0,0 +1,51 @@
+package report
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 14 // points
+)
+
+// draw writes grouped bars as SVG: one group per scenario, one bar per policy.
+func (s section) draw(w io.Writer) error {
+	p := plot.New()
+	p.Y.Label.Text = s.Unit
+	p.Y.Min = 0
+	p.Legend.Top = true
+	for i, policy := range s.Policies {
+		values := make(plotter.Values, len(s.Rows))
+		for j, r := range s.Rows {
+			values[j] = r.Cells[i].Mean
+		}
+		bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
+		if err != nil {
+			return errors.Wrap(err, "make the bars")
+		}
+		bars.LineStyle.Width = 0
+		bars.Color = plotutil.Color(i)
+		bars.Offset = vg.Points(barWidth * (float64(i) - float64(len(s.Policies)-1)/2))
+		p.Add(bars)
+		p.Legend.Add(policy, bars)
+	}
+	var names []string
+	for _, r := range s.Rows {
+		names = append(names, r.Scenario)
+	}
+	p.NominalX(names...)
+	c, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return errors.Wrap(err, "draw the plot")
+	}
+	_, err = c.WriteTo(w)
+	return errors.Wrap(err, "write the plot")
+}
