--- a/generator/launcher/daemon.go
+++ b/generator/launcher/daemon.go
@@ -1,16 +1,10 @@
 package launcher
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
-	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 
-	"github.com/cockroachdb/errors"
-
 	"monsoondeck.example/emulator"
 )
 
@@ -75,69 +69,8 @@
 	return d.starts
 }
 
-// Status is what a daemon says about itself on its admin listener.
-type Status struct {
-	ID            string   `json:"id"`
-	Incarnation   uint64   `json:"incarnation"`
-	ConfigVersion uint64   `json:"configVersion"`
-	Ready         bool     `json:"ready"`
-	Members       []string `json:"members"`
-	ShardsOwned   []string `json:"shardsOwned"`
-	Waiting       int      `json:"waiting"`
-	Held          int      `json:"held"`
-}
-
 // Status reads the daemon's status.
-func (d *Daemon) Status(ctx context.Context) (Status, error) {
-	var s Status
-	res, err := d.get(ctx, "/v1/status")
-	if err != nil {
-		return s, err
-	}
-	defer func() { _ = res.Body.Close() }()
-	return s, errors.Wrap(json.NewDecoder(res.Body).Decode(&s), "decode the status")
-}
-
-func (d *Daemon) get(ctx context.Context, path string) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Admin+path, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "make the request")
-	}
-	res, err := d.fleet.client.Do(r)
-	if err != nil {
-		return nil, errors.Wrap(err, d.ID)
-	}
-	if res.StatusCode != http.StatusOK {
-		_ = res.Body.Close()
-		return nil, errors.Newf("%s: status %d", d.ID, res.StatusCode)
-	}
-	return res, nil
-}
-
-// Control are a daemon's counters of its control work.
-type Control struct {
-	Bytes, CPUSeconds float64
-}
+func (d *Daemon) Status(ctx context.Context) (Status, error) { return ReadStatus(ctx, d.Admin) }
 
-// Control reads the counters. Bytes sent and received are added.
-func (d *Daemon) Control(ctx context.Context) (Control, error) {
-	var c Control
-	res, err := d.get(ctx, "/metrics")
-	if err != nil {
-		return c, err
-	}
-	defer func() { _ = res.Body.Close() }()
-	lines := bufio.NewScanner(res.Body)
-	for lines.Scan() {
-		name, text, _ := strings.Cut(lines.Text(), " ")
-		value, err := strconv.ParseFloat(text, 64)
-		switch {
-		case err != nil:
-		case strings.HasPrefix(name, "monsoond_control_bytes_total{"):
-			c.Bytes += value
-		case name == "monsoond_control_cpu_seconds_total":
-			c.CPUSeconds = value
-		}
-	}
-	return c, errors.Wrap(lines.Err(), "read the metrics")
-}
+// Control reads the daemon's counters of its control work.
+func (d *Daemon) Control(ctx context.Context) (Control, error) { return ReadControl(ctx, d.Admin) }
--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -56,7 +56,7 @@
 // New starts a deployment, puts its configuration in force and waits until every
 // daemon is ready. The clean-up function ends all processes.
 func New(ctx context.Context, o Options) (*Fleet, func(), error) {
-	f := &Fleet{options: o, client: &http.Client{Timeout: 5 * time.Second}}
+	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}}
 	if err := f.start(ctx); err != nil {
 		f.close()
 		return nil, nil, err
