Run requests with a key or a ticket at most once

Package claimer drives module deduplicator over the table service and keeps tickets in memory; the receiver forwards a ticketed request to its issuer and replays stored answers.

Specs cover every rejection with its status, code and outcome.

--- /dev/null
+++ b/router/claimer/doc.go
@@ -0,0 +1,3 @@
+// Package claimer drives the decisions of module deduplicator: it keeps claims
+// in the table service and tickets in memory.
+package claimer
--- a/router/dispatcher/answer.go
+++ b/router/dispatcher/answer.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"slices"
@@ -48,11 +49,7 @@
 	}
 	a.meter.event(time.Since(a.meter.start), 1)
 	h := a.answerHeader(res)
-	outcome := Complete
-	if res.StatusCode >= http.StatusInternalServerError {
-		outcome = Unknown
-	}
-	h.Set(HeaderOutcome, string(outcome))
+	h.Set(HeaderOutcome, string(a.outcome(res)))
 	if hasBody(res) && len(res.Trailer) == 0 {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	} else if length := res.Header.Get("Content-Length"); res.Request.Method == http.MethodHead && length != "" {
@@ -83,6 +80,7 @@
 // outcome follows in a trailer.
 func (a *attempt) copyRest(res *http.Response, head []byte) error {
 	a.beginStream(res)
+	a.captured.write(head)
 	err := a.writeFlush(head)
 	buffer := make([]byte, copyChunk)
 	for err == nil {
@@ -91,6 +89,7 @@
 		a.meter.touch()
 		if n > 0 {
 			a.meter.event(time.Since(a.meter.start), 1)
+			a.captured.write(buffer[:n])
 			if failure := a.writeFlush(buffer[:n]); failure != nil {
 				return a.discard(res, failure)
 			}
@@ -106,7 +105,7 @@
 		return a.discard(res, ErrBroken)
 	}
 	a.copyTrailer(res)
-	a.endStream(res.StatusCode)
+	a.w.Header().Set(HeaderOutcome, string(a.outcome(res)))
 	return res.Body.Close()
 }
 
@@ -119,18 +118,29 @@
 	a.w.WriteHeader(res.StatusCode)
 }
 
-func (a *attempt) endStream(status int) {
-	outcome := Complete
-	if status >= http.StatusInternalServerError {
-		outcome = Unknown
-	}
-	a.w.Header().Set(HeaderOutcome, string(outcome))
+// outcome is what a whole answer says about the run.
+func (a *attempt) outcome(res *http.Response) Outcome {
+	switch {
+	case a.forwarding:
+		// The issuer has decided; its outcome is in a header or a trailer.
+		a.decided = Outcome(cmp.Or(res.Header.Get(HeaderOutcome), res.Trailer.Get(HeaderOutcome), string(Unknown)))
+	case res.StatusCode >= http.StatusInternalServerError:
+		// The target failed; whether the request took effect is not known.
+		a.decided = Unknown
+	default:
+		a.decided = Complete
+	}
+	return a.decided
 }
 
 // answerHeader copies the end-to-end headers of the answer.
 func (a *attempt) answerHeader(res *http.Response) http.Header {
 	h := a.w.Header()
-	copySafe(h, res.Header, answerOnly)
+	if a.forwarding {
+		copyHeader(h, res.Header, answerOnly)
+	} else {
+		copySafe(h, res.Header, answerOnly)
+	}
 	h[HeaderRequestID] = []string{a.r.ID}
 	return h
 }
@@ -148,7 +158,6 @@
 		return nil
 	}
 	a.extendDeadline(time.Now())
-	a.captured.write(p)
 	if _, err := a.w.Write(p); err != nil {
 		return errors.WithSecondaryError(ErrCaller, err)
 	}
--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -23,10 +23,14 @@
 	ctx     context.Context
 	meter   meter
 	// conn carries the current exchange; nil while no byte can have been sent.
-	conn     net.Conn
-	gate     gate
-	started  bool
-	events   bool
+	conn    net.Conn
+	gate    gate
+	started bool
+	events  bool
+	// forwarding is true when the receiving end is another router.
+	forwarding bool
+	// decided is the outcome of an answer that was passed on whole.
+	decided  Outcome
 	status   int
 	captured capture
 	// lastDeadline is when the write deadline was last moved.
@@ -37,8 +41,18 @@
 // Report.Started the caller must abort the connection, so that the answer
 // cannot look complete.
 func (d *Dispatcher) Do(ctx context.Context, w http.ResponseWriter, r *Request) Report {
+	return d.do(ctx, w, r, false)
+}
+
+// Forward sends r, with the caller's own headers, to another router. The
+// outcome in the answer is passed on. r is not repeatable.
+func (d *Dispatcher) Forward(ctx context.Context, w http.ResponseWriter, r *Request) Report {
+	return d.do(ctx, w, r, true)
+}
+
+func (d *Dispatcher) do(ctx context.Context, w http.ResponseWriter, r *Request, forwarding bool) Report {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{d: d, r: r, w: w, control: http.NewResponseController(w)}
+	a := &attempt{d: d, r: r, w: w, control: http.NewResponseController(w), forwarding: forwarding, decided: Complete}
 	a.captured.enabled = r.Capture
 	a.ctx = ctx
 	a.meter.begin(d.options, r, cancel)
@@ -81,7 +95,10 @@
 // send performs one exchange up to the headers of the answer and checks that
 // the answer belongs to it.
 func (a *attempt) send(extra http.Header) (*http.Response, error) {
-	id := a.d.prefix + strconv.FormatUint(a.d.sequence.Add(1), 10)
+	id := a.r.ID
+	if !a.forwarding {
+		id = a.d.prefix + strconv.FormatUint(a.d.sequence.Add(1), 10)
+	}
 	req, err := a.request(id, extra)
 	if err != nil {
 		return nil, err
@@ -119,7 +136,7 @@
 	})
 	req := &http.Request{
 		Method: a.r.Method, URL: u, Host: u.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: a.d.requestHeader(a.r, id),
+		Header: a.requestHeader(id),
 	}
 	for k, v := range extra {
 		req.Header[k] = v
@@ -177,7 +194,7 @@
 
 func (a *attempt) report(err error) Report {
 	r := Report{
-		Outcome: Complete, Sent: a.sent(), Started: a.started, Events: a.events, Status: a.status, Err: err,
+		Outcome: a.decided, Sent: a.sent(), Started: a.started, Events: a.events, Status: a.status, Err: err,
 		Refused: errors.Is(err, ErrRefused), FirstToken: a.meter.firstToken(), Interval: a.meter.interval(),
 	}
 	switch {
@@ -185,9 +202,6 @@
 		r.Outcome = NotRun
 	case err != nil:
 		r.Outcome = Unknown
-	case a.status >= http.StatusInternalServerError:
-		// The target failed; whether the request took effect is not known.
-		r.Outcome = Unknown
 	}
 	if r.Outcome != NotRun {
 		r.Units = a.meter.units()
--- a/router/dispatcher/events.go
+++ b/router/dispatcher/events.go
@@ -84,15 +84,21 @@
 	if !a.started {
 		a.beginStream(res)
 	}
+	a.captured.write(event)
 	return done, a.writeFlush(event)
 }
 
 // finishEvents writes the outcome as the last event, after [DONE], where
 // clients that know only the engine's protocol no longer read.
 func (a *attempt) finishEvents() error {
-	a.endStream(http.StatusOK)
-	event := append([]byte(`event: outcome`+"\n"+`data: {"outcome":"complete","requestId":`), strconv.Quote(a.r.ID)...)
-	return a.writeFlush(append(event, "}\n\n"...))
+	a.w.Header().Set(HeaderOutcome, string(Complete))
+	return a.writeFlush(OutcomeEvent(a.r.ID))
+}
+
+// OutcomeEvent is the last event of a complete stream.
+func OutcomeEvent(id string) []byte {
+	// Request ids are visible ASCII, so that Quote writes valid JSON.
+	return []byte("event: outcome\ndata: {\"outcome\":\"complete\",\"requestId\":" + strconv.Quote(id) + "}\n\n")
 }
 
 // drain reads the end of the body. Its errors do not matter after [DONE].
--- a/router/dispatcher/header.go
+++ b/router/dispatcher/header.go
@@ -62,14 +62,24 @@
 	return tokens
 }
 
-// copySafe copies the end-to-end headers of from that drop does not name.
+// copySafe copies the end-to-end headers of from that drop does not name and
+// that are not this fleet's own.
 func copySafe(to, from http.Header, drop map[string]bool) {
+	copyHeader(to, from, drop)
+	for k := range from {
+		if strings.HasPrefix(k, ownPrefix) {
+			delete(to, k)
+		}
+	}
+}
+
+// copyHeader copies the end-to-end headers of from that drop does not name.
+func copyHeader(to, from http.Header, drop map[string]bool) {
 	tokens := connectionTokens(from)
 	for k, v := range from {
-		if hopByHop[k] || drop[k] || tokens[k] || strings.HasPrefix(k, ownPrefix) {
-			continue
+		if !hopByHop[k] && !drop[k] && !tokens[k] {
+			to[k] = v
 		}
-		to[k] = v
 	}
 }
 
@@ -80,8 +90,17 @@
 	HeaderRefused:    true,
 }
 
-func (d *Dispatcher) requestHeader(r *Request, id string) http.Header {
+// connectionOnly lists what is not passed on to another router.
+var connectionOnly = map[string]bool{"Content-Length": true, "Expect": true, "Host": true}
+
+func (a *attempt) requestHeader(id string) http.Header {
+	r := a.r
 	h := make(http.Header, len(r.Header)+6)
+	if a.forwarding {
+		copyHeader(h, r.Header, connectionOnly)
+		h[HeaderRequestID] = []string{id}
+		return h
+	}
 	copySafe(h, r.Header, callerOnly)
 	if r.Target.Engine {
 		// A compressed stream could not be split into events.
--- a/router/receiver/interfaces.go
+++ b/router/receiver/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,8 @@
 	ErrStopping = errors.New("router is stopping")
 	// ErrExpired: the permit is past its time to live.
 	ErrExpired = errors.New("permit expired")
+	// ErrIssuerGone: the daemon that issued a ticket is not there any more.
+	ErrIssuerGone = errors.New("issuer of the ticket is gone")
 )
 
 // Request is what the Waiter needs to know about a caller's request.
@@ -85,10 +88,24 @@
 	Current() (configurer.Config, bool)
 }
 
-// Retries is the retry budget.
-type Retries interface {
-	// Request notes a request of the account.
-	Request(account string)
-	// Allow spends one retry of the account's budget if there is one.
-	Allow(account string) bool
+// RetryBudget is the retry budget of one account, safe for concurrent use.
+type RetryBudget interface {
+	// Request notes a request.
+	Request()
+	// Retry spends one retry if the budget has one.
+	Retry() bool
+}
+
+// Forwarder finds the daemon that issued a ticket.
+type Forwarder interface {
+	// Issuer returns ErrIssuerGone if no live daemon has the incarnation.
+	Issuer(incarnation uint64) (Peer, error)
+}
+
+// Peer is the caller listener of another daemon.
+type Peer struct {
+	// Address is host:port.
+	Address string
+	// Authenticate adds what the peer requires of a forwarded request; may be nil.
+	Authenticate func(h http.Header)
 }
--- a/router/receiver/job.go
+++ b/router/receiver/job.go
@@ -1,7 +1,10 @@
 package receiver
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"net/http"
 	"strconv"
@@ -26,6 +29,7 @@
 	keyHeader     = "Idempotency-Key"
 	repeatHeader  = "Monsoondeck-Repeatable"
 	timeHeader    = "Monsoondeck-Deadline-Ms"
+	ticketHeader  = "Monsoondeck-Ticket"
 )
 
 // job is one caller's request.
@@ -43,15 +47,20 @@
 	// repeatable permits retries; false if a second run could do harm.
 	repeatable bool
 	key        string
-	deadline   time.Time
-	estimate   float64
-	prompt     float64
-	affinity   uint64
+	ticket     string
+	// forwarded is true when another router sent the request to this one.
+	forwarded bool
+	// path is the path and query as the caller sent them.
+	path     string
+	deadline time.Time
+	estimate float64
+	prompt   float64
+	affinity uint64
 }
 
 // route recognises the kind of request by its path.
 func (h *Handler) route(r *http.Request) (*job, *failure) {
-	j := &job{method: r.Method, header: r.Header, repeatable: true}
+	j := &job{method: r.Method, header: r.Header, path: r.URL.RequestURI(), repeatable: true}
 	path := r.URL.EscapedPath()
 	switch {
 	case path == modelPath && r.Method == http.MethodPost:
@@ -93,12 +102,27 @@
 	if len(j.key) > maximumKey {
 		return notRun(http.StatusBadRequest, "badKey", keyHeader+" must have at most 256 characters")
 	}
-	if j.key != "" {
+	j.ticket = r.Header.Get(ticketHeader)
+	j.forwarded = r.Header.Get(forwardedHeader) != ""
+	if j.key != "" && j.ticket != "" {
+		return notRun(http.StatusBadRequest, "badTicket", "use either "+keyHeader+" or "+ticketHeader)
+	}
+	if j.key != "" || j.ticket != "" {
 		j.repeatable = false
 	}
 	return nil
 }
 
+// hash identifies the request, so that a key or ticket used for another
+// request is noticed.
+func (j *job) hash() string {
+	sum := sha256.New()
+	// Writing to a hash cannot fail.
+	_, _ = fmt.Fprintf(sum, "%s\x00%s\x00", j.method, j.path)
+	_, _ = sum.Write(j.body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
 // completion holds the fields of a model request that the router reads.
 type completion struct {
 	Model     string          `json:"model"`
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"monsoondeck.example/configurer"
+	"monsoondeck.example/router/claimer"
 	"monsoondeck.example/router/dispatcher"
 )
 
@@ -30,9 +31,17 @@
 	Waiter     Waiter
 	Configs    Configs
 	Dispatcher Dispatcher
-	// Retries is the retry budget; nil: no retries.
-	Retries Retries
-	Logger  *slog.Logger
+	// NewRetryBudget returns the retry budget of one account; nil: no retries.
+	NewRetryBudget func() RetryBudget
+	// Claims makes claims for idempotency keys; nil: such requests are not run.
+	Claims *claimer.Claimer
+	// Tickets issued by this daemon; nil: none are issued or redeemed.
+	Tickets *claimer.Tickets
+	// Forwarder finds the issuers of other daemons' tickets; nil: none is found.
+	Forwarder Forwarder
+	// Incarnation of this daemon, the issuer named in its tickets.
+	Incarnation uint64
+	Logger      *slog.Logger
 	// BodyBytes bounds one request body, HeaderBytes its headers.
 	BodyBytes   int64
 	HeaderBytes int
@@ -49,11 +58,14 @@
 // Dispatcher sends one request to one target and copies the answer.
 type Dispatcher interface {
 	Do(ctx context.Context, w http.ResponseWriter, r *dispatcher.Request) dispatcher.Report
+	// Forward sends a ticketed request to the router that may run it.
+	Forward(ctx context.Context, w http.ResponseWriter, r *dispatcher.Request) dispatcher.Report
 }
 
 // Handler serves callers.
 type Handler struct {
 	options Options
+	budgets budgets
 	// bodyMemory is the number of body bytes held now.
 	bodyMemory atomic.Int64
 }
@@ -158,6 +170,9 @@
 	if f != nil {
 		return f
 	}
+	if r.URL.Path == ticketPath && r.Method == http.MethodPost {
+		return h.issueTicket(w, account.ID, id)
+	}
 	j, f := h.route(r)
 	if f != nil {
 		return f
@@ -174,5 +189,10 @@
 	if f := j.parse(config); f != nil {
 		return f
 	}
-	return h.run(r.Context(), w, j)
+	if j.ticket != "" {
+		if f, done := h.forward(r.Context(), w, j); done {
+			return f
+		}
+	}
+	return h.runOnce(r.Context(), w, j)
 }
--- /dev/null
+++ b/router/receiver/reject_test.go
@@ -0,0 +1,129 @@
+package receiver_test
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/router/dispatcher"
+	"monsoondeck.example/router/receiver"
+)
+
+// expectError checks an error reply: status, code, outcome and request id.
+func expectError(res *http.Response, body string, status int, code string, outcome dispatcher.Outcome) {
+	GinkgoHelper()
+	var e struct {
+		Error struct{ Code, Message, RequestID, Outcome string }
+	}
+	Expect(json.Unmarshal([]byte(body), &e)).To(Succeed(), body)
+	Expect(e.Error.Code).To(Equal(code), body)
+	Expect(res.StatusCode).To(Equal(status))
+	Expect(res.Header.Get("Monsoondeck-Outcome")).To(Equal(string(outcome)))
+	Expect(e.Error.Outcome).To(Equal(string(outcome)))
+	Expect(e.Error.RequestID).To(Equal(res.Header.Get("X-Request-Id")))
+	Expect(e.Error.RequestID).NotTo(BeEmpty())
+}
+
+// limits makes bodies and headers small enough to exceed.
+func limits(o *receiver.Options, _ *dispatcher.Options) {
+	o.BodyBytes, o.HeaderBytes, o.BodyMemory = 1000, 2000, 5000
+}
+
+var _ = Describe("rejecting", func() {
+	unreached := func(http.ResponseWriter, *http.Request) { Fail("the target was reached") }
+
+	// Guards against unclear or missing rejections and against requests that
+	// reach a target although the caller is told notRun.
+	DescribeTable("answers a clear 4xx with notRun", func(method, path, body string, status int, code string, headers ...string) {
+		f := newFixture(limits, unreached)
+		res, reply := f.do(method, path, body, headers...)
+		expectError(res, reply, status, code, dispatcher.NotRun)
+		Expect(f.waiter.settlements()).To(BeEmpty())
+	},
+		Entry("no key", "POST", "/v1/chat/completions", ask, 401, "noKey", "Authorization", ""),
+		Entry("unknown key", "POST", "/v1/chat/completions", ask, 401, "unknownKey", "Authorization", "Bearer x"),
+		Entry("unknown model", "POST", "/v1/chat/completions", `{"model":"m","messages":[1]}`, 404, "unknownModel"),
+		Entry("service as model", "POST", "/v1/chat/completions", `{"model":"orders","messages":[1]}`, 404, "unknownModel"),
+		Entry("pool of others", "POST", "/v1/chat/completions", `{"model":"private","messages":[1]}`, 403, "poolNotAllowed"),
+		Entry("unknown service", "GET", "/services/none/x", "", 404, "unknownService"),
+		Entry("unknown path", "GET", "/x", "", 404, "unknownPath"),
+		Entry("wrong method", "GET", "/v1/chat/completions", "", 405, "method"),
+		Entry("cut JSON", "POST", "/v1/chat/completions", ask[:20], 400, "badJson"),
+		Entry("no messages", "POST", "/v1/chat/completions", `{"model":"model"}`, 400, "badRequest"),
+		Entry("large body", "POST", "/services/orders/", strings.Repeat("x", 1001), 413, "bodyTooLarge"),
+		Entry("large header", "GET", "/services/orders/", "", 431, "headerTooLarge", "X", strings.Repeat("x", 2000)),
+		Entry("bad deadline", "GET", "/services/orders/", "", 400, "badDeadline", "Monsoondeck-Deadline-Ms", "-1"),
+		Entry("bad repeatable", "GET", "/services/orders/", "", 400, "badRepeatable", "Monsoondeck-Repeatable", "maybe"),
+		Entry("long key", "POST", "/services/orders/", "", 400, "badKey", "Idempotency-Key", strings.Repeat("k", 257)),
+		Entry("bad ticket", "POST", "/services/orders/", "", 400, "badTicket", "Monsoondeck-Ticket", "x"),
+		Entry("bad id", "GET", "/services/orders/", "", 400, "badRequestId", "X-Request-Id", "a b"),
+		Entry("key without table", "POST", "/services/orders/", "", 503, "claimUnavailable", "Idempotency-Key", "k"),
+	)
+
+	// Guards against memory that follows the announced length, and against a
+	// chunked body that grows without bound.
+	It("rejects a large body of unknown length", func() {
+		f := newFixture(limits, unreached)
+		r := f.request("POST", "/services/orders/", "")
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 5000))), -1
+		res, body := send(r)
+		expectError(res, body, 413, "bodyTooLarge", dispatcher.NotRun)
+	})
+
+	// Guards against callers that hold memory and connections by sending slowly.
+	It("rejects a body that does not arrive in time and closes the connection", func() {
+		f := newFixture(func(o *receiver.Options, _ *dispatcher.Options) { o.BodyTimeout = 50 * time.Millisecond }, unreached)
+		c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = io.WriteString(c, "POST /services/orders/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: 9\r\n\r\nab")
+		Expect(err).NotTo(HaveOccurred())
+		reply, err := io.ReadAll(c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(reply)).To(And(HavePrefix("HTTP/1.1 408"), ContainSubstring(`"outcome":"notRun"`)))
+	})
+
+	// Guards against a body that is requested although the key is unknown.
+	It("answers Expect: 100-continue only after authentication", func() {
+		f := newFixture(nil, echo(func(http.ResponseWriter, *http.Request) {}))
+		for key, first := range map[string]string{"secret": "HTTP/1.1 100", "wrong": "HTTP/1.1 401"} {
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			_, err = io.WriteString(c, "POST /services/orders/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+
+				"\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			line := make([]byte, len(first))
+			_, err = io.ReadFull(c, line)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(line)).To(Equal(first))
+		}
+	})
+
+	It("answers 503 notRun while there is no configuration", func() {
+		f := newFixture(func(o *receiver.Options, _ *dispatcher.Options) { o.Configs = configs{configurer.Config{}} }, unreached)
+		res, body := f.do("GET", "/services/orders/", "")
+		expectError(res, body, 503, "noConfiguration", dispatcher.NotRun)
+	})
+
+	// Guards against a wrong status or outcome when a request leaves the queue.
+	DescribeTable("tells why a request left the queue", func(err error, status int, code string) {
+		f := newFixture(nil, unreached)
+		f.waiter.err = errors.Wrap(err, "wait")
+		res, body := f.do("GET", "/services/orders/", "")
+		expectError(res, body, status, code, dispatcher.NotRun)
+	},
+		Entry("queue full", receiver.ErrQueueFull, 429, "queueFull"),
+		Entry("deadline", receiver.ErrDeadline, 504, "deadline"),
+		Entry("removed", receiver.ErrRemoved, 403, "accountRemoved"),
+		Entry("stopping", receiver.ErrStopping, 503, "stopping"),
+	)
+})
--- a/router/receiver/run.go
+++ b/router/receiver/run.go
@@ -2,19 +2,22 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"monsoondeck.example/deduplicator"
+	"monsoondeck.example/logger"
 	"monsoondeck.example/router/dispatcher"
 )
 
-// run waits for permits and dispatches until the request has an outcome.
-func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job) *failure {
-	if h.options.Retries != nil {
-		h.options.Retries.Request(j.account.ID)
-	}
+// run waits for permits and dispatches until the request has an outcome. once
+// is nil unless the request must run at most once.
+func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job, once once) *failure {
+	budget := h.budgets.of(j.account.ID, h.options.NewRetryBudget)
+	budget.Request()
 	var exclude []string
 	// ran is true once an attempt may have run at a target.
 	ran := false
@@ -23,7 +26,7 @@
 		if err != nil {
 			return waitFailure(err, ran)
 		}
-		report := h.attempt(ctx, w, j, permit)
+		report := h.attempt(ctx, w, j, permit, once)
 		if errors.Is(report.Err, ErrExpired) && !report.Sent {
 			// Nothing was sent and no target failed: wait again.
 			continue
@@ -32,7 +35,8 @@
 		if report.Err == nil {
 			return nil
 		}
-		if !h.mayRetry(ctx, j, report, attempt) {
+		h.logAttempt(j, permit, report)
+		if !h.mayRetry(ctx, j, report, attempt) || !budget.Retry() {
 			return finish(w, j, report, ran)
 		}
 		attempt++
@@ -40,6 +44,20 @@
 	}
 }
 
+func (h *Handler) logAttempt(j *job, p Permit, r dispatcher.Report) {
+	event := logger.RequestFailed
+	switch {
+	case errors.Is(r.Err, dispatcher.ErrCaller):
+		return
+	case errors.Is(r.Err, dispatcher.ErrWrongAnswer):
+		event = logger.AnswerMismatched
+	case r.Started:
+		event = logger.StreamBroken
+	}
+	logger.Emit(h.options.Logger, event, slog.String("requestId", j.id), slog.String("account", j.account.ID),
+		slog.String("target", p.Target().ID), slog.String("outcome", string(r.Outcome)), slog.String("error", r.Err.Error()))
+}
+
 func (j *job) wait(exclude []string) Request {
 	return Request{
 		Account: j.account.ID, Pool: j.pool, Estimate: j.estimate, Affinity: j.affinity,
@@ -47,18 +65,34 @@
 	}
 }
 
-func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, p Permit) dispatcher.Report {
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, p Permit, once once) dispatcher.Report {
 	t := p.Target()
 	report := h.options.Dispatcher.Do(ctx, w, &dispatcher.Request{
 		Target:  dispatcher.Target{ID: t.ID, Address: t.Address, Engine: j.engine},
 		Account: j.account.ID, ID: j.id, Method: j.method, URI: j.uri, Header: j.header, Body: j.body,
 		Trailer: j.trailer, Stream: j.stream, Repeatable: j.repeatable, IdempotencyKey: j.key,
-		PromptTokens: j.prompt, BeforeSend: p.Dispatchable, Progress: p.Progress,
+		PromptTokens: j.prompt, Capture: once != nil, BeforeSend: beforeSend(p, j, once), Progress: p.Progress,
 	})
 	p.Settle(settlement(report))
+	if once != nil && report.Sent {
+		once.Finish(deduplicator.Outcome(report.Outcome), answerOf(report))
+	}
 	return report
 }
 
+// beforeSend is the last check before the first byte.
+func beforeSend(p Permit, j *job, once once) func() error {
+	return func() error {
+		if !time.Now().Before(j.deadline) {
+			return ErrDeadline
+		}
+		if err := p.Dispatchable(); err != nil || once == nil {
+			return err
+		}
+		return once.Dispatch()
+	}
+}
+
 func settlement(r dispatcher.Report) Settlement {
 	s := Settlement{Units: r.Units, FirstToken: r.FirstToken, Interval: r.Interval}
 	switch {
@@ -81,8 +115,7 @@
 
 func (h *Handler) mayRetry(ctx context.Context, j *job, r dispatcher.Report, attempt int) bool {
 	return j.repeatable && !r.Started && attempt < h.options.Attempts && ctx.Err() == nil &&
-		!errors.Is(r.Err, dispatcher.ErrCaller) && time.Now().Before(j.deadline) &&
-		h.options.Retries != nil && h.options.Retries.Allow(j.account.ID)
+		!errors.Is(r.Err, dispatcher.ErrCaller) && time.Now().Before(j.deadline)
 }
 
 // finish ends a request whose last attempt failed.
@@ -111,6 +144,8 @@
 		return unknown(http.StatusGatewayTimeout, "targetStalled", "the target did not answer in time")
 	case errors.Is(err, dispatcher.ErrWrongAnswer):
 		return unknown(http.StatusBadGateway, "wrongAnswer", "the target answered another request")
+	case errors.Is(err, ErrDeadline), errors.Is(err, ErrExpired):
+		return notRun(http.StatusGatewayTimeout, "deadline", "the deadline passed before dispatch")
 	case errors.Is(err, dispatcher.ErrCaller):
 		return unknown(http.StatusBadGateway, "cancelled", "the caller went away")
 	default:
