Keep trailers of answers without Content-Length

A small answer with trailers lost them: net/http sets a Content-Length by itself when no trailer was announced before the header. Trailers are now announced with the answer's header.

Specs of dispatch, outcomes, retries, headers, cancellation, streams and resume run over sockets; the trailer spec failed before the change.

--- a/router/dispatcher/answer.go
+++ b/router/dispatcher/answer.go
@@ -112,7 +112,7 @@
 // beginStream writes the headers of an answer whose outcome is not yet known.
 func (a *attempt) beginStream(res *http.Response) {
 	h := a.answerHeader(res)
-	h.Set("Trailer", HeaderOutcome)
+	h.Add("Trailer", HeaderOutcome)
 	a.captured.header(res.Header)
 	a.started = true
 	a.w.WriteHeader(res.StatusCode)
@@ -142,15 +142,29 @@
 		copySafe(h, res.Header, answerOnly)
 	}
 	h[HeaderRequestID] = []string{a.r.ID}
+	// Unannounced trailers would be lost when net/http sets a Content-Length.
+	for _, k := range safeTrailers(res) {
+		h.Add("Trailer", k)
+	}
 	return h
 }
 
-func (a *attempt) copyTrailer(res *http.Response) {
-	for k, v := range res.Trailer {
+// safeTrailers returns the names of the answer's trailers that are passed on.
+func safeTrailers(res *http.Response) []string {
+	var names []string
+	for k := range res.Trailer {
 		if !hopByHop[k] && !answerOnly[k] && !strings.HasPrefix(k, ownPrefix) {
-			a.w.Header()[http.TrailerPrefix+k] = v
+			names = append(names, k)
 		}
 	}
+	return names
+}
+
+// copyTrailer sets the values of the trailers that answerHeader announced.
+func (a *attempt) copyTrailer(res *http.Response) {
+	for _, k := range safeTrailers(res) {
+		a.w.Header()[k] = res.Trailer[k]
+	}
 }
 
 func (a *attempt) writeFlush(p []byte) error {
--- a/router/receiver/suite_test.go
+++ b/router/receiver/suite_test.go
@@ -81,12 +81,6 @@
 	return nil
 }
 
-// budget allows a number of retries.
-type budget struct{ left int }
-
-func (b *budget) Request(string)    {}
-func (b *budget) Allow(string) bool { b.left--; return b.left >= 0 }
-
 type configs struct{ config configurer.Config }
 
 func (c configs) Current() (configurer.Config, bool) { return c.config, c.config.Version() > 0 }
