--- a/router/receiver/run.go
+++ b/router/receiver/run.go
@@ -60,6 +60,7 @@
 
 func (j *job) wait(exclude []string) Request {
 	return Request{
+		ID:      j.id,
 		Account: j.account.ID, Pool: j.pool, Estimate: j.estimate, Affinity: j.affinity,
 		Deadline: j.deadline, Exclude: exclude, Bytes: int64(cap(j.body)),
 	}
