Make attempt ids unique by a random part

Two daemons that start in the same microsecond share an incarnation; their attempt ids could then be equal, and one would take the other's claim for its own.

--- a/router/claimer/claimer.go
+++ b/router/claimer/claimer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -28,8 +29,6 @@
 // Options configures a Claimer. Table is required.
 type Options struct {
 	Table provider.Table
-	// Incarnation of the daemon; makes attempt ids unique in the fleet.
-	Incarnation uint64
 	// ClaimTimeout bounds the time to make a claim.
 	ClaimTimeout time.Duration
 	// SyncTimeout is how long a reply waits for its claim to be released or its
@@ -41,7 +40,10 @@
 
 // Claimer makes claims in the table service. It is safe for concurrent use.
 type Claimer struct {
-	options    Options
+	options Options
+	// run is random, so that attempt ids are unique in the fleet even if two
+	// daemons start within the same microsecond.
+	run        string
 	sequence   atomic.Uint64
 	background sync.WaitGroup
 	abandoned  atomic.Uint64
@@ -53,7 +55,7 @@
 	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
 	setDefault(&o.SyncTimeout, defaultSyncTimeout)
 	setDefault(&o.KeepTrying, defaultKeepTrying)
-	c := &Claimer{options: o}
+	c := &Claimer{options: o, run: rand.Text()}
 	return c, c.background.Wait
 }
 
@@ -87,7 +89,7 @@
 // Claim claims the key of an account for the request with the given hash. If
 // the verdict of the result is not VerdictNone, the request must not run.
 func (c *Claimer) Claim(ctx context.Context, account, key, request string) *Claim {
-	id := strconv.FormatUint(c.options.Incarnation, 16) + "-" + strconv.FormatUint(c.sequence.Add(1), 10)
+	id := c.run + "-" + strconv.FormatUint(c.sequence.Add(1), 10)
 	m := &Claim{claimer: c, key: rowKey(account, key), id: id, attempt: deduplicator.NewAttempt(id, request)}
 	ctx, cancel := context.WithTimeout(ctx, c.options.ClaimTimeout)
 	defer cancel()
--- a/router/receiver/dispatch_test.go
+++ b/router/receiver/dispatch_test.go
@@ -21,15 +21,15 @@
 // budget allows a number of retries.
 type budget struct{ left atomic.Int32 }
 
-func (b *budget) Request()    {}
-func (b *budget) Retry() bool { return b.left.Add(-1) >= 0 }
+func (b *budget) Request(string)    {}
+func (b *budget) Allow(string) bool { return b.left.Add(-1) >= 0 }
 
 // retries sets a retry budget.
 func retries(n int32) func(o *receiver.Options, _ *dispatcher.Options) {
 	return func(o *receiver.Options, _ *dispatcher.Options) {
 		b := &budget{}
 		b.left.Store(n)
-		o.NewRetryBudget = func() receiver.RetryBudget { return b }
+		o.Retries = b
 	}
 }
 
--- a/router/receiver/interfaces.go
+++ b/router/receiver/interfaces.go
@@ -90,12 +90,12 @@
 	Current() (configurer.Config, bool)
 }
 
-// RetryBudget is the retry budget of one account, safe for concurrent use.
-type RetryBudget interface {
-	// Request notes a request.
-	Request()
-	// Retry spends one retry if the budget has one.
-	Retry() bool
+// Retries is the retry budget of every account, safe for concurrent use.
+type Retries interface {
+	// Request notes a request of the account.
+	Request(account string)
+	// Allow spends one retry of the account's budget if there is one.
+	Allow(account string) bool
 }
 
 // Forwarder finds the daemon that issued a ticket.
--- a/router/receiver/once_test.go
+++ b/router/receiver/once_test.go
@@ -73,7 +73,7 @@
 // withClaims adds a claimer over the table, as each router of a fleet has.
 func withClaims(t *table, incarnation uint64) func(o *receiver.Options, _ *dispatcher.Options) {
 	return func(o *receiver.Options, _ *dispatcher.Options) {
-		c, wait := claimer.New(claimer.Options{Table: t, Incarnation: incarnation, SyncTimeout: 30 * time.Second})
+		c, wait := claimer.New(claimer.Options{Table: t, SyncTimeout: 30 * time.Second})
 		DeferCleanup(wait)
 		o.Claims, o.Incarnation = c, incarnation
 		o.Tickets = claimer.NewTickets(deduplicator.TicketSettings{Incarnation: incarnation})
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -31,8 +31,8 @@
 	Waiter     Waiter
 	Configs    Configs
 	Dispatcher Dispatcher
-	// NewRetryBudget returns the retry budget of one account; nil: no retries.
-	NewRetryBudget func() RetryBudget
+	// Retries is the retry budget; nil: no retries.
+	Retries Retries
 	// Claims makes claims for idempotency keys; nil: such requests are not run.
 	Claims *claimer.Claimer
 	// Tickets issued by this daemon; nil: none are issued or redeemed.
@@ -65,7 +65,6 @@
 // Handler serves callers.
 type Handler struct {
 	options Options
-	budgets budgets
 	// bodyMemory is the number of body bytes held now.
 	bodyMemory atomic.Int64
 }
--- a/router/receiver/run.go
+++ b/router/receiver/run.go
@@ -16,8 +16,9 @@
 // run waits for permits and dispatches until the request has an outcome. once
 // is nil unless the request must run at most once.
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job, once once) *failure {
-	budget := h.budgets.of(j.account.ID, h.options.NewRetryBudget)
-	budget.Request()
+	if h.options.Retries != nil {
+		h.options.Retries.Request(j.account.ID)
+	}
 	var exclude []string
 	// ran is true once an attempt may have run at a target.
 	ran := false
@@ -36,7 +37,7 @@
 			return nil
 		}
 		h.logAttempt(j, permit, report)
-		if !h.mayRetry(ctx, j, report, attempt) || !budget.Retry() {
+		if !h.mayRetry(ctx, j, report, attempt) {
 			return finish(w, j, report, ran)
 		}
 		attempt++
@@ -116,7 +117,8 @@
 
 func (h *Handler) mayRetry(ctx context.Context, j *job, r dispatcher.Report, attempt int) bool {
 	return j.repeatable && !r.Started && attempt < h.options.Attempts && ctx.Err() == nil &&
-		!errors.Is(r.Err, dispatcher.ErrCaller) && time.Now().Before(j.deadline)
+		!errors.Is(r.Err, dispatcher.ErrCaller) && time.Now().Before(j.deadline) &&
+		h.options.Retries != nil && h.options.Retries.Allow(j.account.ID)
 }
 
 // finish ends a request whose last attempt failed.
