Recognise a resumed stream by its completion id

The stand-in engine, like the published protocol, does not echo the offset of a resume, so no stream was resumed. The id in the events is the same after a resume and new after a fresh start; a resumed stream with another id is cut instead of passed on.

--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -33,6 +33,7 @@
 	decided  Outcome
 	status   int
 	captured capture
+	stream   streamIdentity
 	// lastDeadline is when the write deadline was last moved.
 	lastDeadline time.Time
 }
@@ -121,7 +122,9 @@
 		closing := a.conn.Close()
 		return nil, errors.WithSecondaryError(a.discard(res, ErrWrongAnswer), closing)
 	}
-	a.meter.lastID = id
+	if a.stream.request == "" {
+		a.stream.request = id
+	}
 	return res, nil
 }
 
--- a/router/dispatcher/events.go
+++ b/router/dispatcher/events.go
@@ -33,8 +33,7 @@
 // break before that is resumed if the request permits it.
 func (a *attempt) copyEvents(res *http.Response) error {
 	s := &eventSplitter{buffer: make([]byte, 0, eventBuffer)}
-	resumes := 0
-	for {
+	for resumes := 0; ; resumes++ {
 		done, err := a.copySome(res, s)
 		if done {
 			defer a.drain(res)
@@ -44,12 +43,10 @@
 		if !a.resumable(err, resumes) {
 			return err
 		}
-		resumes++
-		next, failure := a.resume()
+		next, failure := a.resume(resumes)
 		if failure != nil {
 			return errors.WithSecondaryError(err, failure)
 		}
-		a.d.stats.resumed.Add(1)
 		s.reset()
 		res = next
 	}
@@ -73,6 +70,9 @@
 	now := time.Now()
 	data := eventData(event)
 	done := bytes.Equal(data, doneValue)
+	if err := a.stream.check(data, done); err != nil {
+		return false, err
+	}
 	tokens := int64(0)
 	if !done && len(data) > 0 {
 		a.meter.readUsage(data)
--- a/router/dispatcher/meter.go
+++ b/router/dispatcher/meter.go
@@ -24,8 +24,6 @@
 	prompt   float64
 	progress func(float64)
 	cancel   context.CancelCauseFunc
-	// lastID is the id of the exchange that delivers the answer.
-	lastID string
 
 	tokens      atomic.Int64
 	first, last atomic.Int64 // nanoseconds after start, 0: none
