Measure added latency, stream throughput and memory per stream

The benchmarks run target and client as processes of their own, so that processor time and memory are the router's.

--- /dev/null
+++ b/router/receiver/bench_test.go
@@ -0,0 +1,244 @@
+package receiver_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/router/dispatcher"
+	"monsoondeck.example/router/receiver"
+)
+
+// The benchmarks run target and client as processes of their own, so that the
+// processor time and memory measured are the router's. Each iteration is one
+// whole measurement; run them with -benchtime=1x.
+const roleVariable = "RECEIVER_BENCH_ROLE"
+
+func TestMain(m *testing.M) {
+	switch role := strings.Fields(os.Getenv(roleVariable)); {
+	case len(role) == 0:
+		os.Exit(m.Run())
+	case role[0] == "target":
+		benchTarget()
+	default:
+		benchClient(role)
+	}
+}
+
+// benchTarget answers streams with max_tokens events, temperature ms apart,
+// until standard input closes.
+func benchTarget() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go func() { panic(http.Serve(l, http.HandlerFunc(echo(benchAnswer)))) }()
+	fmt.Println(l.Addr())
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+func benchAnswer(w http.ResponseWriter, r *http.Request) {
+	var c struct {
+		Stream      bool
+		MaxTokens   int     `json:"max_tokens"`
+		Temperature float64 // milliseconds between events
+	}
+	if json.NewDecoder(r.Body).Decode(&c) != nil || !c.Stream {
+		fmt.Fprint(w, `{"choices":[{"message":{"content":"ok"}}]}`)
+		return
+	}
+	tick := time.NewTicker(time.Duration(max(c.Temperature, 0.001) * float64(time.Millisecond)))
+	defer tick.Stop()
+	for i := range c.MaxTokens {
+		streamEvents(w, i, i+1)
+		select {
+		case <-tick.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	fmt.Fprint(w, end)
+}
+
+// benchClient is "latency DIRECT ROUTER CALLS", or "streams ROUTER STREAMS
+// EVENTS MS [hold]".
+func benchClient(role []string) {
+	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = 1000
+	if role[0] == "latency" {
+		n, _ := strconv.Atoi(role[3])
+		direct, router := make([]time.Duration, n), make([]time.Duration, n)
+		for i := range n {
+			direct[i], router[i] = benchCall(role[1], ask, nil), benchCall(role[2], ask, nil)
+		}
+		slices.Sort(direct)
+		slices.Sort(router)
+		fmt.Println(direct[n/2].Nanoseconds(), direct[n*99/100].Nanoseconds(), router[n/2].Nanoseconds(), router[n*99/100].Nanoseconds())
+		return
+	}
+	streams, _ := strconv.Atoi(role[2])
+	body := strings.Replace(askStream, `"max_tokens":5`, `"max_tokens":`+role[3]+`,"temperature":`+role[4], 1)
+	var events, open atomic.Int64
+	var group sync.WaitGroup
+	for range streams {
+		group.Go(func() {
+			first := true
+			benchCall(role[1], body, func(line string) {
+				if strings.HasPrefix(line, "data: {\"id") {
+					events.Add(1)
+				}
+				if first && open.Add(1) == int64(streams) && len(role) > 5 {
+					fmt.Println("open")
+				}
+				first = false
+			})
+		})
+	}
+	group.Wait()
+	fmt.Println(events.Load())
+}
+
+func benchCall(address, body string, line func(string)) time.Duration {
+	start := time.Now()
+	r, err := http.NewRequest("POST", "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Authorization", "Bearer secret")
+	res, err := http.DefaultClient.Do(r)
+	if err != nil || res.StatusCode != 200 {
+		panic(fmt.Sprint(res, err))
+	}
+	s := bufio.NewScanner(res.Body)
+	for s.Scan() {
+		if line != nil {
+			line(s.Text())
+		}
+	}
+	_ = res.Body.Close()
+	return time.Since(start)
+}
+
+// role starts this test binary in a role and returns the lines it prints.
+func role(b *testing.B, words ...string) *bufio.Scanner {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := exec.CommandContext(ctx, os.Args[0])
+	c.Env = append(os.Environ(), roleVariable+"="+strings.Join(words, " "))
+	c.Stderr = os.Stderr
+	_, err := c.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := c.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { cancel(); _ = c.Wait() })
+	return bufio.NewScanner(out)
+}
+
+func nextLine(b *testing.B, s *bufio.Scanner) string {
+	if !s.Scan() {
+		b.Fatal("process ended early")
+	}
+	return s.Text()
+}
+
+// benchRouter serves a router in this process.
+func benchRouter(b *testing.B) (target, router string) {
+	target = nextLine(b, role(b, "target"))
+	c, err := configurer.New(1, []configurer.Account{{ID: "a", Share: 1, KeyHashes: []string{configurer.KeyHash("secret")}, Pools: []string{"model"}}},
+		[]configurer.Target{{ID: "t", Address: target, Kind: configurer.KindEngine, Pools: []string{"model"}, Slots: 1}}, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d, closeIdle := dispatcher.New(dispatcher.Options{Incarnation: 1, IdlePerTarget: 1000})
+	b.Cleanup(closeIdle)
+	s := receiver.NewServer(receiver.New(receiver.Options{Waiter: &waiter{targets: c.Pool("model")}, Configs: configs{c}, Dispatcher: d}), slog.New(slog.DiscardHandler))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return target, l.Addr().String()
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkAddedLatency alternates direct calls and calls through the router.
+func BenchmarkAddedLatency(b *testing.B) {
+	target, router := benchRouter(b)
+	for b.Loop() {
+		v := strings.Fields(nextLine(b, role(b, "latency", target, router, "5000")))
+		for i, name := range []string{"direct-p50-ns", "direct-p99-ns", "router-p50-ns", "router-p99-ns"} {
+			n, _ := strconv.ParseFloat(v[i], 64)
+			b.ReportMetric(n, name)
+		}
+	}
+}
+
+// BenchmarkStreamEvents passes 200 streams on at 100 events/s each.
+func BenchmarkStreamEvents(b *testing.B) {
+	_, router := benchRouter(b)
+	for b.Loop() {
+		start, used := time.Now(), processorTime()
+		events, _ := strconv.ParseFloat(nextLine(b, role(b, "streams", router, "200", "500", "10")), 64)
+		used = processorTime() - used
+		b.ReportMetric(events/time.Since(start).Seconds(), "events/s")
+		b.ReportMetric(events/used.Seconds(), "events/cpu-s")
+	}
+}
+
+// BenchmarkOpenStreams holds 1000 streams open that send one event a second.
+func BenchmarkOpenStreams(b *testing.B) {
+	_, router := benchRouter(b)
+	for b.Loop() {
+		before, rss := memory()
+		client := role(b, "streams", router, "1000", "10", "1000", "hold")
+		nextLine(b, client)
+		time.Sleep(2 * time.Second)
+		after, rssAfter := memory()
+		b.ReportMetric((after-before)/1000, "B/stream")
+		b.ReportMetric((rssAfter-rss)/1000, "rss-B/stream")
+		nextLine(b, client)
+	}
+}
+
+// memory returns the memory in use by heap and stacks, and the resident memory.
+func memory() (inUse, resident float64) {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	statm, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		panic(err)
+	}
+	pages, _ := strconv.ParseFloat(strings.Fields(string(statm))[1], 64)
+	return float64(m.HeapInuse + m.StackInuse), pages * float64(os.Getpagesize())
+}
