--- a/router/authenticator/authenticator.go
+++ b/router/authenticator/authenticator.go
@@ -36,14 +36,23 @@
 }
 
 // Sign adds a signature of method and path to the request.
-func (a *Authenticator) Sign(r *http.Request) {
-	at := strconv.FormatInt(a.clock().Unix(), 10)
-	r.Header.Set(header, strings.Join([]string{a.self, at, a.signature(a.self, at, r)}, " "))
-}
+func (a *Authenticator) Sign(r *http.Request) { a.SignHeader(r.Header, scope(r)) }
 
 // Verify returns the sender of a request, or ErrUnauthenticated.
 func (a *Authenticator) Verify(r *http.Request) (string, error) {
-	parts := strings.Split(r.Header.Get(header), " ")
+	return a.VerifyHeader(r.Header, scope(r))
+}
+
+// SignHeader adds a signature that is valid for one purpose.
+func (a *Authenticator) SignHeader(h http.Header, scope string) {
+	at := strconv.FormatInt(a.clock().Unix(), 10)
+	h.Set(header, strings.Join([]string{a.self, at, a.signature(a.self, at, scope)}, " "))
+}
+
+// VerifyHeader returns the sender that signed for the purpose, or
+// ErrUnauthenticated.
+func (a *Authenticator) VerifyHeader(h http.Header, scope string) (string, error) {
+	parts := strings.Split(h.Get(header), " ")
 	if len(parts) != 3 {
 		return "", ErrUnauthenticated
 	}
@@ -51,14 +60,16 @@
 	if err != nil || a.clock().Sub(time.Unix(seconds, 0)).Abs() > maxSkew {
 		return "", errors.Wrap(ErrUnauthenticated, "the signature is too old or the clocks differ")
 	}
-	if !hmac.Equal([]byte(parts[2]), []byte(a.signature(parts[0], parts[1], r))) {
+	if !hmac.Equal([]byte(parts[2]), []byte(a.signature(parts[0], parts[1], scope))) {
 		return "", errors.Wrap(ErrUnauthenticated, "the signature does not match")
 	}
 	return parts[0], nil
 }
 
-func (a *Authenticator) signature(sender, at string, r *http.Request) string {
+func scope(r *http.Request) string { return r.Method + " " + r.URL.EscapedPath() }
+
+func (a *Authenticator) signature(sender, at, scope string) string {
 	mac := hmac.New(sha256.New, a.secret)
-	mac.Write([]byte(strings.Join([]string{sender, at, r.Method, r.URL.EscapedPath()}, "\n")))
+	mac.Write([]byte(strings.Join([]string{sender, at, scope}, "\n")))
 	return hex.EncodeToString(mac.Sum(nil))
 }
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"monsoondeck.example/configurer"
+	"monsoondeck.example/detector"
 	"monsoondeck.example/messenger"
 )
 
@@ -21,6 +22,8 @@
 	Waiting int
 	// Held is the number of grants in use.
 	Held int
+	// members lists the live daemons, this one included.
+	members []detector.Member
 	// Poller is the daemon of this data centre that reads the platform.
 	Poller string
 	marks  map[string]messenger.HostMark
@@ -36,6 +39,15 @@
 	return ok && mark.Leaving && mark.Incarnation >= t.Incarnation
 }
 
+// Member returns the live daemon with an incarnation.
+func (s *Snapshot) Member(incarnation uint64) (detector.Member, bool) {
+	i := slices.IndexFunc(s.members, func(m detector.Member) bool { return m.Incarnation == incarnation })
+	if i < 0 {
+		return detector.Member{}, false
+	}
+	return s.members[i], true
+}
+
 // Snapshot returns the newest view; it is never nil.
 func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
 
@@ -52,6 +64,7 @@
 		Configured: c.configured,
 		Members:    slices.Sorted(maps.Keys(c.members)),
 		Shards:     c.shardNames(),
+		members:    c.seen,
 		Held:       len(c.held),
 		Poller:     c.locator.Poller(c.options.Self.DataCentre),
 		marks:      maps.Clone(c.marks),
--- a/router/peer.go
+++ b/router/peer.go
@@ -11,6 +11,7 @@
 	"monsoondeck.example/connector"
 	"monsoondeck.example/router/authenticator"
 	"monsoondeck.example/router/controller"
+	"monsoondeck.example/router/receiver"
 )
 
 // configPath serves the complete configuration to other daemons, because it
@@ -24,10 +25,21 @@
 	maxConfigBytes = 64 << 20
 )
 
-// peerHandler serves other daemons.
-func peerHandler(hub *connector.Hub, control *controller.Controller, auth *authenticator.Authenticator) http.Handler {
+// forwardScope is what a daemon signs when it forwards a ticketed request.
+const forwardScope = "forward"
+
+// peerHandler serves other daemons. forwarded serves the ticketed requests that
+// they send to this daemon as the issuer.
+func peerHandler(hub, forwarded http.Handler, control *controller.Controller, auth *authenticator.Authenticator) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/peer", hub)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		if _, err := auth.VerifyHeader(r.Header, forwardScope); err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		forwarded.ServeHTTP(w, r)
+	})
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, r *http.Request) {
 		if _, err := auth.Verify(r); err != nil {
 			http.Error(w, err.Error(), http.StatusUnauthorized)
@@ -44,6 +56,24 @@
 	return mux
 }
 
+// forwarder finds the issuers of tickets among the members.
+type forwarder struct {
+	control *controller.Controller
+	auth    *authenticator.Authenticator
+}
+
+// Issuer returns the daemon with the incarnation, or receiver.ErrIssuerGone.
+func (f forwarder) Issuer(incarnation uint64) (receiver.Peer, error) {
+	m, ok := f.control.Snapshot().Member(incarnation)
+	if !ok {
+		return receiver.Peer{}, receiver.ErrIssuerGone
+	}
+	return receiver.Peer{
+		Address:      m.Address,
+		Authenticate: func(h http.Header) { f.auth.SignHeader(h, forwardScope) },
+	}, nil
+}
+
 // fetcher fetches complete configurations from peers.
 type fetcher struct {
 	control *controller.Controller
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"monsoondeck.example/connector"
+	"monsoondeck.example/deduplicator"
 	"monsoondeck.example/detector"
 	"monsoondeck.example/limiter"
 	"monsoondeck.example/logger"
@@ -21,6 +22,7 @@
 	"monsoondeck.example/provider/committer"
 	"monsoondeck.example/router/administrator"
 	"monsoondeck.example/router/authenticator"
+	"monsoondeck.example/router/claimer"
 	"monsoondeck.example/router/controller"
 	"monsoondeck.example/router/dispatcher"
 	"monsoondeck.example/router/locator"
@@ -107,13 +109,19 @@
 	auth := authenticator.New(d.settings.ID, []byte(d.settings.FleetSecret), time.Now)
 	d.fetcher = newFetcher(d.controller, auth)
 	dispatch, closeDispatch := dispatcher.New(dispatcher.Options{Incarnation: incarnation})
-	d.caller.serveWith(receiver.NewServer(d.count(d.newReceiver(dispatch)), d.logger))
-	d.peer.serveWith(&http.Server{Handler: peerHandler(hub, d.controller, auth), ReadHeaderTimeout: peerHeaderTimeout})
+	claims, closeClaims := claimer.New(claimer.Options{Table: provider.NewTable(provider.Options{URL: d.settings.TableURL})})
+	callers := d.count(receiver.New(receiver.Options{
+		Waiter: d.controller, Configs: d.controller, Dispatcher: dispatch, Retries: newRetryBudgets(),
+		Claims: claims, Tickets: claimer.NewTickets(deduplicator.TicketSettings{Incarnation: incarnation}),
+		Forwarder: forwarder{d.controller, auth}, Incarnation: incarnation, Logger: d.logger,
+	}))
+	d.caller.serveWith(receiver.NewServer(callers, d.logger))
+	d.peer.serveWith(receiver.NewServer(peerHandler(hub, callers, d.controller, auth), d.logger))
 	d.admin.serveWith(&http.Server{ReadHeaderTimeout: peerHeaderTimeout, Handler: administrator.New(administrator.Options{
 		Control: d.controller, Hub: hub.Stats, Dispatcher: dispatch.Stats, Ready: d.ready,
 		ID: d.settings.ID, DataCentre: d.settings.DataCentre, Incarnation: incarnation,
 	})})
-	return func() { closeHub(); closeDispatch() }, nil
+	return func() { closeHub(); closeClaims(); closeDispatch() }, nil
 }
 
 func (d *Daemon) controlOptions(self detector.Member, hub *connector.Hub, random *rand.Rand, start time.Time) controller.Options {
@@ -143,13 +151,6 @@
 	return poller.New(d.settings.ID, source, hosts, d.controller, d.logger, random)
 }
 
-func (d *Daemon) newReceiver(dispatch *dispatcher.Dispatcher) http.Handler {
-	return receiver.New(receiver.Options{
-		Waiter: d.controller, Configs: d.controller, Dispatcher: dispatch, Logger: d.logger,
-		Retries: newRetryBudgets(),
-	})
-}
-
 func (d *Daemon) ready() bool {
 	_, configured := d.controller.Current()
 	return configured && !d.stopping.Load()
