Tell broken connections from failures that a router states

A planned stop must cut no request; a target's failure that the router reports during the stop is not a cut. The load client closes idle connections after 2 s, below the lame-duck time of a router.

The test of the load client failed in about 1 of 30 runs: the test's gateway is a ReverseProxy, which breaks the connection when the target answers before it has seen the end of the caller's body. Ruled out as the only cause: the engine, which answered before it had read to the end; it reads the whole body now. The gateway reads the body first.

--- a/emulator/engine/chat.go
+++ b/emulator/engine/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -45,7 +46,13 @@
 	id := r.Header.Get(wire.HeaderRequestID)
 	w.Header().Set(wire.HeaderRequestID, e.answerID(id))
 	var c chatRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&c); err != nil {
+	// The whole body is read before the answer begins: a sender that still writes
+	// when the answer arrives may take that for a failure.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err == nil {
+		err = json.Unmarshal(body, &c)
+	}
+	if err != nil {
 		wire.Refuse(w, http.StatusBadRequest, "body", err.Error())
 		return
 	}
--- a/generator/loader/call.go
+++ b/generator/loader/call.go
@@ -111,38 +111,50 @@
 	return r, nil
 }
 
-// send sends the call to a router and returns the outcome that the router
-// stated. Errors: ErrWrong, ErrCut; they accompany an outcome.
-func (c *call) send(ctx context.Context, l *Loader, router string) (Outcome, int, time.Duration, error) {
+// end is the end of one attempt.
+type end struct {
+	outcome Outcome
+	status  int
+	router  string
+	retry   time.Duration // as the router asked for
+	broken  bool
+	err     error
+}
+
+// send sends the call to a router. The error of the end is ErrWrong or ErrCut,
+// or says why the router did not answer.
+func (c *call) send(ctx context.Context, l *Loader, router string) end {
 	r, err := c.request(ctx, router)
 	if err != nil {
-		return OutcomeUnsent, 0, 0, err
+		return end{outcome: OutcomeUnsent, err: err}
 	}
 	start := time.Now()
 	res, err := l.client.Do(r)
 	if err != nil {
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
-			return OutcomeUnsent, 0, 0, err
+			return end{outcome: OutcomeUnsent, err: err}
 		}
-		return OutcomeUnknown, 0, 0, err
+		return end{outcome: OutcomeUnknown, router: router, broken: ctx.Err() == nil, err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	retry, _ := time.ParseDuration(res.Header.Get("Retry-After") + "s")
+	e := end{status: res.StatusCode, router: router, retry: retry}
 	if res.StatusCode != http.StatusOK {
 		// The rest of an error answer decides nothing.
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 64<<10))
-		return stated(res), res.StatusCode, retry, nil
+		e.outcome = stated(res)
+		return e
 	}
-	err = c.check(res, start, l)
-	outcome := stated(res)
+	e.err = c.check(res, start, l)
+	e.outcome = stated(res)
 	switch {
-	case errors.Is(err, ErrCut):
-		outcome = OutcomeUnknown
-	case err == nil && outcome != OutcomeComplete:
-		err = errors.Wrapf(ErrWrong, "%s: a whole answer has outcome %q", c.id, outcome)
+	case errors.Is(e.err, ErrCut):
+		e.outcome, e.broken = OutcomeUnknown, ctx.Err() == nil && !errors.Is(e.err, ErrStated)
+	case e.err == nil && e.outcome != OutcomeComplete:
+		e.err = errors.Wrapf(ErrWrong, "%s: a whole answer has outcome %q", c.id, e.outcome)
 	}
-	return outcome, res.StatusCode, retry, err
+	return e
 }
 
 // stated returns the outcome in the headers or the trailers of an answer.
--- a/generator/loader/complete.go
+++ b/generator/loader/complete.go
@@ -21,15 +21,15 @@
 	l.setOpen(x)
 	at := r.IntN(len(c.account.Routers))
 	for attempt := 1; ; attempt++ {
-		outcome, status, retry, err := l.sendAnywhere(ctx, c, at)
-		x.Outcome, x.Status = outcome, status
-		x.Outcomes = append(x.Outcomes, outcome)
-		if errors.Is(err, ErrWrong) {
-			x.Wrong = err
+		e := l.sendAnywhere(ctx, c, at)
+		x.Outcome, x.Status, x.Router, x.Broken = e.outcome, e.status, e.router, e.broken
+		x.Outcomes = append(x.Outcomes, e.outcome)
+		if errors.Is(e.err, ErrWrong) {
+			x.Wrong = e.err
 		}
-		again := outcome == OutcomeUnsent || outcome == OutcomeNotRun && retryable(status) ||
-			outcome == OutcomeUnknown && c.key != "" && status != http.StatusConflict
-		if !again || x.Wrong != nil || attempt >= l.settings.Attempts || !wait(ctx, min(max(retry, minBackOff), maxBackOff)) {
+		again := e.outcome == OutcomeUnsent || e.outcome == OutcomeNotRun && retryable(e.status) ||
+			e.outcome == OutcomeUnknown && c.key != "" && e.status != http.StatusConflict
+		if !again || x.Wrong != nil || attempt >= l.settings.Attempts || !wait(ctx, min(max(e.retry, minBackOff), maxBackOff)) {
 			break
 		}
 	}
@@ -43,14 +43,15 @@
 }
 
 // sendAnywhere sends the call to the first router that can be reached.
-func (l *Loader) sendAnywhere(ctx context.Context, c *call, at int) (o Outcome, status int, retry time.Duration, err error) {
+func (l *Loader) sendAnywhere(ctx context.Context, c *call, at int) end {
+	e := end{outcome: OutcomeUnsent}
 	for i := range c.account.Routers {
 		router := c.account.Routers[(at+i)%len(c.account.Routers)]
-		if o, status, retry, err = c.send(ctx, l, router); o != OutcomeUnsent {
-			return o, status, retry, err
+		if e = c.send(ctx, l, router); e.outcome != OutcomeUnsent {
+			break
 		}
 	}
-	return o, status, retry, err
+	return e
 }
 
 func (l *Loader) setOpen(x Result) {
--- a/generator/loader/loader.go
+++ b/generator/loader/loader.go
@@ -64,8 +64,12 @@
 	Outcomes []Outcome
 	Wrong    error
 	Status   int
-	Start    time.Time
-	End      time.Time
+	// Router is the address of the router that the last attempt reached.
+	Router string
+	// Broken is set when the connection broke without a statement of the router.
+	Broken bool
+	Start  time.Time
+	End    time.Time
 }
 
 // Loader sends the load of a set of accounts.
@@ -90,6 +94,10 @@
 	// maxBackOff bounds the wait that Retry-After asks for, so that a closed loop
 	// stays backlogged.
 	maxBackOff = 500 * time.Millisecond
+	// idleTimeout is below the lame-duck time of a router (5 s), as is usual for
+	// clients of a load balancer: otherwise a request can be sent on an idle
+	// connection at the moment at which the router closes it.
+	idleTimeout = 2 * time.Second
 	// minBackOff keeps a refused caller from spinning.
 	minBackOff = 20 * time.Millisecond
 )
@@ -107,7 +115,7 @@
 	if s.MaxOpen <= 0 {
 		s.MaxOpen = defaultMaxOpen
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 5 * time.Second, DisableCompression: true}
+	t := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: idleTimeout, DisableCompression: true}
 	l := &Loader{settings: s, client: &http.Client{Transport: t}, open: map[string]Result{}}
 	return l, t.CloseIdleConnections, nil
 }
--- a/generator/loader/loader_test.go
+++ b/generator/loader/loader_test.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -89,7 +90,16 @@
 	mux := http.NewServeMux()
 	mux.Handle("/services/orders/", http.StripPrefix("/services/orders", proxy(s)))
 	mux.Handle("/", proxy(e))
-	server := httptest.NewServer(mux)
+	// ReverseProxy breaks a connection when the target answers before the proxy
+	// has seen the end of the caller's body, so the body is read first.
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		mux.ServeHTTP(w, r)
+	}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
--- a/generator/loader/stream.go
+++ b/generator/loader/stream.go
@@ -20,6 +20,8 @@
 	ErrWrong = errors.New("the answer does not belong to the request")
 	// ErrCut marks an answer that visibly ends early.
 	ErrCut = errors.New("the answer was cut")
+	// ErrStated marks a cut that the router announced with an error event.
+	ErrStated = errors.New("the router announced the cut")
 )
 
 // streamChunk holds the fields of an event that a caller reads.
@@ -99,7 +101,7 @@
 	}
 	switch {
 	case name == "error":
-		return errors.Wrapf(ErrCut, "error event %.200q", data)
+		return errors.Mark(errors.Wrapf(ErrCut, "error event %.200q", data), ErrStated)
 	case name != "outcome" || json.Unmarshal(data, &o) != nil || o.Outcome != OutcomeComplete || o.RequestID != s.request:
 		return errors.Wrapf(ErrWrong, "%s: event %s with %.200q", s.request, name, data)
 	}
