Add the demo: three routers and four unequal engines in one process

It applies a sample sheet through the parser and the committer, loads the fleet from three accounts of which one floods a single router, and shows service per account, fairness gap, utilisation and control traffic.

--- /dev/null
+++ b/generator/demo/demo.go
@@ -0,0 +1,99 @@
+// Package demo shows a small fleet at work in one process.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/generator/loader"
+	"monsoondeck.example/generator/verifier"
+	"monsoondeck.example/logger"
+)
+
+// Exit codes of Run.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Options of the demo.
+type Options struct {
+	Duration time.Duration `arg:"--duration" default:"20s" help:"time of load"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of the load"`
+	Verbose  bool          `arg:"--verbose" help:"show the log of the daemons on stderr"`
+}
+
+// Description is the first line of the usage text.
+func (Options) Description() string {
+	return "demo runs three routers and four unequal engines in one process, applies a sheet, loads them from three accounts and shows who gets how much."
+}
+
+// Run runs the demo and returns the exit code. Faults in the answers make it
+// fail.
+func Run(args, _ []string, streams logger.Streams) int {
+	var o Options
+	p, err := arg.NewParser(arg.Config{Program: "monsoonload demo", Out: streams.Err}, &o)
+	if err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	switch err := p.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		p.WriteHelp(streams.Out)
+		return ExitDone
+	case err != nil:
+		return fail(streams, ExitUsage, err)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	if err := run(ctx, o, streams); err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	return ExitDone
+}
+
+func fail(streams logger.Streams, code int, err error) int {
+	_, _ = fmt.Fprintf(streams.Err, "monsoonload demo: %v\nRun monsoonload demo --help for its flags.\n", err)
+	return code
+}
+
+func run(ctx context.Context, o Options, streams logger.Streams) error {
+	log := slog.New(slog.DiscardHandler)
+	if o.Verbose {
+		log = slog.New(slog.NewTextHandler(streams.Err, nil))
+	}
+	f, stop, err := newFleet(ctx, log)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	l, cleanup, err := loader.New(loader.Settings{Accounts: f.accounts(), Seed: o.Seed, Deadline: 20 * time.Second})
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	v := newView(f, l, streams.Out)
+	v.introduce(o.Duration)
+	done := make(chan []loader.Result, 1)
+	go func() { done <- l.Run(ctx, o.Duration) }()
+	v.watch(ctx, o.Duration)
+	var results []loader.Result
+	select {
+	case results = <-done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	counts := verifier.Compare(results, f.targets.Oracle.Executions())
+	v.summarise(ctx, counts)
+	if n := counts.Wrong + counts.Duplicated + counts.FalseNotRun; n > 0 {
+		return errors.Newf("%d requests were answered wrongly: %v", n, counts.Findings)
+	}
+	return nil
+}
--- a/generator/run.go
+++ b/generator/run.go
@@ -5,7 +5,9 @@
 	"fmt"
 
 	"monsoondeck.example/generator/bench"
+	"monsoondeck.example/generator/demo"
 	"monsoondeck.example/generator/load"
+	"monsoondeck.example/generator/report"
 	"monsoondeck.example/logger"
 )
 
@@ -14,14 +16,18 @@
 Commands:
   load    send load to a running fleet and check the answers
   bench   measure a fleet of processes under a scenario
+  report  make a page with plots from the lines of bench
+  demo    show a small fleet at work in one process
 Run monsoonload COMMAND --help for the flags of a command.
 `
 
 // Run runs one command and returns the exit code.
 func Run(args, env []string, streams logger.Streams) int {
 	commands := map[string]func(args, env []string, streams logger.Streams) int{
-		"bench": bench.Run,
-		"load":  load.Run,
+		"bench":  bench.Run,
+		"load":   load.Run,
+		"report": report.Run,
+		"demo":   demo.Run,
 	}
 	if len(args) > 0 {
 		if command, ok := commands[args[0]]; ok {
