Add the chaos command: random faults, planned operations, bounds

A schedule that depends on the seed only plays kills, pauses past the lease, graceful stops, platform outages and slowness, lost answers, broken streams, foreign ids, engine restarts, racing operators and drains. Delays count from the end of the faults that excuse them.

--- /dev/null
+++ b/generator/chaos/chaos.go
@@ -0,0 +1,183 @@
+package chaos
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/generator/deployment"
+	"monsoondeck.example/generator/launcher"
+	"monsoondeck.example/generator/loader"
+)
+
+const (
+	requestDeadline = 15 * time.Second
+	// drainTime is how long open requests may take beyond their deadline after the
+	// load has ended.
+	drainTime = 20 * time.Second
+	// convergeTime is how long the daemons may take to agree at the end.
+	convergeTime = 15 * time.Second
+)
+
+// Check starts a fleet, plays the schedule under load and returns the measures.
+func Check(ctx context.Context, o Options, log io.Writer) ([]Line, error) {
+	d, err := o.deployment()
+	if err != nil {
+		return nil, err
+	}
+	programs, remove, err := launcher.Build(ctx, o.programs(), log)
+	if err != nil {
+		return nil, err
+	}
+	defer remove()
+	processLog := io.Discard
+	if o.Verbose {
+		processLog = log
+	}
+	fleet, stop, err := launcher.New(ctx, launcher.Options{Programs: programs, Deployment: d, Policy: "fleet", Log: processLog})
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	r := &run{options: o, deployment: d, fleet: fleet, log: log}
+	return r.check(ctx)
+}
+
+// run is one run. The slices are filled while the schedule plays.
+type run struct {
+	options    Options
+	deployment deployment.Deployment
+	fleet      *launcher.Fleet
+	log        io.Writer
+	start      time.Time
+
+	mu           sync.Mutex
+	disturbances []span
+	commits      []commit
+	drains       []drain
+	stops        []stop
+	// doubleCommits counts races that both operators won.
+	doubleCommits int
+}
+
+// span is a span of time in which a change may be late.
+type span struct{ from, to time.Time }
+
+// commit is an accepted change.
+type commit struct {
+	version uint64
+	at      time.Time
+}
+
+// drain is the time in which a target must get no new work.
+type drain struct {
+	target   string
+	from, to time.Time
+}
+
+// stop is a graceful stop of a daemon from the signal to its exit.
+type stop struct {
+	router   string // caller address
+	from, to time.Time
+}
+
+func (r *run) check(ctx context.Context) ([]Line, error) {
+	load, cleanup, err := loader.New(loader.Settings{
+		Accounts: r.deployment.Load(r.fleet.Callers(), deployment.Flood{}), Seed: r.options.Seed, Deadline: requestDeadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer cleanup()
+	r.start = time.Now()
+	end := r.start.Add(r.options.Duration)
+	watch := newMonitor(r.fleet)
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	var monitoring sync.WaitGroup
+	monitoring.Go(func() { watch.run(watching) })
+	loading, cancel := context.WithDeadline(ctx, end.Add(requestDeadline+drainTime))
+	defer cancel()
+	done := make(chan []loader.Result, 1)
+	go func() { done <- load.Run(loading, r.options.Duration) }()
+	if err := r.play(ctx); err != nil {
+		return nil, err
+	}
+	results := <-done
+	converged := r.converged(ctx)
+	stopWatching()
+	monitoring.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	record, err := r.fleet.Record(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return r.lines(results, record, watch, converged), nil
+}
+
+// play plays the schedule; events may overlap. It returns when all have ended.
+func (r *run) play(ctx context.Context) error {
+	events := Schedule(r.options.Seed, r.options.Duration, len(r.fleet.Daemons), len(r.deployment.Engines), r.fleet.Linked())
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var all error
+	for _, e := range events {
+		group.Go(func() {
+			if sleep(ctx, time.Until(r.start.Add(e.At))) != nil {
+				return
+			}
+			r.progress("%s %d for %v", e.Kind, e.Subject, e.Length.Round(time.Millisecond))
+			if err := r.act(ctx, e); err != nil && ctx.Err() == nil {
+				mu.Lock()
+				all = errors.CombineErrors(all, errors.Wrapf(err, "%s %d", e.Kind, e.Subject))
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return all
+}
+
+// converged waits until every daemon has the committed configuration.
+func (r *run) converged(ctx context.Context) bool {
+	end := time.Now().Add(convergeTime)
+	for time.Now().Before(end) {
+		agree := true
+		for _, d := range r.fleet.Daemons {
+			s, err := d.Status(ctx)
+			agree = agree && err == nil && s.Ready && s.ConfigVersion == r.fleet.Config().Version() && len(s.Members) >= len(r.fleet.Daemons)
+		}
+		if agree {
+			return true
+		}
+		if sleep(ctx, pollInterval) != nil {
+			return false
+		}
+	}
+	return false
+}
+
+func (r *run) progress(format string, args ...any) {
+	// Progress is not needed for the result.
+	_, _ = fmt.Fprintf(r.log, "chaos %5.1f s: "+format+"\n", append([]any{time.Since(r.start).Seconds()}, args...)...)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/generator/chaos/faults.go
@@ -0,0 +1,141 @@
+package chaos
+
+import (
+	"context"
+	"time"
+
+	"monsoondeck.example/emulator"
+	"monsoondeck.example/emulator/fault"
+	"monsoondeck.example/generator/launcher"
+)
+
+const (
+	// A disturbance ends for the purpose of delays when the poller of a data
+	// centre can have been replaced: probing and suspicion take about 4.3 s from
+	// the fault, and polling and rejoining another second.
+	detection = 6 * time.Second
+	recovery  = 2 * time.Second
+
+	lostAnswers    = 3
+	brokenStreams  = 3
+	breakAfter     = 5 // tokens
+	foreignAnswers = 2
+	slowPlatformMs = 400
+	slowEngine     = 4
+)
+
+// act plays one event to its end.
+func (r *run) act(ctx context.Context, e Event) error {
+	if e.Kind.disturbing() {
+		defer r.disturb(e.Kind, time.Now())
+	}
+	switch e.Kind {
+	case KindKill, KindPause, KindStop:
+		return r.actOnDaemon(ctx, e, r.fleet.Daemons[e.Subject])
+	case KindCut:
+		return during(ctx, e.Length, r.fleet.CutDataCentre, r.fleet.JoinDataCentre)
+	case KindCutOneWay:
+		d := r.fleet.Daemons[e.Subject]
+		return during(ctx, e.Length, d.CutOutgoing, d.JoinOutgoing)
+	case KindPlatformOut:
+		outages := []fault.Outage{fault.OutageRefuse, fault.OutageHang, fault.OutageAbort}
+		begin, end := outages[e.Subject%len(outages)], fault.OutageNone
+		return during(ctx, e.Length, r.platform(fault.Change{Outage: &begin}), r.platform(fault.Change{Outage: &end}))
+	case KindPlatformSlow:
+		slow, normal := slowPlatformMs, 0
+		return during(ctx, e.Length, r.platform(fault.Change{LatencyMs: &slow}), r.platform(fault.Change{LatencyMs: &normal}))
+	case KindRace:
+		return r.race(ctx)
+	case KindDrain:
+		return r.drain(ctx, e)
+	case KindChange:
+		return r.change(ctx)
+	}
+	return r.actOnTarget(ctx, e)
+}
+
+// disturb records a disturbance that began at a time and ends now. A killed
+// daemon disturbs until others have noticed; its successor is not ready before
+// it has the configuration.
+func (r *run) disturb(k Kind, from time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	to := from.Add(detection)
+	if end := time.Now().Add(recovery); k != KindKill && end.After(to) {
+		to = end
+	}
+	r.disturbances = append(r.disturbances, span{from, to})
+}
+
+func during(ctx context.Context, length time.Duration, begin, end func(context.Context) error) error {
+	if err := begin(ctx); err != nil {
+		return err
+	}
+	if err := sleep(ctx, length); err != nil {
+		return err
+	}
+	return end(ctx)
+}
+
+func (r *run) platform(c fault.Change) func(context.Context) error {
+	return func(ctx context.Context) error { return r.fleet.FaultPlatform(ctx, c) }
+}
+
+func (r *run) actOnDaemon(ctx context.Context, e Event, d *launcher.Daemon) error {
+	p := d.Process()
+	switch e.Kind {
+	case KindPause:
+		p.Pause()
+		defer p.Continue()
+		return sleep(ctx, e.Length)
+	case KindKill:
+		p.Kill()
+		if err := sleep(ctx, e.Length); err != nil {
+			return err
+		}
+	case KindStop:
+		s := stop{router: d.Caller, from: time.Now()}
+		p.Terminate()
+		select {
+		case <-p.Done():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		s.to = time.Now()
+		r.mu.Lock()
+		r.stops = append(r.stops, s)
+		r.mu.Unlock()
+	}
+	return d.Start()
+}
+
+func (r *run) actOnTarget(ctx context.Context, e Event) error {
+	engine := r.deployment.Engines[e.Subject].ID
+	some, tokens, factor, normal := lostAnswers, breakAfter, float64(slowEngine), 1.0
+	switch e.Kind {
+	case KindLoseCommits:
+		return r.fleet.Fault(ctx, emulator.KindTable, "", fault.Change{LoseAnswers: &some})
+	case KindLoseAnswers:
+		desk := r.deployment.Services[e.Subject%len(r.deployment.Services)].ID
+		if err := r.fleet.Fault(ctx, emulator.KindService, desk, fault.Change{LoseAnswers: &some}); err != nil {
+			return err
+		}
+		return r.fleet.Fault(ctx, emulator.KindEngine, engine, fault.Change{LoseAnswers: &some})
+	case KindBreakStreams:
+		some = brokenStreams
+		return r.fleet.Fault(ctx, emulator.KindEngine, engine, fault.Change{BreakStreams: &some, BreakAfterTokens: &tokens})
+	case KindForeignIDs:
+		some = foreignAnswers
+		return r.fleet.Fault(ctx, emulator.KindEngine, engine, fault.Change{ForeignIDs: &some})
+	case KindRestart:
+		return r.fleet.Fault(ctx, emulator.KindEngine, engine, fault.Change{Restart: true})
+	case KindSlow:
+		set := func(f *float64) func(context.Context) error {
+			return func(ctx context.Context) error {
+				return r.fleet.Fault(ctx, emulator.KindEngine, engine, fault.Change{Slowdown: f})
+			}
+		}
+		return during(ctx, e.Length, set(&factor), set(&normal))
+	}
+	return nil
+}
--- /dev/null
+++ b/generator/chaos/options.go
@@ -0,0 +1,104 @@
+// Package chaos runs a fleet of real processes under a random schedule of faults
+// and checks its invariants.
+package chaos
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/generator/deployment"
+	"monsoondeck.example/generator/launcher"
+	"monsoondeck.example/logger"
+)
+
+// Exit codes of Run.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// ErrUsage marks options that cannot be used.
+var ErrUsage = errors.New("options are not usable")
+
+// Options of a run.
+type Options struct {
+	Seed       uint64        `arg:"--seed" default:"1" help:"seed of the schedule and of the load"`
+	Duration   time.Duration `arg:"--duration" default:"60s"`
+	Deployment string        `arg:"--deployment" default:"kitakaze" help:"kitakaze or smidsverbond"`
+	Routers    int           `arg:"--routers" default:"8"`
+	Accounts   int           `arg:"--accounts" default:"16"`
+	Targets    int           `arg:"--targets" default:"10"`
+	Daemon     string        `arg:"--monsoond" help:"path of monsoond [default: built]"`
+	Emulator   string        `arg:"--monsoonemu" help:"path of monsoonemu [default: built]"`
+	Fault      string        `arg:"--monsoonfault" help:"path of monsoonfault [default: built]"`
+	Verbose    bool          `arg:"--verbose" help:"show the logs of all processes on stderr"`
+}
+
+// Description is the first line of the usage text.
+func (Options) Description() string {
+	return "chaos runs a fleet under random faults and prints its measures with their bounds as JSON lines; it fails when a bound is broken."
+}
+
+// minDuration leaves time for events between the calm at both ends.
+const minDuration = 20 * time.Second
+
+func (o Options) deployment() (deployment.Deployment, error) {
+	if o.Duration < minDuration {
+		return deployment.Deployment{}, errors.Wrapf(ErrUsage, "duration %v is below %v", o.Duration, minDuration)
+	}
+	d, err := deployment.New(o.Deployment, deployment.Size{Routers: o.Routers, Accounts: o.Accounts, Targets: o.Targets}, o.Seed)
+	return d, errors.Mark(err, ErrUsage)
+}
+
+func (o Options) programs() launcher.Programs {
+	return launcher.Programs{Daemon: o.Daemon, Emulator: o.Emulator, Fault: o.Fault}
+}
+
+// Run makes one run and returns the exit code.
+func Run(args, _ []string, streams logger.Streams) int {
+	var o Options
+	p, err := arg.NewParser(arg.Config{Program: "monsoonload chaos", Out: streams.Err}, &o)
+	if err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	switch err := p.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		p.WriteHelp(streams.Out)
+		return ExitDone
+	case err != nil:
+		return fail(streams, ExitUsage, err)
+	}
+	if _, err := o.deployment(); err != nil {
+		return fail(streams, ExitUsage, err)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	lines, err := Check(ctx, o, streams.Err)
+	if err != nil {
+		return fail(streams, ExitFailed, err)
+	}
+	code := ExitDone
+	e := json.NewEncoder(streams.Out)
+	for _, l := range lines {
+		if err := e.Encode(l); err != nil {
+			return fail(streams, ExitFailed, err)
+		}
+		if !l.OK {
+			code = ExitFailed
+		}
+	}
+	return code
+}
+
+func fail(streams logger.Streams, code int, err error) int {
+	_, _ = fmt.Fprintf(streams.Err, "monsoonload chaos: %v\nRun monsoonload chaos --help for its flags.\n", err)
+	return code
+}
--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -98,7 +98,7 @@
 	address := func(id string) string {
 		return f.Address(emulator.KindEngine, id) + f.Address(emulator.KindService, id)
 	}
-	if err := f.Commit(ctx, f.options.Deployment.Delta(address), "start"); err != nil {
+	if _, err := f.Commit(ctx, f.options.Deployment.Delta(address), "start"); err != nil {
 		return errors.Wrap(err, "commit the configuration")
 	}
 	if err := f.startDaemons(ctx); err != nil {
@@ -146,16 +146,39 @@
 // URL returns the base URL of a stand-in.
 func (f *Fleet) URL(kind, id string) string { return "http://" + f.Address(kind, id) }
 
-// Commit makes a change of the configuration.
-func (f *Fleet) Commit(ctx context.Context, d configurer.Delta, action string) error {
+// Commit makes a change of the configuration that this process knows and
+// returns the new version.
+func (f *Fleet) Commit(ctx context.Context, d configurer.Delta, action string) (uint64, error) {
+	next, _, err := f.Committer.Commit(ctx, f.Config(), d, action)
+	if err != nil {
+		return 0, err
+	}
+	f.adopt(next)
+	return next.Version(), nil
+}
+
+// Reload reads the configuration from the platform.
+func (f *Fleet) Reload(ctx context.Context) error {
+	c, err := f.Committer.Load(ctx)
+	if err != nil {
+		return err
+	}
+	f.adopt(c)
+	return nil
+}
+
+func (f *Fleet) adopt(c configurer.Config) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next, _, err := f.Committer.Commit(ctx, f.config, d, action)
-	f.config = next
-	return err
+	if c.Version() > f.config.Version() {
+		f.config = c
+	}
 }
 
-// Config returns the configuration that was committed last.
+// Linked tells whether the links between daemons can be cut.
+func (f *Fleet) Linked() bool { return f.options.Programs.Fault != "" }
+
+// Config returns the newest configuration that this process knows.
 func (f *Fleet) Config() configurer.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/generator/launcher/links.go
+++ b/generator/launcher/links.go
@@ -1,6 +1,13 @@
 package launcher
 
-import "context"
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrLinks is returned when links must be cut but are not proxied.
+var ErrLinks = errors.New("links between daemons are not proxied")
 
 // links are the proxied links to the peer listeners of the daemons.
 type links struct{}
@@ -11,6 +18,6 @@
 
 func (l *links) close() {}
 
-func (l *links) cut(context.Context) error { return ErrStart }
+func (l *links) cut(context.Context) error { return ErrLinks }
 
-func (l *links) join(context.Context) error { return ErrStart }
+func (l *links) join(context.Context) error { return ErrLinks }
--- a/generator/run.go
+++ b/generator/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"monsoondeck.example/generator/bench"
+	"monsoondeck.example/generator/chaos"
 	"monsoondeck.example/generator/demo"
 	"monsoondeck.example/generator/load"
 	"monsoondeck.example/generator/report"
@@ -16,6 +17,7 @@
 Commands:
   load    send load to a running fleet and check the answers
   bench   measure a fleet of processes under a scenario
+  chaos   check a fleet of processes under random faults
   report  make a page with plots from the lines of bench
   demo    show a small fleet at work in one process
 Run monsoonload COMMAND --help for the flags of a command.
@@ -26,6 +28,7 @@
 	commands := map[string]func(args, env []string, streams logger.Streams) int{
 		"bench":  bench.Run,
 		"load":   load.Run,
+		"chaos":  chaos.Run,
 		"report": report.Run,
 		"demo":   demo.Run,
 	}
