Keep less stack per open stream

A stack shrinks only when less than a quarter of it is in use. The calls below an open stream used more than 4 KB, so its goroutine kept 16 KB. Parsing and request building moved to functions that return before the answer is copied, and reports are passed by pointer.

--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -41,26 +41,32 @@
 // Do sends r to its target and copies the answer to w. After an error with
 // Report.Started the caller must abort the connection, so that the answer
 // cannot look complete.
-func (d *Dispatcher) Do(ctx context.Context, w http.ResponseWriter, r *Request) Report {
-	return d.do(ctx, w, r, false)
+func (d *Dispatcher) Do(ctx context.Context, w http.ResponseWriter, r *Request) *Report {
+	return d.attempt(ctx, w, r).execute()
 }
 
 // Forward sends r, with the caller's own headers, to another router. The
 // outcome in the answer is passed on. r is not repeatable.
-func (d *Dispatcher) Forward(ctx context.Context, w http.ResponseWriter, r *Request) Report {
-	return d.do(ctx, w, r, true)
+func (d *Dispatcher) Forward(ctx context.Context, w http.ResponseWriter, r *Request) *Report {
+	a := d.attempt(ctx, w, r)
+	a.forwarding = true
+	return a.execute()
 }
 
-func (d *Dispatcher) do(ctx context.Context, w http.ResponseWriter, r *Request, forwarding bool) Report {
-	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{d: d, r: r, w: w, control: http.NewResponseController(w), forwarding: forwarding, decided: Complete}
+func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, r *Request) *attempt {
+	a := &attempt{d: d, r: r, w: w, control: http.NewResponseController(w), decided: Complete}
 	a.captured.enabled = r.Capture
+	ctx, cancel := context.WithCancelCause(ctx)
 	a.ctx = ctx
 	a.meter.begin(d.options, r, cancel)
+	return a
+}
+
+func (a *attempt) execute() *Report {
 	err := a.run()
 	a.gate.close()
 	a.meter.end()
-	cancel(nil)
+	a.meter.cancel(nil)
 	return a.report(err)
 }
 
@@ -195,8 +201,8 @@
 	return a.conn != nil || !a.r.Repeatable && a.gate.passed()
 }
 
-func (a *attempt) report(err error) Report {
-	r := Report{
+func (a *attempt) report(err error) *Report {
+	r := &Report{
 		Outcome: a.decided, Sent: a.sent(), Started: a.started, Events: a.events, Status: a.status, Err: err,
 		Refused: errors.Is(err, ErrRefused), FirstToken: a.meter.firstToken(), Interval: a.meter.interval(),
 	}
--- a/router/dispatcher/request.go
+++ b/router/dispatcher/request.go
@@ -28,8 +28,6 @@
 	Body   []byte
 	// Trailer holds the caller's trailers, empty for most requests.
 	Trailer http.Header
-	// Stream is true when the caller asked an engine for an event stream.
-	Stream bool
 	// Repeatable permits pooled connections, replay and stream resume.
 	Repeatable bool
 	// IdempotencyKey is sent under a name that net/http does not act upon.
--- a/router/receiver/forward.go
+++ b/router/receiver/forward.go
@@ -48,7 +48,7 @@
 		p.Authenticate(header)
 	}
 	return &dispatcher.Request{
-		Target: dispatcher.Target{Address: p.Address}, Account: j.account.ID, ID: j.id,
+		Target: dispatcher.Target{Address: p.Address}, Account: j.account, ID: j.id,
 		Method: j.method, URI: j.path, Header: header, Body: j.body, Trailer: j.trailer,
 	}
 }
--- a/router/receiver/job.go
+++ b/router/receiver/job.go
@@ -35,7 +35,7 @@
 // job is one caller's request.
 type job struct {
 	id      string
-	account configurer.Account
+	account string
 	pool    string
 	engine  bool
 	method  string
@@ -43,7 +43,6 @@
 	header  http.Header
 	body    []byte
 	trailer http.Header
-	stream  bool
 	// repeatable permits retries; false if a second run could do harm.
 	repeatable bool
 	key        string
@@ -126,7 +125,6 @@
 // completion holds the fields of a model request that the router reads.
 type completion struct {
 	Model     string          `json:"model"`
-	Stream    bool            `json:"stream"`
 	MaxTokens float64         `json:"max_tokens"`
 	Messages  json.RawMessage `json:"messages"`
 }
@@ -141,7 +139,7 @@
 }
 
 // parse reads the body, finds the pool and checks that the account may use it.
-func (j *job) parse(c configurer.Config) *failure {
+func (j *job) parse(c configurer.Config, account configurer.Account) *failure {
 	kind := configurer.KindService
 	j.estimate = defaultService
 	if j.engine {
@@ -157,7 +155,7 @@
 		}
 		return notRun(http.StatusNotFound, "unknownService", "there is no service "+strconv.Quote(j.pool))
 	}
-	if !j.account.MayUse(j.pool) {
+	if !account.MayUse(j.pool) {
 		return notRun(http.StatusForbidden, "poolNotAllowed", "the account may not use "+strconv.Quote(j.pool))
 	}
 	return nil
@@ -175,7 +173,7 @@
 		return notRun(http.StatusBadRequest, "badRequest", "max_tokens must not be negative")
 	}
 	setDefault(&c.MaxTokens, defaultTokens)
-	j.pool, j.stream = c.Model, c.Stream
+	j.pool = c.Model
 	j.prompt = float64(len(c.Messages)) / bytesPerToken
 	j.estimate = c.MaxTokens + 0.1*j.prompt
 	j.affinity = affinity(c.Messages)
--- a/router/receiver/once.go
+++ b/router/receiver/once.go
@@ -40,18 +40,12 @@
 
 // runOnce runs j, at most once if it has a key or a ticket.
 func (h *Handler) runOnce(ctx context.Context, w http.ResponseWriter, j *job) *failure {
-	var right once
-	switch {
-	case j.ticket != "":
-		right = h.options.Tickets.Redeem(j.account.ID, j.ticket, j.hash())
-	case j.key == "":
+	right, f := h.right(ctx, j)
+	if f != nil {
+		return f
+	}
+	if right == nil {
 		return h.run(ctx, w, j, nil)
-	case h.options.Claims == nil:
-		return verdictFailure(deduplicator.VerdictUnavailable)
-	default:
-		limited, cancel := context.WithDeadline(ctx, j.deadline)
-		defer cancel()
-		right = h.options.Claims.Claim(limited, j.account.ID, j.key, j.hash())
 	}
 	// Without effect after dispatch.
 	defer right.Cancel()
@@ -66,6 +60,21 @@
 	}
 }
 
+// right returns the claim or ticket of j, nil if it may run more than once.
+func (h *Handler) right(ctx context.Context, j *job) (once, *failure) {
+	switch {
+	case j.ticket != "":
+		return h.options.Tickets.Redeem(j.account, j.ticket, j.hash()), nil
+	case j.key == "":
+		return nil, nil
+	case h.options.Claims == nil:
+		return nil, verdictFailure(deduplicator.VerdictUnavailable)
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	return h.options.Claims.Claim(ctx, j.account, j.key, j.hash()), nil
+}
+
 func verdictFailure(v deduplicator.Verdict) *failure {
 	f := &failure{status: http.StatusConflict, outcome: dispatcher.Outcome(v.Outcome())}
 	switch v {
@@ -108,7 +117,7 @@
 	_, _ = w.Write(body)
 }
 
-func answerOf(r dispatcher.Report) *deduplicator.Answer {
+func answerOf(r *dispatcher.Report) *deduplicator.Answer {
 	if r.Answer == nil {
 		return nil
 	}
@@ -121,11 +130,15 @@
 	ExpiresInSeconds int    `json:"expiresInSeconds"`
 }
 
-func (h *Handler) issueTicket(w http.ResponseWriter, account, id string) *failure {
+func (h *Handler) issueTicket(w http.ResponseWriter, r *http.Request, id string) *failure {
+	_, account, f := h.identify(r)
+	if f != nil {
+		return f
+	}
 	if h.options.Tickets == nil {
 		return notRun(http.StatusServiceUnavailable, "noTickets", "this router issues no tickets")
 	}
-	text, lifetime, err := h.options.Tickets.Issue(account)
+	text, lifetime, err := h.options.Tickets.Issue(account.ID)
 	if err != nil {
 		return notRun(http.StatusTooManyRequests, "ticketsFull", "too many open tickets").after(time.Second)
 	}
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -57,9 +57,9 @@
 
 // Dispatcher sends one request to one target and copies the answer.
 type Dispatcher interface {
-	Do(ctx context.Context, w http.ResponseWriter, r *dispatcher.Request) dispatcher.Report
+	Do(ctx context.Context, w http.ResponseWriter, r *dispatcher.Request) *dispatcher.Report
 	// Forward sends a ticketed request to the router that may run it.
-	Forward(ctx context.Context, w http.ResponseWriter, r *dispatcher.Request) dispatcher.Report
+	Forward(ctx context.Context, w http.ResponseWriter, r *dispatcher.Request) *dispatcher.Report
 }
 
 // Handler serves callers.
@@ -159,39 +159,59 @@
 	return a, nil
 }
 
-// serve handles a request up to its reply, or returns the error reply.
+// serve handles a request up to its reply, or returns the error reply. What
+// needs much stack is done by functions that return before the answer is
+// copied, because every open stream keeps the stack of its callers.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, id string) *failure {
+	if r.URL.Path == ticketPath && r.Method == http.MethodPost {
+		return h.issueTicket(w, r, id)
+	}
+	j, release, f := h.prepare(w, r, id)
+	if f != nil {
+		return f
+	}
+	defer release()
+	if j.ticket != "" {
+		if f, done := h.forward(r.Context(), w, j); done {
+			return f
+		}
+	}
+	return h.runOnce(r.Context(), w, j)
+}
+
+// identify finds the configuration in force and the account of the caller.
+func (h *Handler) identify(r *http.Request) (configurer.Config, configurer.Account, *failure) {
 	config, ok := h.options.Configs.Current()
 	if !ok {
-		return notRun(http.StatusServiceUnavailable, "noConfiguration", "the router has no configuration yet").after(time.Second)
+		f := notRun(http.StatusServiceUnavailable, "noConfiguration", "the router has no configuration yet").after(time.Second)
+		return config, configurer.Account{}, f
 	}
 	account, f := authenticate(config, r)
+	return config, account, f
+}
+
+// prepare authenticates, reads and checks a request. The returned function
+// gives the memory of its body back.
+func (h *Handler) prepare(w http.ResponseWriter, r *http.Request, id string) (*job, func(), *failure) {
+	config, account, f := h.identify(r)
 	if f != nil {
-		return f
-	}
-	if r.URL.Path == ticketPath && r.Method == http.MethodPost {
-		return h.issueTicket(w, account.ID, id)
+		return nil, nil, f
 	}
 	j, f := h.route(r)
 	if f != nil {
-		return f
+		return nil, nil, f
 	}
-	j.id, j.account = id, account
+	j.id, j.account = id, account.ID
 	if f := h.readControls(r, j); f != nil {
-		return f
+		return nil, nil, f
 	}
 	release, f := h.readBody(w, r, j)
 	if f != nil {
-		return f
+		return nil, nil, f
 	}
-	defer release()
-	if f := j.parse(config); f != nil {
-		return f
+	if f := j.parse(config, account); f != nil {
+		release()
+		return nil, nil, f
 	}
-	if j.ticket != "" {
-		if f, done := h.forward(r.Context(), w, j); done {
-			return f
-		}
-	}
-	return h.runOnce(r.Context(), w, j)
+	return j, release, nil
 }
--- a/router/receiver/run.go
+++ b/router/receiver/run.go
@@ -17,13 +17,13 @@
 // is nil unless the request must run at most once.
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job, once once) *failure {
 	if h.options.Retries != nil {
-		h.options.Retries.Request(j.account.ID)
+		h.options.Retries.Request(j.account)
 	}
 	var exclude []string
 	// ran is true once an attempt may have run at a target.
 	ran := false
 	for attempt := 1; ; {
-		permit, err := h.options.Waiter.Wait(ctx, j.wait(exclude))
+		permit, err := h.wait(ctx, j, exclude)
 		if err != nil {
 			return waitFailure(err, ran)
 		}
@@ -45,7 +45,7 @@
 	}
 }
 
-func (h *Handler) logAttempt(j *job, p Permit, r dispatcher.Report) {
+func (h *Handler) logAttempt(j *job, p Permit, r *dispatcher.Report) {
 	event := logger.RequestFailed
 	switch {
 	case errors.Is(r.Err, dispatcher.ErrCaller):
@@ -55,26 +55,19 @@
 	case r.Started:
 		event = logger.StreamBroken
 	}
-	logger.Emit(h.options.Logger, event, slog.String("requestId", j.id), slog.String("account", j.account.ID),
+	logger.Emit(h.options.Logger, event, slog.String("requestId", j.id), slog.String("account", j.account),
 		slog.String("target", p.Target().ID), slog.String("outcome", string(r.Outcome)), slog.String("error", r.Err.Error()))
 }
 
-func (j *job) wait(exclude []string) Request {
-	return Request{
-		ID:      j.id,
-		Account: j.account.ID, Pool: j.pool, Estimate: j.estimate, Affinity: j.affinity,
+func (h *Handler) wait(ctx context.Context, j *job, exclude []string) (Permit, error) {
+	return h.options.Waiter.Wait(ctx, Request{
+		Account: j.account, Pool: j.pool, Estimate: j.estimate, Affinity: j.affinity,
 		Deadline: j.deadline, Exclude: exclude, Bytes: int64(cap(j.body)),
-	}
+	})
 }
 
-func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, p Permit, once once) dispatcher.Report {
-	t := p.Target()
-	report := h.options.Dispatcher.Do(ctx, w, &dispatcher.Request{
-		Target:  dispatcher.Target{ID: t.ID, Address: t.Address, Engine: j.engine},
-		Account: j.account.ID, ID: j.id, Method: j.method, URI: j.uri, Header: j.header, Body: j.body,
-		Trailer: j.trailer, Stream: j.stream, Repeatable: j.repeatable, IdempotencyKey: j.key,
-		PromptTokens: j.prompt, Capture: once != nil, BeforeSend: beforeSend(p, j, once), Progress: p.Progress,
-	})
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, j *job, p Permit, once once) *dispatcher.Report {
+	report := h.options.Dispatcher.Do(ctx, w, dispatchRequest(j, p, once))
 	p.Settle(settlement(report))
 	if once != nil && report.Sent {
 		once.Finish(deduplicator.Outcome(report.Outcome), answerOf(report))
@@ -82,6 +75,16 @@
 	return report
 }
 
+func dispatchRequest(j *job, p Permit, once once) *dispatcher.Request {
+	t := p.Target()
+	return &dispatcher.Request{
+		Target:  dispatcher.Target{ID: t.ID, Address: t.Address, Engine: j.engine},
+		Account: j.account, ID: j.id, Method: j.method, URI: j.uri, Header: j.header, Body: j.body,
+		Trailer: j.trailer, Repeatable: j.repeatable, IdempotencyKey: j.key,
+		PromptTokens: j.prompt, Capture: once != nil, BeforeSend: beforeSend(p, j, once), Progress: p.Progress,
+	}
+}
+
 // beforeSend is the last check before the first byte.
 func beforeSend(p Permit, j *job, once once) func() error {
 	return func() error {
@@ -95,7 +98,7 @@
 	}
 }
 
-func settlement(r dispatcher.Report) Settlement {
+func settlement(r *dispatcher.Report) Settlement {
 	s := Settlement{Units: r.Units, FirstToken: r.FirstToken, Interval: r.Interval}
 	switch {
 	case r.Err == nil && r.Outcome == dispatcher.Complete:
@@ -115,14 +118,14 @@
 	return s
 }
 
-func (h *Handler) mayRetry(ctx context.Context, j *job, r dispatcher.Report, attempt int) bool {
+func (h *Handler) mayRetry(ctx context.Context, j *job, r *dispatcher.Report, attempt int) bool {
 	return j.repeatable && !r.Started && attempt < h.options.Attempts && ctx.Err() == nil &&
 		!errors.Is(r.Err, dispatcher.ErrCaller) && time.Now().Before(j.deadline) &&
-		h.options.Retries != nil && h.options.Retries.Allow(j.account.ID)
+		h.options.Retries != nil && h.options.Retries.Allow(j.account)
 }
 
 // finish ends a request whose last attempt failed.
-func finish(w http.ResponseWriter, j *job, r dispatcher.Report, ran bool) *failure {
+func finish(w http.ResponseWriter, j *job, r *dispatcher.Report, ran bool) *failure {
 	f := attemptFailure(r.Err)
 	if ran {
 		f.outcome = dispatcher.Unknown
