Send costs as integers and name grants by id to the daemon that made them

Cause: of 507 bytes of control traffic for each request, more than half were account, target and shard names that the receiver knew and 9-byte floating-point costs. Holdings listed 39 bytes for each grant in use, which would alone exceed 15 KB/s at 600 grants in use.

Ruled out: indices into the configuration instead of names, because daemons may differ in version for a second.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 generate:
-	$(GO) tool go-jsonschema --only-models --min-sized-ints --tags json -t -p messenger --capitalization ID -o messenger/frame.gen.go messenger/schema/frame.json
+	$(GO) tool go-jsonschema --only-models --min-sized-ints --tags json -t -p messenger --capitalization ID,IDs -o messenger/frame.gen.go messenger/schema/frame.json
 	$(GO) run ./messenger/internal/tagger messenger/schema/frame.json messenger/frame.gen.go
 
 lint:
--- a/encoder/bench_test.go
+++ b/encoder/bench_test.go
@@ -25,10 +25,10 @@
 	u := messenger.Probe{Nonce: 1 << 30, Subject: "daemon-018", ConfigVersion: 6400, Digest: 1 << 31}
 	for i := range benchEntries {
 		id := uint64(100_000 + i)
-		d.Entries = append(d.Entries, messenger.DemandEntry{Account: account(i), Waiting: 3, Estimate: 213.4, OldestMs: 45, Seen: id, Affinity: 1 << 60})
-		g.Entries = append(g.Entries, messenger.Grant{ID: id, Account: account(i), Target: target(i), Estimate: 213.4})
-		s.Entries = append(s.Entries, messenger.Settlement{ID: id, Cost: 187, Result: 1, FirstTokenMs: 312, IntervalMs: 31.7, Account: account(i), Target: target(i)})
-		h.Entries = append(h.Entries, messenger.Holding{ID: id, Account: account(i), Target: target(i), Cost: 120})
+		d.Entries = append(d.Entries, messenger.DemandEntry{Account: account(i), Waiting: 3, EstimateTenths: 2134, Seen: id, Affinity: 1 << 60})
+		g.Entries = append(g.Entries, messenger.Grant{ID: id, Account: account(i), Target: target(i)})
+		s.Entries = append(s.Entries, messenger.Settlement{ID: id, CostTenths: 1870, Result: 1, FirstTokenMs: 312, IntervalUs: 31700})
+		h.Entries = append(h.Entries, messenger.Holding{ID: id, Account: account(i), Target: target(i), CostTenths: 1200})
 		r.Entries = append(r.Entries, messenger.ServiceEntry{Account: account(i), Cumulative: 123456.5, Included: 120000, Known: 3456789})
 		u.Updates = append(u.Updates, messenger.MemberUpdate{ID: "daemon-018", Address: "10.20.30.40:7000", DataCentre: "sapporo-1", Incarnation: 1<<62 + 12345})
 	}
--- a/encoder/encoder_test.go
+++ b/encoder/encoder_test.go
@@ -43,8 +43,8 @@
 	push := func(n int) messenger.Frame {
 		return messenger.Frame{ConfigPushes: []messenger.ConfigPush{{Body: strings.Repeat("x", n)}}}
 	}
-	demand := func(v float64) messenger.Frame {
-		return messenger.Frame{Demands: []messenger.Demand{{Entries: []messenger.DemandEntry{{Estimate: v}}}}}
+	service := func(v float64) messenger.Frame {
+		return messenger.Frame{ServiceReports: []messenger.ServiceReport{{Entries: []messenger.ServiceEntry{{Cumulative: v}}}}}
 	}
 	for name, c := range map[string]struct {
 		frame messenger.Frame
@@ -52,8 +52,8 @@
 	}{
 		"fits":         {push(MaxBytes - 200), nil},
 		"too long":     {push(MaxBytes), ErrTooLarge},
-		"not a number": {demand(math.NaN()), ErrMalformed},
-		"infinite":     {demand(math.Inf(1)), ErrMalformed},
+		"not a number": {service(math.NaN()), ErrMalformed},
+		"infinite":     {service(math.Inf(1)), ErrMalformed},
 	} {
 		if _, err := e.Encode(c.frame); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v", name, err)
@@ -75,7 +75,7 @@
 		}
 		return b
 	}
-	infinite := messenger.Frame{Version: Version, Demands: []messenger.Demand{{Entries: []messenger.DemandEntry{{Estimate: math.Inf(1)}}}}}
+	infinite := messenger.Frame{Version: Version, ServiceReports: []messenger.ServiceReport{{Entries: []messenger.ServiceEntry{{Cumulative: math.Inf(1)}}}}}
 	other := probeSample()
 	other.Version = Version + 1
 	for name, c := range map[string]struct {
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -42,16 +42,13 @@
 	Account string `json:"account" cbor:"1,keyasint,omitempty"`
 
 	// Prompt prefix hash of the first waiting request; 0 is none.
-	Affinity uint64 `json:"affinity" cbor:"6,keyasint,omitempty"`
+	Affinity uint64 `json:"affinity" cbor:"5,keyasint,omitempty"`
 
-	// Mean estimated cost of the waiting requests, in units.
-	Estimate float64 `json:"estimate" cbor:"3,keyasint,omitempty"`
-
-	// Age of the oldest waiting request, in milliseconds.
-	OldestMs uint64 `json:"oldestMs" cbor:"4,keyasint,omitempty"`
+	// Mean estimated cost of the waiting requests, in tenths of a unit.
+	EstimateTenths uint64 `json:"estimateTenths" cbor:"3,keyasint,omitempty"`
 
 	// Largest grant id of this shard and epoch received for the account.
-	Seen uint64 `json:"seen" cbor:"5,keyasint,omitempty"`
+	Seen uint64 `json:"seen" cbor:"4,keyasint,omitempty"`
 
 	// Requests waiting.
 	Waiting uint64 `json:"waiting" cbor:"2,keyasint,omitempty"`
@@ -114,9 +111,6 @@
 	// Client account.
 	Account string `json:"account" cbor:"2,keyasint,omitempty"`
 
-	// Units charged in advance.
-	Estimate float64 `json:"estimate" cbor:"4,keyasint,omitempty"`
-
 	// Increasing per shard and epoch.
 	ID uint64 `json:"id" cbor:"1,keyasint,omitempty"`
 
@@ -138,27 +132,31 @@
 
 // Holding is a grant in use.
 type Holding struct {
-	// Client account.
+	// Client account; empty when the receiver made the grant.
 	Account string `json:"account" cbor:"2,keyasint,omitempty"`
 
-	// Units used so far.
-	Cost float64 `json:"cost" cbor:"4,keyasint,omitempty"`
+	// Tenths of a unit used so far.
+	CostTenths uint64 `json:"costTenths" cbor:"4,keyasint,omitempty"`
 
 	// Grant id.
 	ID uint64 `json:"id" cbor:"1,keyasint,omitempty"`
 
-	// Target.
+	// Target of the grant; empty when the receiver made the grant.
 	Target string `json:"target" cbor:"3,keyasint,omitempty"`
 }
 
-// Holdings lists every grant of one shard that the sender holds, with progress.
+// Holdings lists every grant of one shard that the sender holds.
 type Holdings struct {
-	// Grants in use.
+	// Grants whose cost is above what the receiver knows, and grants that the
+	// receiver did not make.
 	Entries []Holding `json:"entries,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
 	// Epoch of the listed grants.
 	Epoch uint64 `json:"epoch" cbor:"2,keyasint,omitempty"`
 
+	// Ids of all other grants in use: the smallest, then the differences.
+	IDs []uint64 `json:"ids,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
+
 	// Shard key.
 	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
@@ -300,11 +298,11 @@
 
 // Settlement ends a grant.
 type Settlement struct {
-	// Client account; lets a new epoch charge an old grant.
+	// Client account; empty when the receiver made the grant.
 	Account string `json:"account" cbor:"6,keyasint,omitempty"`
 
-	// Units used; 0 for a grant that was returned unused.
-	Cost float64 `json:"cost" cbor:"2,keyasint,omitempty"`
+	// Tenths of a unit used; 0 for a grant that was returned unused.
+	CostTenths uint64 `json:"costTenths" cbor:"2,keyasint,omitempty"`
 
 	// Time to the first byte of the answer, in milliseconds.
 	FirstTokenMs uint64 `json:"firstTokenMs" cbor:"4,keyasint,omitempty"`
@@ -312,13 +310,13 @@
 	// Grant id.
 	ID uint64 `json:"id" cbor:"1,keyasint,omitempty"`
 
-	// Mean time between tokens, in milliseconds; 0 is unknown.
-	IntervalMs float64 `json:"intervalMs" cbor:"5,keyasint,omitempty"`
+	// Mean time between tokens, in microseconds; 0 is unknown.
+	IntervalUs uint64 `json:"intervalUs" cbor:"5,keyasint,omitempty"`
 
 	// 0 unused, 1 complete, 2 refused, 3 failed, 4 cancelled.
 	Result uint64 `json:"result" cbor:"3,keyasint,omitempty"`
 
-	// Target of the grant.
+	// Target of the grant; empty when the receiver made the grant.
 	Target string `json:"target" cbor:"7,keyasint,omitempty"`
 }
 
--- a/router/controller/demand.go
+++ b/router/controller/demand.go
@@ -130,9 +130,8 @@
 	entry := messenger.DemandEntry{Account: account, Waiting: uint64(actual), Seen: l.seen[account]}
 	for _, pool := range s.Pools {
 		if q := c.queues[queueKey{pool, account}]; q != nil && len(q.waiters) > 0 {
-			entry.Estimate = q.estimate()
+			entry.EstimateTenths = tenths(q.estimate())
 			entry.Affinity = q.waiters[0].request.Affinity
-			entry.OldestMs = uint64((c.now() - q.waiters[0].enqueued) / time.Millisecond)
 		}
 	}
 	d.Entries = append(d.Entries, entry)
--- a/router/controller/grants.go
+++ b/router/controller/grants.go
@@ -1,9 +1,6 @@
 package controller
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"monsoondeck.example/messenger"
@@ -89,70 +86,3 @@
 		c.settle(g.Shard, from, g.Epoch, messenger.Settlement{ID: entry.ID, Account: entry.Account, Target: entry.Target})
 	}
 }
-
-// holdingsKey groups held grants by shard and epoch.
-type holdingsKey struct {
-	shard string
-	epoch uint64
-}
-
-// reportHoldings tells every shard owner which grants are in use. An owner
-// that gets an empty list knows that this daemon holds nothing.
-func (c *Controller) reportHoldings() {
-	lists := c.holdings()
-	for key, s := range c.locator.Shards() {
-		if l := c.links[key]; l != nil && l.epoch != 0 && l.owner == s.Owner {
-			k := holdingsKey{key, l.epoch}
-			if lists[k] == nil && len(l.seen) > 0 {
-				lists[k] = &messenger.Holdings{Shard: key, Epoch: l.epoch}
-			}
-		}
-	}
-	for _, k := range sortedHoldings(lists) {
-		s, ok := c.locator.Shard(k.shard)
-		if !ok {
-			continue
-		}
-		list := lists[k]
-		c.send(s.Owner, func(f *messenger.Frame) { f.Holdings = append(f.Holdings, *list) })
-	}
-}
-
-func (c *Controller) holdings() map[holdingsKey]*messenger.Holdings {
-	lists := map[holdingsKey]*messenger.Holdings{}
-	for _, key := range slices.Sorted(maps.Keys(c.held)) {
-		p := c.held[key]
-		k := holdingsKey{p.shard, p.epoch}
-		if lists[k] == nil {
-			lists[k] = &messenger.Holdings{Shard: p.shard, Epoch: p.epoch}
-		}
-		lists[k].Entries = append(lists[k].Entries, messenger.Holding{
-			ID: p.id, Account: p.account, Target: p.target.ID, Cost: p.used(),
-		})
-	}
-	return lists
-}
-
-// announceHoldings reports to the new owner of a shard at once, because the
-// owner waits for it before it grants. An empty list counts as a report.
-func (c *Controller) announceHoldings(s locator.Shard) {
-	sent := false
-	lists := c.holdings()
-	for _, k := range sortedHoldings(lists) {
-		if k.shard == s.Key {
-			sent = true
-			list := lists[k]
-			c.send(s.Owner, func(f *messenger.Frame) { f.Holdings = append(f.Holdings, *list) })
-		}
-	}
-	if !sent {
-		c.send(s.Owner, func(f *messenger.Frame) { f.Holdings = append(f.Holdings, messenger.Holdings{Shard: s.Key}) })
-	}
-}
-
-// sortedHoldings orders lists, so that the same events lead to the same messages.
-func sortedHoldings(lists map[holdingsKey]*messenger.Holdings) []holdingsKey {
-	return slices.SortedFunc(maps.Keys(lists), func(a, b holdingsKey) int {
-		return cmp.Or(cmp.Compare(a.shard, b.shard), cmp.Compare(a.epoch, b.epoch))
-	})
-}
--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -21,8 +21,19 @@
 	scheduler *scheduler.Scheduler
 	// limits has one entry for each target of shard.
 	limits map[string]*targetLimit
+	// issued holds the grants of this epoch that have not been settled.
+	issued map[uint64]issuedGrant
 }
 
+// issuedGrant lets members name a grant by its id alone.
+type issuedGrant struct {
+	account, target string
+	at              time.Duration
+}
+
+// issuedRetention exceeds the longest request.
+const issuedRetention = time.Hour
+
 // targetLimit is what the owner has learnt about one target.
 type targetLimit struct {
 	concurrency *limiter.Concurrency
@@ -32,12 +43,13 @@
 	ejected     bool
 }
 
-// acquire starts to schedule a shard. The epoch differs from those of earlier
-// owners, because incarnations are start times in microseconds.
+// acquire starts to schedule a shard. The epoch identifies this ownership: its
+// low bits of a start time in microseconds collide with those of an earlier
+// owner once in four billion times.
 func (c *Controller) acquire(s locator.Shard, now time.Duration) {
 	c.epochs++
-	epoch := c.options.Self.Incarnation + c.epochs
-	o := &ownedShard{shard: s, epoch: epoch, limits: map[string]*targetLimit{}}
+	epoch := uint64(uint32(c.options.Self.Incarnation + c.epochs))
+	o := &ownedShard{shard: s, epoch: epoch, limits: map[string]*targetLimit{}, issued: map[uint64]issuedGrant{}}
 	o.scheduler = scheduler.New(scheduler.Settings{
 		Epoch:         epoch,
 		Lease:         c.options.Timing.Lease,
@@ -117,6 +129,7 @@
 func (c *Controller) scheduleOwned(now time.Duration) {
 	for _, key := range c.shardNames() {
 		o := c.owned[key]
+		o.forgetIssued(now)
 		c.applyLimits(o, now)
 		c.sendGrants(o, now)
 	}
@@ -131,7 +144,8 @@
 			list = &messenger.Grants{Shard: o.shard.Key, Epoch: o.epoch}
 			lists[g.Member] = list
 		}
-		list.Entries = append(list.Entries, messenger.Grant{ID: g.ID, Account: g.Account, Target: g.Target, Estimate: g.Estimate})
+		list.Entries = append(list.Entries, messenger.Grant{ID: g.ID, Account: g.Account, Target: g.Target})
+		o.issued[g.ID] = issuedGrant{g.Account, g.Target, now}
 		if l := o.limits[g.Target]; l != nil {
 			l.inFlight++
 		}
@@ -141,6 +155,21 @@
 	}
 }
 
+// resolve names the client account and the target of a grant that a member
+// gives by its id alone.
+func (o *ownedShard) resolve(epoch, id uint64, account, target string) (string, string) {
+	if account != "" || epoch != o.epoch {
+		return account, target
+	}
+	g := o.issued[id]
+	return g.account, g.target
+}
+
+// forgetIssued drops grants whose holder has gone without settling them.
+func (o *ownedShard) forgetIssued(now time.Duration) {
+	maps.DeleteFunc(o.issued, func(_ uint64, g issuedGrant) bool { return now-g.at > issuedRetention })
+}
+
 func (c *Controller) handleDemand(from string, d messenger.Demand, now time.Duration) {
 	o := c.owned[d.Shard]
 	if o == nil {
@@ -152,7 +181,7 @@
 		if !ok {
 			continue
 		}
-		demand := scheduler.Demand{Account: e.Account, Weight: account.Share, Waiting: int(e.Waiting), Estimate: e.Estimate, Affinity: e.Affinity}
+		demand := scheduler.Demand{Account: e.Account, Weight: account.Share, Waiting: int(e.Waiting), Estimate: unitsOf(e.EstimateTenths), Affinity: e.Affinity}
 		if d.Epoch == o.epoch {
 			demand.Seen = e.Seen
 		}
@@ -162,19 +191,6 @@
 	c.sendGrants(o, now)
 }
 
-func (c *Controller) handleHoldings(from string, h messenger.Holdings, now time.Duration) {
-	o := c.owned[h.Shard]
-	if o == nil {
-		return
-	}
-	holdings := make([]scheduler.Holding, 0, len(h.Entries))
-	for _, e := range h.Entries {
-		holdings = append(holdings, scheduler.Holding{ID: e.ID, Account: e.Account, Target: e.Target, Cost: e.Cost})
-	}
-	o.scheduler.SetHoldings(now, from, h.Epoch, holdings)
-	c.sendGrants(o, now)
-}
-
 func (c *Controller) handleSettlements(from string, s messenger.Settlements, now time.Duration) {
 	o := c.owned[s.Shard]
 	if o == nil {
@@ -182,7 +198,14 @@
 	}
 	settlements := make([]scheduler.Settlement, 0, len(s.Entries))
 	for _, e := range s.Entries {
-		settlements = append(settlements, scheduler.Settlement{ID: e.ID, Account: e.Account, Target: e.Target, Cost: e.Cost})
+		e.Account, e.Target = o.resolve(s.Epoch, e.ID, e.Account, e.Target)
+		if e.Account == "" {
+			continue // settled before
+		}
+		settlements = append(settlements, scheduler.Settlement{ID: e.ID, Account: e.Account, Target: e.Target, Cost: unitsOf(e.CostTenths)})
+		if s.Epoch == o.epoch {
+			delete(o.issued, e.ID)
+		}
 		c.observe(o, s.Epoch, e, now)
 	}
 	o.scheduler.Settle(now, from, s.Epoch, settlements)
@@ -200,7 +223,7 @@
 		InFlight:   l.inFlight,
 		Result:     limiter.Result(e.Result),
 		FirstToken: time.Duration(e.FirstTokenMs) * time.Millisecond,
-		Interval:   time.Duration(e.IntervalMs * float64(time.Millisecond)),
+		Interval:   time.Duration(e.IntervalUs) * time.Microsecond,
 	})
 	if epoch == o.epoch {
 		l.inFlight = max(l.inFlight-1, 0)
--- a/router/controller/permit.go
+++ b/router/controller/permit.go
@@ -23,8 +23,11 @@
 	// expires is a monotonic time, so that a pause of the process uses it up.
 	expires time.Duration
 	// units holds the bits of a float64: units used so far.
-	units   atomic.Uint64
-	settled atomic.Bool
+	units atomic.Uint64
+	// reported is the cost in tenths of a unit that the owner was last told. It
+	// belongs to the control goroutine.
+	reported uint64
+	settled  atomic.Bool
 }
 
 // key identifies the grant among those of all shards and epochs.
@@ -73,17 +76,29 @@
 		ID:           m.permit.id,
 		Account:      m.permit.account,
 		Target:       m.permit.target.ID,
-		Cost:         m.settlement.Units,
+		CostTenths:   tenths(m.settlement.Units),
 		Result:       uint64(m.settlement.Result),
 		FirstTokenMs: uint64(m.settlement.FirstToken / time.Millisecond),
-		IntervalMs:   float64(m.settlement.Interval) / float64(time.Millisecond),
+		IntervalUs:   uint64(m.settlement.Interval / time.Microsecond),
 	})
 }
 
 // settle tells the granting daemon and, if the shard has moved, its present
 // owner, which must charge the client account too.
 func (c *Controller) settle(shard, owner string, epoch uint64, s messenger.Settlement) {
-	add := func(f *messenger.Frame) {
+	toIssuer := s
+	if l := c.links[shard]; l != nil && l.owner == owner && l.epoch == epoch {
+		toIssuer.Account, toIssuer.Target = "", ""
+	}
+	c.send(owner, addSettlement(shard, epoch, toIssuer))
+	if current, ok := c.locator.Shard(shard); ok && current.Owner != owner {
+		c.send(current.Owner, addSettlement(shard, epoch, s))
+	}
+}
+
+// addSettlement adds a settlement to the list of its shard and epoch.
+func addSettlement(shard string, epoch uint64, s messenger.Settlement) func(f *messenger.Frame) {
+	return func(f *messenger.Frame) {
 		for i := range f.Settlements {
 			if f.Settlements[i].Shard == shard && f.Settlements[i].Epoch == epoch {
 				f.Settlements[i].Entries = append(f.Settlements[i].Entries, s)
@@ -92,8 +107,12 @@
 		}
 		f.Settlements = append(f.Settlements, messenger.Settlements{Shard: shard, Epoch: epoch, Entries: []messenger.Settlement{s}})
 	}
-	c.send(owner, add)
-	if current, ok := c.locator.Shard(shard); ok && current.Owner != owner {
-		c.send(current.Owner, add)
-	}
 }
+
+// tenthsPerUnit is the resolution of costs in messages: a prompt token costs a
+// tenth of a unit.
+const tenthsPerUnit = 10
+
+func tenths(units float64) uint64 { return uint64(math.Round(max(units, 0) * tenthsPerUnit)) }
+
+func unitsOf(tenths uint64) float64 { return float64(tenths) / tenthsPerUnit }
--- a/router/locator/locator.go
+++ b/router/locator/locator.go
@@ -44,8 +44,10 @@
 
 // Shard is a set of targets of the same pools that one daemon schedules.
 type Shard struct {
-	// Key is unique in the fleet and depends on the configuration only.
+	// Key is unique in the fleet and depends on Name only.
 	Key string
+	// Name is "pools/dataCentre/number".
+	Name string
 	// Pools is sorted; every target of the shard serves all of them.
 	Pools      []string
 	DataCentre string
--- a/router/locator/split.go
+++ b/router/locator/split.go
@@ -50,9 +50,11 @@
 		if len(part) == 0 {
 			continue
 		}
+		name := p.pools + "/" + p.dataCentre + "/" + strconv.Itoa(k)
 		slices.SortFunc(part, func(a, b configurer.Target) int { return strings.Compare(a.ID, b.ID) })
 		shards = append(shards, Shard{
-			Key:        p.pools + "/" + p.dataCentre + "/" + strconv.Itoa(k),
+			Key:        shortKey(name),
+			Name:       name,
 			Pools:      strings.Split(p.pools, poolSeparator),
 			DataCentre: p.dataCentre,
 			Targets:    part,
@@ -60,3 +62,9 @@
 	}
 	return shards
 }
+
+// shortKey derives the key that messages carry from the name of a shard. With
+// 400 shards, two have the same 40-bit key once in ten million configurations.
+func shortKey(name string) string {
+	return strconv.FormatUint(xxhash.Sum64String(name)>>24, 36)
+}
