Leave the sender out of frames

Cause: every frame repeated the name and incarnation that the handshake had proved. Change: the receiver fills them in from the connection; a frame that names another sender is still rejected.

--- a/connector/link.go
+++ b/connector/link.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 
 	"monsoondeck.example/encoder"
+	"monsoondeck.example/messenger"
 )
 
 // reasonDuplicate is the close reason of the connection that gives way when two
@@ -82,11 +83,21 @@
 	p.detach(l)
 }
 
+// identify fills in the sender that the peer proved at the handshake. A frame
+// that names another one is rejected with ErrUnauthenticated.
+func (l *link) identify(f *messenger.Frame) error {
+	if f.Sender != "" && f.Sender != l.id || f.Incarnation != 0 && f.Incarnation != l.incarnation {
+		return errors.Wrapf(ErrUnauthenticated, "frame of %q", f.Sender)
+	}
+	f.Sender, f.Incarnation = l.id, l.incarnation
+	return nil
+}
+
 // deliver decodes a frame and passes it on; it reports whether to continue.
 func (h *Hub) deliver(l *link, b []byte) bool {
 	f, err := h.encoder.Decode(b)
-	if err == nil && (f.Sender != l.id || f.Incarnation != l.incarnation) {
-		err = errors.Wrapf(ErrUnauthenticated, "frame of %q", f.Sender)
+	if err == nil {
+		err = l.identify(f)
 	}
 	if err != nil {
 		h.counters.rejected.Add(1)
--- a/connector/peer.go
+++ b/connector/peer.go
@@ -104,7 +104,9 @@
 // write encodes and sends a frame, in parts if it is too large.
 func (p *peer) write(l *link, f *messenger.Frame) {
 	h := p.hub
-	f.Sender, f.Incarnation = h.options.Self, h.options.Incarnation
+	// The handshake has told the receiver who sends; the names would be a fifth
+	// of the control traffic.
+	f.Sender, f.Incarnation = "", 0
 	l.sequence++
 	f.Sequence = l.sequence
 	b, err := h.encoder.Encode(*f)
