--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -23,12 +23,17 @@
 	ctx     context.Context
 	meter   meter
 	// conn carries the current exchange; nil while no byte can have been sent.
-	conn     net.Conn
-	gate     gate
-	started  bool
-	events   bool
+	conn    net.Conn
+	gate    gate
+	started bool
+	events  bool
+	// forwarding is true when the receiving end is another router.
+	forwarding bool
+	// decided is the outcome of an answer that was passed on whole.
+	decided  Outcome
 	status   int
 	captured capture
+	stream   streamIdentity
 	// lastDeadline is when the write deadline was last moved.
 	lastDeadline time.Time
 }
@@ -36,16 +41,32 @@
 // Do sends r to its target and copies the answer to w. After an error with
 // Report.Started the caller must abort the connection, so that the answer
 // cannot look complete.
-func (d *Dispatcher) Do(ctx context.Context, w http.ResponseWriter, r *Request) Report {
-	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{d: d, r: r, w: w, control: http.NewResponseController(w)}
+func (d *Dispatcher) Do(ctx context.Context, w http.ResponseWriter, r *Request) *Report {
+	return d.attempt(ctx, w, r).execute()
+}
+
+// Forward sends r, with the caller's own headers, to another router. The
+// outcome in the answer is passed on. r is not repeatable.
+func (d *Dispatcher) Forward(ctx context.Context, w http.ResponseWriter, r *Request) *Report {
+	a := d.attempt(ctx, w, r)
+	a.forwarding = true
+	return a.execute()
+}
+
+func (d *Dispatcher) attempt(ctx context.Context, w http.ResponseWriter, r *Request) *attempt {
+	a := &attempt{d: d, r: r, w: w, control: http.NewResponseController(w), decided: Complete}
 	a.captured.enabled = r.Capture
+	ctx, cancel := context.WithCancelCause(ctx)
 	a.ctx = ctx
 	a.meter.begin(d.options, r, cancel)
+	return a
+}
+
+func (a *attempt) execute() *Report {
 	err := a.run()
 	a.gate.close()
 	a.meter.end()
-	cancel(nil)
+	a.meter.cancel(nil)
 	return a.report(err)
 }
 
@@ -81,7 +102,10 @@
 // send performs one exchange up to the headers of the answer and checks that
 // the answer belongs to it.
 func (a *attempt) send(extra http.Header) (*http.Response, error) {
-	id := a.d.prefix + strconv.FormatUint(a.d.sequence.Add(1), 10)
+	id := a.r.ID
+	if !a.forwarding {
+		id = a.d.prefix + strconv.FormatUint(a.d.sequence.Add(1), 10)
+	}
 	req, err := a.request(id, extra)
 	if err != nil {
 		return nil, err
@@ -104,7 +128,9 @@
 		closing := a.conn.Close()
 		return nil, errors.WithSecondaryError(a.discard(res, ErrWrongAnswer), closing)
 	}
-	a.meter.lastID = id
+	if a.stream.request == "" {
+		a.stream.request = id
+	}
 	return res, nil
 }
 
@@ -119,7 +145,7 @@
 	})
 	req := &http.Request{
 		Method: a.r.Method, URL: u, Host: u.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: a.d.requestHeader(a.r, id),
+		Header: a.requestHeader(id),
 	}
 	for k, v := range extra {
 		req.Header[k] = v
@@ -175,9 +201,9 @@
 	return a.conn != nil || !a.r.Repeatable && a.gate.passed()
 }
 
-func (a *attempt) report(err error) Report {
-	r := Report{
-		Outcome: Complete, Sent: a.sent(), Started: a.started, Events: a.events, Status: a.status, Err: err,
+func (a *attempt) report(err error) *Report {
+	r := &Report{
+		Outcome: a.decided, Sent: a.sent(), Started: a.started, Events: a.events, Status: a.status, Err: err,
 		Refused: errors.Is(err, ErrRefused), FirstToken: a.meter.firstToken(), Interval: a.meter.interval(),
 	}
 	switch {
@@ -185,9 +211,6 @@
 		r.Outcome = NotRun
 	case err != nil:
 		r.Outcome = Unknown
-	case a.status >= http.StatusInternalServerError:
-		// The target failed; whether the request took effect is not known.
-		r.Outcome = Unknown
 	}
 	if r.Outcome != NotRun {
 		r.Units = a.meter.units()
--- a/router/dispatcher/events.go
+++ b/router/dispatcher/events.go
@@ -33,8 +33,7 @@
 // break before that is resumed if the request permits it.
 func (a *attempt) copyEvents(res *http.Response) error {
 	s := &eventSplitter{buffer: make([]byte, 0, eventBuffer)}
-	resumes := 0
-	for {
+	for resumes := 0; ; resumes++ {
 		done, err := a.copySome(res, s)
 		if done {
 			defer a.drain(res)
@@ -44,12 +43,10 @@
 		if !a.resumable(err, resumes) {
 			return err
 		}
-		resumes++
-		next, failure := a.resume()
+		next, failure := a.resume(resumes)
 		if failure != nil {
 			return errors.WithSecondaryError(err, failure)
 		}
-		a.d.stats.resumed.Add(1)
 		s.reset()
 		res = next
 	}
@@ -73,6 +70,9 @@
 	now := time.Now()
 	data := eventData(event)
 	done := bytes.Equal(data, doneValue)
+	if err := a.stream.check(data, done); err != nil {
+		return false, err
+	}
 	tokens := int64(0)
 	if !done && len(data) > 0 {
 		a.meter.readUsage(data)
@@ -84,15 +84,21 @@
 	if !a.started {
 		a.beginStream(res)
 	}
+	a.captured.write(event)
 	return done, a.writeFlush(event)
 }
 
 // finishEvents writes the outcome as the last event, after [DONE], where
 // clients that know only the engine's protocol no longer read.
 func (a *attempt) finishEvents() error {
-	a.endStream(http.StatusOK)
-	event := append([]byte(`event: outcome`+"\n"+`data: {"outcome":"complete","requestId":`), strconv.Quote(a.r.ID)...)
-	return a.writeFlush(append(event, "}\n\n"...))
+	a.w.Header().Set(HeaderOutcome, string(Complete))
+	return a.writeFlush(OutcomeEvent(a.r.ID))
+}
+
+// OutcomeEvent is the last event of a complete stream.
+func OutcomeEvent(id string) []byte {
+	// Request ids are visible ASCII, so that Quote writes valid JSON.
+	return []byte("event: outcome\ndata: {\"outcome\":\"complete\",\"requestId\":" + strconv.Quote(id) + "}\n\n")
 }
 
 // drain reads the end of the body. Its errors do not matter after [DONE].
