Report a missing configuration as an error; end prompts on interrupt

Cause: Load returned the empty configuration without an error when nothing had been committed; a caller could put it in force, so that a daemon would answer callers with refusals instead of 503. An interrupt did not end a prompt, because the tool catches the signal and the read goes on. Change: Load returns ErrNoConfig; Confirm also ends with its context.

--- a/operator/account/keyrotator/keyrotator.go
+++ b/operator/account/keyrotator/keyrotator.go
@@ -39,7 +39,7 @@
 	if account, err = o.withoutOld(s, account); err != nil {
 		return err
 	}
-	if err := s.Confirm("Callers with these keys will be refused.", o.Yes); err != nil {
+	if err := s.Confirm(ctx, "Callers with these keys will be refused.", o.Yes); err != nil {
 		return err
 	}
 	return keymaker.Commit(ctx, s, store, config, account, action, o.Flags)
--- a/operator/session/session.go
+++ b/operator/session/session.go
@@ -64,7 +64,7 @@
 }
 
 // Confirm asks whether to go on. Without a terminal it refuses unless yes is set.
-func (s *Session) Confirm(question string, yes bool) error {
+func (s *Session) Confirm(ctx context.Context, question string, yes bool) error {
 	if yes {
 		return nil
 	}
@@ -72,11 +72,19 @@
 		return failure.Usage("this needs confirmation, and there is no terminal to ask on", "Check what is listed above, then add --yes.")
 	}
 	_, _ = fmt.Fprintf(s.Streams.Err, "%s Type yes to go on: ", question)
-	answer, _ := bufio.NewReader(s.Streams.In).ReadString('\n') // an empty answer is no
-	if strings.TrimSpace(answer) != "yes" {
-		return failure.New(failure.CodeFailed, "not confirmed, nothing was changed", "Run the command again and type yes.")
+	answers := make(chan string, 1)
+	go func() { // a read from a terminal cannot be interrupted
+		answer, _ := bufio.NewReader(s.Streams.In).ReadString('\n') // an empty answer is no
+		answers <- strings.TrimSpace(answer)
+	}()
+	select {
+	case <-ctx.Done():
+	case answer := <-answers:
+		if answer == "yes" {
+			return nil
+		}
 	}
-	return nil
+	return failure.New(failure.CodeFailed, "not confirmed, nothing was changed", "Run the command again and type yes.")
 }
 
 // Commit commits a change in the name of the operator.
--- a/operator/session/signin.go
+++ b/operator/session/signin.go
@@ -18,7 +18,8 @@
 
 // SignIn loads the configuration and checks the operator's key against it.
 // Commands that change something need editor. An attempt that is refused is
-// noted in the audit trail under the action.
+// noted in the audit trail under the action. Before the first sheet it returns
+// the store, the empty configuration and committer.ErrNoConfig.
 func (s *Session) SignIn(ctx context.Context, editor bool, action string) (Store, configurer.Config, error) {
 	store, err := s.Factory.Store()
 	if err != nil {
@@ -28,12 +29,12 @@
 		return nil, configurer.Config{}, err
 	}
 	config, err := store.Load(ctx)
+	if errors.Is(err, committer.ErrNoConfig) {
+		return store, config, errors.Mark(failure.New(failure.CodeFailed, err.Error(), "Apply a first sheet with 'sheet apply FILE'."), err)
+	}
 	if err != nil {
 		return nil, config, err
 	}
-	if config.Version() == 0 {
-		return store, config, failure.New(failure.CodeFailed, "there is no configuration yet", "Apply a first sheet with 'sheet apply FILE'.")
-	}
 	if err := s.Permit(config, editor); err != nil {
 		store.Note(ctx, committer.Record{
 			Author: s.Settings.Operator, Action: action, From: config.Version(), To: config.Version(), Result: committer.ResultRefused,
--- a/operator/sheet/applier/applier.go
+++ b/operator/sheet/applier/applier.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/operator/failure"
 	"monsoondeck.example/operator/printer"
@@ -14,6 +16,7 @@
 	"monsoondeck.example/operator/sheet/checker"
 	"monsoondeck.example/operator/sheet/differ"
 	"monsoondeck.example/parser"
+	"monsoondeck.example/provider/committer"
 )
 
 // Options are the arguments of the command.
@@ -37,12 +40,9 @@
 		return err
 	}
 	store, config, err := s.SignIn(ctx, true, action)
-	if store == nil {
-		return err
-	}
 	// A configuration that does not exist yet has no operators; the first sheet
 	// brings them, and the one who applies it must be among them.
-	if config.Version() == 0 {
+	if errors.Is(err, committer.ErrNoConfig) {
 		err = s.Permit(sheet.Config(), true)
 	}
 	if err != nil {
@@ -74,7 +74,7 @@
 		if err := show.Print(differ.Records(config, d), printer.Flags{}); err != nil {
 			return config, err
 		}
-		if err := s.Confirm(fmt.Sprintf("This changes %d rows of version %d.", d.Rows(), config.Version()), o.Yes); err != nil {
+		if err := s.Confirm(ctx, fmt.Sprintf("This changes %d rows of version %d.", d.Rows(), config.Version()), o.Yes); err != nil {
 			return config, err
 		}
 	}
--- a/operator/sheet/differ/differ.go
+++ b/operator/sheet/differ/differ.go
@@ -32,7 +32,7 @@
 		return err
 	}
 	store, config, err := s.SignIn(ctx, false, "sheet diff")
-	if store == nil {
+	if err != nil && !errors.Is(err, committer.ErrNoConfig) {
 		return err
 	}
 	d, losses, err := Compare(ctx, store, config, sheet)
--- a/operator/target/stater/stater.go
+++ b/operator/target/stater/stater.go
@@ -37,7 +37,7 @@
 	}
 	if idle := idlePools(config, d); len(idle) > 0 {
 		s.Progress("this leaves no active target in pool %s; its requests will wait until their deadline", strings.Join(idle, ", "))
-		if err := s.Confirm("The pool will stop serving.", o.Yes); err != nil {
+		if err := s.Confirm(ctx, "The pool will stop serving.", o.Yes); err != nil {
 			return err
 		}
 	}
--- a/provider/committer/committer.go
+++ b/provider/committer/committer.go
@@ -38,6 +38,9 @@
 	ErrCompacted = errors.New("changes are not kept any more")
 	// ErrDamaged: no snapshot and change rows lead to the current version.
 	ErrDamaged = errors.New("configuration cannot be recovered from the platform")
+	// ErrNoConfig: nothing has been committed yet. It is an error so that the
+	// empty configuration is not put in force by mistake.
+	ErrNoConfig = errors.New("there is no configuration yet")
 	// ErrEmpty: the change puts and removes nothing.
 	ErrEmpty = errors.New("change is empty")
 )
--- a/provider/committer/load.go
+++ b/provider/committer/load.go
@@ -11,8 +11,7 @@
 
 // Load returns the current configuration: the newest readable snapshot with the
 // changes after it, an older snapshot when that does not lead to the current
-// version. It returns version 0 when nothing has been committed. Errors:
-// provider.ErrUnavailable, ErrDamaged.
+// version. Errors: ErrNoConfig, provider.ErrUnavailable, ErrDamaged.
 func (c *Committer) Load(ctx context.Context) (configurer.Config, error) {
 	h, _, err := c.readHead(ctx)
 	if err != nil {
@@ -20,7 +19,7 @@
 	}
 	versions, err := c.snapshotVersions(ctx)
 	if h.Version == 0 && len(versions) == 0 && err == nil {
-		return c.loadEmpty(ctx)
+		return configurer.Config{}, c.checkEmpty(ctx)
 	}
 	if err != nil {
 		c.o.Warn(err)
@@ -42,13 +41,16 @@
 	return configurer.Config{}, errors.Mark(errors.Wrapf(faults, "load version %d", h.Version), ErrDamaged)
 }
 
-// loadEmpty returns the empty configuration when there is no change row either.
-func (c *Committer) loadEmpty(ctx context.Context) (configurer.Config, error) {
+// checkEmpty returns ErrNoConfig when there is no change row either.
+func (c *Committer) checkEmpty(ctx context.Context) error {
 	rows, err := c.o.Table.List(ctx, changePrefix, "", 1)
-	if err == nil && len(rows) > 0 {
-		err = errors.Wrap(ErrDamaged, "there are changes without a head")
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "list changes")
+	case len(rows) > 0:
+		return errors.Wrap(ErrDamaged, "there are changes without a head")
 	}
-	return configurer.Config{}, err
+	return ErrNoConfig
 }
 
 // loadFrom starts at a snapshot, or at the empty configuration for version 0,
