Keep lists of losses short and readable by scripts

Cause: a trial with 19,000 accounts, three daemons and the stand-ins showed error lines with 2,714 names, and named a daemon without answer twice in different words. Members without answer are called so. Waiting times are rounded to microseconds.

--- a/operator/daemons_test.go
+++ b/operator/daemons_test.go
@@ -33,7 +33,7 @@
 	})
 	f.daemons = []string{current}
 	f.want(1, "sora", "fleet", "status")
-	f.wantText(&f.err, "members not asked: r2")
+	f.wantText(&f.err, "members without answer: r2")
 	f.daemons = []string{current, daemon(map[string]any{"/v1/status": map[string]any{"id": "r2", "configVersion": 1}})}
 	f.want(0, "sora", "fleet", "status")
 	f.wantText(&f.out, "r1\tcurrent", "r2\tcurrent")
--- a/operator/fleet/reporter/reporter.go
+++ b/operator/fleet/reporter/reporter.go
@@ -28,11 +28,11 @@
 
 // States of a daemon in the report.
 const (
-	stateCurrent       = "current"
-	stateBehind        = "behind"
-	stateAnswers       = "answers" // the accepted version is not known
-	stateUnreachable   = "unreachable"
-	stateUnknownMember = "not asked" // a member whose address is not in the settings
+	stateCurrent     = "current"
+	stateBehind      = "behind"
+	stateAnswers     = "answers" // the accepted version is not known
+	stateUnreachable = "unreachable"
+	stateNoAnswer    = "no answer" // a member that answered under no address in the settings
 )
 
 // Run reports the configuration version of every daemon. Daemons that gave no
@@ -61,9 +61,9 @@
 		}
 		records.Add(a.Address, v.ID, state, v.DataCentre, v.ConfigVersion, len(v.Members), len(v.ShardsOwned), v.Incarnation, v.Members, v.ShardsOwned)
 	}
-	missing := unasked(answers)
+	missing := unanswered(answers)
 	for _, id := range missing {
-		records.Add("", id, stateUnknownMember, "", uint64(0), 0, 0, uint64(0), []string(nil), []string(nil))
+		records.Add("", id, stateNoAnswer, "", uint64(0), 0, 0, uint64(0), []string(nil), []string(nil))
 	}
 	s.Progress("accepted version: %s", versionText(config.Version()))
 	if err := s.Printer().Print(records, o.Flags); err != nil {
@@ -91,9 +91,9 @@
 	return stateCurrent
 }
 
-// unasked returns the members that some daemon knows and that gave no answer
+// unanswered returns the members that some daemon knows and that gave no answer
 // under any address in the settings.
-func unasked(answers []fleetclient.Answer[status]) []string {
+func unanswered(answers []fleetclient.Answer[status]) []string {
 	answered, members := map[string]bool{}, []string(nil)
 	for _, a := range answers {
 		answered[a.Value.ID] = true
@@ -105,7 +105,7 @@
 
 func verdict(unreachable, missing, behind []string) error {
 	var parts []string
-	for what, list := range map[string][]string{"cannot be reached": unreachable, "members not asked": missing, "behind": behind} {
+	for what, list := range map[string][]string{"cannot be reached": unreachable, "members without answer": missing, "behind": behind} {
 		if len(list) > 0 {
 			parts = append(parts, fmt.Sprintf("%s: %s", what, strings.Join(list, ", ")))
 		}
--- a/operator/fleetclient/histories.go
+++ b/operator/fleetclient/histories.go
@@ -29,13 +29,18 @@
 		"requestID", "account", "pool", "waitedMs", "queueAhead", "target", "shard", "owner", "grantedAt", "daemon"}}
 }
 
+// milliseconds rounds to microseconds, which is as exact as a person needs.
+func milliseconds(nanoseconds int64) float64 {
+	return float64(time.Duration(nanoseconds)/time.Microsecond) / 1000
+}
+
 // PrintHistories prints what the daemons know. It fails when none knows
 // anything, and names the daemons that gave no answer.
 func PrintHistories(s *session.Session, r *printer.Records, answers []Answer[[]History], what string, flags printer.Flags) error {
 	unreachable := Unreachable(s, answers)
 	for _, a := range answers {
 		for _, h := range a.Value {
-			r.Add(h.RequestID, h.Account, h.Pool, float64(h.Waited)/float64(time.Millisecond), h.QueueAhead, h.Target, h.Shard, h.Owner, h.GrantedAt, a.Address)
+			r.Add(h.RequestID, h.Account, h.Pool, milliseconds(h.Waited), h.QueueAhead, h.Target, h.Shard, h.Owner, h.GrantedAt, a.Address)
 		}
 	}
 	if err := missing(what, len(r.Rows), unreachable); err != nil {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -184,6 +184,20 @@
 	}
 	f.want(0, "haruka", "sheet", "diff", path)
 	f.wantText(&f.out, "remove\taccount\tdealer-otaru")
+	f.want(0, "haruka", "sheet", "diff", path, "--losses", "--json", "id,loss")
+	f.wantText(&f.out, `"id": "dealer-otaru"`, `"loss": "removed"`)
+	f.want(0, "haruka", "sheet", "diff", path, "--losses")
+	var names strings.Builder
+	for line := range strings.Lines(f.out.String()) {
+		id, _, _ := strings.Cut(line, "\t")
+		names.WriteString(id + "\n")
+	}
+	list := filepath.Join(t.TempDir(), "names")
+	if err := os.WriteFile(list, []byte(names.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.want(2, "haruka", "sheet", "apply", path, "--confirm", "@"+list) // confirmed by name, but not by --yes
+	f.wantText(&f.err, "there is no terminal")
 	f.want(2, "haruka", "target", "drain", "orders-1", "orders-2", "orders-3")
 	f.wantText(&f.err, "no active target in pool orders")
 	f.want(2, "haruka", "account", "rotatekey", "dealer-otaru")
--- a/operator/sheet/applier/applier.go
+++ b/operator/sheet/applier/applier.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,7 +25,7 @@
 type Options struct {
 	File    string `arg:"positional,required" help:"sheet, or - for standard input"`
 	Yes     bool   `arg:"--yes" help:"do not ask for confirmation"`
-	Confirm string `arg:"--confirm" placeholder:"NAME,NAME" help:"names of what is lost, for a sheet that loses much or undoes changes"`
+	Confirm string `arg:"--confirm" placeholder:"NAME,NAME" help:"names of what is lost, for a sheet that loses much or undoes changes; @FILE reads them from a file"`
 	printer.Flags
 }
 
@@ -81,17 +83,42 @@
 	return s.Commit(ctx, store, config, d, action+" "+o.File)
 }
 
+// maxNames bounds the names in an error line.
+const maxNames = 20
+
+// confirmed returns the names given with --confirm.
+func (o *Options) confirmed() (map[string]bool, error) {
+	text, names := o.Confirm, map[string]bool{}
+	if path, ok := strings.CutPrefix(text, "@"); ok {
+		body, err := os.ReadFile(path)
+		if err != nil {
+			return nil, failure.Usage(err.Error(), "Give a file of names after --confirm @.")
+		}
+		text = string(body)
+	}
+	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' || unicode.IsSpace(r) }) {
+		names[name] = true
+	}
+	return names, nil
+}
+
 // checkNames requires the names of what is lost.
 func (o *Options) checkNames(losses parser.Losses) error {
-	given := strings.Split(o.Confirm, ",")
-	missing := slices.DeleteFunc(losses.ToConfirm(), func(name string) bool { return slices.Contains(given, name) })
-	if len(missing) == 0 {
+	given, err := o.confirmed()
+	if err != nil {
+		return err
+	}
+	names := losses.ToConfirm()
+	if !slices.ContainsFunc(names, func(name string) bool { return !given[name] }) {
 		return nil
 	}
 	what, code := "the sheet removes more than 20% of the accounts or targets", failure.CodeNotPermitted
 	if len(losses.Undone) > 0 {
 		what, code = "the sheet loses rows or undoes changes made since its export", failure.CodeConflict
 	}
-	return failure.New(code, what+", nothing was changed",
-		"If that is intended, add --confirm "+strings.Join(losses.ToConfirm(), ",")+" ; otherwise export a new sheet.")
+	confirm := strings.Join(names, ",")
+	if len(names) > maxNames {
+		confirm = fmt.Sprintf("@FILE with the %d names that 'sheet diff --losses' lists", len(names))
+	}
+	return failure.New(code, what+", nothing was changed", "If that is intended, add --confirm "+confirm+" ; otherwise export a new sheet.")
 }
--- a/operator/sheet/differ/differ.go
+++ b/operator/sheet/differ/differ.go
@@ -18,13 +18,21 @@
 
 // Options are the arguments of the command.
 type Options struct {
-	File string `arg:"positional,required" help:"sheet, or - for standard input"`
+	File   string `arg:"positional,required" help:"sheet, or - for standard input"`
+	Losses bool   `arg:"--losses" help:"list only what is lost: removed rows and undone changes of others"`
 	printer.Flags
 }
 
+// maxWarnings bounds the undone changes that are listed one by one.
+const maxWarnings = 10
+
 // Run prints what applying a sheet would change.
 func (o *Options) Run(ctx context.Context, s *session.Session) error {
-	if err := Records(configurer.Config{}, configurer.Delta{}).Check(o.Flags); err != nil {
+	empty := Records(configurer.Config{}, configurer.Delta{})
+	if o.Losses {
+		empty = lossRecords(parser.Losses{})
+	}
+	if err := empty.Check(o.Flags); err != nil {
 		return err
 	}
 	sheet, err := checker.Read(s, o.File, printer.Flags{})
@@ -42,6 +50,9 @@
 	for _, line := range Warnings(losses) {
 		s.Progress("%s", line)
 	}
+	if o.Losses {
+		return s.Printer().Print(lossRecords(losses), o.Flags)
+	}
 	return s.Printer().Print(Records(config, d), o.Flags)
 }
 
@@ -82,6 +93,23 @@
 	return r
 }
 
+// lossRecords are the removed rows and the undone changes.
+func lossRecords(l parser.Losses) *printer.Records {
+	r := &printer.Records{Fields: []string{"id", "kind", "loss", "author", "version"}}
+	for _, removed := range []struct {
+		kind string
+		ids  []string
+	}{{"account", l.Accounts}, {"target", l.Targets}, {"operator", l.Operators}} {
+		for _, id := range removed.ids {
+			r.Add(id, removed.kind, "removed", "", "")
+		}
+	}
+	for _, u := range l.Undone {
+		r.Add(u.ID, u.Kind, "undone", u.Author, u.Version)
+	}
+	return r
+}
+
 // Warnings tells in words what the sheet loses.
 func Warnings(l parser.Losses) []string {
 	var lines []string
@@ -89,7 +117,11 @@
 		lines = append(lines, fmt.Sprintf("the sheet removes %d of %d accounts, %d of %d targets and %d operators",
 			len(l.Accounts), l.AccountsBefore, len(l.Targets), l.TargetsBefore, len(l.Operators)))
 	}
-	for _, u := range l.Undone {
+	for i, u := range l.Undone {
+		if i == maxWarnings {
+			lines = append(lines, fmt.Sprintf("and %d more changes that the sheet undoes", len(l.Undone)-i))
+			break
+		}
 		lines = append(lines, fmt.Sprintf("the sheet undoes the change of %s %s by %s in version %d", u.Kind, u.ID, u.Author, u.Version))
 	}
 	return lines
