--- /dev/null
+++ b/generator/analyser/seed_test.go
@@ -0,0 +1,17 @@
+package analyser
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// A fixed seed gives the same verdict on every run; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/generator/deployment/load.go
+++ b/generator/deployment/load.go
@@ -35,7 +35,7 @@
 	perShare := d.Rate() / d.meanUnits() / all
 	var out []loader.Account
 	for _, a := range d.Accounts {
-		x := loader.Account{ID: a.ID, Key: a.Key, Share: a.Share, Kinds: d.Kinds, Latency: a.Role == RoleLight}
+		x := loader.Account{ID: a.ID, Key: a.Key, Share: a.Share, Kinds: d.Kinds, Fallback: routers, Latency: a.Role == RoleLight}
 		for _, n := range a.Routers {
 			x.Routers = append(x.Routers, routers[n])
 		}
--- a/generator/loader/complete.go
+++ b/generator/loader/complete.go
@@ -45,10 +45,11 @@
 // sendAnywhere sends the call to the first router that can be reached.
 func (l *Loader) sendAnywhere(ctx context.Context, c *call, at int) end {
 	e := end{outcome: OutcomeUnsent}
-	for i := range c.account.Routers {
-		router := c.account.Routers[(at+i)%len(c.account.Routers)]
-		if e = c.send(ctx, l, router); e.outcome != OutcomeUnsent {
-			break
+	for _, routers := range [][]string{c.account.Routers, c.account.Fallback} {
+		for i := range routers {
+			if e = c.send(ctx, l, routers[(at+i)%len(routers)]); e.outcome != OutcomeUnsent {
+				return e
+			}
 		}
 	}
 	return e
--- a/generator/loader/loader.go
+++ b/generator/loader/loader.go
@@ -25,7 +25,10 @@
 	// Routers are the caller addresses (host:port) that the account's requests
 	// go to in turn. An account with one router is pinned to it.
 	Routers []string
-	Kinds   []Kind
+	// Fallback are the routers that the platform's load balancer uses when none
+	// of Routers can be reached.
+	Fallback []string
+	Kinds    []Kind
 	// Workers is the number of callers in a closed loop: each sends its next
 	// request when the last one has ended.
 	Workers int
