Relay the connections of daemons, with delays and cuts

Bench and chaos need data centres that are cut off and daemons whose messages are lost in one direction. All daemons dial from the same loopback address and every member has one address for all others, so a proxy with one link per listener cannot tell who dials. The driver relays the connections itself and finds the dialling daemon as the owner of the socket. Data is kept back during a cut and passes afterwards, as in a partition. Connections between daemons have the deployment's delay between data centres in all runs.

Ruled out: links of the fault proxy per listener, because a cut of one data centre also cuts the connections within it and leaves those that it dials; a source address per daemon, because daemons do not bind one.

--- a/generator/bench/bench.go
+++ b/generator/bench/bench.go
@@ -78,7 +78,7 @@
 	if o.Verbose {
 		processLog = log
 	}
-	fleet, stop, err := launcher.New(ctx, launcher.Options{Programs: programs, Deployment: d, Policy: o.Policy, Log: processLog})
+	fleet, stop, err := launcher.New(ctx, launcher.Options{Programs: programs, Deployment: d, Policy: o.Policy, Cuttable: o.Scenario == "dataCentreCut", Log: processLog})
 	if err != nil {
 		return nil, err
 	}
--- a/generator/bench/options.go
+++ b/generator/bench/options.go
@@ -29,7 +29,6 @@
 	Deadline   time.Duration `arg:"--deadline" default:"20s" help:"deadline of each request"`
 	Daemon     string        `arg:"--monsoond" help:"path of monsoond [default: built]"`
 	Emulator   string        `arg:"--monsoonemu" help:"path of monsoonemu [default: built]"`
-	Fault      string        `arg:"--monsoonfault" help:"path of monsoonfault [default: built]"`
 	Verbose    bool          `arg:"--verbose" help:"show the logs of all processes on stderr"`
 }
 
@@ -65,5 +64,5 @@
 }
 
 func (o Options) programs() launcher.Programs {
-	return launcher.Programs{Daemon: o.Daemon, Emulator: o.Emulator, Fault: o.Fault}
+	return launcher.Programs{Daemon: o.Daemon, Emulator: o.Emulator}
 }
--- a/generator/bench/scenario.go
+++ b/generator/bench/scenario.go
@@ -41,7 +41,7 @@
 	case "schedulerKilled":
 		return r.killScheduler(ctx)
 	case "dataCentreCut":
-		return r.during(ctx, r.fleet.CutDataCentre, r.fleet.JoinDataCentre)
+		return r.during(ctx, call(r.fleet.CutDataCentre), call(r.fleet.JoinDataCentre))
 	case "routerRestart":
 		return r.restartRouters(ctx)
 	case "engineSlowed":
@@ -68,6 +68,10 @@
 	return end(ctx)
 }
 
+func call(f func()) func(context.Context) error {
+	return func(context.Context) error { f(); return nil }
+}
+
 func (r *run) platform(o fault.Outage) func(context.Context) error {
 	return func(ctx context.Context) error { return r.fleet.FaultPlatform(ctx, fault.Change{Outage: &o}) }
 }
--- a/generator/chaos/chaos.go
+++ b/generator/chaos/chaos.go
@@ -38,7 +38,7 @@
 	if o.Verbose {
 		processLog = log
 	}
-	fleet, stop, err := launcher.New(ctx, launcher.Options{Programs: programs, Deployment: d, Policy: "fleet", Log: processLog})
+	fleet, stop, err := launcher.New(ctx, launcher.Options{Programs: programs, Deployment: d, Policy: "fleet", Cuttable: true, Log: processLog})
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +123,7 @@
 
 // play plays the schedule; events may overlap. It returns when all have ended.
 func (r *run) play(ctx context.Context) error {
-	events := Schedule(r.options.Seed, r.options.Duration, len(r.fleet.Daemons), len(r.deployment.Engines), r.fleet.Linked())
+	events := Schedule(r.options.Seed, r.options.Duration, len(r.fleet.Daemons), len(r.deployment.Engines))
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var all error
--- a/generator/chaos/chaos_test.go
+++ b/generator/chaos/chaos_test.go
@@ -29,9 +29,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed, daemons := rapid.Uint64().Draw(t, "seed"), rapid.IntRange(6, 12).Draw(t, "daemons")
 		duration := time.Duration(rapid.IntRange(60, 300).Draw(t, "seconds")) * time.Second
-		links := rapid.Bool().Draw(t, "links")
-		events := Schedule(seed, duration, daemons, 10, links)
-		if !slices.Equal(events, Schedule(seed, duration, daemons, 10, links)) {
+		events := Schedule(seed, duration, daemons, 10)
+		if !slices.Equal(events, Schedule(seed, duration, daemons, 10)) {
 			t.Fatal("the same arguments give another schedule")
 		}
 		seen := map[Kind]bool{}
@@ -52,7 +51,7 @@
 			}
 			free[e.Subject] = e.At + e.Length
 		}
-		for _, k := range kinds(links) {
+		for _, k := range kinds() {
 			if !seen[k] {
 				t.Fatalf("no event of kind %s", k)
 			}
--- a/generator/chaos/faults.go
+++ b/generator/chaos/faults.go
@@ -33,10 +33,10 @@
 	case KindKill, KindPause, KindStop:
 		return r.actOnDaemon(ctx, e, r.fleet.Daemons[e.Subject])
 	case KindCut:
-		return during(ctx, e.Length, r.fleet.CutDataCentre, r.fleet.JoinDataCentre)
+		return during(ctx, e.Length, call(r.fleet.CutDataCentre), call(r.fleet.JoinDataCentre))
 	case KindCutOneWay:
 		d := r.fleet.Daemons[e.Subject]
-		return during(ctx, e.Length, d.CutOutgoing, d.JoinOutgoing)
+		return during(ctx, e.Length, call(d.CutOutgoing), call(d.JoinOutgoing))
 	case KindPlatformOut:
 		outages := []fault.Outage{fault.OutageRefuse, fault.OutageHang, fault.OutageAbort}
 		begin, end := outages[e.Subject%len(outages)], fault.OutageNone
@@ -77,6 +77,10 @@
 	return end(ctx)
 }
 
+func call(f func()) func(context.Context) error {
+	return func(context.Context) error { f(); return nil }
+}
+
 func (r *run) platform(c fault.Change) func(context.Context) error {
 	return func(ctx context.Context) error { return r.fleet.FaultPlatform(ctx, c) }
 }
--- a/generator/chaos/options.go
+++ b/generator/chaos/options.go
@@ -38,7 +38,6 @@
 	Targets    int           `arg:"--targets" default:"10"`
 	Daemon     string        `arg:"--monsoond" help:"path of monsoond [default: built]"`
 	Emulator   string        `arg:"--monsoonemu" help:"path of monsoonemu [default: built]"`
-	Fault      string        `arg:"--monsoonfault" help:"path of monsoonfault [default: built]"`
 	Verbose    bool          `arg:"--verbose" help:"show the logs of all processes on stderr"`
 }
 
@@ -59,7 +58,7 @@
 }
 
 func (o Options) programs() launcher.Programs {
-	return launcher.Programs{Daemon: o.Daemon, Emulator: o.Emulator, Fault: o.Fault}
+	return launcher.Programs{Daemon: o.Daemon, Emulator: o.Emulator}
 }
 
 // Run makes one run and returns the exit code.
--- a/generator/chaos/schedule.go
+++ b/generator/chaos/schedule.go
@@ -62,15 +62,11 @@
 // onDaemon kinds act on the process of a daemon.
 func (k Kind) onDaemon() bool { return k == KindKill || k == KindPause || k == KindStop }
 
-func kinds(links bool) []Kind {
-	out := []Kind{
-		KindKill, KindPause, KindStop, KindPlatformOut, KindPlatformSlow, KindLoseCommits, KindLoseAnswers,
+func kinds() []Kind {
+	return []Kind{
+		KindKill, KindPause, KindStop, KindCut, KindCutOneWay, KindPlatformOut, KindPlatformSlow, KindLoseCommits, KindLoseAnswers,
 		KindBreakStreams, KindForeignIDs, KindRestart, KindSlow, KindRace, KindDrain, KindChange,
 	}
-	if links {
-		out = append(out, KindCut, KindCutOneWay)
-	}
-	return out
 }
 
 // length draws how long an event lasts. A pause exceeds the lease of grants
@@ -97,12 +93,12 @@
 // Schedule returns the events of a run in order of time. It depends on its
 // arguments only. Every kind occurs once per block where there is time; a daemon
 // is the subject of one event at a time.
-func Schedule(seed uint64, duration time.Duration, daemons, engines int, links bool) []Event {
+func Schedule(seed uint64, duration time.Duration, daemons, engines int) []Event {
 	r := rand.New(rand.NewPCG(seed, 2))
 	busy := make([]time.Duration, daemons) // until when a daemon is a subject
 	var out []Event
 	for start := time.Duration(0); start < duration; start += block {
-		for _, k := range kinds(links) {
+		for _, k := range kinds() {
 			part := block
 			if k.disturbing() {
 				part = disturbingPart
--- a/generator/launcher/build.go
+++ b/generator/launcher/build.go
@@ -10,17 +10,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Programs are the paths of the programs that a fleet consists of. Fault may be
-// empty; links between daemons are then direct.
+// Programs are the paths of the programs that a fleet consists of.
 type Programs struct {
-	Daemon, Emulator, Fault string
+	Daemon, Emulator string
 }
 
 // Names of the programs.
 const (
 	daemonProgram   = "monsoond"
 	emulatorProgram = "monsoonemu"
-	faultProgram    = "monsoonfault"
 )
 
 // Build builds the programs that have no path yet into a temporary directory.
--- a/generator/launcher/daemon.go
+++ b/generator/launcher/daemon.go
@@ -22,6 +22,8 @@
 	starts  int
 }
 
+func (d *Daemon) place() place { return place{d.ID, d.DataCentre} }
+
 // Start starts the daemon's process.
 func (d *Daemon) Start() error {
 	f := d.fleet
@@ -35,8 +37,8 @@
 		"MONSOOND_ID=" + d.ID, "MONSOOND_DATA_CENTRE=" + d.DataCentre,
 		"MONSOOND_CALLER_ADDRESS=" + d.Caller, "MONSOOND_PEER_ADDRESS=" + d.Peer, "MONSOOND_ADMIN_ADDRESS=" + d.Admin,
 		"MONSOOND_ADVERTISE=" + d.Advertise,
-		"MONSOOND_TABLE_URL=" + f.URL(emulator.KindTable, ""), "MONSOOND_OBJECTS_URL=" + f.URL(emulator.KindObjects, ""),
-		"MONSOOND_HOSTS_URL=" + f.URL(emulator.KindHosts, ""), "MONSOOND_FLEET_SECRET=" + fleetSecret,
+		"MONSOOND_TABLE_URL=" + f.daemonURL(emulator.KindTable), "MONSOOND_OBJECTS_URL=" + f.daemonURL(emulator.KindObjects),
+		"MONSOOND_HOSTS_URL=" + f.daemonURL(emulator.KindHosts), "MONSOOND_FLEET_SECRET=" + fleetSecret,
 		"MONSOOND_POLICY=" + f.options.Policy,
 	}, f.options.Settings...)
 	if len(seeds) > 0 {
--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -32,6 +32,10 @@
 	Programs   Programs
 	Deployment deployment.Deployment
 	Policy     string
+	// Cuttable relays also the connections to targets and to the platform, so that
+	// data centres can be cut off. Connections between daemons always are relayed,
+	// with the deployment's delay between data centres.
+	Cuttable bool
 	// Settings are additional environment variables of the daemons.
 	Settings []string
 	// Log receives the standard error of all processes.
@@ -46,8 +50,10 @@
 	options   Options
 	emulator  *Process
 	endpoints []emulator.Endpoint
-	links     *links
-	client    *http.Client
+	network   *network
+	// relayed maps addresses to those that daemons use.
+	relayed map[string]string
+	client  *http.Client
 
 	mu     sync.Mutex
 	config configurer.Config
@@ -56,7 +62,8 @@
 // New starts a deployment, puts its configuration in force and waits until every
 // daemon is ready. The clean-up function ends all processes.
 func New(ctx context.Context, o Options) (*Fleet, func(), error) {
-	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}}
+	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}, relayed: map[string]string{}}
+	f.network = newNetwork(o.Deployment.PeerDelay, f.source)
 	if err := f.start(ctx); err != nil {
 		f.close()
 		return nil, nil, err
@@ -72,9 +79,7 @@
 		}
 	}
 	group.Wait()
-	if f.links != nil {
-		f.links.close()
-	}
+	f.network.close()
 	if f.emulator != nil {
 		f.emulator.stop(stopGrace)
 	}
@@ -87,8 +92,7 @@
 	if err := f.startEmulator(ctx); err != nil {
 		return err
 	}
-	var err error
-	if f.links, err = newLinks(ctx, f.options); err != nil {
+	if err := f.relayStandIns(); err != nil {
 		return err
 	}
 	f.Committer = committer.New(committer.Options{
@@ -96,12 +100,12 @@
 		Objects: provider.NewObjects(provider.Options{URL: f.URL(emulator.KindObjects, "")}),
 	})
 	address := func(id string) string {
-		return f.Address(emulator.KindEngine, id) + f.Address(emulator.KindService, id)
+		return f.reach(f.Address(emulator.KindEngine, id) + f.Address(emulator.KindService, id))
 	}
 	if _, err := f.Commit(ctx, f.options.Deployment.Delta(address), "start"); err != nil {
 		return errors.Wrap(err, "commit the configuration")
 	}
-	if err := f.startDaemons(ctx); err != nil {
+	if err := f.startDaemons(); err != nil {
 		return err
 	}
 	return f.Ready(ctx)
@@ -175,9 +179,6 @@
 	}
 }
 
-// Linked tells whether the links between daemons can be cut.
-func (f *Fleet) Linked() bool { return f.options.Programs.Fault != "" }
-
 // Config returns the newest configuration that this process knows.
 func (f *Fleet) Config() configurer.Config {
 	f.mu.Lock()
@@ -185,7 +186,7 @@
 	return f.config
 }
 
-func (f *Fleet) startDaemons(ctx context.Context) error {
+func (f *Fleet) startDaemons() error {
 	ports, err := freeAddresses(3 * len(f.options.Deployment.Routers))
 	if err != nil {
 		return err
@@ -193,9 +194,9 @@
 	for i, centre := range f.options.Deployment.Routers {
 		d := &Daemon{
 			ID: fmt.Sprintf("router-%d", i+1), DataCentre: centre,
-			Caller: ports[3*i], Peer: ports[3*i+1], Admin: ports[3*i+2], Advertise: ports[3*i+1], fleet: f,
+			Caller: ports[3*i], Peer: ports[3*i+1], Admin: ports[3*i+2], fleet: f,
 		}
-		if err := f.links.connect(ctx, d); err != nil {
+		if d.Advertise, err = f.network.listen(d.place(), d.Peer); err != nil {
 			return err
 		}
 		f.Daemons = append(f.Daemons, d)
--- /dev/null
+++ b/generator/launcher/network_test.go
@@ -0,0 +1,147 @@
+package launcher
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// echo serves lines back until its connection ends.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.(*net.TCPConn).CloseWrite() }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// exchange sends a line and reports whether it came back within a time.
+func exchange(t *testing.T, c net.Conn, r *bufio.Reader, line string, patience time.Duration) bool {
+	t.Helper()
+	if line != "" {
+		if _, err := io.WriteString(c, line+"\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := r.ReadString('\n')
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	return err == nil
+}
+
+// Guards against cuts that let data pass, lose it for good, or cut others.
+func TestCutKeepsDataBackUntilJoined(t *testing.T) {
+	const short, long = 50 * time.Millisecond, 30 * time.Second
+	from := place{"router-1", "a"}
+	n := newNetwork(0, func(net.Conn) (place, bool) { return from, true })
+	defer n.close()
+	address := echo(t)
+	dial := func(to place) (net.Conn, *bufio.Reader) {
+		relayed, err := n.listen(to, address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", relayed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	near, nearLines := dial(place{"router-2", "a"})
+	far, farLines := dial(place{"router-3", "b"})
+	for name, cut := range map[string]func(bool){
+		"data centre": func(on bool) { n.setCut("b", on) },
+		"outgoing":    func(on bool) { n.setMuted("router-1", on) },
+		"answers":     func(on bool) { n.setMuted("router-3", on) },
+	} {
+		if !exchange(t, far, farLines, "before", long) {
+			t.Fatalf("%s: no answer before the cut", name)
+		}
+		cut(true)
+		if exchange(t, far, farLines, "during", short) {
+			t.Errorf("%s: answer during the cut", name)
+		}
+		if name != "outgoing" && !exchange(t, near, nearLines, "near", long) {
+			t.Errorf("%s: the cut reaches others", name)
+		}
+		cut(false)
+		if !exchange(t, far, farLines, "", long) {
+			t.Errorf("%s: data is lost after the cut", name)
+		}
+	}
+}
+
+// Guards against delays that are not applied between data centres, and against
+// half closes that cut the other direction.
+func TestDelayAndHalfClosePassThrough(t *testing.T) {
+	const delay = 20 * time.Millisecond
+	n := newNetwork(delay, func(net.Conn) (place, bool) { return place{"router-1", "a"}, true })
+	defer n.close()
+	relayed, err := n.listen(place{"router-2", "b"}, echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", relayed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	start := time.Now()
+	if _, err := io.WriteString(c, "line"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(c)
+	if err != nil || string(b) != "line" || time.Since(start) < 2*delay {
+		t.Fatalf("%q after %v: %v", b, time.Since(start), err)
+	}
+}
+
+// Guards against cuts that hit the wrong daemon because the dialler was not
+// recognised.
+func TestDialerIsTheOwnerOfTheSocket(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if got := dialer(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() {
+		t.Fatalf("dialler %d", got)
+	}
+	if got := dialer(accepted, []int{1 << 30}); got != 0 {
+		t.Fatalf("dialler %d among others", got)
+	}
+}
