--- a/emulator/fault/fault.go
+++ b/emulator/fault/fault.go
@@ -19,7 +19,8 @@
 	OutageNone Outage = "none"
 	// OutageRefuse answers 503 before the request has any effect.
 	OutageRefuse Outage = "refuse"
-	// OutageHang accepts requests and never answers.
+	// OutageHang accepts requests and does not answer; at the end of the outage
+	// their connections are closed.
 	OutageHang Outage = "hang"
 	// OutageAbort closes the connection without an answer and without effect.
 	OutageAbort Outage = "abort"
@@ -163,7 +164,11 @@
 		wire.Refuse(w, http.StatusServiceUnavailable, "outage", "out of service")
 		return false
 	case OutageHang:
-		<-r.Context().Done()
+		for f.hangs() {
+			if !sleep(r.Context(), hangPoll) {
+				break
+			}
+		}
 		panic(http.ErrAbortHandler)
 	case OutageAbort:
 		panic(http.ErrAbortHandler)
@@ -172,6 +177,15 @@
 	return true
 }
 
+// hangPoll is how late a hanging request notices the end of the outage.
+const hangPoll = 20 * time.Millisecond
+
+func (f *Faults) hangs() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.outage == OutageHang
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return true
--- /dev/null
+++ b/generator/demo/demo_test.go
@@ -0,0 +1,22 @@
+package demo
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"monsoondeck.example/logger"
+)
+
+// Guards against a demo that no longer starts, shows nothing or sees faults.
+func TestDemoRunsToItsSummary(t *testing.T) {
+	var out, stderr bytes.Buffer
+	if code := Run([]string{"--duration", "1s"}, nil, logger.Streams{Out: &out, Err: &stderr}); code != ExitDone {
+		t.Fatalf("exit code %d: %s%s", code, out.String(), stderr.String())
+	}
+	for _, want := range []string{"sheet applied as version 1", "showroom", "utilisation", "0 wrong, 0 duplicated, 0 falsely not run"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in %s", want, out.String())
+		}
+	}
+}
