--- a/router/dispatcher/events.go
+++ b/router/dispatcher/events.go
@@ -22,10 +22,8 @@
 )
 
 var (
-	dataField    = []byte("data:")
-	doneValue    = []byte("[DONE]")
-	emptyChoices = []byte(`"choices":[]`)
-	emptyDelta   = []byte(`"delta":{}`)
+	dataField = []byte("data:")
+	doneValue = []byte("[DONE]")
 )
 
 // copyEvents passes on an engine's event stream, event by event. Only whole
@@ -75,24 +73,21 @@
 	}
 	tokens := int64(0)
 	if !done && len(data) > 0 {
-		a.meter.readUsage(data)
-		if !bytes.Contains(data, emptyChoices) && !bytes.Contains(data, emptyDelta) {
-			tokens = 1
-		}
+		tokens = a.meter.count(data)
 	}
 	a.meter.event(now.Sub(a.meter.start), tokens)
 	if !a.started {
 		a.beginStream(res)
 	}
 	a.captured.write(event)
-	return done, a.writeFlush(event)
+	return done, a.writeFlush(event, now)
 }
 
 // finishEvents writes the outcome as the last event, after [DONE], where
 // clients that know only the engine's protocol no longer read.
 func (a *attempt) finishEvents() error {
 	a.w.Header().Set(HeaderOutcome, string(Complete))
-	return a.writeFlush(OutcomeEvent(a.r.ID))
+	return a.writeFlush(OutcomeEvent(a.r.ID), time.Now())
 }
 
 // OutcomeEvent is the last event of a complete stream.
