--- a/router/dispatcher/answer.go
+++ b/router/dispatcher/answer.go
@@ -81,7 +81,7 @@
 func (a *attempt) copyRest(res *http.Response, head []byte) error {
 	a.beginStream(res)
 	a.captured.write(head)
-	err := a.writeFlush(head, time.Now())
+	err := a.writeFlush(head)
 	buffer := make([]byte, copyChunk)
 	for err == nil {
 		var n int
@@ -90,7 +90,7 @@
 		if n > 0 {
 			a.meter.event(time.Since(a.meter.start), 1)
 			a.captured.write(buffer[:n])
-			if failure := a.writeFlush(buffer[:n], time.Now()); failure != nil {
+			if failure := a.writeFlush(buffer[:n]); failure != nil {
 				return a.discard(res, failure)
 			}
 		}
@@ -167,11 +167,11 @@
 	}
 }
 
-func (a *attempt) writeFlush(p []byte, now time.Time) error {
+func (a *attempt) writeFlush(p []byte) error {
 	if len(p) == 0 {
 		return nil
 	}
-	a.extendDeadline(now)
+	a.extendDeadline(time.Now())
 	if _, err := a.w.Write(p); err != nil {
 		return errors.WithSecondaryError(ErrCaller, err)
 	}
--- a/router/dispatcher/events.go
+++ b/router/dispatcher/events.go
@@ -22,8 +22,10 @@
 )
 
 var (
-	dataField = []byte("data:")
-	doneValue = []byte("[DONE]")
+	dataField    = []byte("data:")
+	doneValue    = []byte("[DONE]")
+	emptyChoices = []byte(`"choices":[]`)
+	emptyDelta   = []byte(`"delta":{}`)
 )
 
 // copyEvents passes on an engine's event stream, event by event. Only whole
@@ -73,21 +75,24 @@
 	}
 	tokens := int64(0)
 	if !done && len(data) > 0 {
-		tokens = a.meter.count(data)
+		a.meter.readUsage(data)
+		if !bytes.Contains(data, emptyChoices) && !bytes.Contains(data, emptyDelta) {
+			tokens = 1
+		}
 	}
 	a.meter.event(now.Sub(a.meter.start), tokens)
 	if !a.started {
 		a.beginStream(res)
 	}
 	a.captured.write(event)
-	return done, a.writeFlush(event, now)
+	return done, a.writeFlush(event)
 }
 
 // finishEvents writes the outcome as the last event, after [DONE], where
 // clients that know only the engine's protocol no longer read.
 func (a *attempt) finishEvents() error {
 	a.w.Header().Set(HeaderOutcome, string(Complete))
-	return a.writeFlush(OutcomeEvent(a.r.ID), time.Now())
+	return a.writeFlush(OutcomeEvent(a.r.ID))
 }
 
 // OutcomeEvent is the last event of a complete stream.
--- a/router/dispatcher/meter.go
+++ b/router/dispatcher/meter.go
@@ -127,22 +127,7 @@
 	return time.Duration((m.last.Load() - m.first.Load()) / (n - 1))
 }
 
-var (
-	usageName  = []byte(`"usage"`)
-	emptyDelta = []byte(`"delta":{}`)
-	choices    = []byte(`"choices":[`)
-)
-
-// count reads the usage in the data of an event and returns the tokens that
-// the event carries: 1, or 0 if it has no choices or an empty delta.
-func (m *meter) count(data []byte) int64 {
-	m.readUsage(data)
-	_, rest, ok := bytes.Cut(data, choices)
-	if ok && (bytes.HasPrefix(rest, []byte("]")) || bytes.Contains(rest, emptyDelta)) {
-		return 0
-	}
-	return 1
-}
+var usageName = []byte(`"usage"`)
 
 // readUsage looks for a usage object in a JSON document of the engine.
 func (m *meter) readUsage(document []byte) {
