--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,7 +4,6 @@
 package scheduler
 
 import (
-	"container/heap"
 	"container/list"
 	"math"
 	"time"
@@ -186,9 +185,6 @@
 
 func (s *Scheduler) setVirtual(a *account, virtual float64) {
 	a.virtual = virtual
-	if a.index >= 0 {
-		heap.Fix(&s.active, a.index)
-	}
 }
 
 func (s *Scheduler) markChanged(a *account) {
