Revert "Try a scan instead of the heap for grant selection"

Cause: a scan needs no heap order to be kept on each charge, which would make settlements cheaper.

This is reverted.

--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -13,13 +13,7 @@
 	}
 	var grants []Grant
 	for len(s.active) > 0 {
-		least := s.active[0]
-		for _, a := range s.active {
-			if a.virtual < least.virtual || a.virtual == least.virtual && a.name < least.name {
-				least = a
-			}
-		}
-		d := least.ready.Front().Value.(*demand)
+		d := s.active[0].ready.Front().Value.(*demand)
 		t := s.choose(d.affinity)
 		if t == nil {
 			break
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"container/heap"
 	"container/list"
 	"math"
 	"time"
@@ -185,6 +186,9 @@
 
 func (s *Scheduler) setVirtual(a *account, virtual float64) {
 	a.virtual = virtual
+	if a.index >= 0 {
+		heap.Fix(&s.active, a.index)
+	}
 }
 
 func (s *Scheduler) markChanged(a *account) {
