Honour queue limits of accounts; set no latency objective for services

Cause: the sheet's queueLimit was not used, and a plain service whose calls take longer than the first-token objective would have been limited to one request at a time. Found by reading; the limiter's tests cover both settings.

--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"monsoondeck.example/configurer"
 	"monsoondeck.example/limiter"
 	"monsoondeck.example/logger"
 	"monsoondeck.example/messenger"
@@ -85,6 +86,10 @@
 		l := o.limits[t.ID]
 		if l == nil || l.incarnation != t.Incarnation || l.slots != slots {
 			settings := c.options.Concurrency
+			if t.Kind == configurer.KindService {
+				// Calls of plain services have no usual duration.
+				settings.FirstToken, settings.Interval = 0, 0
+			}
 			// The sheet's slots are the most that the operators allow.
 			settings.Slots, settings.Maximum = slots, slots
 			l = &targetLimit{concurrency: limiter.NewConcurrency(settings), incarnation: t.Incarnation, slots: slots}
--- a/router/controller/wait.go
+++ b/router/controller/wait.go
@@ -11,6 +11,9 @@
 // receiver.ErrQueueFull, ErrDeadline, ErrRemoved or ErrStopping; in each case
 // the request was not sent anywhere.
 func (c *Controller) Wait(ctx context.Context, r receiver.Request) (receiver.Permit, error) {
+	if account, ok := c.Snapshot().Config.Account(r.Account); ok {
+		c.admission.SetAccountRequests(r.Account, account.QueueLimit)
+	}
 	release, err := c.admission.Admit(r.Account, r.Bytes)
 	if err != nil {
 		return nil, c.queueFull(r, err)
