Use the replica for the configuration in force; announce large changes

Cause: the controller merged changes by code of its own, which the properties of configurer.Replica did not cover, and sent changes above the size of a frame, which the connector drops. Change: the controller uses the replica and announces a large change without its content, so that receivers fetch the whole configuration. The poller repeats the upkeep of the stored configuration, and takes an empty table service no longer for an outage. Errors are logged by their message, without stack traces.

--- a/router/controller/configuration.go
+++ b/router/controller/configuration.go
@@ -6,20 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/connector"
 	"monsoondeck.example/logger"
 	"monsoondeck.example/messenger"
 )
 
-// storedDelta is a recent change, kept for members that are behind.
-type storedDelta struct {
-	version uint64
-	body    string
-}
-
 const (
 	// keptDeltas covers more than an hour of changes at 6,400 a day.
 	keptDeltas = 500
@@ -40,11 +32,9 @@
 func (c *Controller) SetConfig(config configurer.Config) { c.post(configMessage{config}) }
 
 func (m configMessage) apply(c *Controller, now time.Duration) {
-	if c.configured && m.config.Version() <= c.config.Version() {
-		return
+	if c.replica.OfferConfig(m.config) {
+		c.putInForce(now)
 	}
-	c.deltas = nil
-	c.putInForce(m.config, now)
 }
 
 // deltasMessage brings changes that the poller has read from the platform.
@@ -55,39 +45,43 @@
 
 func (m deltasMessage) apply(c *Controller, now time.Duration) {
 	for _, d := range m.deltas {
-		body, err := json.Marshal(d)
-		if err == nil {
-			c.applyDelta(d, string(body), pushHops, now)
-		}
+		c.offer(d, pushHops, now)
 	}
 }
 
-// applyDelta puts one change in force and forwards it if it was new.
-func (c *Controller) applyDelta(d configurer.Delta, body string, hops uint64, now time.Duration) {
-	if !c.configured && d.Base != 0 {
+// offer puts a change in force, with those that waited for it, and forwards
+// what was new.
+func (c *Controller) offer(d configurer.Delta, hops uint64, now time.Duration) {
+	applied, err := c.replica.Offer(d)
+	if err != nil {
+		logger.Emit(c.options.Logger, logger.ConfigRejected, slog.Uint64("version", d.Version), slog.String("error", err.Error()))
+	}
+	if len(applied) == 0 {
 		return
 	}
-	next, err := c.config.WithDelta(d)
-	if err != nil {
-		if !errors.Is(err, configurer.ErrStale) {
-			logger.Emit(c.options.Logger, logger.ConfigRejected, slog.Uint64("version", d.Version), slog.Any("error", err))
-		}
+	c.putInForce(now)
+	if hops == 0 {
 		return
 	}
-	c.deltas = append(c.deltas, storedDelta{d.Version, body})
-	if len(c.deltas) > keptDeltas {
-		c.deltas = slices.Delete(c.deltas, 0, len(c.deltas)-keptDeltas)
+	for _, a := range applied {
+		c.push(newPush(a, hops-1))
 	}
-	c.putInForce(next, now)
-	if hops > 0 {
-		c.push(messenger.ConfigPush{Version: d.Version, Base: d.Base, Hops: hops - 1, Body: body})
+}
+
+// newPush encodes a change. One that does not fit into a frame is announced
+// without its content, so that receivers fetch the whole configuration.
+func newPush(d configurer.Delta, hops uint64) messenger.ConfigPush {
+	body, err := json.Marshal(d)
+	if err != nil || len(body) > maxPushBytes {
+		return messenger.ConfigPush{Version: d.Version}
 	}
+	return messenger.ConfigPush{Version: d.Version, Base: d.Base, Hops: hops, Body: string(body)}
 }
 
-func (c *Controller) putInForce(config configurer.Config, now time.Duration) {
-	c.config = config
-	c.configured = true
-	logger.Emit(c.options.Logger, logger.ConfigApplied, slog.Uint64("version", config.Version()))
+// putInForce makes the replica's configuration the one that is used.
+func (c *Controller) putInForce(now time.Duration) {
+	c.config, c.configured = c.replica.Current()
+	logger.Emit(c.options.Logger, logger.ConfigApplied, slog.Uint64("version", c.config.Version()))
 	c.expireWaiters(now)
 	c.locate()
 }
@@ -150,33 +144,37 @@
 	if p.Version <= c.config.Version() {
 		return
 	}
-	if p.Base == 0 && p.Body == "" || p.Base > c.config.Version() || p.Base > 0 && !c.configured {
+	if p.Body == "" || !c.configured && p.Base > 0 {
 		c.fetch(from)
 		return
 	}
 	var d configurer.Delta
-	err := json.Unmarshal([]byte(p.Body), &d)
-	if err != nil {
-		logger.Emit(c.options.Logger, logger.ConfigRejected, slog.Uint64("version", p.Version), slog.Any("error", err))
+	if err := json.Unmarshal([]byte(p.Body), &d); err != nil {
+		logger.Emit(c.options.Logger, logger.ConfigRejected, slog.Uint64("version", p.Version), slog.String("error", err.Error()))
 		return
 	}
-	c.applyDelta(d, p.Body, p.Hops, now)
+	c.offer(d, p.Hops, now)
+	if _, missing := c.replica.Missing(); missing {
+		c.noteVersion(from, p.Version)
+	}
 }
 
 // answerConfigRequest sends the changes after a version, or, when they are no
-// longer kept, the news that a complete configuration must be fetched.
+// longer kept or too large, the news that a complete configuration must be
+// fetched.
 func (c *Controller) answerConfigRequest(to string, after uint64) {
-	var pushes []messenger.ConfigPush
+	deltas, kept := c.replica.After(after)
+	pushes := make([]messenger.ConfigPush, 0, len(deltas))
 	size := 0
-	for _, d := range c.deltas {
-		if d.version <= after {
-			continue
-		}
-		pushes = append(pushes, messenger.ConfigPush{Version: d.version, Base: d.version - 1, Body: d.body})
-		size += len(d.body)
+	for _, d := range deltas {
+		p := newPush(d, 0)
+		pushes = append(pushes, p)
+		size += len(p.Body)
+	}
+	if kept && len(deltas) == 0 {
+		return
 	}
-	complete := len(pushes) > 0 && pushes[0].Base == after && size <= maxPushBytes
-	if !complete {
+	if !kept || size > maxPushBytes {
 		pushes = []messenger.ConfigPush{{Version: c.config.Version()}}
 	}
 	c.send(to, func(f *messenger.Frame) { f.ConfigPushes = append(f.ConfigPushes, pushes...) })
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -105,18 +105,19 @@
 	leaving    map[string]bool
 	config     configurer.Config
 	configured bool
-	deltas     []storedDelta
-	marks      map[string]messenger.HostMark
-	locator    *locator.Map
-	queues     map[queueKey]*queue
-	dirty      map[queueKey]bool
-	unspilled  map[queueKey]bool
-	links      map[string]*link
-	held       map[string]*permit
-	owned      map[string]*ownedShard
-	groups     map[groupKey]*aggregator.Aggregator
-	loopback   *messenger.Frame
-	stopping   bool
+	// config is the current one of replica.
+	replica   *configurer.Replica
+	marks     map[string]messenger.HostMark
+	locator   *locator.Map
+	queues    map[queueKey]*queue
+	dirty     map[queueKey]bool
+	unspilled map[queueKey]bool
+	links     map[string]*link
+	held      map[string]*permit
+	owned     map[string]*ownedShard
+	groups    map[groupKey]*aggregator.Aggregator
+	loopback  *messenger.Frame
+	stopping  bool
 	// epochs counts the shards acquired so far.
 	epochs  uint64
 	lastAsk time.Duration
@@ -130,6 +131,7 @@
 		done:      make(chan struct{}),
 		fetches:   make(chan connector.Peer, 1),
 		admission: limiter.NewAdmission(o.Admission),
+		replica:   configurer.NewReplica(keptDeltas),
 		members:   map[string]detector.Member{},
 		leaving:   map[string]bool{},
 		marks:     map[string]messenger.HostMark{},
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -26,7 +26,9 @@
 	members []detector.Member
 	// Poller is the daemon of this data centre that reads the platform.
 	Poller string
-	marks  map[string]messenger.HostMark
+	// Maintainer is the daemon that keeps the stored configuration compact.
+	Maintainer string
+	marks      map[string]messenger.HostMark
 }
 
 // Draining tells whether a target must get no new work, by configuration or by
@@ -67,6 +69,7 @@
 		members:    c.seen,
 		Held:       len(c.held),
 		Poller:     c.locator.Poller(c.options.Self.DataCentre),
+		Maintainer: c.locator.Maintainer(),
 		marks:      maps.Clone(c.marks),
 	}
 	for _, q := range c.queues {
--- a/router/locator/locator.go
+++ b/router/locator/locator.go
@@ -155,6 +155,17 @@
 	return highest("poller/"+dataCentre, m.local[dataCentre])
 }
 
+// Maintainer returns the daemon that keeps the stored configuration compact. It
+// is a poller too, so that it reads the host list and the changes anyway.
+func (m *Map) Maintainer() string {
+	var pollers []candidate
+	for dataCentre := range m.local {
+		id := m.Poller(dataCentre)
+		pollers = append(pollers, candidate{id, xxhash.Sum64String(id)})
+	}
+	return highest("maintainer", pollers)
+}
+
 // SlotDivisor is the number of daemons that divide a target's slots.
 func (m *Map) SlotDivisor() int {
 	if m.policy == Static {
--- a/router/poller/poller.go
+++ b/router/poller/poller.go
@@ -24,6 +24,8 @@
 type Source interface {
 	Load(ctx context.Context) (configurer.Config, error)
 	Poll(ctx context.Context, after uint64) ([]configurer.Delta, error)
+	// Maintain writes a snapshot and removes old changes where that is due.
+	Maintain(ctx context.Context, config configurer.Config) error
 }
 
 // Hosts reads the host list.
@@ -42,6 +44,8 @@
 const (
 	// period leaves two seconds of the three-second goal for distribution.
 	period = time.Second
+	// maintenancePeriod is far below the time in which 200 changes are made.
+	maintenancePeriod = 10 * time.Minute
 	// callTimeout keeps a slow platform from delaying the next poll for long.
 	callTimeout = 3 * time.Second
 	// bootstrapDelay and bootstrapSpread let peers answer first when a data
@@ -52,13 +56,15 @@
 
 // Poller reads the platform for one daemon.
 type Poller struct {
-	self      string
-	source    Source
-	hosts     Hosts
-	control   Control
-	logger    *slog.Logger
-	bootstrap time.Time
-	failing   bool
+	self   string
+	source Source
+	hosts  Hosts
+	// maintained is when the stored changes were last compacted.
+	maintained time.Time
+	control    Control
+	logger     *slog.Logger
+	bootstrap  time.Time
+	failing    bool
 }
 
 // New returns a Poller. hosts may be nil where no host list is configured.
@@ -91,9 +97,20 @@
 	case s.Configured && s.Poller == p.self:
 		p.pollChanges(ctx, s)
 		p.pollHosts(ctx, s)
+		p.maintain(ctx, s)
 	}
 }
 
+// maintain repeats the upkeep of the stored configuration, in case the operator's
+// command that was to do it had been interrupted.
+func (p *Poller) maintain(ctx context.Context, s *controller.Snapshot) {
+	if s.Maintainer != p.self || time.Since(p.maintained) < maintenancePeriod {
+		return
+	}
+	p.maintained = time.Now()
+	p.note(p.source.Maintain(ctx, s.Config))
+}
+
 func (p *Poller) load(ctx context.Context) {
 	config, err := p.source.Load(ctx)
 	p.note(err)
@@ -141,15 +158,15 @@
 
 // note logs the first failure and the first success after it.
 func (p *Poller) note(err error) {
-	if errors.Is(err, provider.ErrNotFound) {
-		err = nil // no configuration has been committed yet
+	if errors.Is(err, committer.ErrNoConfig) || errors.Is(err, committer.ErrStaleRead) {
+		return // the platform has answered; an older answer is not used
 	}
 	if (err != nil) == p.failing {
 		return
 	}
 	p.failing = err != nil
 	if p.failing {
-		logger.Emit(p.logger, logger.PlatformUnavailable, slog.Any("error", err))
+		logger.Emit(p.logger, logger.PlatformUnavailable, slog.String("error", err.Error()))
 		return
 	}
 	logger.Emit(p.logger, logger.PlatformAvailable)
--- a/router/router.go
+++ b/router/router.go
@@ -142,7 +142,7 @@
 	source := committer.New(committer.Options{
 		Table:   provider.NewTable(provider.Options{URL: d.settings.TableURL}),
 		Objects: provider.NewObjects(provider.Options{URL: d.settings.ObjectsURL}),
-		Warn:    func(err error) { logger.Emit(d.logger, logger.SnapshotUnreadable, slog.Any("error", err)) },
+		Warn:    func(err error) { logger.Emit(d.logger, logger.SnapshotUnreadable, slog.String("error", err.Error())) },
 	})
 	var hosts poller.Hosts
 	if d.settings.HostsURL != "" {
@@ -193,7 +193,7 @@
 	var err error
 	select {
 	case err = <-failed:
-		logger.Emit(d.logger, logger.ListenerFailed, slog.Any("error", err))
+		logger.Emit(d.logger, logger.ListenerFailed, slog.String("error", err.Error()))
 	case <-ctx.Done():
 	case <-stop:
 		err = d.stop(stop)
