Correct estimates by the account's past costs

Cause: cost hints are rough, and a member whose hints are too low gets slots for little until the costs are known.

Change: the owner learns each account's ratio of actual to estimated cost as a moving average, within a factor of 8, and charges the corrected estimate at dispatch. Grant.Estimate is the corrected value. Settlement still refunds or adds the difference. The model takes costs from the client instead of the charge.

What remains is the start, when every slot is granted before the first cost is known.

Ruled out: fairness for accounts with one waiting request per router and lost messages.

--- a/scheduler/fleet_run_test.go
+++ b/scheduler/fleet_run_test.go
@@ -146,6 +146,7 @@
 		for b, y := range f.clients[:a] {
 			bound := f.bound(a, b, rate)
 			gap := units[a]/x.weight - units[b]/y.weight
+			f.out.units = max(f.out.units, gap, -gap)
 			f.out.gap = max(f.out.gap, gap/bound, -gap/bound)
 			widest = max(widest, bound)
 		}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -55,11 +55,11 @@
 }
 
 // outcome is what a run shows. gap and wait are the largest gap and time without service,
-// relative to their limits, and idle is the longest time for which a slot was free while
+// relative to their limits, units is the largest gap in units per weight, and idle is the longest time for which a slot was free while
 // requests waited. over counts requests beyond a target's limit, unused grants that found an
 // empty queue, wasted grants to a stopped router and leaked the slots and demands left over.
 type outcome struct {
-	gap, wait                    float64
+	gap, wait, units             float64
 	idle                         time.Duration
 	over, unused, wasted, leaked int
 }
@@ -270,7 +270,7 @@
 	if f.finite > 0 {
 		r.queue[c]--
 	}
-	x.cost = max(1, g.Estimate*f.clients[c].bias*(0.5+f.random.Float64()))
+	x.cost = max(1, f.clients[c].cost*f.clients[c].bias*(0.5+f.random.Float64()))
 	x.end = f.now + time.Duration(x.cost/speed*float64(time.Second))
 	r.running = append(r.running, x)
 	f.largest[c] = max(f.largest[c], x.cost, g.Estimate)
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -43,7 +43,7 @@
 	s.lastID++
 	g := &grant{
 		key: grantKey{s.settings.Epoch, s.lastID}, member: d.member, account: a, target: t,
-		demand: d, estimate: s.estimate(d), listed: s.now,
+		demand: d, hint: d.estimate, estimate: d.charge(), listed: s.now,
 	}
 	g.charged = g.estimate
 	s.hold(g)
@@ -141,9 +141,13 @@
 	s.refreshMember(m)
 }
 
-// estimate is the charge at dispatch of a request of d: the member's estimate or, without
-// one, the mean cost of the account's requests, so that no account takes slots for nothing.
-func (s *Scheduler) estimate(d *demand) float64 {
+// charge is the charge at dispatch of a request of d: the member's estimate, corrected by how
+// wrong the account's estimates have been, or, without one, the mean cost of the account's
+// requests, so that no account takes slots for nothing.
+func (d *demand) charge() float64 {
+	if d.estimate > 0 && d.account.ratio > 0 {
+		return d.estimate * d.account.ratio
+	}
 	if d.estimate > 0 {
 		return d.estimate
 	}
--- a/scheduler/holdings.go
+++ b/scheduler/holdings.go
@@ -77,6 +77,7 @@
 	s.confirm(g)
 	s.release(g)
 	g.account.observe(cost)
+	g.account.learn(cost, g.hint)
 	s.charge(g.account, cost-g.charged)
 	if _, found := s.ended.get(g.key); found || g.key.epoch != s.settings.Epoch {
 		s.ended.put(g.key, ending{member: g.member.name, charged: cost, settled: true})
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -37,10 +37,14 @@
 	// largest charge of one grant.
 	held, peak int
 	largest    float64
-	// mean is the moving average of the cost of settled requests.
-	mean float64
+	// mean is the moving average of the cost of settled requests and ratio that of actual
+	// over estimated cost, 0 while unknown.
+	mean, ratio float64
 }
 
+// maximumRatio bounds the correction of an account's estimates.
+const maximumRatio = 8
+
 // meanWeight is the weight of the newest request in the mean cost.
 const meanWeight = 0.1
 
@@ -56,6 +60,18 @@
 	a.mean += meanWeight * (cost - a.mean)
 }
 
+// learn compares the cost of an ended request with the member's estimate.
+func (a *account) learn(cost, hint float64) {
+	if cost <= 0 || hint <= 0 {
+		return
+	}
+	ratio := min(max(cost/hint, 1/maximumRatio), maximumRatio)
+	if a.ratio == 0 {
+		a.ratio = ratio
+	}
+	a.ratio += meanWeight * (ratio - a.ratio)
+}
+
 type demand struct {
 	member   *member
 	account  *account
@@ -113,8 +129,8 @@
 	target  *target
 	// demand is nil for grants of an earlier epoch and for grants held again.
 	demand *demand
-	// estimate is the charge at dispatch; charged is the charge so far.
-	estimate, charged float64
+	// hint is the member's estimate; estimate is the charge at dispatch; charged is the charge so far.
+	hint, estimate, charged float64
 	// listed is when the grant was issued or last appeared in its holder's holdings.
 	listed time.Duration
 	// confirmed is set once the holder has listed the grant.
