--- /dev/null
+++ b/generator/run.go
@@ -0,0 +1,46 @@
+// Package generator loads, measures and breaks a fleet.
+package generator
+
+import (
+	"fmt"
+
+	"monsoondeck.example/generator/bench"
+	"monsoondeck.example/generator/chaos"
+	"monsoondeck.example/generator/demo"
+	"monsoondeck.example/generator/load"
+	"monsoondeck.example/generator/report"
+	"monsoondeck.example/logger"
+)
+
+const usage = `Usage: monsoonload COMMAND [FLAGS]
+
+Commands:
+  load    send load to a running fleet and check the answers
+  bench   measure a fleet of processes under a scenario
+  chaos   check a fleet of processes under random faults
+  report  make a page with plots from the lines of bench
+  demo    show a small fleet at work in one process
+Run monsoonload COMMAND --help for the flags of a command.
+`
+
+// Run runs one command and returns the exit code.
+func Run(args, env []string, streams logger.Streams) int {
+	commands := map[string]func(args, env []string, streams logger.Streams) int{
+		"bench":  bench.Run,
+		"load":   load.Run,
+		"chaos":  chaos.Run,
+		"report": report.Run,
+		"demo":   demo.Run,
+	}
+	if len(args) > 0 {
+		if command, ok := commands[args[0]]; ok {
+			return command(args[1:], env, streams)
+		}
+		if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
+			_, _ = fmt.Fprint(streams.Out, usage)
+			return bench.ExitDone
+		}
+	}
+	_, _ = fmt.Fprint(streams.Err, usage)
+	return bench.ExitUsage
+}
--- /dev/null
+++ b/router/receiver/suite_test.go
@@ -0,0 +1,173 @@
+package receiver_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/router/dispatcher"
+	"monsoondeck.example/router/receiver"
+)
+
+func TestReceiver(t *testing.T) {
+	RegisterFailHandler(Fail)
+	// Verdicts must not depend on the speed of the machine.
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "receiver")
+}
+
+// waiter grants the targets of its list in turn and records settlements.
+type waiter struct {
+	mutex   sync.Mutex
+	targets []configurer.Target
+	err     error
+	asked   []receiver.Request
+	settled []receiver.Settlement
+	// expire is the number of permits that expire before dispatch.
+	expire int
+}
+
+func (w *waiter) Wait(_ context.Context, r receiver.Request) (receiver.Permit, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.asked = append(w.asked, r)
+	if w.err != nil {
+		return nil, w.err
+	}
+	for _, t := range w.targets {
+		if !slices.Contains(r.Exclude, t.ID) {
+			return &permit{w: w, target: t}, nil
+		}
+	}
+	return nil, receiver.ErrDeadline
+}
+
+func (w *waiter) settlements() []receiver.Settlement {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]receiver.Settlement(nil), w.settled...)
+}
+
+type permit struct {
+	w      *waiter
+	target configurer.Target
+}
+
+func (p *permit) Target() configurer.Target { return p.target }
+func (p *permit) Progress(float64)          {}
+func (p *permit) Settle(s receiver.Settlement) {
+	p.w.mutex.Lock()
+	defer p.w.mutex.Unlock()
+	p.w.settled = append(p.w.settled, s)
+}
+
+func (p *permit) Dispatchable() error {
+	p.w.mutex.Lock()
+	defer p.w.mutex.Unlock()
+	if p.w.expire > 0 {
+		p.w.expire--
+		return receiver.ErrExpired
+	}
+	return nil
+}
+
+type configs struct{ config configurer.Config }
+
+func (c configs) Current() (configurer.Config, bool) { return c.config, c.config.Version() > 0 }
+
+// echo sends the request id back, as every target does.
+func echo(f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		f(w, r)
+	}
+}
+
+// fixture is a router with small targets on real sockets.
+type fixture struct {
+	url     string
+	waiter  *waiter
+	options receiver.Options
+}
+
+// newFixture serves pools "model" (engine) and "orders" (service) by handlers,
+// one target each per handler.
+func newFixture(change func(o *receiver.Options, d *dispatcher.Options), handlers ...http.HandlerFunc) *fixture {
+	f := &fixture{waiter: &waiter{}}
+	d := dispatcher.Options{DialTimeout: time.Minute}
+	f.options = receiver.Options{Waiter: f.waiter}
+	for i, h := range handlers {
+		s := httptest.NewServer(h)
+		DeferCleanup(s.Close)
+		f.waiter.targets = append(f.waiter.targets, configurer.Target{ID: string(rune('a' + i)), Address: s.Listener.Addr().String()})
+	}
+	c, err := configurer.New(1, []configurer.Account{{
+		ID: "acme", Share: 1, KeyHashes: []string{configurer.KeyHash("secret")}, Pools: []string{"model", "orders"},
+	}}, []configurer.Target{
+		{ID: "e", Address: "127.0.0.1:1", Kind: configurer.KindEngine, Pools: []string{"model", "private"}, Slots: 1},
+		{ID: "s", Address: "127.0.0.1:1", Kind: configurer.KindService, Pools: []string{"orders"}, Slots: 1},
+	}, nil)
+	Expect(err).NotTo(HaveOccurred())
+	f.options.Configs = configs{c}
+	if change != nil {
+		change(&f.options, &d)
+	}
+	var closeIdle func()
+	f.options.Dispatcher, closeIdle = func() (receiver.Dispatcher, func()) { return dispatcher.New(d) }()
+	DeferCleanup(closeIdle)
+	f.url = listen(receiver.New(f.options))
+	return f
+}
+
+func listen(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := receiver.NewServer(h, slog.New(slog.DiscardHandler))
+	go func() {
+		defer GinkgoRecover()
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			Fail(err.Error())
+		}
+	}()
+	DeferCleanup(s.Close)
+	return "http://" + l.Addr().String()
+}
+
+func (f *fixture) request(method, path, body string, headers ...string) *http.Request {
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return r
+}
+
+func (f *fixture) do(method, path, body string, headers ...string) (*http.Response, string) {
+	return send(f.request(method, path, body, headers...))
+}
+
+func send(r *http.Request) (*http.Response, string) {
+	res, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	b, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Body.Close()).To(Succeed())
+	return res, string(b)
+}
+
+const ask = `{"model":"model","messages":[{"role":"user","content":"hi"}],"max_tokens":5}`
+const askStream = `{"model":"model","stream":true,"messages":[{"role":"user","content":"hi"}],"max_tokens":5}`
