--- a/connector/dial.go
+++ b/connector/dial.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+
+	"monsoondeck.example/logger"
 )
 
 // peerPath is the HTTP path of the peer listener.
@@ -19,7 +22,10 @@
 	p.mutex.Lock()
 	wait := time.Until(p.retryAt)
 	start := wait <= 0 && !p.dialing && address != ""
-	p.dialing = p.dialing || start
+	if start {
+		p.dialing = true
+		p.retryAt = time.Now().Add(p.hub.timing.MinBackoff)
+	}
 	p.mutex.Unlock()
 	if wait > 0 {
 		return min(wait, p.hub.timing.MaxAge)
@@ -41,9 +47,12 @@
 	}
 	if err != nil {
 		p.hub.counters.handshakesFailed.Add(1)
-		p.hub.options.Logger.Debug("peer not reached", "peer", p.id, "address", address, "error", err)
+		if errors.IsAny(err, ErrUnauthenticated, ErrStale) {
+			logger.Emit(p.hub.options.Logger, logger.PeerRejected, slog.String("address", address), slog.Any("error", err))
+		}
+	} else if p.id == "" {
+		p.hub.move(p, l.id)
 	}
-	p.hub.moved(p, l, err)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.dialing = false
@@ -55,7 +64,8 @@
 	signal(p.changed)
 }
 
-// dial opens a connection to the address and authenticates both ends.
+// dial opens a connection to the address and authenticates both ends. An empty ID
+// accepts any daemon there.
 func (h *Hub) dial(address, id string) (*link, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, h.timing.Handshake)
 	defer cancel()
@@ -67,34 +77,22 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to a peer")
 	}
-	l, err := h.greet(ctx, c)
+	l, err := h.greet(ctx, c, id)
 	if err != nil {
 		_ = c.CloseNow()
 		return nil, err
 	}
 	l.dialed = address
 	h.counters.connections.Add(1)
-	if id != "" && id != l.id {
-		h.options.Logger.Info("another daemon answers at the address", "address", address, "expected", id, "found", l.id)
-	}
 	return l, nil
 }
 
-// moved handles an answer from a daemon other than the entry stands for. Frames
-// for an address go to the daemon that answers there. Frames for a named daemon
-// that another one answers for are dropped.
-func (h *Hub) moved(p *peer, l *link, err error) {
-	if err != nil || p.id == l.id {
-		return
-	}
-	if p.id != "" {
-		h.counters.dropped.Add(uint64(p.queue.clear()))
-		return
-	}
+// move passes the frames for an address on to the daemon that answers there.
+func (h *Hub) move(from *peer, id string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if to := h.peers[l.id]; to != nil {
-		p.queue.move(&to.queue)
+	if to := h.peers[id]; to != nil {
+		from.queue.move(&to.queue)
 		signal(to.pending)
 	}
 }
--- a/connector/handshake.go
+++ b/connector/handshake.go
@@ -7,11 +7,14 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+
+	"monsoondeck.example/logger"
 )
 
 const (
@@ -19,11 +22,6 @@
 	maxHandshakeBytes = 4 << 10
 	nonceBytes        = 16
 
-	// maxClockDifference is the difference between the clocks of two daemons above
-	// which a warning is logged. It does not end the handshake: the nonces already
-	// prevent a replay, and a clock that jumps must not cut a daemon off.
-	maxClockDifference = 30 * time.Second
-
 	// The labels keep the proof of one side from being used as that of the other.
 	labelDialer   = "monsoondeck peer dialer 1"
 	labelAcceptor = "monsoondeck peer acceptor 1"
@@ -34,15 +32,21 @@
 	reasonUnauthenticated = "unauthenticated"
 	reasonStale           = "stale"
 	reasonSelf            = "self"
+	reasonOther           = "other"
 )
 
 // hello opens the handshake on both sides. The fresh nonce of each side is part
 // of the proof of the other, so a recorded handshake proves nothing later.
 type hello struct {
-	ID          string `json:"id"`
+	ID string `json:"id"`
+	// To is the daemon that the dialer expects; empty accepts any.
+	To          string `json:"to,omitempty"`
 	Incarnation uint64 `json:"incarnation"`
-	TimeMs      int64  `json:"timeMs"`
-	Nonce       []byte `json:"nonce"`
+	// TimeMs is the sender's clock, for the log only. A difference does not end the
+	// handshake: the nonces already prevent a replay, and a clock that jumps must
+	// not cut a daemon off.
+	TimeMs int64  `json:"timeMs"`
+	Nonce  []byte `json:"nonce"`
 }
 
 // answer is the acceptor's hello with its proof.
@@ -80,6 +84,7 @@
 	writeString([]byte(label))
 	for _, o := range []hello{dialer, acceptor} {
 		writeString([]byte(o.ID))
+		writeString([]byte(o.To))
 		m.Write(binary.BigEndian.AppendUint64(nil, o.Incarnation))
 		m.Write(binary.BigEndian.AppendUint64(nil, uint64(o.TimeMs)))
 		writeString(o.Nonce)
@@ -88,12 +93,13 @@
 }
 
 // greet runs the dialer's side of the handshake.
-func (h *Hub) greet(ctx context.Context, c *websocket.Conn) (*link, error) {
+func (h *Hub) greet(ctx context.Context, c *websocket.Conn, id string) (*link, error) {
 	c.SetReadLimit(maxHandshakeBytes)
 	own, err := h.hello()
 	if err != nil {
 		return nil, err
 	}
+	own.To = id
 	if err := writeMessage(ctx, c, own); err != nil {
 		return nil, err
 	}
@@ -112,7 +118,6 @@
 	if err := readMessage(ctx, c, &done); err != nil {
 		return nil, err
 	}
-	h.compareClocks(a.Hello)
 	return h.link(c, a.Hello), nil
 }
 
@@ -126,6 +131,9 @@
 	if peer.ID == h.options.Self {
 		return nil, errors.Wrapf(ErrSelf, "incarnation %d", peer.Incarnation)
 	}
+	if peer.To != "" && peer.To != h.options.Self {
+		return nil, errors.Wrapf(ErrOther, "%q was expected", peer.To)
+	}
 	own, err := h.hello()
 	if err != nil {
 		return nil, err
@@ -143,18 +151,12 @@
 	if !h.fresh(peer.ID, peer.Incarnation) {
 		return nil, errors.Wrapf(ErrStale, "dialer %q", peer.ID)
 	}
-	h.compareClocks(peer)
 	return h.link(c, peer), writeMessage(ctx, c, accepted{Accepted: true})
 }
 
 func (h *Hub) link(c *websocket.Conn, peer hello) *link {
-	return &link{conn: c, id: peer.ID, incarnation: peer.Incarnation, clock: h.clock}
-}
-
-func (h *Hub) compareClocks(peer hello) {
-	if d := time.Since(time.UnixMilli(peer.TimeMs)); d.Abs() > maxClockDifference {
-		h.options.Logger.Warn("clock of a peer differs", "peer", peer.ID, "difference", d)
-	}
+	return &link{conn: c, id: peer.ID, incarnation: peer.Incarnation, clock: h.clock,
+		clockDifference: time.Since(time.UnixMilli(peer.TimeMs))}
 }
 
 // ServeHTTP accepts a connection from a peer.
@@ -177,7 +179,9 @@
 		}
 	}
 	h.counters.handshakesFailed.Add(1)
-	h.options.Logger.Warn("peer refused", "remote", r.RemoteAddr, "error", err)
+	if !errors.IsAny(err, ErrSelf, ErrOther) {
+		logger.Emit(h.options.Logger, logger.PeerRejected, slog.String("remote", r.RemoteAddr), slog.Any("error", err))
+	}
 	_ = c.Close(websocket.StatusPolicyViolation, reasonOf(err))
 }
 
@@ -186,6 +190,8 @@
 	switch {
 	case errors.Is(err, ErrSelf):
 		return reasonSelf
+	case errors.Is(err, ErrOther):
+		return reasonOther
 	case errors.Is(err, ErrStale):
 		return reasonStale
 	default:
@@ -214,6 +220,8 @@
 		switch e.Reason {
 		case reasonSelf:
 			return errors.Mark(err, ErrSelf)
+		case reasonOther:
+			return errors.Mark(err, ErrOther)
 		case reasonStale:
 			return errors.Mark(err, ErrStale)
 		case reasonUnauthenticated:
--- /dev/null
+++ b/connector/handshake_test.go
@@ -0,0 +1,163 @@
+package connector
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+
+	"monsoondeck.example/encoder"
+)
+
+// startServer serves hubs at one address; swap replaces the hub.
+func startServer(t *testing.T, h *Hub) (address string, swap func(*Hub)) {
+	t.Helper()
+	var current atomic.Pointer[Hub]
+	current.Store(h)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { current.Load().ServeHTTP(w, r) }))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), current.Store
+}
+
+// open connects without a handshake.
+func open(t *testing.T, address string) *websocket.Conn {
+	t.Helper()
+	c, r, err := websocket.Dial(t.Context(), "ws://"+address+peerPath, nil)
+	if r != nil && r.Body != nil {
+		_ = r.Body.Close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.CloseNow() })
+	return c
+}
+
+// converse plays the dialer with a hello and a proof made from the answer.
+func converse(t *testing.T, address string, own hello, prove func(answer) []byte) (*websocket.Conn, error) {
+	t.Helper()
+	c := open(t, address)
+	if err := writeMessage(t.Context(), c, own); err != nil {
+		t.Fatal(err)
+	}
+	var a answer
+	if err := readMessage(t.Context(), c, &a); err != nil {
+		return c, err
+	}
+	if err := writeMessage(t.Context(), c, confirm{Proof: prove(a)}); err != nil {
+		t.Fatal(err)
+	}
+	return c, readMessage(t.Context(), c, &accepted{})
+}
+
+// TestHandshakeIsRefused guards against peers that get in without the secret:
+// with a wrong one, with a recorded handshake, or with the proof of the acceptor
+// itself.
+func TestHandshakeIsRefused(t *testing.T) {
+	a, _ := startHub(t, "a", 1)
+	b, address := startHub(t, "b", 1)
+	own, err := a.hello()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var recorded []byte
+	valid := func(h answer) []byte {
+		recorded = a.proof(labelDialer, own, h.Hello)
+		return recorded
+	}
+	if _, err := converse(t, address, own, valid); err != nil {
+		t.Fatalf("valid handshake: %v", err)
+	}
+	asB, asOther, empty := own, own, own
+	asB.ID, asOther.To, empty.ID = "b", "c", ""
+	for name, c := range map[string]struct {
+		own   hello
+		prove func(answer) []byte
+		want  error
+	}{
+		"recorded":                 {own, func(answer) []byte { return recorded }, ErrUnauthenticated},
+		"proof of the acceptor":    {own, func(h answer) []byte { return h.Proof }, ErrUnauthenticated},
+		"no proof":                 {own, func(answer) []byte { return nil }, ErrUnauthenticated},
+		"without a name":           {empty, func(h answer) []byte { return a.proof(labelDialer, empty, h.Hello) }, ErrUnauthenticated},
+		"name of the acceptor":     {asB, valid, ErrSelf},
+		"another daemon is wanted": {asOther, valid, ErrOther},
+	} {
+		if _, err := converse(t, address, c.own, c.prove); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if got := b.Stats().Connections; got != 1 {
+		t.Errorf("%d connections were accepted", got)
+	}
+}
+
+// TestDialFails guards against a dialer that trusts an acceptor without the
+// secret, and against reasons for a refusal that are lost.
+func TestDialFails(t *testing.T) {
+	a, aa := startHub(t, "a", 1)
+	b, ba := startHub(t, "b", 2)
+	_, stranger := startHub(t, "x", 1, func(o *Options) { o.Secret = []byte("another secret of the fleet") })
+	old, _ := startHub(t, "b", 1)
+	sendUntilReceived(b, Peer{ID: "a", Address: aa}, a, 1)
+	for name, c := range map[string]struct {
+		from        *Hub
+		address, id string
+		want        error
+	}{
+		"wrong secret":    {a, stranger, "", ErrUnauthenticated},
+		"itself":          {a, aa, "", ErrSelf},
+		"another daemon":  {a, ba, "c", ErrOther},
+		"old incarnation": {old, aa, "a", ErrStale},
+	} {
+		if _, err := c.from.dial(c.address, c.id); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestHostileFrames guards against frames in the name of another daemon,
+// malformed ones, and frames above the size limit.
+func TestHostileFrames(t *testing.T) {
+	a, _ := startHub(t, "a", 1)
+	b, address := startHub(t, "b", 1)
+	own, err := a.hello()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := converse(t, address, own, func(h answer) []byte { return a.proof(labelDialer, own, h.Hello) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(sender string, sequence uint64) []byte {
+		f := messengerFrame(sender, sequence)
+		data, err := a.encoder.Encode(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	for _, data := range [][]byte{send("c", 1), []byte("garbage"), send("a", 5), send("a", 5), send("a", 4), send("a", 6)} {
+		if err := c.Write(context.Background(), websocket.MessageBinary, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, want := range []uint64{5, 6} {
+		if f := <-b.Received(); f.Sequence != want || f.Sender != "a" {
+			t.Errorf("received %+v", f)
+		}
+	}
+	if got := b.Stats().FramesRejected; got != 4 {
+		t.Errorf("%d frames were rejected", got)
+	}
+	if err := c.Write(context.Background(), websocket.MessageBinary, make([]byte, encoder.MaxBytes+1)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := c.Read(context.Background()); websocket.CloseStatus(err) != websocket.StatusMessageTooBig {
+		t.Errorf("connection after an oversize frame: %v", err)
+	}
+}
--- a/connector/hub.go
+++ b/connector/hub.go
@@ -9,11 +9,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"monsoondeck.example/encoder"
+	"monsoondeck.example/logger"
 	"monsoondeck.example/messenger"
 )
 
@@ -28,6 +30,9 @@
 	// seen of the same daemon.
 	ErrStale = errors.New("peer has an older incarnation")
 
+	// ErrOther reports that another daemon than expected answers at an address.
+	ErrOther = errors.New("another daemon answers at the address")
+
 	// ErrSelf reports a connection of a daemon to itself.
 	ErrSelf = errors.New("peer is this daemon")
 
@@ -74,6 +79,8 @@
 	received chan *messenger.Frame
 	counters counters
 	started  time.Time
+	// sequence is that of the last frame sent to any peer.
+	sequence atomic.Uint64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -85,10 +92,10 @@
 	// peers holds the known daemons by ID, and by "@" and address those whose ID
 	// is not known yet.
 	peers map[string]*peer
-	// names maps the addresses of peers addressed without an ID to the ID that
-	// answered there.
+	// names maps dialed addresses to the ID that answered there.
 	names map[string]string
-	// newest holds the largest incarnation seen of each daemon.
+	// newest holds the largest incarnation seen of each daemon. Entries stay for the
+	// life of the hub; at 300 replaced hosts a day they take 10 MB in a year.
 	newest map[string]uint64
 }
 
@@ -145,8 +152,10 @@
 
 // Received returns the channel of frames from authenticated peers. Sender and
 // Incarnation of each frame are those that the peer proved at the handshake.
-// A receiver that falls behind slows the peers' connections down. The channel is
-// closed after the Hub.
+// A receiver that falls behind slows the peers' connections down. The
+// frames of one incarnation arrive in the order of their sequence; those that a
+// second connection delivers after later ones are dropped. The channel is closed
+// after the Hub.
 func (h *Hub) Received() <-chan *messenger.Frame { return h.received }
 
 // Stats returns the counts since New.
@@ -160,11 +169,15 @@
 	if h.closed || to.ID == h.options.Self {
 		return nil
 	}
-	id := to.ID
-	if id == "" {
-		id = h.names[to.Address]
+	if to.ID == "" {
+		// The daemon that answered at the address may have been replaced by another
+		// one, so only an open connection tells who is there.
+		if p := h.peers[h.names[to.Address]]; p != nil && p.connected() != nil {
+			p.touch()
+			return p
+		}
 	}
-	return h.peerLocked(id, to.Address)
+	return h.peerLocked(to.ID, to.Address)
 }
 
 // peerLocked returns the entry for the ID, or for the address if the ID is
@@ -204,6 +217,8 @@
 	}
 	h.startLocked(func() { h.read(p, l) })
 	p.attach(l)
+	logger.Emit(h.options.Logger, logger.PeerConnected, slog.String("peer", l.id),
+		slog.Bool("dialed", l.dialed != ""), slog.Duration("clockDifference", l.clockDifference))
 	return nil
 }
 
--- a/connector/link.go
+++ b/connector/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,8 @@
 	"github.com/coder/websocket"
 
 	"monsoondeck.example/encoder"
+	"monsoondeck.example/logger"
+	"monsoondeck.example/messenger"
 )
 
 // reasonDuplicate is the close reason of the connection that gives way when two
@@ -23,14 +26,18 @@
 	incarnation uint64
 	// dialed is the address that this daemon dialed; empty if the peer dialed.
 	dialed string
-	// sequence is the number of the last frame written; only the goroutine of the
-	// peer uses it.
-	sequence uint64
-	clock    func() time.Duration
+	// clockDifference is how far the clock of the peer is behind.
+	clockDifference time.Duration
+	// faulty is set after the first rejected frame; only the reader uses it.
+	faulty bool
+	clock  func() time.Duration
 	// silentSince is the time by clock of the first frame written after the last
 	// one received; 0 if there is none.
 	silentSince atomic.Int64
 	checking    atomic.Bool
+	// retiring is set when another connection replaces this one; guarded by the
+	// mutex of the peer.
+	retiring bool
 }
 
 // write sends one encoded frame. After an error the connection is closed.
@@ -67,14 +74,14 @@
 	for {
 		_, b, err := l.conn.Read(h.ctx)
 		if err != nil {
-			h.options.Logger.Debug("peer connection ended", "peer", l.id, "error", err)
+			logger.Emit(h.options.Logger, logger.PeerDisconnected, slog.String("peer", l.id), slog.Any("error", err))
 			break
 		}
 		l.silentSince.Store(0)
 		p.touch()
 		h.counters.framesReceived.Add(1)
 		h.counters.bytesReceived.Add(uint64(len(b)))
-		if !h.deliver(l, b) {
+		if !h.deliver(p, l, b) {
 			break
 		}
 	}
@@ -83,24 +90,40 @@
 }
 
 // deliver decodes a frame and passes it on; it reports whether to continue.
-func (h *Hub) deliver(l *link, b []byte) bool {
+func (h *Hub) deliver(p *peer, l *link, b []byte) bool {
 	f, err := h.encoder.Decode(b)
 	if err == nil && (f.Sender != l.id || f.Incarnation != l.incarnation) {
 		err = errors.Wrapf(ErrUnauthenticated, "frame of %q", f.Sender)
 	}
 	if err != nil {
 		h.counters.rejected.Add(1)
-		h.options.Logger.Warn("frame rejected", "peer", l.id, "error", err)
+		if !l.faulty {
+			l.faulty = true // one record for each connection, not for each frame
+			logger.Emit(h.options.Logger, logger.PeerRejected, slog.String("peer", l.id), slog.Any("error", err))
+		}
 		return true
 	}
 	if !h.fresh(l.id, l.incarnation) {
 		h.counters.rejected.Add(1)
 		return false
 	}
+	return p.pass(f)
+}
+
+// pass hands a frame to the receiver unless a later one was handed over before.
+// It reports false if the hub closes.
+func (p *peer) pass(f *messenger.Frame) bool {
+	p.receiving.Lock()
+	defer p.receiving.Unlock()
+	if f.Incarnation == p.last.incarnation && f.Sequence <= p.last.sequence || f.Incarnation < p.last.incarnation {
+		p.hub.counters.rejected.Add(1)
+		return true
+	}
 	select {
-	case h.received <- f:
+	case p.hub.received <- f:
+		p.last.incarnation, p.last.sequence = f.Incarnation, f.Sequence
 		return true
-	case <-h.ctx.Done():
+	case <-p.hub.ctx.Done():
 		return false
 	}
 }
--- a/connector/peer.go
+++ b/connector/peer.go
@@ -26,6 +26,10 @@
 	// pending and changed wake run: messages wait, or links changed.
 	pending, changed chan struct{}
 
+	// receiving orders the frames of the peer; last is the last one handed over.
+	receiving sync.Mutex
+	last      struct{ incarnation, sequence uint64 }
+
 	mutex sync.Mutex
 	// links holds the open connections, newest last. There is one, except while it
 	// is decided which of two simultaneous connections stays.
@@ -60,7 +64,7 @@
 				return
 			}
 			p.flush()
-		case <-time.After(p.hub.timing.Answer):
+		case <-time.After(p.patience()):
 			p.check()
 			if p.hub.retire(p) {
 				return
@@ -71,6 +75,16 @@
 	}
 }
 
+// patience returns how long to wait for messages before the connection and the
+// use of the peer are checked. Without an open question the checks are rare, to
+// save timers on hundreds of idle connections.
+func (p *peer) patience() time.Duration {
+	if l := p.connected(); l != nil && l.silent(0) {
+		return p.hub.timing.Answer
+	}
+	return p.hub.timing.Idle / 4
+}
+
 func (p *peer) sleep(d time.Duration) bool {
 	select {
 	case <-time.After(d):
@@ -105,8 +119,7 @@
 func (p *peer) write(l *link, f *messenger.Frame) {
 	h := p.hub
 	f.Sender, f.Incarnation = h.options.Self, h.options.Incarnation
-	l.sequence++
-	f.Sequence = l.sequence
+	f.Sequence = h.sequence.Add(1)
 	b, err := h.encoder.Encode(*f)
 	if err != nil {
 		if first, second, ok := split(f); ok {
@@ -115,7 +128,6 @@
 			return
 		}
 		h.counters.dropped.Add(1)
-		h.options.Logger.Error("frame not sent", "peer", l.id, "error", err)
 		return
 	}
 	if err := l.write(h.ctx, b, h.timing.Ping); err != nil {
@@ -145,14 +157,20 @@
 	return true
 }
 
-// connected returns the newest link; nil if there is none.
+// connected returns the link to write to: the newest that is not about to be
+// closed; nil if there is none.
 func (p *peer) connected() *link {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.links) == 0 {
-		return nil
+	for _, l := range slices.Backward(p.links) {
+		if !l.retiring {
+			return l
+		}
 	}
-	return p.links[len(p.links)-1]
+	if n := len(p.links); n > 0 {
+		return p.links[n-1]
+	}
+	return nil
 }
 
 // attach adds a link and closes those that it replaces: links of an older
@@ -164,34 +182,52 @@
 	p.links = slices.DeleteFunc(p.links, func(o *link) bool {
 		replaced := o.incarnation < l.incarnation || (o.dialed == "") == (l.dialed == "")
 		if replaced {
-			o.abort()
+			// Closing can wait for a close handshake, so it must not run under the locks
+			// that Send takes.
+			p.hub.startLocked(o.abort)
 		}
 		return replaced
 	})
 	p.links = append(p.links, l)
-	p.backoff, p.retryAt = 0, time.Time{}
-	if len(p.links) > 1 && p.hub.options.Self < l.id {
-		p.arbitrate(p.links[0], p.links[1])
+	p.backoff = 0
+	if len(p.links) > 1 {
+		p.settle(p.links[0], p.links[1])
 	}
 	signal(p.changed)
 }
 
-// arbitrate decides which of two simultaneous connections stays. Only the daemon
-// with the smaller ID decides, and it prefers the connection that it dialed; the
-// other one stays if the preferred one does not answer.
-func (p *peer) arbitrate(a, b *link) {
-	if a.dialed == "" {
-		a, b = b, a
+// settle decides which of two simultaneous connections stays: the one that the
+// daemon with the smaller ID dialed. That daemon closes the other one once the
+// first has answered a ping, and keeps it instead if the first does not answer.
+// The other side only stops to write on its own one. The caller holds the mutexes
+// of the hub and the peer.
+func (p *peer) settle(preferred, other *link) {
+	first := p.hub.options.Self < preferred.id
+	if (preferred.dialed != "") != first {
+		preferred, other = other, preferred
+	}
+	if first {
+		p.hub.startLocked(func() { p.arbitrate(preferred, other) })
+	} else {
+		other.retiring = true
 	}
-	p.hub.startLocked(func() {
-		if a.alive(p.hub.ctx, p.hub.timing.Ping) {
-			_ = b.conn.Close(websocket.StatusNormalClosure, reasonDuplicate)
-			p.detach(b)
-			return
-		}
-		a.abort()
-		p.detach(a)
-	})
+}
+
+func (p *peer) arbitrate(preferred, other *link) {
+	if !preferred.alive(p.hub.ctx, p.hub.timing.Ping) {
+		preferred.abort()
+		p.detach(preferred)
+		return
+	}
+	p.mutex.Lock()
+	other.retiring = true
+	p.mutex.Unlock()
+	// The answer to the ping shows that the peer uses the preferred connection.
+	// What it wrote before on the other one arrives in the meantime.
+	if p.sleep(p.hub.timing.Answer) {
+		_ = other.conn.Close(websocket.StatusNormalClosure, reasonDuplicate)
+	}
+	p.detach(other)
 }
 
 func (p *peer) detach(l *link) {
@@ -203,11 +239,12 @@
 
 func (p *peer) abortLinks() {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, l := range p.links {
+	links := p.links
+	p.links = nil
+	p.mutex.Unlock()
+	for _, l := range links {
 		l.abort()
 	}
-	p.links = nil
 }
 
 // check pings the peer if it has not answered for a while, and closes the link
@@ -220,7 +257,6 @@
 	p.hub.start(func() {
 		defer l.checking.Store(false)
 		if !l.alive(p.hub.ctx, p.hub.timing.Ping) {
-			p.hub.options.Logger.Warn("peer connection does not answer", "peer", l.id)
 			l.abort()
 			p.detach(l)
 		}
--- a/connector/queue.go
+++ b/connector/queue.go
@@ -74,15 +74,6 @@
 	return n
 }
 
-// clear removes every frame and returns their number.
-func (q *queue) clear() int {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	n := len(q.frames)
-	q.frames = nil
-	return n
-}
-
 // move appends the frames of q to the other queue and empties q.
 func (q *queue) move(other *queue) {
 	q.mutex.Lock()
--- /dev/null
+++ b/connector/queue_test.go
@@ -0,0 +1,36 @@
+package connector
+
+import (
+	"testing"
+	"time"
+
+	"monsoondeck.example/messenger"
+)
+
+func messengerFrame(sender string, sequence uint64) messenger.Frame {
+	return messenger.Frame{Sender: sender, Incarnation: 1, Sequence: sequence}
+}
+
+// TestQueueMergesAndDrops guards against messages that take a frame each, old
+// frames that are sent late, and new frames that are dropped for old ones.
+func TestQueueMergesAndDrops(t *testing.T) {
+	var q queue
+	now := time.Now()
+	q.merge(now, note(1))
+	q.merge(now, note(2))
+	if f, _ := q.take(now, time.Second); len(f.Probes) != 2 {
+		t.Errorf("merged %+v", f)
+	}
+	dropped := 0
+	fill := func(f *messenger.Frame) { f.HostMarks = make([]messenger.HostMark, maxFrameEntries) }
+	for i := range maxQueued + 2 {
+		dropped += q.merge(now.Add(time.Duration(i)*time.Millisecond), fill)
+	}
+	if dropped != 2 || len(q.frames) != maxQueued || q.frames[0].since != now.Add(2*time.Millisecond) {
+		t.Errorf("dropped %d of %d", dropped, maxQueued+2)
+	}
+	f, expired := q.take(now.Add(time.Second+4*time.Millisecond), time.Second)
+	if f == nil || expired != 2 || len(q.frames) != maxQueued-3 {
+		t.Errorf("expired %d, %d left", expired, len(q.frames))
+	}
+}
