--- a/connector/link.go
+++ b/connector/link.go
@@ -10,10 +10,7 @@
 	"github.com/coder/websocket"
 
 	"monsoondeck.example/encoder"
-<<<<<<< HEAD
-=======
 	"monsoondeck.example/logger"
->>>>>>> network
 	"monsoondeck.example/messenger"
 )
 
--- a/connector/peer.go
+++ b/connector/peer.go
@@ -118,16 +118,10 @@
 // write encodes and sends a frame, in parts if it is too large.
 func (p *peer) write(l *link, f *messenger.Frame) {
 	h := p.hub
-<<<<<<< HEAD
 	// The handshake has told the receiver who sends; the names would be a fifth
 	// of the control traffic.
 	f.Sender, f.Incarnation = "", 0
-	l.sequence++
-	f.Sequence = l.sequence
-=======
-	f.Sender, f.Incarnation = h.options.Self, h.options.Incarnation
 	f.Sequence = h.sequence.Add(1)
->>>>>>> network
 	b, err := h.encoder.Encode(*f)
 	if err != nil {
 		if first, second, ok := split(f); ok {
