--- a/generator/bench/bench.go
+++ b/generator/bench/bench.go
@@ -94,6 +94,7 @@
 	fleet      *launcher.Fleet
 	log        io.Writer
 
+	latency  *latency
 	start    time.Time
 	from, to time.Time
 }
@@ -110,6 +111,9 @@
 		return nil, err
 	}
 	defer cleanup()
+	if r.latency, err = r.measureLatency(ctx); err != nil {
+		return nil, err
+	}
 	r.start = time.Now()
 	r.from, r.to = r.start.Add(r.options.Warmup), r.start.Add(r.options.Duration)
 	r.progress("loading for %v", r.options.Duration)
@@ -119,7 +123,7 @@
 	go func() { done <- load.Run(loading, r.options.Duration) }()
 	scenario := make(chan error, 1)
 	go func() { scenario <- r.play(ctx) }()
-	controls := r.watchControls(ctx)
+	costs := r.watchCost(ctx)
 	results := <-done
 	r.progress("%d requests have ended", len(results))
 	if err := errors.CombineErrors(ctx.Err(), <-scenario); err != nil {
@@ -129,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return r.lines(load, results, record, <-controls), nil
+	return r.lines(load, results, record, <-costs), nil
 }
 
 func (r *run) progress(format string, args ...any) {
--- /dev/null
+++ b/generator/bench/latency.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/emulator"
+	"monsoondeck.example/emulator/wire"
+	"monsoondeck.example/generator/loader"
+)
+
+const (
+	latencyCalls = 400
+	// latencyDuration is the slot time of each call.
+	latencyDuration = time.Millisecond
+)
+
+// latency compares calls through a router with direct calls to the same service
+// while the fleet is idle.
+type latency struct {
+	direct, routed loader.Histogram
+}
+
+// measureLatency makes direct and routed calls in turn, so that both see the
+// same load of the machine.
+func (r *run) measureLatency(ctx context.Context) (*latency, error) {
+	var l latency
+	query := "?" + wire.Directive{Request: "latency", Duration: latencyDuration}.String()
+	direct := r.fleet.URL(emulator.KindService, r.deployment.Services[0].ID) + "/" + query
+	routed := "http://" + r.fleet.Daemons[0].Caller + "/services/" + r.deployment.Desk + "/" + query
+	for range latencyCalls {
+		if err := timeCall(ctx, direct, "", &l.direct); err != nil {
+			return nil, err
+		}
+		if err := timeCall(ctx, routed, r.deployment.Accounts[0].Key, &l.routed); err != nil {
+			return nil, err
+		}
+	}
+	return &l, nil
+}
+
+func timeCall(ctx context.Context, url, key string, h *loader.Histogram) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "make the request")
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	start := time.Now()
+	res, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "measure the latency")
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	if err != nil || res.StatusCode != http.StatusOK {
+		return errors.Newf("measure the latency of %s: status %d: %v", url, res.StatusCode, err)
+	}
+	h.Add(time.Since(start))
+	return nil
+}
--- a/generator/bench/lines.go
+++ b/generator/bench/lines.go
@@ -27,7 +27,7 @@
 	batchDelay       = 2 * time.Millisecond
 )
 
-func (r *run) lines(load *loader.Loader, results []loader.Result, record launcher.Record, c controlRates) []Line {
+func (r *run) lines(load *loader.Loader, results []loader.Result, record launcher.Record, c cost) []Line {
 	input := analyser.Input{
 		Pool: r.deployment.Model, Shares: map[string]float64{}, From: r.from, To: r.to, Slots: map[string]int{},
 		Requests: results, Executions: record.Executions, Services: record.Services, Busy: record.Busy,
@@ -59,8 +59,12 @@
 		add("fairnessGapGrowth", lastGap.Value/firstGap.Value, "ratio")
 	}
 	add("utilisation", use.Value, "ratio")
-	add("controlBytesPerDaemonSecond", c.bytes, "bytesPerSecond")
-	add("controlCpuCores", c.cores, "coresPerDaemon")
+	add("controlBytesPerDaemonSecond", c.control.Bytes/c.daemonSeconds, "bytesPerSecond")
+	add("controlCpuCores", c.control.CPUSeconds/c.daemonSeconds, "coresPerDaemon")
+	add("daemonCpuCores", c.cpuSeconds/c.daemonSeconds, "coresPerDaemon")
+	add("daemonMemoryBytes", c.residentBytes, "bytes")
+	add("addedLatencyP50Seconds", r.latency.added(0.5), "seconds")
+	add("addedLatencyP99Seconds", r.latency.added(0.99), "seconds")
 	add("firstTokenP95Seconds", load.FirstToken.Quantile(0.95).Seconds(), "seconds")
 	add("betweenTokensP95Seconds", load.BetweenTokens.Quantile(0.95).Seconds(), "seconds")
 	add("unitsPerSecond", r.unitsPerSecond(record), "unitsPerSecond")
@@ -76,6 +80,11 @@
 	return out
 }
 
+// added returns how much longer a quantile is through a router.
+func (l *latency) added(q float64) float64 {
+	return (l.routed.Quantile(q) - l.direct.Quantile(q)).Seconds()
+}
+
 func (r *run) unitsPerSecond(record launcher.Record) float64 {
 	var units float64
 	for _, s := range record.Services {
--- a/generator/bench/scenario.go
+++ b/generator/bench/scenario.go
@@ -41,7 +41,8 @@
 	case "schedulerKilled":
 		return r.killScheduler(ctx)
 	case "dataCentreCut":
-		return r.during(ctx, call(r.fleet.CutDataCentre), call(r.fleet.JoinDataCentre))
+		centre := r.deployment.DataCentres[0]
+		return r.during(ctx, call(func() { r.fleet.CutDataCentre(centre) }), call(func() { r.fleet.JoinDataCentre(centre) }))
 	case "routerRestart":
 		return r.restartRouters(ctx)
 	case "engineSlowed":
--- a/generator/chaos/faults.go
+++ b/generator/chaos/faults.go
@@ -33,7 +33,8 @@
 	case KindKill, KindPause, KindStop:
 		return r.actOnDaemon(ctx, e, r.fleet.Daemons[e.Subject])
 	case KindCut:
-		return during(ctx, e.Length, call(r.fleet.CutDataCentre), call(r.fleet.JoinDataCentre))
+		centre := r.deployment.DataCentres[e.Subject%len(r.deployment.DataCentres)]
+		return during(ctx, e.Length, call(func() { r.fleet.CutDataCentre(centre) }), call(func() { r.fleet.JoinDataCentre(centre) }))
 	case KindCutOneWay:
 		d := r.fleet.Daemons[e.Subject]
 		return during(ctx, e.Length, call(d.CutOutgoing), call(d.JoinOutgoing))
--- a/generator/launcher/relay.go
+++ b/generator/launcher/relay.go
@@ -79,12 +79,11 @@
 	return d.place(), true
 }
 
-// CutDataCentre cuts the first data centre off from the others and from the
-// platform.
-func (f *Fleet) CutDataCentre() { f.network.setCut(f.options.Deployment.DataCentres[0], true) }
+// CutDataCentre cuts a data centre off from the others and from the platform.
+func (f *Fleet) CutDataCentre(name string) { f.network.setCut(name, true) }
 
 // JoinDataCentre ends the cut.
-func (f *Fleet) JoinDataCentre() { f.network.setCut(f.options.Deployment.DataCentres[0], false) }
+func (f *Fleet) JoinDataCentre(name string) { f.network.setCut(name, false) }
 
 // CutOutgoing keeps back what the daemon sends to others.
 func (d *Daemon) CutOutgoing() { d.fleet.network.setMuted(d.ID, true) }
