Relay through links of the fault proxy, one per pair

The driver finds the dialling daemon and passes its connection over a link of module injector that belongs to the pair, so delays and cuts are those of the fault proxy. Links delay by whole milliseconds; half a millisecond each way becomes one millisecond on the way out. The tests of the relay are unchanged but for errors; go test -race -count=5 ./generator/launcher passes.

--- a/generator/bench/scenario.go
+++ b/generator/bench/scenario.go
@@ -42,7 +42,7 @@
 		return r.killScheduler(ctx)
 	case "dataCentreCut":
 		centre := r.deployment.DataCentres[0]
-		return r.during(ctx, call(func() { r.fleet.CutDataCentre(centre) }), call(func() { r.fleet.JoinDataCentre(centre) }))
+		return r.during(ctx, call(func() error { return r.fleet.CutDataCentre(centre) }), call(func() error { return r.fleet.JoinDataCentre(centre) }))
 	case "routerRestart":
 		return r.restartRouters(ctx)
 	case "engineSlowed":
@@ -69,8 +69,9 @@
 	return end(ctx)
 }
 
-func call(f func()) func(context.Context) error {
-	return func(context.Context) error { f(); return nil }
+// call adapts a function that needs no context.
+func call(f func() error) func(context.Context) error {
+	return func(context.Context) error { return f() }
 }
 
 func (r *run) platform(o fault.Outage) func(context.Context) error {
--- a/generator/chaos/faults.go
+++ b/generator/chaos/faults.go
@@ -34,7 +34,7 @@
 		return r.actOnDaemon(ctx, e, r.fleet.Daemons[e.Subject])
 	case KindCut:
 		centre := r.deployment.DataCentres[e.Subject%len(r.deployment.DataCentres)]
-		return during(ctx, e.Length, call(func() { r.fleet.CutDataCentre(centre) }), call(func() { r.fleet.JoinDataCentre(centre) }))
+		return during(ctx, e.Length, call(func() error { return r.fleet.CutDataCentre(centre) }), call(func() error { return r.fleet.JoinDataCentre(centre) }))
 	case KindCutOneWay:
 		d := r.fleet.Daemons[e.Subject]
 		return during(ctx, e.Length, call(d.CutOutgoing), call(d.JoinOutgoing))
@@ -78,8 +78,9 @@
 	return end(ctx)
 }
 
-func call(f func()) func(context.Context) error {
-	return func(context.Context) error { f(); return nil }
+// call adapts a function that needs no context.
+func call(f func() error) func(context.Context) error {
+	return func(context.Context) error { return f() }
 }
 
 func (r *run) platform(c fault.Change) func(context.Context) error {
--- a/generator/launcher/network.go
+++ b/generator/launcher/network.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/injector"
 )
 
 // place is one end of a connection: a process or the platform.
@@ -13,63 +15,96 @@
 	name, dataCentre string
 }
 
+// pair is a daemon and what it connects to.
+type pair struct{ from, to place }
+
 // network relays the connections of daemons to other daemons, targets and the
-// platform, so that they can be delayed and cut. A cut keeps data back in both
-// or in one direction; connections stay open, as in a partition.
+// platform over one link of the fault proxy per pair, so that they can be delayed
+// and cut. A cut keeps data back in both or in one direction; connections stay
+// open, as in a partition.
 type network struct {
 	delay  time.Duration // one way, between data centres
 	source func(net.Conn) (place, bool)
+	proxy  *injector.Proxy
+	remove func()
 
 	mu        sync.Mutex
-	changed   chan struct{} // closed at every change of the cuts
-	cut       map[string]bool
-	muted     map[string]bool
+	links     map[pair]*injector.Link
+	cut       map[string]bool // by data centre
+	muted     map[string]bool // by name
 	listeners []net.Listener
-	open      map[net.Conn]bool
+	open      map[*net.TCPConn]bool
 	closed    bool
 	group     sync.WaitGroup
 }
 
 func newNetwork(delay time.Duration, source func(net.Conn) (place, bool)) *network {
+	proxy, remove := injector.New()
 	return &network{
-		delay: delay, source: source, changed: make(chan struct{}),
-		cut: map[string]bool{}, muted: map[string]bool{}, open: map[net.Conn]bool{},
+		delay: delay, source: source, proxy: proxy, remove: remove, links: map[pair]*injector.Link{},
+		cut: map[string]bool{}, muted: map[string]bool{}, open: map[*net.TCPConn]bool{},
 	}
 }
 
-// set changes one entry of the cuts and wakes all relays.
-func (n *network) set(in func() map[string]bool, name string, on bool) {
+// setCut cuts a data centre from all others and from the platform, or joins it.
+func (n *network) setCut(dataCentre string, on bool) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	in()[name] = on
-	close(n.changed)
-	n.changed = make(chan struct{})
+	n.cut[dataCentre] = on
+	return n.setFaults()
 }
 
-// setCut cuts a data centre from all others and from the platform, or joins it.
-func (n *network) setCut(dataCentre string, on bool) {
-	n.set(func() map[string]bool { return n.cut }, dataCentre, on)
+// setMuted keeps back what a process sends, or ends that.
+func (n *network) setMuted(name string, on bool) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.muted[name] = on
+	return n.setFaults()
+}
+
+func (n *network) setFaults() error {
+	for p, l := range n.links {
+		if f := n.fault(p); f != l.Fault() {
+			if err := l.SetFault(f); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
 }
 
-// setMuted loses what a process sends, or ends that.
-func (n *network) setMuted(name string, on bool) {
-	n.set(func() map[string]bool { return n.muted }, name, on)
+// fault returns the state of the link of a pair.
+func (n *network) fault(p pair) injector.Fault {
+	apart := p.from.dataCentre != p.to.dataCentre
+	switch {
+	case apart && (n.cut[p.from.dataCentre] || n.cut[p.to.dataCentre]), n.muted[p.from.name] && n.muted[p.to.name]:
+		return injector.Fault{Kind: injector.KindFreeze}
+	case n.muted[p.from.name]:
+		return injector.Fault{Kind: injector.KindCutOneWay, Direction: injector.Forward}
+	case n.muted[p.to.name]:
+		return injector.Fault{Kind: injector.KindCutOneWay, Direction: injector.Backward}
+	case apart && n.delay >= time.Millisecond:
+		return injector.Fault{Kind: injector.KindDelay, DelayMs: int(n.delay.Milliseconds())}
+	case apart && n.delay > 0:
+		// Links delay by whole milliseconds; the round trip is what counts.
+		return injector.Fault{Kind: injector.KindDelay, Direction: injector.Forward, DelayMs: int((2 * n.delay).Milliseconds())}
+	}
+	return injector.Fault{Kind: injector.KindNone}
 }
 
-// blocked tells whether data from one place to another is kept back, and returns
-// a channel that is closed when that may have changed.
-func (n *network) blocked(from, to place) (bool, <-chan struct{}) {
+// link returns the link of a pair and makes it when it is new.
+func (n *network) link(p pair, address string) (*injector.Link, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	apart := from.dataCentre != to.dataCentre && (n.cut[from.dataCentre] || n.cut[to.dataCentre])
-	return apart || n.muted[from.name], n.changed
-}
-
-func (n *network) delayBetween(a, b place) time.Duration {
-	if a.dataCentre == b.dataCentre {
-		return 0
+	if l, ok := n.links[p]; ok {
+		return l, nil
 	}
-	return n.delay
+	l, err := n.proxy.Add(p.from.name+">"+p.to.name+">"+address, "127.0.0.1:0", address)
+	if err != nil {
+		return nil, err
+	}
+	n.links[p] = l
+	return l, l.SetFault(n.fault(p))
 }
 
 // listen relays connections to an address and returns the address that stands
@@ -88,37 +123,36 @@
 			if err != nil {
 				return // closed
 			}
-			n.group.Go(func() { n.relay(c, to, address) })
+			n.group.Go(func() { n.relay(c.(*net.TCPConn), to, address) })
 		}
 	})
 	return l.Addr().String(), nil
 }
 
-func (n *network) relay(accepted net.Conn, to place, address string) {
+func (n *network) relay(accepted *net.TCPConn, to place, address string) {
 	defer func() { _ = accepted.Close() }()
-	from, known := n.source(accepted)
-	if !known {
-		from = to // not a daemon: neither delayed nor cut
-	}
+	if from, known := n.source(accepted); known {
+		l, err := n.link(pair{from, to}, address)
+		if err != nil {
+			reset(accepted)
+			return
+		}
+		address = l.Address()
+	} // what does not come from a daemon is neither delayed nor cut
 	target, err := net.Dial("tcp", address)
 	if err != nil {
-		// Closing with unread data resets the connection, as a closed port does.
-		_ = accepted.(*net.TCPConn).SetLinger(0)
+		reset(accepted)
 		return
 	}
 	defer func() { _ = target.Close() }()
-	if !n.track(accepted, target) {
+	if !n.track(accepted, target.(*net.TCPConn)) {
 		return
 	}
-	defer n.forget(accepted, target)
-	p := pipe{network: n, from: from, to: to, delay: n.delayBetween(from, to), done: make(chan struct{})}
-	var group sync.WaitGroup
-	group.Go(func() { p.copy(target, accepted, from, to) })
-	p.copy(accepted, target, to, from)
-	group.Wait()
+	defer n.forget(accepted, target.(*net.TCPConn))
+	splice(accepted, target.(*net.TCPConn))
 }
 
-func (n *network) track(connections ...net.Conn) bool {
+func (n *network) track(connections ...*net.TCPConn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range connections {
@@ -127,7 +161,7 @@
 	return !n.closed
 }
 
-func (n *network) forget(connections ...net.Conn) {
+func (n *network) forget(connections ...*net.TCPConn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range connections {
@@ -144,10 +178,7 @@
 	for c := range n.open {
 		_ = c.Close()
 	}
-	clear(n.cut)
-	clear(n.muted)
-	close(n.changed)
-	n.changed = make(chan struct{})
 	n.mu.Unlock()
+	n.remove()
 	n.group.Wait()
 }
--- a/generator/launcher/network_test.go
+++ b/generator/launcher/network_test.go
@@ -70,22 +70,26 @@
 	}
 	near, nearLines := dial(place{"router-2", "a"})
 	far, farLines := dial(place{"router-3", "b"})
-	for name, cut := range map[string]func(bool){
-		"data centre": func(on bool) { n.setCut("b", on) },
-		"outgoing":    func(on bool) { n.setMuted("router-1", on) },
-		"answers":     func(on bool) { n.setMuted("router-3", on) },
+	for name, cut := range map[string]func(bool) error{
+		"data centre": func(on bool) error { return n.setCut("b", on) },
+		"outgoing":    func(on bool) error { return n.setMuted("router-1", on) },
+		"answers":     func(on bool) error { return n.setMuted("router-3", on) },
 	} {
 		if !exchange(t, far, farLines, "before", long) {
 			t.Fatalf("%s: no answer before the cut", name)
 		}
-		cut(true)
+		if err := cut(true); err != nil {
+			t.Fatal(err)
+		}
 		if exchange(t, far, farLines, "during", short) {
 			t.Errorf("%s: answer during the cut", name)
 		}
 		if name != "outgoing" && !exchange(t, near, nearLines, "near", long) {
 			t.Errorf("%s: the cut reaches others", name)
 		}
-		cut(false)
+		if err := cut(false); err != nil {
+			t.Fatal(err)
+		}
 		if !exchange(t, far, farLines, "", long) {
 			t.Errorf("%s: data is lost after the cut", name)
 		}
--- a/generator/launcher/relay.go
+++ b/generator/launcher/relay.go
@@ -23,7 +23,7 @@
 		places[f.Address(emulator.KindService, s.ID)] = place{s.ID, s.DataCentre}
 	}
 	for _, kind := range []string{emulator.KindTable, emulator.KindObjects, emulator.KindHosts} {
-		places[f.Address(kind, "")] = place{platform, platform}
+		places[f.Address(kind, "")] = place{kind, platform}
 	}
 	for address, p := range places {
 		relayed, err := f.network.listen(p, address)
@@ -80,13 +80,13 @@
 }
 
 // CutDataCentre cuts a data centre off from the others and from the platform.
-func (f *Fleet) CutDataCentre(name string) { f.network.setCut(name, true) }
+func (f *Fleet) CutDataCentre(name string) error { return f.network.setCut(name, true) }
 
 // JoinDataCentre ends the cut.
-func (f *Fleet) JoinDataCentre(name string) { f.network.setCut(name, false) }
+func (f *Fleet) JoinDataCentre(name string) error { return f.network.setCut(name, false) }
 
 // CutOutgoing keeps back what the daemon sends to others.
-func (d *Daemon) CutOutgoing() { d.fleet.network.setMuted(d.ID, true) }
+func (d *Daemon) CutOutgoing() error { return d.fleet.network.setMuted(d.ID, true) }
 
 // JoinOutgoing ends the cut.
-func (d *Daemon) JoinOutgoing() { d.fleet.network.setMuted(d.ID, false) }
+func (d *Daemon) JoinOutgoing() error { return d.fleet.network.setMuted(d.ID, false) }
