Compute the bound of the fairness gap with the scheduler's formula

Module scheduler states the formula that it enforces; the analyser had one of its own. The load history of an engine with lag no longer grows when nobody reads it.

--- a/emulator/engine/load.go
+++ b/emulator/engine/load.go
@@ -53,6 +53,7 @@
 	if e.settings.LoadLag <= 0 {
 		return
 	}
+	e.forgetLoads(now)
 	e.loads = append(e.loads, stampedLoad{now, e.currentLoad()})
 	if n := len(e.loads); n > 2 && now.Sub(e.loads[n-3].at) < noteInterval {
 		e.loads[n-2] = e.loads[n-1]
@@ -60,6 +61,13 @@
 	}
 }
 
+// forgetLoads drops the entries that are too old to be reported.
+func (e *Engine) forgetLoads(now time.Time) {
+	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.settings.LoadLag {
+		e.loads = e.loads[1:]
+	}
+}
+
 // reportedLoad returns the load as it was before the lag.
 func (e *Engine) reportedLoad(now time.Time) Load {
 	e.mu.Lock()
@@ -67,9 +75,7 @@
 	if e.settings.LoadLag <= 0 {
 		return e.currentLoad()
 	}
-	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.settings.LoadLag {
-		e.loads = e.loads[1:]
-	}
+	e.forgetLoads(now)
 	if len(e.loads) == 0 {
 		return e.currentLoad()
 	}
--- a/generator/analyser/bound.go
+++ b/generator/analyser/bound.go
@@ -6,22 +6,27 @@
 	"time"
 
 	"monsoondeck.example/emulator/oracle"
+	"monsoondeck.example/scheduler"
 )
 
-// Delays are the delays that the bound of the fairness gap depends on.
-type Delays struct {
+// Conditions are what the bound of the fairness gap depends on besides the
+// record.
+type Conditions struct {
 	// Exchange is the exchange interval of fleet-wide totals.
 	Exchange time.Duration
 	// Message is the delay of one message.
 	Message time.Duration
+	// Shards of the pool.
+	Shards int
+	// OwnerChanges is the number of shard owners lost within the window.
+	OwnerChanges int
 }
 
-// Bound returns the bound of the fairness gap in section 3.3 of the design page,
-// as the maximum over all pairs of accounts. The largest cost, the slots that an
-// account held beyond its share and the rate of the pool are those measured in
-// the window.
-func (in Input) Bound(d Delays) float64 {
-	largest, beyond := in.largestCosts(), in.slotsBeyondShare()
+// Bound returns the bound that the scheduler states, as the maximum over all
+// pairs of accounts. The largest cost, the slots that an account held and the
+// rate of the pool are those measured in the window.
+func (in Input) Bound(c Conditions) float64 {
+	largest, held := in.largestCosts(), in.slotsHeld()
 	var rate float64
 	for _, s := range in.Services {
 		if at := time.UnixMilli(s.Bucket); s.Pool == in.Pool && !at.Before(in.From) && at.Before(in.To) {
@@ -30,14 +35,15 @@
 	}
 	rate /= max(in.To.Sub(in.From).Seconds(), 1e-9)
 	var bound float64
-	for a, wa := range in.Shares {
-		for b, wb := range in.Shares {
-			if a >= b {
-				continue
+	for a, weightA := range in.Shares {
+		for b, weightB := range in.Shares {
+			if a < b {
+				bound = max(bound, scheduler.Bound(scheduler.BoundInput{
+					LargestA: largest[a], LargestB: largest[b], WeightA: weightA, WeightB: weightB,
+					Held: max(held[a], held[b]), Shards: c.Shards, Rate: rate,
+					Exchange: c.Exchange, Delay: c.Message, OwnerChanges: c.OwnerChanges,
+				}))
 			}
-			late := (largest[a]/wa + largest[b]/wb) * max(beyond[a], beyond[b], 1)
-			exchange := rate * 2 * (d.Exchange + d.Message).Seconds() / (wa + wb)
-			bound = max(bound, late+exchange)
 		}
 	}
 	return bound
@@ -57,9 +63,8 @@
 	return out
 }
 
-// slotsBeyondShare returns the largest number of slots that each account held at
-// once beyond its share of the pool's slots.
-func (in Input) slotsBeyondShare() map[string]float64 {
+// slotsHeld returns the largest number of slots that each account held at once.
+func (in Input) slotsHeld() map[string]int {
 	type step struct {
 		at      int64
 		account string
@@ -77,18 +82,10 @@
 		steps = append(steps, step{e.Start.UnixNano(), e.Account, 1}, step{end.UnixNano(), e.Account, -1})
 	}
 	slices.SortFunc(steps, func(a, b step) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.change, b.change)) })
-	var slots, weights float64
-	for _, s := range in.Slots {
-		slots += float64(s)
-	}
-	for _, w := range in.Shares {
-		weights += w
-	}
-	held, out := map[string]int{}, map[string]float64{}
+	held, out := map[string]int{}, map[string]int{}
 	for _, s := range steps {
 		held[s.account] += s.change
-		own := slots * in.Shares[s.account] / max(weights, 1e-9)
-		out[s.account] = max(out[s.account], float64(held[s.account])-own)
+		out[s.account] = max(out[s.account], held[s.account])
 	}
 	return out
 }
--- a/generator/bench/lines.go
+++ b/generator/bench/lines.go
@@ -20,8 +20,8 @@
 	Unit       string  `json:"unit"`
 }
 
-// exchangeInterval and messageDelay are the delays of section 3.3 of the design
-// page. The message delay includes the 2 ms over which frames are batched.
+// exchangeInterval and batchDelay are those of the design page, sections 3.3 and
+// 6; a message takes the delay between data centres in addition.
 const (
 	exchangeInterval = 500 * time.Millisecond
 	batchDelay       = 2 * time.Millisecond
@@ -48,7 +48,7 @@
 	r.progress("ends of requests: %v", counts.Ends)
 	r.progress("largest gap between %s and %s; %d pairs of accounts waited together; work waited in %.0f%% of the window",
 		gap.A, gap.B, gap.Pairs, 100*use.Waiting)
-	bound := input.Bound(analyser.Delays{Exchange: exchangeInterval, Message: r.deployment.PeerDelay + batchDelay})
+	bound := input.Bound(r.conditions())
 	var out []Line
 	add := func(measure string, value float64, unit string) {
 		out = append(out, Line{measure, r.options.Deployment, r.options.Scenario, r.options.Policy, r.options.Seed, value, unit})
@@ -80,6 +80,22 @@
 	return out
 }
 
+// conditions returns what the bound of the fairness gap depends on. In the
+// scenarios that end owners, or part them from their shards, the bound counts
+// one loss of an owner.
+func (r *run) conditions() analyser.Conditions {
+	c := analyser.Conditions{
+		Exchange: exchangeInterval, Message: r.deployment.PeerDelay + batchDelay, Shards: len(r.deployment.DataCentres),
+	}
+	switch r.options.Scenario {
+	case "schedulerKilled", "dataCentreCut":
+		c.OwnerChanges = 1
+	case "routerRestart":
+		c.OwnerChanges = len(r.fleet.Daemons)
+	}
+	return c
+}
+
 // added returns how much longer a quantile is through a router.
 func (l *latency) added(q float64) float64 {
 	return (l.routed.Quantile(q) - l.direct.Quantile(q)).Seconds()
--- a/generator/demo/view.go
+++ b/generator/demo/view.go
@@ -155,7 +155,7 @@
 	v.print("\nSummary after the last answer:\n")
 	// The queues drain after the load has ended; that time says nothing.
 	in := v.input(v.end)
-	bound := in.Bound(analyser.Delays{Exchange: 500 * time.Millisecond, Message: 2 * time.Millisecond})
+	bound := in.Bound(analyser.Conditions{Exchange: 500 * time.Millisecond, Message: 2 * time.Millisecond, Shards: 2})
 	v.table(ctx)
 	v.print("Over the time of load: fairness gap %.0f of at most %.0f units per share, utilisation %.1f%%.\n",
 		in.Gap().Value, bound, 100*in.Utilisation().Value)
