--- a/generator/bench/lines.go
+++ b/generator/bench/lines.go
@@ -72,7 +72,7 @@
 		measure string
 		value   int
 	}{
-		{"completed", counts.Completed}, {"notRun", counts.NotRun}, {"unknown", counts.Unknown}, {"unsent", counts.Unsent},
+		{"completed", counts.Completed}, {"notRun", counts.NotRun}, {"unknown", counts.Unknown}, {"unsent", counts.Unsent}, {"broken", counts.Broken},
 		{"wrong", counts.Wrong}, {"duplicated", counts.Duplicated}, {"falseNotRun", counts.FalseNotRun},
 	} {
 		add(n.measure, float64(n.value), "requests")
--- a/generator/chaos/lines.go
+++ b/generator/chaos/lines.go
@@ -77,7 +77,7 @@
 	for _, x := range results {
 		for _, s := range r.stops {
 			if x.Broken && x.Router == s.router && x.Start.Before(s.to) && x.End.After(s.from) && x.End.Before(s.to.Add(exitSlack)) {
-				r.progress("cut in flight: %+v", x)
+				r.progress("cut in flight: %s at %s, %v after the signal and %v before the exit: %v", x.ID, x.Router, x.End.Sub(s.from), s.to.Sub(x.End), x.Cause)
 				n++
 			}
 		}
--- a/generator/loader/complete.go
+++ b/generator/loader/complete.go
@@ -22,7 +22,7 @@
 	at := r.IntN(len(c.account.Routers))
 	for attempt := 1; ; attempt++ {
 		e := l.sendAnywhere(ctx, c, at)
-		x.Outcome, x.Status, x.Router, x.Broken = e.outcome, e.status, e.router, e.broken
+		x.Outcome, x.Status, x.Router, x.Broken, x.Cause = e.outcome, e.status, e.router, e.broken, e.err
 		x.Outcomes = append(x.Outcomes, e.outcome)
 		if errors.Is(e.err, ErrWrong) {
 			x.Wrong = e.err
--- a/generator/loader/loader.go
+++ b/generator/loader/loader.go
@@ -71,6 +71,8 @@
 	Router string
 	// Broken is set when the connection broke without a statement of the router.
 	Broken bool
+	// Cause says why the last attempt did not end with a whole answer.
+	Cause error
 	Start  time.Time
 	End    time.Time
 }
--- a/generator/verifier/verifier.go
+++ b/generator/verifier/verifier.go
@@ -21,6 +21,9 @@
 	Wrong int
 	// Duplicated counts the runs beyond the first of non-repeatable requests.
 	Duplicated int
+	// Broken counts the requests whose connection broke without a statement of the
+	// router.
+	Broken int
 	// FalseNotRun counts requests whose every attempt was told "not run"
 	// although a target ran them.
 	FalseNotRun int
@@ -69,6 +72,10 @@
 		c.Wrong++
 		c.find("wrong: " + r.ID + " was told complete without a complete execution")
 	}
+	if r.Broken {
+		c.Broken++
+		c.find(fmt.Sprintf("broken: %s at %s after %v: %v", r.ID, r.Router, r.End.Sub(r.Start), r.Cause))
+	}
 	if !r.Repeatable && runs > 1 {
 		c.Duplicated += runs - 1
 		c.find("duplicated: " + r.ID)
