--- a/generator/loader/loader.go
+++ b/generator/loader/loader.go
@@ -73,8 +73,8 @@
 	Broken bool
 	// Cause says why the last attempt did not end with a whole answer.
 	Cause error
-	Start  time.Time
-	End    time.Time
+	Start time.Time
+	End   time.Time
 }
 
 // Loader sends the load of a set of accounts.
