--- a/generator/bench/scenario.go
+++ b/generator/bench/scenario.go
@@ -41,7 +41,8 @@
 	case "schedulerKilled":
 		return r.killScheduler(ctx)
 	case "dataCentreCut":
-		return r.during(ctx, call(r.fleet.CutDataCentre), call(r.fleet.JoinDataCentre))
+		centre := r.deployment.DataCentres[0]
+		return r.during(ctx, call(func() error { return r.fleet.CutDataCentre(centre) }), call(func() error { return r.fleet.JoinDataCentre(centre) }))
 	case "routerRestart":
 		return r.restartRouters(ctx)
 	case "engineSlowed":
@@ -68,8 +69,9 @@
 	return end(ctx)
 }
 
-func call(f func()) func(context.Context) error {
-	return func(context.Context) error { f(); return nil }
+// call adapts a function that needs no context.
+func call(f func() error) func(context.Context) error {
+	return func(context.Context) error { return f() }
 }
 
 func (r *run) platform(o fault.Outage) func(context.Context) error {
--- a/generator/chaos/faults.go
+++ b/generator/chaos/faults.go
@@ -33,7 +33,8 @@
 	case KindKill, KindPause, KindStop:
 		return r.actOnDaemon(ctx, e, r.fleet.Daemons[e.Subject])
 	case KindCut:
-		return during(ctx, e.Length, call(r.fleet.CutDataCentre), call(r.fleet.JoinDataCentre))
+		centre := r.deployment.DataCentres[e.Subject%len(r.deployment.DataCentres)]
+		return during(ctx, e.Length, call(func() error { return r.fleet.CutDataCentre(centre) }), call(func() error { return r.fleet.JoinDataCentre(centre) }))
 	case KindCutOneWay:
 		d := r.fleet.Daemons[e.Subject]
 		return during(ctx, e.Length, call(d.CutOutgoing), call(d.JoinOutgoing))
@@ -77,8 +78,9 @@
 	return end(ctx)
 }
 
-func call(f func()) func(context.Context) error {
-	return func(context.Context) error { f(); return nil }
+// call adapts a function that needs no context.
+func call(f func() error) func(context.Context) error {
+	return func(context.Context) error { return f() }
 }
 
 func (r *run) platform(c fault.Change) func(context.Context) error {
--- a/generator/loader/loader.go
+++ b/generator/loader/loader.go
@@ -71,8 +71,10 @@
 	Router string
 	// Broken is set when the connection broke without a statement of the router.
 	Broken bool
-	Start  time.Time
-	End    time.Time
+	// Cause says why the last attempt did not end with a whole answer.
+	Cause error
+	Start time.Time
+	End   time.Time
 }
 
 // Loader sends the load of a set of accounts.
