--- a/router/administrator/administrator.go
+++ b/router/administrator/administrator.go
@@ -68,9 +68,13 @@
 
 func status(o Options) Status {
 	s := o.Control.Snapshot()
+	shards := make([]string, 0, len(s.Shards))
+	for _, shard := range s.Shards {
+		shards = append(shards, shard.Name)
+	}
 	return Status{
 		ID: o.ID, DataCentre: o.DataCentre, Incarnation: o.Incarnation, ConfigVersion: s.Config.Version(),
-		Ready: o.Ready(), Members: s.Members, ShardsOwned: s.Shards, Waiting: s.Waiting, Held: s.Held,
+		Ready: o.Ready(), Members: s.Members, ShardsOwned: shards, Waiting: s.Waiting, Held: s.Held,
 	}
 }
 
--- a/router/controller/histories.go
+++ b/router/controller/histories.go
@@ -36,7 +36,7 @@
 func (h *histories) granted(w *waiter, target string, s locator.Shard, now time.Duration) {
 	entry := History{
 		RequestID: w.request.ID, Account: w.request.Account, Pool: w.request.Pool,
-		Waited: now - w.enqueued, Target: target, Shard: s.Key, Owner: s.Owner,
+		Waited: now - w.enqueued, Target: target, Shard: s.Name, Owner: s.Owner,
 		QueueAhead: w.ahead, GrantedAt: time.Now(),
 	}
 	h.mutex.Lock()
--- a/router/controller/membership.go
+++ b/router/controller/membership.go
@@ -116,7 +116,7 @@
 		s, ok := c.locator.Shard(key)
 		if !ok || s.Owner != c.options.Self.ID {
 			delete(c.owned, key)
-			logger.Emit(c.options.Logger, logger.ShardReleased, slog.String("shard", key), slog.Uint64("epoch", o.epoch))
+			logger.Emit(c.options.Logger, logger.ShardReleased, slog.String("shard", o.shard.Name), slog.Uint64("epoch", o.epoch))
 		}
 	}
 	for _, s := range c.sortedShards() {
--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -60,7 +60,7 @@
 	o.scheduler.SetMembers(now, c.routersOf())
 	c.owned[s.Key] = o
 	c.updateOwned(o, s, now)
-	logger.Emit(c.options.Logger, logger.ShardAcquired, slog.String("shard", s.Key), slog.Uint64("epoch", epoch))
+	logger.Emit(c.options.Logger, logger.ShardAcquired, slog.String("shard", s.Name), slog.Uint64("epoch", epoch))
 }
 
 // routersOf returns the daemons that may send demand to an owned shard. Under
@@ -132,7 +132,7 @@
 // scheduleOwned refreshes limits, which change with time as well, and sends
 // the grants that became possible.
 func (c *Controller) scheduleOwned(now time.Duration) {
-	for _, key := range c.shardNames() {
+	for _, key := range c.ownedKeys() {
 		o := c.owned[key]
 		o.forgetIssued(now)
 		c.applyLimits(o, now)
@@ -245,7 +245,7 @@
 // reportService sends the service granted since the last report to the
 // aggregators.
 func (c *Controller) reportService() {
-	for _, key := range c.shardNames() {
+	for _, key := range c.ownedKeys() {
 		o := c.owned[key]
 		reports := map[int]*messenger.ServiceReport{}
 		for _, s := range o.scheduler.Reports() {
@@ -292,12 +292,15 @@
 	c.sendGrants(o, now)
 }
 
-// shardNames lists the owned shards for the status page.
-func (c *Controller) shardNames() []string {
-	names := make([]string, 0, len(c.owned))
-	for key := range c.owned {
-		names = append(names, key)
+// ownedKeys returns the keys of the owned shards in a fixed order.
+func (c *Controller) ownedKeys() []string { return slices.Sorted(maps.Keys(c.owned)) }
+
+// ownedShards returns the owned shards, sorted by name.
+func (c *Controller) ownedShards() []locator.Shard {
+	shards := make([]locator.Shard, 0, len(c.owned))
+	for _, o := range c.owned {
+		shards = append(shards, o.shard)
 	}
-	slices.SortFunc(names, strings.Compare)
-	return names
+	slices.SortFunc(shards, func(a, b locator.Shard) int { return strings.Compare(a.Name, b.Name) })
+	return shards
 }
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -7,6 +7,7 @@
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/detector"
 	"monsoondeck.example/messenger"
+	"monsoondeck.example/router/locator"
 )
 
 // Snapshot is an immutable view of the control state for traffic goroutines.
@@ -16,8 +17,8 @@
 	Configured bool
 	// Members is sorted and contains this daemon.
 	Members []string
-	// Shards lists the shards that this daemon owns, sorted.
-	Shards []string
+	// Shards lists the shards that this daemon owns, sorted by name.
+	Shards []locator.Shard
 	// Waiting is the number of requests in queues.
 	Waiting int
 	// Held is the number of grants in use.
@@ -65,7 +66,7 @@
 		Config:     c.config,
 		Configured: c.configured,
 		Members:    slices.Sorted(maps.Keys(c.members)),
-		Shards:     c.shardNames(),
+		Shards:     c.ownedShards(),
 		members:    c.seen,
 		Held:       len(c.held),
 		Poller:     c.locator.Poller(c.options.Self.DataCentre),
