--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -95,7 +95,7 @@
 	fetches   chan connector.Peer
 	snapshot  atomic.Pointer[Snapshot]
 	admission *limiter.Admission
-	meter     meter
+	metrics   metrics
 	rates     *rates
 	histories *histories
 
@@ -144,7 +144,6 @@
 		groups:    map[groupKey]*aggregator.Aggregator{},
 		histories: newHistories(),
 		rates:     newRates(),
-		meter:     meter{clock: o.Clock},
 	}
 	c.snapshot.Store(&Snapshot{})
 	c.locateIfChanged()
@@ -172,6 +171,8 @@
 // Run handles messages, frames and timers until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
+	stopMeter := c.metrics.lockThread()
+	defer stopMeter()
 	timers := newTimers(c.options.Timing)
 	defer timers.stop()
 	for {
@@ -180,23 +181,18 @@
 			c.abandonQueues()
 			return
 		case m := <-c.messages:
-			c.meter.begin()
 			m.apply(c, c.now())
 			c.drainMessages()
 		case f := <-c.options.Hub.Received():
-			c.meter.begin()
 			c.handleFrame(f, c.now())
 		case <-timers.coalesce.C:
-			c.meter.begin()
 			c.flushDemand(c.now())
 		case <-timers.probe.C:
-			c.meter.begin()
 			c.handleSends(c.options.Membership.Tick(c.now()))
+			c.metrics.readThread()
 		case <-timers.exchange.C:
-			c.meter.begin()
 			c.reportService()
 		case <-timers.holdings.C:
-			c.meter.begin()
 			c.handleSecond(c.now())
 		}
 		c.handleLoopback(c.now())
@@ -204,7 +200,6 @@
 		if len(c.dirty) > 0 || len(c.unspilled) > 0 {
 			timers.armCoalesce(c.options.Timing.Coalesce)
 		}
-		c.meter.end()
 	}
 }
 
--- a/router/controller/metrics.go
+++ b/router/controller/metrics.go
@@ -1,24 +1,37 @@
 package controller
 
 import (
+	"math"
+	"runtime"
 	"sync/atomic"
-	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// meter adds up the time that the control goroutine spends on events. The
-// goroutine is not bound to a thread to measure its processor time: the switch
-// of threads at every event cost several times the work itself.
-type meter struct {
-	busy  atomic.Int64
-	clock func() time.Duration
-	since time.Duration
+// metrics are written by the control goroutine and read by the admin listener.
+type metrics struct {
+	// cpuSeconds holds the bits of a float64.
+	cpuSeconds atomic.Uint64
 }
 
-// begin marks the start of an event.
-func (m *meter) begin() { m.since = m.clock() }
+// lockThread binds the control goroutine to a thread, so that the processor
+// time of control can be told from that of traffic.
+func (*metrics) lockThread() func() {
+	runtime.LockOSThread()
+	return runtime.UnlockOSThread
+}
 
-// end adds the time since begin.
-func (m *meter) end() { m.busy.Add(int64(m.clock() - m.since)) }
+// readThread stores the processor time of the calling thread.
+func (m *metrics) readThread() {
+	var usage unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_THREAD, &usage) != nil {
+		return
+	}
+	seconds := float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e9
+	m.cpuSeconds.Store(math.Float64bits(seconds))
+}
 
-// CPUSeconds is the time that the control goroutine has spent on events.
-func (c *Controller) CPUSeconds() float64 { return time.Duration(c.meter.busy.Load()).Seconds() }
+// CPUSeconds is the processor time that the control goroutine has used.
+func (c *Controller) CPUSeconds() float64 {
+	return math.Float64frombits(c.metrics.cpuSeconds.Load())
+}
