Gather control messages in one place only

Cause: a request waited 2 ms in the controller for other changes of demand and twice up to 2 ms in the hubs for other messages. Change: the controller reports changed demand at the end of each event, and the hub sends the first frame after a pause at once and gathers those that follow within 2 ms. The spill delay has a timer of its own.

--- a/connector/peer.go
+++ b/connector/peer.go
@@ -57,12 +57,16 @@
 // run sends queued frames until the hub closes or the peer is forgotten.
 func (p *peer) run() {
 	defer p.abortLinks()
+	var flushed time.Time
 	for {
 		select {
 		case <-p.pending:
-			if !p.sleep(p.hub.timing.Batch) {
+			// The first frame after a pause goes at once; those that follow
+			// within the batch time are gathered.
+			if !p.sleep(p.hub.timing.Batch - time.Since(flushed)) {
 				return
 			}
+			flushed = time.Now()
 			p.flush()
 		case <-time.After(p.patience()):
 			p.check()
@@ -86,6 +90,9 @@
 }
 
 func (p *peer) sleep(d time.Duration) bool {
+	if d <= 0 {
+		return p.hub.ctx.Err() == nil
+	}
 	select {
 	case <-time.After(d):
 		return true
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -38,8 +38,6 @@
 
 // Timing holds the periods and limits of the control loop.
 type Timing struct {
-	// Coalesce is the time for which changes of demand are gathered.
-	Coalesce time.Duration
 	// Spill is the wait after which demand goes to other data centres' shards.
 	Spill time.Duration
 	// Exchange is the period of reports to the aggregators.
@@ -59,7 +57,6 @@
 // DefaultTiming returns the periods that the design page gives.
 func DefaultTiming() Timing {
 	return Timing{
-		Coalesce:  2 * time.Millisecond,
 		Spill:     20 * time.Millisecond,
 		Exchange:  500 * time.Millisecond,
 		Holdings:  time.Second,
@@ -185,8 +182,8 @@
 			c.drainMessages()
 		case f := <-c.options.Hub.Received():
 			c.handleFrame(f, c.now())
-		case <-timers.coalesce.C:
-			c.flushDemand(c.now())
+		case <-timers.spill.C:
+			c.spillDemand(c.now())
 		case <-timers.probe.C:
 			c.handleSends(c.options.Membership.Tick(c.now()))
 			c.metrics.readThread()
@@ -195,10 +192,25 @@
 		case <-timers.holdings.C:
 			c.handleSecond(c.now())
 		}
-		c.handleLoopback(c.now())
 		c.locateIfChanged()
-		if len(c.dirty) > 0 || len(c.unspilled) > 0 {
-			timers.armCoalesce(c.options.Timing.Coalesce)
+		c.settleDown(c.now())
+		if len(c.unspilled) > 0 {
+			timers.armSpill(c.options.Timing.Spill / spillChecks)
+		}
+	}
+}
+
+// spillChecks is how often the spill delay of a waiting request is checked.
+const spillChecks = 4
+
+// settleDown reports changed demand and handles the messages of this daemon to
+// itself until no new ones arise. The hub gathers what goes to other daemons.
+func (c *Controller) settleDown(now time.Duration) {
+	for c.loopback != nil || len(c.dirty) > 0 {
+		c.flushDemand(now)
+		if f := c.loopback; f != nil {
+			c.loopback = nil
+			c.handleFrame(f, now)
 		}
 	}
 }
--- a/router/controller/demand.go
+++ b/router/controller/demand.go
@@ -58,16 +58,20 @@
 	return believed >= 2*actual
 }
 
-// flushDemand reports the demand of changed queues and spills the demand of
-// requests that have waited for the spill delay.
-func (c *Controller) flushDemand(now time.Duration) {
-	pending := map[string]*messenger.Demand{}
+// spillDemand marks the queues whose oldest request has waited for the spill
+// delay, so that its demand goes to all shards of the pool.
+func (c *Controller) spillDemand(now time.Duration) {
 	for key := range c.unspilled {
 		if c.spillDue(key, now) {
 			delete(c.unspilled, key)
 			c.dirty[key] = true
 		}
 	}
+}
+
+// flushDemand reports the demand of changed queues.
+func (c *Controller) flushDemand(now time.Duration) {
+	pending := map[string]*messenger.Demand{}
 	for _, key := range sortedKeys(c.dirty) {
 		delete(c.dirty, key)
 		c.gatherDemand(key, now, pending)
--- a/router/controller/fleet_test.go
+++ b/router/controller/fleet_test.go
@@ -119,9 +119,8 @@
 	for _, m := range f.members {
 		n := f.nodes[m.ID]
 		n.controller.drainMessages()
-		n.controller.handleLoopback(f.now)
 		n.controller.locateIfChanged()
-		n.controller.handleLoopback(f.now)
+		n.controller.settleDown(f.now)
 	}
 	f.collect()
 }
@@ -150,7 +149,7 @@
 	f.now += d
 	for _, m := range f.members {
 		n := f.nodes[m.ID]
-		n.controller.flushDemand(f.now)
+		n.controller.spillDemand(f.now)
 		if f.now-n.lastSecond >= n.controller.options.Timing.Holdings {
 			n.lastSecond = f.now
 			n.controller.reportService()
--- a/router/controller/frames.go
+++ b/router/controller/frames.go
@@ -27,16 +27,6 @@
 	c.options.Hub.Send(connector.Peer{ID: to, Address: m.Address}, merge)
 }
 
-// handleLoopback handles the messages of this daemon to itself until no new
-// ones arise.
-func (c *Controller) handleLoopback(now time.Duration) {
-	for c.loopback != nil {
-		f := c.loopback
-		c.loopback = nil
-		c.handleFrame(f, now)
-	}
-}
-
 // handleFrame handles the messages of one frame. Holdings and settlements come
 // before demand, because both free slots that the demand may use.
 func (c *Controller) handleFrame(f *messenger.Frame, now time.Duration) {
--- a/router/controller/queue.go
+++ b/router/controller/queue.go
@@ -126,7 +126,9 @@
 // touch marks a queue whose length has changed.
 func (c *Controller) touch(key queueKey) {
 	c.dirty[key] = true
-	c.unspilled[key] = true
+	if !c.spillDue(key, c.now()) {
+		c.unspilled[key] = true
+	}
 }
 
 // expireWaiters ends waiters past their deadline and waiters of client
--- a/router/controller/timers.go
+++ b/router/controller/timers.go
@@ -7,7 +7,8 @@
 
 // timers are the time sources of the control loop.
 type timers struct {
-	coalesce *time.Timer
+	spill *time.Timer
+	// armed is when spill fires next.
 	armed    time.Time
 	probe    *time.Ticker
 	exchange *time.Ticker
@@ -15,28 +16,27 @@
 }
 
 func newTimers(t Timing) *timers {
-	ts := &timers{
-		coalesce: time.NewTimer(time.Hour),
+	return &timers{
+		spill:    time.NewTimer(t.Spill),
 		probe:    time.NewTicker(probePeriod),
 		exchange: time.NewTicker(t.Exchange),
 		holdings: time.NewTicker(t.Holdings),
 	}
-	return ts
 }
 
-// armCoalesce starts the coalescing timer unless it is already running, so
-// that a steady flow of changes cannot postpone the flush.
-func (t *timers) armCoalesce(d time.Duration) {
+// armSpill starts the spill timer unless it is already running, so that a
+// steady flow of requests cannot postpone the check.
+func (t *timers) armSpill(d time.Duration) {
 	now := time.Now()
 	if now.Before(t.armed) {
 		return
 	}
 	t.armed = now.Add(d)
-	t.coalesce.Reset(d)
+	t.spill.Reset(d)
 }
 
 func (t *timers) stop() {
-	t.coalesce.Stop()
+	t.spill.Stop()
 	t.probe.Stop()
 	t.exchange.Stop()
 	t.holdings.Stop()
