--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -213,13 +212,14 @@
 func (f *Fleet) Ready(ctx context.Context) error {
 	for _, d := range f.Daemons {
 		for {
+			if dead := f.dead(); dead != "" {
+				return errors.Wrapf(ErrNotReady, "%s has ended", dead)
+			}
 			s, err := d.Status(ctx)
 			if err == nil && s.Ready && len(s.Members) >= len(f.Daemons) {
 				break
 			}
 			select {
-			case <-d.Process().Done():
-				return errors.Wrapf(ErrNotReady, "%s has ended", d.ID)
 			case <-ctx.Done():
 				return errors.Wrapf(ErrNotReady, "%s: status %+v: %v", d.ID, s, err)
 			case <-time.After(pollPause):
@@ -229,6 +229,16 @@
 	return nil
 }
 
+// dead returns a daemon whose process has ended, or "".
+func (f *Fleet) dead() string {
+	for _, d := range f.Daemons {
+		if !d.Process().Alive() {
+			return d.ID
+		}
+	}
+	return ""
+}
+
 // Callers returns the caller addresses of all daemons.
 func (f *Fleet) Callers() []string {
 	var out []string
@@ -237,23 +247,3 @@
 	}
 	return out
 }
-
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Mark(err, ErrStart)
-		}
-		open = append(open, l)
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
