--- a/generator/report/plot.go
+++ b/generator/report/plot.go
@@ -14,6 +14,9 @@
 	plotWidth  = 22 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
 	barWidth   = 14 // points
+	// groupMargin is half the width of a group of bars, in groups.
+	groupMargin = 0.6
+	legendRoom  = 1.35
 )
 
 // draw writes grouped bars as SVG: one group per scenario, one bar per policy.
@@ -42,6 +45,9 @@
 		names = append(names, r.Scenario)
 	}
 	p.NominalX(names...)
+	// Room for the outer bars and, above the bars, for the legend.
+	p.X.Min, p.X.Max = -groupMargin, float64(len(s.Rows)-1)+groupMargin
+	p.Y.Max *= legendRoom
 	c, err := p.WriterTo(plotWidth, plotHeight, "svg")
 	if err != nil {
 		return errors.Wrap(err, "draw the plot")
