Close gaps that mutants of connector and detector showed

Cause: trials with mutated copies passed the tests where the dialer trusted any acceptor, the nonce was missing from the proof, removals were accepted at once, the pause of a process was ignored, and indirect probes were not sent. Change: tests for each.

--- a/connector/handshake_test.go
+++ b/connector/handshake_test.go
@@ -96,6 +96,36 @@
 	}
 }
 
+// TestProofCoversEveryField guards against a handshake part that an attacker can
+// change or replay.
+func TestProofCoversEveryField(t *testing.T) {
+	h, _ := startHub(t, "a", 1)
+	base := hello{ID: "b", To: "a", Incarnation: 1, TimeMs: 1, Nonce: []byte("n")}
+	seen := map[string]bool{string(h.proof(labelDialer, base, base)): true, string(h.proof(labelAcceptor, base, base)): true}
+	changes := []hello{{"c", "a", 1, 1, base.Nonce}, {"b", "", 1, 1, base.Nonce}, {"b", "a", 2, 1, base.Nonce},
+		{"b", "a", 1, 2, base.Nonce}, {"b", "a", 1, 1, []byte("m")}, {"ba", "", 1, 1, base.Nonce}}
+	for _, c := range changes {
+		seen[string(h.proof(labelDialer, c, base))] = true
+		seen[string(h.proof(labelDialer, base, c))] = true
+	}
+	if want := 2 + 2*len(changes); len(seen) != want {
+		t.Errorf("%d different proofs, want %d", len(seen), want)
+	}
+}
+
+// impostor accepts every peer without knowing the secret.
+func impostor(w http.ResponseWriter, r *http.Request) {
+	c, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	var h hello
+	_ = readMessage(r.Context(), c, &h)
+	_ = writeMessage(r.Context(), c, answer{Hello: hello{ID: "b", Nonce: h.Nonce}, Proof: make([]byte, 32)})
+	_ = readMessage(r.Context(), c, &confirm{})
+	_ = writeMessage(r.Context(), c, accepted{Accepted: true})
+}
+
 // TestDialFails guards against a dialer that trusts an acceptor without the
 // secret, and against reasons for a refusal that are lost.
 func TestDialFails(t *testing.T) {
@@ -103,6 +133,8 @@
 	b, ba := startHub(t, "b", 2)
 	_, stranger := startHub(t, "x", 1, func(o *Options) { o.Secret = []byte("another secret of the fleet") })
 	old, _ := startHub(t, "b", 1)
+	fake := httptest.NewServer(http.HandlerFunc(impostor))
+	defer fake.Close()
 	sendUntilReceived(b, Peer{ID: "a", Address: aa}, a, 1)
 	for name, c := range map[string]struct {
 		from        *Hub
@@ -110,6 +142,7 @@
 		want        error
 	}{
 		"wrong secret":    {a, stranger, "", ErrUnauthenticated},
+		"impostor":        {a, strings.TrimPrefix(fake.URL, "http://"), "", ErrUnauthenticated},
 		"itself":          {a, aa, "", ErrSelf},
 		"another daemon":  {a, ba, "c", ErrOther},
 		"old incarnation": {old, aa, "a", ErrStale},
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -31,31 +31,37 @@
 }
 
 // TestFaultsKeepLiveMembersListed guards against the removal of members that are
-// well and reachable through others.
+// well and reachable through others, and, where others reach them at once,
+// against their suspicion.
 func TestFaultsKeepLiveMembersListed(t *testing.T) {
 	const n = 12
 	for name, c := range map[string]struct {
-		fault  func(f *fleet)
-		lowest int
+		fault     func(f *fleet)
+		suspicion bool
 	}{
-		"one connection is cut":           {func(f *fleet) { f.cut([]int{0}, []int{1}, true) }, n},
-		"one direction is cut":            {func(f *fleet) { f.cut([]int{0}, []int{1}, false) }, n},
-		"a tenth of messages is lost":     {func(f *fleet) { f.loss = 0.1 }, n},
-		"messages are delayed and copied": {func(f *fleet) { f.maxDelay, f.repeat = 400*time.Millisecond, 0.5 }, n},
+		"one connection is cut":           {func(f *fleet) { f.cut([]int{0}, []int{1}, true) }, false},
+		"one direction is cut":            {func(f *fleet) { f.cut([]int{0}, []int{1}, false) }, false},
+		"a tenth of messages is lost":     {func(f *fleet) { f.loss = 0.1 }, true},
+		"messages are delayed and copied": {func(f *fleet) { f.maxDelay, f.repeat = 400*time.Millisecond, 0.5 }, true},
 		"a process pauses for 2 s": {func(f *fleet) {
 			f.nodes[3].frozen = true
 			f.run(2 * time.Second)
 			f.nodes[3].frozen = false
-		}, n},
+		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(n, 1, Settings{})
 			f.introduce()
 			c.fault(f)
 			f.run(5 * time.Minute)
-			if f.lowest < c.lowest || f.failure != nil {
+			if f.lowest < n || f.failure != nil {
 				t.Errorf("a daemon listed only %d members: %v", f.lowest, f.failure)
 			}
+			for _, o := range f.nodes {
+				if r := o.Self().Refutation; r > 0 && !c.suspicion {
+					t.Errorf("%s was suspected %d times", o.Self().ID, r)
+				}
+			}
 		})
 	}
 }
@@ -89,16 +95,35 @@
 // an ended partition because the other side had removed them.
 func TestRejoinKeepsOwnSide(t *testing.T) {
 	const n = 60
-	f := newFleet(n, 1, Settings{})
+	for _, d := range []time.Duration{15 * time.Second, time.Minute} {
+		f := newFleet(n, 1, Settings{})
+		f.introduce()
+		f.cut(indices(0, n/2), indices(n/2, n), true)
+		f.run(d)
+		clear(f.blocked)
+		if _, err := f.converge(2 * time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		if f.lowest < n/2 {
+			t.Errorf("after %v a daemon listed only %d members", d, f.lowest)
+		}
+	}
+}
+
+// TestPauseSuspectsNobody guards against a paused process that blames the member
+// whose answer waits to be handled.
+func TestPauseSuspectsNobody(t *testing.T) {
+	f := newFleet(2, 1, Settings{})
 	f.introduce()
-	f.cut(indices(0, n/2), indices(n/2, n), true)
-	f.run(time.Minute)
-	clear(f.blocked)
-	if _, err := f.converge(2 * time.Minute); err != nil {
-		t.Fatal(err)
+	d := f.nodes[0]
+	now := tick
+	for d.current.subject == nil {
+		d.Tick(now)
+		now += tick
 	}
-	if f.lowest < n/2 {
-		t.Errorf("a daemon listed only %d members", f.lowest)
+	d.Tick(now + time.Minute)
+	if d.suspects > 0 {
+		t.Error("a member is suspected")
 	}
 }
 
