--- a/connector/peer.go
+++ b/connector/peer.go
@@ -23,8 +23,12 @@
 	// used is the time of the last use by the clock of the hub.
 	used  atomic.Int64
 	queue queue
-	// pending and changed wake run: messages wait, or links changed.
-	pending, changed chan struct{}
+	// batch fires when the current batch is to be sent.
+	batch *time.Timer
+	// flushed is the time by clock of the last batch.
+	flushed atomic.Int64
+	// changed wakes run when links changed.
+	changed chan struct{}
 
 	// receiving orders the frames of the peer; last is the last one handed over.
 	receiving sync.Mutex
@@ -40,7 +44,9 @@
 }
 
 func newPeer(h *Hub, key, id string) *peer {
-	return &peer{hub: h, key: key, id: id, pending: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
+	p := &peer{hub: h, key: key, id: id, batch: time.NewTimer(time.Hour), changed: make(chan struct{}, 1)}
+	p.batch.Stop()
+	return p
 }
 
 func (p *peer) touch() { p.used.Store(int64(p.hub.clock())) }
@@ -57,16 +63,10 @@
 // run sends queued frames until the hub closes or the peer is forgotten.
 func (p *peer) run() {
 	defer p.abortLinks()
-	var flushed time.Time
 	for {
 		select {
-		case <-p.pending:
-			// The first frame after a pause goes at once; those that follow
-			// within the batch time are gathered.
-			if !p.sleep(p.hub.timing.Batch - time.Since(flushed)) {
-				return
-			}
-			flushed = time.Now()
+		case <-p.batch.C:
+			p.flushed.Store(int64(p.hub.clock()))
 			p.flush()
 		case <-time.After(p.patience()):
 			p.check()
@@ -90,9 +90,6 @@
 }
 
 func (p *peer) sleep(d time.Duration) bool {
-	if d <= 0 {
-		return p.hub.ctx.Err() == nil
-	}
 	select {
 	case <-time.After(d):
 		return true
