--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -20,6 +20,14 @@
 	}
 }
 
+// InUse returns the number of held grants on a target.
+func (s *Scheduler) InUse(target string) int {
+	if t := s.targets[target]; t != nil {
+		return t.used
+	}
+	return 0
+}
+
 // AccountStats describes the standing of an account in a shard.
 type AccountStats struct {
 	// Ahead is the distance from the smallest active virtual time, in units per weight; the
