Bound writes to the caller without a standing write deadline

HTTP/2 resets a stream at its write deadline even when nothing is being written, so a stream with 30 s between two events was cut, and the error event of a stalled HTTP/1.1 stream could not be written. The timer that reports progress now ends a write that takes too long.

A forwarded request keeps its ticket and key even if the caller's Connection header names them; without the ticket the issuer would have run the request anew.

Specs also cover stalled targets, callers that do not read, progress and counted wrong answers.

--- a/router/dispatcher/answer.go
+++ b/router/dispatcher/answer.go
@@ -58,10 +58,11 @@
 	a.started = true
 	a.captured.header(res.Header)
 	a.captured.write(body)
-	a.extendDeadline(time.Now())
 	a.w.WriteHeader(res.StatusCode)
 	var failure error
 	if hasBody(res) {
+		a.meter.beginWrite()
+		defer a.meter.endWrite()
 		_, failure = a.w.Write(body)
 	}
 	a.copyTrailer(res)
@@ -171,7 +172,8 @@
 	if len(p) == 0 {
 		return nil
 	}
-	a.extendDeadline(time.Now())
+	a.meter.beginWrite()
+	defer a.meter.endWrite()
 	if _, err := a.w.Write(p); err != nil {
 		return errors.WithSecondaryError(ErrCaller, err)
 	}
@@ -181,17 +183,6 @@
 	return nil
 }
 
-// extendDeadline moves the write deadline at most once a second; a deadline
-// per event would cost more than the event.
-func (a *attempt) extendDeadline(now time.Time) {
-	if now.Sub(a.lastDeadline) < time.Second {
-		return
-	}
-	a.lastDeadline = now
-	// Writers without deadlines (tests) are used as they are.
-	_ = a.control.SetWriteDeadline(now.Add(a.d.options.WriteTimeout))
-}
-
 func isEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -34,8 +34,6 @@
 	status   int
 	captured capture
 	stream   streamIdentity
-	// lastDeadline is when the write deadline was last moved.
-	lastDeadline time.Time
 }
 
 // Do sends r to its target and copies the answer to w. After an error with
@@ -58,7 +56,7 @@
 	a.captured.enabled = r.Capture
 	ctx, cancel := context.WithCancelCause(ctx)
 	a.ctx = ctx
-	a.meter.begin(d.options, r, cancel)
+	a.meter.begin(d.options, r, cancel, func() { _ = a.control.SetWriteDeadline(time.Now()) })
 	return a
 }
 
@@ -67,6 +65,9 @@
 	a.gate.close()
 	a.meter.end()
 	a.meter.cancel(nil)
+	// For what the server writes when the handler returns. The server's next
+	// request removes it. Writers without deadlines (tests) are used as they are.
+	_ = a.control.SetWriteDeadline(time.Now().Add(finalWrite))
 	return a.report(err)
 }
 
--- a/router/dispatcher/header.go
+++ b/router/dispatcher/header.go
@@ -98,6 +98,12 @@
 	h := make(http.Header, len(r.Header)+6)
 	if a.forwarding {
 		copyHeader(h, r.Header, connectionOnly)
+		// A caller's Connection header must not remove what decides on the run.
+		for k, v := range r.Header {
+			if k == "Authorization" || strings.HasPrefix(k, ownPrefix) {
+				h[k] = v
+			}
+		}
 		h[HeaderRequestID] = []string{id}
 		return h
 	}
--- a/router/dispatcher/meter.go
+++ b/router/dispatcher/meter.go
@@ -30,6 +30,10 @@
 	touched     atomic.Int64 // nanoseconds after start of the last sign of life
 	answering   atomic.Bool
 	usage       atomic.Pointer[usage]
+	// writing is the time of the write to the caller that is in progress, 0: none.
+	writing atomic.Int64
+	// unblock makes that write fail.
+	unblock func()
 
 	// mutex keeps progress from running after end.
 	mutex sync.Mutex
@@ -47,10 +51,10 @@
 	} `json:"prompt_tokens_details"`
 }
 
-func (m *meter) begin(o Options, r *Request, cancel context.CancelCauseFunc) {
+func (m *meter) begin(o Options, r *Request, cancel context.CancelCauseFunc, unblock func()) {
 	m.start = time.Now()
 	m.engine, m.options, m.prompt = r.Target.Engine, o, r.PromptTokens
-	m.progress, m.cancel = r.Progress, cancel
+	m.progress, m.cancel, m.unblock = r.Progress, cancel, unblock
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.timer = time.AfterFunc(o.ProgressInterval, m.tick)
@@ -66,7 +70,14 @@
 	if m.answering.Load() {
 		limit = m.options.StallTimeout
 	}
-	if time.Since(m.start)-time.Duration(m.touched.Load()) > limit {
+	now := time.Since(m.start)
+	if since := m.writing.Load(); since != 0 {
+		// The target is not at fault while the caller does not read.
+		m.touched.Store(int64(now))
+		if now-time.Duration(since) > m.options.WriteTimeout {
+			m.unblock()
+		}
+	} else if now-time.Duration(m.touched.Load()) > limit {
 		m.cancel(ErrStalled)
 	}
 	if m.progress != nil {
@@ -89,6 +100,13 @@
 	m.touched.Store(int64(time.Since(m.start)))
 }
 
+// beginWrite and endWrite enclose a write to the caller. A write deadline on
+// the connection would not do: HTTP/2 resets a stream at its write deadline
+// even when nothing is being written.
+func (m *meter) beginWrite() { m.writing.Store(max(1, m.touched.Load())) }
+
+func (m *meter) endWrite() { m.writing.Store(0) }
+
 // event notes the arrival of an event at now; tokens is 1 if it carries output.
 func (m *meter) event(now time.Duration, tokens int64) {
 	m.touched.Store(int64(now))
--- a/router/receiver/interfaces.go
+++ b/router/receiver/interfaces.go
@@ -108,6 +108,7 @@
 type Peer struct {
 	// Address is host:port.
 	Address string
-	// Authenticate adds what the peer requires of a forwarded request; may be nil.
+	// Authenticate adds what the peer requires of a forwarded request; may be
+	// nil. Names that begin with Monsoondeck- never reach a target.
 	Authenticate func(h http.Header)
 }
--- /dev/null
+++ b/router/receiver/limits_test.go
@@ -0,0 +1,121 @@
+package receiver_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"monsoondeck.example/router/dispatcher"
+	"monsoondeck.example/router/receiver"
+)
+
+// hurried makes the time limits of a dispatcher short.
+func hurried(_ *receiver.Options, d *dispatcher.Options) {
+	d.ProgressInterval, d.AnswerTimeout, d.StallTimeout = 5*time.Millisecond, 20*time.Millisecond, 20*time.Millisecond
+	d.WriteTimeout = 20 * time.Millisecond
+}
+
+var _ = Describe("limiting", func() {
+	silent := echo(func(w http.ResponseWriter, r *http.Request) {
+		// Without this the server does not notice that the connection closes.
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == "POST" && strings.HasPrefix(r.URL.Path, "/v1/") {
+			streamEvents(w, 0, 2)
+		}
+		<-r.Context().Done()
+	})
+
+	// Guards against callers and slots that wait forever for a frozen target.
+	It("gives up a target that never answers", func() {
+		f := newFixture(hurried, silent)
+		res, body := f.do("POST", "/services/orders/", "x")
+		expectError(res, body, 504, "targetStalled", dispatcher.Unknown)
+		Expect(f.waiter.settlements()[0].Result).To(Equal(receiver.ResultFailed))
+	})
+
+	It("ends a stream that stalls visibly", func() {
+		f := newFixture(hurried, silent)
+		res, err := http.DefaultClient.Do(f.request("POST", "/v1/chat/completions", askStream))
+		Expect(err).NotTo(HaveOccurred())
+		body, err := readAll(res)
+		Expect(body).To(ContainSubstring("targetStalled"))
+		// On a slow machine the limit may pass before the first event.
+		Expect(err != nil).To(Equal(res.StatusCode == 200))
+	})
+
+	// Guards against a write deadline that passes while the engine is silent:
+	// HTTP/2 resets a stream at its deadline even when nothing is written.
+	It("keeps a stream whose events are far apart", func() {
+		f := newFixture(func(_ *receiver.Options, d *dispatcher.Options) { d.WriteTimeout = 10 * time.Millisecond }, echo(func(w http.ResponseWriter, _ *http.Request) {
+			streamEvents(w, 0, 1)
+			time.Sleep(50 * time.Millisecond)
+			streamEvents(w, 1, 2)
+			_, _ = io.WriteString(w, end)
+		}))
+		res, err := h2c().Do(f.request("POST", "/v1/chat/completions", askStream))
+		Expect(err).NotTo(HaveOccurred())
+		body, err := readAll(res)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(ContainSubstring("[DONE]"))
+	})
+
+	// Guards against slots held by callers that do not read.
+	It("gives up a caller that does not read", func() {
+		f := newFixture(func(_ *receiver.Options, d *dispatcher.Options) { d.WriteTimeout = 20 * time.Millisecond },
+			echo(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/x-ndjson")
+				for {
+					if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+						return
+					}
+				}
+			}))
+		c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = io.WriteString(c, "GET /services/orders/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(f.waiter.settlements).Should(HaveLen(1))
+		Expect(f.waiter.settlements()[0].Result).To(Equal(receiver.ResultCancelled))
+	})
+
+	// Guards against owners that learn of a long request's cost only at its end.
+	It("reports progress while a request runs", func() {
+		f := newFixture(func(_ *receiver.Options, d *dispatcher.Options) { d.ProgressInterval = time.Millisecond }, answer(""))
+		f.waiter.progress = make(chan float64, 1)
+		f.waiter.targets[0].Address = serve(echo(func(http.ResponseWriter, *http.Request) {
+			first := <-f.waiter.progress
+			Expect(<-f.waiter.progress).To(BeNumerically(">", first))
+		}))
+		res, _ := f.do("GET", "/services/orders/", "")
+		Expect(res.StatusCode).To(Equal(200))
+	})
+
+	// Guards against a ticket that is lost on the way to its issuer because the
+	// caller's Connection header names it; the issuer would run the request anew.
+	It("forwards the ticket even if Connection names it", func() {
+		var seen http.Header
+		f := newFixture(func(o *receiver.Options, _ *dispatcher.Options) {
+			o.Forwarder = peers{7: serve(echo(func(_ http.ResponseWriter, r *http.Request) { seen = r.Header }))}
+		})
+		_, _ = f.do("POST", "/services/orders/", "", "Monsoondeck-Ticket", "7.1", "Connection", "Monsoondeck-Ticket, Authorization")
+		Expect(seen.Get("Monsoondeck-Ticket")).To(Equal("7.1"))
+		Expect(seen.Get("Authorization")).To(Equal("Bearer secret"))
+		Expect(seen.Get("Monsoondeck-Fleet")).To(Equal("1"))
+	})
+
+	It("counts wrong answers", func() {
+		d, closeIdle := dispatcher.New(dispatcher.Options{})
+		DeferCleanup(closeIdle)
+		f := newFixture(nil, func(http.ResponseWriter, *http.Request) {})
+		f.options.Dispatcher = d
+		f.url = listen(receiver.New(f.options))
+		_, _ = f.do("GET", "/services/orders/", "")
+		Expect(d.Stats().WrongAnswers).To(BeEquivalentTo(1))
+	})
+})
--- a/router/receiver/once_test.go
+++ b/router/receiver/once_test.go
@@ -96,7 +96,7 @@
 	if !ok {
 		return receiver.Peer{}, receiver.ErrIssuerGone
 	}
-	return receiver.Peer{Address: strings.TrimPrefix(address, "http://"), Authenticate: func(h http.Header) { h.Set("X-Fleet", "1") }}, nil
+	return receiver.Peer{Address: strings.TrimPrefix(address, "http://"), Authenticate: func(h http.Header) { h.Set("Monsoondeck-Fleet", "1") }}, nil
 }
 
 var _ = Describe("running at most once", func() {
--- a/router/receiver/suite_test.go
+++ b/router/receiver/suite_test.go
@@ -38,6 +38,8 @@
 	settled []receiver.Settlement
 	// expire is the number of permits that expire before dispatch.
 	expire int
+	// progress receives the units of Progress if it is not nil.
+	progress chan float64
 }
 
 func (w *waiter) Wait(_ context.Context, r receiver.Request) (receiver.Permit, error) {
@@ -67,7 +69,13 @@
 }
 
 func (p *permit) Target() configurer.Target { return p.target }
-func (p *permit) Progress(float64)          {}
+func (p *permit) Progress(units float64) {
+	select {
+	case p.w.progress <- units:
+	default:
+	}
+}
+
 func (p *permit) Settle(s receiver.Settlement) {
 	p.w.mutex.Lock()
 	defer p.w.mutex.Unlock()
@@ -110,9 +118,7 @@
 	d := dispatcher.Options{DialTimeout: time.Minute}
 	f.options = receiver.Options{Waiter: f.waiter}
 	for i, h := range handlers {
-		s := httptest.NewServer(h)
-		DeferCleanup(s.Close)
-		f.waiter.targets = append(f.waiter.targets, configurer.Target{ID: string(rune('a' + i)), Address: s.Listener.Addr().String()})
+		f.waiter.targets = append(f.waiter.targets, configurer.Target{ID: string(rune('a' + i)), Address: serve(h)})
 	}
 	c, err := configurer.New(1, []configurer.Account{{
 		ID: "acme", Share: 1, KeyHashes: []string{configurer.KeyHash("secret")}, Pools: []string{"model", "orders"},
@@ -132,6 +138,13 @@
 	return f
 }
 
+// serve starts a target and returns its address.
+func serve(h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	DeferCleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
 func listen(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
