--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -95,7 +95,7 @@
 	fetches   chan connector.Peer
 	snapshot  atomic.Pointer[Snapshot]
 	admission *limiter.Admission
-	metrics   metrics
+	meter     meter
 	rates     *rates
 	histories *histories
 
@@ -105,18 +105,19 @@
 	leaving    map[string]bool
 	config     configurer.Config
 	configured bool
-	deltas     []storedDelta
-	marks      map[string]messenger.HostMark
-	locator    *locator.Map
-	queues     map[queueKey]*queue
-	dirty      map[queueKey]bool
-	unspilled  map[queueKey]bool
-	links      map[string]*link
-	held       map[string]*permit
-	owned      map[string]*ownedShard
-	groups     map[groupKey]*aggregator.Aggregator
-	loopback   *messenger.Frame
-	stopping   bool
+	// config is the current one of replica.
+	replica   *configurer.Replica
+	marks     map[string]messenger.HostMark
+	locator   *locator.Map
+	queues    map[queueKey]*queue
+	dirty     map[queueKey]bool
+	unspilled map[queueKey]bool
+	links     map[string]*link
+	held      map[string]*permit
+	owned     map[string]*ownedShard
+	groups    map[groupKey]*aggregator.Aggregator
+	loopback  *messenger.Frame
+	stopping  bool
 	// epochs counts the shards acquired so far.
 	epochs  uint64
 	lastAsk time.Duration
@@ -130,6 +131,7 @@
 		done:      make(chan struct{}),
 		fetches:   make(chan connector.Peer, 1),
 		admission: limiter.NewAdmission(o.Admission),
+		replica:   configurer.NewReplica(keptDeltas),
 		members:   map[string]detector.Member{},
 		leaving:   map[string]bool{},
 		marks:     map[string]messenger.HostMark{},
@@ -142,6 +144,7 @@
 		groups:    map[groupKey]*aggregator.Aggregator{},
 		histories: newHistories(),
 		rates:     newRates(),
+		meter:     meter{clock: o.Clock},
 	}
 	c.snapshot.Store(&Snapshot{})
 	c.locateIfChanged()
@@ -169,8 +172,6 @@
 // Run handles messages, frames and timers until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
-	stopMeter := c.metrics.lockThread()
-	defer stopMeter()
 	timers := newTimers(c.options.Timing)
 	defer timers.stop()
 	for {
@@ -179,18 +180,23 @@
 			c.abandonQueues()
 			return
 		case m := <-c.messages:
+			c.meter.begin()
 			m.apply(c, c.now())
 			c.drainMessages()
 		case f := <-c.options.Hub.Received():
+			c.meter.begin()
 			c.handleFrame(f, c.now())
 		case <-timers.coalesce.C:
+			c.meter.begin()
 			c.flushDemand(c.now())
 		case <-timers.probe.C:
+			c.meter.begin()
 			c.handleSends(c.options.Membership.Tick(c.now()))
-			c.metrics.readThread()
 		case <-timers.exchange.C:
+			c.meter.begin()
 			c.reportService()
 		case <-timers.holdings.C:
+			c.meter.begin()
 			c.handleSecond(c.now())
 		}
 		c.handleLoopback(c.now())
@@ -198,6 +204,7 @@
 		if len(c.dirty) > 0 || len(c.unspilled) > 0 {
 			timers.armCoalesce(c.options.Timing.Coalesce)
 		}
+		c.meter.end()
 	}
 }
 
--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -2,10 +2,12 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"monsoondeck.example/configurer"
 	"monsoondeck.example/limiter"
 	"monsoondeck.example/logger"
 	"monsoondeck.example/messenger"
@@ -20,8 +22,19 @@
 	scheduler *scheduler.Scheduler
 	// limits has one entry for each target of shard.
 	limits map[string]*targetLimit
+	// issued holds the grants of this epoch that have not been settled.
+	issued map[uint64]issuedGrant
 }
 
+// issuedGrant lets members name a grant by its id alone.
+type issuedGrant struct {
+	account, target string
+	at              time.Duration
+}
+
+// issuedRetention exceeds the longest request.
+const issuedRetention = time.Hour
+
 // targetLimit is what the owner has learnt about one target.
 type targetLimit struct {
 	concurrency *limiter.Concurrency
@@ -31,12 +44,13 @@
 	ejected     bool
 }
 
-// acquire starts to schedule a shard. The epoch differs from those of earlier
-// owners, because incarnations are start times in microseconds.
+// acquire starts to schedule a shard. The epoch identifies this ownership: its
+// low bits of a start time in microseconds collide with those of an earlier
+// owner once in four billion times.
 func (c *Controller) acquire(s locator.Shard, now time.Duration) {
 	c.epochs++
-	epoch := c.options.Self.Incarnation + c.epochs
-	o := &ownedShard{shard: s, epoch: epoch, limits: map[string]*targetLimit{}}
+	epoch := uint64(uint32(c.options.Self.Incarnation + c.epochs))
+	o := &ownedShard{shard: s, epoch: epoch, limits: map[string]*targetLimit{}, issued: map[uint64]issuedGrant{}}
 	o.scheduler = scheduler.New(scheduler.Settings{
 		Epoch:         epoch,
 		Lease:         c.options.Timing.Lease,
@@ -46,7 +60,7 @@
 	o.scheduler.SetMembers(now, c.routersOf())
 	c.owned[s.Key] = o
 	c.updateOwned(o, s, now)
-	logger.Emit(c.options.Logger, logger.ShardAcquired, slog.String("shard", s.Key), slog.Uint64("epoch", epoch))
+	logger.Emit(c.options.Logger, logger.ShardAcquired, slog.String("shard", s.Name), slog.Uint64("epoch", epoch))
 }
 
 // routersOf returns the daemons that may send demand to an owned shard. Under
@@ -72,7 +86,12 @@
 		l := o.limits[t.ID]
 		if l == nil || l.incarnation != t.Incarnation || l.slots != slots {
 			settings := c.options.Concurrency
-			settings.Slots = slots
+			if t.Kind == configurer.KindService {
+				// Calls of plain services have no usual duration.
+				settings.FirstToken, settings.Interval = 0, 0
+			}
+			// The sheet's slots are the most that the operators allow.
+			settings.Slots, settings.Maximum = slots, slots
 			l = &targetLimit{concurrency: limiter.NewConcurrency(settings), incarnation: t.Incarnation, slots: slots}
 		}
 		kept[t.ID] = l
@@ -113,7 +132,9 @@
 // scheduleOwned refreshes limits, which change with time as well, and sends
 // the grants that became possible.
 func (c *Controller) scheduleOwned(now time.Duration) {
-	for _, o := range c.owned {
+	for _, key := range c.ownedKeys() {
+		o := c.owned[key]
+		o.forgetIssued(now)
 		c.applyLimits(o, now)
 		c.sendGrants(o, now)
 	}
@@ -128,16 +149,32 @@
 			list = &messenger.Grants{Shard: o.shard.Key, Epoch: o.epoch}
 			lists[g.Member] = list
 		}
-		list.Entries = append(list.Entries, messenger.Grant{ID: g.ID, Account: g.Account, Target: g.Target, Estimate: g.Estimate})
+		list.Entries = append(list.Entries, messenger.Grant{ID: g.ID, Account: g.Account, Target: g.Target})
+		o.issued[g.ID] = issuedGrant{g.Account, g.Target, now}
 		if l := o.limits[g.Target]; l != nil {
 			l.inFlight++
 		}
 	}
-	for member, list := range lists {
-		c.send(member, func(f *messenger.Frame) { f.Grants = append(f.Grants, *list) })
+	for _, member := range slices.Sorted(maps.Keys(lists)) {
+		c.send(member, func(f *messenger.Frame) { f.Grants = append(f.Grants, *lists[member]) })
 	}
 }
 
+// resolve names the client account and the target of a grant that a member
+// gives by its id alone.
+func (o *ownedShard) resolve(epoch, id uint64, account, target string) (string, string) {
+	if account != "" || epoch != o.epoch {
+		return account, target
+	}
+	g := o.issued[id]
+	return g.account, g.target
+}
+
+// forgetIssued drops grants whose holder has gone without settling them.
+func (o *ownedShard) forgetIssued(now time.Duration) {
+	maps.DeleteFunc(o.issued, func(_ uint64, g issuedGrant) bool { return now-g.at > issuedRetention })
+}
+
 func (c *Controller) handleDemand(from string, d messenger.Demand, now time.Duration) {
 	o := c.owned[d.Shard]
 	if o == nil {
@@ -149,7 +186,7 @@
 		if !ok {
 			continue
 		}
-		demand := scheduler.Demand{Account: e.Account, Weight: account.Share, Waiting: int(e.Waiting), Estimate: e.Estimate, Affinity: e.Affinity}
+		demand := scheduler.Demand{Account: e.Account, Weight: account.Share, Waiting: int(e.Waiting), Estimate: unitsOf(e.EstimateTenths), Affinity: e.Affinity}
 		if d.Epoch == o.epoch {
 			demand.Seen = e.Seen
 		}
@@ -159,19 +196,6 @@
 	c.sendGrants(o, now)
 }
 
-func (c *Controller) handleHoldings(from string, h messenger.Holdings, now time.Duration) {
-	o := c.owned[h.Shard]
-	if o == nil {
-		return
-	}
-	holdings := make([]scheduler.Holding, 0, len(h.Entries))
-	for _, e := range h.Entries {
-		holdings = append(holdings, scheduler.Holding{ID: e.ID, Account: e.Account, Target: e.Target, Cost: e.Cost})
-	}
-	o.scheduler.SetHoldings(now, from, h.Epoch, holdings)
-	c.sendGrants(o, now)
-}
-
 func (c *Controller) handleSettlements(from string, s messenger.Settlements, now time.Duration) {
 	o := c.owned[s.Shard]
 	if o == nil {
@@ -179,7 +203,14 @@
 	}
 	settlements := make([]scheduler.Settlement, 0, len(s.Entries))
 	for _, e := range s.Entries {
-		settlements = append(settlements, scheduler.Settlement{ID: e.ID, Account: e.Account, Target: e.Target, Cost: e.Cost})
+		e.Account, e.Target = o.resolve(s.Epoch, e.ID, e.Account, e.Target)
+		if e.Account == "" {
+			continue // settled before
+		}
+		settlements = append(settlements, scheduler.Settlement{ID: e.ID, Account: e.Account, Target: e.Target, Cost: unitsOf(e.CostTenths)})
+		if s.Epoch == o.epoch {
+			delete(o.issued, e.ID)
+		}
 		c.observe(o, s.Epoch, e, now)
 	}
 	o.scheduler.Settle(now, from, s.Epoch, settlements)
@@ -197,7 +228,7 @@
 		InFlight:   l.inFlight,
 		Result:     limiter.Result(e.Result),
 		FirstToken: time.Duration(e.FirstTokenMs) * time.Millisecond,
-		Interval:   time.Duration(e.IntervalMs * float64(time.Millisecond)),
+		Interval:   time.Duration(e.IntervalUs) * time.Microsecond,
 	})
 	if epoch == o.epoch {
 		l.inFlight = max(l.inFlight-1, 0)
@@ -214,7 +245,8 @@
 // reportService sends the service granted since the last report to the
 // aggregators.
 func (c *Controller) reportService() {
-	for key, o := range c.owned {
+	for _, key := range c.ownedKeys() {
+		o := c.owned[key]
 		reports := map[int]*messenger.ServiceReport{}
 		for _, s := range o.scheduler.Reports() {
 			group := c.locator.Group(s.Account)
@@ -225,7 +257,8 @@
 				Account: s.Account, Cumulative: s.Cumulative, Included: s.Included, Known: s.Known,
 			})
 		}
-		for group, report := range reports {
+		for _, group := range slices.Sorted(maps.Keys(reports)) {
+			report := reports[group]
 			to := c.locator.Aggregator(o.shard.PoolKey(), group)
 			if to != "" {
 				c.send(to, func(f *messenger.Frame) { f.ServiceReports = append(f.ServiceReports, *report) })
@@ -259,12 +292,15 @@
 	c.sendGrants(o, now)
 }
 
-// shardNames lists the owned shards for the status page.
-func (c *Controller) shardNames() []string {
-	names := make([]string, 0, len(c.owned))
-	for key := range c.owned {
-		names = append(names, key)
+// ownedKeys returns the keys of the owned shards in a fixed order.
+func (c *Controller) ownedKeys() []string { return slices.Sorted(maps.Keys(c.owned)) }
+
+// ownedShards returns the owned shards, sorted by name.
+func (c *Controller) ownedShards() []locator.Shard {
+	shards := make([]locator.Shard, 0, len(c.owned))
+	for _, o := range c.owned {
+		shards = append(shards, o.shard)
 	}
-	slices.SortFunc(names, strings.Compare)
-	return names
+	slices.SortFunc(shards, func(a, b locator.Shard) int { return strings.Compare(a.Name, b.Name) })
+	return shards
 }
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -5,7 +5,9 @@
 	"slices"
 
 	"monsoondeck.example/configurer"
+	"monsoondeck.example/detector"
 	"monsoondeck.example/messenger"
+	"monsoondeck.example/router/locator"
 )
 
 // Snapshot is an immutable view of the control state for traffic goroutines.
@@ -15,15 +17,19 @@
 	Configured bool
 	// Members is sorted and contains this daemon.
 	Members []string
-	// Shards lists the shards that this daemon owns, sorted.
-	Shards []string
+	// Shards lists the shards that this daemon owns, sorted by name.
+	Shards []locator.Shard
 	// Waiting is the number of requests in queues.
 	Waiting int
 	// Held is the number of grants in use.
 	Held int
+	// members lists the live daemons, this one included.
+	members []detector.Member
 	// Poller is the daemon of this data centre that reads the platform.
 	Poller string
-	marks  map[string]messenger.HostMark
+	// Maintainer is the daemon that keeps the stored configuration compact.
+	Maintainer string
+	marks      map[string]messenger.HostMark
 }
 
 // Draining tells whether a target must get no new work, by configuration or by
@@ -36,6 +42,15 @@
 	return ok && mark.Leaving && mark.Incarnation >= t.Incarnation
 }
 
+// Member returns the live daemon with an incarnation.
+func (s *Snapshot) Member(incarnation uint64) (detector.Member, bool) {
+	i := slices.IndexFunc(s.members, func(m detector.Member) bool { return m.Incarnation == incarnation })
+	if i < 0 {
+		return detector.Member{}, false
+	}
+	return s.members[i], true
+}
+
 // Snapshot returns the newest view; it is never nil.
 func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
 
@@ -51,9 +66,11 @@
 		Config:     c.config,
 		Configured: c.configured,
 		Members:    slices.Sorted(maps.Keys(c.members)),
-		Shards:     c.shardNames(),
+		Shards:     c.ownedShards(),
+		members:    c.seen,
 		Held:       len(c.held),
 		Poller:     c.locator.Poller(c.options.Self.DataCentre),
+		Maintainer: c.locator.Maintainer(),
 		marks:      maps.Clone(c.marks),
 	}
 	for _, q := range c.queues {
