--- a/generator/run.go
+++ b/generator/run.go
@@ -9,6 +9,7 @@
 	"monsoondeck.example/generator/demo"
 	"monsoondeck.example/generator/load"
 	"monsoondeck.example/generator/report"
+	"monsoondeck.example/generator/restarter"
 	"monsoondeck.example/logger"
 )
 
@@ -18,6 +19,7 @@
   load    send load to a running fleet and check the answers
   bench   measure a fleet of processes under a scenario
   chaos   check a fleet of processes under random faults
+  restart measure how daemons get their configuration after a mass restart
   report  make a page with plots from the lines of bench
   demo    show a small fleet at work in one process
 Run monsoonload COMMAND --help for the flags of a command.
@@ -26,11 +28,12 @@
 // Run runs one command and returns the exit code.
 func Run(args, env []string, streams logger.Streams) int {
 	commands := map[string]func(args, env []string, streams logger.Streams) int{
-		"bench":  bench.Run,
-		"load":   load.Run,
-		"chaos":  chaos.Run,
-		"report": report.Run,
-		"demo":   demo.Run,
+		"bench":   bench.Run,
+		"load":    load.Run,
+		"chaos":   chaos.Run,
+		"report":  report.Run,
+		"restart": restarter.Run,
+		"demo":    demo.Run,
 	}
 	if len(args) > 0 {
 		if command, ok := commands[args[0]]; ok {
--- a/router/controller/configuration.go
+++ b/router/controller/configuration.go
@@ -108,6 +108,9 @@
 // noteVersion asks a member for changes that this daemon lacks.
 func (c *Controller) noteVersion(member string, version uint64) {
 	now := c.now()
+	if c.options.PlatformOnly && !c.configured {
+		return
+	}
 	if version <= c.config.Version() || now-c.lastAsk < askPeriod {
 		return
 	}
@@ -119,7 +122,7 @@
 
 // requestMissingConfig asks peers while this daemon has no configuration.
 func (c *Controller) requestMissingConfig(now time.Duration) {
-	if c.configured || now-c.lastAsk < askPeriod {
+	if c.configured || c.options.PlatformOnly || now-c.lastAsk < askPeriod {
 		return
 	}
 	c.lastAsk = now
@@ -144,6 +147,9 @@
 	if p.Version <= c.config.Version() {
 		return
 	}
+	if c.options.PlatformOnly && !c.configured {
+		return
+	}
 	if p.Body == "" || !c.configured && p.Base > 0 {
 		c.fetch(from)
 		return
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -72,8 +72,10 @@
 	Self       detector.Member
 	Membership Membership
 	Policy     locator.Policy
-	Timing     Timing
-	Admission  limiter.AdmissionSettings
+	// PlatformOnly keeps a daemon without configuration from asking its peers.
+	PlatformOnly bool
+	Timing       Timing
+	Admission    limiter.AdmissionSettings
 	// Concurrency is the template for the limits of targets; the slots come
 	// from the configuration.
 	Concurrency limiter.ConcurrencySettings
--- a/router/poller/poller.go
+++ b/router/poller/poller.go
@@ -67,10 +67,17 @@
 	failing    bool
 }
 
-// New returns a Poller. hosts may be nil where no host list is configured.
-func New(self string, source Source, hosts Hosts, control Control, l *slog.Logger, random *rand.Rand) *Poller {
-	delay := bootstrapDelay + time.Duration(random.Int64N(int64(bootstrapSpread)))
-	return &Poller{self: self, source: source, hosts: hosts, control: control, logger: l, bootstrap: time.Now().Add(delay)}
+// New returns a Poller that reads the platform for a configuration after the
+// bootstrap time, or earlier where the daemon polls for its data centre. hosts
+// may be nil where no host list is configured.
+func New(self string, source Source, hosts Hosts, control Control, l *slog.Logger, bootstrap time.Duration) *Poller {
+	return &Poller{self: self, source: source, hosts: hosts, control: control, logger: l, bootstrap: time.Now().Add(bootstrap)}
+}
+
+// BootstrapDelay draws the time that a daemon without configuration leaves to
+// its peers before it reads the platform.
+func BootstrapDelay(random *rand.Rand) time.Duration {
+	return bootstrapDelay + time.Duration(random.Int64N(int64(bootstrapSpread)))
 }
 
 // Run polls until the context ends.
--- a/router/router.go
+++ b/router/router.go
@@ -131,9 +131,10 @@
 	timing.MaxWait = d.settings.MaxWait
 	return controller.Options{
 		Self: self, Membership: members, Policy: locator.Policy(d.settings.Policy), Timing: timing,
-		Admission:   limiter.AdmissionSettings{AccountRequests: d.settings.QueueLimit, AccountBytes: d.settings.QueueBytes},
-		Concurrency: limiter.ConcurrencySettings{FirstToken: d.settings.FirstToken, Interval: d.settings.TokenInterval},
-		Hub:         hub, Logger: d.logger, Random: random,
+		PlatformOnly: d.settings.Bootstrap == settings.BootstrapPlatform,
+		Admission:    limiter.AdmissionSettings{AccountRequests: d.settings.QueueLimit, AccountBytes: d.settings.QueueBytes},
+		Concurrency:  limiter.ConcurrencySettings{FirstToken: d.settings.FirstToken, Interval: d.settings.TokenInterval},
+		Hub:          hub, Logger: d.logger, Random: random,
 		Clock: func() time.Duration { return time.Since(start) },
 	}
 }
@@ -144,11 +145,15 @@
 		Objects: provider.NewObjects(provider.Options{URL: d.settings.ObjectsURL}),
 		Warn:    func(err error) { logger.Emit(d.logger, logger.SnapshotUnreadable, slog.String("error", err.Error())) },
 	})
+	delay := poller.BootstrapDelay(random)
+	if d.settings.Bootstrap == settings.BootstrapPlatform {
+		delay = 0
+	}
 	var hosts poller.Hosts
 	if d.settings.HostsURL != "" {
 		hosts = provider.NewHosts(provider.Options{URL: d.settings.HostsURL})
 	}
-	return poller.New(d.settings.ID, source, hosts, d.controller, d.logger, random)
+	return poller.New(d.settings.ID, source, hosts, d.controller, d.logger, delay)
 }
 
 func (d *Daemon) ready() bool {
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -32,6 +32,7 @@
 	HostsURL      string        `arg:"--hosts-url,env:MONSOOND_HOSTS_URL" placeholder:"URL" help:"host list [default: not used]"`
 	FleetSecret   string        `arg:"--fleet-secret,env:MONSOOND_FLEET_SECRET" placeholder:"TEXT" help:"secret that all daemons share; better given by environment"`
 	Policy        string        `arg:"--policy,env:MONSOOND_POLICY" default:"fleet" placeholder:"NAME" help:"fleet, or central, alone or static for measurements"`
+	Bootstrap     string        `arg:"--bootstrap,env:MONSOOND_BOOTSTRAP" default:"peers" placeholder:"NAME" help:"peers, or platform for measurements: where a daemon without configuration asks first"`
 	LameDuck      time.Duration `arg:"--lame-duck,env:MONSOOND_LAME_DUCK" default:"5s" placeholder:"TIME" help:"time to go on accepting requests after a stop signal"`
 	StopTimeout   time.Duration `arg:"--stop-timeout,env:MONSOOND_STOP_TIMEOUT" default:"10m" placeholder:"TIME" help:"longest wait for requests in flight at a stop"`
 	QueueLimit    int           `arg:"--queue-limit,env:MONSOOND_QUEUE_LIMIT" default:"1000" placeholder:"N" help:"waiting requests of one client account at this daemon"`
@@ -44,6 +45,12 @@
 	Check         bool          `arg:"--check" help:"check the settings and exit"`
 }
 
+// Where a daemon without configuration asks first.
+const (
+	BootstrapPeers    = "peers"
+	BootstrapPlatform = "platform"
+)
+
 // minSecretBytes makes guessing the fleet secret infeasible.
 const minSecretBytes = 16
 
@@ -57,6 +64,9 @@
 	if s.Advertise == "" {
 		s.Advertise = s.PeerAddress
 	}
+	if s.Bootstrap == "" {
+		s.Bootstrap = BootstrapPeers
+	}
 	return s
 }
 
@@ -88,6 +98,7 @@
 	default:
 		f.check(false, "policy is %q; allowed are fleet, central, alone and static", s.Policy)
 	}
+	f.check(s.Bootstrap == BootstrapPeers || s.Bootstrap == BootstrapPlatform, "bootstrap is %q; allowed are peers and platform", s.Bootstrap)
 	f.check(s.LogFormat == "json" || s.LogFormat == "text", "log-format is %q; allowed are json and text", s.LogFormat)
 	f.check(s.LameDuck >= 0, "lame-duck is %v; it cannot be negative", s.LameDuck)
 	for name, d := range map[string]time.Duration{"stop-timeout": s.StopTimeout, "max-wait": s.MaxWait, "first-token": s.FirstToken, "token-interval": s.TokenInterval} {
