--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -210,37 +209,3 @@
 
 // peerHeaderTimeout bounds how long an idle connection may send nothing.
 const peerHeaderTimeout = 10 * time.Second
-
-// server is one listener with its HTTP server.
-type server struct {
-	name     string
-	listener *net.TCPListener
-	http     *http.Server
-}
-
-func (s *server) listen(address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "open the %s listener", s.name)
-	}
-	s.listener = l.(*net.TCPListener)
-	return nil
-}
-
-func (s *server) serveWith(h *http.Server) { s.http = h }
-
-func (s *server) address() string { return s.listener.Addr().String() }
-
-func (s *server) run() error {
-	err := s.http.Serve(s.listener)
-	return errors.Wrapf(err, "%s listener", s.name)
-}
-
-func (s *server) close() {
-	if s.http != nil {
-		_ = s.http.Close()
-	}
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
-}
--- a/router/stop.go
+++ b/router/stop.go
@@ -8,11 +8,6 @@
 	"monsoondeck.example/logger"
 )
 
-// acceptDrain is how long the caller listener goes on accepting after the lame
-// duck time. A deadline on the listener takes effect only once the kernel's
-// accept queue is empty, so that no queued connection is reset.
-const acceptDrain = 50 * time.Millisecond
-
 // farewellFlush lets the last frames leave before the connections close.
 const farewellFlush = 50 * time.Millisecond
 
@@ -27,14 +22,10 @@
 	case <-second:
 		return d.abort()
 	}
-	_ = d.caller.listener.SetDeadline(time.Now().Add(acceptDrain))
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
 	finished := make(chan error, 1)
-	go func() {
-		time.Sleep(acceptDrain)
-		finished <- d.caller.http.Shutdown(ctx)
-	}()
+	go func() { finished <- d.caller.shutdown(ctx) }()
 	select {
 	case err := <-finished:
 		if err != nil {
