Measure first-token time on event streams only

A whole answer or a service call has its first byte after all of the work. Reported as first-token time it would exceed the objective on every long call and shrink the target's limit. An answer without usage now counts a token per 4 bytes, and an engine's error answer costs nothing.

The usage spec checks that whole answers report no first-token time.

--- a/router/dispatcher/answer.go
+++ b/router/dispatcher/answer.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -44,10 +43,11 @@
 }
 
 func (a *attempt) writeWhole(res *http.Response, body []byte) error {
-	if a.r.Target.Engine {
+	a.meter.touch()
+	if res.StatusCode == http.StatusOK {
+		a.meter.output(len(body))
 		a.meter.readUsage(body)
 	}
-	a.meter.event(time.Since(a.meter.start), 1)
 	h := a.answerHeader(res)
 	h.Set(HeaderOutcome, string(a.outcome(res)))
 	if hasBody(res) && len(res.Trailer) == 0 {
@@ -89,7 +89,7 @@
 		n, err = res.Body.Read(buffer)
 		a.meter.touch()
 		if n > 0 {
-			a.meter.event(time.Since(a.meter.start), 1)
+			a.meter.output(n)
 			a.captured.write(buffer[:n])
 			if failure := a.writeFlush(buffer[:n]); failure != nil {
 				return a.discard(res, failure)
--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -76,6 +76,7 @@
 		return err
 	}
 	a.status = res.StatusCode
+	a.meter.rejected.Store(res.StatusCode >= http.StatusBadRequest)
 	if refused(res) {
 		return a.discard(res, ErrRefused)
 	}
--- a/router/dispatcher/meter.go
+++ b/router/dispatcher/meter.go
@@ -13,6 +13,8 @@
 	// unitsPerPromptToken and unitsPerSecond: design page, section 3.1.
 	unitsPerPromptToken = 0.1
 	unitsPerSecond      = 50
+	// bytesPerToken estimates the tokens of an answer without usage.
+	bytesPerToken = 4
 )
 
 // meter counts the service that one attempt uses. A timer reports progress
@@ -26,6 +28,8 @@
 	cancel   context.CancelCauseFunc
 
 	tokens      atomic.Int64
+	bytes       atomic.Int64 // of an answer that is not an event stream
+	rejected    atomic.Bool  // the engine answered with an error status
 	first, last atomic.Int64 // nanoseconds after start, 0: none
 	touched     atomic.Int64 // nanoseconds after start of the last sign of life
 	answering   atomic.Bool
@@ -120,6 +124,9 @@
 	}
 }
 
+// output notes n bytes of an answer that is not an event stream.
+func (m *meter) output(n int) { m.bytes.Add(int64(n)) }
+
 // units returns the service used so far.
 func (m *meter) units() float64 {
 	if !m.engine {
@@ -132,7 +139,10 @@
 	if u := m.usage.Load(); u != nil {
 		return u.CompletionTokens + unitsPerPromptToken*max(0, u.PromptTokens-u.Details.CachedTokens)
 	}
-	return float64(m.tokens.Load()) + unitsPerPromptToken*m.prompt
+	if m.rejected.Load() {
+		return 0
+	}
+	return float64(m.tokens.Load()) + float64(m.bytes.Load())/bytesPerToken + unitsPerPromptToken*m.prompt
 }
 
 func (m *meter) firstToken() time.Duration { return time.Duration(m.first.Load()) }
--- a/router/dispatcher/request.go
+++ b/router/dispatcher/request.go
@@ -70,7 +70,8 @@
 	Status int
 	// Units is the service used, see the design page, section 3.1.
 	Units float64
-	// FirstToken is the time from dispatch to the first event or byte, 0 if none.
+	// FirstToken is the time from dispatch to the first token event. It is 0 for
+	// other answers, whose first byte comes after all of the work.
 	FirstToken time.Duration
 	// Interval is the mean time between two events, 0 with fewer than two.
 	Interval time.Duration
--- a/router/receiver/stream_test.go
+++ b/router/receiver/stream_test.go
@@ -192,6 +192,9 @@
 		_, _ = f.do("POST", "/v1/chat/completions", ask)
 		Eventually(f.waiter.settlements).Should(HaveLen(1))
 		Expect(f.waiter.settlements()[0].Units).To(BeNumerically("~", 10, 1e-9))
+		// Guards against limits that shrink because a whole answer takes longer
+		// than the objective for the first token.
+		Expect(f.waiter.settlements()[0].FirstToken > 0).To(Equal(stream))
 	}, Entry("stream", true), Entry("whole", false))
 
 	// Guards against a large answer whose break is hidden by the router.
