--- a/connector/hub.go
+++ b/connector/hub.go
@@ -144,10 +144,23 @@
 	if p == nil {
 		return
 	}
-	if n := p.queue.merge(time.Now(), merge); n > 0 {
-		h.counters.dropped.Add(uint64(n))
+	first, dropped := p.queue.merge(time.Now(), merge)
+	h.counters.dropped.Add(uint64(dropped))
+	if first {
+		p.batch.Reset(h.untilBatch(p))
 	}
-	signal(p.pending)
+}
+
+// untilBatch returns the time after which a frame is sent. The first frame after
+// a pause goes at once, so that a request waits no longer than the network
+// takes. Later ones share the ends of batches of all peers, because one wake-up
+// of an idle process costs more than the work for a frame.
+func (h *Hub) untilBatch(p *peer) time.Duration {
+	now := h.clock()
+	if now-time.Duration(p.flushed.Load()) >= h.timing.Batch {
+		return 0
+	}
+	return h.timing.Batch - now%h.timing.Batch
 }
 
 // Received returns the channel of frames from authenticated peers. Sender and
