--- a/connector/peer.go
+++ b/connector/peer.go
@@ -23,8 +23,10 @@
 	// used is the time of the last use by the clock of the hub.
 	used  atomic.Int64
 	queue queue
-	// batch fires when the current batch is to be sent.
-	batch *time.Timer
+	// batch fires when the current batch is to be sent; flushed is when it fired
+	// last, by the clock of the hub.
+	batch   *time.Timer
+	flushed atomic.Int64
 	// changed wakes run when links changed.
 	changed chan struct{}
 
@@ -64,6 +66,7 @@
 	for {
 		select {
 		case <-p.batch.C:
+			p.flushed.Store(int64(p.hub.clock()))
 			p.flush()
 		case <-time.After(p.patience()):
 			p.check()
@@ -76,6 +79,13 @@
 	}
 }
 
+// untilBatch returns the time to the end of the current batch. The first frame
+// after a pause goes at once; those that follow within the batch time are
+// gathered.
+func (p *peer) untilBatch() time.Duration {
+	return time.Duration(p.flushed.Load()) + p.hub.timing.Batch - p.hub.clock()
+}
+
 // patience returns how long to wait for messages before the connection and the
 // use of the peer are checked. Without an open question the checks are rare, to
 // save timers on hundreds of idle connections.
@@ -87,6 +97,9 @@
 }
 
 func (p *peer) sleep(d time.Duration) bool {
+	if d <= 0 {
+		return p.hub.ctx.Err() == nil
+	}
 	select {
 	case <-time.After(d):
 		return true
@@ -119,7 +132,9 @@
 // write encodes and sends a frame, in parts if it is too large.
 func (p *peer) write(l *link, f *messenger.Frame) {
 	h := p.hub
-	f.Sender, f.Incarnation = h.options.Self, h.options.Incarnation
+	// The handshake has told the receiver who sends; the names would be a fifth
+	// of the control traffic.
+	f.Sender, f.Incarnation = "", 0
 	f.Sequence = h.sequence.Add(1)
 	b, err := h.encoder.Encode(*f)
 	if err != nil {
--- a/generator/bench/lines.go
+++ b/generator/bench/lines.go
@@ -20,14 +20,14 @@
 	Unit       string  `json:"unit"`
 }
 
-// exchangeInterval and messageDelay are the delays of section 3.3 of the design
-// page. The message delay includes the 2 ms over which frames are batched.
+// exchangeInterval and batchDelay are those of the design page, sections 3.3 and
+// 6; a message takes the delay between data centres in addition.
 const (
 	exchangeInterval = 500 * time.Millisecond
 	batchDelay       = 2 * time.Millisecond
 )
 
-func (r *run) lines(load *loader.Loader, results []loader.Result, record launcher.Record, c controlRates) []Line {
+func (r *run) lines(load *loader.Loader, results []loader.Result, record launcher.Record, c cost) []Line {
 	input := analyser.Input{
 		Pool: r.deployment.Model, Shares: map[string]float64{}, From: r.from, To: r.to, Slots: map[string]int{},
 		Requests: results, Executions: record.Executions, Services: record.Services, Busy: record.Busy,
@@ -48,7 +48,7 @@
 	r.progress("ends of requests: %v", counts.Ends)
 	r.progress("largest gap between %s and %s; %d pairs of accounts waited together; work waited in %.0f%% of the window",
 		gap.A, gap.B, gap.Pairs, 100*use.Waiting)
-	bound := input.Bound(analyser.Delays{Exchange: exchangeInterval, Message: r.deployment.PeerDelay + batchDelay})
+	bound := input.Bound(r.conditions())
 	var out []Line
 	add := func(measure string, value float64, unit string) {
 		out = append(out, Line{measure, r.options.Deployment, r.options.Scenario, r.options.Policy, r.options.Seed, value, unit})
@@ -59,8 +59,12 @@
 		add("fairnessGapGrowth", lastGap.Value/firstGap.Value, "ratio")
 	}
 	add("utilisation", use.Value, "ratio")
-	add("controlBytesPerDaemonSecond", c.bytes, "bytesPerSecond")
-	add("controlCpuCores", c.cores, "coresPerDaemon")
+	add("controlBytesPerDaemonSecond", c.control.Bytes/c.daemonSeconds, "bytesPerSecond")
+	add("controlCpuCores", c.control.CPUSeconds/c.daemonSeconds, "coresPerDaemon")
+	add("daemonCpuCores", c.cpuSeconds/c.daemonSeconds, "coresPerDaemon")
+	add("daemonMemoryBytes", c.residentBytes, "bytes")
+	add("addedLatencyP50Seconds", r.latency.added(0.5), "seconds")
+	add("addedLatencyP99Seconds", r.latency.added(0.99), "seconds")
 	add("firstTokenP95Seconds", load.FirstToken.Quantile(0.95).Seconds(), "seconds")
 	add("betweenTokensP95Seconds", load.BetweenTokens.Quantile(0.95).Seconds(), "seconds")
 	add("unitsPerSecond", r.unitsPerSecond(record), "unitsPerSecond")
@@ -68,7 +72,7 @@
 		measure string
 		value   int
 	}{
-		{"completed", counts.Completed}, {"notRun", counts.NotRun}, {"unknown", counts.Unknown}, {"unsent", counts.Unsent},
+		{"completed", counts.Completed}, {"notRun", counts.NotRun}, {"unknown", counts.Unknown}, {"unsent", counts.Unsent}, {"broken", counts.Broken},
 		{"wrong", counts.Wrong}, {"duplicated", counts.Duplicated}, {"falseNotRun", counts.FalseNotRun},
 	} {
 		add(n.measure, float64(n.value), "requests")
@@ -76,6 +80,27 @@
 	return out
 }
 
+// conditions returns what the bound of the fairness gap depends on. In the
+// scenarios that end owners, or part them from their shards, the bound counts
+// one loss of an owner.
+func (r *run) conditions() analyser.Conditions {
+	c := analyser.Conditions{
+		Exchange: exchangeInterval, Message: r.deployment.PeerDelay + batchDelay, Shards: len(r.deployment.DataCentres),
+	}
+	switch r.options.Scenario {
+	case "schedulerKilled", "dataCentreCut":
+		c.OwnerChanges = 1
+	case "routerRestart":
+		c.OwnerChanges = len(r.fleet.Daemons)
+	}
+	return c
+}
+
+// added returns how much longer a quantile is through a router.
+func (l *latency) added(q float64) float64 {
+	return (l.routed.Quantile(q) - l.direct.Quantile(q)).Seconds()
+}
+
 func (r *run) unitsPerSecond(record launcher.Record) float64 {
 	var units float64
 	for _, s := range record.Services {
--- a/generator/loader/loader.go
+++ b/generator/loader/loader.go
@@ -25,7 +25,10 @@
 	// Routers are the caller addresses (host:port) that the account's requests
 	// go to in turn. An account with one router is pinned to it.
 	Routers []string
-	Kinds   []Kind
+	// Fallback are the routers that the platform's load balancer uses when none
+	// of Routers can be reached.
+	Fallback []string
+	Kinds    []Kind
 	// Workers is the number of callers in a closed loop: each sends its next
 	// request when the last one has ended.
 	Workers int
@@ -64,8 +67,14 @@
 	Outcomes []Outcome
 	Wrong    error
 	Status   int
-	Start    time.Time
-	End      time.Time
+	// Router is the address of the router that the last attempt reached.
+	Router string
+	// Broken is set when the connection broke without a statement of the router.
+	Broken bool
+	// Cause says why the last attempt did not end with a whole answer.
+	Cause error
+	Start time.Time
+	End   time.Time
 }
 
 // Loader sends the load of a set of accounts.
@@ -90,6 +99,10 @@
 	// maxBackOff bounds the wait that Retry-After asks for, so that a closed loop
 	// stays backlogged.
 	maxBackOff = 500 * time.Millisecond
+	// idleTimeout is below the lame-duck time of a router (5 s), as is usual for
+	// clients of a load balancer: otherwise a request can be sent on an idle
+	// connection at the moment at which the router closes it.
+	idleTimeout = 2 * time.Second
 	// minBackOff keeps a refused caller from spinning.
 	minBackOff = 20 * time.Millisecond
 )
@@ -107,7 +120,7 @@
 	if s.MaxOpen <= 0 {
 		s.MaxOpen = defaultMaxOpen
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 5 * time.Second, DisableCompression: true}
+	t := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: idleTimeout, DisableCompression: true}
 	l := &Loader{settings: s, client: &http.Client{Transport: t}, open: map[string]Result{}}
 	return l, t.CloseIdleConnections, nil
 }
--- a/router/controller/demand.go
+++ b/router/controller/demand.go
@@ -58,16 +58,20 @@
 	return believed >= 2*actual
 }
 
-// flushDemand reports the demand of changed queues and spills the demand of
-// requests that have waited for the spill delay.
-func (c *Controller) flushDemand(now time.Duration) {
-	pending := map[string]*messenger.Demand{}
+// spillDemand marks the queues whose oldest request has waited for the spill
+// delay, so that its demand goes to all shards of the pool.
+func (c *Controller) spillDemand(now time.Duration) {
 	for key := range c.unspilled {
 		if c.spillDue(key, now) {
 			delete(c.unspilled, key)
 			c.dirty[key] = true
 		}
 	}
+}
+
+// flushDemand reports the demand of changed queues.
+func (c *Controller) flushDemand(now time.Duration) {
+	pending := map[string]*messenger.Demand{}
 	for _, key := range sortedKeys(c.dirty) {
 		delete(c.dirty, key)
 		c.gatherDemand(key, now, pending)
@@ -130,9 +134,8 @@
 	entry := messenger.DemandEntry{Account: account, Waiting: uint64(actual), Seen: l.seen[account]}
 	for _, pool := range s.Pools {
 		if q := c.queues[queueKey{pool, account}]; q != nil && len(q.waiters) > 0 {
-			entry.Estimate = q.estimate()
+			entry.EstimateTenths = tenths(q.estimate())
 			entry.Affinity = q.waiters[0].request.Affinity
-			entry.OldestMs = uint64((c.now() - q.waiters[0].enqueued) / time.Millisecond)
 		}
 	}
 	d.Entries = append(d.Entries, entry)
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -7,6 +7,7 @@
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/detector"
 	"monsoondeck.example/messenger"
+	"monsoondeck.example/router/locator"
 )
 
 // Snapshot is an immutable view of the control state for traffic goroutines.
@@ -16,8 +17,8 @@
 	Configured bool
 	// Members is sorted and contains this daemon.
 	Members []string
-	// Shards lists the shards that this daemon owns, sorted.
-	Shards []string
+	// Shards lists the shards that this daemon owns, sorted by name.
+	Shards []locator.Shard
 	// Waiting is the number of requests in queues.
 	Waiting int
 	// Held is the number of grants in use.
@@ -26,7 +27,9 @@
 	members []detector.Member
 	// Poller is the daemon of this data centre that reads the platform.
 	Poller string
-	marks  map[string]messenger.HostMark
+	// Maintainer is the daemon that keeps the stored configuration compact.
+	Maintainer string
+	marks      map[string]messenger.HostMark
 }
 
 // Draining tells whether a target must get no new work, by configuration or by
@@ -63,10 +66,11 @@
 		Config:     c.config,
 		Configured: c.configured,
 		Members:    slices.Sorted(maps.Keys(c.members)),
-		Shards:     c.shardNames(),
+		Shards:     c.ownedShards(),
 		members:    c.seen,
 		Held:       len(c.held),
 		Poller:     c.locator.Poller(c.options.Self.DataCentre),
+		Maintainer: c.locator.Maintainer(),
 		marks:      maps.Clone(c.marks),
 	}
 	for _, q := range c.queues {
