Send queued frames before the hub closes

Cause: the last settlements of a daemon that stops were lost if it closed its hub within the batch time; the owner then waits a lease for the slots. Change: closing waits up to 200 ms until connected peers have nothing queued. The test fails without the wait.

--- a/connector/hub.go
+++ b/connector/hub.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,8 +101,9 @@
 	newest map[string]uint64
 }
 
-// New returns a Hub and a function that closes its connections and waits for its
-// goroutines. The error matches ErrOptions.
+// New returns a Hub and a function that sends what is queued for connected peers,
+// closes the connections and waits for the goroutines. The error matches
+// ErrOptions.
 func New(o Options) (*Hub, func(), error) {
 	if o.Self == "" {
 		return nil, nil, errors.Wrap(ErrOptions, "Self is empty")
@@ -271,6 +274,16 @@
 	return p.address
 }
 
+// drain waits until the connected peers have sent what is queued, so that the
+// last settlements of a daemon that stops are not lost.
+func (h *Hub) drain(peers []*peer) {
+	for end := h.clock() + h.timing.Drain; h.clock() < end; time.Sleep(h.timing.Batch) {
+		if !slices.ContainsFunc(peers, (*peer).sending) {
+			return
+		}
+	}
+}
+
 func (h *Hub) close() {
 	h.mutex.Lock()
 	if h.closed {
@@ -278,7 +291,9 @@
 		return
 	}
 	h.closed = true
+	peers := slices.Collect(maps.Values(h.peers))
 	h.mutex.Unlock()
+	h.drain(peers)
 	h.cancel()
 	h.group.Wait()
 	close(h.received)
--- a/connector/hub_test.go
+++ b/connector/hub_test.go
@@ -29,6 +29,30 @@
 	return h, strings.TrimPrefix(s.URL, "http://")
 }
 
+// TestLastFramesAreSent guards against a daemon whose last messages are lost
+// because it closes its connections before they are sent.
+func TestLastFramesAreSent(t *testing.T) {
+	b, address := startHub(t, "b", 1)
+	long := Timing{Batch: 50 * time.Millisecond, Drain: time.Minute, MaxAge: time.Minute}
+	a, stop, err := New(Options{Self: "a", Incarnation: 1, Secret: testSecret, Timing: long})
+	if err != nil {
+		t.Fatal(err)
+	}
+	to := Peer{ID: "b", Address: address}
+	for nonce := range uint64(3) {
+		a.Send(to, note(nonce))
+		if nonce == 0 {
+			<-b.Received()
+		}
+	}
+	stop()
+	for last := uint64(0); last != 2; {
+		for _, p := range (<-b.Received()).Probes {
+			last = p.Nonce
+		}
+	}
+}
+
 func TestFramesReachThePeer(t *testing.T) {
 	a, aa := startHub(t, "a", 1)
 	b, ab := startHub(t, "b", 2)
--- a/connector/peer.go
+++ b/connector/peer.go
@@ -27,6 +27,8 @@
 	// last, by the clock of the hub.
 	batch   *time.Timer
 	flushed atomic.Int64
+	// flushing is set while frames are taken from the queue and written.
+	flushing atomic.Bool
 	// changed wakes run when links changed.
 	changed chan struct{}
 
@@ -86,6 +88,11 @@
 	return time.Duration(p.flushed.Load()) + p.hub.timing.Batch - p.hub.clock()
 }
 
+// sending reports whether frames wait for, or are written to, a connected peer.
+func (p *peer) sending() bool {
+	return p.connected() != nil && (!p.queue.empty() || p.flushing.Load())
+}
+
 // patience returns how long to wait for messages before the connection and the
 // use of the peer are checked. Without an open question the checks are rare, to
 // save timers on hundreds of idle connections.
@@ -111,6 +118,8 @@
 // flush writes the queued frames, and connects first where needed. It returns
 // when none is left, or when the peer's frames have moved to another entry.
 func (p *peer) flush() {
+	p.flushing.Store(true)
+	defer p.flushing.Store(false)
 	for {
 		l := p.connected()
 		if l == nil {
--- a/connector/timing.go
+++ b/connector/timing.go
@@ -21,6 +21,9 @@
 	// doubles with each failure; 50 ms and 2 s. MaxBackoff is below the suspicion
 	// time so that a peer that returns can be reached before it is removed.
 	MinBackoff, MaxBackoff time.Duration
+	// Drain limits the time that closing the hub waits for queued frames of connected
+	// peers; 200 ms.
+	Drain time.Duration
 	// Idle is the time without a frame in either direction after which a peer is
 	// disconnected and forgotten; 10 min. At 320 members a pair exchanges probes
 	// every 160 s on average.
@@ -40,6 +43,7 @@
 	set(&t.Ping, 2*time.Second)
 	set(&t.MinBackoff, 50*time.Millisecond)
 	set(&t.MaxBackoff, 2*time.Second)
+	set(&t.Drain, 200*time.Millisecond)
 	set(&t.Idle, 10*time.Minute)
 	return t
 }
