Ask for the whole membership sooner after a start

Cause: when a whole fleet starts at once, nobody knows it, and the first answers are nearly empty. Change: for ten periods after its start a daemon asks for the whole membership at each answer from another view, instead of at each eighth. Quiet fleets and single restarts send as before.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -44,8 +44,8 @@
 	// differs.
 	sweep int
 
-	started  bool
-	lastTick time.Duration
+	started             bool
+	startedAt, lastTick time.Duration
 	// heard is when the last message of another daemon arrived; never after a Tick
 	// that did not see it.
 	heard     time.Duration
@@ -69,6 +69,10 @@
 // reaches every daemon of 320 in about this many periods.
 const maxDiffering = 8
 
+// joinPeriods is how long after its start a daemon asks for the whole membership
+// at each answer from another view. It matters when many daemons start at once.
+const joinPeriods = 10
+
 // probe is the direct probe of the current period.
 type probe struct {
 	subject  *entry
--- a/detector/tick.go
+++ b/detector/tick.go
@@ -38,7 +38,7 @@
 func (d *Detector) resume(now time.Duration) {
 	gap := now - d.lastTick
 	if !d.started {
-		d.started = true
+		d.started, d.startedAt = true, now
 		d.heard = now
 		// The random start keeps the probes of daemons that started together apart.
 		d.nextProbe = now + time.Duration(d.random.Int64N(int64(d.settings.Period)))
@@ -71,7 +71,11 @@
 // subject returns the subject of a direct probe. It is empty, which asks for the
 // whole membership, when several answers in a row came from differing views.
 func (d *Detector) subject(e *entry) string {
-	if d.differing < maxDiffering {
+	limit := maxDiffering
+	if d.lastTick < d.startedAt+joinPeriods*d.settings.Period {
+		limit = 1
+	}
+	if d.differing < limit {
 		return e.ID
 	}
 	d.differing = 0
