--- a/connector/peer.go
+++ b/connector/peer.go
@@ -23,9 +23,9 @@
 	// used is the time of the last use by the clock of the hub.
 	used  atomic.Int64
 	queue queue
-	// batch fires when the current batch is to be sent; flushed is when it fired
-	// last, by the clock of the hub.
-	batch   *time.Timer
+	// batch fires when the current batch is to be sent.
+	batch *time.Timer
+	// flushed is the time by clock of the last batch.
 	flushed atomic.Int64
 	// flushing is set while frames are taken from the queue and written.
 	flushing atomic.Bool
@@ -81,13 +81,6 @@
 	}
 }
 
-// untilBatch returns the time to the end of the current batch. The first frame
-// after a pause goes at once; those that follow within the batch time are
-// gathered.
-func (p *peer) untilBatch() time.Duration {
-	return time.Duration(p.flushed.Load()) + p.hub.timing.Batch - p.hub.clock()
-}
-
 // sending reports whether frames wait for, or are written to, a connected peer.
 func (p *peer) sending() bool {
 	return p.connected() != nil && (!p.queue.empty() || p.flushing.Load())
@@ -104,9 +97,6 @@
 }
 
 func (p *peer) sleep(d time.Duration) bool {
-	if d <= 0 {
-		return p.hub.ctx.Err() == nil
-	}
 	select {
 	case <-time.After(d):
 		return true
