--- a/connector/peer.go
+++ b/connector/peer.go
@@ -27,6 +27,8 @@
 	batch *time.Timer
 	// flushed is the time by clock of the last batch.
 	flushed atomic.Int64
+	// flushing is set while frames are taken from the queue and written.
+	flushing atomic.Bool
 	// changed wakes run when links changed.
 	changed chan struct{}
 
@@ -79,6 +81,11 @@
 	}
 }
 
+// sending reports whether frames wait for, or are written to, a connected peer.
+func (p *peer) sending() bool {
+	return p.connected() != nil && (!p.queue.empty() || p.flushing.Load())
+}
+
 // patience returns how long to wait for messages before the connection and the
 // use of the peer are checked. Without an open question the checks are rare, to
 // save timers on hundreds of idle connections.
@@ -101,6 +108,8 @@
 // flush writes the queued frames, and connects first where needed. It returns
 // when none is left, or when the peer's frames have moved to another entry.
 func (p *peer) flush() {
+	p.flushing.Store(true)
+	defer p.flushing.Store(false)
 	for {
 		l := p.connected()
 		if l == nil {
