Grant nothing to a member that is silent after a lost grant

Change: after a lost grant, a member gets no grant until a message that was sent after it arrives. The test of an unreachable member fails without the rule (1 grant, want 0).

Ruled out: pausing members that send nothing for two seconds, because a caller need not repeat demand that has not changed.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -16,7 +16,7 @@
 // entry for the same account; accounts that are not listed keep theirs.
 func (s *Scheduler) SetDemand(now time.Duration, member string, demands []Demand) {
 	s.tick(now)
-	m := s.member(member)
+	m := s.sender(member)
 	for _, d := range demands {
 		s.setDemand(m, d)
 	}
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -136,7 +136,7 @@
 	s.charge(g.account, -g.charged)
 	g.charged = 0
 	if d := g.demand; m.demands[g.account] == d && d.forget(g.key.id) {
-		m.lossy = true
+		m.lossy, m.silent = true, m.heard <= g.listed
 	}
 	s.refreshMember(m)
 }
--- a/scheduler/holdings.go
+++ b/scheduler/holdings.go
@@ -7,7 +7,7 @@
 // whose lease had ended, take up their slots again.
 func (s *Scheduler) SetHoldings(now time.Duration, member string, epoch uint64, holdings []Holding) {
 	s.tick(now)
-	m := s.member(member)
+	m := s.sender(member)
 	m.reported = true
 	for _, h := range holdings {
 		key := grantKey{epoch, h.ID}
@@ -59,7 +59,7 @@
 // are charged to their account. Repeated settlements have no effect.
 func (s *Scheduler) Settle(now time.Duration, member string, epoch uint64, settlements []Settlement) {
 	s.tick(now)
-	m := s.member(member)
+	m := s.sender(member)
 	for _, e := range settlements {
 		key := grantKey{epoch, e.ID}
 		cost := units(e.Cost)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -125,10 +125,20 @@
 func (s *Scheduler) member(name string) *member {
 	m := s.members[name]
 	if m == nil {
-		m = &member{name: name, demands: map[*account]*demand{}}
+		m = &member{name: name, demands: map[*account]*demand{}, heard: s.now}
 		s.members[name] = m
 	}
+	return m
+}
+
+// sender returns the member that sent a message.
+func (s *Scheduler) sender(name string) *member {
+	m := s.member(name)
 	m.heard = s.now
+	if m.silent {
+		m.silent = false
+		s.refreshMember(m)
+	}
 	return m
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -39,6 +39,7 @@
 	want(s, start, "m", "a", 1, 0)
 	g := s.Grants(start)[0]
 	expect(t, "grants before the lease ends", len(s.Grants(start+2999*time.Millisecond)), 0)
+	want(s, start+3*time.Second, "m", "a", 1, 0)
 	expect(t, "grants after the lease", len(s.Grants(start+3*time.Second)), 1)
 	expect(t, "charge", own(s, "a"), 10)
 	late := []scheduler.Settlement{{ID: g.ID, Account: "a", Target: "t", Cost: 25}}
@@ -95,6 +96,8 @@
 	s := shard(4)
 	want(s, start, "m", "a", 8, 0)
 	expect(t, "first grants", len(s.Grants(start)), 4)
+	expect(t, "grants to a silent member", len(s.Grants(start+3*time.Second)), 0)
+	want(s, start+3*time.Second, "m", "a", 8, 0)
 	expect(t, "grants after all were lost", len(s.Grants(start+3*time.Second)), 1)
 	want(s, start+3*time.Second, "n", "b", 8, 0)
 	expect(t, "grants to the other member", len(s.Grants(start+3*time.Second)), 3)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -115,9 +115,14 @@
 	// lossy is set after a grant to the member was lost, until the member lists or settles
 	// one. It limits the slots that an unreachable member can occupy to one.
 	lossy bool
+	// silent is set after a grant was lost and no message of the member arrived after it was
+	// made, until the next message. A member that is cut off occupies no slot.
+	silent bool
 }
 
-func (m *member) available() bool { return m.live && !(m.lossy && m.unlisted > 0) }
+func (m *member) available() bool {
+	return m.live && !m.silent && !(m.lossy && m.unlisted > 0)
+}
 
 // grantKey names a grant across epochs.
 type grantKey struct{ epoch, id uint64 }
