Try to predict the service of other shards

Cause: the gap of three shards is about twice that of one shard with the same slots. One explanation is that all shards make up a difference at the same time.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -191,7 +191,9 @@
 	a.own += units
 	s.rate.own += units
 	s.markChanged(a)
-	s.setVirtual(a, a.virtual+units/a.weight)
+	remote := units * a.remoteRatio()
+	a.predicted += remote
+	s.setVirtual(a, a.virtual+(units+remote)/a.weight)
 }
 
 func (s *Scheduler) setVirtual(a *account, virtual float64) {
