--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -191,9 +191,7 @@
 	a.own += units
 	s.rate.own += units
 	s.markChanged(a)
-	remote := units * a.remoteRatio()
-	a.predicted += remote
-	s.setVirtual(a, a.virtual+(units+remote)/a.weight)
+	s.setVirtual(a, a.virtual+units/a.weight)
 }
 
 func (s *Scheduler) setVirtual(a *account, virtual float64) {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -22,12 +22,6 @@
 	// which contains included units of own. synced is false until the first total arrives.
 	own, known, included float64
 	synced               bool
-	// recentOwn and recentRemote are decaying sums of the service granted by this shard and
-	// by the others between totals.
-	recentOwn, recentRemote float64
-	// predicted is the remote service, in units, that is part of virtual although no total
-	// has shown it yet.
-	predicted float64
 	// lifted is the credit discarded by the last lift, in units per weight, until the next
 	// total arrives.
 	lifted float64
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -16,7 +16,6 @@
 
 func (s *Scheduler) applyTotal(a *account, t Total) {
 	before, first := a.known-a.included, !a.synced
-	granted := t.Included - a.included
 	a.known, a.included, a.synced = t.Total, t.Included, true
 	if a.included != a.own {
 		s.markChanged(a) // The aggregator has no or an outdated report.
@@ -29,23 +28,7 @@
 	}
 	change := a.known - a.included - before
 	s.rate.remote += change
-	a.recentOwn = recentKept*a.recentOwn + granted
-	a.recentRemote = recentKept*a.recentRemote + change
-	s.applyRemote(a, (change-a.predicted)/a.weight)
-	a.predicted = 0
-}
-
-// recentKept is the part of earlier service in the ratio of remote to own service.
-const recentKept = 0.8
-
-// remoteRatio predicts the units that other shards grant to the account for each unit
-// granted here. Without the prediction, all shards make up the whole of a difference at the
-// same time and turn it into the opposite one.
-func (a *account) remoteRatio() float64 {
-	if a.recentOwn <= 0 || a.recentRemote <= 0 {
-		return 0
-	}
-	return min(a.recentRemote/a.recentOwn, maximumShards)
+	s.applyRemote(a, change/a.weight)
 }
 
 // Reports returns, sorted by name, the accounts whose service changed since the last call.
