--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -50,6 +50,7 @@
 	emulator  *Process
 	endpoints []emulator.Endpoint
 	network   *network
+	starter   *starter
 	// relayed maps addresses to those that daemons use.
 	relayed map[string]string
 	client  *http.Client
@@ -61,7 +62,7 @@
 // New starts a deployment, puts its configuration in force and waits until every
 // daemon is ready. The clean-up function ends all processes.
 func New(ctx context.Context, o Options) (*Fleet, func(), error) {
-	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}, relayed: map[string]string{}}
+	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}, relayed: map[string]string{}, starter: newStarter()}
 	f.network = newNetwork(o.Deployment.PeerDelay, f.source)
 	if err := f.start(ctx); err != nil {
 		f.close()
@@ -82,6 +83,7 @@
 	if f.emulator != nil {
 		f.emulator.stop(stopGrace)
 	}
+	f.starter.close()
 	f.client.CloseIdleConnections()
 }
 
@@ -112,7 +114,7 @@
 
 func (f *Fleet) startEmulator(ctx context.Context) error {
 	ready := make(chan struct{})
-	p, err := start(emulatorProgram, f.options.Programs.Emulator, f.options.Deployment.EmulatorArguments(), nil, f.options.Log, func(line []byte) {
+	p, err := f.starter.run(emulatorProgram, f.options.Programs.Emulator, f.options.Deployment.EmulatorArguments(), nil, f.options.Log, func(line []byte) {
 		var e emulator.Endpoint
 		if json.Unmarshal(line, &e) != nil {
 			return
--- a/generator/launcher/process.go
+++ b/generator/launcher/process.go
@@ -30,20 +30,17 @@
 	mu sync.Mutex
 }
 
-// start runs a program. Lines of its standard output go to onLine, which may be
+// run starts a program. Lines of its standard output go to onLine, which may be
 // nil; its standard error goes to log.
-func start(name, path string, args, env []string, log io.Writer, onLine func(line []byte)) (*Process, error) {
+func (s *starter) run(name, path string, args, env []string, log io.Writer, onLine func(line []byte)) (*Process, error) {
 	c := exec.Command(path, args...)
 	c.Env = append(os.Environ(), env...)
 	c.Stderr = log
-	// Signals of the terminal go to the driver only, which ends its processes in
-	// order.
-	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	out, err := c.StdoutPipe()
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, name), ErrStart)
 	}
-	if err := c.Start(); err != nil {
+	if err := s.start(c); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, name), ErrStart)
 	}
 	p := &Process{Name: name, command: c, done: make(chan struct{})}
--- /dev/null
+++ b/generator/launcher/process_test.go
@@ -0,0 +1,46 @@
+package launcher
+
+import (
+	"io"
+	"testing"
+	"time"
+)
+
+// Guards against processes that are left running when the driver ends without
+// ending them.
+func TestProcessesEndWithTheirStarter(t *testing.T) {
+	s := newStarter()
+	p, err := s.run("sleep", "sleep", []string{"600"}, nil, io.Discard, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	select {
+	case <-p.Done():
+	case <-time.After(30 * time.Second):
+		p.Kill()
+		t.Fatal("the process outlived its starter")
+	}
+}
+
+// Guards against a graceful end that waits for ever, and signals to an ended
+// process.
+func TestStopKillsAPausedProcess(t *testing.T) {
+	s := newStarter()
+	defer s.close()
+	lines := make(chan string, 1)
+	p, err := s.run("shell", "sh", []string{"-c", "trap '' TERM; echo ready; while :; do sleep 0.05; done"}, nil, io.Discard, func(b []byte) { lines <- string(b) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := <-lines; got != "ready" {
+		t.Fatalf("line %q", got)
+	}
+	p.Pause()
+	p.stop(100 * time.Millisecond)
+	if p.Alive() {
+		t.Fatal("the process is alive")
+	}
+	p.Terminate()
+	p.Kill()
+}
