--- a/generator/demo/fleet.go
+++ b/generator/demo/fleet.go
@@ -29,9 +29,10 @@
 var sheet string
 
 const (
-	pool         = "quote"
-	fleetSecret  = "a secret within one process"
-	startTimeout = 20 * time.Second
+	pool        = "quote"
+	fleetSecret = "a secret within one process"
+	// startTimeout leaves room for a machine that runs other tests.
+	startTimeout = 60 * time.Second
 	pollPause    = 50 * time.Millisecond
 )
 
--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	fleetSecret  = "a secret for processes on one machine"
-	startTimeout = 20 * time.Second
+	fleetSecret = "a secret for processes on one machine"
+	// startTimeout leaves room for a machine that runs other tests.
+	startTimeout = 60 * time.Second
 	// stopGrace is how long a daemon may take to stop gracefully at clean-up.
 	stopGrace = 500 * time.Millisecond
 	pollPause = 50 * time.Millisecond
