--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -23,7 +23,9 @@
 	ctx     context.Context
 	meter   meter
 	// conn carries the current exchange; nil while no byte can have been sent.
-	conn    net.Conn
+	conn net.Conn
+	// resent is true once net/http has sent the request again by itself.
+	resent  bool
 	gate    gate
 	started bool
 	events  bool
@@ -34,8 +36,6 @@
 	status   int
 	captured capture
 	stream   streamIdentity
-	// lastDeadline is when the write deadline was last moved.
-	lastDeadline time.Time
 }
 
 // Do sends r to its target and copies the answer to w. After an error with
@@ -58,7 +58,7 @@
 	a.captured.enabled = r.Capture
 	ctx, cancel := context.WithCancelCause(ctx)
 	a.ctx = ctx
-	a.meter.begin(d.options, r, cancel)
+	a.meter.begin(d.options, r, cancel, func() { _ = a.control.SetWriteDeadline(time.Now()) })
 	return a
 }
 
@@ -141,7 +141,10 @@
 	}
 	u.Scheme, u.Host = "http", a.r.Target.Address
 	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { a.conn = i.Conn },
+		GotConn: func(i httptrace.GotConnInfo) {
+			a.resent = a.resent || a.conn != nil
+			a.conn = i.Conn
+		},
 	})
 	req := &http.Request{
 		Method: a.r.Method, URL: u, Host: u.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -207,7 +210,7 @@
 		Refused: errors.Is(err, ErrRefused), FirstToken: a.meter.firstToken(), Interval: a.meter.interval(),
 	}
 	switch {
-	case !r.Sent || r.Refused:
+	case !r.Sent || r.Refused && !a.resent:
 		r.Outcome = NotRun
 	case err != nil:
 		r.Outcome = Unknown
