--- /dev/null
+++ b/prover/driver/extra.go
@@ -0,0 +1,88 @@
+package driver
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"monsoondeck.example/emulator"
+	"monsoondeck.example/generator/launcher"
+)
+
+// Extra is a daemon that joins a fleet with settings of its own. It is not
+// relayed: cuts do not affect what it sends.
+type Extra struct {
+	Caller, Admin string
+
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+// StartExtra starts a daemon with additional settings, which override the
+// fleet's. It ends at Heal.
+func (f *Fleet) StartExtra(id, dataCentre string, settings ...string) *Extra {
+	ginkgo.GinkgoHelper()
+	seeds := []string{}
+	for _, d := range f.Daemons {
+		seeds = append(seeds, d.Advertise)
+	}
+	x := &Extra{Caller: freeAddress(), Admin: freeAddress(), done: make(chan struct{})}
+	peer := freeAddress()
+	x.command = exec.Command(f.Programs.Daemon)
+	x.command.Env = append(append(os.Environ(),
+		"MONSOOND_ID="+id, "MONSOOND_DATA_CENTRE="+dataCentre, "MONSOOND_FLEET_SECRET="+Secret,
+		"MONSOOND_CALLER_ADDRESS="+x.Caller, "MONSOOND_PEER_ADDRESS="+peer, "MONSOOND_ADMIN_ADDRESS="+x.Admin,
+		"MONSOOND_TABLE_URL="+f.URL(emulator.KindTable, ""), "MONSOOND_OBJECTS_URL="+f.URL(emulator.KindObjects, ""),
+		"MONSOOND_HOSTS_URL="+f.URL(emulator.KindHosts, ""), "MONSOOND_SEEDS="+strings.Join(seeds, ",")), settings...)
+	x.command.Stderr = ginkgo.GinkgoWriter
+	x.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	gomega.Expect(x.command.Start()).To(gomega.Succeed())
+	go func() { defer close(x.done); _ = x.command.Wait() }()
+	f.mu.Lock()
+	f.extras = append(f.extras, x)
+	f.mu.Unlock()
+	gomega.Eventually(func() (bool, error) {
+		s, err := launcher.ReadStatus(ginkgo.GinkgoTB().Context(), x.Admin)
+		return s.Ready && len(s.Members) > len(f.Daemons), err
+	}, Limit, Pause).Should(gomega.BeTrue())
+	return x
+}
+
+// Signal sends a signal to the daemon unless it has ended.
+func (x *Extra) Signal(s syscall.Signal) {
+	select {
+	case <-x.done:
+	default:
+		_ = x.command.Process.Signal(s) // it may have ended just now
+	}
+}
+
+// Done is closed when the daemon has ended.
+func (x *Extra) Done() <-chan struct{} { return x.done }
+
+// ExitCode returns the exit code of a daemon that has ended.
+func (x *Extra) ExitCode() int { return x.command.ProcessState.ExitCode() }
+
+func (f *Fleet) endExtras() {
+	f.mu.Lock()
+	extras := f.extras
+	f.extras = nil
+	f.mu.Unlock()
+	for _, x := range extras {
+		x.Signal(syscall.SIGKILL)
+		<-x.done
+	}
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
