Prove graceful stops under failure (P7); show a reset accept queue

Cause: no suite stopped real daemons under load, with long streams, with connections in the accept queue, or twice. Change: suite stopper with four specs: daemons stopped and started one after another under load; all daemons stopped during a platform outage while streams outlast the lame-duck time; connections that wait in the accept queue at the signal; a second signal. Ruled out: a fault of the test client; a connection that was refused would fail to dial, and these were established and written before the signal. Conclusion: an expired deadline makes every Accept fail although the queue is not empty, so what was not accepted within 50 ms is reset.

--- a/prover/driver/call.go
+++ b/prover/driver/call.go
@@ -138,12 +138,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	reply.Status, reply.Body, reply.Err = res.StatusCode, string(body), err
-	reply.Replayed = res.Header.Get("Monsoondeck-Replayed") != ""
-	if stated := res.Trailer.Get("Monsoondeck-Outcome") + res.Header.Get("Monsoondeck-Outcome"); stated != "" && err == nil {
-		reply.Outcome = loader.Outcome(stated)
-	}
-	reply.Code = code(body)
+	reply.fill(res, body, err)
 	return reply
 }
 
--- a/prover/driver/extra.go
+++ b/prover/driver/extra.go
@@ -1,6 +1,8 @@
 package driver
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -20,6 +22,7 @@
 	Caller, Admin string
 
 	command *exec.Cmd
+	log     bytes.Buffer
 	done    chan struct{}
 }
 
@@ -39,7 +42,7 @@
 		"MONSOOND_CALLER_ADDRESS="+x.Caller, "MONSOOND_PEER_ADDRESS="+peer, "MONSOOND_ADMIN_ADDRESS="+x.Admin,
 		"MONSOOND_TABLE_URL="+f.URL(emulator.KindTable, ""), "MONSOOND_OBJECTS_URL="+f.URL(emulator.KindObjects, ""),
 		"MONSOOND_HOSTS_URL="+f.URL(emulator.KindHosts, ""), "MONSOOND_SEEDS="+strings.Join(seeds, ",")), settings...)
-	x.command.Stderr = ginkgo.GinkgoWriter
+	x.command.Stderr = io.MultiWriter(ginkgo.GinkgoWriter, &x.log)
 	x.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	gomega.Expect(x.command.Start()).To(gomega.Succeed())
 	go func() { defer close(x.done); _ = x.command.Wait() }()
@@ -68,6 +71,9 @@
 // ExitCode returns the exit code of a daemon that has ended.
 func (x *Extra) ExitCode() int { return x.command.ProcessState.ExitCode() }
 
+// Log returns the log of a daemon that has ended.
+func (x *Extra) Log() string { return x.log.String() }
+
 func (f *Fleet) endExtras() {
 	f.mu.Lock()
 	extras := f.extras
--- /dev/null
+++ b/prover/stopper/stop_test.go
@@ -0,0 +1,123 @@
+package stopper_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"monsoondeck.example/emulator/fault"
+	"monsoondeck.example/generator/launcher"
+	"monsoondeck.example/generator/loader"
+	"monsoondeck.example/prover/driver"
+)
+
+// ended waits until the process of a daemon has ended.
+func ended(d *launcher.Daemon) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(d.Process().Done(), driver.Limit).Should(gomega.BeClosed(), d.ID)
+}
+
+// queued is the number of connections in the accept queue: many, so that a
+// daemon cannot accept them all by chance, but within the limit of the kernel.
+func queued() int {
+	const most = 3500
+	text, err := os.ReadFile("/proc/sys/net/core/somaxconn")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	limit, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return min(most, limit/2+limit/4)
+}
+
+var _ = ginkgo.Describe("P7: a planned stop cuts no request in flight", ginkgo.Ordered, func() {
+	var f *driver.Fleet
+	ginkgo.BeforeEach(func() { f = shared.fleet })
+	ginkgo.AfterEach(func() { f.Heal() })
+
+	ginkgo.It("guards against cut requests while daemons are stopped and started one after another under load", func() {
+		stop := f.Load("rolling", 3)
+		for _, d := range f.Daemons {
+			d.Process().Terminate()
+			ended(d)
+			gomega.Expect(d.Start()).To(gomega.Succeed())
+			f.Settle()
+		}
+		counts := f.Judge(stop())
+		gomega.Expect(counts.Broken).To(gomega.BeZero(), "%v", counts.Findings)
+		gomega.Expect(counts.Completed).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("guards against cut streams that last longer than the lame-duck time, when all daemons stop during a platform outage", func() {
+		var waiting []<-chan driver.Reply
+		for n := range 6 {
+			c := driver.Stream(fmt.Sprintf("long-%d", n), 900)
+			waiting = append(waiting, f.Go(f.Daemons[n%3].Caller, c))
+			f.Produced(c.ID, 10)
+		}
+		hang := fault.OutageHang
+		gomega.Expect(f.FaultPlatform(context.Background(), fault.Change{Outage: &hang})).To(gomega.Succeed())
+		for _, d := range f.Daemons {
+			d.Process().Terminate()
+		}
+		for _, w := range waiting {
+			r := <-w
+			gomega.Expect(r.Whole()).To(gomega.BeTrue(), "%v", r)
+		}
+		for _, d := range f.Daemons {
+			ended(d)
+		}
+		f.Judge()
+	})
+
+	ginkgo.It("guards against reset connections that wait in the accept queue when the signal arrives, also without a lame-duck time", func() {
+		for _, lameDuck := range []string{"0s", "1s"} {
+			x := f.StartExtra("stopping-"+lameDuck, "north", "MONSOOND_LAME_DUCK="+lameDuck)
+			var calls []driver.Call
+			for n := range queued() {
+				c := driver.Call{ID: fmt.Sprintf("queued-%s-%d", lameDuck, n), Method: http.MethodGet, Duration: time.Millisecond}
+				if n%50 != 0 {
+					c.Account = "nobody" // is refused at once, which keeps the spec short
+				}
+				calls = append(calls, c)
+			}
+			x.Signal(syscall.SIGSTOP)
+			read := f.Queue(x.Caller, calls)
+			x.Signal(syscall.SIGTERM)
+			x.Signal(syscall.SIGCONT)
+			for _, r := range read() {
+				gomega.Expect(r.Err).NotTo(gomega.HaveOccurred(), "%v", r)
+				gomega.Expect(r.Outcome).To(gomega.BeElementOf(loader.OutcomeComplete, loader.OutcomeNotRun), "%v", r)
+			}
+			gomega.Eventually(x.Done(), driver.Limit).Should(gomega.BeClosed())
+			gomega.Expect(x.ExitCode()).To(gomega.BeZero())
+		}
+		f.Judge()
+	})
+
+	ginkgo.It("guards against a stop that a second signal does not end, and against one that hides what it cut", func() {
+		x := f.StartExtra("aborted", "north")
+		c := driver.Stream("aborted", 3000)
+		waiting := f.Go(x.Caller, c)
+		f.Produced(c.ID, 10)
+		x.Signal(syscall.SIGTERM)
+		gomega.Eventually(func() (bool, error) {
+			s, err := launcher.ReadStatus(context.Background(), x.Admin)
+			return s.Ready, err
+		}, driver.Limit, driver.Pause).Should(gomega.BeFalse())
+		x.Signal(syscall.SIGTERM)
+		r := <-waiting
+		gomega.Expect(r.Err).To(gomega.HaveOccurred())
+		gomega.Eventually(x.Done(), driver.Limit).Should(gomega.BeClosed())
+		gomega.Expect(x.ExitCode()).To(gomega.Equal(1))
+		gomega.Expect(x.Log()).To(gomega.ContainSubstring("cut=1"))
+		f.FaultEngines(fault.Change{Restart: true})
+		f.Judge()
+	})
+})
