Order engines to load the models that the configuration names

A pure module decides which order comes next, a driver makes the calls, and the daemon starts it. The engine stand-in reports loading models and its fencing number.

--- a/emulator/engine/load.go
+++ b/emulator/engine/load.go
@@ -12,8 +12,11 @@
 
 // Load is the answer of GET /v1/load.
 type Load struct {
-	ID          string   `json:"id"`
-	Models      []string `json:"models"`
+	ID     string   `json:"id"`
+	Models []string `json:"models"`
+	// Loading lists the models that an order asked for and that are not usable
+	// yet.
+	Loading     []string `json:"loading"`
 	Role        string   `json:"role"`
 	Incarnation uint64   `json:"incarnation"`
 	Slots       int      `json:"slots"`
@@ -21,6 +24,11 @@
 	Waiting     int      `json:"waiting"`
 	CacheTokens int      `json:"cacheTokens"`
 	CacheUsage  float64  `json:"cacheUsage"`
+	// Fence is the highest fencing number of an accepted order since the start of
+	// this incarnation.
+	Fence uint64 `json:"fence"`
+	// RefusesOldFence tells that orders with lower numbers than Fence are refused.
+	RefusesOldFence bool `json:"refusesOldFence"`
 }
 
 // stampedLoad is a load at the time it was measured.
@@ -38,9 +46,9 @@
 
 func (e *Engine) currentLoad() Load {
 	l := Load{
-		ID: e.settings.ID, Models: e.orders.loaded(), Role: e.orders.role, Incarnation: e.incarnation,
+		ID: e.settings.ID, Models: e.orders.list(true), Loading: e.orders.list(false), Role: e.orders.role, Incarnation: e.incarnation,
 		Slots: e.settings.Slots, Running: len(e.running), Waiting: len(e.waiting),
-		CacheTokens: e.cache.tokens(),
+		CacheTokens: e.cache.tokens(), Fence: e.orders.fence, RefusesOldFence: !e.settings.IgnoreFence,
 	}
 	if e.settings.CacheTokens > 0 {
 		l.CacheUsage = float64(l.CacheTokens) / float64(e.settings.CacheTokens)
--- a/emulator/engine/orders.go
+++ b/emulator/engine/orders.go
@@ -50,11 +50,11 @@
 	return orders{models: map[string]bool{model: true}, role: RoleServe}
 }
 
-// loaded returns the names of the loaded models in order.
-func (o orders) loaded() []string {
+// list returns the names of the loaded or of the loading models, sorted.
+func (o orders) list(loaded bool) []string {
 	out := []string{}
 	for _, m := range slices.Sorted(maps.Keys(o.models)) {
-		if o.models[m] {
+		if o.models[m] == loaded {
 			out = append(out, m)
 		}
 	}
--- a/emulator/engine/orders_test.go
+++ b/emulator/engine/orders_test.go
@@ -35,6 +35,17 @@
 	}
 }
 
+// Guards against reports from which an owner cannot tell a load in progress from
+// a lost order, or which numbers the engine would refuse.
+func TestLoadReportTellsLoadingModelsAndFence(t *testing.T) {
+	store := weights.New(weights.Settings{LoadTime: time.Hour})
+	e, _, url := newTest(t, func(s *Settings) { s.Weights = store })
+	order(t, url, `{"fence":4,"order":"load","model":"n"}`)
+	if l := e.Load(); strings.Join(l.Loading, " ") != "n" || strings.Join(l.Models, " ") != "m" || l.Fence != 4 || !l.RefusesOldFence {
+		t.Fatalf("report %+v", l)
+	}
+}
+
 // Guards against a load over the store's rate that is reported as done.
 func TestLoadOverRateLeavesModelUnloaded(t *testing.T) {
 	store := weights.New(weights.Settings{LoadsPerSecond: 1e-6, LoadTime: time.Millisecond})
--- /dev/null
+++ b/orderer/driver/driver.go
@@ -0,0 +1,147 @@
+// Package driver makes the calls of an orderer.Orderer: it reads engines and
+// rows, raises fencing numbers and sends orders.
+package driver
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoondeck.example/orderer"
+	"monsoondeck.example/provider"
+)
+
+const (
+	// refreshPeriod is how often the ownership is taken over, so that a renewal
+	// arrives well within a lease.
+	refreshPeriod = 250 * time.Millisecond
+	// callTimeout bounds each call; it is below the lease.
+	callTimeout = 2 * time.Second
+)
+
+// Table is the part of the table service that holds the orders.
+type Table interface {
+	Read(ctx context.Context, key string) (provider.Row, error)
+	Transact(ctx context.Context, conditions []provider.Condition, puts []provider.Row, deletes []string) error
+}
+
+// Source tells what this daemon owns. Ownership is called by one goroutine.
+type Source interface {
+	Ownership() orderer.Ownership
+}
+
+// Options of a Driver. Client may be nil.
+type Options struct {
+	Settings orderer.Settings
+	Table    Table
+	Source   Source
+	// Clock is monotonic and the same as that of Source.
+	Clock  func() time.Duration
+	Client *http.Client
+}
+
+// Stats counts the calls made so far.
+type Stats struct {
+	StateReads, RowReads, Raises, Orders, Refused, Failed uint64
+	// Missing is the number of owned engines that lack a model or do not report.
+	Missing int
+}
+
+// Driver runs one Orderer.
+type Driver struct {
+	options Options
+	core    *orderer.Orderer // belongs to the goroutine
+	replies chan orderer.Reply
+	calls   sync.WaitGroup
+	view    atomic.Pointer[orderer.View]
+	stats   atomic.Pointer[Stats]
+	counts  Stats // belongs to the goroutine
+}
+
+// New starts a Driver. The clean-up function stops it and waits for its calls.
+func New(o Options) (*Driver, func()) {
+	if o.Client == nil {
+		o.Client = &http.Client{}
+	}
+	d := &Driver{options: o, core: orderer.New(o.Settings), replies: make(chan orderer.Reply)}
+	d.publish()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.run(ctx) }()
+	return d, func() { cancel(); <-done; d.calls.Wait() }
+}
+
+// Serves is false only if an engine of this daemon reported that the model is
+// not loaded.
+func (d *Driver) Serves(target, model string) bool { return d.view.Load().Serves(target, model) }
+
+// Stats returns the counts of calls.
+func (d *Driver) Stats() Stats { return *d.stats.Load() }
+
+// run owns the core. Each call runs in a goroutine of its own, so that an engine
+// that does not answer delays no other; the core has at most one call per engine.
+func (d *Driver) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-d.replies:
+			d.count(r)
+			d.core.Handle(d.options.Clock(), r)
+		case <-timer.C:
+		}
+		d.core.SetOwned(d.options.Clock(), d.options.Source.Ownership())
+		actions, wait := d.core.Actions(d.options.Clock())
+		for _, a := range actions {
+			d.start(ctx, a)
+		}
+		d.publish()
+		timer.Reset(min(wait, refreshPeriod))
+	}
+}
+
+func (d *Driver) start(ctx context.Context, a orderer.Action) {
+	d.countCall(a.Kind)
+	d.calls.Go(func() {
+		reply := d.call(ctx, a)
+		reply.Target, reply.Call = a.Target.ID, a.Call
+		select {
+		case d.replies <- reply:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (d *Driver) countCall(k orderer.Kind) {
+	switch k {
+	case orderer.ActionReadState:
+		d.counts.StateReads++
+	case orderer.ActionReadRow:
+		d.counts.RowReads++
+	case orderer.ActionRaise:
+		d.counts.Raises++
+	case orderer.ActionSend:
+		d.counts.Orders++
+	}
+}
+
+func (d *Driver) count(r orderer.Reply) {
+	switch r.Result {
+	case orderer.ResultRefused:
+		d.counts.Refused++
+	case orderer.ResultFailed:
+		d.counts.Failed++
+	case orderer.ResultDone:
+	}
+}
+
+func (d *Driver) publish() {
+	view, stats := d.core.View(), d.counts
+	stats.Missing = d.core.Missing()
+	d.view.Store(&view)
+	d.stats.Store(&stats)
+}
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -3,10 +3,12 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/detector"
 	"monsoondeck.example/messenger"
+	"monsoondeck.example/router/locator"
 )
 
 // Snapshot is an immutable view of the control state for traffic goroutines.
@@ -18,6 +20,11 @@
 	Members []string
 	// Shards lists the shards that this daemon owns, sorted.
 	Shards []string
+	// Time is when the view was made, on the controller's clock. A view of a running
+	// controller is at most about a second old.
+	Time time.Duration
+	// Assignment names the owner of every shard.
+	Assignment *locator.Map
 	// Waiting is the number of requests in queues.
 	Waiting int
 	// Held is the number of grants in use.
@@ -66,6 +73,8 @@
 		Configured: c.configured,
 		Members:    slices.Sorted(maps.Keys(c.members)),
 		Shards:     c.shardNames(),
+		Time:       c.now(),
+		Assignment: c.locator,
 		members:    c.seen,
 		Held:       len(c.held),
 		Poller:     c.locator.Poller(c.options.Self.DataCentre),
--- a/router/router.go
+++ b/router/router.go
@@ -121,7 +121,14 @@
 		Control: d.controller, Hub: hub.Stats, Dispatcher: dispatch.Stats, Ready: d.ready,
 		ID: d.settings.ID, DataCentre: d.settings.DataCentre, Incarnation: incarnation,
 	})})
-	return func() { closeHub(); closeClaims(); closeDispatch() }, nil
+	stopOrders := d.startOrders(incarnation, sinceStart(start))
+	return func() { stopOrders(); closeHub(); closeClaims(); closeDispatch() }, nil
+}
+
+// sinceStart returns the monotonic clock that the control state and the orders to
+// engines share.
+func sinceStart(start time.Time) func() time.Duration {
+	return func() time.Duration { return time.Since(start) }
 }
 
 func (d *Daemon) controlOptions(self detector.Member, hub *connector.Hub, random *rand.Rand, start time.Time) controller.Options {
@@ -134,7 +141,7 @@
 		Admission:   limiter.AdmissionSettings{AccountRequests: d.settings.QueueLimit, AccountBytes: d.settings.QueueBytes},
 		Concurrency: limiter.ConcurrencySettings{FirstToken: d.settings.FirstToken, Interval: d.settings.TokenInterval},
 		Hub:         hub, Logger: d.logger, Random: random,
-		Clock: func() time.Duration { return time.Since(start) },
+		Clock: sinceStart(start),
 	}
 }
 
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -39,6 +39,8 @@
 	MaxWait       time.Duration `arg:"--max-wait,env:MONSOOND_MAX_WAIT" default:"60s" placeholder:"TIME" help:"longest wait of a request without a deadline"`
 	FirstToken    time.Duration `arg:"--first-token,env:MONSOOND_FIRST_TOKEN" default:"1.5s" placeholder:"TIME" help:"objective for the first token"`
 	TokenInterval time.Duration `arg:"--token-interval,env:MONSOOND_TOKEN_INTERVAL" default:"78ms" placeholder:"TIME" help:"objective for the time between tokens"`
+	EngineOrders  bool          `arg:"--engine-orders,env:MONSOOND_ENGINE_ORDERS" default:"true" help:"order engines to load the models that the configuration names"`
+	WeightLoads   float64       `arg:"--weight-loads,env:MONSOOND_WEIGHT_LOADS" default:"10" placeholder:"N" help:"loads per second that the weight store allows the whole fleet; 0 is no limit"`
 	LogFormat     string        `arg:"--log-format,env:MONSOOND_LOG_FORMAT" default:"text" placeholder:"NAME" help:"json or text"`
 	LogLevel      slog.Level    `arg:"--log-level,env:MONSOOND_LOG_LEVEL" default:"INFO" placeholder:"LEVEL" help:"DEBUG, INFO, WARN or ERROR"`
 	Check         bool          `arg:"--check" help:"check the settings and exit"`
@@ -94,6 +96,7 @@
 		f.check(d > 0, "%s is %v; it must be positive", name, d)
 	}
 	f.check(s.QueueLimit > 0, "queue-limit is %d; it must be positive", s.QueueLimit)
+	f.check(s.WeightLoads >= 0, "weight-loads is %v; it cannot be negative", s.WeightLoads)
 	f.check(s.QueueBytes > 0, "queue-bytes is %d; it must be positive", s.QueueBytes)
 	return f.err()
 }
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -35,6 +35,7 @@
 		"fleet-secret has 3 bytes":     func(s *settings.Settings) { s.FleetSecret = "abc" },
 		`policy is "fair"`:             func(s *settings.Settings) { s.Policy = "fair" },
 		"max-wait is 0s":               func(s *settings.Settings) { s.MaxWait = 0 },
+		"weight-loads is -1":           func(s *settings.Settings) { s.WeightLoads = -1 },
 		"queue-limit is -1":            func(s *settings.Settings) { s.QueueLimit = -1 },
 		`log-format is "xml"; allowed`: func(s *settings.Settings) { s.LogFormat = "xml" },
 	}
