--- a/orderer/engine.go
+++ b/orderer/engine.go
@@ -34,16 +34,26 @@
 	fresh     bool
 	reserved  bool // holds the token of the bucket
 	sent      time.Duration
+	// ordered is when an order for a model was sent last.
+	ordered map[string]time.Duration
 }
 
-// missing returns a model that the engine neither has nor loads.
-func (e *engine) missing() (string, bool) {
+// missing returns the model that the engine neither has nor loads and that may be
+// ordered first, and from when on.
+func (e *engine) missing(repeat time.Duration) (model string, from time.Duration, ok bool) {
 	for _, m := range e.target.Models {
-		if !slices.Contains(e.state.Models, m) && !slices.Contains(e.state.Loading, m) {
-			return m, true
+		if slices.Contains(e.state.Models, m) || slices.Contains(e.state.Loading, m) {
+			continue
+		}
+		var at time.Duration
+		if last, sent := e.ordered[m]; sent {
+			at = last + repeat
+		}
+		if !ok || at < from {
+			model, from, ok = m, at, true
 		}
 	}
-	return "", false
+	return model, from, ok
 }
 
 func (e *engine) complete() bool {
@@ -63,15 +73,15 @@
 	if now >= e.read {
 		return Action{Kind: ActionReadState}, true
 	}
-	model, ok := e.missing()
-	if !ok || !e.seen || now >= o.renewed+o.settings.Lease {
+	model, from, ok := e.missing(o.settings.Repeat)
+	if !ok || !e.seen || now >= o.renewed+o.settings.Lease || now < max(e.retry, from) {
 		o.release(e)
 		if !ok {
 			e.forgetOrder()
 		}
 		return Action{}, false
 	}
-	if now < e.retry || !o.reserve(now, e) {
+	if !o.reserve(now, e) {
 		return Action{}, false
 	}
 	if e.order.Model != model {
@@ -103,7 +113,7 @@
 func (o *Orderer) send(now time.Duration, e *engine, until time.Duration) (Action, bool) {
 	o.bucket.take()
 	e.reserved, e.fresh = false, false
-	e.sent, e.retry = now, now+o.settings.Repeat
+	e.sent, e.ordered[e.order.Model] = now, now
 	return Action{Kind: ActionSend, Record: e.order, Until: until}, true
 }
 
@@ -112,10 +122,11 @@
 	if e.pending.Call != 0 {
 		return now + o.settings.ReadSettled
 	}
-	if _, ok := e.missing(); !ok || !e.seen || o.bucket.reserved {
+	_, from, ok := e.missing(o.settings.Repeat)
+	if !ok || !e.seen || o.bucket.reserved {
 		return e.read
 	}
-	order := max(e.retry, o.bucket.ready(now))
+	order := max(e.retry, from, o.bucket.ready(now))
 	if e.numbered && !e.state.RefusesOldFence {
 		order = max(order, e.open)
 	}
@@ -139,7 +150,7 @@
 	case ActionRaise:
 		o.handleRaise(now, e, r)
 	case ActionSend:
-		e.read = now + o.settings.ReadPending
+		e.read = now // the report tells whether the next model can be ordered
 		if r.Result == ResultRefused {
 			o.supersede(now, e)
 		}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -65,7 +65,7 @@
 		e := o.engines[t.ID]
 		switch {
 		case e == nil:
-			e = &engine{}
+			e = &engine{ordered: map[string]time.Duration{}}
 			o.engines[t.ID] = e
 		case lapsed:
 			o.drop(e)
