--- a/router/router_test.go
+++ b/router/router_test.go
@@ -64,7 +64,7 @@
 		ID: id, DataCentre: "dc1", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
 		TableURL: "http://" + d.standIns.Address("table", ""), ObjectsURL: "http://" + d.standIns.Address("objects", ""),
 		FleetSecret: fleetSecret, Policy: "fleet", QueueLimit: 100, QueueBytes: 1 << 20, MaxWait: patience,
-		StopTimeout: patience, FirstToken: 10 * time.Second, TokenInterval: time.Second,
+		EngineOrders: true, WeightLoads: 100, StopTimeout: patience, FirstToken: 10 * time.Second, TokenInterval: time.Second,
 	}
 	if len(d.daemons) > 0 {
 		_, s.Seeds, _ = d.daemons[0].Addresses()
@@ -85,7 +85,7 @@
 		ID: "first", Author: "test",
 		PutAccounts: []configurer.Account{{ID: "forge-a", Name: "Forge A", Share: 1, Pools: []string{"quotes", "orders"}, KeyHashes: []string{configurer.KeyHash(callerKey)}}},
 		PutTargets: []configurer.Target{
-			{ID: "engine-1", DataCentre: "dc1", Address: d.standIns.Address("engine", "engine-1"), Kind: configurer.KindEngine, Pools: []string{"quotes"}, Slots: 4, State: configurer.StateActive},
+			{ID: "engine-1", DataCentre: "dc1", Address: d.standIns.Address("engine", "engine-1"), Kind: configurer.KindEngine, Pools: []string{"quotes", "tags"}, Slots: 4, State: configurer.StateActive},
 			{ID: "desk-1", DataCentre: "dc1", Address: d.standIns.Address("service", "desk-1"), Kind: configurer.KindService, Pools: []string{"orders"}, Slots: 2, State: configurer.StateActive},
 		},
 	}, "test")
@@ -110,6 +110,21 @@
 const completion = `{"model":"quotes","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"a rowing machine"}]}`
 
 var _ = ginkgo.Describe("daemon", func() {
+	// Guards against a model that the configuration names and that no daemon orders.
+	ginkgo.It("orders the engine to load its models", func() {
+		d := newDeployment()
+		d.configure()
+		for _, id := range []string{"r1", "r2"} {
+			d.startDaemon(id)
+		}
+		e := d.standIns.Engines["engine-1"]
+		gomega.Eventually(func() []string { return e.Load().Models }, patience).Should(gomega.ConsistOf("quotes", "tags"))
+		answer, err := http.Post("http://"+d.standIns.Address("engine", "engine-1")+"/v1/control", "application/json", strings.NewReader(`{"restart":true}`))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(answer.Body.Close()).To(gomega.Succeed())
+		gomega.Eventually(func() []string { return e.Load().Models }, patience).Should(gomega.ConsistOf("quotes", "tags"))
+	})
+
 	// Guards against a daemon that answers before it knows who may call.
 	ginkgo.It("answers 503 and notRun without a configuration", func() {
 		answer, _ := call(newDeployment().startDaemon("r1"), "/v1/chat/completions", completion)
