--- a/orderer/world_test.go
+++ b/orderer/world_test.go
@@ -161,7 +161,7 @@
 	for _, c := range n.calls {
 		if !c.executed && c.due <= w.now {
 			c.executed = true
-			w.execute(n, c)
+			w.execute(c)
 		}
 	}
 	n.calls = slices.DeleteFunc(n.calls, func(c *call) bool {
@@ -186,7 +186,7 @@
 }
 
 // execute makes a call; answers, calls and both may be lost.
-func (w *world) execute(n *node, c *call) {
+func (w *world) execute(c *call) {
 	lost := w.now < w.faulty && w.chance(0.1)
 	if w.now < w.faulty && w.chance(0.1) || c.action.Kind != ActionSend && c.action.Kind != ActionReadState && w.now < w.outage {
 		if c.action.Kind == ActionRaise && w.chance(0.5) {
