--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/detector"
@@ -19,6 +20,11 @@
 	Members []string
 	// Shards lists the shards that this daemon owns, sorted by name.
 	Shards []locator.Shard
+	// Time is when the view was made, on the controller's clock. A view of a running
+	// controller is at most about a second old.
+	Time time.Duration
+	// Assignment names the owner of every shard.
+	Assignment *locator.Map
 	// Waiting is the number of requests in queues.
 	Waiting int
 	// Held is the number of grants in use.
@@ -67,6 +73,8 @@
 		Configured: c.configured,
 		Members:    slices.Sorted(maps.Keys(c.members)),
 		Shards:     c.ownedShards(),
+		Time:       c.now(),
+		Assignment: c.locator,
 		members:    c.seen,
 		Held:       len(c.held),
 		Poller:     c.locator.Poller(c.options.Self.DataCentre),
