Report unknown for a key that cannot be claimed

Cause: during an outage of the table service a repeat of a keyed request was told notRun, although an earlier attempt with the same key could have run; callers' HTTP clients repeat keyed requests silently. Change: the outcome is unknown, with 503, Retry-After and the advice to repeat with the same key.

The spec that repeats a key during an outage after it has run fails without the change (notRun instead of unknown). Ruled out: remembering at each daemon which keys it has seen, because a repeat may arrive at another daemon or after a restart. The rejected-request spec of this case moved out of the table of notRun answers and checks unknown instead.

--- a/deduplicator/record.go
+++ b/deduplicator/record.go
@@ -53,7 +53,8 @@
 	VerdictSpent
 	// VerdictReused: the key belongs to a different request.
 	VerdictReused
-	// VerdictUnavailable: the claim could not be made; this attempt will not run.
+	// VerdictUnavailable: the claim could not be made; this attempt will not run,
+	// but an earlier one may have, so that the outcome of the request is unknown.
 	VerdictUnavailable
 )
 
@@ -62,7 +63,7 @@
 	switch v {
 	case VerdictReplay, VerdictNotKept:
 		return OutcomeComplete
-	case VerdictSpent, VerdictReused, VerdictUnavailable:
+	case VerdictSpent, VerdictReused:
 		return OutcomeNotRun
 	default:
 		return OutcomeUnknown
--- a/router/receiver/once.go
+++ b/router/receiver/once.go
@@ -88,7 +88,7 @@
 		f.status, f.code, f.message = http.StatusUnprocessableEntity, "keyReused", "the key belongs to a different request"
 	case deduplicator.VerdictUnavailable:
 		f.status, f.code, f.retryAfter = http.StatusServiceUnavailable, "claimUnavailable", time.Second
-		f.message = "the key could not be claimed; this attempt did not run"
+		f.message = "the key could not be claimed; this attempt did not run, an earlier one may have; repeat with the same key"
 	default:
 		f.code, f.message = "outcomeUnknown", "it is not known whether an earlier attempt ran"
 	}
--- a/router/receiver/once_test.go
+++ b/router/receiver/once_test.go
@@ -173,13 +173,16 @@
 
 	// Guards against runs without a claim during an outage, and against tickets
 	// that need the table service.
-	It("answers notRun for a key during an outage, and runs a ticket once", func() {
+	It("answers unknown for a key during an outage, also of one that has run, and runs a ticket once", func() {
 		a, b := pair(answer("truck 7"))
 		b.options.Forwarder = peers{1: a.url}
 		b.url = listen(receiver.New(b.options))
+		res, body := order(a, "r0", "Idempotency-Key", "k")
+		Expect(res.StatusCode).To(Equal(200), body)
+		runs.Store(0)
 		t.out = true
-		res, body := order(a, "r1", "Idempotency-Key", "k")
-		expectError(res, body, 503, "claimUnavailable", dispatcher.NotRun)
+		res, body = order(a, "r1", "Idempotency-Key", "k")
+		expectError(res, body, 503, "claimUnavailable", dispatcher.Unknown)
 
 		res, body = a.do("POST", "/v1/tickets", "")
 		Expect(res.StatusCode).To(Equal(201))
--- a/router/receiver/reject_test.go
+++ b/router/receiver/reject_test.go
@@ -65,9 +65,17 @@
 		Entry("long key", "POST", "/services/orders/", "", 400, "badKey", "Idempotency-Key", strings.Repeat("k", 257)),
 		Entry("bad ticket", "POST", "/services/orders/", "", 400, "badTicket", "Monsoondeck-Ticket", "x"),
 		Entry("bad id", "GET", "/services/orders/", "", 400, "badRequestId", "X-Request-Id", "a b"),
-		Entry("key without table", "POST", "/services/orders/", "", 503, "claimUnavailable", "Idempotency-Key", "k"),
 	)
 
+	// Guards against notRun for a key of which an earlier attempt may have run.
+	It("answers unknown where a key cannot be claimed", func() {
+		f := newFixture(limits, unreached)
+		r := f.request("POST", "/services/orders/", "")
+		r.Header.Set("Idempotency-Key", "k")
+		res, body := send(r)
+		expectError(res, body, 503, "claimUnavailable", dispatcher.Unknown)
+	})
+
 	// Guards against memory that follows the announced length, and against a
 	// chunked body that grows without bound.
 	It("rejects a large body of unknown length", func() {
