Leave the platform to a restarted daemon's last resort

Cause: a daemon that has just started knows only itself and took itself for the poller of its data centre, so that every daemon of a restarted data centre read the platform at once. Change: without a configuration, only the bootstrap delay decides.

--- a/router/poller/poller.go
+++ b/router/poller/poller.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	s := p.control.Snapshot()
 	switch {
-	case !s.Configured && (s.Poller == p.self || time.Now().After(p.bootstrap)):
+	case !s.Configured && time.Now().After(p.bootstrap):
 		p.load(ctx)
 	case s.Configured && s.Poller == p.self:
 		p.pollChanges(ctx, s)
