--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -258,3 +258,20 @@
 		f.nodes[0].Tick(time.Duration(i) * tick)
 	}
 }
+
+// TestFullAnswerEndsWithQuietSuspicions guards against an endless answer when the
+// facts that may be sent are fewer than the members: a property run hung here.
+func TestFullAnswerEndsWithQuietSuspicions(t *testing.T) {
+	f := newFleet(3, 1, Settings{})
+	f.introduce()
+	d := f.nodes[0].Detector
+	for _, e := range d.order {
+		m := e.Member
+		m.State = Suspect
+		d.set(0, e, m)
+		d.spread(e, false)
+	}
+	if got := len(d.HandleProbe(time.Hour, "stranger", messenger.Probe{})); got == 0 {
+		t.Error("no answer")
+	}
+}
--- a/detector/gossip.go
+++ b/detector/gossip.go
@@ -90,6 +90,9 @@
 		next := a
 		next.ConfigVersion, next.Digest = d.configVersion, d.digest
 		next.Updates = d.fill(nil)
+		if len(next.Updates) == 0 {
+			break // only quiet suspicions are left, which are not sent
+		}
 		sent += len(next.Updates)
 		sends = append(sends, Send{To: to, Address: d.address(to), Ack: &next})
 	}
