--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -188,6 +188,7 @@
 			c.spillDemand(c.now())
 		case <-timers.probe.C:
 			c.handleSends(c.options.Membership.Tick(c.now()))
+			c.requestMissingConfig(c.now())
 			c.metrics.readThread()
 		case <-timers.exchange.C:
 			c.reportService()
@@ -237,6 +238,5 @@
 	c.refreshDemand()
 	c.rates.forget(now)
 	c.scheduleOwned(now)
-	c.requestMissingConfig(now)
 	c.publish()
 }
