--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -52,6 +52,7 @@
 	endpoints []emulator.Endpoint
 	network   *network
 	starter   *starter
+	finder    *finder
 	// relayed maps addresses to those that daemons use.
 	relayed map[string]string
 	client  *http.Client
@@ -63,7 +64,7 @@
 // New starts a deployment, puts its configuration in force and waits until every
 // daemon is ready. The clean-up function ends all processes.
 func New(ctx context.Context, o Options) (*Fleet, func(), error) {
-	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}, relayed: map[string]string{}, starter: newStarter()}
+	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}, relayed: map[string]string{}, starter: newStarter(), finder: newFinder()}
 	f.network = newNetwork(o.Deployment.PeerDelay, f.source)
 	if err := f.start(ctx); err != nil {
 		f.close()
@@ -80,6 +81,7 @@
 		}
 	}
 	group.Wait()
+	f.finder.close()
 	f.network.close()
 	if f.emulator != nil {
 		f.emulator.stop(stopGrace)
--- a/generator/launcher/network_test.go
+++ b/generator/launcher/network_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -142,10 +143,21 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = accepted.Close() }()
-	if got := dialer(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() {
+	f := newFinder()
+	defer f.close()
+	var group sync.WaitGroup
+	for range 20 {
+		group.Go(func() {
+			if got := f.find(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() {
+				t.Errorf("dialler %d", got)
+			}
+		})
+	}
+	group.Wait()
+	if got := f.find(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() {
 		t.Fatalf("dialler %d", got)
 	}
-	if got := dialer(accepted, []int{1 << 30}); got != 0 {
+	if got := f.find(accepted, []int{1 << 30}); got != 0 {
 		t.Fatalf("dialler %d among others", got)
 	}
 }
--- a/generator/launcher/relay.go
+++ b/generator/launcher/relay.go
@@ -72,7 +72,7 @@
 			daemons[p.ID()] = d
 		}
 	}
-	d, ok := daemons[dialer(accepted, pids)]
+	d, ok := daemons[f.finder.find(accepted, pids)]
 	if !ok {
 		return place{}, false
 	}
--- a/generator/launcher/source.go
+++ b/generator/launcher/source.go
@@ -9,39 +9,105 @@
 	"strings"
 )
 
-// dialer returns the process among candidates that holds the other end of an
-// accepted loopback connection, or 0. All daemons of a fleet dial from the same
-// address, so only the owner of the socket tells which one it was.
-func dialer(accepted net.Conn, candidates []int) int {
+// finder finds the processes that hold the other ends of accepted loopback
+// connections. All daemons of a fleet dial from the same address, so only the
+// owner of the socket tells which one it was. The list of sockets is read once
+// for all connections that wait: reading it for each took longer than daemons
+// wait for an answer when there were many, and they dialled again.
+type finder struct {
+	questions chan question
+	done      chan struct{}
+}
+
+type question struct {
+	ends   string // addresses as the dialler's socket has them
+	pids   []int  // candidates
+	answer chan int
+}
+
+func newFinder() *finder {
+	f := &finder{questions: make(chan question, maxQuestions), done: make(chan struct{})}
+	go f.run()
+	return f
+}
+
+// maxQuestions bounds the connections that one reading answers.
+const maxQuestions = 4096
+
+// find returns the dialling process among candidates, or 0.
+func (f *finder) find(accepted net.Conn, candidates []int) int {
 	remote, local := accepted.RemoteAddr().(*net.TCPAddr), accepted.LocalAddr().(*net.TCPAddr)
-	inode := socketInode(remote, local)
-	if inode == "" {
+	q := question{kernelAddress(remote) + " " + kernelAddress(local), candidates, make(chan int, 1)}
+	select {
+	case f.questions <- q:
+	case <-f.done:
+		return 0
+	}
+	select {
+	case pid := <-q.answer:
+		return pid
+	case <-f.done:
 		return 0
 	}
-	for _, pid := range candidates {
-		if holds(pid, "socket:["+inode+"]") {
-			return pid
+}
+
+func (f *finder) close() { close(f.done) }
+
+func (f *finder) run() {
+	for {
+		select {
+		case q := <-f.questions:
+			f.answer(append(f.pending(), q))
+		case <-f.done:
+			return
+		}
+	}
+}
+
+// pending returns the questions that wait.
+func (f *finder) pending() []question {
+	var out []question
+	for {
+		select {
+		case q := <-f.questions:
+			out = append(out, q)
+		default:
+			return out
 		}
 	}
-	return 0
 }
 
-// socketInode returns the inode of the IPv4 socket with the given ends.
-func socketInode(from, to *net.TCPAddr) string {
+func (f *finder) answer(questions []question) {
+	sockets, owners := inodes(), map[int]map[string]bool{}
+	for _, q := range questions {
+		found := 0
+		for _, pid := range q.pids {
+			if owners[pid] == nil {
+				owners[pid] = socketsOf(pid)
+			}
+			if inode := sockets[q.ends]; inode != "" && owners[pid][inode] {
+				found = pid
+			}
+		}
+		q.answer <- found
+	}
+}
+
+// inodes returns the inodes of all IPv4 sockets by their ends.
+func inodes() map[string]string {
+	out := map[string]string{}
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
-		return ""
+		return out
 	}
 	defer func() { _ = f.Close() }()
-	want := [2]string{kernelAddress(from), kernelAddress(to)}
 	const localField, remoteField, inodeField = 1, 2, 9
 	for lines := bufio.NewScanner(f); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && fields[localField] == want[0] && fields[remoteField] == want[1] {
-			return fields[inodeField]
+		if fields := strings.Fields(lines.Text()); len(fields) > inodeField {
+			out[fields[localField]+" "+fields[remoteField]] = fields[inodeField]
 		}
 	}
-	return ""
+	return out
 }
 
 // kernelAddress returns an address as /proc/net/tcp shows it on little-endian
@@ -54,16 +120,19 @@
 	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
 }
 
-func holds(pid int, socket string) bool {
+// socketsOf returns the inodes of the sockets of a process.
+func socketsOf(pid int) map[string]bool {
+	out := map[string]bool{}
 	directory := fmt.Sprintf("/proc/%d/fd", pid)
 	entries, err := os.ReadDir(directory)
 	if err != nil {
-		return false
+		return out
 	}
 	for _, e := range entries {
-		if target, err := os.Readlink(filepath.Join(directory, e.Name())); err == nil && target == socket {
-			return true
+		target, err := os.Readlink(filepath.Join(directory, e.Name()))
+		if inode, ok := strings.CutPrefix(target, "socket:["); err == nil && ok {
+			out[strings.TrimSuffix(inode, "]")] = true
 		}
 	}
-	return false
+	return out
 }
