--- a/connector/hub.go
+++ b/connector/hub.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,53 +21,6 @@
 	"monsoondeck.example/messenger"
 )
 
-var (
-	// ErrOptions reports options that New does not accept.
-	ErrOptions = errors.New("connector options are invalid")
-
-	// ErrUnauthenticated reports a peer that does not know the fleet secret.
-	ErrUnauthenticated = errors.New("peer is not authenticated")
-
-	// ErrStale reports a peer or frame with an older incarnation than one already
-	// seen of the same daemon.
-	ErrStale = errors.New("peer has an older incarnation")
-
-	// ErrOther reports that another daemon than expected answers at an address.
-	ErrOther = errors.New("another daemon answers at the address")
-
-	// ErrSelf reports a connection of a daemon to itself.
-	ErrSelf = errors.New("peer is this daemon")
-
-	// errClosed reports that the hub is closed.
-	errClosed = errors.New("hub is closed")
-)
-
-// Peer names a daemon and the address of its peer listener. An empty ID stands
-// for whichever daemon answers at Address.
-type Peer struct{ ID, Address string }
-
-// Dialer opens the TCP connections to peers.
-type Dialer interface {
-	DialContext(ctx context.Context, network, address string) (net.Conn, error)
-}
-
-// Options configures a Hub. Zero values of Logger, Dialer and Timing select
-// defaults.
-type Options struct {
-	// Self is the name of this daemon.
-	Self string
-	// Incarnation is that of this process; a restart must raise it.
-	Incarnation uint64
-	// Secret is shared by the fleet; at least MinSecretBytes.
-	Secret []byte
-	Logger *slog.Logger
-	Dialer Dialer
-	Timing Timing
-}
-
-// MinSecretBytes is the shortest accepted fleet secret.
-const MinSecretBytes = 16
-
 // receivedFrames is the length of the channel of received frames. It absorbs one
 // frame from each of 320 peers with room to spare.
 const receivedFrames = 1024
@@ -99,8 +54,9 @@
 	newest map[string]uint64
 }
 
-// New returns a Hub and a function that closes its connections and waits for its
-// goroutines. The error matches ErrOptions.
+// New returns a Hub and a function that sends what is queued for connected peers,
+// closes the connections and waits for the goroutines. The error matches
+// ErrOptions.
 func New(o Options) (*Hub, func(), error) {
 	if o.Self == "" {
 		return nil, nil, errors.Wrap(ErrOptions, "Self is empty")
@@ -283,6 +239,16 @@
 	return p.address
 }
 
+// drain waits until the connected peers have sent what is queued, so that the
+// last settlements of a daemon that stops are not lost.
+func (h *Hub) drain(peers []*peer) {
+	for end := h.clock() + h.timing.Drain; h.clock() < end; time.Sleep(h.timing.Batch) {
+		if !slices.ContainsFunc(peers, (*peer).sending) {
+			return
+		}
+	}
+}
+
 func (h *Hub) close() {
 	h.mutex.Lock()
 	if h.closed {
@@ -290,7 +256,9 @@
 		return
 	}
 	h.closed = true
+	peers := slices.Collect(maps.Values(h.peers))
 	h.mutex.Unlock()
+	h.drain(peers)
 	h.cancel()
 	h.group.Wait()
 	close(h.received)
--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -121,7 +120,14 @@
 		Control: d.controller, Hub: hub.Stats, Dispatcher: dispatch.Stats, Ready: d.ready,
 		ID: d.settings.ID, DataCentre: d.settings.DataCentre, Incarnation: incarnation,
 	})})
-	return func() { closeHub(); closeClaims(); closeDispatch() }, nil
+	stopOrders := d.startOrders(incarnation, sinceStart(start))
+	return func() { stopOrders(); closeHub(); closeClaims(); closeDispatch() }, nil
+}
+
+// sinceStart returns the monotonic clock that the control state and the orders to
+// engines share.
+func sinceStart(start time.Time) func() time.Duration {
+	return func() time.Duration { return time.Since(start) }
 }
 
 func (d *Daemon) controlOptions(self detector.Member, hub *connector.Hub, random *rand.Rand, start time.Time) controller.Options {
@@ -131,10 +137,11 @@
 	timing.MaxWait = d.settings.MaxWait
 	return controller.Options{
 		Self: self, Membership: members, Policy: locator.Policy(d.settings.Policy), Timing: timing,
-		Admission:   limiter.AdmissionSettings{AccountRequests: d.settings.QueueLimit, AccountBytes: d.settings.QueueBytes},
-		Concurrency: limiter.ConcurrencySettings{FirstToken: d.settings.FirstToken, Interval: d.settings.TokenInterval},
-		Hub:         hub, Logger: d.logger, Random: random,
-		Clock: func() time.Duration { return time.Since(start) },
+		PlatformOnly: d.settings.Bootstrap == settings.BootstrapPlatform,
+		Admission:    limiter.AdmissionSettings{AccountRequests: d.settings.QueueLimit, AccountBytes: d.settings.QueueBytes},
+		Concurrency:  limiter.ConcurrencySettings{FirstToken: d.settings.FirstToken, Interval: d.settings.TokenInterval},
+		Hub:          hub, Logger: d.logger, Random: random,
+		Clock: sinceStart(start),
 	}
 }
 
@@ -144,11 +151,15 @@
 		Objects: provider.NewObjects(provider.Options{URL: d.settings.ObjectsURL}),
 		Warn:    func(err error) { logger.Emit(d.logger, logger.SnapshotUnreadable, slog.String("error", err.Error())) },
 	})
+	delay := poller.BootstrapDelay(random)
+	if d.settings.Bootstrap == settings.BootstrapPlatform {
+		delay = 0
+	}
 	var hosts poller.Hosts
 	if d.settings.HostsURL != "" {
 		hosts = provider.NewHosts(provider.Options{URL: d.settings.HostsURL})
 	}
-	return poller.New(d.settings.ID, source, hosts, d.controller, d.logger, random)
+	return poller.New(d.settings.ID, source, hosts, d.controller, d.logger, delay)
 }
 
 func (d *Daemon) ready() bool {
@@ -205,37 +216,3 @@
 
 // peerHeaderTimeout bounds how long an idle connection may send nothing.
 const peerHeaderTimeout = 10 * time.Second
-
-// server is one listener with its HTTP server.
-type server struct {
-	name     string
-	listener *net.TCPListener
-	http     *http.Server
-}
-
-func (s *server) listen(address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "open the %s listener", s.name)
-	}
-	s.listener = l.(*net.TCPListener)
-	return nil
-}
-
-func (s *server) serveWith(h *http.Server) { s.http = h }
-
-func (s *server) address() string { return s.listener.Addr().String() }
-
-func (s *server) run() error {
-	err := s.http.Serve(s.listener)
-	return errors.Wrapf(err, "%s listener", s.name)
-}
-
-func (s *server) close() {
-	if s.http != nil {
-		_ = s.http.Close()
-	}
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
-}
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -32,6 +32,7 @@
 	HostsURL      string        `arg:"--hosts-url,env:MONSOOND_HOSTS_URL" placeholder:"URL" help:"host list [default: not used]"`
 	FleetSecret   string        `arg:"--fleet-secret,env:MONSOOND_FLEET_SECRET" placeholder:"TEXT" help:"secret that all daemons share; better given by environment"`
 	Policy        string        `arg:"--policy,env:MONSOOND_POLICY" default:"fleet" placeholder:"NAME" help:"fleet, or central, alone or static for measurements"`
+	Bootstrap     string        `arg:"--bootstrap,env:MONSOOND_BOOTSTRAP" default:"peers" placeholder:"NAME" help:"peers, or platform for measurements: where a daemon without configuration asks first"`
 	LameDuck      time.Duration `arg:"--lame-duck,env:MONSOOND_LAME_DUCK" default:"5s" placeholder:"TIME" help:"time to go on accepting requests after a stop signal"`
 	StopTimeout   time.Duration `arg:"--stop-timeout,env:MONSOOND_STOP_TIMEOUT" default:"10m" placeholder:"TIME" help:"longest wait for requests in flight at a stop"`
 	QueueLimit    int           `arg:"--queue-limit,env:MONSOOND_QUEUE_LIMIT" default:"1000" placeholder:"N" help:"waiting requests of one client account at this daemon"`
@@ -39,11 +40,19 @@
 	MaxWait       time.Duration `arg:"--max-wait,env:MONSOOND_MAX_WAIT" default:"60s" placeholder:"TIME" help:"longest wait of a request without a deadline"`
 	FirstToken    time.Duration `arg:"--first-token,env:MONSOOND_FIRST_TOKEN" default:"1.5s" placeholder:"TIME" help:"objective for the first token"`
 	TokenInterval time.Duration `arg:"--token-interval,env:MONSOOND_TOKEN_INTERVAL" default:"78ms" placeholder:"TIME" help:"objective for the time between tokens"`
+	EngineOrders  bool          `arg:"--engine-orders,env:MONSOOND_ENGINE_ORDERS" default:"true" help:"order engines to load the models that the configuration names"`
+	WeightLoads   float64       `arg:"--weight-loads,env:MONSOOND_WEIGHT_LOADS" default:"10" placeholder:"N" help:"loads per second that the weight store allows the whole fleet; 0 is no limit"`
 	LogFormat     string        `arg:"--log-format,env:MONSOOND_LOG_FORMAT" default:"text" placeholder:"NAME" help:"json or text"`
 	LogLevel      slog.Level    `arg:"--log-level,env:MONSOOND_LOG_LEVEL" default:"INFO" placeholder:"LEVEL" help:"DEBUG, INFO, WARN or ERROR"`
 	Check         bool          `arg:"--check" help:"check the settings and exit"`
 }
 
+// Where a daemon without configuration asks first.
+const (
+	BootstrapPeers    = "peers"
+	BootstrapPlatform = "platform"
+)
+
 // minSecretBytes makes guessing the fleet secret infeasible.
 const minSecretBytes = 16
 
@@ -57,6 +66,9 @@
 	if s.Advertise == "" {
 		s.Advertise = s.PeerAddress
 	}
+	if s.Bootstrap == "" {
+		s.Bootstrap = BootstrapPeers
+	}
 	return s
 }
 
@@ -88,12 +100,14 @@
 	default:
 		f.check(false, "policy is %q; allowed are fleet, central, alone and static", s.Policy)
 	}
+	f.check(s.Bootstrap == BootstrapPeers || s.Bootstrap == BootstrapPlatform, "bootstrap is %q; allowed are peers and platform", s.Bootstrap)
 	f.check(s.LogFormat == "json" || s.LogFormat == "text", "log-format is %q; allowed are json and text", s.LogFormat)
 	f.check(s.LameDuck >= 0, "lame-duck is %v; it cannot be negative", s.LameDuck)
 	for name, d := range map[string]time.Duration{"stop-timeout": s.StopTimeout, "max-wait": s.MaxWait, "first-token": s.FirstToken, "token-interval": s.TokenInterval} {
 		f.check(d > 0, "%s is %v; it must be positive", name, d)
 	}
 	f.check(s.QueueLimit > 0, "queue-limit is %d; it must be positive", s.QueueLimit)
+	f.check(s.WeightLoads >= 0, "weight-loads is %v; it cannot be negative", s.WeightLoads)
 	f.check(s.QueueBytes > 0, "queue-bytes is %d; it must be positive", s.QueueBytes)
 	return f.err()
 }
