--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,8 @@
 	stopping atomic.Bool
 	// active counts the callers' requests in flight.
 	active atomic.Int64
+	// pending counts the callers' connections without a request so far.
+	pending pending
 }
 
 // New opens the listeners and returns a daemon and a function that closes
@@ -116,6 +118,7 @@
 		Forwarder: forwarder{d.controller, auth}, Incarnation: incarnation, Logger: d.logger,
 	}))
 	d.caller.serveWith(receiver.NewServer(callers, d.logger))
+	d.pending.watch(d.caller.http)
 	d.peer.serveWith(receiver.NewServer(peerHandler(hub, callers, d.controller, auth), d.logger))
 	d.admin.serveWith(&http.Server{ReadHeaderTimeout: peerHeaderTimeout, Handler: administrator.New(administrator.Options{
 		Control: d.controller, Hub: hub.Stats, Dispatcher: dispatch.Stats, Ready: d.ready,
@@ -162,6 +165,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.active.Add(1)
 		defer d.active.Add(-1)
+		d.pending.begin(r)
 		if d.stopping.Load() && r.ProtoMajor == 1 {
 			w.Header().Set("Connection", "close")
 		}
@@ -209,8 +213,10 @@
 // server is one listener with its HTTP server.
 type server struct {
 	name     string
-	listener *net.TCPListener
+	listener *drainingListener
 	http     *http.Server
+	// served is closed when the listener accepts no more.
+	served chan struct{}
 }
 
 func (s *server) listen(address string) error {
@@ -218,7 +224,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "open the %s listener", s.name)
 	}
-	s.listener = l.(*net.TCPListener)
+	s.listener, s.served = &drainingListener{TCPListener: l.(*net.TCPListener)}, make(chan struct{})
 	return nil
 }
 
@@ -227,6 +233,7 @@
 func (s *server) address() string { return s.listener.Addr().String() }
 
 func (s *server) run() error {
+	defer close(s.served)
 	err := s.http.Serve(s.listener)
 	return errors.Wrapf(err, "%s listener", s.name)
 }
--- a/router/stop.go
+++ b/router/stop.go
@@ -8,11 +8,6 @@
 	"monsoondeck.example/logger"
 )
 
-// acceptDrain is how long the caller listener goes on accepting after the lame
-// duck time. A deadline on the listener takes effect only once the kernel's
-// accept queue is empty, so that no queued connection is reset.
-const acceptDrain = 50 * time.Millisecond
-
 // farewellFlush lets the last frames leave before the connections close.
 const farewellFlush = 50 * time.Millisecond
 
@@ -27,12 +22,11 @@
 	case <-second:
 		return d.abort()
 	}
-	_ = d.caller.listener.SetDeadline(time.Now().Add(acceptDrain))
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
 	finished := make(chan error, 1)
 	go func() {
-		time.Sleep(acceptDrain)
+		d.drainCallers(ctx)
 		finished <- d.caller.http.Shutdown(ctx)
 	}()
 	select {
@@ -49,6 +43,20 @@
 	return nil
 }
 
+// drainCallers waits until the caller listener has accepted what waits in its
+// queue and the requests of these connections have begun. Callers that go on
+// connecting cannot delay the stop beyond ctx.
+func (d *Daemon) drainCallers(ctx context.Context) {
+	if d.caller.listener.drain(time.Now().Add(acceptDrain)) != nil {
+		return // the listener is closed already
+	}
+	select {
+	case <-d.caller.served:
+		d.pending.wait(ctx)
+	case <-ctx.Done():
+	}
+}
+
 // abort ends the daemon at once and says how many requests it cut.
 func (d *Daemon) abort() error {
 	cut := d.active.Load()
