--- a/prover/driver/change.go
+++ b/prover/driver/change.go
@@ -50,11 +50,17 @@
 // Load starts a load of all accounts through all routers. The returned function
 // ends it and returns its results.
 func (f *Fleet) Load(name string, workers int) (stop func() []loader.Result) {
+	ginkgo.GinkgoHelper()
+	return f.LoadAt(name, workers, f.Callers()...)
+}
+
+// LoadAt starts a load of all accounts through some routers.
+func (f *Fleet) LoadAt(name string, workers int, routers ...string) (stop func() []loader.Result) {
 	ginkgo.GinkgoHelper()
 	var accounts []loader.Account
 	for _, a := range f.Deployment.Accounts {
 		accounts = append(accounts, loader.Account{
-			ID: a.ID, Key: a.Key, Share: a.Share, Routers: f.Callers(), Fallback: f.Callers(), Kinds: f.Deployment.Kinds, Workers: workers,
+			ID: a.ID, Key: a.Key, Share: a.Share, Routers: routers, Fallback: routers, Kinds: f.Deployment.Kinds, Workers: workers,
 		})
 	}
 	return f.LoadOf(name, accounts)
