--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,8 @@
 	stopping atomic.Bool
 	// active counts the callers' requests in flight.
 	active atomic.Int64
+	// pending counts the callers' connections without a request so far.
+	pending pending
 }
 
 // New opens the listeners and returns a daemon and a function that closes
@@ -115,6 +117,7 @@
 		Forwarder: forwarder{d.controller, auth}, Incarnation: incarnation, Logger: d.logger,
 	}))
 	d.caller.serveWith(receiver.NewServer(callers, d.logger))
+	d.pending.watch(d.caller.http)
 	d.peer.serveWith(receiver.NewServer(peerHandler(hub, callers, d.controller, auth), d.logger))
 	d.admin.serveWith(&http.Server{ReadHeaderTimeout: peerHeaderTimeout, Handler: administrator.New(administrator.Options{
 		Control: d.controller, Hub: hub.Stats, Dispatcher: dispatch.Stats, Ready: d.ready,
@@ -173,6 +176,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.active.Add(1)
 		defer d.active.Add(-1)
+		d.pending.begin(r)
 		if d.stopping.Load() && r.ProtoMajor == 1 {
 			w.Header().Set("Connection", "close")
 		}
--- a/router/stop.go
+++ b/router/stop.go
@@ -25,7 +25,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
 	finished := make(chan error, 1)
-	go func() { finished <- d.caller.shutdown(ctx) }()
+	go func() {
+		d.drainCallers(ctx)
+		finished <- d.caller.http.Shutdown(ctx)
+	}()
 	select {
 	case err := <-finished:
 		if err != nil {
@@ -40,6 +43,20 @@
 	return nil
 }
 
+// drainCallers waits until the caller listener has accepted what waits in its
+// queue and the requests of these connections have begun. Callers that go on
+// connecting cannot delay the stop beyond ctx.
+func (d *Daemon) drainCallers(ctx context.Context) {
+	if d.caller.listener.drain(time.Now().Add(acceptDrain)) != nil {
+		return // the listener is closed already
+	}
+	select {
+	case <-d.caller.served:
+		d.pending.wait(ctx)
+	case <-ctx.Done():
+	}
+}
+
 // abort ends the daemon at once and says how many requests it cut.
 func (d *Daemon) abort() error {
 	cut := d.active.Load()
