--- a/logger/events.go
+++ b/logger/events.go
@@ -35,7 +35,7 @@
 	MemberLeft       = Event{302, slog.LevelInfo, "member left", "If the host should be up, look at its own log."}
 	PeerConnected    = Event{303, slog.LevelDebug, "peer connected", ""}
 	PeerDisconnected = Event{304, slog.LevelDebug, "peer disconnected", ""}
-	PeerRejected     = Event{305, slog.LevelWarn, "peer connection rejected", "Check that all daemons have the same fleet secret and that clocks differ by less than 30 s."}
+	PeerRejected     = Event{305, slog.LevelWarn, "peer connection rejected", "Check that all daemons have the same fleet secret and different names."}
 
 	ShardAcquired = Event{401, slog.LevelInfo, "shard acquired", ""}
 	ShardReleased = Event{402, slog.LevelInfo, "shard released", ""}
