--- /dev/null
+++ b/prover/driver/operator.go
@@ -0,0 +1,54 @@
+package driver
+
+import (
+	"context"
+
+	"os/exec"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/emulator"
+)
+
+// Tool is the operators' command-line tool for a fleet.
+type Tool struct {
+	fleet *Fleet
+	path  string
+}
+
+// NewTool builds the tool and makes operators who may change the configuration.
+func (f *Fleet) NewTool(operators ...string) *Tool {
+	ginkgo.GinkgoHelper()
+	t := &Tool{fleet: f, path: filepath.Join(ginkgo.GinkgoT().TempDir(), "monsoonctl")}
+	out, err := exec.Command("go", "build", "-o", t.path, "monsoondeck.example/cmd/monsoonctl").CombinedOutput()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred(), "%s", out)
+	d := configurer.Delta{Author: "driver"}
+	for _, name := range operators {
+		d.PutOperators = append(d.PutOperators, configurer.Operator{Name: name, KeyHash: configurer.KeyHash(operatorKey(name)), Role: configurer.RoleEditor})
+	}
+	f.Change(d)
+	return t
+}
+
+func operatorKey(name string) string { return "operator-key-of-" + name }
+
+// Run runs a command as an operator and returns its exit code.
+func (t *Tool) Run(operator string, args ...string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), Limit)
+	defer cancel()
+	c := exec.CommandContext(ctx, t.path, args...)
+	c.Env = append(c.Environ(),
+		"MONSOONDECK_TABLE_URL="+t.fleet.URL(emulator.KindTable, ""), "MONSOONDECK_OBJECTS_URL="+t.fleet.URL(emulator.KindObjects, ""),
+		"MONSOONDECK_OPERATOR="+operator, "MONSOONDECK_OPERATOR_KEY="+operatorKey(operator))
+	c.Stdout, c.Stderr = ginkgo.GinkgoWriter, ginkgo.GinkgoWriter
+	err := c.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		return -1
+	}
+	return c.ProcessState.ExitCode()
+}
