--- a/prover/driver/driver.go
+++ b/prover/driver/driver.go
@@ -30,9 +30,10 @@
 	Secret = "the secret of a fleet under test"
 	// Platform is the name under which the platform can be cut off.
 	Platform = "platform"
-	// Model and Desk are the pools of the engines and of the plain services.
+	// Model is the pool of the engines.
 	Model = "tutor"
-	Desk  = "bookings"
+	// Desk is the pool of the plain services.
+	Desk = "bookings"
 )
 
 // Fleet is a running fleet with the calls that were made to it.
