Keep connections open at a stop until they have been idle

Change: after the lame-duck time a stop waits until every connection has been idle for 3 s or has got an answer that announces the close. Ruled out: closing idle connections earlier, which moves the race only.

An empty environment variable counts as not set, instead of stopping the daemon with a usage error.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -40,6 +40,8 @@
 	standIns *emulator.Set
 	commits  *committer.Committer
 	daemons  []*router.Daemon
+	// stops holds one channel for each daemon; a value is a stop signal.
+	stops []chan struct{}
 }
 
 func newDeployment() *deployment {
@@ -72,9 +74,11 @@
 	daemon, cleanup, err := router.New(s, slog.New(slog.DiscardHandler))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	d.daemons = append(d.daemons, daemon)
+	stop := make(chan struct{}, 1)
+	d.stops = append(d.stops, stop)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); _ = daemon.Run(ctx, nil) }()
+	go func() { defer close(done); _ = daemon.Run(ctx, stop) }()
 	ginkgo.DeferCleanup(func() { cancel(); <-done; cleanup() })
 	return daemon
 }
--- a/router/run.go
+++ b/router/run.go
@@ -79,7 +79,8 @@
 	var args []string
 	for _, entry := range env {
 		name, value, _ := strings.Cut(entry, "=")
-		if flag, ok := strings.CutPrefix(name, environmentPrefix); ok {
+		// An empty variable counts as not set.
+		if flag, ok := strings.CutPrefix(name, environmentPrefix); ok && value != "" {
 			args = append(args, "--"+strings.ToLower(strings.ReplaceAll(flag, "_", "-"))+"="+value)
 		}
 	}
--- a/router/stop.go
+++ b/router/stop.go
@@ -44,7 +44,7 @@
 }
 
 // drainCallers waits until the caller listener has accepted what waits in its
-// queue and the requests of these connections have begun. Callers that go on
+// queue and all connections have been idle for a while. Callers that go on
 // connecting cannot delay the stop beyond ctx.
 func (d *Daemon) drainCallers(ctx context.Context) {
 	if d.caller.listener.drain(time.Now().Add(acceptDrain)) != nil {
@@ -53,6 +53,7 @@
 	select {
 	case <-d.caller.served:
 		d.pending.wait(ctx)
+		d.pending.waitQuiet(ctx)
 	case <-ctx.Done():
 	}
 }
