End a dispatched request that gets no answer in the caller's time

Change: a target must begin to answer by the deadline that the caller named; otherwise the request is cancelled and reported as unknown. An answer that has begun is not cut.

--- a/router/dispatcher/meter.go
+++ b/router/dispatcher/meter.go
@@ -38,6 +38,8 @@
 	writing atomic.Int64
 	// unblock makes that write fail.
 	unblock func()
+	// answerBy is Request.AnswerBy.
+	answerBy time.Time
 
 	// mutex keeps progress from running after end.
 	mutex sync.Mutex
@@ -58,7 +60,7 @@
 func (m *meter) begin(o Options, r *Request, cancel context.CancelCauseFunc, unblock func()) {
 	m.start = time.Now()
 	m.engine, m.options, m.prompt = r.Target.Engine, o, r.PromptTokens
-	m.progress, m.cancel, m.unblock = r.Progress, cancel, unblock
+	m.progress, m.cancel, m.unblock, m.answerBy = r.Progress, cancel, unblock, r.AnswerBy
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.timer = time.AfterFunc(o.ProgressInterval, m.tick)
@@ -81,7 +83,7 @@
 		if now-time.Duration(since) > m.options.WriteTimeout {
 			m.unblock()
 		}
-	} else if now-time.Duration(m.touched.Load()) > limit {
+	} else if now-time.Duration(m.touched.Load()) > limit || m.late() {
 		m.cancel(ErrStalled)
 	}
 	if m.progress != nil {
@@ -90,6 +92,12 @@
 	m.timer.Reset(m.options.ProgressInterval)
 }
 
+// late reports whether the target has not begun to answer in the caller's time,
+// for example because a network partition swallows the request.
+func (m *meter) late() bool {
+	return !m.answering.Load() && !m.answerBy.IsZero() && time.Now().After(m.answerBy)
+}
+
 func (m *meter) end() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/router/dispatcher/request.go
+++ b/router/dispatcher/request.go
@@ -39,6 +39,9 @@
 	// BeforeSend is the last check before the first byte. An error stops the
 	// attempt with outcome NotRun. May be nil.
 	BeforeSend func() error
+	// AnswerBy is when the target must have begun to answer; zero sets no limit
+	// besides Options.AnswerTimeout.
+	AnswerBy time.Time
 	// Progress receives the units used so far, every ProgressInterval. It is
 	// not called after Do has returned. May be nil.
 	Progress func(units float64)
--- a/router/receiver/dispatch_test.go
+++ b/router/receiver/dispatch_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -83,6 +84,19 @@
 	return l.Addr().String()
 }
 
+var _ = Describe("deadline", func() {
+	// Guards against a caller that waits for minutes because a network partition
+	// swallows its request.
+	It("ends a request whose target does not begin to answer in time", func() {
+		gone := make(chan struct{})
+		silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(gone) }
+		f := newFixture(func(_ *receiver.Options, d *dispatcher.Options) { d.ProgressInterval = 10 * time.Millisecond }, silent)
+		res, body := f.do("GET", "/services/orders/x", "", "Monsoondeck-Deadline-Ms", "300")
+		expectError(res, body, 504, "targetStalled", dispatcher.Unknown)
+		Eventually(gone, "30s").Should(BeClosed())
+	})
+})
+
 var _ = Describe("dispatching", func() {
 	// Guards against the replay that net/http makes when a reused connection
 	// closes: a second run of a non-repeatable request.
--- a/router/receiver/job.go
+++ b/router/receiver/job.go
@@ -52,6 +52,8 @@
 	// path is the path and query as the caller sent them.
 	path     string
 	deadline time.Time
+	// answerBy is the deadline that the caller named, zero without one.
+	answerBy time.Time
 	estimate float64
 	prompt   float64
 	affinity uint64
@@ -97,6 +99,9 @@
 		limit = time.Duration(n) * time.Millisecond
 	}
 	j.deadline = time.Now().Add(limit)
+	if r.Header.Get(timeHeader) != "" && r.Header.Get(forwardedHeader) == "" {
+		j.answerBy = j.deadline
+	}
 	j.key = r.Header.Get(keyHeader)
 	if len(j.key) > maximumKey {
 		return notRun(http.StatusBadRequest, "badKey", keyHeader+" must have at most 256 characters")
--- a/router/receiver/run.go
+++ b/router/receiver/run.go
@@ -61,7 +61,7 @@
 
 func (h *Handler) wait(ctx context.Context, j *job, exclude []string) (Permit, error) {
 	return h.options.Waiter.Wait(ctx, Request{
-		Account: j.account, Pool: j.pool, Estimate: j.estimate, Affinity: j.affinity,
+		ID: j.id, Account: j.account, Pool: j.pool, Estimate: j.estimate, Affinity: j.affinity,
 		Deadline: j.deadline, Exclude: exclude, Bytes: int64(cap(j.body)),
 	})
 }
@@ -82,6 +82,7 @@
 		Account: j.account, ID: j.id, Method: j.method, URI: j.uri, Header: j.header, Body: j.body,
 		Trailer: j.trailer, Repeatable: j.repeatable, IdempotencyKey: j.key,
 		PromptTokens: j.prompt, Capture: once != nil, BeforeSend: beforeSend(p, j, once), Progress: p.Progress,
+		AnswerBy: j.answerBy,
 	}
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -136,6 +136,27 @@
 		gomega.Expect(answer.Header.Get("Monsoondeck-Outcome")).To(gomega.Equal("notRun"))
 	})
 
+	// Guards against request ids that do not reach the control state, without
+	// which operators cannot explain a request.
+	ginkgo.It("explains a request by its id", func() {
+		d := newDeployment()
+		d.configure()
+		daemon := d.startDaemon("r1")
+		var id string
+		gomega.Eventually(func() int {
+			answer, _ := call(daemon, "/services/orders/stock", "{}")
+			id = answer.Header.Get("X-Request-Id")
+			return answer.StatusCode
+		}, patience).Should(gomega.Equal(http.StatusOK))
+		_, _, admin := daemon.Addresses()
+		answer, err := http.Get("http://" + admin + "/v1/requests/" + id)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = answer.Body.Close() }()
+		text, err := io.ReadAll(answer.Body)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(text)).To(gomega.ContainSubstring(`"target":"desk-1"`))
+	})
+
 	// Guards against a break anywhere in the path from caller to target.
 	ginkgo.It("serves model and service requests through every daemon", func() {
 		d := newDeployment()
