--- a/prover/claimer/claims_test.go
+++ b/prover/claimer/claims_test.go
@@ -151,7 +151,7 @@
 			<-killed
 			r := f.Send(f.Daemons[0].Caller, c)
 			gomega.Expect(r.Status).To(gomega.Equal(http.StatusServiceUnavailable), "%v", r)
-			gomega.Expect(r.Outcome).To(gomega.Equal(loader.OutcomeNotRun), "%v", r)
+			gomega.Expect(r.Outcome).To(gomega.Equal(loader.OutcomeUnknown), "%v", r)
 			f.Heal()
 			gomega.Expect(f.Runs(c.ID)).To(gomega.BeZero())
 		}
