--- a/generator/chaos/chaos.go
+++ b/generator/chaos/chaos.go
@@ -147,20 +147,32 @@
 // converged waits until every daemon has the committed configuration.
 func (r *run) converged(ctx context.Context) bool {
 	end := time.Now().Add(convergeTime)
-	for time.Now().Before(end) {
-		agree := true
-		for _, d := range r.fleet.Daemons {
-			s, err := d.Status(ctx)
-			agree = agree && err == nil && s.Ready && s.ConfigVersion == r.fleet.Config().Version() && len(s.Members) >= len(r.fleet.Daemons)
-		}
-		if agree {
+	for {
+		behind := r.behind(ctx)
+		if len(behind) == 0 {
 			return true
 		}
-		if sleep(ctx, pollInterval) != nil {
+		if time.Now().After(end) || sleep(ctx, pollInterval) != nil {
+			for _, b := range behind {
+				r.progress("not converged: %s", b)
+			}
 			return false
 		}
 	}
-	return false
+}
+
+// behind describes the daemons that do not have the committed configuration or
+// do not know all others.
+func (r *run) behind(ctx context.Context) []string {
+	var behind []string
+	version := r.fleet.Config().Version()
+	for _, d := range r.fleet.Daemons {
+		s, err := d.Status(ctx)
+		if err != nil || !s.Ready || s.ConfigVersion != version || len(s.Members) < len(r.fleet.Daemons) {
+			behind = append(behind, fmt.Sprintf("%s has version %d of %d, ready %t, %d members, error %v", d.ID, s.ConfigVersion, version, s.Ready, len(s.Members), err))
+		}
+	}
+	return behind
 }
 
 func (r *run) progress(format string, args ...any) {
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -191,7 +191,7 @@
 			c.requestMissingConfig(c.now())
 			c.metrics.readThread()
 		case <-timers.exchange.C:
-			c.reportService()
+			c.reportService(c.now())
 		case <-timers.holdings.C:
 			c.handleSecond(c.now())
 		}
--- a/router/controller/controller_test.go
+++ b/router/controller/controller_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"monsoondeck.example/configurer"
+	"monsoondeck.example/router/locator"
 )
 
 // run draws one schedule of requests, ends, losses and restarts.
@@ -83,6 +86,22 @@
 	})
 }
 
+// Guards against control traffic that grows with the square of the shards of a
+// pool: the interval grows with them, and stays at its base for small pools.
+func TestExchangeIntervalGrowsWithTheShardsOfAPool(t *testing.T) {
+	for shards, want := range map[int]time.Duration{1: 500 * time.Millisecond, 5: 500 * time.Millisecond, 20: 2 * time.Second} {
+		var targets []configurer.Target
+		for i := range shards {
+			targets = append(targets, configurer.Target{ID: fmt.Sprint(i), DataCentre: fmt.Sprint("dc", i), Pools: []string{"quotes"}})
+		}
+		self := locator.Daemon{ID: "d0", DataCentre: "dc0", Eligible: true}
+		c := &Controller{options: Options{Timing: DefaultTiming()}, locator: locator.New(targets, []locator.Daemon{self}, self, locator.Fleet)}
+		if got := c.exchangeInterval(c.locator.PoolShards("quotes")[0]); got != want {
+			t.Errorf("%d shards: %v, want %v", shards, got, want)
+		}
+	}
+}
+
 // Guards against more requests at a target than it has slots, in a fleet whose
 // daemons agree on the members.
 func TestTargetsAreNeverOverloaded(t *testing.T) {
--- a/router/controller/fleet_test.go
+++ b/router/controller/fleet_test.go
@@ -152,7 +152,7 @@
 		n.controller.spillDemand(f.now)
 		if f.now-n.lastSecond >= n.controller.options.Timing.Holdings {
 			n.lastSecond = f.now
-			n.controller.reportService()
+			n.controller.reportService(f.now)
 			n.controller.handleSecond(f.now)
 		}
 	}
--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -22,6 +22,8 @@
 	scheduler *scheduler.Scheduler
 	// limits has one entry for each target of shard.
 	limits map[string]*targetLimit
+	// nextReport is when the aggregators get the next report.
+	nextReport time.Duration
 	// issued holds the grants of this epoch that have not been settled.
 	issued map[uint64]issuedGrant
 }
@@ -242,11 +244,27 @@
 	group int
 }
 
+// exchangePerShard lengthens the exchange interval of pools with more than five
+// shards, because the entries of an exchange grow with the number of shards. At
+// 20 shards for each of 16 models, 500 ms would take 14 KB/s in each daemon.
+const exchangePerShard = 100 * time.Millisecond
+
+// exchangeInterval is the period of reports of a shard.
+func (c *Controller) exchangeInterval(s locator.Shard) time.Duration {
+	shards := len(c.locator.PoolShards(s.Pools[0]))
+	return max(c.options.Timing.Exchange, time.Duration(shards)*exchangePerShard)
+}
+
 // reportService sends the service granted since the last report to the
 // aggregators.
-func (c *Controller) reportService() {
+func (c *Controller) reportService(now time.Duration) {
 	for _, key := range c.ownedKeys() {
 		o := c.owned[key]
+		if now < o.nextReport {
+			continue
+		}
+		// Half a tick less, so that a late tick does not skip a period.
+		o.nextReport = now + c.exchangeInterval(o.shard) - c.options.Timing.Exchange/2
 		reports := map[int]*messenger.ServiceReport{}
 		for _, s := range o.scheduler.Reports() {
 			group := c.locator.Group(s.Account)
