Share the parsing of flags among commands; read the version from the platform in chaos

Six commands repeated the parsing of flags, the form of errors and the printing of JSON lines; package commander holds them now.

chaos compared the daemons with the version that its own process knew. The check reads the committed version from the platform now, and is as strict.

--- a/generator/bench/bench.go
+++ b/generator/bench/bench.go
@@ -2,64 +2,38 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/generator/deployment"
 	"monsoondeck.example/generator/launcher"
 	"monsoondeck.example/generator/loader"
 	"monsoondeck.example/logger"
 )
 
-// Exit codes of Run.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 // Run measures one run and returns the exit code.
 func Run(args, _ []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonload bench", Streams: streams}
 	var o Options
-	p, err := arg.NewParser(arg.Config{Program: "monsoonload bench", Out: streams.Err}, &o)
-	if err != nil {
-		return fail(streams, ExitFailed, err)
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(streams.Out)
-		return ExitDone
-	case err != nil:
-		return fail(streams, ExitUsage, err)
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
 	}
 	if err := o.check(); err != nil {
-		return fail(streams, ExitUsage, err)
+		return c.Fail(commander.ExitUsage, err)
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
 	lines, err := Measure(ctx, o, streams.Err)
 	if err != nil {
-		return fail(streams, ExitFailed, err)
+		return c.Fail(commander.ExitFailed, err)
 	}
-	e := json.NewEncoder(streams.Out)
-	for _, l := range lines {
-		if err := e.Encode(l); err != nil {
-			return fail(streams, ExitFailed, err)
-		}
-	}
-	return ExitDone
-}
-
-func fail(streams logger.Streams, code int, err error) int {
-	_, _ = fmt.Fprintf(streams.Err, "monsoonload bench: %v\nRun monsoonload bench --help for its flags.\n", err)
-	return code
+	return commander.Print(c, lines)
 }
 
 // Measure starts the fleet, runs the scenario and returns the measures.
--- a/generator/bench/bench_test.go
+++ b/generator/bench/bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"testing"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/logger"
 )
 
@@ -14,7 +15,7 @@
 func TestBenchMeasuresRealProcesses(t *testing.T) {
 	var out, stderr bytes.Buffer
 	code := Run([]string{"--duration", "4s", "--warmup", "1s", "--routers", "2", "--accounts", "5", "--targets", "2"}, nil, logger.Streams{Out: &out, Err: &stderr})
-	if code != ExitDone {
+	if code != commander.ExitDone {
 		t.Fatalf("exit code %d: %s", code, stderr.String())
 	}
 	values := map[string]float64{}
@@ -41,7 +42,7 @@
 func TestUnknownNamesAreRefused(t *testing.T) {
 	for _, args := range [][]string{{"--scenario", "calm"}, {"--policy", "none"}, {"--deployment", "none"}, {"--duration", "1s"}, {"--routers", "0"}} {
 		var out, stderr bytes.Buffer
-		if code := Run(args, nil, logger.Streams{Out: &out, Err: &stderr}); code != ExitUsage || out.Len() > 0 {
+		if code := Run(args, nil, logger.Streams{Out: &out, Err: &stderr}); code != commander.ExitUsage || out.Len() > 0 {
 			t.Errorf("%v: exit code %d, %s", args, code, stderr.String())
 		}
 	}
--- a/generator/chaos/chaos.go
+++ b/generator/chaos/chaos.go
@@ -164,6 +164,11 @@
 // behind describes the daemons that do not have the committed configuration or
 // do not know all others.
 func (r *run) behind(ctx context.Context) []string {
+	// A change whose answer was lost may have been committed without this
+	// process knowing, so that only the platform can tell the version.
+	if err := r.fleet.Reload(ctx); err != nil {
+		return []string{"the platform: " + err.Error()}
+	}
 	var behind []string
 	version := r.fleet.Config().Version()
 	for _, d := range r.fleet.Daemons {
--- a/generator/chaos/options.go
+++ b/generator/chaos/options.go
@@ -4,27 +4,18 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/generator/deployment"
 	"monsoondeck.example/generator/launcher"
 	"monsoondeck.example/logger"
 )
 
-// Exit codes of Run.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 // ErrUsage marks options that cannot be used.
 var ErrUsage = errors.New("options are not usable")
 
@@ -63,41 +54,25 @@
 
 // Run makes one run and returns the exit code.
 func Run(args, _ []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonload chaos", Streams: streams}
 	var o Options
-	p, err := arg.NewParser(arg.Config{Program: "monsoonload chaos", Out: streams.Err}, &o)
-	if err != nil {
-		return fail(streams, ExitFailed, err)
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(streams.Out)
-		return ExitDone
-	case err != nil:
-		return fail(streams, ExitUsage, err)
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
 	}
 	if _, err := o.deployment(); err != nil {
-		return fail(streams, ExitUsage, err)
+		return c.Fail(commander.ExitUsage, err)
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
 	lines, err := Check(ctx, o, streams.Err)
 	if err != nil {
-		return fail(streams, ExitFailed, err)
+		return c.Fail(commander.ExitFailed, err)
 	}
-	code := ExitDone
-	e := json.NewEncoder(streams.Out)
+	code := commander.Print(c, lines)
 	for _, l := range lines {
-		if err := e.Encode(l); err != nil {
-			return fail(streams, ExitFailed, err)
-		}
 		if !l.OK {
-			code = ExitFailed
+			code = commander.ExitFailed
 		}
 	}
 	return code
 }
-
-func fail(streams logger.Streams, code int, err error) int {
-	_, _ = fmt.Fprintf(streams.Err, "monsoonload chaos: %v\nRun monsoonload chaos --help for its flags.\n", err)
-	return code
-}
--- a/generator/demo/demo.go
+++ b/generator/demo/demo.go
@@ -3,27 +3,19 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/generator/loader"
 	"monsoondeck.example/generator/verifier"
 	"monsoondeck.example/logger"
 )
 
-// Exit codes of Run.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 // Options of the demo.
 type Options struct {
 	Duration time.Duration `arg:"--duration" default:"20s" help:"time of load"`
@@ -39,29 +31,17 @@
 // Run runs the demo and returns the exit code. Faults in the answers make it
 // fail.
 func Run(args, _ []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonload demo", Streams: streams}
 	var o Options
-	p, err := arg.NewParser(arg.Config{Program: "monsoonload demo", Out: streams.Err}, &o)
-	if err != nil {
-		return fail(streams, ExitFailed, err)
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(streams.Out)
-		return ExitDone
-	case err != nil:
-		return fail(streams, ExitUsage, err)
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
 	if err := run(ctx, o, streams); err != nil {
-		return fail(streams, ExitFailed, err)
+		return c.Fail(commander.ExitFailed, err)
 	}
-	return ExitDone
-}
-
-func fail(streams logger.Streams, code int, err error) int {
-	_, _ = fmt.Fprintf(streams.Err, "monsoonload demo: %v\nRun monsoonload demo --help for its flags.\n", err)
-	return code
+	return commander.ExitDone
 }
 
 func run(ctx context.Context, o Options, streams logger.Streams) error {
--- a/generator/demo/demo_test.go
+++ b/generator/demo/demo_test.go
@@ -5,13 +5,14 @@
 	"strings"
 	"testing"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/logger"
 )
 
 // Guards against a demo that no longer starts, shows nothing or sees faults.
 func TestDemoRunsToItsSummary(t *testing.T) {
 	var out, stderr bytes.Buffer
-	if code := Run([]string{"--duration", "1s"}, nil, logger.Streams{Out: &out, Err: &stderr}); code != ExitDone {
+	if code := Run([]string{"--duration", "1s"}, nil, logger.Streams{Out: &out, Err: &stderr}); code != commander.ExitDone {
 		t.Fatalf("exit code %d: %s%s", code, out.String(), stderr.String())
 	}
 	for _, want := range []string{"sheet applied as version 1", "showroom", "utilisation", "0 wrong, 0 duplicated, 0 falsely not run"} {
--- a/generator/load/load.go
+++ b/generator/load/load.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"os/signal"
 	"strconv"
@@ -12,20 +10,13 @@
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/generator/loader"
 	"monsoondeck.example/logger"
 )
 
-// Exit codes of Run.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 // ErrUsage marks options that cannot be used.
 var ErrUsage = errors.New("options are not usable")
 
@@ -62,42 +53,30 @@
 
 // Run sends load and returns the exit code; wrong answers make it fail.
 func Run(args, _ []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonload load", Streams: streams}
 	var o Options
-	p, err := arg.NewParser(arg.Config{Program: "monsoonload load", Out: streams.Err}, &o)
-	if err != nil {
-		return fail(streams, ExitFailed, err)
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(streams.Out)
-		return ExitDone
-	case err != nil:
-		return fail(streams, ExitUsage, err)
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
 	}
 	settings, err := o.settings()
 	if err != nil {
-		return fail(streams, ExitUsage, err)
+		return c.Fail(commander.ExitUsage, err)
 	}
 	l, cleanup, err := loader.New(settings)
 	if err != nil {
-		return fail(streams, ExitUsage, err)
+		return c.Fail(commander.ExitUsage, err)
 	}
 	defer cleanup()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
 	s := summarise(l, l.Run(ctx, o.Duration))
-	if err := json.NewEncoder(streams.Out).Encode(s); err != nil {
-		return fail(streams, ExitFailed, err)
+	if code := commander.Print(c, []Summary{s}); code != commander.ExitDone {
+		return code
 	}
 	if s.Wrong > 0 {
-		return fail(streams, ExitFailed, errors.Newf("%d wrong answers", s.Wrong))
+		return c.Fail(commander.ExitFailed, errors.Newf("%d wrong answers", s.Wrong))
 	}
-	return ExitDone
-}
-
-func fail(streams logger.Streams, code int, err error) int {
-	_, _ = fmt.Fprintf(streams.Err, "monsoonload load: %v\nRun monsoonload load --help for its flags.\n", err)
-	return code
+	return commander.ExitDone
 }
 
 func (o Options) settings() (loader.Settings, error) {
--- a/generator/report/report.go
+++ b/generator/report/report.go
@@ -4,24 +4,16 @@
 import (
 	"bufio"
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 
-	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/generator/bench"
 	"monsoondeck.example/logger"
 )
 
-// Exit codes of Run.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 // ErrInput marks lines that are not measures.
 var ErrInput = errors.New("input is not the output of bench")
 
@@ -38,31 +30,19 @@
 
 // Run writes a report and returns the exit code.
 func Run(args, _ []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonload report", Streams: streams}
 	var o Options
-	p, err := arg.NewParser(arg.Config{Program: "monsoonload report", Out: streams.Err}, &o)
-	if err != nil {
-		return fail(streams, ExitFailed, err)
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(streams.Out)
-		return ExitDone
-	case err != nil:
-		return fail(streams, ExitUsage, err)
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
 	}
 	lines, err := o.read(streams.In)
 	if err != nil {
-		return fail(streams, ExitFailed, err)
+		return c.Fail(commander.ExitFailed, err)
 	}
 	if err := o.write(streams.Out, lines); err != nil {
-		return fail(streams, ExitFailed, err)
+		return c.Fail(commander.ExitFailed, err)
 	}
-	return ExitDone
-}
-
-func fail(streams logger.Streams, code int, err error) int {
-	_, _ = fmt.Fprintf(streams.Err, "monsoonload report: %v\nRun monsoonload report --help for its flags.\n", err)
-	return code
+	return commander.ExitDone
 }
 
 func (o Options) read(in io.Reader) ([]bench.Line, error) {
--- a/generator/report/report_test.go
+++ b/generator/report/report_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/logger"
 )
 
@@ -18,7 +19,7 @@
 // of the page's markup.
 func TestPageShowsMeansAndPlots(t *testing.T) {
 	var out, stderr bytes.Buffer
-	if code := Run(nil, nil, logger.Streams{In: strings.NewReader(input), Out: &out, Err: &stderr}); code != ExitDone {
+	if code := Run(nil, nil, logger.Streams{In: strings.NewReader(input), Out: &out, Err: &stderr}); code != commander.ExitDone {
 		t.Fatalf("exit code %d: %s", code, stderr.String())
 	}
 	for _, want := range []string{
@@ -37,7 +38,7 @@
 func TestForeignInputIsRefused(t *testing.T) {
 	for _, in := range []string{"", "hello\n", "{}\n"} {
 		var out, stderr bytes.Buffer
-		if code := Run(nil, nil, logger.Streams{In: strings.NewReader(in), Out: &out, Err: &stderr}); code != ExitFailed || out.Len() > 0 {
+		if code := Run(nil, nil, logger.Streams{In: strings.NewReader(in), Out: &out, Err: &stderr}); code != commander.ExitFailed || out.Len() > 0 {
 			t.Errorf("%q: exit code %d, %d bytes", in, code, out.Len())
 		}
 	}
--- a/generator/restarter/restarter.go
+++ b/generator/restarter/restarter.go
@@ -5,16 +5,15 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/emulator"
 	"monsoondeck.example/emulator/table"
 	"monsoondeck.example/generator/deployment"
@@ -22,13 +21,6 @@
 	"monsoondeck.example/logger"
 )
 
-// Exit codes of Run.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // options of a measurement.
 type options struct {
 	Daemons   int           `arg:"--daemons" default:"80" help:"daemons of the data centre that restarts"`
@@ -57,37 +49,18 @@
 
 // Run measures one restart and returns the exit code.
 func Run(args, _ []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonload restart", Streams: streams}
 	var o options
-	p, err := arg.NewParser(arg.Config{Program: "monsoonload restart", Out: streams.Err}, &o)
-	if err != nil {
-		return fail(streams, exitFailed, err)
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(streams.Out)
-		return exitDone
-	case err != nil:
-		return fail(streams, exitUsage, err)
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
 	lines, err := measure(ctx, o, streams.Err)
 	if err != nil {
-		return fail(streams, exitFailed, err)
+		return c.Fail(commander.ExitFailed, err)
 	}
-	encoder := json.NewEncoder(streams.Out)
-	for _, l := range lines {
-		if err := encoder.Encode(l); err != nil {
-			return fail(streams, exitFailed, err)
-		}
-	}
-	return exitDone
-}
-
-func fail(streams logger.Streams, code int, err error) int {
-	// A failed write to the error stream cannot be reported anywhere.
-	_, _ = fmt.Fprintf(streams.Err, "monsoonload restart: %v\nRun monsoonload restart --help for its flags.\n", err)
-	return code
+	return commander.Print(c, lines)
 }
 
 func measure(ctx context.Context, o options, log io.Writer) ([]line, error) {
--- a/generator/run.go
+++ b/generator/run.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/generator/bench"
 	"monsoondeck.example/generator/chaos"
 	"monsoondeck.example/generator/demo"
@@ -41,9 +42,9 @@
 		}
 		if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
 			_, _ = fmt.Fprint(streams.Out, usage)
-			return bench.ExitDone
+			return commander.ExitDone
 		}
 	}
 	_, _ = fmt.Fprint(streams.Err, usage)
-	return bench.ExitUsage
+	return commander.ExitUsage
 }
