--- a/limiter/concurrency.go
+++ b/limiter/concurrency.go
@@ -30,8 +30,6 @@
 type ConcurrencySettings struct {
 	// Slots is the configured concurrency of the target; the limit starts at a quarter.
 	Slots int
-	// Warm skips the slow start, for a target that was in service before.
-	Warm bool
 	// Maximum is the largest limit that may be learnt; 0 is twice Slots.
 	Maximum int
 	// FirstToken and Interval are the objectives; 0 sets none.
@@ -95,13 +93,10 @@
 	health    health
 }
 
-// NewConcurrency returns a limit in slow start, or at Slots for a warm target.
+// NewConcurrency returns a limit in slow start.
 func NewConcurrency(s ConcurrencySettings) *Concurrency {
 	c := &Concurrency{settings: s.withDefaults()}
 	c.restart()
-	if s.Warm {
-		c.limit, c.slowStart = float64(c.settings.Slots), false
-	}
 	return c
 }
 
--- a/router/controller/membership.go
+++ b/router/controller/membership.go
@@ -104,13 +104,13 @@
 	previous := c.locator
 	c.locator = locator.New(slices.Collect(c.config.Targets()), daemons, self, c.options.Policy)
 	c.publish()
-	c.moveShards(now, previous)
+	c.moveShards(now)
 	c.moveLinks(previous)
 	c.touchAll()
 }
 
 // moveShards acquires and releases shards and updates those that stay.
-func (c *Controller) moveShards(now time.Duration, previous *locator.Map) {
+func (c *Controller) moveShards(now time.Duration) {
 	routers := c.routersOf()
 	for key, o := range c.owned {
 		s, ok := c.locator.Shard(key)
@@ -126,25 +126,14 @@
 		}
 		if o := c.owned[key]; o != nil {
 			o.scheduler.SetMembers(now, routers)
-			c.updateOwned(o, s, now, false)
+			c.updateOwned(o, s, now)
 			c.sendGrants(o, now)
 			continue
 		}
-		c.acquire(s, now, served(previous, key))
+		c.acquire(s, now)
 	}
 }
 
-// served tells whether the targets of a shard may have been in service under
-// another owner. A daemon that has just learnt its first configuration cannot
-// know and takes them for served.
-func served(previous *locator.Map, key string) bool {
-	if previous == nil || len(previous.Shards()) == 0 {
-		return true
-	}
-	_, ok := previous.Shard(key)
-	return ok
-}
-
 // moveLinks reports held grants to the daemons that became owners.
 func (c *Controller) moveLinks(previous *locator.Map) {
 	for _, s := range c.sortedShards() {
--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -49,7 +49,7 @@
 // acquire starts to schedule a shard. The epoch identifies this ownership: its
 // low bits of a start time in microseconds collide with those of an earlier
 // owner once in four billion times.
-func (c *Controller) acquire(s locator.Shard, now time.Duration, warm bool) {
+func (c *Controller) acquire(s locator.Shard, now time.Duration) {
 	c.epochs++
 	epoch := uint64(uint32(c.options.Self.Incarnation + c.epochs))
 	o := &ownedShard{shard: s, epoch: epoch, limits: map[string]*targetLimit{}, issued: map[uint64]issuedGrant{}}
@@ -61,7 +61,7 @@
 	})
 	o.scheduler.SetMembers(now, c.routersOf())
 	c.owned[s.Key] = o
-	c.updateOwned(o, s, now, warm)
+	c.updateOwned(o, s, now)
 	logger.Emit(c.options.Logger, logger.ShardAcquired, slog.String("shard", s.Name), slog.Uint64("epoch", epoch))
 }
 
@@ -79,10 +79,8 @@
 	return names
 }
 
-// updateOwned gives the scheduler the targets of the present configuration. A
-// shard that was taken over has targets that were in service, which are warm;
-// targets that appear in an owned shard start slowly.
-func (c *Controller) updateOwned(o *ownedShard, s locator.Shard, now time.Duration, warm bool) {
+// updateOwned gives the scheduler the targets of the present configuration.
+func (c *Controller) updateOwned(o *ownedShard, s locator.Shard, now time.Duration) {
 	o.shard = s
 	kept := map[string]*targetLimit{}
 	for _, t := range s.Targets {
@@ -95,7 +93,7 @@
 				settings.FirstToken, settings.Interval = 0, 0
 			}
 			// The sheet's slots are the most that the operators allow.
-			settings.Slots, settings.Maximum, settings.Warm = slots, slots, warm
+			settings.Slots, settings.Maximum = slots, slots
 			l = &targetLimit{concurrency: limiter.NewConcurrency(settings), incarnation: t.Incarnation, slots: slots}
 		}
 		kept[t.ID] = l
