Serve the stand-ins directly in the test of the load client

The test went through the standard library's reverse proxy, which the requirements rule out. A writer that states the outcome takes its place; the checks are the same.

--- a/generator/loader/loader_test.go
+++ b/generator/loader/loader_test.go
@@ -1,12 +1,9 @@
 package loader
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -64,41 +61,41 @@
 	}
 }
 
+// outcomeWriter states the outcome in the headers of an answer.
+type outcomeWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+func (w *outcomeWriter) WriteHeader(status int) {
+	outcome := OutcomeComplete
+	if status != http.StatusOK {
+		outcome = OutcomeNotRun
+	}
+	w.Header().Set(headerOutcome, string(outcome))
+	w.started = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *outcomeWriter) Write(b []byte) (int, error) {
+	if !w.started {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController flush the answer.
+func (w *outcomeWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // gateway is a minimal router: it strips the path prefix of services and states
 // the outcome.
 func gateway(t *testing.T, e, s http.Handler) string {
 	t.Helper()
-	proxy := func(h http.Handler) *httputil.ReverseProxy {
-		server := httptest.NewServer(h)
-		t.Cleanup(server.Close)
-		target, err := url.Parse(server.URL)
-		if err != nil {
-			t.Fatal(err)
-		}
-		p := httputil.NewSingleHostReverseProxy(target)
-		p.FlushInterval = -1
-		p.ModifyResponse = func(r *http.Response) error {
-			outcome := OutcomeComplete
-			if r.StatusCode != http.StatusOK {
-				outcome = OutcomeNotRun
-			}
-			r.Header.Set(headerOutcome, string(outcome))
-			return nil
-		}
-		return p
-	}
 	mux := http.NewServeMux()
-	mux.Handle("/services/orders/", http.StripPrefix("/services/orders", proxy(s)))
-	mux.Handle("/", proxy(e))
-	// ReverseProxy breaks a connection when the target answers before the proxy
-	// has seen the end of the caller's body, so the body is read first.
+	mux.Handle("/services/orders/", http.StripPrefix("/services/orders", s))
+	mux.Handle("/", e)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		mux.ServeHTTP(w, r)
+		mux.ServeHTTP(&outcomeWriter{ResponseWriter: w}, r)
 	}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
