Take the requests in flight at a target from the scheduler

Cause: the controller counted grants in flight on its own; the count did not fall when a grant's lease ended without a settlement. Change: the limiter gets scheduler.InUse.

--- a/router/controller/owners.go
+++ b/router/controller/owners.go
@@ -42,7 +42,6 @@
 	concurrency *limiter.Concurrency
 	incarnation uint64
 	slots       int
-	inFlight    int
 	ejected     bool
 }
 
@@ -153,9 +152,6 @@
 		}
 		list.Entries = append(list.Entries, messenger.Grant{ID: g.ID, Account: g.Account, Target: g.Target})
 		o.issued[g.ID] = issuedGrant{g.Account, g.Target, now}
-		if l := o.limits[g.Target]; l != nil {
-			l.inFlight++
-		}
 	}
 	for _, member := range slices.Sorted(maps.Keys(lists)) {
 		c.send(member, func(f *messenger.Frame) { f.Grants = append(f.Grants, *lists[member]) })
@@ -213,7 +209,7 @@
 		if s.Epoch == o.epoch {
 			delete(o.issued, e.ID)
 		}
-		c.observe(o, s.Epoch, e, now)
+		c.observe(o, e, now)
 	}
 	o.scheduler.Settle(now, from, s.Epoch, settlements)
 	c.applyLimits(o, now)
@@ -221,20 +217,17 @@
 }
 
 // observe teaches the limit of a target from one ended grant.
-func (c *Controller) observe(o *ownedShard, epoch uint64, e messenger.Settlement, now time.Duration) {
+func (c *Controller) observe(o *ownedShard, e messenger.Settlement, now time.Duration) {
 	l := o.limits[e.Target]
 	if l == nil {
 		return
 	}
 	l.concurrency.Observe(now, limiter.Observation{
-		InFlight:   l.inFlight,
+		InFlight:   o.scheduler.InUse(e.Target),
 		Result:     limiter.Result(e.Result),
 		FirstToken: time.Duration(e.FirstTokenMs) * time.Millisecond,
 		Interval:   time.Duration(e.IntervalUs) * time.Microsecond,
 	})
-	if epoch == o.epoch {
-		l.inFlight = max(l.inFlight-1, 0)
-	}
 }
 
 // groupKey names the totals of a group of client accounts in the shards of the
