--- a/router/peer.go
+++ b/router/peer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/connector"
 	"monsoondeck.example/router/authenticator"
@@ -74,6 +76,9 @@
 	}, nil
 }
 
+// errNoConfig reports a peer that has no configuration to give.
+var errNoConfig = errors.New("peer gives no configuration")
+
 // fetcher fetches complete configurations from peers.
 type fetcher struct {
 	control *controller.Controller
@@ -85,7 +90,8 @@
 	return &fetcher{control: control, auth: auth, client: &http.Client{Timeout: fetchTimeout}}
 }
 
-func (f *fetcher) run(ctx context.Context) {
+func (f *fetcher) run(ctx context.Context, seeds []string) {
+	f.bootstrap(ctx, seeds)
 	for {
 		select {
 		case <-ctx.Done():
@@ -99,6 +105,27 @@
 	}
 }
 
+// seedTimeout bounds the wait for one seed; the platform is asked soon after.
+const seedTimeout = time.Second
+
+// bootstrap asks the seeds for a configuration before the members know this
+// daemon, so that it does not become the owner of shards that it cannot
+// schedule yet.
+func (f *fetcher) bootstrap(ctx context.Context, seeds []string) {
+	for _, address := range seeds {
+		if f.control.Snapshot().Configured {
+			return
+		}
+		attempt, cancel := context.WithTimeout(ctx, seedTimeout)
+		config, err := f.fetch(attempt, connector.Peer{Address: address})
+		cancel()
+		if err == nil {
+			f.control.SetConfig(config)
+			return
+		}
+	}
+}
+
 func (f *fetcher) fetch(ctx context.Context, peer connector.Peer) (configurer.Config, error) {
 	var config configurer.Config
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Address+configPath, nil)
@@ -111,6 +138,9 @@
 		return config, err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return config, errors.Wrapf(errNoConfig, "status %d", answer.StatusCode)
+	}
 	err = json.NewDecoder(io.LimitReader(answer.Body, maxConfigBytes)).Decode(&config)
 	return config, err
 }
--- a/router/router.go
+++ b/router/router.go
@@ -201,7 +201,7 @@
 	ended := make(chan struct{})
 	go func() { defer close(ended); d.controller.Run(ctx) }()
 	go d.poller.Run(ctx)
-	go d.fetcher.run(ctx)
+	go d.fetcher.run(ctx, d.bootstrapSeeds())
 	caller, peer, _ := d.Addresses()
 	logger.Emit(d.logger, logger.DaemonStarted, slog.String("daemon", d.settings.ID),
 		slog.String("dataCentre", d.settings.DataCentre), slog.String("caller", caller), slog.String("peer", peer))
@@ -218,5 +218,13 @@
 	return err
 }
 
+// bootstrapSeeds returns the daemons to ask for a configuration at the start.
+func (d *Daemon) bootstrapSeeds() []string {
+	if d.settings.Bootstrap == settings.BootstrapPlatform {
+		return nil
+	}
+	return d.settings.SeedList()
+}
+
 // peerHeaderTimeout bounds how long an idle connection may send nothing.
 const peerHeaderTimeout = 10 * time.Second
