Count ids of holdings in frames; share flag parsing with the stand-ins

The connector bounds a frame by its entries, but did not count the grant ids of holdings, which were added later. One counting function serves all lists now. The stand-ins' command repeated the parsing of flags and the printing of JSON lines that package commander holds.

Tests of connector and emulator pass, and vet, staticcheck and revive.

--- a/connector/queue.go
+++ b/connector/queue.go
@@ -98,33 +98,23 @@
 
 // entries counts the list entries of a frame.
 func entries(f *messenger.Frame) int {
-	n := len(f.HostMarks)
-	for i := range f.Probes {
-		n += 1 + len(f.Probes[i].Updates)
-	}
-	for i := range f.ProbeAcks {
-		n += 1 + len(f.ProbeAcks[i].Updates)
-	}
-	for i := range f.Demands {
-		n += 1 + len(f.Demands[i].Entries)
-	}
-	for i := range f.Grants {
-		n += 1 + len(f.Grants[i].Entries)
-	}
-	for i := range f.Settlements {
-		n += 1 + len(f.Settlements[i].Entries)
-	}
-	for i := range f.Holdings {
-		n += 1 + len(f.Holdings[i].Entries)
-	}
-	for i := range f.ServiceReports {
-		n += 1 + len(f.ServiceReports[i].Entries)
-	}
-	for i := range f.ServiceTotals {
-		n += 1 + len(f.ServiceTotals[i].Entries)
-	}
-	for i := range f.ConfigPushes {
-		n += 1 + len(f.ConfigPushes[i].Body)/64
+	return len(f.HostMarks) +
+		count(f.Probes, func(p *messenger.Probe) int { return len(p.Updates) }) +
+		count(f.ProbeAcks, func(a *messenger.ProbeAck) int { return len(a.Updates) }) +
+		count(f.Demands, func(d *messenger.Demand) int { return len(d.Entries) }) +
+		count(f.Grants, func(g *messenger.Grants) int { return len(g.Entries) }) +
+		count(f.Settlements, func(s *messenger.Settlements) int { return len(s.Entries) }) +
+		count(f.Holdings, func(h *messenger.Holdings) int { return len(h.Entries) + len(h.IDs) }) +
+		count(f.ServiceReports, func(r *messenger.ServiceReport) int { return len(r.Entries) }) +
+		count(f.ServiceTotals, func(s *messenger.ServiceTotals) int { return len(s.Entries) }) +
+		count(f.ConfigPushes, func(p *messenger.ConfigPush) int { return len(p.Body) / 64 })
+}
+
+// count adds up the messages of a list and their entries.
+func count[T any](list []T, entries func(*T) int) int {
+	n := len(list)
+	for i := range list {
+		n += entries(&list[i])
 	}
 	return n
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -2,24 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
-	"github.com/cockroachdb/errors"
-
+	"monsoondeck.example/commander"
 	"monsoondeck.example/logger"
 )
 
-// Exit codes of Run.
-const (
-	ExitDone   = 0
-	ExitFailed = 1
-	ExitUsage  = 2
-)
-
 type options struct {
 	Engines  []string `arg:"--engine,separate" help:"engine: id=ID,model=NAME,slots=N,rate=TOKENS_PER_SECOND[,prefill=RATE][,waiting=N][,cache=TOKENS][,resume=DURATION][,loadLag=DURATION][,eventLag=DURATION][,eventGap=N][,ignoreFence=true][,listen=ADDRESS]"`
 	Services []string `arg:"--service,separate" help:"plain service: id=ID,name=NAME,slots=N[,waiting=N][,duration=DURATION][,listen=ADDRESS]"`
@@ -43,38 +32,23 @@
 }
 
 func run(ctx context.Context, args []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonemu", Streams: streams}
 	var o options
-	p, err := arg.NewParser(arg.Config{Program: "monsoonemu", Out: streams.Err}, &o)
-	if err != nil {
-		return fail(streams, ExitFailed, err)
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(streams.Out)
-		return ExitDone
-	case err != nil:
-		return fail(streams, ExitUsage, err)
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
 	}
 	settings, err := o.settings()
 	if err != nil {
-		return fail(streams, ExitUsage, err)
+		return c.Fail(commander.ExitUsage, err)
 	}
 	set, cleanup, err := New(settings)
 	if err != nil {
-		return fail(streams, ExitFailed, err)
+		return c.Fail(commander.ExitFailed, err)
 	}
 	defer cleanup()
-	e := json.NewEncoder(streams.Out)
-	for _, x := range append(set.Endpoints(), Endpoint{Kind: "ready"}) {
-		if err := e.Encode(x); err != nil {
-			return fail(streams, ExitFailed, err)
-		}
+	if code := commander.Print(c, append(set.Endpoints(), Endpoint{Kind: "ready"})); code != commander.ExitDone {
+		return code
 	}
 	<-ctx.Done()
-	return ExitDone
-}
-
-func fail(streams logger.Streams, code int, err error) int {
-	_, _ = fmt.Fprintf(streams.Err, "monsoonemu: %v\nRun monsoonemu --help for its flags.\n", err)
-	return code
+	return commander.ExitDone
 }
--- a/emulator/run_test.go
+++ b/emulator/run_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"monsoondeck.example/commander"
 	"monsoondeck.example/logger"
 )
 
@@ -47,7 +48,7 @@
 		delete(probes, e.Kind)
 	}
 	cancel()
-	if code := <-done; code != ExitDone || len(probes) != 0 {
+	if code := <-done; code != commander.ExitDone || len(probes) != 0 {
 		t.Fatalf("exit code %d, not served: %v, %s", code, probes, stderr.String())
 	}
 }
@@ -56,7 +57,7 @@
 func TestRunRejectsUnknownFields(t *testing.T) {
 	for _, flag := range []string{"id=e1,model=m,slots=2,rate=100,speed=3", "id=e1,model=m,slots=x,rate=1", "e1"} {
 		var stderr bytes.Buffer
-		if code := run(t.Context(), []string{"--engine", flag}, logger.Streams{Out: io.Discard, Err: &stderr}); code != ExitUsage {
+		if code := run(t.Context(), []string{"--engine", flag}, logger.Streams{Out: io.Discard, Err: &stderr}); code != commander.ExitUsage {
 			t.Errorf("%s: exit code %d, %s", flag, code, stderr.String())
 		}
 		if strings.Count(stderr.String(), "\n") != 2 {
