Add the gateway and the adapter of the users' platform

Cause: nothing of the product ran on the users' hosts. Not done yet: tests of the new packages, design note.

--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,242 @@
+// Package gateway assembles the daemon that runs on a platform's hosts: the
+// listeners for callers, health checks, peers and metrics around the control
+// state, and the watch on the platform's store.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"monsoondeck.example/connector"
+	"monsoondeck.example/gateway/controller"
+	"monsoondeck.example/gateway/courier"
+	"monsoondeck.example/gateway/exchanger"
+	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/queuer"
+	"monsoondeck.example/gateway/receiver"
+	"monsoondeck.example/gateway/recorder"
+	"monsoondeck.example/gateway/settings"
+	"monsoondeck.example/gateway/watcher"
+	"monsoondeck.example/limiter"
+	"monsoondeck.example/logger"
+)
+
+const (
+	// heapShare is the part of the process limit that the heap may reach before the
+	// collector works harder; stacks, buffers of the kernel and the program need the
+	// rest.
+	heapShare = 0.6
+	// collectPercent lets the heap grow less than usual between two collections: memory
+	// has a price, and the live heap is small.
+	collectPercent = 60
+	// bodyShare is the part of the process limit that bodies may take.
+	bodyShare = 0.2
+	// registryShare is the part of the drain bound between two reads of the registry,
+	// so that a failed read can be repeated within the bound.
+	registryShare = 0.4
+	// sweepInterval is the time between two looks at unused connections.
+	sweepInterval = time.Second
+	// secretBytes is the length of the secret of the fleet.
+	secretBytes = 32
+)
+
+// Options are the dependencies of a Gateway.
+type Options struct {
+	Settings settings.Settings
+	Protocol receiver.Protocol
+	Source   watcher.Source
+	Policy   placer.Policy
+	// Out gets the log.
+	Out io.Writer
+}
+
+// Gateway is one daemon.
+type Gateway struct {
+	options     Options
+	settings    settings.Settings
+	logger      *slog.Logger
+	start       time.Time
+	incarnation uint64
+
+	recorder   *recorder.Recorder
+	controller *controller.Controller
+	courier    *courier.Courier
+	exchanger  *exchanger.Exchanger
+	watcher    *watcher.Watcher
+	receiver   *receiver.Receiver
+	metrics    *metrics
+	callers    *server
+	others     []*server
+	// hub is set once the secret of the fleet is known.
+	hub atomic.Pointer[connector.Hub]
+	// stopAt is the time at which the daemon ends, by clock; 0 unless it is stopping.
+	stopAt atomic.Int64
+}
+
+// New opens the listeners and returns a Gateway and a function that closes
+// everything. Errors: settings.ErrInvalid, and those of listening.
+func New(o Options) (*Gateway, func(), error) {
+	s := o.Settings.WithDefaults()
+	if err := s.Validate(); err != nil {
+		return nil, nil, err
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+		debug.SetGCPercent(collectPercent)
+	}
+	g := &Gateway{options: o, settings: s, start: time.Now()}
+	g.incarnation = uint64(g.start.UnixMicro())
+	record, closeRecorder := recorder.New(o.Out)
+	g.recorder = record
+	g.logger = slog.New(slog.NewJSONHandler(record, nil)).With(slog.String("host", s.Host))
+	g.assemble()
+	closeServers, err := g.listen()
+	if err != nil {
+		closeRecorder()
+		return nil, nil, err
+	}
+	return g, func() { closeServers(); closeRecorder() }, nil
+}
+
+// clock returns the monotonic time since the start.
+func (g *Gateway) clock() time.Duration { return time.Since(g.start) }
+
+func (g *Gateway) assemble() {
+	s := g.settings
+	g.exchanger = exchanger.New()
+	g.controller = controller.New(controller.Options{
+		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
+		Send: g.exchanger.Send, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
+	})
+	g.courier, _ = courier.New() // unused connections end with the process
+	g.watcher = watcher.New(watcher.Options{
+		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
+		RegistryInterval: time.Duration(registryShare * float64(s.DrainBound)),
+	})
+	g.metrics = newMetrics(g)
+	g.receiver = receiver.New(receiver.Options{
+		Protocol: g.options.Protocol, Waiter: g.controller, Configs: g.controller, Carrier: g.courier,
+		Retries: newRetries(s, g.clock, g.exchanger.Peers), Gate: g,
+		Bodies:  limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyShare * float64(s.MemoryBytes))}),
+		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
+		Observe: g.metrics.observe,
+	})
+}
+
+// Left implements receiver.Gate.
+func (g *Gateway) Left() (time.Duration, bool) {
+	at := time.Duration(g.stopAt.Load())
+	return at - g.clock(), at != 0
+}
+
+// Run serves until the context ends or a stop is asked for, then stops
+// gracefully. It returns the error of a listener that fails.
+func (g *Gateway) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	logger.Emit(g.logger, logger.DaemonStarted, slog.String("dataCentre", g.settings.DataCentre), slog.Uint64("incarnation", g.incarnation),
+		slog.String("caller", g.settings.CallerAddress), slog.String("store", g.settings.StoreAddress))
+	failed := make(chan error, len(g.others)+1)
+	for _, s := range append(g.others, g.callers) {
+		go func() { failed <- s.run() }()
+	}
+	go g.controller.Run(ctx)
+	go g.watcher.WatchConfig(ctx)
+	go g.watcher.WatchRegistry(ctx)
+	go g.watchDaemons(ctx)
+	go g.sweep(ctx)
+	select {
+	case err := <-failed:
+		logger.Emit(g.logger, logger.ListenerFailed, slog.String("error", err.Error()))
+		return err
+	case <-ctx.Done():
+	case <-stop:
+		g.stop()
+	}
+	return nil
+}
+
+// watchDaemons joins the fleet and exchanges reports with the other daemons.
+func (g *Gateway) watchDaemons(ctx context.Context) {
+	if g.settings.PeerAddress == "" {
+		return
+	}
+	proposal := make([]byte, secretBytes)
+	_, _ = rand.Read(proposal) // never fails
+	g.watcher.WatchDaemons(ctx, g.self(), proposal, func(secret []byte) error {
+		hub, _, err := connector.New(connector.Options{Self: g.settings.Host, Incarnation: g.incarnation, Secret: secret, Logger: g.logger})
+		if err != nil {
+			return err
+		}
+		g.hub.Store(hub)
+		g.exchanger.Start(hub)
+		go exchanger.Run(ctx, hub, g.controller)
+		return nil
+	}, g.setDaemons)
+}
+
+func (g *Gateway) self() watcher.Daemon {
+	return watcher.Daemon{Host: g.settings.Host, DataCentre: g.settings.DataCentre, Address: g.settings.PeerAddress, Incarnation: g.incarnation}
+}
+
+func (g *Gateway) setDaemons(list []watcher.Daemon) {
+	var peers []connector.Peer
+	for _, d := range list {
+		if d.Host != g.settings.Host {
+			peers = append(peers, connector.Peer{ID: d.Host, Address: d.Address})
+		}
+	}
+	g.exchanger.SetPeers(peers)
+}
+
+// servePeer accepts connections of other daemons once the secret is known.
+func (g *Gateway) servePeer(w http.ResponseWriter, r *http.Request) {
+	hub := g.hub.Load()
+	if hub == nil {
+		http.Error(w, "the secret of the fleet is not known yet", http.StatusServiceUnavailable)
+		return
+	}
+	hub.ServeHTTP(w, r)
+}
+
+// serveReady answers the balancer's health check.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.stopAt.Load() != 0 || !g.controller.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// sweep closes connections that are unused for too long.
+func (g *Gateway) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		g.courier.Sweep(func(courier.Target) bool { return true })
+		if config, ok := g.controller.Current(); ok {
+			g.callers.closeIdle(config.Limits().IdleTimeout)
+		}
+	}
+}
+
+// Reloaded takes settings that were read again, or the error of reading them.
+// Addresses of listeners stay as they are until the next start.
+func (g *Gateway) Reloaded(s settings.Settings, err error) {
+	if err != nil {
+		logger.Emit(g.logger, logger.SettingsUnreadable, slog.String("error", err.Error()))
+		return
+	}
+	logger.Emit(g.logger, logger.SettingsReloaded, slog.String("store", s.StoreAddress))
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"monsoondeck.example/gateway/receiver"
+)
+
+// firstByteBuckets are the bounds of the histogram of the time to the first
+// byte, in seconds; objectives lie between 0.1 and 1.5 s.
+var firstByteBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .75, 1, 1.5, 3, 6}
+
+// totalBuckets are the bounds of the histogram of the whole time, in seconds.
+var totalBuckets = []float64{.01, .05, .1, .3, 1, 3, 6, 12, 30}
+
+// metrics holds the counters and histograms of a gateway.
+type metrics struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	firstByte *prometheus.HistogramVec
+	total     *prometheus.HistogramVec
+}
+
+func newMetrics(g *Gateway) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "monsoondeck_requests_total", Help: "Requests by route and outcome.",
+		}, []string{"route", "outcome"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "monsoondeck_first_byte_seconds", Help: "Time to the first byte of the answer.", Buckets: firstByteBuckets,
+		}, []string{"route"}),
+		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "monsoondeck_request_seconds", Help: "Time to the end of the answer.", Buckets: totalBuckets,
+		}, []string{"route"}),
+	}
+	m.registry.MustRegister(m.requests, m.firstByte, m.total)
+	gauges := map[string]struct {
+		help  string
+		value func() float64
+	}{
+		"monsoondeck_waiting_requests":     {"Requests that wait for a target.", func() float64 { return float64(g.controller.Stats().Waiting) }},
+		"monsoondeck_placed_requests":      {"Requests at targets.", func() float64 { return float64(g.controller.Stats().Placed) }},
+		"monsoondeck_targets":              {"Targets that may get requests.", func() float64 { return float64(g.controller.Stats().Targets) }},
+		"monsoondeck_peers":                {"Other daemons heard of recently.", func() float64 { return float64(g.controller.Stats().Peers) }},
+		"monsoondeck_share_level_tokens":   {"Service in the window up to which an account is within its share; 0 is no bound.", func() float64 { return g.controller.Stats().ShareLevel }},
+		"monsoondeck_config_version":       {"Version of the configuration in force.", g.configVersion},
+		"monsoondeck_log_records_dropped":  {"Log records that were not written.", func() float64 { return float64(g.recorder.Dropped.Load()) }},
+		"monsoondeck_target_dials":         {"Connections opened to targets.", func() float64 { return float64(g.courier.Stats.Dials.Load()) }},
+		"monsoondeck_target_dial_failures": {"Connections to targets that failed to open.", func() float64 { return float64(g.courier.Stats.DialFailures.Load()) }},
+		"monsoondeck_foreign_answers":      {"Answers of targets to other requests, dropped.", func() float64 { return float64(g.courier.Stats.Foreign.Load()) }},
+		"monsoondeck_store_calls":          {"Calls to the platform's store.", func() float64 { calls, _ := g.watcher.Calls(); return float64(calls) }},
+		"monsoondeck_store_failures":       {"Failed calls to the platform's store.", func() float64 { _, failures := g.watcher.Calls(); return float64(failures) }},
+	}
+	for name, gauge := range gauges {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: gauge.help}, gauge.value))
+	}
+	return m
+}
+
+func (g *Gateway) configVersion() float64 {
+	config, _ := g.controller.Current()
+	return float64(config.Version())
+}
+
+// observe takes the end of a request.
+func (m *metrics) observe(o receiver.Observation) {
+	m.requests.WithLabelValues(o.Route, o.Outcome).Inc()
+	if o.FirstByte > 0 {
+		m.firstByte.WithLabelValues(o.Route).Observe(o.FirstByte.Seconds())
+	}
+	m.total.WithLabelValues(o.Route).Observe(o.Total.Seconds())
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/gateway/placer/engine.go
@@ -0,0 +1,88 @@
+package placer
+
+import (
+	"math"
+	"time"
+
+	"monsoondeck.example/gateway/resolver"
+)
+
+// engine is what this daemon has learnt of one model engine.
+type engine struct {
+	settings resolver.Engine
+	// speed is the learnt number of prompt tokens read per millisecond while the
+	// engine also generates.
+	speed float64
+	// lastFirst is the time of the newest first event of an own request.
+	lastFirst time.Duration
+	// parts holds the prompt parts that own requests brought to the engine, with the
+	// time of the last use.
+	parts map[uint64]time.Duration
+}
+
+func newEngine(s resolver.Engine, speed float64) *engine {
+	return &engine{settings: s, speed: speed, parts: map[uint64]time.Duration{}}
+}
+
+// unread returns the number of tokens of the prompt that the engine does not
+// keep: all from the first part on that it does not hold. home tells that the
+// engine is the one at which all daemons place such prompts first, so that it
+// holds the shared parts also if this daemon did not send them.
+func (e *engine) unread(now time.Duration, r Request, home bool) (unread, shared float64) {
+	total, cached := 0, 0
+	holds := true
+	for i, p := range r.Parts {
+		total += p.Tokens
+		if i == len(r.Parts)-1 {
+			break
+		}
+		if holds = holds && (home || e.holds(now, p.Chain)); holds {
+			cached += p.Tokens
+		} else {
+			shared += float64(p.Tokens)
+		}
+	}
+	if total == 0 {
+		total = r.Prompt
+	}
+	return float64(total - cached), shared
+}
+
+func (e *engine) holds(now time.Duration, chain uint64) bool {
+	used, ok := e.parts[chain]
+	return ok && now-used < partAge
+}
+
+// use notes the parts that a request brings to the engine.
+func (e *engine) use(now time.Duration, r Request) {
+	if len(e.parts) > maxParts {
+		for c, used := range e.parts {
+			if now-used >= partAge {
+				delete(e.parts, c)
+			}
+		}
+		if len(e.parts) > maxParts {
+			clear(e.parts)
+		}
+	}
+	for _, p := range r.Parts {
+		e.parts[p.Chain] = now
+	}
+}
+
+// learn takes the time to a first event into account. ahead is the number of
+// tokens that the engine had to read before it.
+func (e *engine) learn(now, latency time.Duration, ahead float64) {
+	e.lastFirst = now
+	reading := latency - firstEventBase
+	if ahead < minSample || reading < minReading {
+		return
+	}
+	sample := min(max(ahead/(float64(reading)/float64(time.Millisecond)), minSpeed), maxSpeed)
+	e.speed = math.Exp((1-speedWeight)*math.Log(e.speed) + speedWeight*math.Log(sample))
+}
+
+// reading returns the expected time to read the tokens.
+func (e *engine) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / e.speed * float64(time.Millisecond))
+}
--- /dev/null
+++ b/gateway/placer/placer.go
@@ -0,0 +1,324 @@
+// Package placer chooses the target of each request: by the prompt parts that
+// engines keep, by the work that waits there, by data centre and by health. It
+// counts the requests of this daemon and takes those of others from their
+// reports. It is pure.
+package placer
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/resolver"
+)
+
+// Fleet is the set of targets as one daemon sees it.
+type Fleet struct {
+	settings Settings
+	targets  map[string]*target
+	// services holds the targets of each service, sorted by ID.
+	services map[string][]*target
+	engines  map[string]resolver.Engine
+	// prior is the speed of an engine before anything is learnt.
+	prior float64
+	// placed holds the target of each own request.
+	placed map[uint64]*target
+}
+
+// Settings configures a Fleet.
+type Settings struct {
+	// DataCentre is that of this daemon.
+	DataCentre string
+	// Policy is how targets are chosen.
+	Policy Policy
+}
+
+// Policy is how targets are chosen.
+type Policy string
+
+// Policies.
+const (
+	// Expected chooses the target with the shortest expected time to the first event,
+	// counting what prompt parts it keeps.
+	Expected Policy = "expected"
+	// Fewest chooses the target with the fewest requests; a baseline for measurements.
+	Fewest Policy = "fewest"
+)
+
+// New returns a Fleet without targets.
+func New(s Settings) *Fleet {
+	return &Fleet{
+		settings: s, targets: map[string]*target{}, services: map[string][]*target{},
+		engines: map[string]resolver.Engine{}, prior: defaultSpeed, placed: map[uint64]*target{},
+	}
+}
+
+// SetConfig takes the services of a configuration.
+func (f *Fleet) SetConfig(c resolver.Config) {
+	f.engines = map[string]resolver.Engine{}
+	for _, s := range c.Services() {
+		if s.Engine != nil {
+			f.engines[s.Name] = *s.Engine
+		}
+	}
+	engines := 0
+	for _, t := range f.targets {
+		f.equip(t)
+		if t.engine != nil {
+			engines++
+		}
+	}
+	if rate := c.Limits().TokensPerSecond; rate > 0 && engines > 0 {
+		f.prior = max(rate/1000/float64(engines), minSpeed)
+	}
+}
+
+// SetTargets replaces the usable targets. What is known of targets that stay is
+// kept; a new incarnation starts afresh.
+func (f *Fleet) SetTargets(entries []registrar.Entry) {
+	next := make(map[string]*target, len(entries))
+	f.services = map[string][]*target{}
+	for _, e := range entries {
+		t := f.targets[e.ID]
+		if t == nil || t.entry.Incarnation != e.Incarnation || t.entry.Address != e.Address || t.entry.Service != e.Service {
+			t = &target{running: map[uint64]*run{}, peers: map[string]peerLoad{}}
+		}
+		t.entry = e
+		f.equip(t)
+		next[e.ID] = t
+		f.services[e.Service] = append(f.services[e.Service], t)
+	}
+	f.targets = next
+	for _, ts := range f.services {
+		slices.SortFunc(ts, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+	}
+}
+
+// equip gives a target of a service with engines the state of an engine.
+func (f *Fleet) equip(t *target) {
+	s, ok := f.engines[t.entry.Service]
+	switch {
+	case !ok:
+		t.engine = nil
+	case t.engine == nil:
+		t.engine = newEngine(s, f.prior)
+	default:
+		t.engine.settings = s
+	}
+}
+
+// Targets returns the number of targets of a service.
+func (f *Fleet) Targets(service string) int { return len(f.services[service]) }
+
+// Choose returns the best target for a request that should be answered within
+// the allowance; false if the service has no target that may get it.
+func (f *Fleet) Choose(now time.Duration, r Request, allowance time.Duration) (Choice, bool) {
+	home := f.home(r)
+	var best, fitting Choice
+	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
+	for _, t := range f.services[r.Service] {
+		if !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID) {
+			continue
+		}
+		c, score := f.assess(now, t, r, allowance, home)
+		if bestScore < 0 || score < bestScore {
+			best, bestScore = c, score
+		}
+		if c.Fits && (fittingScore < 0 || score < fittingScore) {
+			fitting, fittingScore = c, score
+		}
+	}
+	if fittingScore >= 0 {
+		return fitting, true
+	}
+	return best, bestScore >= 0
+}
+
+// home returns the target that all daemons choose first for the prompt.
+func (f *Fleet) home(r Request) *target {
+	affinity := r.affinity()
+	if affinity == 0 {
+		return nil
+	}
+	var home *target
+	highest := uint64(0)
+	for _, t := range f.services[r.Service] {
+		if h := rank(affinity, t.entry.ID); home == nil || h > highest {
+			home, highest = t, h
+		}
+	}
+	return home
+}
+
+// assess returns the choice of one target and its score: the expected time to
+// the first event plus penalties; the smallest is the best.
+func (f *Fleet) assess(now time.Duration, t *target, r Request, allowance time.Duration, home *target) (Choice, time.Duration) {
+	load := t.total(now)
+	c := Choice{Target: t.entry}
+	if t.engine == nil {
+		f.assessService(&c, t, load, allowance)
+	} else {
+		f.assessEngine(now, &c, t, load, r, allowance, t == home)
+	}
+	score := c.Expected + time.Duration(t.health.errors*float64(errorPenalty))
+	if f.settings.Policy == Fewest {
+		return c, time.Duration(load.Running)
+	}
+	if t.entry.DataCentre != f.settings.DataCentre {
+		score += remotePenalty
+	}
+	if t.engine != nil && t != home {
+		_, shared := t.engine.unread(now, r, false)
+		score += time.Duration(shared * float64(rereadPenalty))
+		score += time.Duration(float64(rankPenalty) * (1 - float64(rank(r.affinity(), t.entry.ID))/(1<<64)))
+	}
+	if t.stalled() {
+		score += stallPenalty
+	}
+	if now < t.fullUntil {
+		score += fullPenalty
+		c.Fits = false
+	}
+	return c, score
+}
+
+func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, allowance time.Duration, home bool) {
+	e := t.engine
+	c.unread, _ = e.unread(now, r, home)
+	c.ahead = load.Unread + c.unread
+	c.Expected = firstEventBase + e.reading(c.ahead)
+	slots := max(e.settings.Slots, t.entry.Slots, 1)
+	memory := float64(e.settings.MemoryTokens) * memoryShare
+	// A prompt that takes longer than the allowance by itself still gets a target
+	// that has nothing else to read.
+	idle := e.reading(load.Unread) <= idleReading
+	c.Fits = (c.Expected <= allowance || idle) && load.Running < slots &&
+		(memory == 0 || load.Running == 0 || load.Memory+r.memory() <= memory)
+}
+
+func (f *Fleet) assessService(c *Choice, t *target, load Load, allowance time.Duration) {
+	slots := max(t.entry.Slots, 1)
+	turns := 1 + float64(load.Running)/float64(slots)
+	c.Expected = time.Duration(turns * float64(max(t.latency, minLatency)))
+	c.Fits = load.Running < slots || load.Running < slots*maxServiceTurns && c.Expected <= allowance
+}
+
+// Start notes that the request is sent to the chosen target.
+func (f *Fleet) Start(now time.Duration, r Request, c Choice) {
+	t := f.targets[c.Target.ID]
+	if t == nil {
+		return
+	}
+	t.health.begin(now)
+	t.running[r.ID] = &run{request: r, started: now, unread: c.unread, ahead: c.ahead}
+	f.placed[r.ID] = t
+	if t.engine != nil {
+		t.engine.use(now, r)
+	}
+}
+
+// FirstEvent notes that the answer to a request began.
+func (f *Fleet) FirstEvent(now time.Duration, id uint64) {
+	t := f.placed[id]
+	if t == nil {
+		return
+	}
+	if r := t.running[id]; r != nil && !r.answered {
+		r.answered, r.stalled = true, false
+		if t.engine != nil {
+			t.engine.learn(now, now-r.started, r.ahead)
+		}
+	}
+	t.health.succeed()
+}
+
+// Stall notes whether a request has waited longer than expected for its target.
+func (f *Fleet) Stall(id uint64, stalled bool) {
+	if t := f.placed[id]; t != nil {
+		if r := t.running[id]; r != nil {
+			r.stalled = stalled
+		}
+	}
+}
+
+// Result is how a request at a target ended.
+type Result int
+
+// Results.
+const (
+	// Complete answers are whole, whatever their status.
+	Complete Result = iota
+	// Refused requests did not run because the target is full.
+	Refused
+	// Unreachable targets did not get the request, or are no longer there.
+	Unreachable
+	// Failed requests may have run and got no whole answer.
+	Failed
+	// Cancelled requests were given up by the caller.
+	Cancelled
+)
+
+// End notes the end of a request at its target.
+func (f *Fleet) End(now time.Duration, id uint64, result Result) {
+	t := f.placed[id]
+	if t == nil {
+		return
+	}
+	delete(f.placed, id)
+	r := t.running[id]
+	delete(t.running, id)
+	switch result {
+	case Complete:
+		t.health.succeed()
+		if t.engine == nil && r != nil {
+			t.observe(now - r.started)
+		}
+	case Refused:
+		t.fullUntil = now + fullTime
+	case Unreachable:
+		t.health.fail(now, true)
+	case Failed:
+		t.health.fail(now, false)
+	case Cancelled:
+	}
+}
+
+// SetPeer takes the loads that another daemon reports. Targets that are not
+// listed are unchanged.
+func (f *Fleet) SetPeer(now time.Duration, peer string, loads []Load, all bool) {
+	if all {
+		for _, t := range f.targets {
+			delete(t.peers, peer)
+		}
+	}
+	for _, l := range loads {
+		if t := f.targets[l.Target]; t != nil {
+			t.peers[peer] = peerLoad{load: l, time: now}
+		}
+	}
+}
+
+// RemovePeer forgets the loads of another daemon.
+func (f *Fleet) RemovePeer(peer string) {
+	for _, t := range f.targets {
+		delete(t.peers, peer)
+	}
+}
+
+// Loads returns the work of this daemon at the targets where it changed since
+// the last call, or at all targets with work.
+func (f *Fleet) Loads(now time.Duration, all bool) []Load {
+	var loads []Load
+	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
+		t := f.targets[id]
+		l := t.own()
+		l.Unread = max(l.Unread-t.progress(now), 0)
+		if l != t.reported || all && l.Running > 0 {
+			t.reported = l
+			loads = append(loads, l)
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/gateway/placer/request.go
@@ -0,0 +1,87 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoondeck.example/gateway/registrar"
+)
+
+// Part is one part of a prompt. Requests share leading parts.
+type Part struct {
+	// Chain identifies the part together with all parts before it, since an engine
+	// can use a kept part only if it keeps those before it too.
+	Chain  uint64
+	Tokens int
+}
+
+// Chain returns the parts of a prompt with the given identities and numbers of
+// tokens. Parts of different models are different.
+func Chain(model string, identities []string, tokens []int) []Part {
+	if len(identities) == 0 {
+		return nil
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(model) // a hash does not fail
+	parts := make([]Part, len(identities))
+	for i, id := range identities {
+		_, _ = h.WriteString("\x00")
+		_, _ = h.WriteString(id)
+		parts[i] = Part{Chain: h.Sum64(), Tokens: tokens[i]}
+	}
+	return parts
+}
+
+// Request is what the place of a request depends on.
+type Request struct {
+	// ID is unique in this daemon.
+	ID      uint64
+	Service string
+	// Prompt is the number of tokens of the prompt, Output the expected number of
+	// generated tokens.
+	Prompt, Output int
+	// Parts are the parts of the prompt in order; the last one is the request's own.
+	Parts []Part
+	// Excluded targets have failed or refused the request.
+	Excluded []string
+}
+
+// memory returns the number of tokens that the request needs in an engine.
+func (r Request) memory() float64 { return float64(r.Prompt + r.Output) }
+
+// Cost returns the service that the request takes: a token read counts once and
+// one generated twice.
+func (r Request) Cost() float64 { return float64(r.Prompt + 2*r.Output) }
+
+// affinity returns the identity of the shared leading parts; 0 if there are none.
+func (r Request) affinity() uint64 {
+	if len(r.Parts) < 2 {
+		return 0
+	}
+	return r.Parts[len(r.Parts)-2].Chain
+}
+
+// Choice is a place for a request.
+type Choice struct {
+	Target registrar.Entry
+	// Expected is the expected time to the first event.
+	Expected time.Duration
+	// Fits reports whether the target can answer within the allowance and has room.
+	Fits bool
+
+	unread, ahead float64
+}
+
+// rank orders the targets for an identity by rendezvous hashing; all daemons
+// agree on the order without messages, and the loss of a target moves only the
+// identities that it had.
+func rank(affinity uint64, target string) uint64 {
+	x := affinity ^ xxhash.Sum64String(target)
+	// The finalizer of splitmix64 spreads the bits.
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/gateway/receiver/splitter.go
@@ -0,0 +1,59 @@
+package receiver
+
+import "bytes"
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// splitter cuts the bytes of a stream into whole events.
+type splitter struct {
+	pending []byte
+	// lastID is the id of the last whole event that had one.
+	lastID string
+}
+
+// add takes bytes and returns the whole events that are complete with them. The
+// result is valid until the next call. It reports whether an event is too long.
+func (s *splitter) add(p []byte) (events []byte, tooLong bool) {
+	if len(s.pending) > 0 {
+		s.pending = append(s.pending, p...)
+		p = s.pending
+	}
+	end := lastEventEnd(p)
+	if len(p)-end > maxEventBytes {
+		return nil, true
+	}
+	events = p[:end]
+	if id, ok := lastID(events); ok {
+		s.lastID = id
+	}
+	// events may share memory with pending, so the rest is copied elsewhere.
+	s.pending = append([]byte(nil), p[end:]...)
+	return events, false
+}
+
+// rest returns the bytes after the last whole event.
+func (s *splitter) rest() []byte { return s.pending }
+
+// lastEventEnd returns the length of the whole events in p.
+func lastEventEnd(p []byte) int {
+	end := 0
+	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.LastIndex(p, []byte(separator)); i >= 0 {
+			end = max(end, i+len(separator))
+		}
+	}
+	return end
+}
+
+// lastID returns the value of the last id field of the events.
+func lastID(events []byte) (string, bool) {
+	for len(events) > 0 {
+		i := bytes.LastIndexByte(events[:len(events)-1], '\n') + 1
+		if value, ok := bytes.CutPrefix(events[i:], []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+		events = events[:i]
+	}
+	return "", false
+}
--- /dev/null
+++ b/gateway/watcher/watcher.go
@@ -0,0 +1,281 @@
+// Package watcher follows what the platform's store holds: the configuration,
+// the registry of targets and the list of daemons. It survives outages of the
+// store and calls it rarely, because calls have a price.
+package watcher
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/resolver"
+	"monsoondeck.example/logger"
+)
+
+// ErrHistoryLost reports that the changes since a revision are no longer known;
+// the whole is to be read again.
+var ErrHistoryLost = errors.New("the history of changes is lost")
+
+// Daemon is the entry of a daemon in the list of daemons.
+type Daemon struct {
+	Host, DataCentre string
+	// Address is that of the listener for peers.
+	Address string
+	// Incarnation grows with each start.
+	Incarnation uint64
+}
+
+// Source reads the store.
+type Source interface {
+	// Config returns the configuration and the revision of the read; the
+	// configuration is nil before the first one.
+	Config(ctx context.Context) (*resolver.Config, uint64, error)
+	// ConfigAfter waits for a configuration that is newer than the revision; it is
+	// nil if there was none in time. Errors: ErrHistoryLost.
+	ConfigAfter(ctx context.Context, revision uint64, wait time.Duration) (*resolver.Config, uint64, error)
+	// Registry returns the readable entries of all targets and the keys of the others.
+	Registry(ctx context.Context) (entries []registrar.Entry, unreadable []string, revision uint64, err error)
+	// Daemons returns the list of daemons.
+	Daemons(ctx context.Context) ([]Daemon, uint64, error)
+	// DaemonsAfter waits until the list has changed since the revision and reports
+	// whether it has. Errors: ErrHistoryLost.
+	DaemonsAfter(ctx context.Context, revision uint64, wait time.Duration) (bool, uint64, error)
+	// Join enters the daemon into the list and returns the secret that all daemons
+	// share; the first one to ask stores the proposal.
+	Join(ctx context.Context, self Daemon, proposal []byte) (secret []byte, err error)
+	// Leave removes the entry of this incarnation.
+	Leave(ctx context.Context, self Daemon) error
+}
+
+// Sink takes what the store holds.
+type Sink interface {
+	SetConfig(c resolver.Config)
+	SetRegistry(revision uint64, entries []registrar.Entry)
+	RegistryFailed()
+}
+
+const (
+	// callTimeout bounds a read; a slow store answers in some 300 ms.
+	callTimeout = time.Second
+	// configWait is how long the store holds a call until the configuration changes. A
+	// connection that went silent is noticed by keep-alive probes before that.
+	configWait = 8 * time.Second
+	// daemonsWait is the same for the list of daemons, which changes rarely.
+	daemonsWait = 25 * time.Second
+	// waitSlack is added to the time that the store holds a call.
+	waitSlack = 1500 * time.Millisecond
+	// minRetry and maxRetry bound the time between calls that fail.
+	minRetry = 150 * time.Millisecond
+	maxRetry = time.Second
+)
+
+// Options are the dependencies of a Watcher.
+type Options struct {
+	Source Source
+	Sink   Sink
+	// RegistryInterval is the time between two reads of the registry.
+	RegistryInterval time.Duration
+	Logger           *slog.Logger
+}
+
+// Watcher follows the store.
+type Watcher struct {
+	options Options
+	// failures counts failed calls.
+	failures atomic.Int64
+	calls    atomic.Int64
+}
+
+// New returns a Watcher.
+func New(o Options) *Watcher { return &Watcher{options: o} }
+
+// Calls returns the numbers of calls and of failed calls.
+func (w *Watcher) Calls() (calls, failures int64) { return w.calls.Load(), w.failures.Load() }
+
+// WatchConfig follows the configuration until the context ends.
+func (w *Watcher) WatchConfig(ctx context.Context) {
+	known, revision := false, uint64(0)
+	l := w.loop("configuration")
+	for ctx.Err() == nil {
+		var config *resolver.Config
+		var err error
+		if known {
+			config, revision, err = w.configAfter(ctx, revision)
+		} else {
+			config, revision, err = w.config(ctx)
+		}
+		if err != nil {
+			known = known && !errors.Is(err, ErrHistoryLost)
+			l.failed(ctx, err)
+			continue
+		}
+		l.succeeded()
+		if config != nil {
+			w.options.Sink.SetConfig(*config)
+		} else if !known {
+			pause(ctx, minRetry) // the first configuration is not written yet
+			continue
+		}
+		known = true
+	}
+}
+
+func (w *Watcher) config(ctx context.Context) (*resolver.Config, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	w.calls.Add(1)
+	return w.options.Source.Config(ctx)
+}
+
+func (w *Watcher) configAfter(ctx context.Context, revision uint64) (*resolver.Config, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, configWait+waitSlack)
+	defer cancel()
+	w.calls.Add(1)
+	config, next, err := w.options.Source.ConfigAfter(ctx, revision, configWait)
+	if err != nil {
+		return nil, revision, err
+	}
+	return config, next, nil
+}
+
+// WatchRegistry reads the registry again and again until the context ends.
+func (w *Watcher) WatchRegistry(ctx context.Context) {
+	l := w.loop("registry")
+	unreadable := map[string]bool{}
+	for ctx.Err() == nil {
+		entries, bad, revision, err := w.registry(ctx)
+		if err != nil {
+			w.options.Sink.RegistryFailed()
+			l.failed(ctx, err)
+			continue
+		}
+		l.succeeded()
+		for _, key := range bad {
+			if !unreadable[key] {
+				unreadable[key] = true
+				logger.Emit(w.options.Logger, logger.EntryUnreadable, slog.String("key", key), slog.Uint64("revision", revision))
+			}
+		}
+		w.options.Sink.SetRegistry(revision, entries)
+		pause(ctx, w.options.RegistryInterval)
+	}
+}
+
+func (w *Watcher) registry(ctx context.Context) ([]registrar.Entry, []string, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	w.calls.Add(1)
+	return w.options.Source.Registry(ctx)
+}
+
+// WatchDaemons enters the daemon into the list, calls joined with the secret of
+// the fleet, and then changed with each list, until the context ends.
+func (w *Watcher) WatchDaemons(ctx context.Context, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon)) {
+	l := w.loop("daemons")
+	for ctx.Err() == nil {
+		secret, err := w.join(ctx, self, proposal)
+		if err == nil {
+			err = joined(secret)
+		}
+		if err == nil {
+			break
+		}
+		l.failed(ctx, err)
+	}
+	known, revision := false, uint64(0)
+	for ctx.Err() == nil {
+		moved, next, err := true, revision, error(nil)
+		if known {
+			moved, next, err = w.daemonsAfter(ctx, revision)
+		}
+		var list []Daemon
+		if err == nil && moved {
+			list, next, err = w.daemons(ctx)
+		}
+		if err != nil {
+			known = false
+			l.failed(ctx, err)
+			continue
+		}
+		l.succeeded()
+		known, revision = true, next
+		if moved {
+			changed(list)
+		}
+	}
+}
+
+func (w *Watcher) join(ctx context.Context, self Daemon, proposal []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	w.calls.Add(1)
+	return w.options.Source.Join(ctx, self, proposal)
+}
+
+func (w *Watcher) daemons(ctx context.Context) ([]Daemon, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	w.calls.Add(1)
+	return w.options.Source.Daemons(ctx)
+}
+
+func (w *Watcher) daemonsAfter(ctx context.Context, revision uint64) (bool, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, daemonsWait+waitSlack)
+	defer cancel()
+	w.calls.Add(1)
+	return w.options.Source.DaemonsAfter(ctx, revision, daemonsWait)
+}
+
+// loop is the state of one sequence of calls.
+type loop struct {
+	watcher *Watcher
+	name    string
+	// lost is the time of the first failed call in a row.
+	lost  time.Time
+	retry time.Duration
+}
+
+func (w *Watcher) loop(name string) *loop { return &loop{watcher: w, name: name} }
+
+// failed records a failed call and waits before the next one.
+func (l *loop) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	l.watcher.failures.Add(1)
+	if l.lost.IsZero() {
+		l.lost = time.Now()
+		logger.Emit(l.watcher.options.Logger, logger.PlatformUnavailable, slog.String("what", l.name), slog.String("error", err.Error()))
+	}
+	l.retry = min(max(2*l.retry, minRetry), maxRetry)
+	if errors.Is(err, ErrHistoryLost) {
+		l.retry = minRetry
+	}
+	pause(ctx, jitter(l.retry))
+}
+
+func (l *loop) succeeded() {
+	if !l.lost.IsZero() {
+		logger.Emit(l.watcher.options.Logger, logger.PlatformAvailable, slog.String("what", l.name), slog.Duration("lost", time.Since(l.lost)))
+	}
+	l.lost, l.retry = time.Time{}, 0
+}
+
+// jitter varies a time by up to a quarter, so that daemons do not call together.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -30,6 +30,10 @@
 	ConfigLoadFailed   = Event{203, slog.LevelWarn, "configuration could not be loaded from the platform", "Check the table service; peers are asked as well."}
 	TargetLeaving      = Event{204, slog.LevelInfo, "target is leaving", ""}
 	SnapshotUnreadable = Event{205, slog.LevelWarn, "configuration snapshot is unreadable", "None; an older snapshot is used. Check the object store if it repeats."}
+	TargetJoined       = Event{206, slog.LevelInfo, "target joined", ""}
+	EntryUnreadable    = Event{207, slog.LevelWarn, "registry entry is unreadable and names no target", "Find the writer of the entry; the others are used."}
+	SettingsReloaded   = Event{208, slog.LevelInfo, "settings file was read again", ""}
+	SettingsUnreadable = Event{209, slog.LevelWarn, "settings file could not be read", "Check the file; the settings read before stay in force."}
 
 	MemberJoined     = Event{301, slog.LevelInfo, "member joined", ""}
 	MemberLeft       = Event{302, slog.LevelInfo, "member left", "If the host should be up, look at its own log."}
@@ -46,6 +50,14 @@
 	AnswerMismatched = Event{502, slog.LevelError, "answer for another request dropped", "Check the target's software; it answers with a wrong request id."}
 	StreamBroken     = Event{503, slog.LevelWarn, "stream broke before its end", ""}
 
+	RequestPlaced    = Event{511, slog.LevelInfo, "request placed at a target", ""}
+	RequestRejected  = Event{512, slog.LevelInfo, "request rejected by this daemon", "The code, the time waited and the expected time say why."}
+	RequestEnded     = Event{513, slog.LevelInfo, "request ended", ""}
+	RequestAbandoned = Event{514, slog.LevelInfo, "caller left before its request was read", ""}
+	AttemptFailed    = Event{515, slog.LevelWarn, "attempt at a target failed", "Look for other attempts at the same target; sent tells whether it may have run."}
+	AttemptRefused   = Event{516, slog.LevelInfo, "target refused a request without running it", ""}
+	RecordsDropped   = Event{517, slog.LevelWarn, "records of requests were dropped to bound the log", "Sum the metrics instead; the rate of records is bounded."}
+
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
 )
@@ -55,9 +67,11 @@
 	return []Event{
 		DaemonStarted, DaemonReady, DaemonStopping, DaemonStopped, DaemonAborted, ListenerFailed,
 		ConfigApplied, ConfigRejected, ConfigLoadFailed, TargetLeaving, SnapshotUnreadable,
+		TargetJoined, EntryUnreadable, SettingsReloaded, SettingsUnreadable,
 		MemberJoined, MemberLeft, PeerConnected, PeerDisconnected, PeerRejected,
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, AnswerMismatched, StreamBroken,
+		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped,
 		PlatformUnavailable, PlatformAvailable,
 	}
 }
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -2,6 +2,19 @@
 
 package messenger
 
+// AccountService is the service of one client account at the sender, cumulative
+// since its start, in tokens: one read counts once, one generated twice.
+type AccountService struct {
+	// Client account.
+	Account string `json:"account" cbor:"1,keyasint,omitempty"`
+
+	// Service of all requests that arrived.
+	Asked uint64 `json:"asked" cbor:"2,keyasint,omitempty"`
+
+	// Service of the requests that were sent to targets.
+	Served uint64 `json:"served" cbor:"3,keyasint,omitempty"`
+}
+
 // ConfigPush carries one configuration delta or snapshot.
 type ConfigPush struct {
 	// Version the delta applies to; 0 marks a snapshot.
@@ -104,6 +117,10 @@
 
 	// Protocol version.
 	Version uint64 `json:"version" cbor:"1,keyasint,omitempty"`
+
+	// Work of the sender at targets, and service that its client accounts asked for
+	// and got.
+	WorkReports []WorkReport `json:"workReports,omitempty,omitzero" cbor:"17,keyasint,omitempty"`
 }
 
 // Grant permits the receiver to send one request of a client account to a target.
@@ -332,6 +349,21 @@
 	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
 
+// TargetWork is the work of the sender at one target.
+type TargetWork struct {
+	// Tokens that the requests need in the engine's memory.
+	Memory uint64 `json:"memory" cbor:"4,keyasint,omitempty"`
+
+	// Requests.
+	Running uint64 `json:"running" cbor:"3,keyasint,omitempty"`
+
+	// Target.
+	Target string `json:"target" cbor:"1,keyasint,omitempty"`
+
+	// Prompt tokens of requests whose answers have not begun.
+	Unread uint64 `json:"unread" cbor:"2,keyasint,omitempty"`
+}
+
 // TotalEntry is the fleet total of one client account.
 type TotalEntry struct {
 	// Client account.
@@ -343,3 +375,16 @@
 	// Units received in the fleet.
 	Total float64 `json:"total" cbor:"2,keyasint,omitempty"`
 }
+
+// WorkReport replaces what the sender reported before of the listed targets and
+// client accounts.
+type WorkReport struct {
+	// Client accounts whose service changed.
+	Accounts []AccountService `json:"accounts,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
+
+	// Targets whose work changed.
+	Targets []TargetWork `json:"targets,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
+
+	// Targets that are not listed have no work of the sender.
+	Whole bool `json:"whole" cbor:"1,keyasint,omitempty"`
+}
