Bound the work at an engine by the pace of its streams

The time to the first event was kept, but an engine that always has prompts to read generates one token per chunk, so a stream of 55 events took more than 12 s. 3.7 M tokens of shared prompt parts were read again, because full engines passed prompts on to others. Ruled out: memory (no preemption), slow hosts (0.03 cores). Change: daemons measure the mean pause between events per engine and give it no prompt beyond the pause at which streams end in time; an engine that does not keep the shared parts takes a prompt only with room to spare. While stopping, a request is accepted only if the longest recent answers of its route would end in time.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -256,6 +256,11 @@
 // FirstEvent implements receiver.Permit.
 func (p *permit) FirstEvent() { p.controller.events <- firstEvent{p} }
 
+// Progress implements receiver.Permit.
+func (p *permit) Progress(events int, elapsed time.Duration) {
+	p.controller.events <- progressEvent{p, events, elapsed}
+}
+
 // Stall implements receiver.Permit.
 func (p *permit) Stall(stalled bool) { p.controller.events <- stallEvent{p, stalled} }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -46,6 +46,17 @@
 	c.fleet.FirstEvent(now, e.permit.demand.Request.ID)
 }
 
+// progressEvent notes events of a stream.
+type progressEvent struct {
+	permit  *permit
+	events  int
+	elapsed time.Duration
+}
+
+func (e progressEvent) apply(c *Controller, now time.Duration) {
+	c.fleet.Progress(now, e.permit.demand.Request.ID, e.events, e.elapsed)
+}
+
 // stallEvent notes that a target is silent, or no longer so.
 type stallEvent struct {
 	permit  *permit
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -63,7 +63,22 @@
 	// rereadPenalty is added for each shared prompt token that an engine would read
 	// although another one keeps it. It is several times the reading time, because
 	// the reading delays all requests there and evicts other parts.
-	rereadPenalty = 50 * time.Microsecond
+	rereadPenalty = 200 * time.Microsecond
+	// spillShare is the part of the allowance, and of the limit of the pace, that an
+	// engine may need to take a prompt whose shared parts it does not keep: in a fleet
+	// that is busy everywhere, reading parts again costs more than it gains.
+	spillShare = 0.4
+	// spillTokens is the number of shared tokens up to which reading them again does
+	// not matter.
+	spillTokens = 256
+
+	// paceWindow is the time constant of the mean pause between events: some events
+	// long, and short beside the duration of a stream.
+	paceWindow = 400 * time.Millisecond
+	// minPaceEvents is the number of recent events below which the pause is not known.
+	minPaceEvents = 2
+	// paceWeight is the weight of the newest request in the limit of the pause.
+	paceWeight = 0.05
 	// rankPenalty makes the daemons agree on the next engines for a prompt when the
 	// first one is full.
 	rankPenalty = 30 * time.Millisecond
--- a/gateway/placer/engine.go
+++ b/gateway/placer/engine.go
@@ -18,6 +18,7 @@
 	// parts holds the prompt parts that own requests brought to the engine, with the
 	// time of the last use.
 	parts map[uint64]time.Duration
+	pace  pace
 }
 
 func newEngine(s resolver.Engine, speed float64) *engine {
--- /dev/null
+++ b/gateway/placer/pace.go
@@ -0,0 +1,39 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+// pace is the mean pause between the events of own streams at one engine. An
+// engine that always has prompts to read still answers soon, but generates one
+// token for each chunk of a prompt, so that streams do not end in time. The
+// pause shows this before any stream has failed.
+type pace struct {
+	// events and elapsed are sums that decay with paceWindow.
+	events, elapsed float64
+	updated         time.Duration
+}
+
+// add notes events that arrived within the elapsed time.
+func (p *pace) add(now time.Duration, events int, elapsed time.Duration) {
+	p.decay(now)
+	p.events += float64(events)
+	p.elapsed += float64(elapsed)
+}
+
+func (p *pace) decay(now time.Duration) {
+	factor := math.Exp(-float64(now-p.updated) / float64(paceWindow))
+	p.events *= factor
+	p.elapsed *= factor
+	p.updated = now
+}
+
+// mean returns the mean pause; 0 if too few events arrived lately.
+func (p *pace) mean(now time.Duration) time.Duration {
+	p.decay(now)
+	if p.events < minPaceEvents {
+		return 0
+	}
+	return time.Duration(p.elapsed / p.events)
+}
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -21,6 +21,8 @@
 	// services holds the targets of each service, sorted by ID.
 	services map[string][]*target
 	engines  map[string]resolver.Engine
+	// paces holds the mean limit of the pause between events of each service.
+	paces map[string]time.Duration
 	// prior is the speed of an engine before anything is learnt.
 	prior float64
 	// placed holds the target of each own request.
@@ -51,7 +53,7 @@
 func New(s Settings) *Fleet {
 	return &Fleet{
 		settings: s, targets: map[string]*target{}, services: map[string][]*target{},
-		engines: map[string]resolver.Engine{}, prior: defaultSpeed, placed: map[uint64]*target{},
+		engines: map[string]resolver.Engine{}, paces: map[string]time.Duration{}, prior: defaultSpeed, placed: map[uint64]*target{},
 	}
 }
 
@@ -179,7 +181,7 @@
 	}
 	if now < t.fullUntil {
 		score += fullPenalty
-		c.Fits = false
+		c.Fits, c.Full = false, true
 	}
 	return c, score
 }
@@ -191,11 +193,26 @@
 	c.Expected = firstEventBase + e.reading(c.ahead)
 	slots := max(e.settings.Slots, t.entry.Slots, 1)
 	memory := float64(e.settings.MemoryTokens) * memoryShare
+	limit, share := f.paceLimit(r), 1.0
+	if _, shared := e.unread(now, r, false); shared > spillTokens && !home {
+		share = spillShare
+	}
+	c.Full = load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
+		limit > 0 && float64(e.pace.mean(now)) > share*float64(limit)
 	// A prompt that takes longer than the allowance by itself still gets a target
 	// that has nothing else to read.
 	idle := e.reading(load.Unread) <= idleReading
-	c.Fits = (c.Expected <= allowance || idle) && load.Running < slots &&
-		(memory == 0 || load.Running == 0 || load.Memory+r.memory() <= memory)
+	c.Fits = !c.Full && (idle || float64(c.Expected) <= share*float64(allowance))
+}
+
+// paceLimit returns the longest mean pause between events that an engine may
+// have to get the request: a short answer must not slow down the long ones.
+func (f *Fleet) paceLimit(r Request) time.Duration {
+	limit := f.paces[r.Service]
+	if r.Pace > 0 && (limit == 0 || r.Pace < limit) {
+		limit = r.Pace
+	}
+	return limit
 }
 
 func (f *Fleet) assessService(c *Choice, t *target, load Load, allowance time.Duration) {
@@ -214,6 +231,13 @@
 	t.health.begin(now)
 	t.running[r.ID] = &run{request: r, started: now, unread: c.unread, ahead: c.ahead}
 	f.placed[r.ID] = t
+	if r.Pace > 0 {
+		if old := f.paces[r.Service]; old > 0 {
+			f.paces[r.Service] = old + time.Duration(paceWeight*float64(r.Pace-old))
+		} else {
+			f.paces[r.Service] = r.Pace
+		}
+	}
 	if t.engine != nil {
 		t.engine.use(now, r)
 	}
@@ -234,6 +258,13 @@
 	t.health.succeed()
 }
 
+// Progress notes events of a stream that arrived within the elapsed time.
+func (f *Fleet) Progress(now time.Duration, id uint64, events int, elapsed time.Duration) {
+	if t := f.placed[id]; t != nil && t.engine != nil {
+		t.engine.pace.add(now, events, elapsed)
+	}
+}
+
 // Stall notes whether a request has waited longer than expected for its target.
 func (f *Fleet) Stall(id uint64, stalled bool) {
 	if t := f.placed[id]; t != nil {
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -43,6 +43,9 @@
 	Prompt, Output int
 	// Parts are the parts of the prompt in order; the last one is the request's own.
 	Parts []Part
+	// Pace is the longest mean pause between events with which the answer is whole in
+	// time; 0 sets no limit.
+	Pace time.Duration
 	// Excluded targets have failed or refused the request.
 	Excluded []string
 }
@@ -69,6 +72,8 @@
 	Expected time.Duration
 	// Fits reports whether the target can answer within the allowance and has room.
 	Fits bool
+	// Full is set if the target has no slot or memory, or its streams are too slow.
+	Full bool
 
 	unread, ahead float64
 }
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -182,7 +182,7 @@
 		return Decision{}, false
 	}
 	late := time.Duration(q.settings.LateDepth * float64(w.Objective))
-	if found && !w.over && choice.Expected <= late {
+	if found && !w.over && !choice.Full && choice.Expected <= late {
 		return q.send(now, w, choice), true
 	}
 	return q.refuse(now, w, choice, found), true
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -110,7 +110,7 @@
 					first = false
 					permit.FirstEvent()
 				}
-				watch.event()
+				watch.event(events.count)
 				if !j.writeEvents(ready, events.lastID) {
 					permit.End(placer.Cancelled)
 					return broken
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -89,6 +89,8 @@
 	Decision() queuer.Decision
 	// FirstEvent is called when the answer begins.
 	FirstEvent()
+	// Progress tells how many events arrived within the elapsed time.
+	Progress(events int, elapsed time.Duration)
 	// Stall tells whether the target is silent for longer than expected.
 	Stall(stalled bool)
 	// End must be called once.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -70,7 +70,7 @@
 	Active atomic.Int64
 
 	mutex sync.Mutex
-	// durations holds the mean duration of the answers of each route.
+	// durations holds the largest recent duration of the answers of each route.
 	durations map[string]time.Duration
 }
 
@@ -182,27 +182,45 @@
 	panic(http.ErrAbortHandler)
 }
 
-// duration returns the expected time to answer a request of the route.
+// duration returns the time in which nearly all requests of the route are
+// answered.
 func (v *Receiver) duration(r resolver.Route) time.Duration {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return time.Duration(float64(v.durations[r.Name]) * durationMargin)
+	return max(v.durations[r.Name], 2*r.Objective)
 }
 
-const (
-	// durationWeight is the weight of the newest answer in the mean duration.
-	durationWeight = 0.1
-	// durationMargin covers answers that take longer than the mean.
-	durationMargin = 1.8
-)
+// durationDecay lets the largest duration of a route fade with each answer, so
+// that it follows the load within some hundred answers.
+const durationDecay = 0.995
 
 func (v *Receiver) observeDuration(route string, d time.Duration) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	if old, ok := v.durations[route]; ok {
-		d = old + time.Duration(durationWeight*float64(d-old))
+	v.durations[route] = max(d, time.Duration(durationDecay*float64(v.durations[route])))
+}
+
+const (
+	// paceShare is the part of the time that is left in which a stream should end, as
+	// the length of its answer is not known exactly.
+	paceShare = 0.6
+	// gapShare is the part of the objective for a pause that the mean pause may take;
+	// single pauses are much longer than the mean.
+	gapShare = 0.5
+)
+
+// pace returns the longest mean pause between events with which a stream ends
+// in time; 0 sets no limit.
+func (j *job) pace(output int, left time.Duration) time.Duration {
+	if j.route.Kind != resolver.Streaming || j.engine == nil || output == 0 {
+		return 0
+	}
+	events := max(output/max(j.engine.EventTokens, 1), 1)
+	limit := time.Duration(paceShare * float64(left) / float64(events))
+	if j.route.EventGap > 0 {
+		limit = min(limit, time.Duration(gapShare*float64(j.route.EventGap)))
 	}
-	v.durations[route] = d
+	return limit
 }
 
 // demand returns what the request needs.
@@ -222,7 +240,7 @@
 	return Demand{
 		Request: placer.Request{
 			ID: j.receiver.nextID.Add(1), Service: j.service, Prompt: j.call.Prompt, Output: output,
-			Parts: j.call.Parts, Excluded: j.excluded,
+			Parts: j.call.Parts, Pace: j.pace(output, time.Until(deadline)), Excluded: j.excluded,
 		},
 		Account: j.account, Shared: j.engine != nil && j.account != "", Priority: j.priority,
 		Objective: max(objective-time.Since(j.start), 0), Deadline: time.Until(deadline),
--- a/gateway/receiver/splitter.go
+++ b/gateway/receiver/splitter.go
@@ -10,6 +10,8 @@
 	pending []byte
 	// lastID is the id of the last whole event that had one.
 	lastID string
+	// count is the number of whole events in the last result.
+	count int
 }
 
 // add takes bytes and returns the whole events that are complete with them. The
@@ -24,6 +26,7 @@
 		return nil, true
 	}
 	events = p[:end]
+	s.count = bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
 	if id, ok := lastID(events); ok {
 		s.lastID = id
 	}
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -21,6 +21,8 @@
 	// minStallGap is the shortest pause between events that counts as a stall; shorter
 	// ones occur whenever an engine reads a long prompt.
 	minStallGap = 700 * time.Millisecond
+	// progressInterval is the time between two reports of the events of a stream.
+	progressInterval = 150 * time.Millisecond
 	// resumeAfter is how long a resumable stream waits for a silent target before it
 	// goes on elsewhere; callers leave after two seconds at the earliest.
 	resumeAfter = 1400 * time.Millisecond
@@ -39,6 +41,9 @@
 	// gap is the pause after which the target counts as silent, limit the further
 	// time after which the attempt is ended; 0 never ends it.
 	gap, limit time.Duration
+	// events is the number of events since reported; 0 reported is none yet.
+	events   int
+	reported time.Time
 }
 
 // newWatch watches an attempt of the job.
@@ -61,20 +66,35 @@
 	return w
 }
 
-// event notes that the target has sent an event.
-func (w *watch) event() {
+// event notes that the target has sent events.
+func (w *watch) event(n int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.stopped {
 		return
 	}
 	w.timer.Reset(w.gap)
+	w.progress(n)
 	if w.stalled {
 		w.stalled = false
 		w.permit.Stall(false)
 	}
 }
 
+// progress reports the events that arrived since the last report.
+func (w *watch) progress(n int) {
+	now := time.Now()
+	if w.reported.IsZero() {
+		w.reported = now
+		return
+	}
+	w.events += n
+	if elapsed := now.Sub(w.reported); elapsed >= progressInterval {
+		w.permit.Progress(w.events, elapsed)
+		w.events, w.reported = 0, now
+	}
+}
+
 func (w *watch) fire() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -89,10 +90,42 @@
 	// failures counts failed calls.
 	failures atomic.Int64
 	calls    atomic.Int64
+
+	mutex sync.Mutex
+	// waits ends the calls that the store holds.
+	waits map[int]context.CancelFunc
+	next  int
+}
+
+// hold returns a context for a call that the store holds, and a function that
+// ends it. The context also ends when the store is back after an outage, since
+// calls that were held before are never answered.
+func (w *Watcher) hold(ctx context.Context, wait time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	id := w.next
+	w.next++
+	w.waits[id] = cancel
+	return ctx, func() {
+		cancel()
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		delete(w.waits, id)
+	}
+}
+
+// wake ends all calls that the store holds.
+func (w *Watcher) wake() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, cancel := range w.waits {
+		cancel()
+	}
 }
 
 // New returns a Watcher.
-func New(o Options) *Watcher { return &Watcher{options: o} }
+func New(o Options) *Watcher { return &Watcher{options: o, waits: map[int]context.CancelFunc{}} }
 
 // Calls returns the numbers of calls and of failed calls.
 func (w *Watcher) Calls() (calls, failures int64) { return w.calls.Load(), w.failures.Load() }
@@ -133,8 +166,8 @@
 }
 
 func (w *Watcher) configAfter(ctx context.Context, revision uint64) (*resolver.Config, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, configWait+waitSlack)
-	defer cancel()
+	ctx, done := w.hold(ctx, configWait)
+	defer done()
 	w.calls.Add(1)
 	config, next, err := w.options.Source.ConfigAfter(ctx, revision, configWait)
 	if err != nil {
@@ -154,7 +187,9 @@
 			l.failed(ctx, err)
 			continue
 		}
-		l.succeeded()
+		if l.succeeded() {
+			w.wake()
+		}
 		for _, key := range bad {
 			if !unreadable[key] {
 				unreadable[key] = true
@@ -225,8 +260,8 @@
 }
 
 func (w *Watcher) daemonsAfter(ctx context.Context, revision uint64) (bool, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, daemonsWait+waitSlack)
-	defer cancel()
+	ctx, done := w.hold(ctx, daemonsWait)
+	defer done()
 	w.calls.Add(1)
 	return w.options.Source.DaemonsAfter(ctx, revision, daemonsWait)
 }
@@ -259,11 +294,14 @@
 	pause(ctx, jitter(l.retry))
 }
 
-func (l *loop) succeeded() {
-	if !l.lost.IsZero() {
+// succeeded records an answered call and reports whether the one before failed.
+func (l *loop) succeeded() bool {
+	back := !l.lost.IsZero()
+	if back {
 		logger.Emit(l.watcher.options.Logger, logger.PlatformAvailable, slog.String("what", l.name), slog.Duration("lost", time.Since(l.lost)))
 	}
 	l.lost, l.retry = time.Time{}, 0
+	return back
 }
 
 // jitter varies a time by up to a quarter, so that daemons do not call together.
