Accept requests during a stop only if they cannot be cut

Change: three seconds after the stop signal, when the balancer sends no new connections, a request is accepted only if its whole patience fits into the time that is left; otherwise it is refused at once, not run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,12 +129,15 @@
 	})
 }
 
-// Left implements receiver.Gate.
-func (g *Gateway) Left() (time.Duration, bool) {
-	at := time.Duration(g.stopAt.Load())
-	return at - g.clock(), at != 0
+// Stopping implements receiver.Gate.
+func (g *Gateway) Stopping() (since, left time.Duration, stopping bool) {
+	at, now := time.Duration(g.stopAt.Load()), g.clock()
+	return now - (at - g.stopTime()), at - now, at != 0
 }
 
+// stopTime returns the time from the stop signal to the end of the daemon.
+func (g *Gateway) stopTime() time.Duration { return g.settings.StopWithin - stopMargin }
+
 // Run serves until the context ends or a stop is asked for, then stops
 // gracefully. It returns the error of a listener that fails.
 func (g *Gateway) Run(ctx context.Context, stop <-chan struct{}) error {
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -125,6 +125,7 @@
 
 // Gate tells how long the daemon still serves.
 type Gate interface {
-	// Left returns the time until the daemon stops; false unless it is stopping.
-	Left() (time.Duration, bool)
+	// Stopping returns the time since the stop signal and until the daemon ends; false
+	// unless it is stopping.
+	Stopping() (since, left time.Duration, stopping bool)
 }
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -75,20 +75,13 @@
 
 // serve tries targets until the caller has an answer.
 func (j *job) serve() {
-	patience := j.call.Patience
-	if patience <= 0 {
-		patience = defaultPatience
-	}
-	if j.route.Timeout > 0 {
-		patience = min(patience, j.route.Timeout)
-	}
 	parent := j.request.Context()
 	if j.route.Kind == resolver.NonIdempotent {
 		// Work that may not be repeated goes on when its caller leaves: the result
 		// counts, and a cut could leave it half done.
 		parent = context.WithoutCancel(parent)
 	}
-	ctx, cancel := context.WithDeadline(parent, j.start.Add(patience))
+	ctx, cancel := context.WithDeadline(parent, j.start.Add(j.patience()))
 	defer cancel()
 	j.receiver.Retries.Request(j.service)
 	for {
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -85,7 +85,7 @@
 	defer v.Active.Add(-1)
 	j := &job{receiver: v, writer: w, request: r, control: http.NewResponseController(w), start: time.Now()}
 	j.call = v.Protocol.Decode(r)
-	left, stopping := v.Gate.Left()
+	since, left, stopping := v.Gate.Stopping()
 	if stopping {
 		w.Header().Set("Connection", "close")
 	}
@@ -93,7 +93,7 @@
 		return
 	}
 	defer j.release()
-	if stopping && v.duration(j.route) > left {
+	if stopping && j.needs(since) > left {
 		j.refuse(rejection{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stoppingRetry})
 		return
 	}
@@ -182,12 +182,33 @@
 	panic(http.ErrAbortHandler)
 }
 
-// duration returns the time in which nearly all requests of the route are
-// answered.
-func (v *Receiver) duration(r resolver.Route) time.Duration {
+// lateCallers is the time after the stop signal in which callers cannot know of
+// the stop: the balancer still sends new connections.
+const lateCallers = 3 * time.Second
+
+// needs returns the time that must be left when a request is accepted during a
+// stop. Later callers use connections that were told to close, so that only
+// requests are accepted that cannot be cut.
+func (j *job) needs(since time.Duration) time.Duration {
+	if since > lateCallers {
+		return j.patience()
+	}
+	v := j.receiver
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	return max(v.durations[r.Name], 2*r.Objective)
+	return max(v.durations[j.route.Name], 2*j.route.Objective)
+}
+
+// patience returns the longest time that the request may take.
+func (j *job) patience() time.Duration {
+	patience := j.call.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if j.route.Timeout > 0 {
+		patience = min(patience, j.route.Timeout)
+	}
+	return patience
 }
 
 // durationDecay lets the largest duration of a route fade with each answer, so
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -26,7 +26,7 @@
 // requests have ended, and returns before the kill signal comes.
 func (g *Gateway) stop() {
 	began := g.clock()
-	end := began + g.settings.StopWithin - stopMargin
+	end := began + g.stopTime()
 	g.stopAt.Store(int64(end))
 	logger.Emit(g.logger, logger.DaemonStopping, slog.Int64("inFlight", g.receiver.Active.Load()), slog.Duration("left", end-began))
 	left := make(chan struct{})
