Let accounts over their share use only spare capacity

Change: a request over the share needs an engine with half the expected time and half the pause between events that others may have. The stop no longer waits for the call that leaves the list of daemons beyond its end.

--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -68,6 +68,9 @@
 	// engine may need to take a prompt whose shared parts it does not keep: in a fleet
 	// that is busy everywhere, reading parts again costs more than it gains.
 	spillShare = 0.4
+	// spareShare is the part of the allowance and of the limit of the pace up to which
+	// an engine takes requests that only use spare capacity.
+	spareShare = 0.5
 	// spillTokens is the number of shared tokens up to which reading them again does
 	// not matter.
 	spillTokens = 256
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -114,9 +114,9 @@
 // Targets returns the number of targets of a service.
 func (f *Fleet) Targets(service string) int { return len(f.services[service]) }
 
-// Choose returns the best target for a request that should be answered within
-// the allowance; false if the service has no target that may get it.
-func (f *Fleet) Choose(now time.Duration, r Request, allowance time.Duration) (Choice, bool) {
+// Choose returns the best target for a request; false if the service has no
+// target that may get it.
+func (f *Fleet) Choose(now time.Duration, r Request, terms Terms) (Choice, bool) {
 	home := f.home(r)
 	var best, fitting Choice
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
@@ -124,7 +124,7 @@
 		if !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID) {
 			continue
 		}
-		c, score := f.assess(now, t, r, allowance, home)
+		c, score := f.assess(now, t, r, terms, home)
 		if bestScore < 0 || score < bestScore {
 			best, bestScore = c, score
 		}
@@ -156,13 +156,13 @@
 
 // assess returns the choice of one target and its score: the expected time to
 // the first event plus penalties; the smallest is the best.
-func (f *Fleet) assess(now time.Duration, t *target, r Request, allowance time.Duration, home *target) (Choice, time.Duration) {
+func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, home *target) (Choice, time.Duration) {
 	load := t.total(now)
 	c := Choice{Target: t.entry}
 	if t.engine == nil {
-		f.assessService(&c, t, load, allowance)
+		f.assessService(&c, t, load, terms.Allowance)
 	} else {
-		f.assessEngine(now, &c, t, load, r, allowance, t == home)
+		f.assessEngine(now, &c, t, load, r, terms, t == home)
 	}
 	score := c.Expected + time.Duration(t.health.errors*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
@@ -186,7 +186,7 @@
 	return c, score
 }
 
-func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, allowance time.Duration, home bool) {
+func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home bool) {
 	e := t.engine
 	c.unread, _ = e.unread(now, r, home)
 	c.ahead = load.Unread + c.unread
@@ -197,12 +197,15 @@
 	if _, shared := e.unread(now, r, false); shared > spillTokens && !home {
 		share = spillShare
 	}
+	if terms.Spare {
+		share *= spareShare
+	}
 	c.Full = load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
 		limit > 0 && float64(e.pace.mean(now)) > share*float64(limit)
 	// A prompt that takes longer than the allowance by itself still gets a target
 	// that has nothing else to read.
 	idle := e.reading(load.Unread) <= idleReading
-	c.Fits = !c.Full && (idle || float64(c.Expected) <= share*float64(allowance))
+	c.Fits = !c.Full && (idle || float64(c.Expected) <= share*float64(terms.Allowance))
 }
 
 // paceLimit returns the longest mean pause between events that an engine may
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -65,6 +65,15 @@
 	return r.Parts[len(r.Parts)-2].Chain
 }
 
+// Terms bound what a request may take.
+type Terms struct {
+	// Allowance is the time in which the first event should come.
+	Allowance time.Duration
+	// Spare requests only use capacity that others leave: engines take them well
+	// before they are as busy as they may be.
+	Spare bool
+}
+
 // Choice is a place for a request.
 type Choice struct {
 	Target registrar.Entry
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -13,7 +13,7 @@
 
 // Placer chooses targets.
 type Placer interface {
-	Choose(now time.Duration, r placer.Request, allowance time.Duration) (placer.Choice, bool)
+	Choose(now time.Duration, r placer.Request, terms placer.Terms) (placer.Choice, bool)
 	Start(now time.Duration, r placer.Request, c placer.Choice)
 }
 
@@ -82,8 +82,6 @@
 	// Depth is the largest part of the remaining objective that a target may be
 	// expected to take.
 	Depth float64
-	// SpareDepth replaces Depth for requests of accounts that are over their share.
-	SpareDepth float64
 	// Hold is the longest part of the objective that a request waits for a target.
 	Hold float64
 	// LateDepth is the largest part of the objective that a target may be expected to
@@ -168,12 +166,8 @@
 
 func (q *Queue) decide(now time.Duration, w candidate, blocked map[string]bool) (Decision, bool) {
 	waited := now - w.Arrived
-	depth := q.settings.Depth
-	if w.over {
-		depth = q.settings.SpareDepth
-	}
-	allowance := time.Duration(depth * float64(w.Objective-waited))
-	choice, found := q.placer.Choose(now, w.Request, allowance)
+	allowance := time.Duration(q.settings.Depth * float64(w.Objective-waited))
+	choice, found := q.placer.Choose(now, w.Request, placer.Terms{Allowance: allowance, Spare: w.over})
 	if found && choice.Fits && !(w.over && blocked[w.Request.Service]) {
 		return q.send(now, w, choice), true
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -43,7 +43,10 @@
 		}
 		<-t.C
 	}
-	<-left
+	select {
+	case <-left:
+	case <-time.After(max(end-g.clock(), 0)):
+	}
 	if cut := g.receiver.Active.Load(); cut > 0 {
 		logger.Emit(g.logger, logger.DaemonAborted, slog.Int64("cut", cut))
 		return
