Wait for an engine that keeps the shared parts of a prompt

Change: such an engine gets a prompt only after a wait; all daemons take the engines in the same order; a daemon tells the others which engine now keeps which parts (messenger: WorkReport.parts).

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -38,6 +38,8 @@
 	Whole    bool
 	Loads    []placer.Load
 	Accounts []sharer.Total
+	// Spills are those since the last report.
+	Spills []placer.Spill
 }
 
 // PeerReport is a report of another daemon.
@@ -190,11 +192,11 @@
 		}
 	}
 	whole := now-c.lastWhole >= wholeReport
-	r := Report{Whole: whole, Loads: c.fleet.Loads(now, whole), Accounts: c.shares.Totals(whole)}
+	r := Report{Whole: whole, Loads: c.fleet.Loads(now, whole), Accounts: c.shares.Totals(whole), Spills: c.fleet.Spills()}
 	if whole {
 		c.lastWhole = now
 	}
-	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 {
+	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 {
 		c.options.Send(r)
 	}
 	level := c.shares.Level(now)
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -158,5 +158,6 @@
 	}
 	c.peers[r.Peer] = now
 	c.fleet.SetPeer(now, r.Peer, r.Report.Loads, r.Report.Whole)
+	c.fleet.SetSpills(now, r.Report.Spills)
 	c.shares.SetPeer(now, r.Peer, r.Incarnation, r.Report.Accounts)
 }
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -108,6 +108,9 @@
 	for _, t := range r.Accounts {
 		m.Accounts = append(m.Accounts, messenger.AccountService{Account: t.Account, Asked: count(t.Asked), Served: count(t.Served)})
 	}
+	for _, s := range r.Spills {
+		m.Parts = append(m.Parts, messenger.PromptPart{Target: s.Target, Chain: s.Chain})
+	}
 	return m
 }
 
@@ -121,6 +124,9 @@
 	for _, a := range m.Accounts {
 		r.Accounts = append(r.Accounts, sharer.Total{Account: a.Account, Asked: float64(a.Asked), Served: float64(a.Served)})
 	}
+	for _, p := range m.Parts {
+		r.Spills = append(r.Spills, placer.Spill{Target: p.Target, Chain: p.Chain})
+	}
 	return r
 }
 
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -82,9 +82,11 @@
 	minPaceEvents = 2
 	// paceWeight is the weight of the newest request in the limit of the pause.
 	paceWeight = 0.05
-	// rankPenalty makes the daemons agree on the next engines for a prompt when the
-	// first one is full.
-	rankPenalty = 30 * time.Millisecond
+	// rankPenalty is added for each place in the order of engines for a prompt, so that
+	// all daemons take the same next engine when the first one is full.
+	rankPenalty = 100 * time.Millisecond
+	// spillWait is how long a request waits for an engine that keeps its shared parts.
+	spillWait = 120 * time.Millisecond
 	// stallPenalty is added for a target that has stopped answering: other targets
 	// come first, but it is used before a request is refused.
 	stallPenalty = 3 * time.Second
--- a/gateway/placer/engine.go
+++ b/gateway/placer/engine.go
@@ -32,6 +32,8 @@
 func (e *engine) unread(now time.Duration, r Request, home bool) (unread, shared float64) {
 	total, cached := 0, 0
 	holds := true
+	// An engine that keeps the last shared part keeps those before it.
+	home = home || len(r.Parts) > 1 && e.holds(now, r.affinity())
 	for i, p := range r.Parts {
 		total += p.Tokens
 		if i == len(r.Parts)-1 {
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -5,6 +5,7 @@
 package placer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -27,6 +28,8 @@
 	prior float64
 	// placed holds the target of each own request.
 	placed map[uint64]*target
+	// spills are those that the peers do not know yet.
+	spills []Spill
 }
 
 // Settings configures a Fleet.
@@ -117,14 +120,14 @@
 // Choose returns the best target for a request; false if the service has no
 // target that may get it.
 func (f *Fleet) Choose(now time.Duration, r Request, terms Terms) (Choice, bool) {
-	home := f.home(r)
+	places := f.order(r)
 	var best, fitting Choice
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
 	for _, t := range f.services[r.Service] {
 		if !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID) {
 			continue
 		}
-		c, score := f.assess(now, t, r, terms, home)
+		c, score := f.assess(now, t, r, terms, places)
 		if bestScore < 0 || score < bestScore {
 			best, bestScore = c, score
 		}
@@ -138,31 +141,33 @@
 	return best, bestScore >= 0
 }
 
-// home returns the target that all daemons choose first for the prompt.
-func (f *Fleet) home(r Request) *target {
+// order returns the place of each target in the order in which all daemons
+// choose them for the prompt; nil if the prompt has no shared parts.
+func (f *Fleet) order(r Request) map[*target]int {
 	affinity := r.affinity()
 	if affinity == 0 {
 		return nil
 	}
-	var home *target
-	highest := uint64(0)
-	for _, t := range f.services[r.Service] {
-		if h := rank(affinity, t.entry.ID); home == nil || h > highest {
-			home, highest = t, h
-		}
+	targets := slices.Clone(f.services[r.Service])
+	slices.SortFunc(targets, func(a, b *target) int {
+		return cmp.Compare(rank(affinity, b.entry.ID), rank(affinity, a.entry.ID))
+	})
+	places := make(map[*target]int, len(targets))
+	for i, t := range targets {
+		places[t] = i
 	}
-	return home
+	return places
 }
 
 // assess returns the choice of one target and its score: the expected time to
 // the first event plus penalties; the smallest is the best.
-func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, home *target) (Choice, time.Duration) {
+func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, places map[*target]int) (Choice, time.Duration) {
 	load := t.total(now)
 	c := Choice{Target: t.entry}
 	if t.engine == nil {
 		f.assessService(&c, t, load, terms.Allowance)
 	} else {
-		f.assessEngine(now, &c, t, load, r, terms, t == home)
+		f.assessEngine(now, &c, t, load, r, terms, places != nil && places[t] == 0)
 	}
 	score := c.Expected + time.Duration(t.health.errors*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
@@ -171,10 +176,8 @@
 	if t.entry.DataCentre != f.settings.DataCentre {
 		score += remotePenalty
 	}
-	if t.engine != nil && t != home {
-		_, shared := t.engine.unread(now, r, false)
-		score += time.Duration(shared * float64(rereadPenalty))
-		score += time.Duration(float64(rankPenalty) * (1 - float64(rank(r.affinity(), t.entry.ID))/(1<<64)))
+	if c.Shared > spillTokens {
+		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(places[t])*rankPenalty
 	}
 	if t.stalled() {
 		score += stallPenalty
@@ -188,19 +191,21 @@
 
 func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home bool) {
 	e := t.engine
-	c.unread, _ = e.unread(now, r, home)
-	c.ahead = load.Unread + c.unread
-	c.Expected = firstEventBase + e.reading(c.ahead)
+	c.Home = home
+	c.Unread, c.Shared = e.unread(now, r, home)
+	c.Ahead = load.Unread + c.Unread
+	c.Expected = firstEventBase + e.reading(c.Ahead)
 	slots := max(e.settings.Slots, t.entry.Slots, 1)
 	memory := float64(e.settings.MemoryTokens) * memoryShare
 	limit, share := f.paceLimit(r), 1.0
-	if _, shared := e.unread(now, r, false); shared > spillTokens && !home {
+	if c.Shared > spillTokens {
 		share = spillShare
+		c.Full = terms.Waited < spillWait
 	}
 	if terms.Spare {
 		share *= spareShare
 	}
-	c.Full = load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
+	c.Full = c.Full || load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
 		limit > 0 && float64(e.pace.mean(now)) > share*float64(limit)
 	// A prompt that takes longer than the allowance by itself still gets a target
 	// that has nothing else to read.
@@ -232,7 +237,7 @@
 		return
 	}
 	t.health.begin(now)
-	t.running[r.ID] = &run{request: r, started: now, unread: c.unread, ahead: c.ahead}
+	t.running[r.ID] = &run{request: r, started: now, unread: c.Unread, ahead: c.Ahead}
 	f.placed[r.ID] = t
 	if r.Pace > 0 {
 		if old := f.paces[r.Service]; old > 0 {
@@ -243,6 +248,32 @@
 	}
 	if t.engine != nil {
 		t.engine.use(now, r)
+		if c.Shared > spillTokens {
+			f.spills = append(f.spills, Spill{Target: c.Target.ID, Chain: r.affinity()})
+		}
+	}
+}
+
+// Spill tells that an engine now keeps the shared parts of a prompt although
+// another one comes first for it.
+type Spill struct {
+	Target string
+	Chain  uint64
+}
+
+// Spills returns the spills of this daemon since the last call.
+func (f *Fleet) Spills() []Spill {
+	spills := f.spills
+	f.spills = nil
+	return spills
+}
+
+// SetSpills takes the spills that another daemon reports.
+func (f *Fleet) SetSpills(now time.Duration, spills []Spill) {
+	for _, s := range spills {
+		if t := f.targets[s.Target]; t != nil && t.engine != nil {
+			t.engine.parts[s.Chain] = now
+		}
 	}
 }
 
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -72,6 +72,9 @@
 	// Spare requests only use capacity that others leave: engines take them well
 	// before they are as busy as they may be.
 	Spare bool
+	// Waited is the time that the request has waited. An engine that does not keep its
+	// shared parts gets it only after some time, since the others may soon have room.
+	Waited time.Duration
 }
 
 // Choice is a place for a request.
@@ -83,8 +86,12 @@
 	Fits bool
 	// Full is set if the target has no slot or memory, or its streams are too slow.
 	Full bool
-
-	unread, ahead float64
+	// Home is set if the target is the first one for the prompt.
+	Home bool
+	// Unread is the number of prompt tokens that the engine must read, Shared the part
+	// of them that another engine keeps, and Ahead the number that it reads until the
+	// first event.
+	Unread, Shared, Ahead float64
 }
 
 // rank orders the targets for an identity by rendezvous hashing; all daemons
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -167,7 +167,7 @@
 func (q *Queue) decide(now time.Duration, w candidate, blocked map[string]bool) (Decision, bool) {
 	waited := now - w.Arrived
 	allowance := time.Duration(q.settings.Depth * float64(w.Objective-waited))
-	choice, found := q.placer.Choose(now, w.Request, placer.Terms{Allowance: allowance, Spare: w.over})
+	choice, found := q.placer.Choose(now, w.Request, placer.Terms{Allowance: allowance, Spare: w.over, Waited: waited})
 	if found && choice.Fits && !(w.over && blocked[w.Request.Service]) {
 		return q.send(now, w, choice), true
 	}
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -112,7 +112,8 @@
 		return broken
 	}
 	j.log(logger.RequestPlaced, slog.String("target", d.Choice.Target.ID), slog.Int("attempt", j.attempts+1),
-		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits))
+		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits),
+		slog.Bool("home", d.Choice.Home), slog.Float64("unread", d.Choice.Unread), slog.Float64("shared", d.Choice.Shared))
 	return j.send(ctx, permit, patience)
 }
 
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -262,6 +262,15 @@
 	Updates []MemberUpdate `json:"updates,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 }
 
+// PromptPart tells that an engine keeps the shared parts of a prompt.
+type PromptPart struct {
+	// Hash of the parts.
+	Chain uint64 `json:"chain" cbor:"2,keyasint,omitempty"`
+
+	// Engine.
+	Target string `json:"target" cbor:"1,keyasint,omitempty"`
+}
+
 // ServiceEntry reports service granted by one shard owner.
 type ServiceEntry struct {
 	// Client account.
@@ -382,6 +391,9 @@
 	// Client accounts whose service changed.
 	Accounts []AccountService `json:"accounts,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
+	// Prompt parts that engines keep although others come first for them.
+	Parts []PromptPart `json:"parts,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
+
 	// Targets whose work changed.
 	Targets []TargetWork `json:"targets,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
 
