Let over-share requests spill while engines have little to read

Change: they spill while the engines need at most 40 ms for what they have to read; they do not wait.

--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -71,6 +71,9 @@
 	// spareShare is the part of the allowance and of the limit of the pace up to which
 	// an engine takes requests that only use spare capacity.
 	spareShare = 0.5
+	// roomyReading is the mean time that engines need for what they have to read, up to
+	// which requests that only use spare capacity may have shared parts read again.
+	roomyReading = 40 * time.Millisecond
 	// spillTokens is the number of shared tokens up to which reading them again does
 	// not matter.
 	spillTokens = 256
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -121,13 +121,17 @@
 // target that may get it.
 func (f *Fleet) Choose(now time.Duration, r Request, terms Terms) (Choice, bool) {
 	places := f.order(r)
+	spills := terms.Waited >= spillWait
+	if terms.Spare {
+		spills = f.roomy(now, r.Service)
+	}
 	var best, fitting Choice
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
 	for _, t := range f.services[r.Service] {
 		if !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID) {
 			continue
 		}
-		c, score := f.assess(now, t, r, terms, places)
+		c, score := f.assess(now, t, r, terms, places, spills)
 		if bestScore < 0 || score < bestScore {
 			best, bestScore = c, score
 		}
@@ -141,6 +145,19 @@
 	return best, bestScore >= 0
 }
 
+// roomy reports whether the engines of the service have little to read, so that
+// reading shared parts again delays nobody.
+func (f *Fleet) roomy(now time.Duration, service string) bool {
+	reading, engines := time.Duration(0), 0
+	for _, t := range f.services[service] {
+		if t.engine != nil {
+			reading += t.engine.reading(t.total(now).Unread)
+			engines++
+		}
+	}
+	return engines > 0 && reading/time.Duration(engines) <= roomyReading
+}
+
 // order returns the place of each target in the order in which all daemons
 // choose them for the prompt; nil if the prompt has no shared parts.
 func (f *Fleet) order(r Request) map[*target]int {
@@ -161,13 +178,13 @@
 
 // assess returns the choice of one target and its score: the expected time to
 // the first event plus penalties; the smallest is the best.
-func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, places map[*target]int) (Choice, time.Duration) {
+func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, places map[*target]int, spills bool) (Choice, time.Duration) {
 	load := t.total(now)
 	c := Choice{Target: t.entry}
 	if t.engine == nil {
 		f.assessService(&c, t, load, terms.Allowance)
 	} else {
-		f.assessEngine(now, &c, t, load, r, terms, places != nil && places[t] == 0)
+		f.assessEngine(now, &c, t, load, r, terms, places != nil && places[t] == 0, spills)
 	}
 	score := c.Expected + time.Duration(t.health.errors*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
@@ -189,7 +206,7 @@
 	return c, score
 }
 
-func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home bool) {
+func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home, spills bool) {
 	e := t.engine
 	c.Home = home
 	c.Unread, c.Shared = e.unread(now, r, home)
@@ -200,7 +217,7 @@
 	limit, share := f.paceLimit(r), 1.0
 	if c.Shared > spillTokens {
 		share = spillShare
-		c.Full = terms.Waited < spillWait
+		c.Full = !spills
 	}
 	if terms.Spare {
 		share *= spareShare
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -84,6 +84,8 @@
 	Depth float64
 	// Hold is the longest part of the objective that a request waits for a target.
 	Hold float64
+	// SpareHold replaces Hold for requests of accounts that are over their share.
+	SpareHold float64
 	// LateDepth is the largest part of the objective that a target may be expected to
 	// take when the request would otherwise be refused.
 	LateDepth float64
@@ -171,8 +173,12 @@
 	if found && choice.Fits && !(w.over && blocked[w.Request.Service]) {
 		return q.send(now, w, choice), true
 	}
-	hold := time.Duration(q.settings.Hold * float64(w.Objective))
-	if !w.over && waited < hold && now < w.Deadline {
+	share := q.settings.Hold
+	if w.over {
+		share = q.settings.SpareHold
+	}
+	hold := time.Duration(share * float64(w.Objective))
+	if waited < hold && now < w.Deadline {
 		return Decision{}, false
 	}
 	late := time.Duration(q.settings.LateDepth * float64(w.Objective))
