--- a/gateway/queuer/constants.go
+++ b/gateway/queuer/constants.go
@@ -16,5 +16,5 @@
 
 // DefaultSettings returns the settings that were best on the measured loads.
 func DefaultSettings() Settings {
-	return Settings{Depth: 0.7, Hold: 0.4, SpareHold: 0, LateDepth: 1.5}
+	return Settings{Depth: 0.7, Hold: 0.4, LateDepth: 1.5}
 }
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -84,8 +84,6 @@
 	Depth float64
 	// Hold is the longest part of the objective that a request waits for a target.
 	Hold float64
-	// SpareHold replaces Hold for requests of accounts that are over their share.
-	SpareHold float64
 	// LateDepth is the largest part of the objective that a target may be expected to
 	// take when the request would otherwise be refused.
 	LateDepth float64
@@ -173,12 +171,8 @@
 	if found && choice.Fits && !(w.over && blocked[w.Request.Service]) {
 		return q.send(now, w, choice), true
 	}
-	share := q.settings.Hold
-	if w.over {
-		share = q.settings.SpareHold
-	}
-	hold := time.Duration(share * float64(w.Objective))
-	if waited < hold && now < w.Deadline {
+	hold := time.Duration(q.settings.Hold * float64(w.Objective))
+	if !w.over && waited < hold && now < w.Deadline {
 		return Decision{}, false
 	}
 	late := time.Duration(q.settings.LateDepth * float64(w.Objective))
@@ -197,7 +191,7 @@
 }
 
 func (q *Queue) refuse(now time.Duration, w candidate, c placer.Choice, found bool) Decision {
-	d := Decision{ID: w.Request.ID, Reason: ReasonOverload, Waited: now - w.Arrived}
+	d := Decision{ID: w.Request.ID, Choice: c, Reason: ReasonOverload, Waited: now - w.Arrived}
 	switch {
 	case !found:
 		d.Reason, d.RetryAfter = ReasonNoTarget, noTargetRetry
