--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -51,6 +51,8 @@
 	probeAge = 2 * time.Second
 	// errorWeight is the weight of the newest request in the share of failures.
 	errorWeight = 0.15
+	// errorWindow is the time in which failures fade.
+	errorWindow = 2 * time.Second
 )
 
 const (
--- a/gateway/placer/engine.go
+++ b/gateway/placer/engine.go
@@ -13,6 +13,8 @@
 	// speed is the learnt number of prompt tokens read per millisecond while the
 	// engine also generates.
 	speed float64
+	// learnt is set once speed is more than a guess.
+	learnt bool
 	// lastFirst is the time of the newest first event of an own request.
 	lastFirst time.Duration
 	// parts holds the prompt parts that own requests brought to the engine, with the
@@ -21,8 +23,8 @@
 	pace  pace
 }
 
-func newEngine(s resolver.Engine, speed float64) *engine {
-	return &engine{settings: s, speed: speed, parts: map[uint64]time.Duration{}}
+func newEngine(s resolver.Engine) *engine {
+	return &engine{settings: s, speed: defaultSpeed, parts: map[uint64]time.Duration{}}
 }
 
 // unread returns the number of tokens of the prompt that the engine does not
@@ -81,6 +83,7 @@
 	if ahead < minSample || reading < minReading {
 		return
 	}
+	e.learnt = true
 	sample := min(max(ahead/(float64(reading)/float64(time.Millisecond)), minSpeed), maxSpeed)
 	e.speed = math.Exp((1-speedWeight)*math.Log(e.speed) + speedWeight*math.Log(sample))
 }
--- a/gateway/placer/health.go
+++ b/gateway/placer/health.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // health keeps targets that fail away from requests, from what the traffic
 // shows. A target that fails gets a single request after a back-off; the first
@@ -13,8 +16,21 @@
 	// probing is the time at which the last single request was sent after a back-off;
 	// 0 if there is none.
 	probing time.Duration
-	// errors is the moving share of requests that failed.
-	errors float64
+	// errors is the moving share of requests that failed, as of updated; it fades with
+	// time, since a target that gets no requests cannot show that it is well again.
+	errors  float64
+	updated time.Duration
+}
+
+// errorShare returns the share of requests that failed lately.
+func (h *health) errorShare(now time.Duration) float64 {
+	return h.errors * math.Exp(-float64(now-h.updated)/float64(errorWindow))
+}
+
+// observe adds a request to the share of failures.
+func (h *health) observe(now time.Duration, failed float64) {
+	h.errors, h.updated = h.errorShare(now), now
+	h.errors += errorWeight * (failed - h.errors)
 }
 
 // usable reports whether the target may get a request.
@@ -32,13 +48,13 @@
 	}
 }
 
-func (h *health) succeed() {
+func (h *health) succeed(now time.Duration) {
 	h.failures, h.probing = 0, 0
-	h.errors *= 1 - errorWeight
+	h.observe(now, 0)
 }
 
 func (h *health) fail(now time.Duration, unreachable bool) {
-	h.errors += errorWeight * (1 - h.errors)
+	h.observe(now, 1)
 	h.probing = 0
 	h.failures++
 	if unreachable {
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -24,8 +24,8 @@
 	engines  map[string]resolver.Engine
 	// paces holds the mean limit of the pause between events of each service.
 	paces map[string]time.Duration
-	// prior is the speed of an engine before anything is learnt.
-	prior float64
+	// rate is the service per second of all engines together; 0 is unknown.
+	rate float64
 	// placed holds the target of each own request.
 	placed map[uint64]*target
 	// spills are those that the peers do not know yet.
@@ -56,7 +56,7 @@
 func New(s Settings) *Fleet {
 	return &Fleet{
 		settings: s, targets: map[string]*target{}, services: map[string][]*target{},
-		engines: map[string]resolver.Engine{}, paces: map[string]time.Duration{}, prior: defaultSpeed, placed: map[uint64]*target{},
+		engines: map[string]resolver.Engine{}, paces: map[string]time.Duration{}, placed: map[uint64]*target{},
 	}
 }
 
@@ -68,16 +68,8 @@
 			f.engines[s.Name] = *s.Engine
 		}
 	}
-	engines := 0
-	for _, t := range f.targets {
-		f.equip(t)
-		if t.engine != nil {
-			engines++
-		}
-	}
-	if rate := c.Limits().TokensPerSecond; rate > 0 && engines > 0 {
-		f.prior = max(rate/1000/float64(engines), minSpeed)
-	}
+	f.rate = c.Limits().TokensPerSecond
+	f.equip()
 }
 
 // SetTargets replaces the usable targets. What is known of targets that stay is
@@ -88,29 +80,45 @@
 	for _, e := range entries {
 		t := f.targets[e.ID]
 		if t == nil || t.entry.Incarnation != e.Incarnation || t.entry.Address != e.Address || t.entry.Service != e.Service {
-			t = &target{running: map[uint64]*run{}, peers: map[string]peerLoad{}}
+			t = &target{running: map[uint64]*run{}, peers: map[string]peerLoad{}, reported: Load{Target: e.ID}}
 		}
 		t.entry = e
-		f.equip(t)
 		next[e.ID] = t
 		f.services[e.Service] = append(f.services[e.Service], t)
 	}
 	f.targets = next
+	f.equip()
 	for _, ts := range f.services {
 		slices.SortFunc(ts, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	}
 }
 
-// equip gives a target of a service with engines the state of an engine.
-func (f *Fleet) equip(t *target) {
-	s, ok := f.engines[t.entry.Service]
-	switch {
-	case !ok:
-		t.engine = nil
-	case t.engine == nil:
-		t.engine = newEngine(s, f.prior)
-	default:
-		t.engine.settings = s
+// equip gives the targets of services with engines the state of an engine. An
+// engine of which nothing is learnt is taken to produce an even part of what all
+// produce together.
+func (f *Fleet) equip() {
+	engines := 0
+	for _, t := range f.targets {
+		s, ok := f.engines[t.entry.Service]
+		switch {
+		case !ok:
+			t.engine = nil
+			continue
+		case t.engine == nil:
+			t.engine = newEngine(s)
+		default:
+			t.engine.settings = s
+		}
+		engines++
+	}
+	prior := defaultSpeed
+	if f.rate > 0 && engines > 0 {
+		prior = max(f.rate/1000/float64(engines), minSpeed)
+	}
+	for _, t := range f.targets {
+		if t.engine != nil && !t.engine.learnt {
+			t.engine.speed = prior
+		}
 	}
 }
 
@@ -186,7 +194,7 @@
 	} else {
 		f.assessEngine(now, &c, t, load, r, terms, places != nil && places[t] == 0, spills)
 	}
-	score := c.Expected + time.Duration(t.health.errors*float64(errorPenalty))
+	score := c.Expected + time.Duration(t.health.errorShare(now)*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
 		return c, time.Duration(load.Running)
 	}
@@ -306,7 +314,7 @@
 			t.engine.learn(now, now-r.started, r.ahead)
 		}
 	}
-	t.health.succeed()
+	t.health.succeed(now)
 }
 
 // Progress notes events of a stream that arrived within the elapsed time.
@@ -353,7 +361,7 @@
 	delete(t.running, id)
 	switch result {
 	case Complete:
-		t.health.succeed()
+		t.health.succeed(now)
 		if t.engine == nil && r != nil {
 			t.observe(now - r.started)
 		}
--- /dev/null
+++ b/gateway/placer/placer_test.go
@@ -0,0 +1,304 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/resolver"
+)
+
+const (
+	allowance = 700 * time.Millisecond
+	// speed is the prior speed of an engine in tokens per millisecond.
+	speed = 50
+)
+
+var roomy = placer.Terms{Allowance: allowance}
+
+// fleet returns a fleet of engines e0, e1, … and one plain service s0, s1.
+func fleet(engines int) *placer.Fleet {
+	f := placer.New(placer.Settings{DataCentre: "d0", Policy: placer.Expected})
+	var entries []registrar.Entry
+	for i := range engines {
+		entries = append(entries, registrar.Entry{ID: fmt.Sprint("e", i), Service: "model", Address: "127.0.0.1:1", DataCentre: "d0", Slots: 64})
+	}
+	for i := range 2 {
+		entries = append(entries, registrar.Entry{ID: fmt.Sprint("s", i), Service: "desk", Address: "127.0.0.1:1", DataCentre: fmt.Sprint("d", i), Slots: 2})
+	}
+	f.SetTargets(entries)
+	f.SetConfig(resolver.New(resolver.Content{
+		Services: []resolver.Service{{Name: "model", Engine: &resolver.Engine{Slots: 64, MemoryTokens: 400000, EventTokens: 6}}, {Name: "desk"}},
+		Limits:   resolver.Limits{TokensPerSecond: float64(engines) * speed * 1000},
+	}))
+	f.SetTargets(entries) // engines get the speed that the configuration tells
+	return f
+}
+
+var lastID uint64
+
+// prompt returns a request with shared parts of a subject and own tokens.
+func prompt(subject string, shared, own int) placer.Request {
+	lastID++
+	return placer.Request{
+		ID: lastID, Service: "model", Prompt: shared + own, Output: 100,
+		Parts: placer.Chain("m", []string{"all", subject, fmt.Sprint("own", lastID)}, []int{100, shared - 100, own}),
+	}
+}
+
+func send(t *testing.T, f *placer.Fleet, now time.Duration, r placer.Request, terms placer.Terms) placer.Choice {
+	t.Helper()
+	c, ok := f.Choose(now, r, terms)
+	if !ok {
+		t.Fatal("no target")
+	}
+	f.Start(now, r, c)
+	return c
+}
+
+// Load: many prompts about the same subjects. Each subject stays at one engine
+// while that has room, at all daemons alike.
+func TestPromptsOfOneSubjectShareAnEngine(t *testing.T) {
+	one, other := fleet(9), fleet(9)
+	for i := range 20 {
+		subject := fmt.Sprint("subject", i)
+		a := send(t, one, 0, prompt(subject, 5000, 10), roomy)
+		b := send(t, other, 0, prompt(subject, 5000, 10), roomy)
+		if a.Target.ID != b.Target.ID {
+			t.Errorf("%s: engines %s and %s", subject, a.Target.ID, b.Target.ID)
+		}
+	}
+}
+
+// Load: a hot subject. Its engine is full; the prompt waits for it at first and
+// then goes to the same second engine at all daemons.
+func TestHotSubjectSpillsToOneMoreEngine(t *testing.T) {
+	seconds := map[string]bool{}
+	for daemon := range 3 {
+		f := fleet(9)
+		home := send(t, f, 0, prompt("hot", 5000, 10), roomy)
+		// Another daemon reports so much work that the home engine is full.
+		f.SetPeer(0, "peer", []placer.Load{{Target: home.Target.ID, Unread: 60 * speed * 1000 / 1000 * 20, Running: 20}}, true)
+		// Different small loads elsewhere do not change the order.
+		f.SetPeer(0, "other", []placer.Load{{Target: fmt.Sprint("e", daemon), Unread: 100, Running: 1}}, true)
+		early, _ := f.Choose(0, prompt("hot", 5000, 10), roomy)
+		if early.Fits {
+			t.Fatalf("spills at once to %s", early.Target.ID)
+		}
+		late := roomy
+		late.Waited = 200 * time.Millisecond
+		c := send(t, f, 0, prompt("hot", 5000, 10), late)
+		if !c.Fits || c.Target.ID == home.Target.ID {
+			t.Fatalf("waits for ever: %+v", c)
+		}
+		seconds[c.Target.ID] = true
+		again, _ := f.Choose(0, prompt("hot", 5000, 10), roomy)
+		if again.Target.ID != c.Target.ID || again.Shared != 0 {
+			t.Errorf("the second engine %s is not used again: %+v", c.Target.ID, again)
+		}
+	}
+	if len(seconds) != 1 {
+		t.Errorf("daemons spill to different engines: %v", seconds)
+	}
+}
+
+// Guards against daemons that let further engines read what a peer already had
+// read by one.
+func TestSpillsOfPeersAreUsed(t *testing.T) {
+	one, other := fleet(9), fleet(9)
+	home := send(t, one, 0, prompt("hot", 5000, 10), roomy)
+	full := []placer.Load{{Target: home.Target.ID, Unread: 100000, Running: 30}}
+	one.SetPeer(0, "p", full, true)
+	other.SetPeer(0, "p", full, true)
+	late := roomy
+	late.Waited = time.Second
+	second := send(t, one, 0, prompt("hot", 5000, 10), late)
+	other.SetSpills(0, one.Spills())
+	c, _ := other.Choose(0, prompt("hot", 5000, 10), roomy)
+	if !c.Fits || c.Target.ID != second.Target.ID {
+		t.Errorf("chooses %+v, want %s at once", c, second.Target.ID)
+	}
+	if len(one.Spills()) != 0 {
+		t.Error("spills are reported twice")
+	}
+}
+
+// Load: engines that always have prompts to read. The time to the first event
+// is short, but streams would not end in time.
+func TestEngineWithSlowStreamsGetsNoMorePrompts(t *testing.T) {
+	f := fleet(1)
+	r := prompt("a", 200, 10)
+	r.Pace = 120 * time.Millisecond
+	send(t, f, 0, r, roomy)
+	f.FirstEvent(50*time.Millisecond, r.ID)
+	f.Progress(400*time.Millisecond, r.ID, 2, 350*time.Millisecond)
+	if c, _ := f.Choose(400*time.Millisecond, prompt("a", 200, 10), roomy); c.Fits || !c.Full {
+		t.Errorf("a pause of 175 ms fits a limit of 120 ms: %+v", c)
+	}
+	f.Progress(800*time.Millisecond, r.ID, 20, 400*time.Millisecond)
+	if c, _ := f.Choose(800*time.Millisecond, prompt("a", 200, 10), roomy); !c.Fits {
+		t.Errorf("the engine stays full after its streams are fast again: %+v", c)
+	}
+}
+
+// Load: an account over its share beside others. It uses only engines that are
+// far from their limits.
+func TestSpareRequestsLeaveRoom(t *testing.T) {
+	f := fleet(1)
+	send(t, f, 0, prompt("a", 200, 20000), roomy) // 400 ms of reading
+	next := prompt("a", 200, 1000)
+	spare := roomy
+	spare.Spare = true
+	if c, _ := f.Choose(0, next, spare); c.Fits {
+		t.Errorf("spare request fits: %+v", c)
+	}
+	if c, _ := f.Choose(0, next, roomy); !c.Fits {
+		t.Errorf("request within its share does not fit: %+v", c)
+	}
+}
+
+// Load: targets of very different speed. Work follows the learnt speed.
+func TestSlowEngineIsLearnt(t *testing.T) {
+	f := fleet(2)
+	now := time.Duration(0)
+	counts := map[string]int{}
+	for i := range 400 {
+		r := prompt(fmt.Sprint("s", i), 200, 4000)
+		c := send(t, f, now, r, roomy)
+		reading := 4000.0 / 50
+		if c.Target.ID == "e1" {
+			reading *= 4
+		}
+		now += 25*time.Millisecond + time.Duration(reading*float64(time.Millisecond))
+		f.FirstEvent(now, r.ID)
+		f.End(now, r.ID, placer.Complete)
+		if i >= 200 {
+			counts[c.Target.ID]++
+		}
+	}
+	if counts["e1"]*3 > counts["e0"] {
+		t.Errorf("requests %v; the slow engine should get much less", counts)
+	}
+}
+
+// Guards against targets that fail and keep getting requests, and against
+// targets that never come back.
+func TestFailingTargetIsLeftAndTriedAgain(t *testing.T) {
+	f := fleet(0)
+	now := time.Duration(0)
+	desk := func() placer.Request { lastID++; return placer.Request{ID: lastID, Service: "desk"} }
+	failing := 0
+	for range 20 {
+		now += 10 * time.Millisecond
+		r := desk()
+		c := send(t, f, now, r, roomy)
+		result := placer.Complete
+		if c.Target.ID == "s0" {
+			failing++
+			result = placer.Failed
+		}
+		f.End(now, r.ID, result)
+	}
+	if failing == 0 || failing > 4 {
+		t.Errorf("%d of 20 requests went to the failing target", failing)
+	}
+	back := false
+	for range 200 {
+		now += 50 * time.Millisecond
+		r := desk()
+		c := send(t, f, now, r, roomy)
+		back = back || c.Target.ID == "s0"
+		f.End(now, r.ID, placer.Complete)
+	}
+	if !back {
+		t.Error("the target never got a request again")
+	}
+}
+
+// Guards against requests that pile up at a target that went silent, and against
+// refusing all of them when it is the only one.
+func TestSilentTargetComesLast(t *testing.T) {
+	f := fleet(2)
+	r := prompt("a", 200, 10)
+	first := send(t, f, 0, r, roomy)
+	f.Stall(r.ID, true)
+	c, _ := f.Choose(0, prompt("a", 200, 10), roomy)
+	if c.Target.ID == first.Target.ID {
+		t.Error("a silent engine gets the next request")
+	}
+	one := fleet(1)
+	r = prompt("a", 200, 10)
+	send(t, one, 0, r, roomy)
+	one.Stall(r.ID, true)
+	if _, ok := one.Choose(0, prompt("a", 200, 10), roomy); !ok {
+		t.Error("the only engine is not used at all")
+	}
+}
+
+// Guards against plain services beyond their slots and answers in time.
+func TestServiceTakesNoMoreThanItAnswersInTime(t *testing.T) {
+	f := fleet(0)
+	fitting := 0
+	for range 40 {
+		lastID++
+		r := placer.Request{ID: lastID, Service: "desk"}
+		c, ok := f.Choose(0, r, placer.Terms{Allowance: 12 * time.Millisecond})
+		if !ok || !c.Fits {
+			break
+		}
+		f.Start(0, r, c)
+		fitting++
+	}
+	// Each target has 2 slots; with 5 ms a request the third one ends after 10 ms and
+	// the fourth after 12.5 ms.
+	if fitting != 6 {
+		t.Errorf("%d requests fit, want 6", fitting)
+	}
+}
+
+// Guards against work of daemons that have gone or restarted.
+func TestWorkOfSilentPeersFades(t *testing.T) {
+	f := fleet(1)
+	f.SetPeer(0, "p", []placer.Load{{Target: "e0", Unread: 1e6, Running: 64}}, true)
+	if c, _ := f.Choose(0, prompt("a", 200, 10), roomy); c.Fits {
+		t.Error("the work of a peer does not count")
+	}
+	if c, _ := f.Choose(10*time.Second, prompt("a", 200, 10), roomy); !c.Fits {
+		t.Error("the work of a silent peer counts for ever")
+	}
+}
+
+// Guards against a restarted engine that is believed to keep prompt parts or to
+// run requests.
+func TestNewIncarnationStartsAfresh(t *testing.T) {
+	f := fleet(1)
+	for range 64 {
+		send(t, f, 0, prompt("a", 200, 10), roomy)
+	}
+	f.SetTargets([]registrar.Entry{{ID: "e0", Service: "model", Address: "127.0.0.1:1", DataCentre: "d0", Slots: 64, Incarnation: 2}})
+	if c, _ := f.Choose(0, prompt("a", 200, 10), roomy); !c.Fits {
+		t.Errorf("a new incarnation is full: %+v", c)
+	}
+}
+
+// Guards against counts that do not return to zero, or differ from what peers
+// are told.
+func TestReportsFollowTheWork(t *testing.T) {
+	f := fleet(3)
+	r := prompt("a", 200, 1000)
+	c := send(t, f, 0, r, roomy)
+	loads := f.Loads(0, false)
+	if len(loads) != 1 || loads[0].Target != c.Target.ID || loads[0].Running != 1 || loads[0].Unread < 1000 {
+		t.Fatalf("loads %+v", loads)
+	}
+	f.End(0, r.ID, placer.Complete)
+	loads = f.Loads(0, false)
+	if len(loads) != 1 || loads[0].Running != 0 || loads[0].Unread != 0 || loads[0].Memory != 0 {
+		t.Fatalf("loads %+v after the end", loads)
+	}
+	if more := f.Loads(0, false); len(more) != 0 {
+		t.Fatalf("loads %+v without a change", more)
+	}
+}
--- /dev/null
+++ b/gateway/registrar/registrar_test.go
@@ -0,0 +1,98 @@
+package registrar_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoondeck.example/gateway/registrar"
+)
+
+const grace = 2 * time.Second
+
+func entry(id string, incarnation int64, draining bool) registrar.Entry {
+	return registrar.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Incarnation: incarnation, Draining: draining}
+}
+
+func usable(r *registrar.Registry) string {
+	text := ""
+	for _, e := range r.Usable() {
+		text += fmt.Sprintf("%s/%d ", e.ID, e.Incarnation)
+	}
+	return text
+}
+
+// Guards against requests to a target that left, and against losing targets
+// whose entries lapsed only because the store was away.
+func TestEntriesComeAndGo(t *testing.T) {
+	r := registrar.New(registrar.Settings{Grace: grace})
+	steps := []struct {
+		name     string
+		now      time.Duration
+		fail     bool
+		revision uint64
+		entries  []registrar.Entry
+		want     string
+	}{
+		{"first read", 0, false, 1, []registrar.Entry{entry("a", 1, false), entry("b", 1, false)}, "a/1 b/1 "},
+		{"draining", time.Second, false, 2, []registrar.Entry{entry("a", 1, true), entry("b", 1, false)}, "b/1 "},
+		{"an older read", time.Second, false, 1, []registrar.Entry{entry("a", 1, false), entry("b", 1, false)}, "b/1 "},
+		{"ready again without a restart", 2 * time.Second, false, 3, []registrar.Entry{entry("a", 1, false), entry("b", 1, false)}, "b/1 "},
+		{"restarted under its id", 3 * time.Second, false, 4, []registrar.Entry{entry("a", 2, false), entry("b", 1, false)}, "a/2 b/1 "},
+		{"outage", 4 * time.Second, true, 0, nil, "a/2 b/1 "},
+		{"lapsed during the outage", 9 * time.Second, false, 5, []registrar.Entry{entry("a", 2, false)}, "a/2 b/1 "},
+		{"still missing after the grace", 11 * time.Second, false, 6, []registrar.Entry{entry("a", 2, false)}, "a/2 "},
+		{"gone without an outage", 12 * time.Second, false, 7, nil, ""},
+	}
+	for _, s := range steps {
+		if s.fail {
+			r.Fail()
+		} else {
+			r.Apply(s.now, s.revision, s.entries)
+		}
+		if got := usable(r); got != s.want {
+			t.Fatalf("%s: usable %q, want %q", s.name, got, s.want)
+		}
+	}
+}
+
+// Guards against an incarnation that gets requests after it was seen draining,
+// whatever is read later.
+func TestDrainingIsNeverTakenBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := registrar.New(registrar.Settings{Grace: grace})
+		drained := map[string]bool{}
+		now := time.Duration(0)
+		for revision := range uint64(30) {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 4).Draw(t, "outage") == 0 {
+				r.Fail()
+				continue
+			}
+			var list []registrar.Entry
+			for _, id := range []string{"a", "b"} {
+				if rapid.Bool().Draw(t, "present") {
+					list = append(list, entry(id, int64(rapid.IntRange(1, 3).Draw(t, "incarnation")), rapid.Bool().Draw(t, "draining")))
+				}
+			}
+			r.Apply(now, revision, list)
+			current := map[string]int64{}
+			for _, e := range list {
+				current[e.ID] = e.Incarnation
+				if e.Draining {
+					drained[fmt.Sprint(e.ID, e.Incarnation)] = true
+				}
+			}
+			for _, e := range r.Usable() {
+				if i, ok := current[e.ID]; ok && i != e.Incarnation {
+					t.Fatalf("%s: incarnation %d is usable, %d was read", e.ID, e.Incarnation, i)
+				}
+				if e.Draining {
+					t.Fatalf("%s is usable while draining", e.ID)
+				}
+			}
+		}
+	})
+}
