--- /dev/null
+++ b/gateway/controller/controller_test.go
@@ -0,0 +1,169 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"monsoondeck.example/gateway/controller"
+	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/queuer"
+	"monsoondeck.example/gateway/receiver"
+	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/resolver"
+)
+
+// control is a running controller with two slots of a plain service.
+type control struct {
+	*controller.Controller
+	mutex   sync.Mutex
+	reports []controller.Report
+}
+
+func start(t *testing.T) *control {
+	t.Helper()
+	c := &control{}
+	began := time.Now()
+	c.Controller = controller.New(controller.Options{
+		DataCentre: "d", Policy: placer.Expected, Queue: queuer.DefaultSettings(), ShareWindow: 4 * time.Second,
+		Send:           func(r controller.Report) { c.mutex.Lock(); defer c.mutex.Unlock(); c.reports = append(c.reports, r) },
+		ReportInterval: func() time.Duration { return time.Millisecond },
+		Clock:          func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); c.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	c.SetConfig(config(1))
+	c.SetRegistry(1, []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
+	return c
+}
+
+func config(version uint64) resolver.Config {
+	return resolver.New(resolver.Content{Version: version, Services: []resolver.Service{{Name: "s"}}})
+}
+
+func demand(id uint64) receiver.Demand {
+	return receiver.Demand{
+		Request: placer.Request{ID: id, Service: "s"}, Objective: time.Hour, Deadline: time.Hour, First: true,
+	}
+}
+
+func wait(t *testing.T, c *control, ctx context.Context, id uint64) receiver.Permit {
+	t.Helper()
+	p, err := c.Wait(ctx, demand(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// places is what the target takes: as long as nothing is known of its speed, three
+// times its slots.
+const places = 6
+
+// full takes all places.
+func full(t *testing.T, c *control) []receiver.Permit {
+	t.Helper()
+	var permits []receiver.Permit
+	for id := range uint64(places) {
+		permits = append(permits, wait(t, c, context.Background(), id+1))
+	}
+	return permits
+}
+
+// Guards against requests that wait although a place became free.
+func TestEndedRequestMakesRoom(t *testing.T) {
+	c := start(t)
+	permits := full(t, c)
+	got := make(chan receiver.Permit, 1)
+	go func() {
+		p, err := c.Wait(context.Background(), demand(100))
+		if err != nil {
+			t.Error(err)
+		}
+		got <- p
+	}()
+	permits[0].End(placer.Complete)
+	(<-got).End(placer.Complete)
+}
+
+// Guards against places that are lost when callers leave while they wait or at
+// the moment of the decision.
+func TestCallersThatLeaveGiveTheirPlaceBack(t *testing.T) {
+	c := start(t)
+	permits := full(t, c)
+	ctx, leave := context.WithCancelCause(context.Background())
+	errLeft := errors.New("left")
+	left := make(chan error, 1)
+	go func() {
+		_, err := c.Wait(ctx, demand(100))
+		left <- err
+	}()
+	select {
+	case err := <-left:
+		t.Fatalf("a request beyond the places was decided: %v", err)
+	default:
+	}
+	leave(errLeft)
+	if err := <-left; !errors.Is(err, errLeft) {
+		t.Errorf("error %v", err)
+	}
+	for _, p := range permits {
+		p.End(placer.Cancelled)
+	}
+	for id := range uint64(len(permits)) {
+		wait(t, c, context.Background(), 200+id)
+	}
+}
+
+// Guards against a configuration that goes back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	c := start(t)
+	for _, v := range []uint64{5, 3, 7, 6} {
+		c.SetConfig(config(v))
+	}
+	wait(t, c, context.Background(), 1) // the messages before it have been handled
+	if current, ok := c.Current(); !ok || current.Version() != 7 {
+		t.Errorf("version %d", current.Version())
+	}
+}
+
+// Guards against refusals without a reason or a time to come back.
+func TestRefusalsCarryTheDecision(t *testing.T) {
+	c := start(t)
+	d := demand(1)
+	d.Request.Service, d.Objective = "none", time.Millisecond
+	p, err := c.Wait(context.Background(), d)
+	if !errors.Is(err, receiver.ErrRefused) || p.Decision().Reason != queuer.ReasonNoTarget || p.Decision().RetryAfter <= 0 {
+		t.Errorf("error %v, decision %+v", err, p)
+	}
+}
+
+// Guards against peers that are not told of work, or not of its end.
+func TestPeersAreToldOfWork(t *testing.T) {
+	c := start(t)
+	reported := func(running int) bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		for _, r := range c.reports {
+			for _, l := range r.Loads {
+				if l.Target == "t" && l.Running == running {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	p := wait(t, c, context.Background(), 1)
+	for !reported(1) {
+		time.Sleep(time.Millisecond)
+	}
+	p.End(placer.Complete)
+	for !reported(0) {
+		time.Sleep(time.Millisecond)
+	}
+}
