--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -16,6 +16,9 @@
 	// levelAge is how long a computed level is used: a tenth of the time in which
 	// daemons exchange counts, so that it adds nothing noticeable to their delay.
 	levelAge = 20 * time.Millisecond
+	// margin lets accounts exceed their share somewhat, so that requests that fail or
+	// end late do not leave it unused.
+	margin = 1.25
 )
 
 // Shares counts service per client account. Service is measured in tokens: one
@@ -62,7 +65,7 @@
 
 // SetCapacity sets the service per second of all targets together; 0 is unknown.
 func (s *Shares) SetCapacity(perSecond float64) {
-	s.capacity = perSecond * (s.step * buckets).Seconds()
+	s.capacity = margin * perSecond * (s.step * buckets).Seconds()
 	s.levelSet = false
 }
 
