--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
@@ -24,6 +27,12 @@
 	// queueCheck is the time between two looks at the waiting requests when nothing
 	// else happens. The shortest time that a request is held is some 50 ms.
 	queueCheck = 10 * time.Millisecond
+	// crowd is the number of waiting requests from which the queue is looked at only
+	// every crowdCheck: each look costs some 10 us per request.
+	crowd      = 24
+	crowdCheck = 4 * time.Millisecond
+	// readers is the number of daemons that read the registry for the others.
+	readers = 2
 	// wholeReport is the time between two reports that list everything; they replace
 	// lost ones and show that the daemon is alive.
 	wholeReport = time.Second
@@ -40,6 +49,24 @@
 	Accounts []sharer.Total
 	// Spills are those since the last report.
 	Spills []placer.Spill
+	// Registry is the state of the registry that the daemon knows.
+	Registry RegistryMark
+	// ConfigVersion is that of the configuration in force; 0 is none.
+	ConfigVersion uint64
+}
+
+// RegistryMark tells which state of the registry a daemon knows.
+type RegistryMark struct {
+	Revision, Digest uint64
+	// Age is the time since the read of the registry began.
+	Age time.Duration
+}
+
+// RegistryChange is a change of the registry that a daemon has read.
+type RegistryChange struct {
+	registrar.Change
+	// Age is the time since the read of the registry began.
+	Age time.Duration
 }
 
 // PeerReport is a report of another daemon.
@@ -56,8 +83,14 @@
 	Queue      queuer.Settings
 	// ShareWindow is the window in which accounts are entitled to their share.
 	ShareWindow time.Duration
-	// Send sends a report to all peers; it does not block.
-	Send func(Report)
+	// Host is the name of this daemon.
+	Host string
+	// Send sends a report to all peers, SendChange a change of the registry; they do
+	// not block.
+	Send       func(Report)
+	SendChange func(RegistryChange)
+	// Behind is called when a peer has a newer configuration; it does not block.
+	Behind func()
 	// ReportInterval returns the time between two reports.
 	ReportInterval func() time.Duration
 	// Clock returns the monotonic time since the start.
@@ -72,7 +105,11 @@
 	config  atomic.Pointer[resolver.Config]
 	// listed is set once the registry was read.
 	listed atomic.Bool
-	stats  atomic.Pointer[Stats]
+	// freshness is for the goroutine that reads the registry.
+	freshness atomic.Pointer[Freshness]
+	stats     atomic.Pointer[Stats]
+	// heard holds the time of the last report of each peer, also of silent ones.
+	heard sync.Map
 
 	// The fields below belong to the goroutine of Run.
 
@@ -85,7 +122,16 @@
 	waiting, placed map[uint64]*permit
 	peers           map[string]time.Duration
 	lastWhole       time.Duration
-	registryRead    time.Duration
+	lastDecision    time.Duration
+	// known holds the entries of the registry, digest their digest, and knownAt the
+	// time as of which they hold.
+	known   []registrar.Entry
+	digest  uint64
+	knownAt time.Duration
+	// behindSince is the time since which a peer has known a newer state of the
+	// registry; 0 if none has.
+	behindSince time.Duration
+	lastBehind  time.Duration
 }
 
 // Stats describes the control state for metrics.
@@ -96,6 +142,31 @@
 	ShareLevel float64
 }
 
+// Freshness tells how well the registry is known.
+type Freshness struct {
+	// KnownAt is the time, by Clock, as of which the registry is known.
+	KnownAt time.Duration
+	// Reader is set if this daemon reads the registry for the others.
+	Reader bool
+	// BehindSince is the time since which a peer has known a newer state; 0 if none
+	// has.
+	BehindSince time.Duration
+}
+
+// Heard returns the time, by Clock, of the last report of a peer; false if there
+// was none.
+func (c *Controller) Heard(peer string) (time.Duration, bool) {
+	heard, ok := c.heard.Load(peer)
+	if !ok {
+		return 0, false
+	}
+	at, ok := heard.(time.Duration)
+	return at, ok
+}
+
+// Freshness returns how well the registry is known.
+func (c *Controller) Freshness() Freshness { return *c.freshness.Load() }
+
 // event is a message to the goroutine of Run.
 type event interface {
 	apply(c *Controller, now time.Duration)
@@ -112,6 +183,7 @@
 	}
 	c.queue = queuer.New(o.Queue, c.fleet, c.shares)
 	c.stats.Store(&Stats{})
+	c.refresh()
 	return c
 }
 
@@ -148,7 +220,9 @@
 			c.report()
 			report.Reset(c.options.ReportInterval())
 		}
-		c.decide()
+		if now := c.options.Clock(); len(c.waiting) < crowd || now-c.lastDecision >= crowdCheck {
+			c.decide(now)
+		}
 		if len(c.waiting) > 0 {
 			check.Reset(queueCheck)
 		}
@@ -169,8 +243,8 @@
 }
 
 // decide carries out what the queue decides.
-func (c *Controller) decide() {
-	now := c.options.Clock()
+func (c *Controller) decide(now time.Duration) {
+	c.lastDecision = now
 	for _, d := range c.queue.Next(now) {
 		p := c.waiting[d.ID]
 		delete(c.waiting, d.ID)
@@ -193,6 +267,11 @@
 	}
 	whole := now-c.lastWhole >= wholeReport
 	r := Report{Whole: whole, Loads: c.fleet.Loads(now, whole), Accounts: c.shares.Totals(whole), Spills: c.fleet.Spills()}
+	r.Registry = RegistryMark{Revision: c.registry.Revision(), Digest: c.digest, Age: now - c.knownAt}
+	if config := c.config.Load(); config != nil {
+		r.ConfigVersion = config.Version()
+	}
+	c.refresh()
 	if whole {
 		c.lastWhole = now
 	}
@@ -206,6 +285,18 @@
 	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), ShareLevel: level})
 }
 
+// refresh publishes how well the registry is known.
+func (c *Controller) refresh() {
+	before := 0
+	own := xxhash.Sum64String(c.options.Host)
+	for name := range c.peers {
+		if xxhash.Sum64String(name) < own {
+			before++
+		}
+	}
+	c.freshness.Store(&Freshness{KnownAt: c.knownAt, Reader: before < readers, BehindSince: c.behindSince})
+}
+
 const (
 	// peerTimeout is the time after which a silent peer is forgotten: two whole
 	// reports and some delay.
@@ -217,11 +308,14 @@
 // SetConfig puts a configuration in force unless a newer one already is.
 func (c *Controller) SetConfig(config resolver.Config) { c.events <- configEvent{config} }
 
-// SetRegistry takes a read of the registry.
-func (c *Controller) SetRegistry(revision uint64, entries []registrar.Entry) {
-	c.events <- registryEvent{revision, entries}
+// SetRegistry takes a read of the registry that began at a time by Clock.
+func (c *Controller) SetRegistry(began time.Duration, revision uint64, entries []registrar.Entry) {
+	c.events <- registryEvent{began: began, revision: revision, entries: entries, read: true}
 }
 
+// ReceivedChange takes a change of the registry from a peer.
+func (c *Controller) ReceivedChange(change RegistryChange) { c.events <- changeEvent{change} }
+
 // RegistryFailed notes that the registry could not be read.
 func (c *Controller) RegistryFailed() { c.events <- registryFailedEvent{} }
 
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -29,7 +29,8 @@
 	began := time.Now()
 	c.Controller = controller.New(controller.Options{
 		DataCentre: "d", Policy: placer.Expected, Queue: queuer.DefaultSettings(), ShareWindow: 4 * time.Second,
-		Send:           func(r controller.Report) { c.mutex.Lock(); defer c.mutex.Unlock(); c.reports = append(c.reports, r) },
+		Send: func(r controller.Report) { c.mutex.Lock(); defer c.mutex.Unlock(); c.reports = append(c.reports, r) },
+		Host: "self", SendChange: func(controller.RegistryChange) {}, Behind: func() {},
 		ReportInterval: func() time.Duration { return time.Millisecond },
 		Clock:          func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
 	})
@@ -38,7 +39,7 @@
 	go func() { defer close(ended); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
 	c.SetConfig(config(1))
-	c.SetRegistry(1, []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
+	c.SetRegistry(0, 1, []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
 	return c
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"monsoondeck.example/gateway/placer"
@@ -104,27 +105,73 @@
 	logger.Emit(c.options.Logger, logger.ConfigApplied, slog.Uint64("version", e.config.Version()), slog.Int("routes", e.config.Routes()))
 }
 
-// registryEvent brings a read of the registry.
+// registryEvent brings the entries of the registry.
 type registryEvent struct {
+	// began is the time of the read.
+	began    time.Duration
 	revision uint64
 	entries  []registrar.Entry
+	// read is set if this daemon has read the registry itself.
+	read bool
 }
 
 func (e registryEvent) apply(c *Controller, now time.Duration) {
-	before := c.registry.Usable()
+	usable := c.registry.Usable()
 	if !c.registry.Apply(now, e.revision, e.entries) {
 		return
 	}
-	c.registryRead = now
+	before := c.known
+	c.known, c.knownAt, c.behindSince = c.registry.Entries(), e.began, 0
+	c.digest = registrar.Digest(c.known)
+	c.refresh()
+	if c.listed.Swap(true) && slices.Equal(before, c.known) {
+		return
+	}
 	after := c.registry.Usable()
 	c.fleet.SetTargets(after)
-	if config := c.config.Load(); config != nil {
-		c.fleet.SetConfig(*config)
+	c.logTargets(e.revision, usable, after)
+	if e.read && c.freshness.Load().Reader {
+		c.options.SendChange(RegistryChange{Change: registrar.Difference(before, c.known, e.revision), Age: now - e.began})
+	}
+}
+
+// changeEvent brings a change of the registry that a peer has read.
+type changeEvent struct{ change RegistryChange }
+
+func (e changeEvent) apply(c *Controller, now time.Duration) {
+	entries, ok := e.change.Apply(c.known)
+	if !ok {
+		return // the mark of the next report shows that this daemon is behind
+	}
+	registryEvent{began: now - e.change.Age, revision: e.change.Revision, entries: entries}.apply(c, now)
+}
+
+// heardOfRegistry compares the state of the registry that a peer knows.
+func (c *Controller) heardOfRegistry(now time.Duration, m RegistryMark) {
+	switch {
+	case m.Revision == 0:
+	case m.Digest == c.digest:
+		c.knownAt = max(c.knownAt, now-m.Age)
+	case m.Revision > c.registry.Revision() && c.behindSince == 0:
+		c.behindSince = now
 	}
-	c.listed.Store(true)
-	c.logTargets(e.revision, before, after)
+	c.refresh()
 }
 
+// heardOfConfig compares the configuration that a peer has.
+func (c *Controller) heardOfConfig(now time.Duration, version uint64) {
+	config := c.config.Load()
+	if version == 0 || config != nil && config.Version() >= version || now-c.lastBehind < behindInterval {
+		return
+	}
+	c.lastBehind = now
+	c.options.Behind()
+}
+
+// behindInterval is the shortest time between two calls for a newer
+// configuration; a call takes some milliseconds.
+const behindInterval = 300 * time.Millisecond
+
 // logTargets writes one record for each target that came or left.
 func (c *Controller) logTargets(revision uint64, before, after []registrar.Entry) {
 	known := make(map[string]registrar.Entry, len(before))
@@ -157,6 +204,9 @@
 		logger.Emit(c.options.Logger, logger.MemberJoined, slog.String("member", r.Peer), slog.Uint64("incarnation", r.Incarnation))
 	}
 	c.peers[r.Peer] = now
+	c.heard.Store(r.Peer, now)
+	c.heardOfRegistry(now, r.Report.Registry)
+	c.heardOfConfig(now, r.Report.ConfigVersion)
 	c.fleet.SetPeer(now, r.Peer, r.Report.Loads, r.Report.Whole)
 	c.fleet.SetSpills(now, r.Report.Spills)
 	c.shares.SetPeer(now, r.Peer, r.Incarnation, r.Report.Accounts)
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"monsoondeck.example/connector"
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/sharer"
 	"monsoondeck.example/messenger"
 )
@@ -43,10 +45,16 @@
 	e.hub = hub
 }
 
-// SetPeers replaces the peers to which reports are sent.
+// SetPeers replaces the peers to which reports are sent; those that connected by
+// themselves stay.
 func (e *Exchanger) SetPeers(peers []connector.Peer) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	for _, old := range e.peers {
+		if old.Address == "" && !slices.ContainsFunc(peers, func(p connector.Peer) bool { return p.ID == old.ID }) {
+			peers = append(peers, old)
+		}
+	}
 	e.peers = peers
 }
 
@@ -76,13 +84,38 @@
 	}
 }
 
-// Receiver takes the reports of peers.
+// SendChange sends a change of the registry to all peers.
+func (e *Exchanger) SendChange(c controller.RegistryChange) {
+	e.mutex.Lock()
+	hub, peers := e.hub, e.peers
+	e.mutex.Unlock()
+	if hub == nil {
+		return
+	}
+	message := encodeChange(c)
+	for _, p := range peers {
+		hub.Send(p, func(f *messenger.Frame) { f.RegistryChanges = append(f.RegistryChanges, message) })
+	}
+}
+
+// learn adds a daemon that connected by itself; its address is not needed while
+// the connection lasts.
+func (e *Exchanger) learn(id string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !slices.ContainsFunc(e.peers, func(p connector.Peer) bool { return p.ID == id }) {
+		e.peers = append(slices.Clone(e.peers), connector.Peer{ID: id})
+	}
+}
+
+// Receiver takes what peers send.
 type Receiver interface {
 	Received(r controller.PeerReport)
+	ReceivedChange(c controller.RegistryChange)
 }
 
-// Run passes the reports of peers on until the context ends.
-func Run(ctx context.Context, hub *connector.Hub, to Receiver) {
+// Run passes what peers send on until the context ends.
+func (e *Exchanger) Run(ctx context.Context, hub *connector.Hub, to Receiver) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,6 +124,10 @@
 			if !ok {
 				return
 			}
+			e.learn(f.Sender)
+			for _, m := range f.RegistryChanges {
+				to.ReceivedChange(decodeChange(m))
+			}
 			for _, m := range f.WorkReports {
 				to.Received(controller.PeerReport{Peer: f.Sender, Incarnation: f.Incarnation, Report: decode(m)})
 			}
@@ -99,7 +136,8 @@
 }
 
 func encode(r controller.Report) messenger.WorkReport {
-	m := messenger.WorkReport{Whole: r.Whole}
+	mark := encodeMark(r.Registry)
+	m := messenger.WorkReport{Whole: r.Whole, ConfigVersion: &r.ConfigVersion, Registry: &mark}
 	for _, l := range r.Loads {
 		m.Targets = append(m.Targets, messenger.TargetWork{
 			Target: l.Target, Unread: count(l.Unread), Running: uint64(l.Running), Memory: count(l.Memory),
@@ -116,6 +154,12 @@
 
 func decode(m messenger.WorkReport) controller.Report {
 	r := controller.Report{Whole: m.Whole}
+	if m.ConfigVersion != nil {
+		r.ConfigVersion = *m.ConfigVersion
+	}
+	if m.Registry != nil {
+		r.Registry = decodeMark(*m.Registry)
+	}
 	for _, t := range m.Targets {
 		r.Loads = append(r.Loads, placer.Load{
 			Target: t.Target, Unread: float64(t.Unread), Running: int(min(t.Running, math.MaxInt32)), Memory: float64(t.Memory),
@@ -130,4 +174,39 @@
 	return r
 }
 
+func encodeMark(m controller.RegistryMark) messenger.RegistryMark {
+	return messenger.RegistryMark{Revision: m.Revision, Digest: m.Digest, AgeMs: uint64(max(m.Age.Milliseconds(), 0))}
+}
+
+func decodeMark(m messenger.RegistryMark) controller.RegistryMark {
+	age := min(m.AgeMs, uint64(maxAge/time.Millisecond))
+	return controller.RegistryMark{Revision: m.Revision, Digest: m.Digest, Age: time.Duration(age) * time.Millisecond}
+}
+
+// maxAge is beyond any age at which a state of the registry is of use.
+const maxAge = time.Hour
+
+func encodeChange(c controller.RegistryChange) messenger.RegistryChange {
+	m := messenger.RegistryChange{Base: c.Base, Mark: encodeMark(controller.RegistryMark{Revision: c.Revision, Digest: c.Digest, Age: c.Age}), Gone: c.Gone}
+	for _, e := range c.Entries {
+		m.Entries = append(m.Entries, messenger.RegistryEntry{
+			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
+			Incarnation: uint64(e.Incarnation), Slots: uint64(max(e.Slots, 0)), Draining: e.Draining,
+		})
+	}
+	return m
+}
+
+func decodeChange(m messenger.RegistryChange) controller.RegistryChange {
+	mark := decodeMark(m.Mark)
+	c := controller.RegistryChange{Age: mark.Age, Change: registrar.Change{Base: m.Base, Digest: mark.Digest, Revision: mark.Revision, Gone: m.Gone}}
+	for _, e := range m.Entries {
+		c.Entries = append(c.Entries, registrar.Entry{
+			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
+			Incarnation: int64(e.Incarnation), Slots: int(min(e.Slots, math.MaxInt32)), Draining: e.Draining,
+		})
+	}
+	return c
+}
+
 func count(v float64) uint64 { return uint64(max(math.Round(v), 0)) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,9 +37,19 @@
 	collectPercent = 60
 	// bodyShare is the part of the process limit that bodies may take.
 	bodyShare = 0.2
-	// registryShare is the part of the drain bound between two reads of the registry,
-	// so that a failed read can be repeated within the bound.
-	registryShare = 0.4
+	// readShare is the part of the drain bound between two reads of the registry by a
+	// daemon that reads it for the others.
+	readShare = 0.3
+	// staleShare is the part of the drain bound after which a daemon reads the registry
+	// itself because nobody told it that its state is still the newest; a failed read
+	// can be repeated within the bound.
+	staleShare = 0.5
+	// changeDelay is how long a daemon that heard of a newer state of the registry
+	// waits for the change before it reads the registry itself.
+	changeDelay = 150 * time.Millisecond
+	// forgetAfter is how long a daemon must have been silent before its entry is
+	// removed from the list of daemons.
+	forgetAfter = 10 * time.Minute
 	// sweepInterval is the time between two looks at unused connections.
 	sweepInterval = time.Second
 	// secretBytes is the length of the secret of the fleet.
@@ -70,6 +80,7 @@
 	exchanger  *exchanger.Exchanger
 	watcher    *watcher.Watcher
 	receiver   *receiver.Receiver
+	room       *room
 	metrics    *metrics
 	callers    *server
 	others     []*server
@@ -112,17 +123,18 @@
 	g.exchanger = exchanger.New()
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
-		Send: g.exchanger.Send, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
+		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
 	})
 	g.courier, _ = courier.New() // unused connections end with the process
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
-		RegistryInterval: time.Duration(registryShare * float64(s.DrainBound)),
+		Due: g.registryDue, Clock: g.clock,
 	})
+	g.room = newRoom(s.MemoryBytes)
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Waiter: g.controller, Configs: g.controller, Carrier: g.courier,
-		Retries: newRetries(s, g.clock, g.exchanger.Peers), Gate: g,
+		Retries: newRetries(s, g.clock, g.exchanger.Peers), Gate: g, Room: g.room,
 		Bodies:  limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
 		Observe: g.metrics.observe,
@@ -154,6 +166,7 @@
 	go g.watcher.WatchRegistry(ctx)
 	go g.watchDaemons(ctx)
 	go g.sweep(ctx)
+	go g.room.run(ctx)
 	select {
 	case err := <-failed:
 		logger.Emit(g.logger, logger.ListenerFailed, slog.String("error", err.Error()))
@@ -179,7 +192,7 @@
 		}
 		g.hub.Store(hub)
 		g.exchanger.Start(hub)
-		go exchanger.Run(ctx, hub, g.controller)
+		go g.exchanger.Run(ctx, hub, g.controller)
 		return nil
 	}, g.setDaemons)
 }
@@ -188,14 +201,41 @@
 	return watcher.Daemon{Host: g.settings.Host, DataCentre: g.settings.DataCentre, Address: g.settings.PeerAddress, Incarnation: g.incarnation}
 }
 
-func (g *Gateway) setDaemons(list []watcher.Daemon) {
+// setDaemons takes the list of daemons and returns those that are gone for good.
+func (g *Gateway) setDaemons(list []watcher.Daemon) []watcher.Daemon {
 	var peers []connector.Peer
+	var gone []watcher.Daemon
+	reader := g.controller.Freshness().Reader
 	for _, d := range list {
-		if d.Host != g.settings.Host {
-			peers = append(peers, connector.Peer{ID: d.Host, Address: d.Address})
+		if d.Host == g.settings.Host {
+			continue
 		}
+		heard, known := g.controller.Heard(d.Host)
+		if reader && g.clock() > forgetAfter && (!known || g.clock()-heard > forgetAfter) {
+			gone = append(gone, d)
+			continue
+		}
+		peers = append(peers, connector.Peer{ID: d.Host, Address: d.Address})
 	}
 	g.exchanger.SetPeers(peers)
+	return gone
+}
+
+// registryDue returns the time until this daemon should read the registry.
+func (g *Gateway) registryDue() time.Duration {
+	f, now := g.controller.Freshness(), g.clock()
+	share := staleShare
+	if f.Reader {
+		share = readShare
+	}
+	due := f.KnownAt + time.Duration(share*float64(g.settings.DrainBound)) - now
+	if f.KnownAt == 0 {
+		due = 0
+	}
+	if f.BehindSince > 0 {
+		due = min(due, f.BehindSince+changeDelay-now)
+	}
+	return due
 }
 
 // servePeer accepts connections of other daemons once the secret is known.
--- /dev/null
+++ b/gateway/placer/bench_test.go
@@ -0,0 +1,25 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoondeck.example/gateway/placer"
+)
+
+// BenchmarkChoose measures one decision among 90 engines that 70 daemons use.
+func BenchmarkChoose(b *testing.B) {
+	f := fleet(90)
+	for p := range 70 {
+		var loads []placer.Load
+		for e := range 90 {
+			loads = append(loads, placer.Load{Target: fmt.Sprint("e", e), Unread: 500, Running: 1, Memory: 2000})
+		}
+		f.SetPeer(0, fmt.Sprint("p", p), loads, true)
+	}
+	r := prompt("a", 5000, 1000)
+	for b.Loop() {
+		f.Choose(time.Millisecond, r, roomy)
+	}
+}
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -90,6 +90,9 @@
 	// rankPenalty is added for each place in the order of engines for a prompt, so that
 	// all daemons take the same next engine when the first one is full.
 	rankPenalty = 100 * time.Millisecond
+	// rankedTargets is the number of targets whose order for a prompt matters: a prompt
+	// seldom has shared parts at more.
+	rankedTargets = 6
 	// spillWait is how long a request waits for an engine that keeps its shared parts.
 	spillWait = 120 * time.Millisecond
 	// stallPenalty is added for a target that has stopped answering: other targets
--- a/gateway/placer/health.go
+++ b/gateway/placer/health.go
@@ -24,6 +24,9 @@
 
 // errorShare returns the share of requests that failed lately.
 func (h *health) errorShare(now time.Duration) float64 {
+	if h.errors == 0 {
+		return 0
+	}
 	return h.errors * math.Exp(-float64(now-h.updated)/float64(errorWindow))
 }
 
--- a/gateway/placer/pace.go
+++ b/gateway/placer/pace.go
@@ -23,6 +23,10 @@
 }
 
 func (p *pace) decay(now time.Duration) {
+	if p.updated == now || p.events == 0 {
+		p.updated = now
+		return
+	}
 	factor := math.Exp(-float64(now-p.updated) / float64(paceWindow))
 	p.events *= factor
 	p.elapsed *= factor
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -5,7 +5,6 @@
 package placer
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -28,6 +27,8 @@
 	rate float64
 	// placed holds the target of each own request.
 	placed map[uint64]*target
+	// roominess holds the last results of roomy.
+	roominess map[string]roominess
 	// spills are those that the peers do not know yet.
 	spills []Spill
 }
@@ -56,7 +57,7 @@
 func New(s Settings) *Fleet {
 	return &Fleet{
 		settings: s, targets: map[string]*target{}, services: map[string][]*target{},
-		engines: map[string]resolver.Engine{}, paces: map[string]time.Duration{}, placed: map[uint64]*target{},
+		engines: map[string]resolver.Engine{}, paces: map[string]time.Duration{}, roominess: map[string]roominess{}, placed: map[uint64]*target{},
 	}
 }
 
@@ -80,7 +81,7 @@
 	for _, e := range entries {
 		t := f.targets[e.ID]
 		if t == nil || t.entry.Incarnation != e.Incarnation || t.entry.Address != e.Address || t.entry.Service != e.Service {
-			t = &target{running: map[uint64]*run{}, peers: map[string]peerLoad{}, reported: Load{Target: e.ID}}
+			t = newTarget(e)
 		}
 		t.entry = e
 		next[e.ID] = t
@@ -128,34 +129,42 @@
 // Choose returns the best target for a request; false if the service has no
 // target that may get it.
 func (f *Fleet) Choose(now time.Duration, r Request, terms Terms) (Choice, bool) {
-	places := f.order(r)
+	order := f.order(r)
 	spills := terms.Waited >= spillWait
 	if terms.Spare {
 		spills = f.roomy(now, r.Service)
 	}
 	var best, fitting Choice
+	var bestTarget, fittingTarget *target
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
 	for _, t := range f.services[r.Service] {
 		if !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID) {
 			continue
 		}
-		c, score := f.assess(now, t, r, terms, places, spills)
+		c, score := f.assess(now, t, r, terms, order, spills)
 		if bestScore < 0 || score < bestScore {
-			best, bestScore = c, score
+			best, bestTarget, bestScore = c, t, score
 		}
 		if c.Fits && (fittingScore < 0 || score < fittingScore) {
-			fitting, fittingScore = c, score
+			fitting, fittingTarget, fittingScore = c, t, score
 		}
 	}
-	if fittingScore >= 0 {
-		return fitting, true
+	if fittingTarget != nil {
+		best, bestTarget = fitting, fittingTarget
 	}
-	return best, bestScore >= 0
+	if bestTarget == nil {
+		return Choice{}, false
+	}
+	best.Target = bestTarget.entry
+	return best, true
 }
 
 // roomy reports whether the engines of the service have little to read, so that
 // reading shared parts again delays nobody.
 func (f *Fleet) roomy(now time.Duration, service string) bool {
+	if known := f.roominess[service]; known.time == now && known.set {
+		return known.roomy
+	}
 	reading, engines := time.Duration(0), 0
 	for _, t := range f.services[service] {
 		if t.engine != nil {
@@ -163,36 +172,40 @@
 			engines++
 		}
 	}
-	return engines > 0 && reading/time.Duration(engines) <= roomyReading
+	roomy := engines > 0 && reading/time.Duration(engines) <= roomyReading
+	f.roominess[service] = roominess{time: now, roomy: roomy, set: true}
+	return roomy
+}
+
+// roominess is the result of roomy at a time.
+type roominess struct {
+	time       time.Duration
+	roomy, set bool
 }
 
-// order returns the place of each target in the order in which all daemons
-// choose them for the prompt; nil if the prompt has no shared parts.
-func (f *Fleet) order(r Request) map[*target]int {
+// order returns the first targets in the order in which all daemons choose them
+// for the prompt; nil if the prompt has no shared parts.
+func (f *Fleet) order(r Request) *places {
 	affinity := r.affinity()
 	if affinity == 0 {
 		return nil
 	}
-	targets := slices.Clone(f.services[r.Service])
-	slices.SortFunc(targets, func(a, b *target) int {
-		return cmp.Compare(rank(affinity, b.entry.ID), rank(affinity, a.entry.ID))
-	})
-	places := make(map[*target]int, len(targets))
-	for i, t := range targets {
-		places[t] = i
+	var p places
+	for _, t := range f.services[r.Service] {
+		p.add(t, rank(affinity, t.hash))
 	}
-	return places
+	return &p
 }
 
 // assess returns the choice of one target and its score: the expected time to
 // the first event plus penalties; the smallest is the best.
-func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, places map[*target]int, spills bool) (Choice, time.Duration) {
+func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, order *places, spills bool) (Choice, time.Duration) {
 	load := t.total(now)
-	c := Choice{Target: t.entry}
+	var c Choice // the target is added to the best choices only: entries are large
 	if t.engine == nil {
 		f.assessService(&c, t, load, terms.Allowance)
 	} else {
-		f.assessEngine(now, &c, t, load, r, terms, places != nil && places[t] == 0, spills)
+		f.assessEngine(now, &c, t, load, r, terms, order != nil && order.targets[0] == t, spills)
 	}
 	score := c.Expected + time.Duration(t.health.errorShare(now)*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
@@ -202,9 +215,9 @@
 		score += remotePenalty
 	}
 	if c.Shared > spillTokens {
-		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(places[t])*rankPenalty
+		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(order.of(t))*rankPenalty
 	}
-	if t.stalled() {
+	if t.stalled > 0 {
 		score += stallPenalty
 	}
 	if now < t.fullUntil {
@@ -262,7 +275,7 @@
 		return
 	}
 	t.health.begin(now)
-	t.running[r.ID] = &run{request: r, started: now, unread: c.Unread, ahead: c.Ahead}
+	t.start(&run{request: r, started: now, unread: c.Unread, ahead: c.Ahead})
 	f.placed[r.ID] = t
 	if r.Pace > 0 {
 		if old := f.paces[r.Service]; old > 0 {
@@ -309,7 +322,8 @@
 		return
 	}
 	if r := t.running[id]; r != nil && !r.answered {
-		r.answered, r.stalled = true, false
+		t.answer(r)
+		t.stall(r, false)
 		if t.engine != nil {
 			t.engine.learn(now, now-r.started, r.ahead)
 		}
@@ -328,7 +342,7 @@
 func (f *Fleet) Stall(id uint64, stalled bool) {
 	if t := f.placed[id]; t != nil {
 		if r := t.running[id]; r != nil {
-			r.stalled = stalled
+			t.stall(r, stalled)
 		}
 	}
 }
@@ -358,7 +372,9 @@
 	}
 	delete(f.placed, id)
 	r := t.running[id]
-	delete(t.running, id)
+	if r != nil {
+		t.end(r)
+	}
 	switch result {
 	case Complete:
 		t.health.succeed(now)
@@ -380,12 +396,12 @@
 func (f *Fleet) SetPeer(now time.Duration, peer string, loads []Load, all bool) {
 	if all {
 		for _, t := range f.targets {
-			delete(t.peers, peer)
+			t.removePeer(peer)
 		}
 	}
 	for _, l := range loads {
 		if t := f.targets[l.Target]; t != nil {
-			t.peers[peer] = peerLoad{load: l, time: now}
+			t.setPeer(now, peer, l)
 		}
 	}
 }
@@ -393,7 +409,7 @@
 // RemovePeer forgets the loads of another daemon.
 func (f *Fleet) RemovePeer(peer string) {
 	for _, t := range f.targets {
-		delete(t.peers, peer)
+		t.removePeer(peer)
 	}
 }
 
@@ -403,8 +419,8 @@
 	var loads []Load
 	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
 		t := f.targets[id]
-		l := t.own()
-		l.Unread = max(l.Unread-t.progress(now), 0)
+		t.expire(now)
+		l := t.current(now)
 		if l != t.reported || all && l.Running > 0 {
 			t.reported = l
 			loads = append(loads, l)
--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -265,6 +265,7 @@
 	if c, _ := f.Choose(0, prompt("a", 200, 10), roomy); c.Fits {
 		t.Error("the work of a peer does not count")
 	}
+	f.Loads(10*time.Second, false) // reports are made all the time and drop what is old
 	if c, _ := f.Choose(10*time.Second, prompt("a", 200, 10), roomy); !c.Fits {
 		t.Error("the work of a silent peer counts for ever")
 	}
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -97,8 +97,8 @@
 // rank orders the targets for an identity by rendezvous hashing; all daemons
 // agree on the order without messages, and the loss of a target moves only the
 // identities that it had.
-func rank(affinity uint64, target string) uint64 {
-	x := affinity ^ xxhash.Sum64String(target)
+func rank(affinity, target uint64) uint64 {
+	x := affinity ^ target
 	// The finalizer of splitmix64 spreads the bits.
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
@@ -106,3 +106,31 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// places holds the first targets in the order of an identity.
+type places struct {
+	targets [rankedTargets]*target
+	ranks   [rankedTargets]uint64
+}
+
+// add keeps the target if it is among the first.
+func (p *places) add(t *target, rank uint64) {
+	for i := range p.targets {
+		if p.targets[i] == nil || rank > p.ranks[i] {
+			copy(p.targets[i+1:], p.targets[i:])
+			copy(p.ranks[i+1:], p.ranks[i:])
+			p.targets[i], p.ranks[i] = t, rank
+			return
+		}
+	}
+}
+
+// of returns the place of a target in the order.
+func (p *places) of(t *target) int {
+	for i, other := range p.targets {
+		if other == t {
+			return i
+		}
+	}
+	return rankedTargets
+}
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -123,6 +123,11 @@
 	Retry(service string) bool
 }
 
+// Room tells whether this host can take one more request beside those in progress.
+type Room interface {
+	Take(active int64) bool
+}
+
 // Gate tells how long the daemon still serves.
 type Gate interface {
 	// Stopping returns the time since the stop signal and until the daemon ends; false
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -31,6 +31,8 @@
 	noConfigRetry = 500 * time.Millisecond
 	// stoppingRetry is short, since other daemons serve.
 	stoppingRetry = 50 * time.Millisecond
+	// busyRetry is short, since a new connection may reach a host with room.
+	busyRetry = 100 * time.Millisecond
 	// memoryRetry is about the time in which a body is read and answered.
 	memoryRetry = 300 * time.Millisecond
 	// bodyTimeout bounds the reading of a body, so that slow callers do not hold
@@ -46,6 +48,7 @@
 	Carrier  Carrier
 	Retries  Retries
 	Gate     Gate
+	Room     Room
 	// Bodies bounds the bytes of bodies in memory.
 	Bodies *limiter.Admission
 	// Logger gets one record per decision about a request.
@@ -89,7 +92,16 @@
 	if stopping {
 		w.Header().Set("Connection", "close")
 	}
-	if !j.resolve() || !j.readBody() {
+	if !j.resolve() {
+		return
+	}
+	if !v.Room.Take(v.Active.Load()) {
+		// Reading a body would cost more than the refusal saves.
+		w.Header().Set("Connection", "close")
+		j.refuse(rejection{status: http.StatusServiceUnavailable, code: "hostBusy", retryAfter: busyRetry})
+		return
+	}
+	if !j.readBody() {
 		return
 	}
 	defer j.release()
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -94,7 +94,8 @@
 		"no memory": {"/safe/1", "k", strings.Repeat("x", 100), func(o *receiver.Options) {
 			o.Bodies = limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 50})
 		}, 503, true},
-		"overload": {"/once/1", "k", "x", func(o *receiver.Options) { o.Waiter = &waiter{refuse: queuer.ReasonOverload} }, 503, true},
+		"host busy": {"/once/1", "k", "x", func(o *receiver.Options) { o.Room = room{full: true} }, 503, true},
+		"overload":  {"/once/1", "k", "x", func(o *receiver.Options) { o.Waiter = &waiter{refuse: queuer.ReasonOverload} }, 503, true},
 	} {
 		s := newScene(t, nil, tc.change)
 		r := s.request(t, context.Background(), tc.path, tc.key, tc.body)
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -168,6 +168,10 @@
 func (retries) Request(string)      {}
 func (r retries) Retry(string) bool { return r.allow }
 
+type room struct{ full bool }
+
+func (r room) Take(int64) bool { return !r.full }
+
 type gate struct {
 	since, left time.Duration
 	stopping    bool
@@ -206,7 +210,7 @@
 		carrier: &carrier{replies: replies, started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})},
 	}
 	s.options = receiver.Options{
-		Protocol: protocol{}, Waiter: s.waiter, Configs: configs{&config}, Carrier: s.carrier, Retries: retries{true}, Gate: gate{},
+		Protocol: protocol{}, Waiter: s.waiter, Configs: configs{&config}, Carrier: s.carrier, Retries: retries{true}, Gate: gate{}, Room: room{},
 		Bodies: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
--- /dev/null
+++ b/gateway/registrar/change.go
@@ -0,0 +1,68 @@
+package registrar
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Change leads from one state of the registry to the next.
+type Change struct {
+	// Base and Digest are those of the states before and after.
+	Base, Digest uint64
+	Revision     uint64
+	// Entries are the new and changed entries, Gone the IDs without an entry.
+	Entries []Entry
+	Gone    []string
+}
+
+// Digest returns a number that is equal for equal entries in any order.
+func Digest(entries []Entry) uint64 {
+	sum := uint64(0)
+	for _, e := range entries {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s %s %s %s %d %d %t", e.ID, e.Service, e.Address, e.DataCentre, e.Incarnation, e.Slots, e.Draining))
+	}
+	return sum
+}
+
+// Difference returns the change between two states.
+func Difference(before, after []Entry, revision uint64) Change {
+	c := Change{Base: Digest(before), Digest: Digest(after), Revision: revision}
+	old := make(map[string]Entry, len(before))
+	for _, e := range before {
+		old[e.ID] = e
+	}
+	for _, e := range after {
+		if o, ok := old[e.ID]; !ok || o != e {
+			c.Entries = append(c.Entries, e)
+		}
+		delete(old, e.ID)
+	}
+	for id := range old {
+		c.Gone = append(c.Gone, id)
+	}
+	return c
+}
+
+// Apply returns the state after the change; false if the change does not start
+// at the state, or does not lead to its digest.
+func (c Change) Apply(entries []Entry) ([]Entry, bool) {
+	if Digest(entries) != c.Base {
+		return nil, false
+	}
+	replaced := make(map[string]bool, len(c.Entries)+len(c.Gone))
+	for _, id := range c.Gone {
+		replaced[id] = true
+	}
+	for _, e := range c.Entries {
+		replaced[e.ID] = true
+	}
+	var after []Entry
+	for _, e := range entries {
+		if !replaced[e.ID] {
+			after = append(after, e)
+		}
+	}
+	after = append(after, c.Entries...)
+	return after, Digest(after) == c.Digest
+}
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -93,6 +93,21 @@
 	return true
 }
 
+// Revision returns that of the newest read.
+func (r *Registry) Revision() uint64 { return r.revision }
+
+// Entries returns all entries that count, draining ones included, sorted by ID.
+func (r *Registry) Entries() []Entry {
+	all := make([]Entry, 0, len(r.entries))
+	for _, rec := range r.entries {
+		e := rec.entry
+		e.Draining, e.WarmUp = rec.draining, 0
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
 // Usable returns the targets that may get new requests, sorted by ID.
 func (r *Registry) Usable() []Entry {
 	var usable []Entry
--- /dev/null
+++ b/gateway/shedder/shedder.go
@@ -0,0 +1,58 @@
+// Package shedder refuses requests before a host drowns in them. The balancer
+// does not know the sizes of hosts, so that a small one may get more than it can
+// serve.
+package shedder
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// requestBytes is the memory of one request in progress: two connections with
+	// buffers, goroutines, headers, a body of 12 KB, and garbage until a collection.
+	requestBytes = 64 << 10
+	// baseBytes is the memory of an idle daemon in a fleet of some hundred targets.
+	baseBytes = 24 << 20
+	// requestShare is the part of the memory left that requests may take.
+	requestShare = 0.7
+	// minRequests is enough for a host of any size to serve.
+	minRequests = 32
+
+	// lowLag and highLag are the delays of the daemon's own timers between which an
+	// increasing part of the requests is refused. Timers of a host with time to spare
+	// are late by a few milliseconds.
+	lowLag, highLag = 25 * time.Millisecond, 120 * time.Millisecond
+	// lagWeight is the weight of the newest delay in the mean.
+	lagWeight = 0.3
+)
+
+// Shedder decides whether a host can take one more request. It is pure.
+type Shedder struct {
+	limit int64
+	// lag is the mean delay of timers.
+	lag float64
+}
+
+// New returns a Shedder for a process with the memory in bytes; 0 is unknown.
+func New(memory int64) *Shedder {
+	if memory <= 0 {
+		return &Shedder{limit: math.MaxInt64}
+	}
+	limit := int64(requestShare * float64(memory-baseBytes) / requestBytes)
+	return &Shedder{limit: max(limit, minRequests)}
+}
+
+// Limit returns the largest number of requests in progress.
+func (s *Shedder) Limit() int64 { return s.limit }
+
+// Lag takes the delay of a timer into account.
+func (s *Shedder) Lag(delay time.Duration) {
+	s.lag += lagWeight * (float64(max(delay, 0)) - s.lag)
+}
+
+// Share returns the part of the requests that is refused because the processor
+// is busy, between 0 and 1.
+func (s *Shedder) Share() float64 {
+	return min(max((s.lag-float64(lowLag))/float64(highLag-lowLag), 0), 1)
+}
--- /dev/null
+++ b/gateway/shedder/shedder_test.go
@@ -0,0 +1,54 @@
+package shedder_test
+
+import (
+	"testing"
+	"time"
+
+	"monsoondeck.example/gateway/shedder"
+)
+
+// Load: hosts of different size behind a balancer that does not know. Small ones
+// take fewer requests at once, and the memory of all stays within the limit.
+func TestLimitFollowsTheMemory(t *testing.T) {
+	small, large := shedder.New(120<<20), shedder.New(536<<20)
+	if small.Limit() < 500 || small.Limit()*(64<<10) > 96<<20 {
+		t.Errorf("small host: %d requests", small.Limit())
+	}
+	if large.Limit() < 4*small.Limit() {
+		t.Errorf("large host: %d requests, small host %d", large.Limit(), small.Limit())
+	}
+	if tiny := shedder.New(1 << 20); tiny.Limit() < 1 {
+		t.Error("a tiny host serves nothing")
+	}
+}
+
+// Load: more requests than the processor can serve. The part that is refused
+// grows with the delay of timers and falls when they are in time again.
+func TestRefusalsFollowTheLag(t *testing.T) {
+	s := shedder.New(0)
+	for range 50 {
+		s.Lag(5 * time.Millisecond)
+	}
+	if s.Share() != 0 {
+		t.Errorf("a host with time to spare refuses %v", s.Share())
+	}
+	last := 0.0
+	for _, lag := range []time.Duration{40 * time.Millisecond, 80 * time.Millisecond, time.Second} {
+		for range 50 {
+			s.Lag(lag)
+		}
+		if s.Share() <= last {
+			t.Errorf("share %v at a lag of %v, %v before", s.Share(), lag, last)
+		}
+		last = s.Share()
+	}
+	if last != 1 {
+		t.Errorf("a host that stands still refuses %v", last)
+	}
+	for range 50 {
+		s.Lag(0)
+	}
+	if s.Share() != 0 {
+		t.Errorf("share %v after the load", s.Share())
+	}
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"time"
 
@@ -18,8 +17,6 @@
 	quietTime = 700 * time.Millisecond
 	// stopCheck is the time between two looks at the requests in progress.
 	stopCheck = 50 * time.Millisecond
-	// leaveTimeout bounds the call that removes the daemon from the list of daemons.
-	leaveTimeout = time.Second
 )
 
 // stop turns readiness off, serves until the balancer has noticed and the
@@ -29,8 +26,6 @@
 	end := began + g.stopTime()
 	g.stopAt.Store(int64(end))
 	logger.Emit(g.logger, logger.DaemonStopping, slog.Int64("inFlight", g.receiver.Active.Load()), slog.Duration("left", end-began))
-	left := make(chan struct{})
-	go func() { defer close(left); g.leave() }()
 	quiet := began
 	t := time.NewTicker(stopCheck)
 	defer t.Stop()
@@ -43,26 +38,9 @@
 		}
 		<-t.C
 	}
-	select {
-	case <-left:
-	case <-time.After(max(end-g.clock(), 0)):
-	}
 	if cut := g.receiver.Active.Load(); cut > 0 {
 		logger.Emit(g.logger, logger.DaemonAborted, slog.Int64("cut", cut))
 		return
 	}
 	logger.Emit(g.logger, logger.DaemonStopped)
 }
-
-// leave removes the daemon from the list of daemons; its entry is replaced at
-// the next start if the call fails.
-func (g *Gateway) leave() {
-	if g.settings.PeerAddress == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	if err := g.options.Source.Leave(ctx, g.self()); err != nil {
-		logger.Emit(g.logger, logger.PlatformUnavailable, slog.String("what", "leave"), slog.String("error", err.Error()))
-	}
-}
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -42,21 +42,18 @@
 	// Registry returns the readable entries of all targets and the keys of the others.
 	Registry(ctx context.Context) (entries []registrar.Entry, unreadable []string, revision uint64, err error)
 	// Daemons returns the list of daemons.
-	Daemons(ctx context.Context) ([]Daemon, uint64, error)
-	// DaemonsAfter waits until the list has changed since the revision and reports
-	// whether it has. Errors: ErrHistoryLost.
-	DaemonsAfter(ctx context.Context, revision uint64, wait time.Duration) (bool, uint64, error)
+	Daemons(ctx context.Context) ([]Daemon, error)
 	// Join enters the daemon into the list and returns the secret that all daemons
 	// share; the first one to ask stores the proposal.
 	Join(ctx context.Context, self Daemon, proposal []byte) (secret []byte, err error)
-	// Leave removes the entry of this incarnation.
-	Leave(ctx context.Context, self Daemon) error
+	// Forget removes the entry of the daemon unless a later incarnation wrote it.
+	Forget(ctx context.Context, d Daemon) error
 }
 
 // Sink takes what the store holds.
 type Sink interface {
 	SetConfig(c resolver.Config)
-	SetRegistry(revision uint64, entries []registrar.Entry)
+	SetRegistry(began time.Duration, revision uint64, entries []registrar.Entry)
 	RegistryFailed()
 }
 
@@ -64,10 +61,17 @@
 	// callTimeout bounds a read; a slow store answers in some 300 ms.
 	callTimeout = time.Second
 	// configWait is how long the store holds a call until the configuration changes. A
-	// connection that went silent is noticed by keep-alive probes before that.
-	configWait = 8 * time.Second
-	// daemonsWait is the same for the list of daemons, which changes rarely.
-	daemonsWait = 25 * time.Second
+	// connection that went silent is noticed by keep-alive probes before that, and
+	// peers tell of newer configurations.
+	configWait = 20 * time.Second
+	// secondList and listInterval are the times after which the list of daemons is read
+	// again. It only matters for daemons that never connected to this one.
+	secondList   = 1500 * time.Millisecond
+	listInterval = 30 * time.Second
+	// dueCheck is how often it is looked whether a read of the registry is due.
+	dueCheck = 100 * time.Millisecond
+	// minReadInterval is the shortest time between two reads of the registry.
+	minReadInterval = 250 * time.Millisecond
 	// waitSlack is added to the time that the store holds a call.
 	waitSlack = 1500 * time.Millisecond
 	// minRetry and maxRetry bound the time between calls that fail.
@@ -79,9 +83,11 @@
 type Options struct {
 	Source Source
 	Sink   Sink
-	// RegistryInterval is the time between two reads of the registry.
-	RegistryInterval time.Duration
-	Logger           *slog.Logger
+	// Due returns the time until the registry should be read.
+	Due func() time.Duration
+	// Clock returns the monotonic time since the start.
+	Clock  func() time.Duration
+	Logger *slog.Logger
 }
 
 // Watcher follows the store.
@@ -115,8 +121,8 @@
 	}
 }
 
-// wake ends all calls that the store holds.
-func (w *Watcher) wake() {
+// Wake ends all calls that the store holds, so that they are made again.
+func (w *Watcher) Wake() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, cancel := range w.waits {
@@ -176,11 +182,16 @@
 	return config, next, nil
 }
 
-// WatchRegistry reads the registry again and again until the context ends.
+// WatchRegistry reads the registry whenever it is due, until the context ends.
 func (w *Watcher) WatchRegistry(ctx context.Context) {
 	l := w.loop("registry")
 	unreadable := map[string]bool{}
 	for ctx.Err() == nil {
+		if wait := w.options.Due(); wait > 0 {
+			pause(ctx, min(wait, dueCheck))
+			continue
+		}
+		began := w.options.Clock()
 		entries, bad, revision, err := w.registry(ctx)
 		if err != nil {
 			w.options.Sink.RegistryFailed()
@@ -188,7 +199,7 @@
 			continue
 		}
 		if l.succeeded() {
-			w.wake()
+			w.Wake()
 		}
 		for _, key := range bad {
 			if !unreadable[key] {
@@ -196,8 +207,8 @@
 				logger.Emit(w.options.Logger, logger.EntryUnreadable, slog.String("key", key), slog.Uint64("revision", revision))
 			}
 		}
-		w.options.Sink.SetRegistry(revision, entries)
-		pause(ctx, w.options.RegistryInterval)
+		w.options.Sink.SetRegistry(began, revision, entries)
+		pause(ctx, minReadInterval)
 	}
 }
 
@@ -209,8 +220,10 @@
 }
 
 // WatchDaemons enters the daemon into the list, calls joined with the secret of
-// the fleet, and then changed with each list, until the context ends.
-func (w *Watcher) WatchDaemons(ctx context.Context, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon)) {
+// the fleet, and then changed with each read of the list, until the context
+// ends. Daemons that start later connect by themselves, so that the list is read
+// rarely. changed returns entries of daemons that are gone for good.
+func (w *Watcher) WatchDaemons(ctx context.Context, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon) []Daemon) {
 	l := w.loop("daemons")
 	for ctx.Err() == nil {
 		secret, err := w.join(ctx, self, proposal)
@@ -222,48 +235,46 @@
 		}
 		l.failed(ctx, err)
 	}
-	known, revision := false, uint64(0)
-	for ctx.Err() == nil {
-		moved, next, err := true, revision, error(nil)
-		if known {
-			moved, next, err = w.daemonsAfter(ctx, revision)
-		}
-		var list []Daemon
-		if err == nil && moved {
-			list, next, err = w.daemons(ctx)
-		}
+	for reads := 0; ctx.Err() == nil; {
+		list, err := w.daemons(ctx)
 		if err != nil {
-			known = false
 			l.failed(ctx, err)
 			continue
 		}
 		l.succeeded()
-		known, revision = true, next
-		if moved {
-			changed(list)
+		for _, gone := range changed(list) {
+			w.forget(ctx, l, gone)
+		}
+		reads++
+		if reads == 1 {
+			pause(ctx, jitter(secondList)) // others may be starting at the same time
+		} else {
+			pause(ctx, jitter(listInterval))
 		}
 	}
 }
 
-func (w *Watcher) join(ctx context.Context, self Daemon, proposal []byte) ([]byte, error) {
+func (w *Watcher) forget(ctx context.Context, l *loop, d Daemon) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.calls.Add(1)
-	return w.options.Source.Join(ctx, self, proposal)
+	if err := w.options.Source.Forget(ctx, d); err != nil {
+		l.failed(ctx, err)
+	}
 }
 
-func (w *Watcher) daemons(ctx context.Context) ([]Daemon, uint64, error) {
+func (w *Watcher) join(ctx context.Context, self Daemon, proposal []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.calls.Add(1)
-	return w.options.Source.Daemons(ctx)
+	return w.options.Source.Join(ctx, self, proposal)
 }
 
-func (w *Watcher) daemonsAfter(ctx context.Context, revision uint64) (bool, uint64, error) {
-	ctx, done := w.hold(ctx, daemonsWait)
-	defer done()
+func (w *Watcher) daemons(ctx context.Context) ([]Daemon, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	w.calls.Add(1)
-	return w.options.Source.DaemonsAfter(ctx, revision, daemonsWait)
+	return w.options.Source.Daemons(ctx)
 }
 
 // loop is the state of one sequence of calls.
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -93,18 +93,13 @@
 	return nil, nil, v, err
 }
 
-func (s *store) Daemons(context.Context) ([]watcher.Daemon, uint64, error) { return nil, 1, nil }
-
-func (s *store) DaemonsAfter(ctx context.Context, _ uint64, _ time.Duration) (bool, uint64, error) {
-	<-ctx.Done()
-	return false, 0, ctx.Err()
-}
+func (s *store) Daemons(context.Context) ([]watcher.Daemon, error) { return nil, nil }
 
 func (s *store) Join(_ context.Context, _ watcher.Daemon, proposal []byte) ([]byte, error) {
 	return proposal, nil
 }
 
-func (s *store) Leave(context.Context, watcher.Daemon) error { return nil }
+func (s *store) Forget(context.Context, watcher.Daemon) error { return nil }
 
 // sink keeps what it was given.
 type sink struct {
@@ -119,7 +114,7 @@
 
 func (s *sink) SetConfig(c resolver.Config) { s.versions <- c.Version() }
 
-func (s *sink) SetRegistry(revision uint64, _ []registrar.Entry) {
+func (s *sink) SetRegistry(_ time.Duration, revision uint64, _ []registrar.Entry) {
 	select {
 	case s.reads <- revision:
 	default:
@@ -136,7 +131,7 @@
 func watch(t *testing.T, source watcher.Source) *sink {
 	t.Helper()
 	k := newSink()
-	w := watcher.New(watcher.Options{Source: source, Sink: k, RegistryInterval: 5 * time.Millisecond, Logger: slog.New(slog.DiscardHandler)})
+	w := watcher.New(watcher.Options{Source: source, Sink: k, Due: func() time.Duration { return 0 }, Clock: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler)})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { w.WatchConfig(ctx) })
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -100,6 +100,9 @@
 	// Membership probes.
 	Probes []Probe `json:"probes,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
+	// Changes of the registry.
+	RegistryChanges []RegistryChange `json:"registryChanges,omitempty,omitzero" cbor:"18,keyasint,omitempty"`
+
 	// Daemon that sends the frame.
 	Sender string `json:"sender" cbor:"2,keyasint,omitempty"`
 
@@ -271,6 +274,57 @@
 	Target string `json:"target" cbor:"1,keyasint,omitempty"`
 }
 
+// RegistryChange leads from one state of the registry to the next.
+type RegistryChange struct {
+	// Digest of the state before.
+	Base uint64 `json:"base" cbor:"1,keyasint,omitempty"`
+
+	// New and changed entries.
+	Entries []RegistryEntry `json:"entries,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
+
+	// Targets without an entry.
+	Gone []string `json:"gone,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
+
+	// State after.
+	Mark RegistryMark `json:"mark" cbor:"2,keyasint,omitempty"`
+}
+
+// RegistryEntry is what a target says of itself in the registry.
+type RegistryEntry struct {
+	// Address, IP:PORT.
+	Address string `json:"address" cbor:"3,keyasint,omitempty"`
+
+	// Data centre of the target.
+	DataCentre string `json:"dataCentre" cbor:"4,keyasint,omitempty"`
+
+	// The target gets no new requests.
+	Draining bool `json:"draining" cbor:"7,keyasint,omitempty"`
+
+	// Target.
+	ID string `json:"id" cbor:"1,keyasint,omitempty"`
+
+	// Differs between two starts under one id.
+	Incarnation uint64 `json:"incarnation" cbor:"5,keyasint,omitempty"`
+
+	// Service of the target.
+	Service string `json:"service" cbor:"2,keyasint,omitempty"`
+
+	// Requests that the target runs at once.
+	Slots uint64 `json:"slots" cbor:"6,keyasint,omitempty"`
+}
+
+// RegistryMark tells which state of the registry the sender knows.
+type RegistryMark struct {
+	// Time since the read began, in milliseconds.
+	AgeMs uint64 `json:"ageMs" cbor:"3,keyasint,omitempty"`
+
+	// Digest of the entries; equal entries have equal digests.
+	Digest uint64 `json:"digest" cbor:"2,keyasint,omitempty"`
+
+	// Revision of the newest read.
+	Revision uint64 `json:"revision" cbor:"1,keyasint,omitempty"`
+}
+
 // ServiceEntry reports service granted by one shard owner.
 type ServiceEntry struct {
 	// Client account.
@@ -391,9 +445,15 @@
 	// Client accounts whose service changed.
 	Accounts []AccountService `json:"accounts,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
+	// Newest configuration version of the sender.
+	ConfigVersion *uint64 `json:"configVersion,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
+
 	// Prompt parts that engines keep although others come first for them.
 	Parts []PromptPart `json:"parts,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
 
+	// State of the registry that the sender knows.
+	Registry *RegistryMark `json:"registry,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
+
 	// Targets whose work changed.
 	Targets []TargetWork `json:"targets,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
 
