Give spare capacity to the accounts over their share with the least service

Change: an engine takes a spare request up to a bound that is scaled by the mean service of the accounts over their share over the service of this one.

--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -241,7 +241,7 @@
 		c.Full = !spills
 	}
 	if terms.Spare {
-		share *= spareShare
+		share *= min(spareShare*terms.Standing, 1)
 	}
 	c.Full = c.Full || load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
 		limit > 0 && float64(e.pace.mean(now)) > share*float64(limit)
--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -150,7 +150,7 @@
 	send(t, f, 0, prompt("a", 200, 20000), roomy) // 400 ms of reading
 	next := prompt("a", 200, 1000)
 	spare := roomy
-	spare.Spare = true
+	spare.Spare, spare.Standing = true, 1
 	if c, _ := f.Choose(0, next, spare); c.Fits {
 		t.Errorf("spare request fits: %+v", c)
 	}
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -69,9 +69,12 @@
 type Terms struct {
 	// Allowance is the time in which the first event should come.
 	Allowance time.Duration
-	// Spare requests only use capacity that others leave: engines take them well
-	// before they are as busy as they may be.
+	// Spare requests only use capacity that others leave: engines take them only while
+	// they are far from as busy as they may be.
 	Spare bool
+	// Standing is the part of the spare capacity that the account of a spare request
+	// may use, compared with the others; 1 is the mean.
+	Standing float64
 	// Waited is the time that the request has waited. An engine that does not keep its
 	// shared parts gets it only after some time, since the others may soon have room.
 	Waited time.Duration
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -21,6 +21,7 @@
 type Shares interface {
 	Served(now time.Duration, account string) float64
 	Over(now time.Duration, account string, cost float64) bool
+	Standing(now time.Duration, account string) float64
 	Serve(now time.Duration, account string, cost float64)
 }
 
@@ -167,7 +168,11 @@
 func (q *Queue) decide(now time.Duration, w candidate, blocked map[string]bool) (Decision, bool) {
 	waited := now - w.Arrived
 	allowance := time.Duration(q.settings.Depth * float64(w.Objective-waited))
-	choice, found := q.placer.Choose(now, w.Request, placer.Terms{Allowance: allowance, Spare: w.over, Waited: waited})
+	terms := placer.Terms{Allowance: allowance, Spare: w.over, Waited: waited}
+	if w.over {
+		terms.Standing = q.shares.Standing(now, w.Account)
+	}
+	choice, found := q.placer.Choose(now, w.Request, terms)
 	if found && choice.Fits && !(w.over && blocked[w.Request.Service]) {
 		return q.send(now, w, choice), true
 	}
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -19,6 +19,8 @@
 	// margin lets accounts exceed their share somewhat, so that requests that fail or
 	// end late do not leave it unused.
 	margin = 1.25
+	// maxStanding bounds how much accounts over their share are treated differently.
+	maxStanding = 3.0
 )
 
 // Shares counts service per client account. Service is measured in tokens: one
@@ -141,6 +143,25 @@
 	return !math.IsInf(level, 1) && s.Served(now, name)+cost > level
 }
 
+// Standing compares an account over its share with the others that are over
+// theirs: the mean of their service over its own, between 1/maxStanding and
+// maxStanding. What capacity is left goes to those with the higher standing.
+func (s *Shares) Standing(now time.Duration, name string) float64 {
+	level := s.Level(now)
+	total, accounts := 0.0, 0
+	for _, a := range s.accounts {
+		if a.askedSum > level {
+			total += a.servedSum
+			accounts++
+		}
+	}
+	served := s.Served(now, name)
+	if accounts == 0 || total == 0 {
+		return 1
+	}
+	return min(max(total/float64(accounts)/max(served, 1), 1/maxStanding), maxStanding)
+}
+
 // Level returns the service in the window up to which an account is within its
 // share; infinite where all get what they ask.
 func (s *Shares) Level(now time.Duration) float64 {
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -133,3 +133,24 @@
 		}
 	})
 }
+
+// Load: several accounts at many times their usual. Spare capacity goes to the
+// one that got least, so that none gets a multiple of another.
+func TestSpareCapacityGoesToTheAccountWithLeast(t *testing.T) {
+	s := sharer.New(window)
+	s.SetCapacity(100)
+	for _, name := range []string{"a", "b", "c"} {
+		s.Ask(0, name, 1e6)
+	}
+	s.Ask(0, "small", 10)
+	s.Serve(0, "a", 1000)
+	s.Serve(0, "b", 500)
+	s.Serve(0, "c", 300)
+	a, b, c := s.Standing(0, "a"), s.Standing(0, "b"), s.Standing(0, "c")
+	if a >= b || b >= c || a >= 1 || c <= 1 {
+		t.Errorf("standing %v, %v, %v", a, b, c)
+	}
+	if none := s.Standing(0, "new"); none > 3 {
+		t.Errorf("standing %v without service", none)
+	}
+}
