Do not act on old knowledge on a busy host; refuse at once without targets

Callers of a service without any target waited 0.4 of the objective for nothing. Change: requests wait for a read while the state of the registry is older than 0.85 of the drain bound, unless the store is away; a decision older than 250 ms is made again; a service without targets refuses at once; a host that stays busy answers the balancer that it is not ready for five seconds.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -93,6 +93,9 @@
 	Behind func()
 	// ReportInterval returns the time between two reports.
 	ReportInterval func() time.Duration
+	// StaleLimit is the age of the registry from which requests wait for a read; 0 sets
+	// none.
+	StaleLimit time.Duration
 	// Clock returns the monotonic time since the start.
 	Clock  func() time.Duration
 	Logger *slog.Logger
@@ -220,7 +223,9 @@
 			c.report()
 			report.Reset(c.options.ReportInterval())
 		}
-		if now := c.options.Clock(); len(c.waiting) < crowd || now-c.lastDecision >= crowdCheck {
+		if now := c.options.Clock(); !c.trusted(now) {
+			check.Reset(queueCheck)
+		} else if len(c.waiting) < crowd || now-c.lastDecision >= crowdCheck {
 			c.decide(now)
 		}
 		if len(c.waiting) > 0 {
@@ -229,6 +234,13 @@
 	}
 }
 
+// trusted reports whether the registry is known well enough to send requests. A
+// daemon that could not read it for lack of processor time must not use targets
+// that may have left; while the store is away, there is nothing better.
+func (c *Controller) trusted(now time.Duration) bool {
+	return c.options.StaleLimit <= 0 || c.registry.Outage() || now-c.knownAt <= c.options.StaleLimit
+}
+
 // applyPending handles the messages that have arrived meanwhile, so that the
 // queue is looked at once for all of them.
 func (c *Controller) applyPending() {
@@ -251,6 +263,7 @@
 		if d.Reason == "" {
 			c.placed[d.ID] = p
 		}
+		p.decidedAt = now
 		p.decision <- d
 	}
 }
@@ -344,11 +357,16 @@
 	demand     receiver.Demand
 	decision   chan queuer.Decision
 	decided    queuer.Decision
+	// decidedAt is the time of the decision; it is set before the decision is sent.
+	decidedAt time.Duration
 }
 
 // Decision implements receiver.Permit.
 func (p *permit) Decision() queuer.Decision { return p.decided }
 
+// Age implements receiver.Permit.
+func (p *permit) Age() time.Duration { return p.controller.options.Clock() - p.decidedAt }
+
 // FirstEvent implements receiver.Permit.
 func (p *permit) FirstEvent() { p.controller.events <- firstEvent{p} }
 
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -23,17 +23,21 @@
 	reports []controller.Report
 }
 
-func start(t *testing.T) *control {
+func start(t *testing.T, change ...func(*controller.Options)) *control {
 	t.Helper()
 	c := &control{}
 	began := time.Now()
-	c.Controller = controller.New(controller.Options{
+	options := controller.Options{
 		DataCentre: "d", Policy: placer.Expected, Queue: queuer.DefaultSettings(), ShareWindow: 4 * time.Second,
 		Send: func(r controller.Report) { c.mutex.Lock(); defer c.mutex.Unlock(); c.reports = append(c.reports, r) },
 		Host: "self", SendChange: func(controller.RegistryChange) {}, Behind: func() {},
 		ReportInterval: func() time.Duration { return time.Millisecond },
 		Clock:          func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
-	})
+	}
+	for _, f := range change {
+		f(&options)
+	}
+	c.Controller = controller.New(options)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); c.Run(ctx) }()
@@ -133,6 +137,30 @@
 	}
 }
 
+// Guards against requests that are sent by a state of the registry that a busy
+// daemon has not read for too long.
+func TestOldRegistryIsNotUsed(t *testing.T) {
+	c := start(t, func(o *controller.Options) { o.StaleLimit = time.Nanosecond })
+	got := make(chan receiver.Permit, 1)
+	go func() {
+		p, err := c.Wait(context.Background(), demand(1))
+		if err != nil {
+			t.Error(err)
+		}
+		got <- p
+	}()
+	for range 50 { // looks at the queue while the registry is old
+		c.SetConfig(config(1))
+	}
+	select {
+	case <-got:
+		t.Fatal("sent by an old state of the registry")
+	default:
+	}
+	c.RegistryFailed() // while the store is away there is nothing better
+	<-got
+}
+
 // Guards against refusals without a reason or a time to come back.
 func TestRefusalsCarryTheDecision(t *testing.T) {
 	c := start(t)
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -75,7 +75,7 @@
 }
 
 func (e endEvent) apply(c *Controller, now time.Duration) {
-	ran := e.result != placer.Refused && e.result != placer.Unreachable
+	ran := e.result != placer.Refused && e.result != placer.Unreachable && e.result != placer.Unsent
 	c.end(now, e.permit, e.result, ran)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// itself because nobody told it that its state is still the newest; a failed read
 	// can be repeated within the bound.
 	staleShare = 0.5
+	// trustShare is the part of the drain bound up to which the state of the registry is
+	// trusted; the rest is for the way of a request to the target.
+	trustShare = 0.85
 	// changeDelay is how long a daemon that heard of a newer state of the registry
 	// waits for the change before it reads the registry itself.
 	changeDelay = 150 * time.Millisecond
@@ -124,13 +127,14 @@
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
 		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
+		StaleLimit: time.Duration(trustShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // unused connections end with the process
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
 		Due: g.registryDue, Clock: g.clock,
 	})
-	g.room = newRoom(s.MemoryBytes)
+	g.room = newRoom(s.MemoryBytes, g.clock, g.logger)
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Waiter: g.controller, Configs: g.controller, Carrier: g.courier,
@@ -250,7 +254,7 @@
 
 // serveReady answers the balancer's health check.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopAt.Load() != 0 || !g.controller.Ready() {
+	if g.stopAt.Load() != 0 || !g.controller.Ready() || g.room.resting.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -362,6 +362,8 @@
 	Failed
 	// Cancelled requests were given up by the caller.
 	Cancelled
+	// Unsent requests were given up before they were sent.
+	Unsent
 )
 
 // End notes the end of a request at its target.
@@ -387,7 +389,7 @@
 		t.health.fail(now, true)
 	case Failed:
 		t.health.fail(now, false)
-	case Cancelled:
+	case Cancelled, Unsent:
 	}
 }
 
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -15,6 +15,8 @@
 type Placer interface {
 	Choose(now time.Duration, r placer.Request, terms placer.Terms) (placer.Choice, bool)
 	Start(now time.Duration, r placer.Request, c placer.Choice)
+	// Targets returns the number of targets of a service, usable now or not.
+	Targets(service string) int
 }
 
 // Shares tells what accounts are entitled to.
@@ -177,7 +179,8 @@
 		return q.send(now, w, choice), true
 	}
 	hold := time.Duration(q.settings.Hold * float64(w.Objective))
-	if !w.over && waited < hold && now < w.Deadline {
+	hopeless := !found && q.placer.Targets(w.Request.Service) == 0
+	if !w.over && !hopeless && waited < hold && now < w.Deadline {
 		return Decision{}, false
 	}
 	late := time.Duration(q.settings.LateDepth * float64(w.Objective))
--- a/gateway/queuer/queuer_test.go
+++ b/gateway/queuer/queuer_test.go
@@ -14,6 +14,8 @@
 // targets is a placer with a number of free slots.
 type targets struct {
 	free int
+	// registered is the number of targets that may come back.
+	registered int
 	// found is false if there is no target at all.
 	found bool
 	// full is set if the targets cannot take more, rather than being slow.
@@ -40,6 +42,8 @@
 	}
 }
 
+func (t *targets) Targets(string) int { return t.registered }
+
 func newQueue(t *targets) (*queuer.Queue, *sharer.Shares) {
 	shares := sharer.New(4 * time.Second)
 	return queuer.New(queuer.DefaultSettings(), t, shares), shares
@@ -114,6 +118,21 @@
 	}
 }
 
+// Guards against requests that wait for a service without any target.
+func TestServiceWithoutTargetsRefusesAtOnce(t *testing.T) {
+	f := &targets{}
+	q, _ := newQueue(f)
+	q.Add(item(1, "a", 0))
+	if d := q.Next(0); len(d) != 1 || d[0].Reason != queuer.ReasonNoTarget {
+		t.Errorf("decisions %+v", d)
+	}
+	f.registered = 1 // it failed and is tried again soon
+	q.Add(item(2, "a", 0))
+	if d := q.Next(0); len(d) != 0 {
+		t.Errorf("decisions %+v", d)
+	}
+}
+
 // Guards against a wave of callers that return together, and against a time to
 // return beyond what callers honour.
 func TestRetryTimesAreSpread(t *testing.T) {
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -87,6 +87,8 @@
 // Permit allows one request to be sent to a target.
 type Permit interface {
 	Decision() queuer.Decision
+	// Age is the time since the decision.
+	Age() time.Duration
 	// FirstEvent is called when the answer begins.
 	FirstEvent()
 	// Progress tells how many events arrived within the elapsed time.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -19,6 +19,9 @@
 	// maxWaits bounds how often a request waits for a target, so that targets that
 	// cannot be reached do not keep it for long.
 	maxWaits = 4
+	// maxPermitAge is how long a decision may be used. It takes microseconds to use it
+	// unless the host has no processor time or was suspended.
+	maxPermitAge = 250 * time.Millisecond
 	// minPatience is the least time that is worth sending a request for.
 	minPatience = 20 * time.Millisecond
 	// bufferedBytes is the largest answer that is read whole before it is passed on,
@@ -107,8 +110,13 @@
 	}
 	d := permit.Decision()
 	patience := j.left(ctx)
+	if permit.Age() > maxPermitAge {
+		// The host stood still since the decision; the target may have left.
+		permit.End(placer.Unsent)
+		return again
+	}
 	if j.request.Context().Err() != nil || patience < minPatience {
-		permit.End(placer.Cancelled)
+		permit.End(placer.Unsent)
 		return broken
 	}
 	j.log(logger.RequestPlaced, slog.String("target", d.Choice.Target.ID), slog.Int("attempt", j.attempts+1),
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -78,6 +78,17 @@
 	s.wantResults(t, placer.Failed)
 }
 
+// Guards against requests that a host sends by decisions from before it stood
+// still.
+func TestOldDecisionsAreNotUsed(t *testing.T) {
+	s := newScene(t, []reply{{status: 200, header: signed, body: "ok"}}, nil)
+	s.waiter.stale = 1
+	if r := s.get(t, "/once/1"); r.status != 200 || len(s.carrier.calls) != 1 {
+		t.Errorf("status %d, %d calls", r.status, len(s.carrier.calls))
+	}
+	s.wantResults(t, placer.Unsent, placer.Complete)
+}
+
 // Guards against refusals that are wrong or say nothing.
 func TestRequestsThatAreNotServed(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -55,6 +55,8 @@
 	waits   int
 	refuse  queuer.Reason
 	results []placer.Result
+	// stale is the number of permits that are too old when they arrive.
+	stale int
 	ended   chan struct{}
 	// demands are those seen.
 	demands []receiver.Demand
@@ -65,6 +67,10 @@
 	defer w.mutex.Unlock()
 	w.demands = append(w.demands, d)
 	p := &permit{waiter: w}
+	if w.stale > 0 {
+		w.stale--
+		p.age = time.Second
+	}
 	if w.refuse != "" {
 		p.decision = queuer.Decision{Reason: w.refuse, RetryAfter: 250 * time.Millisecond}
 		return p, receiver.ErrRefused
@@ -78,9 +84,11 @@
 type permit struct {
 	waiter   *waiter
 	decision queuer.Decision
+	age      time.Duration
 }
 
 func (p *permit) Decision() queuer.Decision   { return p.decision }
+func (p *permit) Age() time.Duration          { return p.age }
 func (p *permit) FirstEvent()                 {}
 func (p *permit) Progress(int, time.Duration) {}
 func (p *permit) Stall(bool)                  {}
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -60,6 +60,9 @@
 // Fail notes a failed read.
 func (r *Registry) Fail() { r.outage = true }
 
+// Outage reports whether the last read failed.
+func (r *Registry) Outage() bool { return r.outage }
+
 // Apply takes a whole read of the registry at the given revision. It reports
 // false for a read that is older than one already applied.
 func (r *Registry) Apply(now time.Duration, revision uint64, entries []Entry) bool {
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"monsoondeck.example/gateway/shedder"
+	"monsoondeck.example/logger"
 )
 
 // lagInterval is the time between two measurements of the delay of timers.
@@ -18,26 +20,38 @@
 type room struct {
 	limit int64
 	// share holds the bits of the part of the requests that is refused.
-	share   atomic.Uint64
+	share atomic.Uint64
+	// resting is set while the balancer should send new callers elsewhere.
+	resting atomic.Bool
+	// shedder belongs to the goroutine of run.
 	shedder *shedder.Shedder
+	clock   func() time.Duration
+	logger  *slog.Logger
 }
 
-func newRoom(memory int64) *room {
+func newRoom(memory int64, clock func() time.Duration, l *slog.Logger) *room {
 	s := shedder.New(memory)
-	return &room{limit: s.Limit(), shedder: s}
+	return &room{limit: s.Limit(), shedder: s, clock: clock, logger: l}
 }
 
 // Take implements receiver.Room.
 func (r *room) Take(active int64) bool {
-	share := math.Float64frombits(r.share.Load())
+	share := r.refused()
 	return active <= r.limit && (share == 0 || rand.Float64() >= share)
 }
 
+// refused returns the part of the requests that is refused.
+func (r *room) refused() float64 { return math.Float64frombits(r.share.Load()) }
+
 func (r *room) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		began := time.Now()
+		began := r.clock()
 		time.Sleep(lagInterval)
-		r.shedder.Lag(time.Since(began) - lagInterval)
+		now := r.clock()
+		r.shedder.Lag(now, now-began-lagInterval)
 		r.share.Store(math.Float64bits(r.shedder.Share()))
+		if resting := r.shedder.Resting(now); r.resting.Swap(resting) != resting {
+			logger.Emit(r.logger, logger.HostBusy, slog.Bool("resting", resting), slog.Float64("refusedShare", r.refused()))
+		}
 	}
 }
--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -23,6 +23,13 @@
 	// increasing part of the requests is refused. Timers of a host with time to spare
 	// are late by a few milliseconds.
 	lowLag, highLag = 25 * time.Millisecond, 120 * time.Millisecond
+	// busyShare is the refused part of the requests from which the host asks the
+	// balancer for fewer callers, if it lasts for busyAfter.
+	busyShare = 0.1
+	busyAfter = 600 * time.Millisecond
+	// restTime is how long it does so at least. The balancer needs two seconds to
+	// notice, and callers move only with their next connection.
+	restTime = 5 * time.Second
 	// lagWeight is the weight of the newest delay in the mean.
 	lagWeight = 0.3
 )
@@ -32,6 +39,10 @@
 	limit int64
 	// lag is the mean delay of timers.
 	lag float64
+	// busySince is the time since which the host has been busy; 0 if it is not.
+	busySince time.Duration
+	// restUntil is the time until which the host asks for fewer callers.
+	restUntil time.Duration
 }
 
 // New returns a Shedder for a process with the memory in bytes; 0 is unknown.
@@ -47,10 +58,21 @@
 func (s *Shedder) Limit() int64 { return s.limit }
 
 // Lag takes the delay of a timer into account.
-func (s *Shedder) Lag(delay time.Duration) {
+func (s *Shedder) Lag(now, delay time.Duration) {
 	s.lag += lagWeight * (float64(max(delay, 0)) - s.lag)
+	switch {
+	case s.Share() < busyShare:
+		s.busySince = 0
+	case s.busySince == 0:
+		s.busySince = now
+	case now-s.busySince >= busyAfter:
+		s.restUntil = now + restTime
+	}
 }
 
+// Resting reports whether the balancer should send new callers elsewhere.
+func (s *Shedder) Resting(now time.Duration) bool { return now < s.restUntil }
+
 // Share returns the part of the requests that is refused because the processor
 // is busy, between 0 and 1.
 func (s *Shedder) Share() float64 {
--- a/gateway/shedder/shedder_test.go
+++ b/gateway/shedder/shedder_test.go
@@ -27,7 +27,7 @@
 func TestRefusalsFollowTheLag(t *testing.T) {
 	s := shedder.New(0)
 	for range 50 {
-		s.Lag(5 * time.Millisecond)
+		s.Lag(time.Second, 5*time.Millisecond)
 	}
 	if s.Share() != 0 {
 		t.Errorf("a host with time to spare refuses %v", s.Share())
@@ -35,7 +35,7 @@
 	last := 0.0
 	for _, lag := range []time.Duration{40 * time.Millisecond, 80 * time.Millisecond, time.Second} {
 		for range 50 {
-			s.Lag(lag)
+			s.Lag(time.Second, lag)
 		}
 		if s.Share() <= last {
 			t.Errorf("share %v at a lag of %v, %v before", s.Share(), lag, last)
@@ -46,9 +46,39 @@
 		t.Errorf("a host that stands still refuses %v", last)
 	}
 	for range 50 {
-		s.Lag(0)
+		s.Lag(time.Second, 0)
 	}
 	if s.Share() != 0 {
 		t.Errorf("share %v after the load", s.Share())
 	}
 }
+
+// Load: callers of a flooding account that all reach one host. The host asks for
+// fewer callers while it stays busy, and not for a single moment of delay.
+func TestBusyHostAsksForFewerCallers(t *testing.T) {
+	s := shedder.New(0)
+	now := time.Second
+	step := func(delay time.Duration) {
+		now += 50 * time.Millisecond
+		s.Lag(now, delay)
+	}
+	step(time.Second)
+	for range 10 {
+		step(0)
+	}
+	if s.Resting(now) {
+		t.Error("one late timer sends callers away")
+	}
+	for range 20 {
+		step(200 * time.Millisecond)
+	}
+	if !s.Resting(now) {
+		t.Error("a busy host asks for all callers")
+	}
+	for range 120 {
+		step(0)
+	}
+	if s.Resting(now) {
+		t.Error("a host with time to spare still sends callers away")
+	}
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -57,6 +57,7 @@
 	AttemptFailed    = Event{515, slog.LevelWarn, "attempt at a target failed", "Look for other attempts at the same target; sent tells whether it may have run."}
 	AttemptRefused   = Event{516, slog.LevelInfo, "target refused a request without running it", ""}
 	RecordsDropped   = Event{517, slog.LevelWarn, "records of requests were dropped to bound the log", "Sum the metrics instead; the rate of records is bounded."}
+	HostBusy         = Event{518, slog.LevelWarn, "host is busy and refuses a part of its requests", "Give the host more processor time, or the balancer its weight."}
 
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
@@ -71,7 +72,7 @@
 		MemberJoined, MemberLeft, PeerConnected, PeerDisconnected, PeerRejected,
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, AnswerMismatched, StreamBroken,
-		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped,
+		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
 		PlatformUnavailable, PlatformAvailable,
 	}
 }
