--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -57,7 +57,7 @@
 	results []placer.Result
 	// stale is the number of permits that are too old when they arrive.
 	stale int
-	ended   chan struct{}
+	ended chan struct{}
 	// demands are those seen.
 	demands []receiver.Demand
 }
