Take changes of peers without a grace; do not log repeated calls as outages

Calls that were ended to be made again were logged as an outage. Change: entries that peers report as gone are gone; a failed read counts as an outage only if no peer knows better. Test: registrar (fails before: the target stays usable for the grace).

--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -117,7 +117,11 @@
 
 func (e registryEvent) apply(c *Controller, now time.Duration) {
 	usable := c.registry.Usable()
-	if !c.registry.Apply(now, e.revision, e.entries) {
+	take := c.registry.Follow
+	if e.read {
+		take = c.registry.Apply
+	}
+	if !take(now, e.revision, e.entries) {
 		return
 	}
 	before := c.known
@@ -193,7 +197,17 @@
 // registryFailedEvent notes a failed read of the registry.
 type registryFailedEvent struct{}
 
-func (registryFailedEvent) apply(c *Controller, _ time.Duration) { c.registry.Fail() }
+func (registryFailedEvent) apply(c *Controller, now time.Duration) {
+	// While peers tell that they know the newest state, only this host has lost the
+	// store.
+	if now-c.knownAt >= outageAge {
+		c.registry.Fail()
+	}
+}
+
+// outageAge is the age of the registry from which a failed read counts as an
+// outage of the store: longer than two reports of peers.
+const outageAge = 900 * time.Millisecond
 
 // peerEvent brings the report of a peer.
 type peerEvent struct{ report PeerReport }
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -73,6 +73,23 @@
 	if r.outage {
 		r.outage, r.outageEnd = false, now+r.settings.Grace
 	}
+	r.replace(now, entries)
+	return true
+}
+
+// Follow takes the entries that another daemon has read. Since that daemon had
+// no outage, entries that are missing are gone.
+func (r *Registry) Follow(now time.Duration, revision uint64, entries []Entry) bool {
+	if revision < r.revision {
+		return false
+	}
+	r.revision, r.outage, r.outageEnd = revision, false, now
+	r.replace(now, entries)
+	return true
+}
+
+// replace puts the entries in the place of those known before.
+func (r *Registry) replace(now time.Duration, entries []Entry) {
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.ID] = true
@@ -93,7 +110,6 @@
 			delete(r.entries, id)
 		}
 	}
-	return true
 }
 
 // Revision returns that of the newest read.
--- a/gateway/registrar/registrar_test.go
+++ b/gateway/registrar/registrar_test.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// Guards against a host that lost the store and goes on using targets that the
+// other daemons saw leave.
+func TestChangesOfPeersNeedNoGrace(t *testing.T) {
+	r := registrar.New(registrar.Settings{Grace: grace})
+	r.Apply(0, 1, []registrar.Entry{entry("a", 1, false), entry("b", 1, false)})
+	r.Fail()
+	if !r.Follow(time.Second, 2, []registrar.Entry{entry("a", 1, false)}) || usable(r) != "a/1 " || r.Outage() {
+		t.Errorf("usable %q, outage %t", usable(r), r.Outage())
+	}
+	if r.Follow(time.Second, 1, nil) || usable(r) != "a/1 " {
+		t.Error("an older state was taken")
+	}
+}
+
 // Guards against an incarnation that gets requests after it was seen draining,
 // whatever is read later.
 func TestDrainingIsNeverTakenBack(t *testing.T) {
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -99,7 +99,7 @@
 
 	mutex sync.Mutex
 	// waits ends the calls that the store holds.
-	waits map[int]context.CancelFunc
+	waits map[int]context.CancelCauseFunc
 	next  int
 }
 
@@ -107,14 +107,16 @@
 // ends it. The context also ends when the store is back after an outage, since
 // calls that were held before are never answered.
 func (w *Watcher) hold(ctx context.Context, wait time.Duration) (context.Context, func()) {
+	ctx, cancelCause := context.WithCancelCause(ctx)
 	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	id := w.next
 	w.next++
-	w.waits[id] = cancel
+	w.waits[id] = cancelCause
 	return ctx, func() {
 		cancel()
+		cancelCause(nil)
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		delete(w.waits, id)
@@ -126,12 +128,15 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, cancel := range w.waits {
-		cancel()
+		cancel(errWoken)
 	}
 }
 
+// errWoken is the cause of a held call that is ended to be made again.
+var errWoken = errors.New("the call is made again")
+
 // New returns a Watcher.
-func New(o Options) *Watcher { return &Watcher{options: o, waits: map[int]context.CancelFunc{}} }
+func New(o Options) *Watcher { return &Watcher{options: o, waits: map[int]context.CancelCauseFunc{}} }
 
 // Calls returns the numbers of calls and of failed calls.
 func (w *Watcher) Calls() (calls, failures int64) { return w.calls.Load(), w.failures.Load() }
@@ -176,6 +181,9 @@
 	defer done()
 	w.calls.Add(1)
 	config, next, err := w.options.Source.ConfigAfter(ctx, revision, configWait)
+	if err != nil && errors.Is(context.Cause(ctx), errWoken) {
+		return nil, revision, nil
+	}
 	if err != nil {
 		return nil, revision, err
 	}
