Probe unreachable targets by connections instead of requests

Change: after a failed connection a target is probed by opening a connection, which is kept for a request; the time for a connection is 250 ms. Kept: no request loses its time at a target that is known to be away.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -89,6 +89,8 @@
 	// not block.
 	Send       func(Report)
 	SendChange func(RegistryChange)
+	// Probe tries a connection to a target and calls Probed; it does not block.
+	Probe func(registrar.Entry)
 	// Behind is called when a peer has a newer configuration; it does not block.
 	Behind func()
 	// ReportInterval returns the time between two reports.
@@ -278,6 +280,9 @@
 			logger.Emit(c.options.Logger, logger.MemberLeft, slog.String("member", name), slog.Duration("silent", now-heard))
 		}
 	}
+	for _, t := range c.fleet.Probes(now) {
+		c.options.Probe(t)
+	}
 	whole := now-c.lastWhole >= wholeReport
 	r := Report{Whole: whole, Loads: c.fleet.Loads(now, whole), Accounts: c.shares.Totals(whole), Spills: c.fleet.Spills()}
 	r.Registry = RegistryMark{Revision: c.registry.Revision(), Digest: c.digest, Age: now - c.knownAt}
@@ -332,6 +337,9 @@
 // RegistryFailed notes that the registry could not be read.
 func (c *Controller) RegistryFailed() { c.events <- registryFailedEvent{} }
 
+// Probed takes the result of a probe.
+func (c *Controller) Probed(target string, reached bool) { c.events <- probedEvent{target, reached} }
+
 // Received takes the report of a peer.
 func (c *Controller) Received(r PeerReport) { c.events <- peerEvent{r} }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -209,6 +209,16 @@
 // outage of the store: longer than two reports of peers.
 const outageAge = 900 * time.Millisecond
 
+// probedEvent brings the result of a probe.
+type probedEvent struct {
+	target  string
+	reached bool
+}
+
+func (e probedEvent) apply(c *Controller, now time.Duration) {
+	c.fleet.Probed(now, e.target, e.reached)
+}
+
 // peerEvent brings the report of a peer.
 type peerEvent struct{ report PeerReport }
 
--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -37,7 +37,7 @@
 const (
 	// dialTimeout is many times the round trip within a region. A lost packet of the
 	// handshake is repeated only after a second, when another target is tried.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken.
 	userTimeout = 1500 * time.Millisecond
@@ -156,6 +156,17 @@
 	return answer, nil
 }
 
+// Probe opens a connection to the target and keeps it for a request; it reports
+// whether the target was reached.
+func (c *Courier) Probe(ctx context.Context, t Target) bool {
+	conn, err := c.dial(ctx, t)
+	if err != nil {
+		return false
+	}
+	c.put(t, conn)
+	return true
+}
+
 // connect returns an unused connection or opens one.
 func (c *Courier) connect(ctx context.Context, t Target, once bool) (*connection, error) {
 	for {
@@ -170,6 +181,11 @@
 		c.Stats.Stale.Add(1)
 		conn.abort()
 	}
+	return c.dial(ctx, t)
+}
+
+// dial opens a connection. Errors: ErrNotSent.
+func (c *Courier) dial(ctx context.Context, t Target) (*connection, error) {
 	c.Stats.Dials.Add(1)
 	raw, err := c.dialer.DialContext(ctx, "tcp4", t.Address)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/recorder"
+	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/settings"
 	"monsoondeck.example/gateway/watcher"
 	"monsoondeck.example/limiter"
@@ -47,6 +48,8 @@
 	// trustShare is the part of the drain bound up to which the state of the registry is
 	// trusted; the rest is for the way of a request to the target.
 	trustShare = 0.85
+	// probeTimeout bounds a probe; connections have a shorter bound of their own.
+	probeTimeout = time.Second
 	// changeDelay is how long a daemon that heard of a newer state of the registry
 	// waits for the change before it reads the registry itself.
 	changeDelay = 150 * time.Millisecond
@@ -126,7 +129,7 @@
 	g.exchanger = exchanger.New()
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
-		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
+		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, Probe: g.probe, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
 		StaleLimit: time.Duration(trustShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // unused connections end with the process
@@ -242,6 +245,15 @@
 	return due
 }
 
+// probe tries a connection to a target.
+func (g *Gateway) probe(t registrar.Entry) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		g.controller.Probed(t.ID, g.courier.Probe(ctx, courier.Target{ID: t.ID, Address: t.Address, Incarnation: t.Incarnation}))
+	}()
+}
+
 // servePeer accepts connections of other daemons once the secret is known.
 func (g *Gateway) servePeer(w http.ResponseWriter, r *http.Request) {
 	hub := g.hub.Load()
--- a/gateway/placer/health.go
+++ b/gateway/placer/health.go
@@ -16,6 +16,9 @@
 	// probing is the time at which the last single request was sent after a back-off;
 	// 0 if there is none.
 	probing time.Duration
+	// unreachable is set from a failed connection until a probe connects. Such a target
+	// gets no request: each would lose the time of a failing connection.
+	unreachable bool
 	// errors is the moving share of requests that failed, as of updated; it fades with
 	// time, since a target that gets no requests cannot show that it is well again.
 	errors  float64
@@ -38,6 +41,9 @@
 
 // usable reports whether the target may get a request.
 func (h *health) usable(now time.Duration) bool {
+	if h.unreachable {
+		return false
+	}
 	if h.failures < minFailures {
 		return true
 	}
@@ -52,7 +58,7 @@
 }
 
 func (h *health) succeed(now time.Duration) {
-	h.failures, h.probing = 0, 0
+	h.failures, h.probing, h.unreachable = 0, 0, false
 	h.observe(now, 0)
 }
 
@@ -62,8 +68,31 @@
 	h.failures++
 	if unreachable {
 		h.failures = max(h.failures, minFailures)
+		h.unreachable = true
 	}
 	if over := h.failures - minFailures; over >= 0 {
 		h.until = now + min(minBackoff<<min(over, maxDoublings), maxBackoff)
 	}
 }
+
+// probeDue reports whether a connection should be tried, and notes that it is.
+func (h *health) probeDue(now time.Duration) bool {
+	if !h.unreachable || now < h.until || h.probing != 0 && now-h.probing <= probeAge {
+		return false
+	}
+	h.probing = now
+	return true
+}
+
+// probed takes the result of a probe. A target that was reached gets one request
+// first.
+func (h *health) probed(now time.Duration, reached bool) {
+	if !h.unreachable {
+		return
+	}
+	if !reached {
+		h.fail(now, true)
+		return
+	}
+	h.unreachable, h.probing, h.until = false, 0, now
+}
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -393,6 +393,24 @@
 	}
 }
 
+// Probes returns the targets to which a connection should be tried now.
+func (f *Fleet) Probes(now time.Duration) []registrar.Entry {
+	var due []registrar.Entry
+	for _, t := range f.targets {
+		if t.health.probeDue(now) {
+			due = append(due, t.entry)
+		}
+	}
+	return due
+}
+
+// Probed takes the result of a probe.
+func (f *Fleet) Probed(now time.Duration, id string, reached bool) {
+	if t := f.targets[id]; t != nil {
+		t.health.probed(now, reached)
+	}
+}
+
 // SetPeer takes the loads that another daemon reports. Targets that are not
 // listed are unchanged.
 func (f *Fleet) SetPeer(now time.Duration, peer string, loads []Load, all bool) {
--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -303,3 +303,48 @@
 		t.Fatalf("loads %+v without a change", more)
 	}
 }
+
+// Load: a data centre that is cut off. Requests do not lose time at targets that
+// cannot be reached; probes find out when they can.
+func TestUnreachableTargetIsProbedBeforeItIsUsed(t *testing.T) {
+	f := fleet(0)
+	desk := func() placer.Request { lastID++; return placer.Request{ID: lastID, Service: "desk"} }
+	r := desk()
+	c := send(t, f, 0, r, roomy)
+	cut := c.Target.ID
+	f.End(0, r.ID, placer.Unreachable)
+	now := time.Duration(0)
+	probes := 0
+	for range 100 {
+		now += 50 * time.Millisecond
+		r := desk()
+		if c := send(t, f, now, r, roomy); c.Target.ID == cut {
+			t.Fatal("a request went to an unreachable target")
+		}
+		f.End(now, r.ID, placer.Complete)
+		for _, p := range f.Probes(now) {
+			if p.ID != cut {
+				t.Errorf("%s is probed", p.ID)
+			}
+			probes++
+			f.Probed(now, p.ID, false)
+		}
+	}
+	if probes < 2 || probes > 10 {
+		t.Errorf("%d probes in five seconds", probes)
+	}
+	now += 5 * time.Second
+	for _, p := range f.Probes(now) {
+		f.Probed(now, p.ID, true)
+	}
+	back := false
+	for range 100 {
+		now += 50 * time.Millisecond
+		r := desk()
+		back = back || send(t, f, now, r, roomy).Target.ID == cut
+		f.End(now, r.ID, placer.Complete)
+	}
+	if !back {
+		t.Error("a target that was reached again is not used")
+	}
+}
