Take a newer configuration from a peer when the store does not give it

Change: a daemon that hears of a newer configuration calls the store, and after 300 ms asks the peer (ConfigRequest and ConfigPush, as in the product's own fleet).

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -91,8 +91,10 @@
 	SendChange func(RegistryChange)
 	// Probe tries a connection to a target and calls Probed; it does not block.
 	Probe func(registrar.Entry)
-	// Behind is called when a peer has a newer configuration; it does not block.
-	Behind func()
+	// Behind is called when a peer has a newer configuration, AskConfig when the store
+	// did not give it in time; they do not block.
+	Behind    func()
+	AskConfig func(peer string, after uint64)
 	// ReportInterval returns the time between two reports.
 	ReportInterval func() time.Duration
 	// StaleLimit is the age of the registry from which requests wait for a read; 0 sets
@@ -136,7 +138,9 @@
 	// behindSince is the time since which a peer has known a newer state of the
 	// registry; 0 if none has.
 	behindSince time.Duration
-	lastBehind  time.Duration
+	// configBehind is the time since which a peer has had a newer configuration; 0 if
+	// none has. lastBehind is that of the last call for one.
+	configBehind, lastBehind time.Duration
 }
 
 // Stats describes the control state for metrics.
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -102,6 +102,7 @@
 	c.fleet.SetConfig(e.config)
 	c.shares.SetCapacity(e.config.Limits().TokensPerSecond)
 	c.config.Store(&e.config)
+	c.configBehind = 0
 	logger.Emit(c.options.Logger, logger.ConfigApplied, slog.Uint64("version", e.config.Version()), slog.Int("routes", e.config.Routes()))
 }
 
@@ -163,18 +164,35 @@
 }
 
 // heardOfConfig compares the configuration that a peer has.
-func (c *Controller) heardOfConfig(now time.Duration, version uint64) {
-	config := c.config.Load()
-	if version == 0 || config != nil && config.Version() >= version || now-c.lastBehind < behindInterval {
+func (c *Controller) heardOfConfig(now time.Duration, peer string, version uint64) {
+	own := uint64(0)
+	if config := c.config.Load(); config != nil {
+		own = config.Version()
+	}
+	if version <= own {
+		return
+	}
+	if c.configBehind == 0 {
+		c.configBehind = now
+	}
+	if now-c.lastBehind < behindInterval {
 		return
 	}
 	c.lastBehind = now
 	c.options.Behind()
+	if now-c.configBehind >= askAfter {
+		c.options.AskConfig(peer, own)
+	}
 }
 
-// behindInterval is the shortest time between two calls for a newer
-// configuration; a call takes some milliseconds.
-const behindInterval = 300 * time.Millisecond
+const (
+	// behindInterval is the shortest time between two calls for a newer configuration;
+	// a call takes some milliseconds.
+	behindInterval = 300 * time.Millisecond
+	// askAfter is how long the store has to give a newer configuration before a peer is
+	// asked for it: the store may turn this host away and serve the others.
+	askAfter = 300 * time.Millisecond
+)
 
 // logTargets writes one record for each target that came or left.
 func (c *Controller) logTargets(revision uint64, before, after []registrar.Entry) {
@@ -230,7 +248,7 @@
 	c.peers[r.Peer] = now
 	c.heard.Store(r.Peer, now)
 	c.heardOfRegistry(now, r.Report.Registry)
-	c.heardOfConfig(now, r.Report.ConfigVersion)
+	c.heardOfConfig(now, r.Peer, r.Report.ConfigVersion)
 	c.fleet.SetPeer(now, r.Peer, r.Report.Loads, r.Report.Whole)
 	c.fleet.SetSpills(now, r.Report.Spills)
 	c.shares.SetPeer(now, r.Peer, r.Incarnation, r.Report.Accounts)
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math"
 	"slices"
 	"sync"
@@ -13,7 +14,9 @@
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/gateway/sharer"
+	"monsoondeck.example/logger"
 	"monsoondeck.example/messenger"
 )
 
@@ -28,15 +31,28 @@
 	intervalPerPeer = 12 * time.Millisecond
 )
 
+// Configs gives the configuration in force.
+type Configs interface {
+	Current() (resolver.Config, bool)
+}
+
+// Decoder reads a configuration that a peer passed on.
+type Decoder interface {
+	Decode(encoded []byte) (resolver.Config, error)
+}
+
 // Exchanger is the connection to the peers.
 type Exchanger struct {
+	decoder Decoder
+	logger  *slog.Logger
+
 	mutex sync.Mutex
 	hub   *connector.Hub
 	peers []connector.Peer
 }
 
 // New returns an Exchanger without peers.
-func New() *Exchanger { return &Exchanger{} }
+func New(d Decoder, l *slog.Logger) *Exchanger { return &Exchanger{decoder: d, logger: l} }
 
 // Start gives the Exchanger its connections.
 func (e *Exchanger) Start(hub *connector.Hub) {
@@ -108,8 +124,44 @@
 	}
 }
 
+// AskConfig asks a peer for its configuration if it is newer than a version.
+func (e *Exchanger) AskConfig(peer string, after uint64) {
+	e.mutex.Lock()
+	hub := e.hub
+	e.mutex.Unlock()
+	if hub != nil {
+		hub.Send(connector.Peer{ID: peer}, func(f *messenger.Frame) { f.ConfigRequest = &messenger.ConfigRequest{After: after} })
+	}
+}
+
+// giveConfig answers AskConfig.
+func (e *Exchanger) giveConfig(hub *connector.Hub, peer string, after uint64, configs Configs) {
+	config, ok := configs.Current()
+	if !ok || config.Version() <= after || len(config.Encoded()) > maxConfigBytes {
+		return
+	}
+	push := messenger.ConfigPush{Version: config.Version(), Body: string(config.Encoded())}
+	hub.Send(connector.Peer{ID: peer}, func(f *messenger.Frame) { f.ConfigPushes = append(f.ConfigPushes, push) })
+}
+
+// takeConfig reads what giveConfig sent.
+func (e *Exchanger) takeConfig(from string, push messenger.ConfigPush, to Receiver) {
+	config, err := e.decoder.Decode([]byte(push.Body))
+	if err != nil {
+		logger.Emit(e.logger, logger.ConfigRejected, slog.String("from", from), slog.Uint64("version", push.Version), slog.String("error", err.Error()))
+		return
+	}
+	to.SetConfig(config)
+}
+
+// maxConfigBytes is the largest configuration that fits into a frame of 256 KB;
+// larger ones come from the store only.
+const maxConfigBytes = 200 << 10
+
 // Receiver takes what peers send.
 type Receiver interface {
+	Configs
+	SetConfig(c resolver.Config)
 	Received(r controller.PeerReport)
 	ReceivedChange(c controller.RegistryChange)
 }
@@ -125,6 +177,12 @@
 				return
 			}
 			e.learn(f.Sender)
+			if f.ConfigRequest != nil {
+				e.giveConfig(hub, f.Sender, f.ConfigRequest.After, to)
+			}
+			for _, m := range f.ConfigPushes {
+				e.takeConfig(f.Sender, m, to)
+			}
 			for _, m := range f.RegistryChanges {
 				to.ReceivedChange(decodeChange(m))
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,10 +126,10 @@
 
 func (g *Gateway) assemble() {
 	s := g.settings
-	g.exchanger = exchanger.New()
+	g.exchanger = exchanger.New(g.options.Source, g.logger)
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
-		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, Probe: g.probe, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
+		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, AskConfig: g.exchanger.AskConfig, Probe: g.probe, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
 		StaleLimit: time.Duration(trustShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // unused connections end with the process
--- a/gateway/resolver/config.go
+++ b/gateway/resolver/config.go
@@ -15,6 +15,7 @@
 	accounts map[string]Account
 	// accountOfKey holds the name of the account of each key.
 	accountOfKey map[string]string
+	encoded      []byte
 }
 
 // Content is what a configuration is made of.
@@ -24,12 +25,14 @@
 	Services []Service
 	Accounts []Account
 	Limits   Limits
+	// Encoded is the form in which the configuration was read; daemons pass it on.
+	Encoded []byte
 }
 
 // New returns the configuration with the content.
 func New(c Content) Config {
 	config := Config{
-		version: c.Version, limits: c.Limits,
+		version: c.Version, limits: c.Limits, encoded: c.Encoded,
 		routes: map[string][]Route{}, services: map[string]Service{},
 		accounts: map[string]Account{}, accountOfKey: map[string]string{},
 	}
@@ -54,6 +57,9 @@
 // Version returns the version; versions of one deployment only increase.
 func (c Config) Version() uint64 { return c.version }
 
+// Encoded returns the form in which the configuration was read.
+func (c Config) Encoded() []byte { return c.encoded }
+
 // Limits returns the limits on callers.
 func (c Config) Limits() Limits { return c.limits }
 
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -39,6 +39,8 @@
 	// ConfigAfter waits for a configuration that is newer than the revision; it is
 	// nil if there was none in time. Errors: ErrHistoryLost.
 	ConfigAfter(ctx context.Context, revision uint64, wait time.Duration) (*resolver.Config, uint64, error)
+	// Decode reads a configuration that a peer passed on.
+	Decode(encoded []byte) (resolver.Config, error)
 	// Registry returns the readable entries of all targets and the keys of the others.
 	Registry(ctx context.Context) (entries []registrar.Entry, unreadable []string, revision uint64, err error)
 	// Daemons returns the list of daemons.
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -88,6 +88,8 @@
 	}
 }
 
+func (s *store) Decode([]byte) (resolver.Config, error) { return resolver.Config{}, errDown }
+
 func (s *store) Registry(context.Context) ([]registrar.Entry, []string, uint64, error) {
 	v, err := s.state()
 	return nil, nil, v, err
