--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-func wait(t *testing.T, c *control, ctx context.Context, id uint64) receiver.Permit {
+func wait(ctx context.Context, t *testing.T, c *control, id uint64) receiver.Permit {
 	t.Helper()
 	p, err := c.Wait(ctx, demand(id))
 	if err != nil {
@@ -75,7 +75,7 @@
 	t.Helper()
 	var permits []receiver.Permit
 	for id := range uint64(places) {
-		permits = append(permits, wait(t, c, context.Background(), id+1))
+		permits = append(permits, wait(context.Background(), t, c, id+1))
 	}
 	return permits
 }
@@ -121,7 +121,7 @@
 		p.End(placer.Cancelled)
 	}
 	for id := range uint64(len(permits)) {
-		wait(t, c, context.Background(), 200+id)
+		wait(context.Background(), t, c, 200+id)
 	}
 }
 
@@ -131,7 +131,7 @@
 	for _, v := range []uint64{5, 3, 7, 6} {
 		c.SetConfig(config(v))
 	}
-	wait(t, c, context.Background(), 1) // the messages before it have been handled
+	wait(context.Background(), t, c, 1) // the messages before it have been handled
 	if current, ok := c.Current(); !ok || current.Version() != 7 {
 		t.Errorf("version %d", current.Version())
 	}
@@ -189,7 +189,7 @@
 		}
 		return false
 	}
-	p := wait(t, c, context.Background(), 1)
+	p := wait(context.Background(), t, c, 1)
 	for !reported(1) {
 		time.Sleep(time.Millisecond)
 	}
--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -22,6 +22,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"monsoondeck.example/gateway/dialer"
 )
 
 // Errors of Do and of reading an answer.
@@ -38,13 +40,6 @@
 	// dialTimeout is many times the round trip within a region. A lost packet of the
 	// handshake is repeated only after a second, when another target is tried.
 	dialTimeout = 250 * time.Millisecond
-	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as broken.
-	userTimeout = 1500 * time.Millisecond
-	// keepAliveIdle and keepAliveInterval find connections that went silent.
-	keepAliveIdle     = 1 * time.Second
-	keepAliveInterval = 1 * time.Second
-	keepAliveProbes   = 2
 	// defaultIdle is how long an unused connection is kept where the target states
 	// no time.
 	defaultIdle = 3 * time.Second
@@ -104,7 +99,7 @@
 
 // Courier keeps the connections to targets. It is safe for concurrent use.
 type Courier struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 	Stats  Stats
 
 	mutex sync.Mutex
@@ -115,26 +110,10 @@
 
 // New returns a Courier and a function that closes unused connections.
 func New() (*Courier, func()) {
-	c := &Courier{idle: map[Target][]*connection{}}
-	c.dialer = net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
-		},
-		ControlContext: func(_ context.Context, _, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
-	}
-	c.dialer.SetMultipathTCP(false)
+	c := &Courier{dialer: dialer.New(dialTimeout), idle: map[Target][]*connection{}}
 	return c, c.close
 }
 
-func setUserTimeout(raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-	return errors.CombineErrors(err, failed)
-}
-
 // Do sends the request and returns the head of its answer. The context bounds
 // the whole exchange, reading the body included. Errors: ErrNotSent, ErrBroken,
 // ErrInvalid, and those of the context.
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -88,29 +88,26 @@
 
 // Send sends a report to all peers.
 func (e *Exchanger) Send(r controller.Report) {
-	e.mutex.Lock()
-	hub, peers := e.hub, e.peers
-	e.mutex.Unlock()
-	if hub == nil {
-		return
-	}
 	message := encode(r)
-	for _, p := range peers {
-		hub.Send(p, func(f *messenger.Frame) { f.WorkReports = append(f.WorkReports, message) })
-	}
+	e.broadcast(func(f *messenger.Frame) { f.WorkReports = append(f.WorkReports, message) })
 }
 
 // SendChange sends a change of the registry to all peers.
 func (e *Exchanger) SendChange(c controller.RegistryChange) {
+	message := encodeChange(c)
+	e.broadcast(func(f *messenger.Frame) { f.RegistryChanges = append(f.RegistryChanges, message) })
+}
+
+// broadcast adds a message to the frames for all peers.
+func (e *Exchanger) broadcast(merge func(f *messenger.Frame)) {
 	e.mutex.Lock()
 	hub, peers := e.hub, e.peers
 	e.mutex.Unlock()
 	if hub == nil {
 		return
 	}
-	message := encodeChange(c)
 	for _, p := range peers {
-		hub.Send(p, func(f *messenger.Frame) { f.RegistryChanges = append(f.RegistryChanges, message) })
+		hub.Send(p, merge)
 	}
 }
 
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -34,8 +34,6 @@
 	// memoryShare is the share of an engine's memory that running requests may need.
 	// Beyond it the engine preempts requests in the middle of their streams.
 	memoryShare = 0.8
-	// outputTokens is expected where a request tells neither hint nor maximum.
-	outputTokens = 256
 
 	// minFailures is the number of failures in a row that start a back-off. Single
 	// failures are normal: targets lose a few answers without being down.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -24,6 +24,9 @@
 	defaultPatience = 60 * time.Second
 	// defaultObjective is used where a route has no objective.
 	defaultObjective = time.Second
+	// defaultOutput is the number of generated tokens that is expected of an engine
+	// where the request tells neither estimate nor maximum.
+	defaultOutput = 256
 	// defaultBodyBytes bounds bodies until a configuration is known.
 	defaultBodyBytes = 4 << 20
 	// noConfigRetry is about the time in which a starting daemon reads its
@@ -265,6 +268,9 @@
 	if j.call.MaxOutput > 0 {
 		output = min(output, j.call.MaxOutput)
 	}
+	if output <= 0 && j.engine != nil {
+		output = defaultOutput
+	}
 	objective := j.route.Objective
 	if objective <= 0 {
 		objective = defaultObjective
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -109,7 +109,7 @@
 		"overload":  {"/once/1", "k", "x", func(o *receiver.Options) { o.Waiter = &waiter{refuse: queuer.ReasonOverload} }, 503, true},
 	} {
 		s := newScene(t, nil, tc.change)
-		r := s.request(t, context.Background(), tc.path, tc.key, tc.body)
+		r := s.request(context.Background(), t, tc.path, tc.key, tc.body)
 		if r.status != tc.status || (r.header.Get("Retry-After") != "") != tc.retry || len(s.carrier.calls) != 0 {
 			t.Errorf("%s: status %d, Retry-After %q, %d calls", name, r.status, r.header.Get("Retry-After"), len(s.carrier.calls))
 		}
@@ -160,7 +160,7 @@
 	s := newScene(t, []reply{{held: true}}, nil)
 	ctx, leave := context.WithCancel(context.Background())
 	left := make(chan result, 1)
-	go func() { left <- s.request(t, ctx, "/safe/1", "k", "x") }()
+	go func() { left <- s.request(ctx, t, "/safe/1", "k", "x") }()
 	<-s.carrier.started
 	leave()
 	<-s.carrier.cancelled
@@ -170,7 +170,7 @@
 
 	once := newScene(t, []reply{{held: true}}, func(o *receiver.Options) { o.Gate = gate{} })
 	ctx, leave = context.WithCancel(context.Background())
-	go func() { left <- once.request(t, ctx, "/once/1", "k", "x") }()
+	go func() { left <- once.request(ctx, t, "/once/1", "k", "x") }()
 	<-once.carrier.started
 	leave()
 	<-left
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -240,7 +240,7 @@
 	err error
 }
 
-func (s *scene) request(t *testing.T, ctx context.Context, path, key, body string) result {
+func (s *scene) request(ctx context.Context, t *testing.T, path, key, body string) result {
 	t.Helper()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+path, strings.NewReader(body))
 	if err != nil {
@@ -261,7 +261,7 @@
 
 func (s *scene) get(t *testing.T, path string) result {
 	t.Helper()
-	return s.request(t, context.Background(), path, "k", "body")
+	return s.request(context.Background(), t, path, "k", "body")
 }
 
 func (s *scene) wantResults(t *testing.T, want ...placer.Result) {
