Close new connections unread on busy hosts; see callers that left

Change: beyond a refused share of 0.3 the listener closes new connections unread, in proportion; before a request is sent, the caller's socket is looked at.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	room       *room
 	metrics    *metrics
 	callers    *server
+	guard      *guard
 	others     []*server
 	// hub is set once the secret of the fleet is known.
 	hub atomic.Pointer[connector.Hub]
@@ -141,7 +142,7 @@
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Waiter: g.controller, Configs: g.controller, Carrier: g.courier,
-		Retries: newRetries(s, g.clock, g.exchanger.Peers), Gate: g, Room: g.room,
+		Retries: newRetries(s, g.clock, g.exchanger.Peers), Gate: g, Room: g.room, Left: callerLeft,
 		Bodies:  limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
 		Observe: g.metrics.observe,
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -115,6 +115,10 @@
 		permit.End(placer.Unsent)
 		return again
 	}
+	if j.stream == nil && j.receiver.Left(j.request) {
+		permit.End(placer.Unsent)
+		return broken
+	}
 	if j.request.Context().Err() != nil || patience < minPatience {
 		permit.End(placer.Unsent)
 		return broken
@@ -252,7 +256,7 @@
 // fail answers a request that no target answered.
 func (j *job) fail(ctx context.Context) {
 	switch {
-	case j.request.Context().Err() != nil:
+	case j.request.Context().Err() != nil, j.stream == nil && j.receiver.Left(j.request):
 		j.end("abandoned", 0)
 		panic(http.ErrAbortHandler)
 	case j.stream != nil && j.stream.begun:
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -52,6 +52,8 @@
 	Retries  Retries
 	Gate     Gate
 	Room     Room
+	// Left reports whether the caller has closed its connection.
+	Left func(r *http.Request) bool
 	// Bodies bounds the bytes of bodies in memory.
 	Bodies *limiter.Admission
 	// Logger gets one record per decision about a request.
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -181,6 +181,16 @@
 	}
 }
 
+// Guards against requests that reach a target after their caller has left, on a
+// host that is late to notice it.
+func TestCallerThatLeftBeforeItsRequestWasRead(t *testing.T) {
+	s := newScene(t, nil, func(o *receiver.Options) { o.Left = func(*http.Request) bool { return true } })
+	if r := s.get(t, "/once/1"); r.err == nil || len(s.carrier.calls) != 0 {
+		t.Errorf("status %d, %d calls", r.status, len(s.carrier.calls))
+	}
+	s.wantResults(t, placer.Unsent)
+}
+
 // Guards against requests that are accepted during a stop and cut at its end.
 func TestRequestsDuringAStop(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -218,7 +218,7 @@
 		carrier: &carrier{replies: replies, started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})},
 	}
 	s.options = receiver.Options{
-		Protocol: protocol{}, Waiter: s.waiter, Configs: configs{&config}, Carrier: s.carrier, Retries: retries{true}, Gate: gate{}, Room: room{},
+		Protocol: protocol{}, Waiter: s.waiter, Configs: configs{&config}, Carrier: s.carrier, Retries: retries{true}, Gate: gate{}, Room: room{}, Left: func(*http.Request) bool { return false },
 		Bodies: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -40,6 +40,16 @@
 	return active <= r.limit && (share == 0 || rand.Float64() >= share)
 }
 
+// full reports whether a new connection should be closed unread.
+func (r *room) full() bool {
+	share := r.refused()
+	return share >= closeShare && rand.Float64() < share
+}
+
+// closeShare is the refused part of the requests from which new connections are
+// closed unread. Below it the host has the time to refuse with an answer.
+const closeShare = 0.3
+
 // refused returns the part of the requests that is refused.
 func (r *room) refused() float64 { return math.Float64frombits(r.share.Load()) }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -39,7 +39,7 @@
 	}
 	s := &server{listener: listener, idle: map[net.Conn]time.Time{}}
 	s.http = &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ConnState: s.track,
+		ConnContext: withConnection, Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ConnState: s.track,
 		ErrorLog: slog.NewLogLogger(l.Handler(), slog.LevelDebug),
 	}
 	return s, nil
@@ -109,6 +109,8 @@
 		}
 		all = append(all, s)
 		if i == 0 {
+			g.guard = &guard{Listener: s.listener, refuse: g.room.full}
+			s.listener = g.guard
 			g.callers = s
 		} else {
 			g.others = append(g.others, s)
