Measure the delay of a busy host by a goroutine that yields

Cause: a host with 0.144 of a core before a flooding account refused nothing, although requests waited for seconds: a goroutine whose timer fires runs before those that wait for the processor, so its delay stayed small. Change: after the timer the goroutine yields and thus waits behind the others.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,9 @@
 	for ctx.Err() == nil {
 		began := r.clock()
 		time.Sleep(lagInterval)
+		// A goroutine whose timer fires runs before those that wait for the processor;
+		// one that yields waits behind them.
+		runtime.Gosched()
 		now := r.clock()
 		r.shedder.Lag(now, now-began-lagInterval)
 		r.share.Store(math.Float64bits(r.shedder.Share()))
