--- /dev/null
+++ b/gateway/controller/permit.go
@@ -0,0 +1,39 @@
+package controller
+
+import (
+	"time"
+
+	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/queuer"
+	"monsoondeck.example/gateway/receiver"
+)
+
+// permit is one request that waits or is at a target.
+type permit struct {
+	controller *Controller
+	demand     receiver.Demand
+	decision   chan queuer.Decision
+	decided    queuer.Decision
+	// decidedAt is the time of the decision; it is set before the decision is sent.
+	decidedAt time.Duration
+}
+
+// Decision implements receiver.Permit.
+func (p *permit) Decision() queuer.Decision { return p.decided }
+
+// Age implements receiver.Permit.
+func (p *permit) Age() time.Duration { return p.controller.options.Clock() - p.decidedAt }
+
+// FirstEvent implements receiver.Permit.
+func (p *permit) FirstEvent() { p.controller.events <- firstEvent{p} }
+
+// Progress implements receiver.Permit.
+func (p *permit) Progress(events int, elapsed time.Duration) {
+	p.controller.events <- progressEvent{p, events, elapsed}
+}
+
+// Stall implements receiver.Permit.
+func (p *permit) Stall(stalled bool) { p.controller.events <- stallEvent{p, stalled} }
+
+// End implements receiver.Permit.
+func (p *permit) End(r placer.Result) { p.controller.events <- endEvent{p, r} }
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -5,7 +5,6 @@
 package placer
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -159,115 +158,6 @@
 	return best, true
 }
 
-// roomy reports whether the engines of the service have little to read, so that
-// reading shared parts again delays nobody.
-func (f *Fleet) roomy(now time.Duration, service string) bool {
-	if known := f.roominess[service]; known.time == now && known.set {
-		return known.roomy
-	}
-	reading, engines := time.Duration(0), 0
-	for _, t := range f.services[service] {
-		if t.engine != nil {
-			reading += t.engine.reading(t.total(now).Unread)
-			engines++
-		}
-	}
-	roomy := engines > 0 && reading/time.Duration(engines) <= roomyReading
-	f.roominess[service] = roominess{time: now, roomy: roomy, set: true}
-	return roomy
-}
-
-// roominess is the result of roomy at a time.
-type roominess struct {
-	time       time.Duration
-	roomy, set bool
-}
-
-// order returns the first targets in the order in which all daemons choose them
-// for the prompt; nil if the prompt has no shared parts.
-func (f *Fleet) order(r Request) *places {
-	affinity := r.affinity()
-	if affinity == 0 {
-		return nil
-	}
-	var p places
-	for _, t := range f.services[r.Service] {
-		p.add(t, rank(affinity, t.hash))
-	}
-	return &p
-}
-
-// assess returns the choice of one target and its score: the expected time to
-// the first event plus penalties; the smallest is the best.
-func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, order *places, spills bool) (Choice, time.Duration) {
-	load := t.total(now)
-	var c Choice // the target is added to the best choices only: entries are large
-	if t.engine == nil {
-		f.assessService(&c, t, load, terms.Allowance)
-	} else {
-		f.assessEngine(now, &c, t, load, r, terms, order != nil && order.targets[0] == t, spills)
-	}
-	score := c.Expected + time.Duration(t.health.errorShare(now)*float64(errorPenalty))
-	if f.settings.Policy == Fewest {
-		return c, time.Duration(load.Running)
-	}
-	if t.entry.DataCentre != f.settings.DataCentre {
-		score += remotePenalty
-	}
-	if c.Shared > spillTokens {
-		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(order.of(t))*rankPenalty
-	}
-	if t.stalled > 0 {
-		score += stallPenalty
-	}
-	if now < t.fullUntil {
-		score += fullPenalty
-		c.Fits, c.Full = false, true
-	}
-	return c, score
-}
-
-func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home, spills bool) {
-	e := t.engine
-	c.Home = home
-	c.Unread, c.Shared = e.unread(now, r, home)
-	c.Ahead = load.Unread + c.Unread
-	c.Expected = firstEventBase + e.reading(c.Ahead)
-	slots := max(e.settings.Slots, t.entry.Slots, 1)
-	memory := float64(e.settings.MemoryTokens) * memoryShare
-	limit, share := f.paceLimit(r), 1.0
-	if c.Shared > spillTokens {
-		share = spillShare
-		c.Full = !spills
-	}
-	if terms.Spare {
-		share *= min(spareShare*terms.Standing, 1)
-	}
-	c.Full = c.Full || load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
-		limit > 0 && float64(e.pace.mean(now)) > share*float64(limit)
-	// A prompt that takes longer than the allowance by itself still gets a target
-	// that has nothing else to read.
-	idle := e.reading(load.Unread) <= idleReading
-	c.Fits = !c.Full && (idle || float64(c.Expected) <= share*float64(terms.Allowance))
-}
-
-// paceLimit returns the longest mean pause between events that an engine may
-// have to get the request: a short answer must not slow down the long ones.
-func (f *Fleet) paceLimit(r Request) time.Duration {
-	limit := f.paces[r.Service]
-	if r.Pace > 0 && (limit == 0 || r.Pace < limit) {
-		limit = r.Pace
-	}
-	return limit
-}
-
-func (f *Fleet) assessService(c *Choice, t *target, load Load, allowance time.Duration) {
-	slots := max(t.entry.Slots, 1)
-	turns := 1 + float64(load.Running)/float64(slots)
-	c.Expected = time.Duration(turns * float64(max(t.latency, minLatency)))
-	c.Fits = load.Running < slots || load.Running < slots*maxServiceTurns && c.Expected <= allowance
-}
-
 // Start notes that the request is sent to the chosen target.
 func (f *Fleet) Start(now time.Duration, r Request, c Choice) {
 	t := f.targets[c.Target.ID]
@@ -292,45 +182,6 @@
 	}
 }
 
-// Spill tells that an engine now keeps the shared parts of a prompt although
-// another one comes first for it.
-type Spill struct {
-	Target string
-	Chain  uint64
-}
-
-// Spills returns the spills of this daemon since the last call.
-func (f *Fleet) Spills() []Spill {
-	spills := f.spills
-	f.spills = nil
-	return spills
-}
-
-// SetSpills takes the spills that another daemon reports.
-func (f *Fleet) SetSpills(now time.Duration, spills []Spill) {
-	for _, s := range spills {
-		if t := f.targets[s.Target]; t != nil && t.engine != nil {
-			t.engine.parts[s.Chain] = now
-		}
-	}
-}
-
-// FirstEvent notes that the answer to a request began.
-func (f *Fleet) FirstEvent(now time.Duration, id uint64) {
-	t := f.placed[id]
-	if t == nil {
-		return
-	}
-	if r := t.running[id]; r != nil && !r.answered {
-		t.answer(r)
-		t.stall(r, false)
-		if t.engine != nil {
-			t.engine.learn(now, now-r.started, r.ahead)
-		}
-	}
-	t.health.succeed(now)
-}
-
 // Progress notes events of a stream that arrived within the elapsed time.
 func (f *Fleet) Progress(now time.Duration, id uint64, events int, elapsed time.Duration) {
 	if t := f.placed[id]; t != nil && t.engine != nil {
@@ -392,59 +243,3 @@
 	case Cancelled, Unsent:
 	}
 }
-
-// Probes returns the targets to which a connection should be tried now.
-func (f *Fleet) Probes(now time.Duration) []registrar.Entry {
-	var due []registrar.Entry
-	for _, t := range f.targets {
-		if t.health.probeDue(now) {
-			due = append(due, t.entry)
-		}
-	}
-	return due
-}
-
-// Probed takes the result of a probe.
-func (f *Fleet) Probed(now time.Duration, id string, reached bool) {
-	if t := f.targets[id]; t != nil {
-		t.health.probed(now, reached)
-	}
-}
-
-// SetPeer takes the loads that another daemon reports. Targets that are not
-// listed are unchanged.
-func (f *Fleet) SetPeer(now time.Duration, peer string, loads []Load, all bool) {
-	if all {
-		for _, t := range f.targets {
-			t.removePeer(peer)
-		}
-	}
-	for _, l := range loads {
-		if t := f.targets[l.Target]; t != nil {
-			t.setPeer(now, peer, l)
-		}
-	}
-}
-
-// RemovePeer forgets the loads of another daemon.
-func (f *Fleet) RemovePeer(peer string) {
-	for _, t := range f.targets {
-		t.removePeer(peer)
-	}
-}
-
-// Loads returns the work of this daemon at the targets where it changed since
-// the last call, or at all targets with work.
-func (f *Fleet) Loads(now time.Duration, all bool) []Load {
-	var loads []Load
-	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
-		t := f.targets[id]
-		t.expire(now)
-		l := t.current(now)
-		if l != t.reported || all && l.Running > 0 {
-			t.reported = l
-			loads = append(loads, l)
-		}
-	}
-	return loads
-}
