--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -348,3 +348,21 @@
 		t.Error("a target that was reached again is not used")
 	}
 }
+
+// Guards against a baseline that is not one: it must ignore prompt parts.
+func TestBaselineChoosesByRequestsOnly(t *testing.T) {
+	f := placer.New(placer.Settings{DataCentre: "d0", Policy: placer.Fewest})
+	var entries []registrar.Entry
+	for i := range 3 {
+		entries = append(entries, registrar.Entry{ID: fmt.Sprint("e", i), Service: "model", Address: "127.0.0.1:1", DataCentre: "d0", Slots: 64})
+	}
+	f.SetTargets(entries)
+	f.SetConfig(resolver.New(resolver.Content{Services: []resolver.Service{{Name: "model", Engine: &resolver.Engine{Slots: 64}}}}))
+	used := map[string]int{}
+	for range 9 {
+		used[send(t, f, 0, prompt("one subject", 5000, 10), roomy).Target.ID]++
+	}
+	if len(used) != 3 || used["e0"] != 3 {
+		t.Errorf("requests %v", used)
+	}
+}
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -52,6 +52,9 @@
 	}
 	score := c.Expected + time.Duration(t.health.errorShare(now)*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
+		// The baseline knows neither prompt parts nor the pace of streams.
+		c.Full = load.Running >= max(t.entry.Slots, 1)
+		c.Fits = !c.Full
 		return c, time.Duration(load.Running)
 	}
 	if t.entry.DataCentre != f.settings.DataCentre {
