--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 )
 
 // Load: more callers than a small host can answer. New connections are closed
@@ -77,3 +78,24 @@
 		t.Error("a caller that left is not seen")
 	}
 }
+
+// Guards against a process that runs out of descriptors and accepts nobody.
+func TestConnectionsOfCallersAreBounded(t *testing.T) {
+	g := &Gateway{callers: &server{idle: map[net.Conn]time.Time{}}}
+	g.settings.Descriptors = 10
+	a, b := net.Pipe()
+	defer func() { _, _ = a.Close(), b.Close() }()
+	for range 4 {
+		if g.crowded() {
+			t.Fatalf("crowded at %d connections", g.callers.count())
+		}
+		g.callers.track(a, http.StateNew)
+	}
+	if !g.crowded() {
+		t.Error("four of ten descriptors leave nothing for targets")
+	}
+	g.callers.track(a, http.StateClosed)
+	if g.crowded() {
+		t.Error("a closed connection counts")
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -25,6 +25,8 @@
 	listener net.Listener
 
 	mutex sync.Mutex
+	// open is the number of connections.
+	open int
 	// idle holds the connections without a request, with the time since when.
 	idle map[net.Conn]time.Time
 }
@@ -56,6 +58,12 @@
 func (s *server) track(c net.Conn, state http.ConnState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	switch state {
+	case http.StateNew:
+		s.open++
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+	}
 	if state == http.StateIdle {
 		s.idle[c] = time.Now()
 	} else {
@@ -63,6 +71,23 @@
 	}
 }
 
+// count returns the number of open connections.
+func (s *server) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.open
+}
+
+// callerShare is the part of the descriptors that connections of callers may
+// take; those to targets need as many, and the process some more.
+const callerShare = 0.45
+
+// crowded reports whether callers have all the connections that they may have.
+func (g *Gateway) crowded() bool {
+	limit := int(callerShare * float64(g.settings.Descriptors))
+	return limit > 0 && g.callers.count() >= limit
+}
+
 // closeIdle closes the connections that have had no request for the timeout.
 func (s *server) closeIdle(timeout time.Duration) {
 	if timeout <= 0 {
@@ -109,7 +134,7 @@
 		}
 		all = append(all, s)
 		if i == 0 {
-			g.guard = &guard{Listener: s.listener, refuse: g.room.full}
+			g.guard = &guard{Listener: s.listener, refuse: func() bool { return g.room.full() || g.crowded() }}
 			s.listener = g.guard
 			g.callers = s
 		} else {
