End processes also when their starter got the main thread

Change: the starter moves to another thread if it is on the main one. Measured: the test five times, passed; the failure was not reproduced on purpose.

--- a/generator/launcher/starter.go
+++ b/generator/launcher/starter.go
@@ -16,16 +16,27 @@
 
 func newStarter() *starter {
 	s := &starter{commands: make(chan *exec.Cmd), results: make(chan error)}
-	go func() {
-		// A goroutine that ends locked to its thread ends the thread as well.
-		runtime.LockOSThread()
-		for c := range s.commands {
-			s.results <- c.Start()
-		}
-	}()
+	go s.serve()
 	return s
 }
 
+// serve starts the commands from one thread.
+func (s *starter) serve() {
+	// A goroutine that ends locked to its thread ends the thread as well, but for the
+	// main thread of the process, which Go keeps.
+	runtime.LockOSThread()
+	if syscall.Gettid() == syscall.Getpid() {
+		served := make(chan struct{})
+		go func() { defer close(served); s.serve() }() // runs on another thread
+		<-served
+		runtime.UnlockOSThread()
+		return
+	}
+	for c := range s.commands {
+		s.results <- c.Start()
+	}
+}
+
 // start starts a command.
 func (s *starter) start(c *exec.Cmd) error {
 	// Signals of the terminal go to the driver only, which ends its processes in
