Count relayed bytes before the receiver can see them

The injector counted bytes after the write, and released held bytes later still; a client that had read an answer could find neither in the counts. Change: count and release before the write; take back what was not written. Conclusion: the counts are exact for whoever has seen the bytes.

--- a/injector/connection.go
+++ b/injector/connection.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// release accounts for bytes that were delivered or dropped.
+// release accounts for bytes that are about to be delivered or dropped.
 func (p *pipe) release(n int) {
 	p.mutex.Lock()
 	p.held -= n
@@ -173,10 +173,10 @@
 		if !ok || !p.await(c.due) {
 			return
 		}
+		p.release(len(c.data))
 		if len(c.data) > 0 && !p.deliver(c.data) {
 			return
 		}
-		p.release(len(c.data))
 		switch {
 		case errors.Is(c.end, io.EOF):
 			_ = p.to.CloseWrite()
@@ -195,10 +195,14 @@
 		p.connection.reset()
 		return false
 	}
+	// Counted before the receiver can see the bytes, so that whoever has read them
+	// also finds them in the count.
+	carried := p.connection.link.carried[p.direction]
+	carried.Add(uint64(len(data)))
 	n, err := p.to.Write(data)
-	p.connection.link.carried[p.direction].Add(uint64(n))
 	p.active.Store(true)
 	if err != nil {
+		carried.Add(-uint64(len(data) - n))
 		p.connection.reset()
 		return false
 	}
--- a/injector/injector_test.go
+++ b/injector/injector_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// TestCountsPrecedeDelivery guards against counts that are updated after the
+// receiver has already seen the bytes: a caller that acted on an answer then read
+// a count without it.
+func TestCountsPrecedeDelivery(t *testing.T) {
+	l := startLink(t, startEcho(t))
+	c := connect(t, l)
+	for i := 1; i <= 3000; i++ {
+		if err := exchange(c, "count"); err != nil {
+			t.Fatal(err)
+		}
+		if n := l.Carried(Backward); n != uint64(i*len("count")) {
+			t.Fatalf("%d bytes counted after %d exchanges", n, i)
+		}
+		if n := l.Held(Backward); n != 0 {
+			t.Fatalf("%d bytes held after exchange %d", n, i)
+		}
+	}
+}
+
 // TestCutResetsConnections guards against a cut that old or new connections
 // survive, and against a count that is not kept.
 func TestCutResetsConnections(t *testing.T) {
