--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 generate:
 	$(GO) tool go-jsonschema --only-models --min-sized-ints --tags json -t -p messenger --capitalization ID,IDs -o messenger/frame.gen.go messenger/schema/frame.json
 	$(GO) run ./messenger/internal/tagger messenger/schema/frame.json messenger/frame.gen.go
+	$(GO) tool go-jsonschema --only-models --tags json -t -p wire --capitalization ID,IDs,API -o platform/wire/wire.gen.go platform/wire/schema/platform.json
 
 lint:
 	@unformatted=$$(gofmt -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "run gofmt -w on: $$unformatted"; exit 1; fi
