--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -171,10 +171,14 @@
 
 // Forget removes the entry of the server, as the registry does after a silence.
 func (s *Server) Forget() {
+	s.options.Registry.Delete(wire.TargetsTable, s.Instance())
+}
+
+// Instance returns the id of the last start.
+func (s *Server) Instance() string {
 	s.mutex.Lock()
-	id := s.instance
-	s.mutex.Unlock()
-	s.options.Registry.Delete(wire.TargetsTable, id)
+	defer s.mutex.Unlock()
+	return s.instance
 }
 
 // Running reports whether the server runs.
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -23,7 +23,7 @@
 	c.waiting[d.Request.ID] = e.permit
 	c.queue.Add(queuer.Item{
 		Request: d.Request, Account: d.Account, Shared: d.Shared, Priority: d.Priority,
-		Arrived: now, Objective: d.Objective, Deadline: now + d.Deadline, Attempts: d.Attempts,
+		Arrived: now, Objective: d.Objective, Deadline: now + d.Deadline,
 	})
 }
 
@@ -75,7 +75,7 @@
 }
 
 func (e endEvent) apply(c *Controller, now time.Duration) {
-	ran := e.result != placer.Refused && e.result != placer.Unreachable && e.result != placer.Unsent
+	ran := e.result != placer.Refused && e.result != placer.Unreachable && e.result != placer.Misdirected && e.result != placer.Unsent
 	c.end(now, e.permit, e.result, ran)
 }
 
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -44,6 +44,11 @@
 	maxBackoff = 2 * time.Second
 	// maxDoublings keeps the shift of the back-off within maxBackoff.
 	maxDoublings = 8
+	// minAbsence and maxAbsence bound the time without requests after another target
+	// answered at the address: the registry drops the entries of ended targets after
+	// some seconds, or when it is back after an outage.
+	minAbsence = 5 * time.Second
+	maxAbsence = time.Minute
 	// probeAge is the time after which a single request that has not ended no longer
 	// keeps others away.
 	probeAge = 2 * time.Second
--- a/gateway/placer/health.go
+++ b/gateway/placer/health.go
@@ -9,8 +9,9 @@
 // shows. A target that fails gets a single request after a back-off; the first
 // success ends the back-off.
 type health struct {
-	// failures counts failures in a row.
-	failures int
+	// failures counts failures in a row, absences the answers of other targets at the
+	// address.
+	failures, absences int
 	// until is the end of the back-off.
 	until time.Duration
 	// probing is the time at which the last single request was sent after a back-off;
@@ -50,15 +51,18 @@
 	return now >= h.until && (h.probing == 0 || now-h.probing > probeAge)
 }
 
+// onTrial reports whether the target failed lately and has not been well since.
+func (h *health) onTrial() bool { return h.failures >= minFailures }
+
 // begin notes that a request is sent.
 func (h *health) begin(now time.Duration) {
-	if h.failures >= minFailures {
+	if h.onTrial() {
 		h.probing = now
 	}
 }
 
 func (h *health) succeed(now time.Duration) {
-	h.failures, h.probing, h.unreachable = 0, 0, false
+	h.failures, h.absences, h.probing, h.unreachable = 0, 0, 0, false
 	h.observe(now, 0)
 }
 
@@ -75,6 +79,15 @@
 	}
 }
 
+// leave notes that another target answered at the address. The entry may only be
+// late to go, so the target is tried again after a while.
+func (h *health) leave(now time.Duration) {
+	h.fail(now, false)
+	h.failures = max(h.failures, minFailures)
+	h.until = now + min(minAbsence<<min(h.absences, maxDoublings), maxAbsence)
+	h.absences++
+}
+
 // probeDue reports whether a connection should be tried, and notes that it is.
 func (h *health) probeDue(now time.Duration) bool {
 	if !h.unreachable || now < h.until || h.probing != 0 && now-h.probing <= probeAge {
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -30,6 +30,8 @@
 	roominess map[string]roominess
 	// spills are those that the peers do not know yet.
 	spills []Spill
+	// sound and onTrial are the last results of candidates, kept for their memory.
+	sound, onTrial []*target
 }
 
 // Settings configures a Fleet.
@@ -136,10 +138,7 @@
 	var best, fitting Choice
 	var bestTarget, fittingTarget *target
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
-	for _, t := range f.services[r.Service] {
-		if !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID) {
-			continue
-		}
+	for _, t := range f.candidates(now, r) {
 		c, score := f.assess(now, t, r, terms, order, spills)
 		if bestScore < 0 || score < bestScore {
 			best, bestTarget, bestScore = c, t, score
@@ -158,6 +157,25 @@
 	return best, true
 }
 
+// candidates returns the targets that may get a request. One that was already
+// sent in vain is not used to try out a target, unless there is no other.
+func (f *Fleet) candidates(now time.Duration, r Request) []*target {
+	f.sound, f.onTrial = f.sound[:0], f.onTrial[:0]
+	for _, t := range f.services[r.Service] {
+		switch {
+		case !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID):
+		case r.Retry && t.health.onTrial():
+			f.onTrial = append(f.onTrial, t)
+		default:
+			f.sound = append(f.sound, t)
+		}
+	}
+	if len(f.sound) > 0 {
+		return f.sound
+	}
+	return f.onTrial
+}
+
 // Start notes that the request is sent to the chosen target.
 func (f *Fleet) Start(now time.Duration, r Request, c Choice) {
 	t := f.targets[c.Target.ID]
@@ -207,8 +225,10 @@
 	Complete Result = iota
 	// Refused requests did not run because the target is full.
 	Refused
-	// Unreachable targets did not get the request, or are no longer there.
+	// Unreachable targets did not get the request.
 	Unreachable
+	// Misdirected requests met another target at the address.
+	Misdirected
 	// Failed requests may have run and got no whole answer.
 	Failed
 	// Cancelled requests were given up by the caller.
@@ -238,6 +258,8 @@
 		t.fullUntil = now + fullTime
 	case Unreachable:
 		t.health.fail(now, true)
+	case Misdirected:
+		t.health.leave(now)
 	case Failed:
 		t.health.fail(now, false)
 	case Cancelled, Unsent:
--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -349,6 +349,64 @@
 	}
 }
 
+// Load: entries of targets that are gone, at whose addresses others listen.
+// Guards against the one further attempt of a request that is spent on such a
+// target as well, and against trying such a target every two seconds.
+func TestMisdirectedTargetsAreLeftForLonger(t *testing.T) {
+	f := fleet(0)
+	var entries []registrar.Entry
+	for i := range 6 {
+		entries = append(entries, registrar.Entry{ID: fmt.Sprint("gone", i), Service: "desk", Address: "127.0.0.1:1", DataCentre: "d0", Slots: 2})
+	}
+	f.SetTargets(append(entries, registrar.Entry{ID: "s0", Service: "desk", Address: "127.0.0.1:1", DataCentre: "d1", Slots: 2}))
+	now, wasted, unserved := time.Duration(0), 0, 0
+	for range 300 {
+		now += 200 * time.Millisecond
+		served := false
+		r := placer.Request{Service: "desk"}
+		for attempt := range 2 {
+			lastID++
+			r.ID, r.Retry = lastID, attempt > 0
+			c := send(t, f, now, r, roomy)
+			if c.Target.ID == "s0" {
+				f.End(now, r.ID, placer.Complete)
+				served = true
+				break
+			}
+			wasted++
+			f.End(now, r.ID, placer.Misdirected)
+			r.Excluded = append(r.Excluded, c.Target.ID)
+		}
+		if !served && now > time.Second {
+			unserved++
+		}
+	}
+	if unserved > 0 {
+		t.Errorf("%d of 300 requests spent both attempts on targets that are gone", unserved)
+	}
+	// Six targets in a minute, tried after 5, 15 and 35 s and once at first.
+	if wasted > 6*5 {
+		t.Errorf("%d attempts went to targets that are gone", wasted)
+	}
+}
+
+// Guards against refusing a request although a target on trial is all there is.
+func TestRetriesUseTargetsOnTrialIfThereIsNoOther(t *testing.T) {
+	f := fleet(0)
+	f.SetTargets([]registrar.Entry{{ID: "s0", Service: "desk", Address: "127.0.0.1:1", DataCentre: "d1", Slots: 2}})
+	now := time.Duration(0)
+	for range 3 {
+		lastID++
+		r := placer.Request{ID: lastID, Service: "desk"}
+		send(t, f, now, r, roomy)
+		f.End(now, r.ID, placer.Failed)
+	}
+	now += 3 * time.Second
+	if _, ok := f.Choose(now, placer.Request{ID: lastID + 1, Service: "desk", Retry: true}, roomy); !ok {
+		t.Error("a request was refused")
+	}
+}
+
 // Guards against a baseline that is not one: it must ignore prompt parts.
 func TestBaselineChoosesByRequestsOnly(t *testing.T) {
 	f := placer.New(placer.Settings{DataCentre: "d0", Policy: placer.Fewest})
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -46,6 +46,8 @@
 	// Pace is the longest mean pause between events with which the answer is whole in
 	// time; 0 sets no limit.
 	Pace time.Duration
+	// Retry is set if the request was sent to a target before.
+	Retry bool
 	// Excluded targets have failed or refused the request.
 	Excluded []string
 }
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -41,8 +41,6 @@
 	Objective time.Duration
 	// Deadline is the time at which the caller gives up.
 	Deadline time.Duration
-	// Attempts is the number of targets to which the request was sent before.
-	Attempts int
 }
 
 // Reason tells why a request is refused.
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -80,8 +80,7 @@
 	// Deadline is the time that is left until the caller gives up.
 	Deadline time.Duration
 	// First is set for the first wait of a request.
-	First    bool
-	Attempts int
+	First bool
 }
 
 // Permit allows one request to be sent to a target.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -236,7 +236,7 @@
 func (j *job) notRun(permit Permit, answer *courier.Answer, verdict Verdict) outcome {
 	result := placer.Refused
 	if verdict.Misdirected {
-		result = placer.Unreachable
+		result = placer.Misdirected
 	}
 	// The rest of the answer says nothing; reading it keeps the connection.
 	_, _ = io.CopyN(io.Discard, answer.Body, bufferedBytes)
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -281,10 +281,11 @@
 	return Demand{
 		Request: placer.Request{
 			ID: j.receiver.nextID.Add(1), Service: j.service, Prompt: j.call.Prompt, Output: output,
-			Parts: j.call.Parts, Pace: j.pace(output, time.Until(deadline)), Excluded: j.excluded,
+			Parts: j.call.Parts, Pace: j.pace(output, time.Until(deadline)),
+			Retry: j.attempts > 0, Excluded: j.excluded,
 		},
 		Account: j.account, Shared: j.engine != nil && j.account != "", Priority: j.priority,
 		Objective: max(objective-time.Since(j.start), 0), Deadline: time.Until(deadline),
-		First: j.waits == 0, Attempts: j.attempts,
+		First: j.waits == 0,
 	}
 }
--- a/generator/soaker/act.go
+++ b/generator/soaker/act.go
@@ -264,11 +264,18 @@
 	sleep(ctx, e.Length)
 	if e.Choice%2 == 0 {
 		t.Forget() // the registry has noticed
+	} else {
+		gone := t.Instance()
+		time.AfterFunc(entryLife, func() { r.fleet.store.Delete(wire.TargetsTable, gone) })
 	}
 	t.SetClock(time.Duration(e.Choice%3-1) * time.Hour)
 	return t.Start()
 }
 
+// entryLife is how long the registry keeps the entry of a target that has ended:
+// three heartbeats and some delay.
+const entryLife = 4 * time.Second
+
 func (r *run) holdTarget(t *server.Server) (func(), bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
