Send sums of groups instead of reports from each to each

Cause: each daemon sent its report to all others. Up to 83 daemons the interval grew with their number; beyond, bytes and messages grew with the square. Change: fleets of 32 daemons and more are divided into groups by a hash of their names. Members exchange reports; the live member that comes first for a daemon outside sends it the sum of the group. Names and addresses of daemons go along, so that those that joined later are known. Frames with several work reports or registry changes that are too large are now split instead of dropped. Ruled out: leaders of groups (an election to fail), reports at random (at 300 daemons each would hear of the others every four seconds). Conclusion: to be measured before it stays.

--- a/connector/split.go
+++ b/connector/split.go
@@ -17,6 +17,8 @@
 	halve(&first.ServiceTotals, &second.ServiceTotals, &divided)
 	halve(&first.ConfigPushes, &second.ConfigPushes, &divided)
 	halve(&first.HostMarks, &second.HostMarks, &divided)
+	halve(&first.WorkReports, &second.WorkReports, &divided)
+	halve(&first.RegistryChanges, &second.RegistryChanges, &divided)
 	return &first, &second, divided
 }
 
--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
@@ -47,18 +48,23 @@
 	ShareWindow time.Duration
 	// Host is the name of this daemon.
 	Host string
-	// Send sends a report to all peers, SendChange a change of the registry; they do
-	// not block.
-	Send       func(Report)
+	// Send sends a report to the peers with the names, which are sorted, SendChange a
+	// change of the registry to all; they do not block.
+	Send       func(r Report, to []string)
 	SendChange func(RegistryChange)
+	// Peers returns the names of all other daemons, Address the address of a daemon for
+	// its peers, empty if it is unknown; Learn takes addresses that peers know.
+	Peers   func() []string
+	Address func(host string) string
+	Learn   func([]Daemon)
 	// Probe tries a connection to a target and calls Probed; it does not block.
 	Probe func(registrar.Entry)
 	// Behind is called when a peer has a newer configuration, AskConfig when the store
 	// did not give it in time; they do not block.
 	Behind    func()
 	AskConfig func(peer string, after uint64)
-	// ReportInterval returns the time between two reports.
-	ReportInterval func() time.Duration
+	// ReportInterval returns the time between two reports to a number of peers.
+	ReportInterval func(recipients int) time.Duration
 	// StaleLimit is the age of the registry from which requests wait for a read; 0 sets
 	// none.
 	StaleLimit time.Duration
@@ -89,9 +95,17 @@
 	// waiting holds the permits of queued requests, placed those of requests at
 	// targets.
 	waiting, placed map[uint64]*permit
-	peers           map[string]time.Duration
-	lastWhole       time.Duration
-	lastDecision    time.Duration
+	// peers holds the time at which each daemon was last heard of, groups that of the
+	// last sum of each other group.
+	peers  map[string]time.Duration
+	groups map[grouper.Group]time.Duration
+	// plan tells whom this daemon sends what; sums adds up the reports of its group.
+	plan grouper.Plan
+	sums *grouper.Sums
+	// wholeReports counts the whole reports.
+	wholeReports int
+	lastWhole    time.Duration
+	lastDecision time.Duration
 	// known holds the entries of the registry, digest their digest, and knownAt the
 	// time as of which they hold.
 	known   []registrar.Entry
@@ -151,6 +165,7 @@
 		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
+		groups: map[grouper.Group]time.Duration{}, sums: grouper.NewSums(),
 	}
 	c.queue = queuer.New(o.Queue, c.fleet, c.shares)
 	c.stats.Store(&Stats{})
@@ -177,7 +192,7 @@
 func (c *Controller) Run(ctx context.Context) {
 	check := time.NewTimer(queueCheck)
 	defer check.Stop()
-	report := time.NewTimer(c.options.ReportInterval())
+	report := time.NewTimer(c.options.ReportInterval(c.plan.Recipients()))
 	defer report.Stop()
 	for {
 		select {
@@ -189,7 +204,7 @@
 		case <-check.C:
 		case <-report.C:
 			c.report()
-			report.Reset(c.options.ReportInterval())
+			report.Reset(c.options.ReportInterval(c.plan.Recipients()))
 		}
 		if now := c.options.Clock(); !c.trusted(now) {
 			check.Reset(queueCheck)
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -29,10 +29,15 @@
 	began := time.Now()
 	options := controller.Options{
 		DataCentre: "d", Policy: placer.Expected, Queue: queuer.DefaultSettings(), ShareWindow: 4 * time.Second,
-		Send: func(r controller.Report) { c.mutex.Lock(); defer c.mutex.Unlock(); c.reports = append(c.reports, r) },
+		Send: func(r controller.Report, _ []string) {
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			c.reports = append(c.reports, r)
+		},
 		Host: "self", SendChange: func(controller.RegistryChange) {}, Probe: func(registrar.Entry) {}, Behind: func() {}, AskConfig: func(string, uint64) {},
-		ReportInterval: func() time.Duration { return time.Millisecond },
-		Clock:          func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
+		ReportInterval: func(int) time.Duration { return time.Millisecond },
+		Peers:          func() []string { return nil }, Address: func(string) string { return "" }, Learn: func([]controller.Daemon) {},
+		Clock: func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
 	}
 	for _, f := range change {
 		f(&options)
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -242,14 +242,13 @@
 
 func (e peerEvent) apply(c *Controller, now time.Duration) {
 	r := e.report
-	if _, ok := c.peers[r.Peer]; !ok {
-		logger.Emit(c.options.Logger, logger.MemberJoined, slog.String("member", r.Peer), slog.Uint64("incarnation", r.Incarnation))
-	}
-	c.peers[r.Peer] = now
-	c.heard.Store(r.Peer, now)
+	c.hear(now, r.Peer, r.Incarnation)
 	c.heardOfRegistry(now, r.Report.Registry)
 	c.heardOfConfig(now, r.Peer, r.Report.ConfigVersion)
-	c.fleet.SetPeer(now, r.Peer, r.Report.Loads, r.Report.Whole)
 	c.fleet.SetSpills(now, r.Report.Spills)
-	c.shares.SetPeer(now, r.Peer, r.Incarnation, r.Report.Accounts)
+	if r.Report.Group.Count > 0 {
+		c.takeSum(now, r)
+		return
+	}
+	c.takeReport(now, r)
 }
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 
 	"monsoondeck.example/connector"
 	"monsoondeck.example/gateway/controller"
+	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
@@ -26,9 +27,9 @@
 	minInterval = 100 * time.Millisecond
 	// maxInterval keeps the view of the peers useful in large fleets.
 	maxInterval = time.Second
-	// intervalPerPeer keeps the messages that a daemon sends per second constant in
+	// intervalPerRecipient keeps the messages that a daemon sends per second constant in
 	// larger fleets.
-	intervalPerPeer = 12 * time.Millisecond
+	intervalPerRecipient = 12 * time.Millisecond
 )
 
 // Configs gives the configuration in force.
@@ -74,34 +75,66 @@
 	e.peers = peers
 }
 
-// Peers returns the number of peers.
-func (e *Exchanger) Peers() int {
+// Peers returns the names of the peers.
+func (e *Exchanger) Peers() []string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return len(e.peers)
+	names := make([]string, len(e.peers))
+	for i, p := range e.peers {
+		names[i] = p.ID
+	}
+	return names
+}
+
+// Address returns the address of a peer; empty if it is unknown.
+func (e *Exchanger) Address(name string) string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, p := range e.peers {
+		if p.ID == name {
+			return p.Address
+		}
+	}
+	return ""
 }
 
-// Interval returns the time between two reports.
-func (e *Exchanger) Interval() time.Duration {
-	return min(max(minInterval, time.Duration(e.Peers())*intervalPerPeer), maxInterval)
+// Interval returns the time between two reports to a number of peers.
+func Interval(recipients int) time.Duration {
+	return min(max(minInterval, time.Duration(recipients)*intervalPerRecipient), maxInterval)
 }
 
-// Send sends a report to all peers.
-func (e *Exchanger) Send(r controller.Report) {
+// Send sends a report to some peers.
+func (e *Exchanger) Send(r controller.Report, to []string) {
 	message := encode(r)
-	e.broadcast(func(f *messenger.Frame) { f.WorkReports = append(f.WorkReports, message) })
+	e.sendTo(e.find(to), func(f *messenger.Frame) { f.WorkReports = append(f.WorkReports, message) })
+}
+
+// find returns the known peers among the names.
+func (e *Exchanger) find(names []string) []connector.Peer {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var found []connector.Peer
+	for _, p := range e.peers {
+		if _, ok := slices.BinarySearch(names, p.ID); ok {
+			found = append(found, p)
+		}
+	}
+	return found
 }
 
 // SendChange sends a change of the registry to all peers.
 func (e *Exchanger) SendChange(c controller.RegistryChange) {
 	message := encodeChange(c)
-	e.broadcast(func(f *messenger.Frame) { f.RegistryChanges = append(f.RegistryChanges, message) })
+	e.mutex.Lock()
+	all := e.peers
+	e.mutex.Unlock()
+	e.sendTo(all, func(f *messenger.Frame) { f.RegistryChanges = append(f.RegistryChanges, message) })
 }
 
-// broadcast adds a message to the frames for all peers.
-func (e *Exchanger) broadcast(merge func(f *messenger.Frame)) {
+// sendTo adds a message to the frames for some peers.
+func (e *Exchanger) sendTo(peers []connector.Peer, merge func(f *messenger.Frame)) {
 	e.mutex.Lock()
-	hub, peers := e.hub, e.peers
+	hub := e.hub
 	e.mutex.Unlock()
 	if hub == nil {
 		return
@@ -121,6 +154,26 @@
 	}
 }
 
+// Learn adds daemons that peers have heard of, and the addresses of those that
+// connected by themselves.
+func (e *Exchanger) Learn(daemons []controller.Daemon) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, d := range daemons {
+		if d.Address == "" {
+			continue
+		}
+		i := slices.IndexFunc(e.peers, func(p connector.Peer) bool { return p.ID == d.ID })
+		switch {
+		case i < 0:
+			e.peers = append(slices.Clone(e.peers), connector.Peer{ID: d.ID, Address: d.Address})
+		case e.peers[i].Address != d.Address:
+			e.peers = slices.Clone(e.peers)
+			e.peers[i].Address = d.Address
+		}
+	}
+}
+
 // AskConfig asks a peer for its configuration if it is newer than a version.
 func (e *Exchanger) AskConfig(peer string, after uint64) {
 	e.mutex.Lock()
@@ -201,6 +254,13 @@
 	for _, t := range r.Accounts {
 		m.Accounts = append(m.Accounts, messenger.AccountService{Account: t.Account, Asked: count(t.Asked), Served: count(t.Served)})
 	}
+	if g := r.Group; g.Count > 0 {
+		groups, index := uint64(g.Count), uint64(g.Index)
+		m.Groups, m.Group = &groups, &index
+	}
+	for _, d := range r.Daemons {
+		m.Daemons = append(m.Daemons, messenger.DaemonAddress{ID: d.ID, Address: d.Address})
+	}
 	for _, s := range r.Spills {
 		m.Parts = append(m.Parts, messenger.PromptPart{Target: s.Target, Chain: s.Chain})
 	}
@@ -215,6 +275,12 @@
 	if m.Registry != nil {
 		r.Registry = decodeMark(*m.Registry)
 	}
+	if m.Groups != nil && m.Group != nil {
+		r.Group = grouper.Group{Index: int(min(*m.Group, maxGroups)), Count: int(min(*m.Groups, maxGroups))}
+	}
+	for _, d := range m.Daemons {
+		r.Daemons = append(r.Daemons, controller.Daemon{ID: d.ID, Address: d.Address})
+	}
 	for _, t := range m.Targets {
 		r.Loads = append(r.Loads, placer.Load{
 			Target: t.Target, Unread: float64(t.Unread), Running: int(min(t.Running, math.MaxInt32)), Memory: float64(t.Memory),
@@ -238,6 +304,9 @@
 	return controller.RegistryMark{Revision: m.Revision, Digest: m.Digest, Age: time.Duration(age) * time.Millisecond}
 }
 
+// maxGroups is beyond any number of groups.
+const maxGroups = 1 << 16
+
 // maxAge is beyond any age at which a state of the registry is of use.
 const maxAge = time.Hour
 
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -13,6 +13,7 @@
 	"monsoondeck.example/connector"
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/exchanger"
+	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
@@ -80,8 +81,9 @@
 		Loads:    []placer.Load{{Target: "t", Unread: 100, Running: 2, Memory: 300}},
 		Accounts: []sharer.Total{{Account: "forge", Asked: 10, Served: 7}},
 		Spills:   []placer.Spill{{Target: "t", Chain: 1 << 62}},
+		Group:    grouper.Group{Index: 3, Count: 8}, Daemons: []controller.Daemon{{ID: "a", Address: a.address}, {ID: "c"}},
 	}
-	a.sendUntil(func() { a.Send(report) }, func() bool { return len(b.reports) > 0 })
+	a.sendUntil(func() { a.Send(report, []string{"b"}) }, func() bool { return len(b.reports) > 0 })
 	if got := <-b.reports; got.Peer != "a" || got.Incarnation != 1 || !reflect.DeepEqual(got.Report, report) {
 		t.Errorf("report %+v, want %+v", got, report)
 	}
@@ -102,16 +104,33 @@
 
 // Guards against more messages per second in larger fleets.
 func TestReportsBecomeRarerInLargeFleets(t *testing.T) {
-	n := newNode(t, "a", 1)
-	last := n.Interval()
-	for _, size := range []int{5, 60, 300} {
-		n.SetPeers(make([]connector.Peer, size))
-		if n.Interval() < last {
-			t.Errorf("interval %v with %d peers, %v with fewer", n.Interval(), size, last)
+	last := exchanger.Interval(0)
+	for _, recipients := range []int{5, 60, 300} {
+		if exchanger.Interval(recipients) < last {
+			t.Errorf("interval %v with %d recipients, %v with fewer", exchanger.Interval(recipients), recipients, last)
 		}
-		last = n.Interval()
+		last = exchanger.Interval(recipients)
 	}
 	if last > time.Second {
 		t.Errorf("interval %v: peers would take the daemon for silent", last)
 	}
 }
+
+// Guards against daemons that joined after the list was read and cannot be
+// reached, and against reports to daemons that are not to get them.
+func TestDaemonsThatPeersKnowAreReached(t *testing.T) {
+	a, b, c := newNode(t, "a", 1), newNode(t, "b", 1), newNode(t, "c", 1)
+	a.SetPeers([]connector.Peer{{ID: "b", Address: b.address}})
+	a.Learn([]controller.Daemon{{ID: "c"}})
+	if names := a.Peers(); len(names) != 1 {
+		t.Errorf("a daemon without address is a peer: %v", names)
+	}
+	a.Learn([]controller.Daemon{{ID: "c", Address: c.address}})
+	if a.Address("c") != c.address || a.Address("d") != "" {
+		t.Errorf("address of c %q, of d %q", a.Address("c"), a.Address("d"))
+	}
+	a.sendUntil(func() { a.Send(controller.Report{}, []string{"c", "d"}) }, func() bool { return len(c.reports) > 0 })
+	if len(b.reports) > 0 {
+		t.Error("a report went to a daemon that was not to get it")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,8 @@
 	g.exchanger = exchanger.New(g.options.Source, g.logger)
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
-		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, AskConfig: g.exchanger.AskConfig, Probe: g.probe, ReportInterval: g.exchanger.Interval, Clock: g.clock, Logger: g.logger,
+		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, AskConfig: g.exchanger.AskConfig, Probe: g.probe, ReportInterval: exchanger.Interval,
+		Peers: g.exchanger.Peers, Address: g.peerAddress, Learn: g.exchanger.Learn, Clock: g.clock, Logger: g.logger,
 		StaleLimit: time.Duration(trustShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // unused connections end with the process
@@ -142,7 +143,7 @@
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Waiter: g.controller, Configs: g.controller, Carrier: g.courier,
-		Retries: newRetries(s, g.clock, g.exchanger.Peers), Gate: g, Room: g.room, Left: callerLeft,
+		Retries: newRetries(s, g.clock, func() int { return len(g.exchanger.Peers()) }), Gate: g, Room: g.room, Left: callerLeft,
 		Bodies:  limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyShare * float64(s.MemoryBytes))}),
 		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
 		Observe: g.metrics.observe,
@@ -209,6 +210,14 @@
 	return watcher.Daemon{Host: g.settings.Host, DataCentre: g.settings.DataCentre, Address: g.settings.PeerAddress, Incarnation: g.incarnation}
 }
 
+// peerAddress returns the address of a daemon for its peers; empty if it is unknown.
+func (g *Gateway) peerAddress(host string) string {
+	if host == g.settings.Host {
+		return g.settings.PeerAddress
+	}
+	return g.exchanger.Address(host)
+}
+
 // setDaemons takes the list of daemons and returns those that are gone for good.
 func (g *Gateway) setDaemons(list []watcher.Daemon) []watcher.Daemon {
 	var peers []connector.Peer
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -36,6 +36,15 @@
 	After uint64 `json:"after" cbor:"1,keyasint,omitempty"`
 }
 
+// DaemonAddress tells where a daemon listens for its peers.
+type DaemonAddress struct {
+	// Address, IP:PORT.
+	Address string `json:"address" cbor:"2,keyasint,omitempty"`
+
+	// Daemon.
+	ID string `json:"id" cbor:"1,keyasint,omitempty"`
+}
+
 // Demand replaces the sender's earlier demand of the listed client accounts at one
 // shard.
 type Demand struct {
@@ -448,6 +457,16 @@
 	// Newest configuration version of the sender.
 	ConfigVersion *uint64 `json:"configVersion,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 
+	// Daemons that the sender has heard of lately, or only itself in a report of its
+	// own.
+	Daemons []DaemonAddress `json:"daemons,omitempty,omitzero" cbor:"9,keyasint,omitempty"`
+
+	// Index of the group.
+	Group *uint64 `json:"group,omitempty,omitzero" cbor:"8,keyasint,omitempty"`
+
+	// Number of groups of the fleet if the report is the sum of a group.
+	Groups *uint64 `json:"groups,omitempty,omitzero" cbor:"7,keyasint,omitempty"`
+
 	// Prompt parts that engines keep although others come first for them.
 	Parts []PromptPart `json:"parts,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
 
