Let callers leave a busy host with their connections; rest longer when they come back

The host asks the balancer for fewer callers, but those with open connections stay, and after 5 s all come back. Change: from 2 s after the rest began, when the balancer has noticed, answers close their connections; a host that is busy again within 10 s rests twice as long, up to 20 s. Tests of the soak, of its judge and of the stand-ins come along.

--- /dev/null
+++ b/emulator/server/server_test.go
@@ -0,0 +1,96 @@
+package server_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"monsoondeck.example/emulator/server"
+	"monsoondeck.example/emulator/storer"
+	"monsoondeck.example/platform/wire"
+)
+
+func start(t *testing.T, events int) (*server.Server, *storer.Store, string) {
+	t.Helper()
+	l := httptest.NewUnstartedServer(nil)
+	address := l.Listener.Addr().String()
+	l.Close()
+	store := storer.New()
+	s := server.New(server.Options{Name: "t", Service: "s", Address: address, Advertised: address, Slots: 1, Events: events, Registry: store})
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Crash)
+	return s, store, address
+}
+
+func send(t *testing.T, address, expect, after string) (int, http.Header, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/p/1", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(wire.FieldAttempt, "1")
+	r.Header.Set(wire.FieldExpect, expect)
+	if after != "" {
+		r.Header.Set(wire.FieldLastEvent, after)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	b, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, answer.Header, string(b), err
+}
+
+// Guards against a stand-in that runs requests for another instance, or that
+// hides a run.
+func TestServerRecordsWhatItRan(t *testing.T) {
+	s, store, address := start(t, 3)
+	if keys := store.Keys(wire.TargetsTable); len(keys) != 1 || keys[0] != s.Instance() {
+		t.Fatalf("entries %v", keys)
+	}
+	status, h, _, err := send(t, address, "other", "")
+	if err != nil || status != http.StatusMisdirectedRequest || h.Get(wire.FieldNotRun) == "" || len(s.Runs()) != 0 {
+		t.Fatalf("%d %v %v", status, h, err)
+	}
+	status, h, body, err := send(t, address, s.Instance(), "")
+	if err != nil || status != 200 || h.Get(wire.FieldSignature) == "" || body != strings.Join(server.Pieces("1", 3), "") {
+		t.Fatalf("%d %v %q %v", status, h, body, err)
+	}
+	if _, _, body, _ = send(t, address, s.Instance(), "1"); body != server.Pieces("1", 3)[2] {
+		t.Errorf("resumed after event 1 with %q", body)
+	}
+	if runs := s.Runs(); len(runs) != 2 || !runs[0].Complete || runs[1].After != "1" {
+		t.Errorf("runs %+v", runs)
+	}
+	old := s.Instance()
+	s.Leave()
+	if err := s.Start(); err != nil || s.Instance() == old || len(store.Keys(wire.TargetsTable)) != 1 {
+		t.Errorf("%v, instance %s after %s, entries %v", err, s.Instance(), old, store.Keys(wire.TargetsTable))
+	}
+}
+
+// Guards against faults that the stand-in only names.
+func TestServerFails(t *testing.T) {
+	s, _, address := start(t, 4)
+	whole := strings.Join(server.Pieces("1", 4), "")
+	for _, kind := range server.Faults() {
+		if kind == server.FaultHang {
+			continue // ends only with its caller
+		}
+		s.SetFault(server.Fault{Kind: kind, Share: 1, Factor: 2})
+		status, h, body, err := send(t, address, s.Instance(), "")
+		sound := err == nil && status == 200 && body == whole && h.Get(wire.FieldAttempt) == "1"
+		// A slow answer is sound, and a second answer shows on the connection only.
+		if sound != (kind == server.FaultSlow || kind == server.FaultExtra) {
+			t.Errorf("%s: %d %v %q %v", kind, status, h, body, err)
+		}
+	}
+	if s.Active() != 0 {
+		t.Errorf("%d requests still run", s.Active())
+	}
+}
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -127,6 +127,8 @@
 // Room tells whether this host can take one more request beside those in progress.
 type Room interface {
 	Take(active int64) bool
+	// Moving reports whether callers should connect elsewhere after their answer.
+	Moving() bool
 }
 
 // Gate tells how long the daemon still serves.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -94,7 +94,7 @@
 	j := &job{receiver: v, writer: w, request: r, control: http.NewResponseController(w), start: time.Now()}
 	j.call = v.Protocol.Decode(r)
 	since, left, stopping := v.Gate.Stopping()
-	if stopping {
+	if stopping || v.Room.Moving() {
 		w.Header().Set("Connection", "close")
 	}
 	if !j.resolve() {
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -116,6 +116,18 @@
 	}
 }
 
+// Load: callers that keep their connections to a host that is too small for them.
+// Guards against answers that leave them there, and against closing the connections
+// of callers that are served well.
+func TestCallersOfABusyHostMove(t *testing.T) {
+	for _, moving := range []bool{false, true} {
+		s := newScene(t, []reply{{status: 200, header: signed, body: "x"}}, func(o *receiver.Options) { o.Room = room{moving: moving} })
+		if r := s.get(t, "/safe/1"); r.status != 200 || r.closed != moving {
+			t.Errorf("moving %t: status %d, connection closed %t", moving, r.status, r.closed)
+		}
+	}
+}
+
 // Guards against streams that look whole and are not.
 func TestBrokenStreamIsVisiblyBroken(t *testing.T) {
 	s := newScene(t, []reply{{status: 200, header: signed, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true}}, nil)
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -176,9 +176,10 @@
 func (retries) Request(string)      {}
 func (r retries) Retry(string) bool { return r.allow }
 
-type room struct{ full bool }
+type room struct{ full, moving bool }
 
 func (r room) Take(int64) bool { return !r.full }
+func (r room) Moving() bool    { return r.moving }
 
 type gate struct {
 	since, left time.Duration
@@ -238,6 +239,8 @@
 	body   string
 	// err is set if the answer was not whole.
 	err error
+	// closed is set if the connection ends after the answer.
+	closed bool
 }
 
 func (s *scene) request(ctx context.Context, t *testing.T, path, key, body string) result {
@@ -249,14 +252,15 @@
 	r.Host = "h.example"
 	r.Header.Set("Id", "r1")
 	r.Header.Set("Key", key)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
 	response, err := client.Do(r)
 	if err != nil {
 		return result{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(bufio.NewReader(response.Body))
-	return result{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+	return result{closed: response.Close, status: response.StatusCode, header: response.Header, body: string(data), err: err}
 }
 
 func (s *scene) get(t *testing.T, path string) result {
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -24,6 +24,8 @@
 	share atomic.Uint64
 	// resting is set while the balancer should send new callers elsewhere.
 	resting atomic.Bool
+	// moving is set while callers should connect elsewhere.
+	moving atomic.Bool
 	// shedder belongs to the goroutine of run.
 	shedder *shedder.Shedder
 	clock   func() time.Duration
@@ -41,6 +43,9 @@
 	return active <= r.limit && (share == 0 || rand.Float64() >= share)
 }
 
+// Moving implements receiver.Room.
+func (r *room) Moving() bool { return r.moving.Load() }
+
 // full reports whether a new connection should be closed unread.
 func (r *room) full() bool {
 	share := r.refused()
@@ -64,6 +69,7 @@
 		now := r.clock()
 		r.shedder.Lag(now, now-began-lagInterval)
 		r.share.Store(math.Float64bits(r.shedder.Share()))
+		r.moving.Store(r.shedder.Moving(now))
 		if resting := r.shedder.Resting(now); r.resting.Swap(resting) != resting {
 			logger.Emit(r.logger, logger.HostBusy, slog.Bool("resting", resting), slog.Float64("refusedShare", r.refused()))
 		}
--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -27,9 +27,15 @@
 	// balancer for fewer callers, if it lasts for busyAfter.
 	busyShare = 0.1
 	busyAfter = 600 * time.Millisecond
-	// restTime is how long it does so at least. The balancer needs two seconds to
-	// notice, and callers move only with their next connection.
-	restTime = 5 * time.Second
+	// restTime is how long it does so at least: the balancer needs two seconds to
+	// notice. The time doubles up to maxRestTime if the host is busy again within
+	// calmTime, because the same callers have come back.
+	restTime    = 5 * time.Second
+	maxRestTime = 20 * time.Second
+	calmTime    = 10 * time.Second
+	// noticeTime is how long the balancer needs to take the host out; connections that
+	// are closed earlier come back.
+	noticeTime = 2 * time.Second
 	// lagWeight is the weight of the newest delay in the mean.
 	lagWeight = 0.3
 )
@@ -41,8 +47,9 @@
 	lag float64
 	// busySince is the time since which the host has been busy; 0 if it is not.
 	busySince time.Duration
-	// restUntil is the time until which the host asks for fewer callers.
-	restUntil time.Duration
+	// restSince and restUntil bound the time in which the host asks for fewer callers,
+	// which lasts at least rest.
+	restSince, restUntil, rest time.Duration
 }
 
 // New returns a Shedder for a process with the memory in bytes; 0 is unknown.
@@ -66,10 +73,28 @@
 	case s.busySince == 0:
 		s.busySince = now
 	case now-s.busySince >= busyAfter:
-		s.restUntil = now + restTime
+		s.startRest(now)
 	}
 }
 
+func (s *Shedder) startRest(now time.Duration) {
+	if !s.Resting(now) {
+		if s.rest > 0 && now-s.restUntil < calmTime {
+			s.rest = min(2*s.rest, maxRestTime)
+		} else {
+			s.rest = restTime
+		}
+		s.restSince = now
+	}
+	s.restUntil = max(s.restUntil, now+s.rest)
+}
+
+// Moving reports whether connections of callers should be closed after their
+// answers, so that the callers connect elsewhere.
+func (s *Shedder) Moving(now time.Duration) bool {
+	return s.Resting(now) && now-s.restSince >= noticeTime
+}
+
 // Resting reports whether the balancer should send new callers elsewhere.
 func (s *Shedder) Resting(now time.Duration) bool { return now < s.restUntil }
 
--- a/gateway/shedder/shedder_test.go
+++ b/gateway/shedder/shedder_test.go
@@ -82,3 +82,44 @@
 		t.Error("a host with time to spare still sends callers away")
 	}
 }
+
+// Load: a flooding account whose callers come back to the same small host after
+// each rest, and keep their connections during it. Guards against rests that end
+// before the callers have moved, and against connections that are closed while the
+// balancer would send them back.
+func TestHostRestsLongerWhenCallersComeBack(t *testing.T) {
+	s := shedder.New(0)
+	now, rests := time.Second, []time.Duration{}
+	for range 5 {
+		for !s.Resting(now) {
+			now += 50 * time.Millisecond
+			s.Lag(now, time.Second)
+		}
+		if s.Moving(now) {
+			t.Error("connections are closed before the balancer has noticed")
+		}
+		began := now
+		moving := false
+		for s.Resting(now) {
+			now += 50 * time.Millisecond
+			s.Lag(now, 0)
+			moving = moving || s.Moving(now)
+		}
+		if !moving || s.Moving(now) {
+			t.Errorf("connections are closed during the rest %t, after it %t", moving, s.Moving(now))
+		}
+		rests = append(rests, (now - began).Round(time.Second))
+	}
+	if rests[0] != 5*time.Second || rests[1] < 2*rests[0] || rests[4] > 21*time.Second {
+		t.Errorf("rests of %v", rests)
+	}
+	now += time.Minute
+	for !s.Resting(now) {
+		now += 50 * time.Millisecond
+		s.Lag(now, time.Second)
+	}
+	now += 6 * time.Second
+	if s.Resting(now) {
+		t.Error("the host rests long after a calm minute")
+	}
+}
--- /dev/null
+++ b/generator/soaker/soaker_test.go
@@ -0,0 +1,49 @@
+package soaker_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"monsoondeck.example/generator/soaker"
+)
+
+// regressions are the seeds that failed once.
+var regressions = []struct {
+	seed      uint64
+	processes int
+	duration  time.Duration
+	cause     string
+}{
+	{7, 9, 20 * time.Second, "entries of targets that others had replaced took both attempts of each request"},
+}
+
+// Guards against broken promises of real daemons under overlapping faults. No
+// bound depends on the speed of the machine.
+func TestShortSoakKeepsThePromises(t *testing.T) {
+	soak(t, soaker.Options{Seed: 1, Duration: 8 * time.Second, Processes: 4, Targets: 6})
+}
+
+// Guards against faults that came back.
+func TestSeedsThatFailedOnce(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("seed %d: %s", r.seed, r.cause), func(t *testing.T) {
+			soak(t, soaker.Options{Seed: r.seed, Duration: r.duration, Processes: r.processes, Targets: 8})
+		})
+	}
+}
+
+func soak(t *testing.T, o soaker.Options) {
+	t.Helper()
+	lines, err := soaker.Check(context.Background(), o, os.Stderr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, l := range lines {
+		if !l.OK {
+			t.Errorf("%s: %v %s, at most %v", l.Measure, l.Value, l.Unit, *l.Bound)
+		}
+	}
+}
