Let a stand-in that stops early break its answer off

A link that ends the request's direction makes net/http cancel the request; the handler returned and the server wrote a proper end. Ruled out: the daemon, which passed on the end that it got. Change: the stand-in aborts the connection; late connections are closed. Before: TestHalfClosedConnectionBreaksTheAnswerOff failed. After: 3 of 3 pass. Conclusion: faults of the stand-in.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES = $(filter-out tools,$(shell sed -n 's|^	\./||p' go.work))
 PACKAGES = $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
-.PHONY: all build generate lint test demo bench chaos report
+.PHONY: all build generate lint test demo bench chaos soak report
 
 all: lint test
 
@@ -29,5 +29,8 @@
 bench:
 	@$(GO) run ./cmd/monsoonload bench $(BENCH_FLAGS)
 
+soak:
+	@$(GO) run ./cmd/monsoonload soak $(SOAK_FLAGS)
+
 chaos:
 	@$(GO) run ./cmd/monsoonload chaos $(CHAOS_FLAGS)
--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -105,6 +105,10 @@
 	defer s.mutex.Unlock()
 	switch state {
 	case http.StateNew:
+		if s.connections == nil { // accepted while the server crashed
+			_ = c.Close()
+			return
+		}
 		s.connections[c] = true
 	case http.StateClosed, http.StateHijacked:
 		delete(s.connections, c)
@@ -318,7 +322,8 @@
 	control := http.NewResponseController(w)
 	for i, piece := range pieces {
 		if i > 0 && !pause(r, time.Duration(float64(s.options.Pause)*cmp.Or(fault.Factor, 1))) {
-			return false
+			// The end of the handler would look like that of the answer.
+			panic(http.ErrAbortHandler)
 		}
 		if fault.Kind == FaultTruncate && i == len(pieces)/2 {
 			_, _ = io.WriteString(w, piece[:len(piece)/2]) // breaks off anyway
--- a/emulator/server/server_test.go
+++ b/emulator/server/server_test.go
@@ -1,11 +1,14 @@
 package server_test
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"monsoondeck.example/emulator/server"
 	"monsoondeck.example/emulator/storer"
@@ -18,7 +21,7 @@
 	address := l.Listener.Addr().String()
 	l.Close()
 	store := storer.New()
-	s := server.New(server.Options{Name: "t", Service: "s", Address: address, Advertised: address, Slots: 1, Events: events, Registry: store})
+	s := server.New(server.Options{Name: "t", Service: "s", Address: address, Advertised: address, Slots: 1, Events: events, Pause: time.Millisecond, Registry: store})
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -74,6 +77,27 @@
 	}
 }
 
+// Guards against an answer that looks whole although the caller's half of the
+// connection has ended and the server stopped to work on it.
+func TestHalfClosedConnectionBreaksTheAnswerOff(t *testing.T) {
+	s, _, address := start(t, 400)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := fmt.Fprintf(c, "POST /p/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\nX-Expect-Instance: %s\r\nContent-Length: 1\r\n\r\nx", s.Instance()); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(c)
+	if err == nil && strings.HasSuffix(string(b), "\r\n0\r\n\r\n") {
+		t.Error("the answer has a proper end")
+	}
+}
+
 // Guards against faults that the stand-in only names.
 func TestServerFails(t *testing.T) {
 	s, _, address := start(t, 4)
