--- a/emulator/storer/storer.go
+++ b/emulator/storer/storer.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -122,11 +123,11 @@
 	s.fault = f
 }
 
-// Calls returns the number of calls of a path, such as /rows-get.
-func (s *Store) Calls(path string) int {
+// Calls returns the numbers of calls by path and table, such as "/rows-get servers".
+func (s *Store) Calls() map[string]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.calls[path]
+	return maps.Clone(s.calls)
 }
 
 func (s *Store) putLocked(p wire.Put) {
@@ -151,7 +152,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
-	s.calls[r.URL.Path]++
+	s.calls[strings.TrimSpace(r.URL.Path+" "+r.URL.Query().Get("table-name"))]++
 	f := s.fault
 	s.mutex.Unlock()
 	if f.Delay > 0 && !wait(r, f.Delay) {
--- a/generator/soaker/lines.go
+++ b/generator/soaker/lines.go
@@ -60,6 +60,9 @@
 	for name, n := range ends {
 		line(name, float64(n), nil, "requests")
 	}
+	for call, n := range r.fleet.store.Calls() {
+		line("store "+call, float64(n), nil, "calls")
+	}
 	for kind, n := range r.counts {
 		line("fault "+string(kind), float64(n), nil, "events")
 	}
--- a/generator/soaker/options.go
+++ b/generator/soaker/options.go
@@ -22,6 +22,7 @@
 	Duration  time.Duration `arg:"--duration" default:"30s" help:"length of the load"`
 	Processes int           `arg:"--processes" default:"9" help:"number of daemons"`
 	Targets   int           `arg:"--targets" default:"8" help:"number of targets, which this process plays"`
+	Gap       time.Duration `arg:"--gap" default:"700ms" help:"mean time between two events of the schedule"`
 	Timed     bool          `arg:"--timed" help:"also bound times, on a machine that is idle otherwise"`
 	Logs      string        `arg:"--logs" placeholder:"DIR" help:"directory for the logs of the daemons [default: none]"`
 	Program   string        `arg:"--monsoongate" placeholder:"PATH" help:"path of monsoongate [default: built]"`
@@ -40,6 +41,8 @@
 	switch {
 	case o.Duration < minDuration:
 		return errors.Wrapf(ErrUsage, "duration %v is below %v", o.Duration, minDuration)
+	case o.Gap <= 0:
+		return errors.Wrapf(ErrUsage, "gap %v is not above 0", o.Gap)
 	case o.Processes < 2:
 		return errors.Wrapf(ErrUsage, "%d processes are fewer than 2", o.Processes)
 	case o.Targets < 4:
--- a/generator/soaker/schedule.go
+++ b/generator/soaker/schedule.go
@@ -73,9 +73,9 @@
 	// calmStart is kept free at the start, calmEnd at the end of the load.
 	calmStart = time.Second
 	calmEnd   = 2 * time.Second
-	// meanGap is the mean time between two events of a fleet of any size; most last
+	// DefaultGap is the mean time between two events of a fleet of any size; most last
 	// longer, so that several overlap.
-	meanGap = 700 * time.Millisecond
+	DefaultGap = 700 * time.Millisecond
 	// seriesShare is the part of the events that come as a series of one kind.
 	seriesShare = 0.2
 	// seriesGap is the time between the events of a series.
@@ -84,7 +84,7 @@
 
 // Schedule returns the events of a run in order of time. It depends on its
 // arguments only.
-func Schedule(seed uint64, duration time.Duration) []Event {
+func Schedule(seed uint64, duration, gap time.Duration) []Event {
 	r := rand.New(rand.NewPCG(seed, 7))
 	all := kinds()
 	total := 0
@@ -102,7 +102,7 @@
 	}
 	var out []Event
 	for at := calmStart; ; {
-		at += time.Duration(r.ExpFloat64() * float64(meanGap))
+		at += time.Duration(r.ExpFloat64() * float64(gap))
 		if at > duration-calmEnd {
 			break
 		}
--- a/generator/soaker/schedule_test.go
+++ b/generator/soaker/schedule_test.go
@@ -10,16 +10,16 @@
 // played or that never overlap.
 func TestScheduleDependsOnTheSeedOnly(t *testing.T) {
 	const duration = time.Minute
-	if !reflect.DeepEqual(Schedule(3, duration), Schedule(3, duration)) {
+	if !reflect.DeepEqual(Schedule(3, duration, DefaultGap), Schedule(3, duration, DefaultGap)) {
 		t.Error("the same seed gives two schedules")
 	}
-	if reflect.DeepEqual(Schedule(3, duration), Schedule(4, duration)) {
+	if reflect.DeepEqual(Schedule(3, duration, DefaultGap), Schedule(4, duration, DefaultGap)) {
 		t.Error("two seeds give one schedule")
 	}
 	seen, overlaps := map[Kind]bool{}, 0
 	for seed := range uint64(20) {
 		until := time.Duration(0)
-		for _, e := range Schedule(seed, duration) {
+		for _, e := range Schedule(seed, duration, DefaultGap) {
 			seen[e.Kind] = true
 			if e.At < until {
 				overlaps++
--- a/generator/soaker/soaker.go
+++ b/generator/soaker/soaker.go
@@ -100,7 +100,7 @@
 
 // play plays the schedule; events may overlap. It returns when all have ended.
 func (r *run) play(ctx context.Context) error {
-	events := Schedule(r.options.Seed, r.options.Duration)
+	events := Schedule(r.options.Seed, r.options.Duration, r.options.Gap)
 	failed := make(chan error, len(events))
 	for _, e := range events {
 		go func() {
--- a/generator/soaker/soaker_test.go
+++ b/generator/soaker/soaker_test.go
@@ -23,14 +23,14 @@
 // Guards against broken promises of real daemons under overlapping faults. No
 // bound depends on the speed of the machine.
 func TestShortSoakKeepsThePromises(t *testing.T) {
-	soak(t, soaker.Options{Seed: 1, Duration: 8 * time.Second, Processes: 4, Targets: 6})
+	soak(t, soaker.Options{Seed: 1, Duration: 8 * time.Second, Processes: 4, Targets: 6, Gap: soaker.DefaultGap})
 }
 
 // Guards against faults that came back.
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("seed %d: %s", r.seed, r.cause), func(t *testing.T) {
-			soak(t, soaker.Options{Seed: r.seed, Duration: r.duration, Processes: r.processes, Targets: 8})
+			soak(t, soaker.Options{Seed: r.seed, Duration: r.duration, Processes: r.processes, Targets: 8, Gap: soaker.DefaultGap})
 		})
 	}
 }
