Let engines copy shared prompt parts from the engine that keeps them

The configuration tells that engines pass on memory at 5,000 tokens per ms; they read 48. Change: a prompt that goes to another engine than the one that keeps its shared parts names that one as the source of a copy. The score counts the copy instead of the reading, so that prompts no longer wait for the first engine. Ruled out by test: copies from engines that fail, over links that are hardly faster than reading, of short parts.

--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -69,6 +69,14 @@
 	// although another one keeps it. It is several times the reading time, because
 	// the reading delays all requests there and evicts other parts.
 	rereadPenalty = 200 * time.Microsecond
+	// copyPenalty is added for each shared prompt token that an engine copies from
+	// another one: copies have a price, about a twelfth of that of reading.
+	copyPenalty = rereadPenalty / 12
+	// copyBase is the time that a copy takes beside its transfer.
+	copyBase = 3 * time.Millisecond
+	// minCopyGain is how much faster than reading copying must be: it also uses the
+	// link of the engine that keeps the parts.
+	minCopyGain = 4.0
 	// spillShare is the part of the allowance, and of the limit of the pace, that an
 	// engine may need to take a prompt whose shared parts it does not keep: in a fleet
 	// that is busy everywhere, reading parts again costs more than it gains.
--- a/gateway/placer/health.go
+++ b/gateway/placer/health.go
@@ -54,6 +54,9 @@
 // onTrial reports whether the target failed lately and has not been well since.
 func (h *health) onTrial() bool { return h.failures >= minFailures }
 
+// sound reports whether the target has not failed since its last success.
+func (h *health) sound() bool { return h.failures == 0 && !h.unreachable }
+
 // begin notes that a request is sent.
 func (h *health) begin(now time.Duration) {
 	if h.onTrial() {
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -135,11 +135,12 @@
 	if terms.Spare {
 		spills = f.roomy(now, r.Service)
 	}
+	source := f.source(now, r, order)
 	var best, fitting Choice
 	var bestTarget, fittingTarget *target
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
 	for _, t := range f.candidates(now, r) {
-		c, score := f.assess(now, t, r, terms, order, spills)
+		c, score := f.assess(now, t, r, terms, order, source, spills)
 		if bestScore < 0 || score < bestScore {
 			best, bestTarget, bestScore = c, t, score
 		}
@@ -154,6 +155,9 @@
 		return Choice{}, false
 	}
 	best.Target = bestTarget.entry
+	if best.Copied > 0 {
+		best.Source = source.entry.Address
+	}
 	return best, true
 }
 
@@ -194,7 +198,7 @@
 	}
 	if t.engine != nil {
 		t.engine.use(now, r)
-		if c.Shared > spillTokens {
+		if c.Shared+c.Copied > spillTokens {
 			f.spills = append(f.spills, Spill{Target: c.Target.ID, Chain: r.affinity()})
 		}
 	}
--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -19,18 +19,22 @@
 var roomy = placer.Terms{Allowance: allowance}
 
 // fleet returns a fleet of engines e0, e1, … and one plain service s0, s1.
-func fleet(engines int) *placer.Fleet {
+func fleet(engines int) *placer.Fleet { return fleetWithCopies(engines, 0) }
+
+// fleetWithCopies returns a fleet whose engines copy memory from each other at a
+// speed in tokens per millisecond.
+func fleetWithCopies(engines int, copySpeed float64) *placer.Fleet {
 	f := placer.New(placer.Settings{DataCentre: "d0", Policy: placer.Expected})
 	var entries []registrar.Entry
 	for i := range engines {
-		entries = append(entries, registrar.Entry{ID: fmt.Sprint("e", i), Service: "model", Address: "127.0.0.1:1", DataCentre: "d0", Slots: 64})
+		entries = append(entries, registrar.Entry{ID: fmt.Sprint("e", i), Service: "model", Address: fmt.Sprint("127.0.0.1:", 1000+i), DataCentre: "d0", Slots: 64})
 	}
 	for i := range 2 {
 		entries = append(entries, registrar.Entry{ID: fmt.Sprint("s", i), Service: "desk", Address: "127.0.0.1:1", DataCentre: fmt.Sprint("d", i), Slots: 2})
 	}
 	f.SetTargets(entries)
 	f.SetConfig(resolver.New(resolver.Content{
-		Services: []resolver.Service{{Name: "model", Engine: &resolver.Engine{Slots: 64, MemoryTokens: 400000, EventTokens: 6}}, {Name: "desk"}},
+		Services: []resolver.Service{{Name: "model", Engine: &resolver.Engine{Slots: 64, MemoryTokens: 400000, EventTokens: 6, CopySpeed: copySpeed}}, {Name: "desk"}},
 		Limits:   resolver.Limits{TokensPerSecond: float64(engines) * speed * 1000},
 	}))
 	f.SetTargets(entries) // engines get the speed that the configuration tells
@@ -407,6 +411,56 @@
 	}
 }
 
+// Load: a subject with more requests than one engine can read. Engines copy the
+// shared parts from the one that keeps them instead of reading them again.
+func TestHotSubjectIsCopied(t *testing.T) {
+	f := fleetWithCopies(4, 5000)
+	first := send(t, f, 0, prompt("hot", 5000, 600), roomy)
+	if first.Source != "" || !first.Home {
+		t.Fatalf("the first engine copies: %+v", first)
+	}
+	used := map[string]bool{}
+	for range 40 {
+		c := send(t, f, 10*time.Millisecond, prompt("hot", 5000, 600), roomy)
+		used[c.Target.ID] = true
+		if c.Shared > 0 || c.Unread > 700 {
+			t.Errorf("%s reads %v tokens, %v of them shared", c.Target.ID, c.Unread, c.Shared)
+		}
+		if (c.Source != "") != (c.Copied > 0) || c.Copied > 0 && c.Source != first.Target.Address {
+			t.Errorf("%s copies %v tokens from %q, want %q", c.Target.ID, c.Copied, c.Source, first.Target.Address)
+		}
+	}
+	if len(used) < 3 {
+		t.Errorf("40 requests went to %d engines only", len(used))
+	}
+}
+
+// Guards against copies from an engine that fails, over a link that is hardly
+// faster than reading, or of parts that are too short to matter.
+func TestNoCopyWhereItDoesNotPay(t *testing.T) {
+	failing := fleetWithCopies(4, 5000)
+	r := prompt("hot", 5000, 600)
+	home := send(t, failing, 0, r, roomy)
+	failing.End(0, r.ID, placer.Failed)
+	r = prompt("hot", 5000, 600)
+	r.Excluded = []string{home.Target.ID}
+	if c, ok := failing.Choose(0, r, roomy); !ok || c.Source != "" {
+		t.Errorf("copies from a failing engine: %+v", c)
+	}
+	slow := fleetWithCopies(4, 60)
+	r = prompt("hot", 5000, 600)
+	r.Excluded = []string{send(t, slow, 0, prompt("hot", 5000, 600), roomy).Target.ID}
+	if c, ok := slow.Choose(0, r, roomy); !ok || c.Source != "" {
+		t.Errorf("copies over a slow link: %+v", c)
+	}
+	short := fleetWithCopies(4, 5000)
+	r = prompt("short", 200, 600)
+	r.Excluded = []string{send(t, short, 0, prompt("short", 200, 600), roomy).Target.ID}
+	if c, ok := short.Choose(0, r, roomy); !ok || c.Source != "" {
+		t.Errorf("copies a short part: %+v", c)
+	}
+}
+
 // Guards against a baseline that is not one: it must ignore prompt parts.
 func TestBaselineChoosesByRequestsOnly(t *testing.T) {
 	f := placer.New(placer.Settings{DataCentre: "d0", Policy: placer.Fewest})
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -40,15 +40,33 @@
 	return &p
 }
 
+// source returns the engine from which others can copy the shared parts of the
+// prompt: the first in its order that is sound and keeps them; nil if there is
+// none, or if copying is hardly faster than reading.
+func (f *Fleet) source(now time.Duration, r Request, order *places) *target {
+	if order == nil || f.settings.Policy == Fewest {
+		return nil
+	}
+	for i, t := range order.targets {
+		if t == nil || t.engine == nil || t.engine.settings.CopySpeed < minCopyGain*t.engine.speed {
+			continue
+		}
+		if (i == 0 || t.engine.holds(now, r.affinity())) && t.health.sound() && t.stalled == 0 {
+			return t
+		}
+	}
+	return nil
+}
+
 // assess returns the choice of one target and its score: the expected time to
 // the first event plus penalties; the smallest is the best.
-func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, order *places, spills bool) (Choice, time.Duration) {
+func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, order *places, source *target, spills bool) (Choice, time.Duration) {
 	load := t.total(now)
 	var c Choice // the target is added to the best choices only: entries are large
 	if t.engine == nil {
 		f.assessService(&c, t, load, terms.Allowance)
 	} else {
-		f.assessEngine(now, &c, t, load, r, terms, order != nil && order.targets[0] == t, spills)
+		f.assessEngine(now, &c, t, load, r, terms, order != nil && order.targets[0] == t, source, spills)
 	}
 	score := c.Expected + time.Duration(t.health.errorShare(now)*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
@@ -60,6 +78,7 @@
 	if t.entry.DataCentre != f.settings.DataCentre {
 		score += remotePenalty
 	}
+	score += time.Duration(c.Copied * float64(copyPenalty))
 	if c.Shared > spillTokens {
 		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(order.of(t))*rankPenalty
 	}
@@ -73,12 +92,19 @@
 	return c, score
 }
 
-func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home, spills bool) {
+func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home bool, source *target, spills bool) {
 	e := t.engine
 	c.Home = home
 	c.Unread, c.Shared = e.unread(now, r, home)
+	if source != nil && c.Shared > spillTokens {
+		c.Copied, c.Shared = c.Shared, 0
+		c.Unread -= c.Copied
+	}
 	c.Ahead = load.Unread + c.Unread
 	c.Expected = firstEventBase + e.reading(c.Ahead)
+	if c.Copied > 0 {
+		c.Expected += copyBase + time.Duration(c.Copied/e.settings.CopySpeed*float64(time.Millisecond))
+	}
 	slots := max(e.settings.Slots, t.entry.Slots, 1)
 	memory := float64(e.settings.MemoryTokens) * memoryShare
 	limit, share := f.paceLimit(r), 1.0
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -42,6 +42,9 @@
 	Patience time.Duration
 	// After is the id of the last event that was passed on.
 	After string
+	// CopyFrom is the address of the engine from which the target copies what that one
+	// keeps of the prompt; empty for none.
+	CopyFrom string
 }
 
 // Verdict is what the head of an answer says.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -125,7 +125,7 @@
 	}
 	j.log(logger.RequestPlaced, slog.String("target", d.Choice.Target.ID), slog.Int("attempt", j.attempts+1),
 		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits),
-		slog.Bool("home", d.Choice.Home), slog.Float64("unread", d.Choice.Unread), slog.Float64("shared", d.Choice.Shared))
+		slog.Bool("home", d.Choice.Home), slog.Float64("unread", d.Choice.Unread), slog.Float64("shared", d.Choice.Shared), slog.Float64("copied", d.Choice.Copied))
 	return j.send(ctx, permit, patience)
 }
 
@@ -172,7 +172,7 @@
 	}
 	answer, err := v.Carrier.Do(ctx, courier.Target{ID: target.ID, Address: target.Address, Incarnation: target.Incarnation}, courier.Call{
 		Method: j.request.Method, URI: j.request.RequestURI, Host: j.request.Host, Body: j.body,
-		Header:  v.Protocol.Encode(j.request.Header, Attempt{Target: target.ID, Account: j.account, Patience: patience, After: after}),
+		Header:  v.Protocol.Encode(j.request.Header, Attempt{Target: target.ID, Account: j.account, Patience: patience, After: after, CopyFrom: permit.Decision().Choice.Source}),
 		Once:    !j.route.Repeatable(),
 		Belongs: func(status int, h http.Header) bool { return !v.Protocol.Inspect(j.call.ID, status, h).Foreign },
 	})
--- a/gateway/resolver/route.go
+++ b/gateway/resolver/route.go
@@ -77,6 +77,9 @@
 	MemoryTokens int
 	// EventTokens is the number of tokens that one event carries.
 	EventTokens int
+	// CopySpeed is the number of prompt tokens per millisecond that one engine can
+	// copy from the memory of another; 0 if engines do not copy.
+	CopySpeed float64
 }
 
 // Account is a client account with its keys.
