Do not pass ages of the registry on for ever; copy only what is read anyway

Daemons adopt the age of an equal state from each other; each hop lacks the time on the way, and sums pass ages on five times a second, so that an old state stayed fresh. Change: an age is passed on twice at most. Places are scored as before copies; a prompt that goes where its parts are not kept copies them, from an engine that had the time to read them if one is known.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -111,6 +111,8 @@
 	known   []registrar.Entry
 	digest  uint64
 	knownAt time.Duration
+	// knownHops is the number of daemons that passed knownAt on.
+	knownHops int
 	// behindSince is the time since which a peer has known a newer state of the
 	// registry; 0 if none has.
 	behindSince time.Duration
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -127,6 +127,10 @@
 	}
 	before := c.known
 	c.known, c.knownAt, c.behindSince = c.registry.Entries(), e.began, 0
+	c.knownHops = 0
+	if !e.read {
+		c.knownHops = 1
+	}
 	c.digest = registrar.Digest(c.known)
 	c.refresh()
 	if c.listed.Swap(true) && slices.Equal(before, c.known) {
@@ -156,7 +160,9 @@
 	switch {
 	case m.Revision == 0:
 	case m.Digest == c.digest:
-		c.knownAt = max(c.knownAt, now-m.Age)
+		if m.Hops < maxHops && now-m.Age > c.knownAt {
+			c.knownAt, c.knownHops = now-m.Age, m.Hops+1
+		}
 	case m.Revision > c.registry.Revision() && c.behindSince == 0:
 		c.behindSince = now
 	}
@@ -186,6 +192,10 @@
 }
 
 const (
+	// maxHops bounds how often an age is passed on: each time, the age lacks the time on
+	// the way, and in a circle of daemons it would stay small for ever. Two are needed
+	// from a reader to a daemon of its group to one outside.
+	maxHops = 2
 	// behindInterval is the shortest time between two calls for a newer configuration;
 	// a call takes some milliseconds.
 	behindInterval = 300 * time.Millisecond
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -9,6 +9,7 @@
 
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/registrar"
 )
 
 // network delivers the reports of controllers to each other.
@@ -110,3 +111,34 @@
 		t.Errorf("%d daemons send to %d others", daemons, pairs)
 	}
 }
+
+// Guards against ages of the registry that stay small because daemons pass them on
+// in a circle, each time without the time on the way: a daemon would go on to use
+// targets that have left.
+func TestAgesOfTheRegistryAreNotPassedOnForEver(t *testing.T) {
+	c := start(t)
+	digest := registrar.Digest([]registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
+	for c.Freshness().KnownAt == 0 && !c.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	tell := func(hops int) time.Duration {
+		before := c.Freshness().KnownAt
+		time.Sleep(2 * time.Millisecond)
+		c.Received(controller.PeerReport{Peer: "p", Incarnation: 1, Report: controller.Report{
+			Registry: controller.RegistryMark{Revision: 1, Digest: digest, Hops: hops},
+		}})
+		for range 50 {
+			if c.Freshness().KnownAt > before {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		return c.Freshness().KnownAt - before
+	}
+	if tell(0) <= 0 || tell(1) <= 0 {
+		t.Error("an age that was passed on at most once is not believed")
+	}
+	if tell(2) > 0 || tell(7) > 0 {
+		t.Error("an age that was passed on often is believed")
+	}
+}
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -41,6 +41,8 @@
 	Revision, Digest uint64
 	// Age is the time since the read of the registry began.
 	Age time.Duration
+	// Hops is the number of daemons that passed the age on.
+	Hops int
 }
 
 // RegistryChange is a change of the registry that a daemon has read.
@@ -66,7 +68,7 @@
 	}
 	whole := c.wholeReports == 0 || now-c.lastWhole >= wholeReport
 	r := Report{Whole: whole, Loads: c.fleet.Loads(now, whole), Accounts: c.shares.Totals(whole), Spills: c.fleet.Spills()}
-	r.Registry = RegistryMark{Revision: c.registry.Revision(), Digest: c.digest, Age: now - c.knownAt}
+	r.Registry = RegistryMark{Revision: c.registry.Revision(), Digest: c.digest, Age: now - c.knownAt, Hops: c.knownHops}
 	if config := c.config.Load(); config != nil {
 		r.ConfigVersion = config.Version()
 	}
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -296,12 +296,17 @@
 }
 
 func encodeMark(m controller.RegistryMark) messenger.RegistryMark {
-	return messenger.RegistryMark{Revision: m.Revision, Digest: m.Digest, AgeMs: uint64(max(m.Age.Milliseconds(), 0))}
+	hops := uint64(max(m.Hops, 0))
+	return messenger.RegistryMark{Revision: m.Revision, Digest: m.Digest, AgeMs: uint64(max(m.Age.Milliseconds(), 0)), Hops: &hops}
 }
 
 func decodeMark(m messenger.RegistryMark) controller.RegistryMark {
 	age := min(m.AgeMs, uint64(maxAge/time.Millisecond))
-	return controller.RegistryMark{Revision: m.Revision, Digest: m.Digest, Age: time.Duration(age) * time.Millisecond}
+	mark := controller.RegistryMark{Revision: m.Revision, Digest: m.Digest, Age: time.Duration(age) * time.Millisecond}
+	if m.Hops != nil {
+		mark.Hops = int(min(*m.Hops, maxGroups))
+	}
+	return mark
 }
 
 // maxGroups is beyond any number of groups.
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -69,11 +69,8 @@
 	// although another one keeps it. It is several times the reading time, because
 	// the reading delays all requests there and evicts other parts.
 	rereadPenalty = 200 * time.Microsecond
-	// copyPenalty is added for each shared prompt token that an engine copies from
-	// another one: copies have a price, about a twelfth of that of reading.
-	copyPenalty = rereadPenalty / 12
-	// copyBase is the time that a copy takes beside its transfer.
-	copyBase = 3 * time.Millisecond
+	// readTime is the time in which an engine reads a prompt of many thousand tokens.
+	readTime = 300 * time.Millisecond
 	// minCopyGain is how much faster than reading copying must be: it also uses the
 	// link of the engine that keeps the parts.
 	minCopyGain = 4.0
--- a/gateway/placer/engine.go
+++ b/gateway/placer/engine.go
@@ -20,11 +20,13 @@
 	// parts holds the prompt parts that own requests brought to the engine, with the
 	// time of the last use.
 	parts map[uint64]time.Duration
-	pace  pace
+	// brought holds the time since which the engine has had each of the parts.
+	brought map[uint64]time.Duration
+	pace    pace
 }
 
 func newEngine(s resolver.Engine) *engine {
-	return &engine{settings: s, speed: defaultSpeed, parts: map[uint64]time.Duration{}}
+	return &engine{settings: s, speed: defaultSpeed, parts: map[uint64]time.Duration{}, brought: map[uint64]time.Duration{}}
 }
 
 // unread returns the number of tokens of the prompt that the engine does not
@@ -58,21 +60,38 @@
 	return ok && now-used < partAge
 }
 
+// hasRead reports whether the engine had the time to read the parts that were
+// brought to it.
+func (e *engine) hasRead(now time.Duration, chain uint64) bool {
+	brought, ok := e.brought[chain]
+	return ok && e.holds(now, chain) && now-brought >= readTime
+}
+
 // use notes the parts that a request brings to the engine.
 func (e *engine) use(now time.Duration, r Request) {
 	if len(e.parts) > maxParts {
 		for c, used := range e.parts {
 			if now-used >= partAge {
 				delete(e.parts, c)
+				delete(e.brought, c)
 			}
 		}
 		if len(e.parts) > maxParts {
 			clear(e.parts)
+			clear(e.brought)
 		}
 	}
 	for _, p := range r.Parts {
-		e.parts[p.Chain] = now
+		e.bring(now, p.Chain)
+	}
+}
+
+// bring notes a part that a request brings to the engine.
+func (e *engine) bring(now time.Duration, chain uint64) {
+	if !e.holds(now, chain) {
+		e.brought[chain] = now
 	}
+	e.parts[chain] = now
 }
 
 // learn takes the time to a first event into account. ahead is the number of
--- a/gateway/placer/peers.go
+++ b/gateway/placer/peers.go
@@ -62,7 +62,7 @@
 func (f *Fleet) SetSpills(now time.Duration, spills []Spill) {
 	for _, s := range spills {
 		if t := f.targets[s.Target]; t != nil && t.engine != nil {
-			t.engine.parts[s.Chain] = now
+			t.engine.bring(now, s.Chain)
 		}
 	}
 }
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -198,7 +198,7 @@
 	}
 	if t.engine != nil {
 		t.engine.use(now, r)
-		if c.Shared+c.Copied > spillTokens {
+		if c.Shared > spillTokens {
 			f.spills = append(f.spills, Spill{Target: c.Target.ID, Chain: r.affinity()})
 		}
 	}
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -97,8 +97,8 @@
 	// of them that another engine keeps, and Ahead the number that it reads until the
 	// first event.
 	Unread, Shared, Ahead float64
-	// Copied is the number of shared tokens that the engine copies from another one
-	// instead of reading them, and Source the address of that one; empty for none.
+	// Copied is the part of Shared that the engine is told to copy from another one,
+	// and Source the address of that one; empty for none.
 	Copied float64
 	Source string
 }
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -41,21 +41,26 @@
 }
 
 // source returns the engine from which others can copy the shared parts of the
-// prompt: the first in its order that is sound and keeps them; nil if there is
-// none, or if copying is hardly faster than reading.
+// prompt: the first in its order that is sound and known to have read them, or else
+// the first of all; nil if there is none, or if copying is hardly faster than
+// reading.
 func (f *Fleet) source(now time.Duration, r Request, order *places) *target {
 	if order == nil || f.settings.Policy == Fewest {
 		return nil
 	}
+	var first *target
 	for i, t := range order.targets {
-		if t == nil || t.engine == nil || t.engine.settings.CopySpeed < minCopyGain*t.engine.speed {
+		if t == nil || t.engine == nil || t.engine.settings.CopySpeed < minCopyGain*t.engine.speed || !t.health.sound() || t.stalled > 0 {
 			continue
 		}
-		if (i == 0 || t.engine.holds(now, r.affinity())) && t.health.sound() && t.stalled == 0 {
+		if t.engine.hasRead(now, r.affinity()) {
 			return t
 		}
+		if i == 0 {
+			first = t
+		}
 	}
-	return nil
+	return first
 }
 
 // assess returns the choice of one target and its score: the expected time to
@@ -78,7 +83,6 @@
 	if t.entry.DataCentre != f.settings.DataCentre {
 		score += remotePenalty
 	}
-	score += time.Duration(c.Copied * float64(copyPenalty))
 	if c.Shared > spillTokens {
 		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(order.of(t))*rankPenalty
 	}
@@ -97,14 +101,10 @@
 	c.Home = home
 	c.Unread, c.Shared = e.unread(now, r, home)
 	if source != nil && c.Shared > spillTokens {
-		c.Copied, c.Shared = c.Shared, 0
-		c.Unread -= c.Copied
+		c.Copied = c.Shared
 	}
 	c.Ahead = load.Unread + c.Unread
 	c.Expected = firstEventBase + e.reading(c.Ahead)
-	if c.Copied > 0 {
-		c.Expected += copyBase + time.Duration(c.Copied/e.settings.CopySpeed*float64(time.Millisecond))
-	}
 	slots := max(e.settings.Slots, t.entry.Slots, 1)
 	memory := float64(e.settings.MemoryTokens) * memoryShare
 	limit, share := f.paceLimit(r), 1.0
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -330,6 +330,9 @@
 	// Digest of the entries; equal entries have equal digests.
 	Digest uint64 `json:"digest" cbor:"2,keyasint,omitempty"`
 
+	// Daemons that passed the age on; 0 from one that has read the registry.
+	Hops *uint64 `json:"hops,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
+
 	// Revision of the newest read.
 	Revision uint64 `json:"revision" cbor:"1,keyasint,omitempty"`
 }
