Copy shared parts to an engine that newly comes first

Change: the first engine copies from one that is known to have read the parts, unless this daemon has sent them there before.

--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -432,6 +432,39 @@
 	}
 }
 
+// Load: a new engine that comes first for a subject. Guards against reading the
+// shared parts again although the engine that came first before keeps them.
+func TestNewFirstEngineCopies(t *testing.T) {
+	var entries []registrar.Entry
+	for i := range 5 {
+		entries = append(entries, registrar.Entry{
+			ID: fmt.Sprint("e", i), Service: "model", Address: fmt.Sprint("127.0.0.1:", 1000+i), DataCentre: "d0", Slots: 64,
+		})
+	}
+	moved := 0
+	for i := range 20 {
+		f := fleetWithCopies(3, 5000)
+		subject := fmt.Sprint("hot", i)
+		first := send(t, f, 0, prompt(subject, 5000, 600), roomy)
+		f.SetTargets(entries)
+		f.SetPeer(time.Second, "peer", []placer.Load{{Target: first.Target.ID, Unread: 200000, Running: 1, Memory: 4000}}, true)
+		c := send(t, f, time.Second, prompt(subject, 5000, 600), roomy)
+		if !c.Home {
+			continue // the first engine is the same
+		}
+		moved++
+		if c.Source != first.Target.Address || c.Copied != 5000 {
+			t.Errorf("%s copies %v tokens from %q, want 5000 from %q", c.Target.ID, c.Copied, c.Source, first.Target.Address)
+		}
+		if c = send(t, f, 2*time.Second, prompt(subject, 5000, 600), roomy); c.Source != "" {
+			t.Errorf("%s copies again from %q", c.Target.ID, c.Source)
+		}
+	}
+	if moved == 0 {
+		t.Error("no subject came to another engine")
+	}
+}
+
 // Guards against copies from an engine that fails, over a link that is hardly
 // faster than reading, or of parts that are too short to matter.
 func TestNoCopyWhereItDoesNotPay(t *testing.T) {
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -67,6 +67,15 @@
 	return r.Parts[len(r.Parts)-2].Chain
 }
 
+// shared returns the number of tokens of the shared parts.
+func (r Request) shared() float64 {
+	total := 0
+	for _, p := range r.Parts[:max(len(r.Parts)-1, 0)] {
+		total += p.Tokens
+	}
+	return float64(total)
+}
+
 // Terms bound what a request may take.
 type Terms struct {
 	// Allowance is the time in which the first event should come.
@@ -97,8 +106,8 @@
 	// of them that another engine keeps, and Ahead the number that it reads until the
 	// first event.
 	Unread, Shared, Ahead float64
-	// Copied is the part of Shared that the engine is told to copy from another one,
-	// and Source the address of that one; empty for none.
+	// Copied is the number of shared tokens that the engine is told to copy from
+	// another one, and Source the address of that one; empty for none.
 	Copied float64
 	Source string
 }
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -100,8 +100,14 @@
 	e := t.engine
 	c.Home = home
 	c.Unread, c.Shared = e.unread(now, r, home)
-	if source != nil && c.Shared > spillTokens {
+	switch {
+	case source == nil || source == t:
+	case c.Shared > spillTokens:
 		c.Copied = c.Shared
+	case home && !e.holds(now, r.affinity()) && source.engine.hasRead(now, r.affinity()):
+		// The order has changed since the source read them; nothing is copied if the
+		// engine keeps them.
+		c.Copied = r.shared()
 	}
 	c.Ahead = load.Unread + c.Unread
 	c.Expected = firstEventBase + e.reading(c.Ahead)
