--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -465,6 +465,31 @@
 	}
 }
 
+// Load: a flooding account all of whose subjects belong to one busy engine, while
+// others over their share find theirs less busy. Guards against leaving it far
+// behind them although the other engines have room.
+func TestAccountThatIsBehindSpillsWithCopies(t *testing.T) {
+	for standing, want := range map[float64]bool{0.5: false, 2: true} {
+		f := fleetWithCopies(4, 5000)
+		first := send(t, f, 0, prompt("hot", 5000, 600), roomy)
+		var busy []placer.Load
+		for i := range 4 {
+			load := placer.Load{Target: fmt.Sprint("e", i), Unread: 60 * speed, Running: 1, Memory: 4000}
+			if load.Target == first.Target.ID {
+				load.Unread = 2000 * speed
+			}
+			busy = append(busy, load)
+		}
+		f.SetPeer(time.Second, "peer", busy, true)
+		terms := roomy
+		terms.Spare, terms.Standing = true, standing
+		c, ok := f.Choose(time.Second, prompt("hot", 5000, 600), terms)
+		if fits := ok && c.Fits && c.Copied > 0; fits != want {
+			t.Errorf("standing %v: %+v", standing, c)
+		}
+	}
+}
+
 // Guards against copies from an engine that fails, over a link that is hardly
 // faster than reading, or of parts that are too short to matter.
 func TestNoCopyWhereItDoesNotPay(t *testing.T) {
