--- a/generator/soaker/callers.go
+++ b/generator/soaker/callers.go
@@ -86,7 +86,6 @@
 
 	mutex   sync.Mutex
 	results []result
-	open    int
 }
 
 // run starts callers and returns when all their requests have ended.
