Let accounts that are behind use engines up to the limits of kept parts

Engines to which it spills take it only to 0.4 of their limits. Change: where an account that is behind can copy its parts, the limits are those of an engine that keeps them. Conclusion: to be measured before it stays.

--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -115,11 +115,14 @@
 	memory := float64(e.settings.MemoryTokens) * memoryShare
 	limit, share := f.paceLimit(r), 1.0
 	if c.Shared > spillTokens {
-		share = spillShare
 		// Copies let an account that got less than others over their share use engines
 		// that do not keep its subjects.
-		catchUp := terms.Spare && terms.Standing > 1 && c.Copied > 0 && source.engine.hasRead(now, r.affinity())
-		c.Full = !spills && !catchUp
+		if terms.Spare && terms.Standing > 1 && c.Copied > 0 && source.engine.hasRead(now, r.affinity()) {
+			spills = true
+		} else {
+			share = spillShare
+		}
+		c.Full = !spills
 	}
 	if terms.Spare {
 		share *= min(spareShare*terms.Standing, 1)
