Let daemons of large fleets wait longer for what readers tell

Change: readers read every 0.6 s at least; the others wait 0.6 instead of 0.5 of the drain bound, and 0.4 instead of 0.15 s for a change they heard of. Requests still wait for a read from 0.85 of the bound on.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,20 +39,23 @@
 	// bodyShare is the part of the process limit that bodies may take.
 	bodyShare = 0.2
 	// readShare is the part of the drain bound between two reads of the registry by a
-	// daemon that reads it for the others.
-	readShare = 0.3
+	// daemon that reads it for the others, maxReadInterval the longest time: two readers
+	// cost less than the reads of a large fleet whose knowledge grows old on the way.
+	readShare       = 0.3
+	maxReadInterval = 600 * time.Millisecond
 	// staleShare is the part of the drain bound after which a daemon reads the registry
 	// itself because nobody told it that its state is still the newest; a failed read
 	// can be repeated within the bound.
-	staleShare = 0.5
+	staleShare = 0.6
 	// trustShare is the part of the drain bound up to which the state of the registry is
 	// trusted; the rest is for the way of a request to the target.
 	trustShare = 0.85
 	// probeTimeout bounds a probe; connections have a shorter bound of their own.
 	probeTimeout = time.Second
 	// changeDelay is how long a daemon that heard of a newer state of the registry
-	// waits for the change before it reads the registry itself.
-	changeDelay = 150 * time.Millisecond
+	// waits for the change before it reads the registry itself. The first change that a
+	// daemon tells may need connections to all others.
+	changeDelay = 400 * time.Millisecond
 	// forgetAfter is how long a daemon must have been silent before its entry is
 	// removed from the list of daemons.
 	forgetAfter = 10 * time.Minute
@@ -241,11 +244,11 @@
 // registryDue returns the time until this daemon should read the registry.
 func (g *Gateway) registryDue() time.Duration {
 	f, now := g.controller.Freshness(), g.clock()
-	share := staleShare
+	interval := time.Duration(staleShare * float64(g.settings.DrainBound))
 	if f.Reader {
-		share = readShare
+		interval = min(time.Duration(readShare*float64(g.settings.DrainBound)), maxReadInterval)
 	}
-	due := f.KnownAt + time.Duration(share*float64(g.settings.DrainBound)) - now
+	due := f.KnownAt + interval - now
 	if f.KnownAt == 0 {
 		due = 0
 	}
