Do not join a stream with one that began again

The stand-in's answers with a second answer, garbage or no length began at the first event also when a stream was to go on after another. Ruled out: the splitter and the event that the daemon asks to go on after (the repeated part begins at event 0, as the stand-in sent it). Change: the stand-in goes on after the event in these answers too. The daemon leaves a target whose first event has a number that was already passed on, so that a target with this fault breaks the stream visibly. Before: TestStreamThatBeginsAgainIsNotJoined failed with joined events.

--- a/emulator/server/fault.go
+++ b/emulator/server/fault.go
@@ -97,7 +97,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	body := ""
-	for _, p := range Pieces(run.Attempt, s.options.Events) {
+	for _, p := range s.pieces(run) {
 		body += p
 	}
 	signed := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", wire.FieldAttempt, run.Attempt, wire.FieldSignature, run.Instance+"."+run.Attempt)
--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -312,13 +312,10 @@
 	case FaultGarbage, FaultExtra, FaultUnframed:
 		return s.spoil(w, run, fault.Kind)
 	}
-	pieces := Pieces(run.Attempt, s.options.Events)
+	pieces := s.pieces(run)
 	if s.options.Events > 0 {
 		w.Header().Set("Content-Type", "text/event-stream")
 	}
-	if after, err := strconv.Atoi(run.After); err == nil {
-		pieces = pieces[min(after+1, len(pieces)):]
-	}
 	control := http.NewResponseController(w)
 	for i, piece := range pieces {
 		if i > 0 && !pause(r, time.Duration(float64(s.options.Pause)*cmp.Or(fault.Factor, 1))) {
@@ -338,6 +335,15 @@
 	return r.Context().Err() == nil
 }
 
+// pieces returns the part of the answer that a run makes.
+func (s *Server) pieces(run *Run) []string {
+	pieces := Pieces(run.Attempt, s.options.Events)
+	if after, err := strconv.Atoi(run.After); err == nil {
+		return pieces[min(after+1, len(pieces)):]
+	}
+	return pieces
+}
+
 // Pieces returns the answer to an attempt: its events, or one body if events is 0.
 func Pieces(attempt string, events int) []string {
 	if events == 0 {
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -97,7 +97,7 @@
 	}
 	var events splitter
 	buffer := make([]byte, readBytes)
-	first := true
+	first, resumedAfter := true, j.stream.lastID
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
@@ -106,6 +106,9 @@
 				return j.endAttempt(permit, placer.Failed, "an event that is too long", nil)
 			}
 			if len(ready) > 0 {
+				if first && resumedAfter != "" && repeats(ready, resumedAfter) {
+					return j.endAttempt(permit, placer.Failed, "a stream that began again", nil)
+				}
 				if first {
 					first = false
 					permit.FirstEvent()
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -155,6 +155,20 @@
 	s.wantResults(t, placer.Failed, placer.Complete)
 }
 
+// Guards against events of two runs in one stream, from a target that was asked to
+// go on and began again.
+func TestStreamThatBeginsAgainIsNotJoined(t *testing.T) {
+	s := newScene(t, []reply{
+		{status: 200, header: "Signed=first", body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", broken: true},
+		{status: 200, header: "Signed=second", body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+	}, nil)
+	r := s.get(t, "/resume/1")
+	if r.err == nil || r.body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+		t.Errorf("body %q, error %v", r.body, r.err)
+	}
+	s.wantResults(t, placer.Failed, placer.Failed)
+}
+
 // Guards against a refusal in the middle of a stream.
 func TestStreamThatCannotBeResumedIsBroken(t *testing.T) {
 	s := newScene(t, []reply{
--- a/gateway/receiver/splitter.go
+++ b/gateway/receiver/splitter.go
@@ -1,6 +1,9 @@
 package receiver
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
@@ -60,3 +63,28 @@
 	}
 	return "", false
 }
+
+// firstID returns the value of the first id field of the events.
+func firstID(events []byte) (string, bool) {
+	for line := range bytes.Lines(events) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
+
+// repeats reports whether the events begin at or before the one with the id. Ids
+// that are no numbers cannot be compared.
+func repeats(events []byte, id string) bool {
+	text, ok := firstID(events)
+	if !ok {
+		return false
+	}
+	first, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return false
+	}
+	last, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && first <= last
+}
