--- a/orderer/bucket.go
+++ b/orderer/bucket.go
@@ -41,9 +41,11 @@
 	return true
 }
 
-// take uses the reserved token.
-func (b *bucket) take() {
+// take uses the reserved token. The time before, in which the bucket was full, adds
+// nothing to the next one.
+func (b *bucket) take(now time.Duration) {
 	if b.rate > 0 {
+		b.refill(now)
 		b.tokens--
 		b.reserved = false
 	}
--- a/orderer/engine.go
+++ b/orderer/engine.go
@@ -111,7 +111,7 @@
 }
 
 func (o *Orderer) send(now time.Duration, e *engine, until time.Duration) (Action, bool) {
-	o.bucket.take()
+	o.bucket.take(now)
 	e.reserved, e.fresh = false, false
 	e.sent, e.ordered[e.order.Model] = now, now
 	return Action{Kind: ActionSend, Record: e.order, Until: until}, true
