Use one wait for a time or the end of a context

Nine packages had their own copy of the same select over a timer and a context, four of them new on the platform. sleeper.Sleep serves all of them; chaos keeps a function that turns its result into an error, and fault asks only if there is a latency, as before. No behaviour is meant to change.

--- a/emulator/fault/fault.go
+++ b/emulator/fault/fault.go
@@ -2,13 +2,13 @@
 package fault
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
 
 	"monsoondeck.example/emulator/wire"
+	"monsoondeck.example/sleeper"
 )
 
 // Outage says how a stand-in behaves during an outage.
@@ -156,7 +156,7 @@
 	f.mu.Lock()
 	outage, latency := f.current.outage, f.current.latency
 	f.mu.Unlock()
-	if !sleep(r.Context(), latency) {
+	if latency > 0 && !sleeper.Sleep(r.Context(), latency) {
 		panic(http.ErrAbortHandler)
 	}
 	switch outage {
@@ -165,7 +165,7 @@
 		return false
 	case OutageHang:
 		for f.hangs() {
-			if !sleep(r.Context(), hangPoll) {
+			if !sleeper.Sleep(r.Context(), hangPoll) {
 				break
 			}
 		}
@@ -186,20 +186,6 @@
 	return f.current.outage == OutageHang
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ServeControl reads a Change from a request to /v1/control and applies it. It
 // reports whether the request asked for a restart.
 func (f *Faults) ServeControl(w http.ResponseWriter, r *http.Request) (restart bool) {
--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"monsoondeck.example/platform/wire"
+	"monsoondeck.example/sleeper"
 )
 
 // Registry holds the entries of targets.
@@ -292,7 +293,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if !pause(r, time.Duration(float64(s.options.Work)*cmp.Or(fault.Factor, 1))) {
+	if !sleeper.Sleep(r.Context(), time.Duration(float64(s.options.Work)*cmp.Or(fault.Factor, 1))) {
 		return
 	}
 	h.Set(wire.FieldSignature, run.Instance+"."+run.Attempt)
@@ -318,7 +319,7 @@
 	}
 	control := http.NewResponseController(w)
 	for i, piece := range pieces {
-		if i > 0 && !pause(r, time.Duration(float64(s.options.Pause)*cmp.Or(fault.Factor, 1))) {
+		if i > 0 && !sleeper.Sleep(r.Context(), time.Duration(float64(s.options.Pause)*cmp.Or(fault.Factor, 1))) {
 			// The end of the handler would look like that of the answer.
 			panic(http.ErrAbortHandler)
 		}
@@ -356,17 +357,6 @@
 	return pieces
 }
 
-func pause(r *http.Request, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // Merge returns the runs of several servers by attempt, in the order of their
 // starts.
 func Merge(servers []*Server) map[string][]Run {
--- a/emulator/storer/storer.go
+++ b/emulator/storer/storer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"monsoondeck.example/platform/wire"
+	"monsoondeck.example/sleeper"
 )
 
 // Fault is what the store does instead of answering. The zero value is a sound
@@ -155,7 +156,7 @@
 	s.calls[strings.TrimSpace(r.URL.Path+" "+r.URL.Query().Get("table-name"))]++
 	f := s.fault
 	s.mutex.Unlock()
-	if f.Delay > 0 && !wait(r, f.Delay) {
+	if f.Delay > 0 && !sleeper.Sleep(r.Context(), f.Delay) {
 		return
 	}
 	if f.Silent {
@@ -178,18 +179,6 @@
 	}
 }
 
-// wait reports whether the caller stayed for the time.
-func wait(r *http.Request, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mutex.Lock()
--- a/gateway/watcher/loop.go
+++ b/gateway/watcher/loop.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"monsoondeck.example/logger"
+	"monsoondeck.example/sleeper"
 )
 
 // loop is the state of one sequence of calls.
@@ -36,7 +37,7 @@
 	if errors.Is(err, ErrHistoryLost) {
 		l.retry = minRetry
 	}
-	pause(ctx, jitter(l.retry))
+	sleeper.Sleep(ctx, jitter(l.retry))
 }
 
 // succeeded records an answered call and reports whether the one before failed.
@@ -53,12 +54,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -15,6 +15,7 @@
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/logger"
+	"monsoondeck.example/sleeper"
 )
 
 // ErrHistoryLost reports that the changes since a revision are no longer known;
@@ -163,7 +164,7 @@
 		if config != nil {
 			w.options.Sink.SetConfig(*config)
 		} else if !known {
-			pause(ctx, minRetry) // the first configuration is not written yet
+			sleeper.Sleep(ctx, minRetry) // the first configuration is not written yet
 			continue
 		}
 		known = true
@@ -197,7 +198,7 @@
 	unreadable := map[string]bool{}
 	for ctx.Err() == nil {
 		if wait := w.options.Due(); wait > 0 {
-			pause(ctx, min(wait, dueCheck))
+			sleeper.Sleep(ctx, min(wait, dueCheck))
 			continue
 		}
 		began := w.options.Clock()
@@ -217,7 +218,7 @@
 			}
 		}
 		w.options.Sink.SetRegistry(began, revision, entries)
-		pause(ctx, minReadInterval)
+		sleeper.Sleep(ctx, minReadInterval)
 	}
 }
 
@@ -256,9 +257,9 @@
 		}
 		reads++
 		if reads == 1 {
-			pause(ctx, jitter(secondList)) // others may be starting at the same time
+			sleeper.Sleep(ctx, jitter(secondList)) // others may be starting at the same time
 		} else {
-			pause(ctx, jitter(listInterval))
+			sleeper.Sleep(ctx, jitter(listInterval))
 		}
 	}
 }
--- a/generator/chaos/chaos.go
+++ b/generator/chaos/chaos.go
@@ -12,6 +12,7 @@
 	"monsoondeck.example/generator/deployment"
 	"monsoondeck.example/generator/launcher"
 	"monsoondeck.example/generator/loader"
+	"monsoondeck.example/sleeper"
 )
 
 const (
@@ -186,15 +187,8 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !sleeper.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/generator/loader/complete.go
+++ b/generator/loader/complete.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/sleeper"
 )
 
 // complete sends a call until it has an outcome that a caller would accept, as
@@ -29,7 +31,7 @@
 		}
 		again := e.outcome == OutcomeUnsent || e.outcome == OutcomeNotRun && retryable(e.status) ||
 			e.outcome == OutcomeUnknown && c.key != "" && e.status != http.StatusConflict
-		if !again || x.Wrong != nil || attempt >= l.settings.Attempts || !wait(ctx, min(max(e.retry, minBackOff), maxBackOff)) {
+		if !again || x.Wrong != nil || attempt >= l.settings.Attempts || !sleeper.Sleep(ctx, min(max(e.retry, minBackOff), maxBackOff)) {
 			break
 		}
 	}
--- a/generator/loader/loader.go
+++ b/generator/loader/loader.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/sleeper"
 )
 
 // ErrSettings is returned by New for settings that cannot work.
@@ -164,7 +166,7 @@
 		}
 		result := l.complete(ctx, c, r)
 		if result.Outcome != OutcomeComplete {
-			wait(sending, minBackOff)
+			sleeper.Sleep(sending, minBackOff)
 		}
 	}
 }
@@ -182,14 +184,14 @@
 			rate = a.SurgeRate
 		}
 		if rate <= 0 {
-			if !wait(sending, 50*time.Millisecond) {
+			if !sleeper.Sleep(sending, 50*time.Millisecond) {
 				return
 			}
 			next = time.Now()
 			continue
 		}
 		next = next.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
-		if !wait(sending, time.Until(next)) {
+		if !sleeper.Sleep(sending, time.Until(next)) {
 			return
 		}
 		c, err := l.newCall(a, r, fmt.Sprintf("%s-o-%d", a.ID, n))
@@ -223,18 +225,3 @@
 	}
 	return c, c.encode()
 }
-
-// wait sleeps and reports whether the context is still alive.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/generator/soaker/act.go
+++ b/generator/soaker/act.go
@@ -9,6 +9,7 @@
 	"monsoondeck.example/emulator/storer"
 	"monsoondeck.example/injector"
 	"monsoondeck.example/platform/wire"
+	"monsoondeck.example/sleeper"
 )
 
 // act carries out one event and returns when it is over.
@@ -53,7 +54,7 @@
 			if err := r.crash(ctx, t, e); err != nil {
 				return err
 			}
-			sleep(ctx, e.Length)
+			sleeper.Sleep(ctx, e.Length)
 		}
 		return nil
 	case KindTargetLeave:
@@ -65,7 +66,7 @@
 		all := server.Faults()
 		share := []float64{0.1, 0.4, 1}[e.Choice/len(all)%3]
 		t.SetFault(server.Fault{Kind: all[e.Choice%len(all)], Share: share, Factor: 8})
-		sleep(ctx, e.Length)
+		sleeper.Sleep(ctx, e.Length)
 		t.SetFault(server.Fault{})
 		return nil
 	case KindForeignEntries:
@@ -76,7 +77,7 @@
 	case KindChanges:
 		for range 4 {
 			f.change()
-			sleep(ctx, 100*time.Millisecond)
+			sleeper.Sleep(ctx, 100*time.Millisecond)
 		}
 		return nil
 	}
@@ -107,7 +108,7 @@
 	defer release()
 	defer r.disturb(d.name)()
 	d.kill()
-	sleep(ctx, down)
+	sleeper.Sleep(ctx, down)
 	return d.start(d.storeLink)
 }
 
@@ -143,7 +144,7 @@
 	defer r.disturb(d.name)()
 	p := d.current()
 	p.Pause()
-	sleep(ctx, length)
+	sleeper.Sleep(ctx, length)
 	p.Continue()
 	return nil
 }
@@ -169,7 +170,7 @@
 	r.mutex.Lock()
 	r.stops = append(r.stops, span{subject: d.name, from: began, to: time.Now()})
 	r.mutex.Unlock()
-	sleep(ctx, down)
+	sleeper.Sleep(ctx, down)
 	return d.start(d.storeLink)
 }
 
@@ -179,7 +180,7 @@
 	for i := range n {
 		d := r.fleet.daemons[(e.Subject+i)%len(r.fleet.daemons)]
 		go func() { done <- r.stop(ctx, d, e.Length) }()
-		sleep(ctx, time.Second)
+		sleeper.Sleep(ctx, time.Second)
 	}
 	return first(done, n)
 }
@@ -221,11 +222,11 @@
 			}
 		}
 	}
-	sleep(ctx, e.Length)
+	sleeper.Sleep(ctx, e.Length)
 	s.SetFault(storer.Fault{})
 	if e.Kind == KindRegistryLost {
 		for _, t := range r.fleet.targets {
-			sleep(ctx, 50*time.Millisecond)
+			sleeper.Sleep(ctx, 50*time.Millisecond)
 			t.Register()
 		}
 	}
@@ -247,7 +248,7 @@
 	if err := l.SetFault(f); err != nil {
 		return err
 	}
-	sleep(ctx, length)
+	sleeper.Sleep(ctx, length)
 	return l.SetFault(injector.Fault{Kind: injector.KindNone})
 }
 
@@ -261,7 +262,7 @@
 	defer release()
 	defer r.disturb(t.Name())()
 	t.Crash()
-	sleep(ctx, e.Length)
+	sleeper.Sleep(ctx, e.Length)
 	if e.Choice%2 == 0 {
 		t.Forget() // the registry has noticed
 	} else {
@@ -299,7 +300,7 @@
 	defer release()
 	from := time.Now()
 	instance := t.Drain()
-	sleep(ctx, max(length, drainBound))
+	sleeper.Sleep(ctx, max(length, drainBound))
 	r.mutex.Lock()
 	r.drains = append(r.drains, span{subject: instance, from: from, to: time.Now()})
 	r.mutex.Unlock()
@@ -314,7 +315,7 @@
 	for i := range n {
 		t := r.fleet.targets[(e.Subject+2*i)%len(r.fleet.targets)]
 		go func() { done <- r.leave(ctx, t, e.Length) }()
-		sleep(ctx, e.Length/2)
+		sleeper.Sleep(ctx, e.Length/2)
 	}
 	return first(done, n)
 }
@@ -328,7 +329,7 @@
 	for key, payload := range rows {
 		r.fleet.store.Put(wire.TargetsTable, key, []byte(payload))
 	}
-	sleep(ctx, length)
+	sleeper.Sleep(ctx, length)
 	for key := range rows {
 		r.fleet.store.Delete(wire.TargetsTable, key)
 	}
--- a/generator/soaker/callers.go
+++ b/generator/soaker/callers.go
@@ -15,6 +15,7 @@
 
 	"monsoondeck.example/emulator/server"
 	"monsoondeck.example/platform/wire"
+	"monsoondeck.example/sleeper"
 )
 
 const (
@@ -106,7 +107,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		d := c.fleet.daemons[(number+n/10)%len(c.fleet.daemons)] // ten requests on one connection
 		c.send(r, client, d, all[r.IntN(len(all))], fmt.Sprintf("%d-%d-%d", c.seed, number, n), r.IntN(accounts))
-		sleep(ctx, time.Duration(r.Int64N(int64(thinkTime))))
+		sleeper.Sleep(ctx, time.Duration(r.Int64N(int64(thinkTime))))
 	}
 }
 
@@ -176,14 +177,3 @@
 
 // want returns the body of a success.
 func (x result) want() string { return strings.Join(server.Pieces(x.id, x.route.events()), "") }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/generator/soaker/fleet.go
+++ b/generator/soaker/fleet.go
@@ -20,6 +20,7 @@
 	"monsoondeck.example/generator/launcher"
 	"monsoondeck.example/injector"
 	"monsoondeck.example/platform/wire"
+	"monsoondeck.example/sleeper"
 )
 
 // gateProgram is the daemon of the users' platform.
@@ -252,7 +253,7 @@
 func (f *fleet) awaitReady(ctx context.Context) error {
 	for _, d := range f.daemons {
 		for !d.isReady() {
-			if !sleep(ctx, 20*time.Millisecond) {
+			if !sleeper.Sleep(ctx, 20*time.Millisecond) {
 				return errors.Wrapf(ctx.Err(), "%s is not ready", d.name)
 			}
 			if p := d.current(); p == nil || !p.Alive() {
--- a/generator/soaker/prober.go
+++ b/generator/soaker/prober.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"monsoondeck.example/sleeper"
 )
 
 // probeInterval is the time between two looks at the configuration of a daemon.
@@ -41,7 +43,7 @@
 	client, closeClient := newClient()
 	defer closeClient()
 	seen, incarnation := uint64(0), 0
-	for n := 0; sleep(ctx, probeInterval); n++ {
+	for n := 0; sleeper.Sleep(ctx, probeInterval); n++ {
 		if now := d.run(); now != incarnation {
 			seen, incarnation = 0, now
 		}
--- a/generator/soaker/soaker.go
+++ b/generator/soaker/soaker.go
@@ -17,6 +17,7 @@
 	"monsoondeck.example/emulator/server"
 	"monsoondeck.example/emulator/storer"
 	"monsoondeck.example/injector"
+	"monsoondeck.example/sleeper"
 )
 
 const (
@@ -104,7 +105,7 @@
 	failed := make(chan error, len(events))
 	for _, e := range events {
 		go func() {
-			if !sleep(ctx, time.Until(r.start.Add(e.At))) {
+			if !sleeper.Sleep(ctx, time.Until(r.start.Add(e.At))) {
 				failed <- nil
 				return
 			}
@@ -153,7 +154,7 @@
 		if len(wrong) == 0 || time.Now().After(end) || ctx.Err() != nil {
 			return wrong
 		}
-		sleep(ctx, 200*time.Millisecond)
+		sleeper.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
--- a/provider/committer/commit.go
+++ b/provider/committer/commit.go
@@ -11,6 +11,7 @@
 
 	"monsoondeck.example/configurer"
 	"monsoondeck.example/provider"
+	"monsoondeck.example/sleeper"
 )
 
 // ConflictError tells the loser of a race what was committed instead. It matches
@@ -77,7 +78,7 @@
 	h, revision, err := c.readHead(ctx)
 	for pause := c.o.Backoff; err == nil && h.Version < d.Base; pause *= 2 {
 		// A late read; a few more tries see the version that from was loaded at.
-		if pause >= c.o.Backoff<<commitAttempts || !sleep(ctx, pause) {
+		if pause >= c.o.Backoff<<commitAttempts || !sleeper.Sleep(ctx, pause) {
 			return errors.Mark(errors.Wrapf(ErrStaleRead, "version %d, have %d", h.Version, d.Base), provider.ErrUnavailable)
 		}
 		h, revision, err = c.readHead(ctx)
@@ -143,7 +144,7 @@
 				err = errors.CombineErrors(err, readErr)
 			}
 		}
-		if !sleep(ctx, pause) {
+		if !sleeper.Sleep(ctx, pause) {
 			break
 		}
 		pause *= 2
@@ -203,14 +204,3 @@
 	}
 	return &ConflictError{Base: d.Base, Changes: changes}
 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/router/claimer/claim.go
+++ b/router/claimer/claim.go
@@ -9,6 +9,7 @@
 
 	"monsoondeck.example/deduplicator"
 	"monsoondeck.example/provider"
+	"monsoondeck.example/sleeper"
 )
 
 // Verdict says whether the request may run (VerdictNone) or why not.
@@ -76,7 +77,7 @@
 		if write(ctx) {
 			return true
 		}
-		pause(ctx, time.Duration(try)*retryPause)
+		sleeper.Sleep(ctx, time.Duration(try)*retryPause)
 	}
 	return false
 }
--- a/router/claimer/claimer.go
+++ b/router/claimer/claimer.go
@@ -15,6 +15,7 @@
 
 	"monsoondeck.example/deduplicator"
 	"monsoondeck.example/provider"
+	"monsoondeck.example/sleeper"
 )
 
 // Defaults of Options.
@@ -110,20 +111,11 @@
 			return
 		}
 		if try > 0 {
-			pause(ctx, time.Duration(try)*retryPause)
+			sleeper.Sleep(ctx, time.Duration(try)*retryPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (m *Claim) insert(ctx context.Context) deduplicator.ClaimResult {
 	value, err := json.Marshal(m.attempt.Record())
 	if err != nil {
