Simplify the soak; keep the wire's names in platform/wire

The soak locked daemons and targets by two copies of one function, and each event repeated its use: alone() serves both. A graceful stop with a kill after the grace was written again beside launcher.Process.Stop, which it now calls. Removed, since nothing read them: the spans of stops, the incarnation of a result, the counts of arrivals at targets. Reading the link to the store raced with a reload; it is guarded now. Calls and queries of the store and names of settings stand once in platform/wire, for the adapter and the stand-ins. Checks and judged promises are unchanged.

--- a/emulator/server/fault.go
+++ b/emulator/server/fault.go
@@ -67,15 +67,10 @@
 func (s *Server) early(w http.ResponseWriter, r *http.Request) bool {
 	s.mutex.Lock()
 	f := s.fault
-	if f.Kind == FaultEarly {
-		f = f.draw()
-	}
-	if f.Kind != FaultEarly {
-		s.mutex.Unlock()
+	s.mutex.Unlock()
+	if f.Kind != FaultEarly || f.draw().Kind == FaultNone {
 		return false
 	}
-	s.sent[r.Header.Get(wire.FieldAttempt)]++
-	s.mutex.Unlock()
 	control := http.NewResponseController(w)
 	if err := control.EnableFullDuplex(); err != nil {
 		panic(err) // every HTTP/1 connection can
--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -69,15 +69,13 @@
 	fault  Fault
 	active int
 	runs   []*Run
-	// sent counts the requests that arrived for an attempt, run or not.
-	sent map[string]int
-	http *http.Server
+	http   *http.Server
 	// connections are those that are open, for a crash.
 	connections map[net.Conn]bool
 }
 
 // New returns a Server that does not run yet.
-func New(o Options) *Server { return &Server{options: o, sent: map[string]int{}} }
+func New(o Options) *Server { return &Server{options: o} }
 
 // Name returns the name of the server, which it keeps across starts.
 func (s *Server) Name() string { return s.options.Name }
@@ -226,23 +224,11 @@
 	return all
 }
 
-// Sent returns how often requests arrived for each attempt, run or not.
-func (s *Server) Sent() map[string]int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	all := make(map[string]int, len(s.sent))
-	for id, n := range s.sent {
-		all[id] = n
-	}
-	return all
-}
-
 // begin notes the start of a run; a reason other than empty refuses it.
 func (s *Server) begin(r *http.Request) (*Run, Fault, string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	id := r.Header.Get(wire.FieldAttempt)
-	s.sent[id]++
 	f := s.fault.draw()
 	switch {
 	case r.Header.Get(wire.FieldExpect) != s.instance:
--- a/emulator/storer/storer.go
+++ b/emulator/storer/storer.go
@@ -124,7 +124,7 @@
 	s.fault = f
 }
 
-// Calls returns the numbers of calls by path and table, such as "/rows-get servers".
+// Calls returns the numbers of calls by path and table, such as that of the reads of the targets.
 func (s *Store) Calls() map[string]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -153,7 +153,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
-	s.calls[strings.TrimSpace(r.URL.Path+" "+r.URL.Query().Get("table-name"))]++
+	s.calls[strings.TrimSpace(r.URL.Path+" "+r.URL.Query().Get(wire.QueryTable))]++
 	f := s.fault
 	s.mutex.Unlock()
 	if f.Delay > 0 && !sleeper.Sleep(r.Context(), f.Delay) {
@@ -168,11 +168,11 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/rows-get":
+	case wire.CallRead:
 		s.get(w, r)
-	case "/rows-feed":
+	case wire.CallFeed:
 		s.feed(w, r)
-	case "/rows-tx":
+	case wire.CallTransact:
 		s.transact(w, r, f.LoseAnswers)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -184,7 +184,7 @@
 	s.mutex.Lock()
 	page := wire.Rows{Rows: []wire.Row{}, Version: s.version}
 	for _, row := range s.rows {
-		if row.Table == query.Get("table-name") && row.Part == query.Get("part") && row.Key >= query.Get("from") {
+		if row.Table == query.Get(wire.QueryTable) && row.Part == query.Get(wire.QueryPart) && row.Key >= query.Get(wire.QueryFrom) {
 			page.Rows = append(page.Rows, row)
 		}
 	}
@@ -199,8 +199,8 @@
 // feed answers when there is a change, or when the time is over.
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
-	ms, errWait := strconv.ParseInt(query.Get("wait-ms"), 10, 64)
+	after, err := strconv.ParseUint(query.Get(wire.QueryAfter), 10, 64)
+	ms, errWait := strconv.ParseInt(query.Get(wire.QueryWait), 10, 64)
 	if err != nil || errWait != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -209,7 +209,7 @@
 	defer over.Stop()
 	for {
 		s.mutex.Lock()
-		page, known, changed := s.changesLocked(query.Get("table-name"), after), after >= s.oldest, s.changed
+		page, known, changed := s.changesLocked(query.Get(wire.QueryTable), after), after >= s.oldest, s.changed
 		s.mutex.Unlock()
 		if !known {
 			w.WriteHeader(http.StatusGone)
@@ -255,7 +255,7 @@
 		if s.rows[key(c.Table, c.Part, c.Key)].Version != c.Version {
 			s.mutex.Unlock()
 			w.WriteHeader(http.StatusPreconditionFailed)
-			_, _ = io.WriteString(w, `{"rows":[]}`) // the caller sees a cut connection
+			s.answer(w, wire.Rows{Rows: []wire.Row{}})
 			return
 		}
 	}
--- a/generator/soaker/act.go
+++ b/generator/soaker/act.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -35,7 +36,7 @@
 		return r.storeFails(ctx, e)
 	case KindStoreLink:
 		defer r.disturb(storeSubject)()
-		return r.linkFails(ctx, d.storeLink, e)
+		return r.linkFails(ctx, d.currentStore(), e)
 	case KindPeerLink:
 		if d.peerLink == nil {
 			return nil
@@ -84,32 +85,31 @@
 	return fmt.Errorf("unknown kind of event %s", e.Kind)
 }
 
-// hold makes sure that only one event at a time acts on the process of a daemon;
-// false if another one does.
-func (r *run) hold(d *daemon) (func(), bool) {
+// alone acts on a subject unless another event does; its name is that of a daemon
+// or of a target.
+func (r *run) alone(subject string, act func() error) error {
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.held[d] {
-		return nil, false
+	held := r.held[subject]
+	r.held[subject] = true
+	r.mutex.Unlock()
+	if held {
+		return nil
 	}
-	r.held[d] = true
-	return func() {
+	defer func() {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
-		delete(r.held, d)
-	}, true
+		delete(r.held, subject)
+	}()
+	return act()
 }
 
 func (r *run) kill(ctx context.Context, d *daemon, down time.Duration) error {
-	release, ok := r.hold(d)
-	if !ok {
-		return nil
-	}
-	defer release()
-	defer r.disturb(d.name)()
-	d.kill()
-	sleeper.Sleep(ctx, down)
-	return d.start(d.storeLink)
+	return r.alone(d.name, func() error {
+		defer r.disturb(d.name)()
+		d.kill()
+		sleeper.Sleep(ctx, down)
+		return d.start()
+	})
 }
 
 func (r *run) herdKill(ctx context.Context, e Event) error {
@@ -136,42 +136,24 @@
 }
 
 func (r *run) pause(ctx context.Context, d *daemon, length time.Duration) error {
-	release, ok := r.hold(d)
-	if !ok {
+	return r.alone(d.name, func() error {
+		defer r.disturb(d.name)()
+		p := d.current()
+		p.Pause()
+		sleeper.Sleep(ctx, length)
+		p.Continue()
 		return nil
-	}
-	defer release()
-	defer r.disturb(d.name)()
-	p := d.current()
-	p.Pause()
-	sleeper.Sleep(ctx, length)
-	p.Continue()
-	return nil
+	})
 }
 
 // stop stops a daemon gracefully and starts it again. Callers go on to use their
 // connections until the process is gone.
 func (r *run) stop(ctx context.Context, d *daemon, down time.Duration) error {
-	release, ok := r.hold(d)
-	if !ok {
-		return nil
-	}
-	defer release()
-	began := time.Now()
-	p := d.ask()
-	p.Terminate()
-	t := time.NewTimer(stopWithin)
-	defer t.Stop()
-	select {
-	case <-p.Done():
-	case <-t.C:
-		p.Kill() // as the platform does
-	}
-	r.mutex.Lock()
-	r.stops = append(r.stops, span{subject: d.name, from: began, to: time.Now()})
-	r.mutex.Unlock()
-	sleeper.Sleep(ctx, down)
-	return d.start(d.storeLink)
+	return r.alone(d.name, func() error {
+		d.ask().Stop(stopWithin) // then it is killed, as the platform does
+		sleeper.Sleep(ctx, down)
+		return d.start()
+	})
 }
 
 func (r *run) roll(ctx context.Context, e Event) error {
@@ -187,19 +169,15 @@
 
 // reload lets a daemon reach the store on another way, and back.
 func (r *run) reload(d *daemon, e Event) error {
-	release, ok := r.hold(d)
-	if !ok {
+	return r.alone(d.name, func() error {
+		if err := d.switchStore(); err != nil {
+			return err
+		}
+		if e.Kind == KindReload {
+			d.current().Reload()
+		}
 		return nil
-	}
-	defer release()
-	d.storeLink, d.spareLink = d.spareLink, d.storeLink
-	if err := d.writeSettings(d.storeLink); err != nil {
-		return err
-	}
-	if e.Kind == KindReload {
-		d.current().Reload()
-	}
-	return nil
+	})
 }
 
 func (r *run) storeFails(ctx context.Context, e Event) error {
@@ -255,58 +233,34 @@
 // crash ends a target and starts it again. One time in three its clock is behind
 // then, so that the new start seems older than the last.
 func (r *run) crash(ctx context.Context, t *server.Server, e Event) error {
-	release, ok := r.holdTarget(t)
-	if !ok {
-		return nil
-	}
-	defer release()
-	defer r.disturb(t.Name())()
-	t.Crash()
-	sleeper.Sleep(ctx, e.Length)
-	if e.Choice%2 == 0 {
-		t.Forget() // the registry has noticed
-	} else {
-		gone := t.Instance()
-		time.AfterFunc(entryLife, func() { r.fleet.store.Delete(wire.TargetsTable, gone) })
-	}
-	t.SetClock(time.Duration(e.Choice%3-1) * time.Hour)
-	return t.Start()
+	return r.alone(t.Name(), func() error {
+		defer r.disturb(t.Name())()
+		t.Crash()
+		sleeper.Sleep(ctx, e.Length)
+		if e.Choice%2 == 0 {
+			t.Forget() // the registry has noticed
+		} else {
+			gone := t.Instance()
+			time.AfterFunc(entryLife, func() { r.fleet.store.Delete(wire.TargetsTable, gone) })
+		}
+		t.SetClock(time.Duration(e.Choice%3-1) * time.Hour)
+		return t.Start()
+	})
 }
 
 // entryLife is how long the registry keeps the entry of a target that has ended:
 // three heartbeats and some delay.
 const entryLife = 4 * time.Second
 
-func (r *run) holdTarget(t *server.Server) (func(), bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.heldTargets[t] {
-		return nil, false
-	}
-	r.heldTargets[t] = true
-	return func() {
-		r.mutex.Lock()
-		defer r.mutex.Unlock()
-		delete(r.heldTargets, t)
-	}, true
-}
-
 // leave drains a target for longer than the bound; another one takes its address.
 func (r *run) leave(ctx context.Context, t *server.Server, length time.Duration) error {
-	release, ok := r.holdTarget(t)
-	if !ok {
-		return nil
-	}
-	defer release()
-	from := time.Now()
-	instance := t.Drain()
-	sleeper.Sleep(ctx, max(length, drainBound))
-	r.mutex.Lock()
-	r.drains = append(r.drains, span{subject: instance, from: from, to: time.Now()})
-	r.mutex.Unlock()
-	defer r.disturb(t.Name())()
-	t.Leave()
-	return t.Start()
+	return r.alone(t.Name(), func() error {
+		r.drain(t.Drain())
+		sleeper.Sleep(ctx, max(length, drainBound))
+		defer r.disturb(t.Name())()
+		t.Leave()
+		return t.Start()
+	})
 }
 
 func (r *run) release(ctx context.Context, e Event) error {
@@ -322,12 +276,14 @@
 
 // foreignEntries enters rows that name no target.
 func (r *run) foreignEntries(ctx context.Context, length time.Duration) error {
-	rows := map[string]string{
-		"x-1": "{", "x-2": "null", "x-3": `{"service":7}`, "x-4": `{"service":"desk","address":"nowhere","lifecycle-state":"ready"}`,
-		"x-5": `{"service":"desk","address":"127.0.0.1:9","lifecycle-state":"lost"}`, "x-6": "\x00\xff",
+	service, nowhere, loopback, ready, lost := deskService, "nowhere", "127.0.0.1:9", wire.StateReady, "lost"
+	noAddress := encode(wire.Target{Service: &service, Address: &nowhere, State: &ready})
+	rows := map[string][]byte{
+		"x-1": []byte("{"), "x-2": []byte("null"), "x-3": bytes.Replace(noAddress, []byte(`"`+service+`"`), []byte("7"), 1),
+		"x-4": noAddress, "x-5": encode(wire.Target{Service: &service, Address: &loopback, State: &lost}), "x-6": []byte("\x00\xff"),
 	}
 	for key, payload := range rows {
-		r.fleet.store.Put(wire.TargetsTable, key, []byte(payload))
+		r.fleet.store.Put(wire.TargetsTable, key, payload)
 	}
 	sleeper.Sleep(ctx, length)
 	for key := range rows {
--- a/generator/soaker/callers.go
+++ b/generator/soaker/callers.go
@@ -64,12 +64,11 @@
 
 // result is what a caller saw of one attempt.
 type result struct {
-	id          string
-	route       route
-	daemon      *daemon
-	incarnation int
-	account     string
-	start, end  time.Time
+	id         string
+	route      route
+	daemon     *daemon
+	account    string
+	start, end time.Time
 	// status is 0 without an answer.
 	status int
 	header http.Header
@@ -129,7 +128,7 @@
 	if r.IntN(10) == 0 {
 		size = longBody
 	}
-	x := result{id: id, route: to, daemon: d, incarnation: d.run(), account: account(by), start: time.Now()}
+	x := result{id: id, route: to, daemon: d, account: account(by), start: time.Now()}
 	x.status, x.header, x.body, x.err = post(ctx, client, d.callers, to, id, by, size, r.IntN(2) == 0)
 	x.end = time.Now()
 	x.left = errors.Is(context.Cause(ctx), errLeft)
--- a/generator/soaker/fleet.go
+++ b/generator/soaker/fleet.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -32,8 +31,6 @@
 	// relayedPeers is the largest fleet whose daemons reach each other through
 	// links: the connections of each pair take two descriptors more.
 	relayedPeers = 40
-	// metricsTimeout bounds a call for metrics or readiness.
-	metricsTimeout = 2 * time.Second
 )
 
 // fleet holds the daemons under test, the stand-ins around them and the links
@@ -55,19 +52,16 @@
 	mutex sync.Mutex
 }
 
-// daemon is one process under test. It keeps its addresses across restarts.
-type daemon struct {
-	name, dataCentre               string
-	callers, ready, peers, metrics string
-	settings                       string
-	storeLink, spareLink, peerLink *injector.Link
-	fleet                          *fleet
-	mutex                          sync.Mutex
-	process                        *launcher.Process
-	incarnation                    int
-	asked                          bool // to end
-	exits                          []string
-}
+const (
+	// stopWithin is the time from the stop signal to the kill signal.
+	stopWithin = 8 * time.Second
+	// drainBound is the time within which a leaving target must get no more requests.
+	drainBound = 2 * time.Second
+	// routeTimeout bounds the time that a request is kept.
+	routeTimeout = 10 * time.Second
+	maxAttempts  = 2
+	hostName     = "soak.example"
+)
 
 // newFleet builds the daemon, starts the stand-ins and then the daemons.
 func newFleet(ctx context.Context, o Options, log io.Writer) (*fleet, func(), error) {
@@ -150,7 +144,7 @@
 		return r
 	}
 	for _, d := range f.daemons {
-		if err := d.start(d.storeLink); err != nil {
+		if err := d.start(); err != nil {
 			return err
 		}
 	}
@@ -274,155 +268,3 @@
 		s.Crash()
 	}
 }
-
-// start starts the process with the store behind a link.
-func (d *daemon) start(store *injector.Link) error {
-	if err := d.writeSettings(store); err != nil {
-		return err
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.process != nil && d.process.Alive() {
-		return nil
-	}
-	log, closeLog, err := d.openLog()
-	if err != nil {
-		return err
-	}
-	_, port, err := net.SplitHostPort(d.metrics)
-	if err != nil {
-		closeLog()
-		return errors.Wrap(err, "address for metrics")
-	}
-	p, err := d.fleet.starter.Run(d.name, d.fleet.program, []string{"--metrics-port", port}, []string{"MONSOONDECK_CONFIG=" + d.settings}, log,
-		func(line []byte) { _, _ = log.Write(append(line, '\n')) }) // a lost line of a log fails nothing
-	if err != nil {
-		closeLog()
-		return err
-	}
-	d.process, d.asked = p, false
-	d.incarnation++
-	go func() {
-		<-p.Done()
-		closeLog()
-		d.ended(p)
-	}()
-	return nil
-}
-
-// ended notes a process that ended without having been asked to.
-func (d *daemon) ended(p *launcher.Process) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.process == p && !d.asked {
-		d.exits = append(d.exits, d.name)
-	}
-}
-
-// openLog opens the log of one incarnation. Without a directory for logs, only
-// the verbose run shows it.
-func (d *daemon) openLog() (io.Writer, func(), error) {
-	if d.fleet.options.Logs == "" {
-		return io.Discard, func() {}, nil
-	}
-	name := filepath.Join(d.fleet.options.Logs, fmt.Sprintf("%s.%d.log", d.name, d.incarnation+1))
-	file, err := os.Create(name)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "make a log file")
-	}
-	return file, func() { _ = file.Close() }, nil
-}
-
-// writeSettings replaces the settings file as a whole.
-func (d *daemon) writeSettings(store *injector.Link) error {
-	text := strings.Join([]string{
-		"node-name=" + d.name, "availability-zone=" + d.dataCentre, "listen-addresses.frontend=" + d.callers,
-		"listen-addresses.ready=" + d.ready, "listen-addresses.control-plane=" + d.peers, "platform.address=" + store.Address(),
-		"limits.memory-mb=134", "limits.file-descriptors=4100", "bounds.grace-period-s=" + fmt.Sprint(stopWithin.Seconds()),
-		"bounds.drain-timeout-ms=" + fmt.Sprint(drainBound.Milliseconds()), "bounds.retry-budget-ratio=0.2",
-		"bounds.retry-window-s=10", "bounds.budget-slack=200", "bounds.quota-window-s=4", "",
-	}, "\n")
-	next := d.settings + ".next"
-	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
-		return errors.Wrap(err, "write the settings")
-	}
-	return errors.Wrap(os.Rename(next, d.settings), "replace the settings")
-}
-
-const (
-	// stopWithin is the time from the stop signal to the kill signal.
-	stopWithin = 8 * time.Second
-	// drainBound is the time within which a leaving target must get no more requests.
-	drainBound = 2 * time.Second
-	// routeTimeout bounds the time that a request is kept.
-	routeTimeout = 10 * time.Second
-	maxAttempts  = 2
-	hostName     = "soak.example"
-)
-
-func (d *daemon) current() *launcher.Process {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.process
-}
-
-func (d *daemon) run() int {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.incarnation
-}
-
-// ask returns the process and notes that its end is wanted.
-func (d *daemon) ask() *launcher.Process {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.asked = true
-	return d.process
-}
-
-func (d *daemon) kill() {
-	if p := d.ask(); p != nil {
-		p.Kill()
-	}
-}
-
-// isReady asks the daemon whether it is ready.
-func (d *daemon) isReady() bool {
-	c := &http.Client{Timeout: metricsTimeout}
-	defer c.CloseIdleConnections()
-	r, err := c.Get("http://" + d.ready + "/readiness")
-	if err != nil {
-		return false
-	}
-	_ = r.Body.Close()
-	return r.StatusCode == http.StatusOK
-}
-
-// busy returns the number of requests that wait or are at targets, by the
-// daemon's metrics; false if it does not answer.
-func (d *daemon) busy() (int, bool) {
-	c := &http.Client{Timeout: metricsTimeout}
-	defer c.CloseIdleConnections()
-	r, err := c.Get("http://" + d.metrics + "/metrics")
-	if err != nil {
-		return 0, false
-	}
-	defer func() { _ = r.Body.Close() }()
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		return 0, false
-	}
-	n, found := 0, 0
-	for line := range strings.Lines(string(b)) {
-		for _, name := range []string{"monsoondeck_waiting_requests", "monsoondeck_placed_requests"} {
-			var v float64
-			if strings.HasPrefix(line, name+" ") {
-				if _, err := fmt.Sscan(strings.TrimPrefix(line, name+" "), &v); err == nil {
-					n += int(v)
-					found++
-				}
-			}
-		}
-	}
-	return n, found == 2
-}
--- a/generator/soaker/lines.go
+++ b/generator/soaker/lines.go
@@ -33,52 +33,43 @@
 	v := r.judge(results, p.ids)
 	v.hung(results)
 	v["reverted"], v["unsettled"] = p.reverted, unsettled
-	var out []Line
-	line := func(measure string, value float64, bound *float64, unit string) {
-		out = append(out, Line{measure, r.options.Seed, r.options.Processes, value, bound, unit, bound == nil || value <= *bound})
+	var bounded, free []Line
+	line := func(measure string, value float64, unit string) Line {
+		return Line{Measure: measure, Seed: r.options.Seed, Processes: r.options.Processes, Value: value, Unit: unit, OK: true}
+	}
+	bound := func(l Line, most float64) {
+		l.Bound, l.OK = &most, l.Value <= most
+		bounded = append(bounded, l)
 	}
 	for _, name := range promiseNames {
 		for _, finding := range v[name] {
 			r.progress("%s: %s", name, finding)
 		}
-		line(name, float64(len(v[name])), new(float64), "violations")
+		bound(line(name, float64(len(v[name])), "violations"), 0)
 	}
-	for measure, late := range map[string]struct{ value, bound time.Duration }{
-		"drainLateSeconds": {r.drainLate(), drainLateBound}, "overrunSeconds": {r.overrun(results), overrunBound},
-	} {
-		bound := late.bound.Seconds()
-		if r.options.Timed {
-			line(measure, late.value.Seconds(), &bound, "seconds")
-		} else {
-			line(measure, late.value.Seconds(), nil, "seconds")
-		}
+	drainLate := line("drainLateSeconds", r.drainLate().Seconds(), "seconds")
+	overrun := line("overrunSeconds", r.overrun(results).Seconds(), "seconds")
+	if r.options.Timed {
+		bound(drainLate, drainLateBound.Seconds())
+		bound(overrun, overrunBound.Seconds())
+	} else {
+		free = append(free, drainLate, overrun)
 	}
 	ends := map[string]int{}
 	for _, x := range results {
 		ends[x.outcome()]++
 	}
 	for name, n := range ends {
-		line(name, float64(n), nil, "requests")
+		free = append(free, line(name, float64(n), "requests"))
 	}
 	for call, n := range r.fleet.store.Calls() {
-		line("store "+call, float64(n), nil, "calls")
+		free = append(free, line("store "+call, float64(n), "calls"))
 	}
 	for kind, n := range r.counts {
-		line("fault "+string(kind), float64(n), nil, "events")
+		free = append(free, line("fault "+string(kind), float64(n), "events"))
 	}
-	slices.SortStableFunc(out, func(a, b Line) int {
-		if (a.Bound == nil) != (b.Bound == nil) {
-			if a.Bound == nil {
-				return 1
-			}
-			return -1
-		}
-		if a.Bound != nil {
-			return 0
-		}
-		return strings.Compare(a.Measure, b.Measure)
-	})
-	return out
+	slices.SortFunc(free, func(a, b Line) int { return strings.Compare(a.Measure, b.Measure) })
+	return append(bounded, free...)
 }
 
 // outcome names how a request ended.
--- a/generator/soaker/soaker.go
+++ b/generator/soaker/soaker.go
@@ -37,13 +37,14 @@
 	log     io.Writer
 	start   time.Time
 
-	mutex       sync.Mutex
-	held        map[*daemon]bool
-	heldTargets map[*server.Server]bool
-	// stops, drains and disturbances are spans with a daemon, an instance of a target,
-	// and a daemon or target as their subjects.
-	stops, drains, disturbances []span
-	counts                      map[Kind]int
+	mutex sync.Mutex
+	// held holds the names of the daemons and targets on which an event acts.
+	held map[string]bool
+	// drains holds the time of the drain of each instance of a target, disturbances the
+	// trouble of daemons, targets and the store.
+	drains       map[string]time.Time
+	disturbances []span
+	counts       map[Kind]int
 }
 
 // span is a span of time; to is zero while it lasts.
@@ -69,6 +70,13 @@
 	}
 }
 
+// drain notes that an instance of a target begins to leave.
+func (r *run) drain(instance string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.drains[instance] = time.Now()
+}
+
 // Check makes one run and returns its measures.
 func Check(ctx context.Context, o Options, log io.Writer) ([]Line, error) {
 	f, cleanup, err := newFleet(ctx, o, log)
@@ -76,7 +84,7 @@
 		return nil, err
 	}
 	defer cleanup()
-	r := &run{options: o, fleet: f, log: log, held: map[*daemon]bool{}, heldTargets: map[*server.Server]bool{}, counts: map[Kind]int{}, start: time.Now()}
+	r := &run{options: o, fleet: f, log: log, held: map[string]bool{}, drains: map[string]time.Time{}, counts: map[Kind]int{}, start: time.Now()}
 	c := &callers{fleet: f, seed: o.Seed}
 	p := newProber(r)
 	loading, stopLoad := context.WithTimeout(ctx, o.Duration)
