--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -32,6 +32,11 @@
 	Daemons []Daemon
 }
 
+// work returns the part of the report that is added up over a group.
+func (r Report) work() grouper.Report {
+	return grouper.Report{Whole: r.Whole, Loads: r.Loads, Accounts: r.Accounts, Spills: r.Spills}
+}
+
 // Daemon names a daemon. The address of its listener for peers is empty in most
 // reports.
 type Daemon struct{ ID, Address string }
@@ -82,7 +87,7 @@
 			// group would send to all others.
 			return heard || now < peerTimeout
 		})
-		c.sums.Keep(func(name string) bool { return grouper.Of(name, c.plan.Own.Count) == c.plan.Own })
+		c.sums.Keep(c.plan.Member)
 		r.Daemons = c.daemons(nil)
 	}
 	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 {
@@ -108,7 +113,7 @@
 	if c.plan.Whole() {
 		return
 	}
-	c.sums.Set(c.options.Host, 0, grouper.Report{Whole: own.Whole, Loads: own.Loads, Accounts: own.Accounts, Spills: own.Spills})
+	c.sums.Set(c.options.Host, 0, own.work())
 	sum := c.sums.Sum(own.Whole)
 	r := own
 	r.Group, r.Whole, r.Loads, r.Accounts, r.Spills = c.plan.Own, sum.Whole, sum.Loads, sum.Accounts, sum.Spills
@@ -167,7 +172,7 @@
 	g := r.Report.Group
 	for _, d := range r.Report.Daemons {
 		c.hear(now, d.ID, 0)
-		if c.direct[d.ID] && grouper.Of(d.ID, c.plan.Own.Count) != c.plan.Own {
+		if c.direct[d.ID] && !c.plan.Member(d.ID) {
 			delete(c.direct, d.ID)
 			c.fleet.RemovePeer(d.ID)
 		}
@@ -194,10 +199,8 @@
 	c.direct[r.Peer] = true
 	c.fleet.SetPeer(now, r.Peer, r.Report.Loads, r.Report.Whole)
 	c.shares.SetPeer(now, r.Peer, r.Incarnation, r.Report.Accounts)
-	if !c.plan.Whole() && grouper.Of(r.Peer, c.plan.Own.Count) == c.plan.Own {
-		c.sums.Set(r.Peer, r.Incarnation, grouper.Report{
-			Whole: r.Report.Whole, Loads: r.Report.Loads, Accounts: r.Report.Accounts, Spills: r.Report.Spills,
-		})
+	if !c.plan.Whole() && c.plan.Member(r.Peer) {
+		c.sums.Set(r.Peer, r.Incarnation, r.Report.work())
 	}
 }
 
--- a/gateway/grouper/grouper.go
+++ b/gateway/grouper/grouper.go
@@ -59,6 +59,9 @@
 // Whole reports whether the fleet is not divided.
 func (p Plan) Whole() bool { return p.Own.Count <= 1 }
 
+// Member reports whether the daemon belongs to the own group.
+func (p Plan) Member(daemon string) bool { return Of(daemon, p.Own.Count) == p.Own }
+
 // Recipients returns the number of daemons to which the daemon sends.
 func (p Plan) Recipients() int { return len(p.Members) + len(p.Outside) }
 
@@ -71,7 +74,7 @@
 	var senders, outside []string
 	for _, name := range peers {
 		switch {
-		case Of(name, n) != p.Own:
+		case !p.Member(name):
 			outside = append(outside, name)
 		default:
 			p.Members = append(p.Members, name)
