--- a/emulator/oracle/oracle.go
+++ b/emulator/oracle/oracle.go
@@ -29,10 +29,13 @@
 	Pool            string `json:"pool"`
 	Account         string `json:"account,omitempty"`
 	// Incarnation of the target that ran the request.
-	Incarnation uint64    `json:"incarnation"`
-	Start       time.Time `json:"start"`
-	End         time.Time `json:"end,omitzero"`
-	State       State     `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	// Arrived is when the target had received the request, which may then have waited
+	// for a slot; zero if the target does not record it.
+	Arrived time.Time `json:"arrived,omitzero"`
+	Start   time.Time `json:"start"`
+	End     time.Time `json:"end,omitzero"`
+	State   State     `json:"state"`
 	// Units of service delivered.
 	Units float64 `json:"units"`
 }
--- a/emulator/service/service.go
+++ b/emulator/service/service.go
@@ -102,11 +102,12 @@
 	if d.Request == "" {
 		d = wire.ParseDirective(string(body))
 	}
+	arrived := time.Now()
 	if !s.acquire(r) {
 		wire.Refuse(w, http.StatusTooManyRequests, "full", "the waiting room is full")
 		return
 	}
-	complete := s.execute(r, id, d)
+	complete := s.execute(r, id, d, arrived)
 	if !complete || s.faults.TakeLostAnswer() {
 		panic(http.ErrAbortHandler)
 	}
@@ -166,7 +167,7 @@
 
 // execute runs a request in the acquired slot and reports whether it reached
 // its end.
-func (s *Service) execute(r *http.Request, id string, d wire.Directive) bool {
+func (s *Service) execute(r *http.Request, id string, d wire.Directive, arrived time.Time) bool {
 	defer func() { <-s.slots }()
 	s.mu.Lock()
 	cut, incarnation := s.cut, s.incarnation
@@ -174,6 +175,7 @@
 	run := s.oracle.Begin(oracle.Execution{
 		RequestID: id, CallerRequestID: d.Request, IdempotencyKey: r.Header.Get(wire.HeaderIdempotencyKey),
 		Target: s.settings.ID, Pool: s.settings.Name, Account: r.Header.Get(wire.HeaderAccount), Incarnation: incarnation,
+		Arrived: arrived,
 	})
 	duration := s.settings.Duration
 	if d.Duration > 0 {
