--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -19,10 +19,6 @@
 	// margin lets accounts exceed their share somewhat, so that requests that fail or
 	// end late do not leave it unused.
 	margin = 1.25
-	// behindShare is the part of the service of the best served account below which an
-	// account is within its share whatever the level is: nobody over the share should get
-	// less than half of what another one gets, and counts of peers are some 100 ms old.
-	behindShare = 0.7
 	// maxStanding bounds how much accounts over their share are treated differently.
 	maxStanding = 3.0
 )
@@ -38,10 +34,8 @@
 	current  int64
 	accounts map[string]*account
 	peers    map[string]*peer
-	// level is the share of an account that asks for more, and best the largest service
-	// of an account, as of levelTime.
+	// level is the share of an account that asks for more, as of levelTime.
 	level     float64
-	best      float64
 	levelTime time.Duration
 	levelSet  bool
 }
@@ -143,11 +137,10 @@
 
 // Over reports whether the account would get more than its max-min fair share
 // with a further request of the given cost. Nobody is over its share while the
-// accounts together ask for less than the capacity, nor while it is far behind the
-// best served account: spare capacity is shared evenly, too.
+// accounts together ask for less than the capacity.
 func (s *Shares) Over(now time.Duration, name string, cost float64) bool {
 	level := s.Level(now)
-	return !math.IsInf(level, 1) && s.Served(now, name)+cost > max(level, behindShare*s.best)
+	return !math.IsInf(level, 1) && s.Served(now, name)+cost > level
 }
 
 // Standing compares an account over its share with the others that are over
@@ -177,9 +170,7 @@
 		return s.level
 	}
 	asked := make([]float64, 0, len(s.accounts))
-	s.best = 0
 	for _, a := range s.accounts {
-		s.best = max(s.best, a.servedSum)
 		if a.askedSum > 0 {
 			asked = append(asked, a.askedSum)
 		}
