Let few daemons of a large fleet read configuration and list of daemons

Each of 83 daemons held a call for the configuration, repeated it after each change, read the list of daemons twice at the start and each 30 s, and repeated failing calls each second while the store was away. Ruled out: reads of the registry, which two daemons make for all. Change: in a divided fleet the two readers hold the call and send a change to all; reports tell the version and the age of the knowledge that it is the newest, passed on twice at most. A daemon that hears nothing of it for 0.75 of the bound, or is behind for 0.3 of it, reads the store. The secret of the fleet stands in the table of daemons, so that joining takes two calls and its list suffices. Followers repeat failing calls after up to three seconds. An outage ends when a peer has read the same registry.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -29,7 +29,7 @@
 	// every crowdCheck: each look costs some 10 us per request.
 	crowd      = 24
 	crowdCheck = 4 * time.Millisecond
-	// readers is the number of daemons that read the registry for the others.
+	// readers is the number of daemons that read the store for the others.
 	readers = 2
 	// wholeReport is the time between two reports that list everything; they replace
 	// lost ones and show that the daemon is alive.
@@ -59,6 +59,9 @@
 	Learn   func([]Daemon)
 	// Probe tries a connection to a target and calls Probed; it does not block.
 	Probe func(registrar.Entry)
+	// SendConfig sends a configuration that this daemon has read to all peers; it does
+	// not block.
+	SendConfig func(resolver.Config)
 	// Behind is called when a peer has a newer configuration, AskConfig when the store
 	// did not give it in time; they do not block.
 	Behind    func()
@@ -83,6 +86,8 @@
 	// freshness is for the goroutine that reads the registry.
 	freshness atomic.Pointer[Freshness]
 	stats     atomic.Pointer[Stats]
+	// watching is set while the store holds a call for the configuration.
+	watching atomic.Bool
 	// heard holds the time of the last report of each peer, also of silent ones.
 	heard sync.Map
 
@@ -120,6 +125,10 @@
 	// behindSince is the time since which a peer has known a newer state of the
 	// registry; 0 if none has.
 	behindSince time.Duration
+	// configKnownAt is the time at which the configuration in force was known to be the
+	// newest, and configHops the number of daemons that passed it on.
+	configKnownAt time.Duration
+	configHops    int
 	// configBehind is the time since which a peer has had a newer configuration; 0 if
 	// none has. lastBehind is that of the last call for one.
 	configBehind, lastBehind time.Duration
@@ -137,11 +146,19 @@
 type Freshness struct {
 	// KnownAt is the time, by Clock, as of which the registry is known.
 	KnownAt time.Duration
-	// Reader is set if this daemon reads the registry for the others.
+	// Reader is set if this daemon reads the store for the others.
 	Reader bool
+	// Divided is set in a large fleet, which is divided into groups.
+	Divided bool
 	// BehindSince is the time since which a peer has known a newer state; 0 if none
 	// has.
 	BehindSince time.Duration
+	// ConfigKnownAt is the time, by Clock, at which the configuration in force was known
+	// to be the newest.
+	ConfigKnownAt time.Duration
+	// ConfigBehindSince is the time since which a peer has had a newer configuration; 0
+	// if none has.
+	ConfigBehindSince time.Duration
 }
 
 // Heard returns the time, by Clock, of the last report of a peer; false if there
@@ -257,8 +274,18 @@
 	}
 }
 
-// SetConfig puts a configuration in force unless a newer one already is.
-func (c *Controller) SetConfig(config resolver.Config) { c.events <- configEvent{config} }
+// SetConfig takes a configuration that this daemon has read from the store; began
+// is the time, by Clock, of the read.
+func (c *Controller) SetConfig(began time.Duration, config resolver.Config) {
+	c.events <- configEvent{config: config, read: true, began: began}
+}
+
+// SetWatching notes whether the store holds a call that it answers as soon as the
+// configuration changes.
+func (c *Controller) SetWatching(on bool) { c.watching.Store(on) }
+
+// ReceivedConfig takes a configuration that a peer passed on.
+func (c *Controller) ReceivedConfig(config resolver.Config) { c.events <- configEvent{config: config} }
 
 // SetRegistry takes a read of the registry that began at a time by Clock.
 func (c *Controller) SetRegistry(began time.Duration, revision uint64, entries []registrar.Entry) {
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -34,7 +34,7 @@
 			defer c.mutex.Unlock()
 			c.reports = append(c.reports, r)
 		},
-		Host: "self", SendChange: func(controller.RegistryChange) {}, Probe: func(registrar.Entry) {}, Behind: func() {}, AskConfig: func(string, uint64) {},
+		Host: "self", SendChange: func(controller.RegistryChange) {}, Probe: func(registrar.Entry) {}, Behind: func() {}, AskConfig: func(string, uint64) {}, SendConfig: func(resolver.Config) {},
 		ReportInterval: func(int) time.Duration { return time.Millisecond },
 		Peers:          func() []string { return nil }, Address: func(string) string { return "" }, Learn: func([]controller.Daemon) {},
 		Clock: func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
@@ -47,7 +47,7 @@
 	ended := make(chan struct{})
 	go func() { defer close(ended); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	c.SetConfig(config(1))
+	c.SetConfig(0, config(1))
 	c.SetRegistry(0, 1, []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
 	return c
 }
@@ -134,7 +134,7 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	c := start(t)
 	for _, v := range []uint64{5, 3, 7, 6} {
-		c.SetConfig(config(v))
+		c.SetConfig(0, config(v))
 	}
 	wait(context.Background(), t, c, 1) // the messages before it have been handled
 	if current, ok := c.Current(); !ok || current.Version() != 7 {
@@ -155,7 +155,7 @@
 		got <- p
 	}()
 	for range 50 { // looks at the queue while the registry is old
-		c.SetConfig(config(1))
+		c.SetConfig(0, config(1))
 	}
 	select {
 	case <-got:
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -8,7 +8,6 @@
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/registrar"
-	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/logger"
 )
 
@@ -92,20 +91,6 @@
 	}
 }
 
-// configEvent brings a configuration.
-type configEvent struct{ config resolver.Config }
-
-func (e configEvent) apply(c *Controller, _ time.Duration) {
-	if old := c.config.Load(); old != nil && old.Version() >= e.config.Version() {
-		return
-	}
-	c.fleet.SetConfig(e.config)
-	c.shares.SetCapacity(e.config.Limits().TokensPerSecond)
-	c.config.Store(&e.config)
-	c.configBehind = 0
-	logger.Emit(c.options.Logger, logger.ConfigApplied, slog.Uint64("version", e.config.Version()), slog.Int("routes", e.config.Routes()))
-}
-
 // registryEvent brings the entries of the registry.
 type registryEvent struct {
 	// began is the time of the read.
@@ -162,6 +147,9 @@
 	case m.Digest == c.digest:
 		if m.Hops < maxHops && now-m.Age > c.knownAt {
 			c.knownAt, c.knownHops = now-m.Age, m.Hops+1
+			if m.Age < outageAge {
+				c.registry.Confirm(now)
+			}
 		}
 	case m.Revision > c.registry.Revision() && c.behindSince == 0:
 		c.behindSince = now
@@ -169,39 +157,11 @@
 	c.refresh()
 }
 
-// heardOfConfig compares the configuration that a peer has.
-func (c *Controller) heardOfConfig(now time.Duration, peer string, version uint64) {
-	own := uint64(0)
-	if config := c.config.Load(); config != nil {
-		own = config.Version()
-	}
-	if version <= own {
-		return
-	}
-	if c.configBehind == 0 {
-		c.configBehind = now
-	}
-	if now-c.lastBehind < behindInterval {
-		return
-	}
-	c.lastBehind = now
-	c.options.Behind()
-	if now-c.configBehind >= askAfter {
-		c.options.AskConfig(peer, own)
-	}
-}
-
 const (
 	// maxHops bounds how often an age is passed on: each time, the age lacks the time on
 	// the way, and in a circle of daemons it would stay small for ever. Two are needed
 	// from a reader to a daemon of its group to one outside.
 	maxHops = 2
-	// behindInterval is the shortest time between two calls for a newer configuration;
-	// a call takes some milliseconds.
-	behindInterval = 300 * time.Millisecond
-	// askAfter is how long the store has to give a newer configuration before a peer is
-	// asked for it: the store may turn this host away and serve the others.
-	askAfter = 300 * time.Millisecond
 )
 
 // logTargets writes one record for each target that came or left.
@@ -254,7 +214,7 @@
 	r := e.report
 	c.hear(now, r.Peer, r.Incarnation)
 	c.heardOfRegistry(now, r.Report.Registry)
-	c.heardOfConfig(now, r.Peer, r.Report.ConfigVersion)
+	c.heardOfConfig(now, r.Peer, r.Report.Config)
 	c.fleet.SetSpills(now, r.Report.Spills)
 	if r.Report.Group.Count > 0 {
 		c.takeSum(now, r)
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/resolver"
 )
 
 // network delivers the reports of controllers to each other.
@@ -112,6 +114,103 @@
 	}
 }
 
+// Load: a large fleet, in which few daemons read the configuration. Guards against a
+// change that a reader keeps for itself, and against daemons that all send it.
+func TestReadersPassConfigurationsOn(t *testing.T) {
+	const daemons = 40
+	var sent atomic.Int64
+	senders := 0
+	for i := range daemons {
+		var clock atomic.Int64 // stands still, so that no daemon is taken for silent
+		c := start(t, func(o *controller.Options) {
+			o.Host = fmt.Sprintf("h-%d", i)
+			o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
+			o.SendConfig = func(resolver.Config) { sent.Add(1) }
+			o.Peers = func() []string {
+				var peers []string
+				for p := range daemons {
+					if p != i {
+						peers = append(peers, fmt.Sprintf("h-%d", p))
+					}
+				}
+				return peers
+			}
+		})
+		for p := range daemons {
+			if p != i {
+				c.Received(controller.PeerReport{Peer: fmt.Sprintf("h-%d", p), Incarnation: 1})
+			}
+		}
+		for c.Stats().Peers < daemons-1 {
+			time.Sleep(time.Millisecond)
+		}
+		clock.Store(int64(2 * time.Second)) // the next report is a whole one
+		for !c.Freshness().Divided {
+			time.Sleep(time.Millisecond)
+		}
+		before := sent.Load()
+		version, _ := c.Current()
+		c.ReceivedConfig(resolver.New(resolver.Content{Version: version.Version() + 1}))
+		c.SetConfig(0, resolver.New(resolver.Content{Version: version.Version() + 2}))
+		for {
+			if now, _ := c.Current(); now.Version() == version.Version()+2 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		switch n := sent.Load() - before; {
+		case n == 1:
+			senders++
+		case n > 1:
+			t.Errorf("one configuration was sent %d times", n)
+		}
+	}
+	if senders != 2 {
+		t.Errorf("%d of %d daemons passed on what they read, want the 2 readers", senders, daemons)
+	}
+}
+
+// Guards against a daemon that goes on to rely on others after none of them has
+// asked the store for the configuration, because they tell each other that it is
+// the newest, or read only the registry.
+func TestAgesOfTheConfigurationAreNotPassedOnForEver(t *testing.T) {
+	var clock atomic.Int64
+	clock.Store(int64(10 * time.Second))
+	c := start(t, func(o *controller.Options) { o.Clock = func() time.Duration { return time.Duration(clock.Load()) } })
+	hear := func(m controller.ConfigMark) time.Duration {
+		c.Received(controller.PeerReport{Peer: "p", Incarnation: 1, Report: controller.Report{Config: m}})
+		known := c.Stats().Peers
+		for known == 0 {
+			time.Sleep(time.Millisecond)
+			known = c.Stats().Peers
+		}
+		wait(context.Background(), t, c, uint64(m.Version)+uint64(m.Age)).End(placer.Complete) // the report was handled before
+		return c.Freshness().ConfigKnownAt
+	}
+	mark := controller.ConfigMark{Version: 1, Known: true, Age: time.Second, Hops: 1}
+	if at := hear(mark); at != 9*time.Second {
+		t.Errorf("known as of %v, want 9 s", at)
+	}
+	for _, m := range []controller.ConfigMark{
+		{Version: 1, Known: true, Age: time.Millisecond, Hops: 2}, // passed on too often
+		{Version: 1, Age: 2 * time.Millisecond},                   // never known
+		{Version: 0, Known: true, Age: 3 * time.Millisecond},      // older
+	} {
+		if at := hear(m); at != 9*time.Second {
+			t.Errorf("%+v: known as of %v, want 9 s", m, at)
+		}
+	}
+	clock.Store(int64(20 * time.Second))
+	c.SetRegistry(20*time.Second, 2, []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
+	if at := hear(controller.ConfigMark{}); at != 9*time.Second {
+		t.Errorf("known as of %v after a read of the registry only, want 9 s", at)
+	}
+	c.SetWatching(true)
+	for c.Freshness().ConfigKnownAt != 20*time.Second {
+		time.Sleep(time.Millisecond) // the next report takes note of it
+	}
+}
+
 // Guards against ages of the registry that stay small because daemons pass them on
 // in a circle, each time without the time on the way: a daemon would go on to use
 // targets that have left.
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -24,8 +24,8 @@
 	Spills []placer.Spill
 	// Registry is the state of the registry that the daemon knows.
 	Registry RegistryMark
-	// ConfigVersion is that of the configuration in force; 0 is none.
-	ConfigVersion uint64
+	// Config is the configuration that the daemon has in force.
+	Config ConfigMark
 	// Group is set if the report is the sum of a group of daemons.
 	Group grouper.Group
 	// Daemons are those that the sender has heard of lately, or only itself.
@@ -50,6 +50,18 @@
 	Hops int
 }
 
+// ConfigMark tells which configuration a daemon has in force.
+type ConfigMark struct {
+	// Version is 0 for none.
+	Version uint64
+	// Known is set if the version was known to be the newest at some time, Age the time
+	// since then.
+	Known bool
+	Age   time.Duration
+	// Hops is the number of daemons that passed the age on.
+	Hops int
+}
+
 // RegistryChange is a change of the registry that a daemon has read.
 type RegistryChange struct {
 	registrar.Change
@@ -74,9 +86,7 @@
 	whole := c.wholeReports == 0 || now-c.lastWhole >= wholeReport
 	r := Report{Whole: whole, Loads: c.fleet.Loads(now, whole), Accounts: c.shares.Totals(whole), Spills: c.fleet.Spills()}
 	r.Registry = RegistryMark{Revision: c.registry.Revision(), Digest: c.digest, Age: now - c.knownAt, Hops: c.knownHops}
-	if config := c.config.Load(); config != nil {
-		r.ConfigVersion = config.Version()
-	}
+	r.Config = c.configMark(now)
 	c.refresh()
 	if whole {
 		c.lastWhole = now
@@ -225,7 +235,10 @@
 			before++
 		}
 	}
-	c.freshness.Store(&Freshness{KnownAt: c.knownAt, Reader: before < readers, BehindSince: c.behindSince})
+	c.freshness.Store(&Freshness{
+		KnownAt: c.knownAt, Reader: before < readers, Divided: !c.plan.Whole(), BehindSince: c.behindSince,
+		ConfigKnownAt: c.configKnownAt, ConfigBehindSince: c.configBehind,
+	})
 }
 
 const (
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -185,23 +185,36 @@
 }
 
 // giveConfig answers AskConfig.
-func (e *Exchanger) giveConfig(hub *connector.Hub, peer string, after uint64, configs Configs) {
-	config, ok := configs.Current()
-	if !ok || config.Version() <= after || len(config.Encoded()) > maxConfigBytes {
+func (e *Exchanger) giveConfig(peer string, after uint64, configs Configs) {
+	if config, ok := configs.Current(); ok && config.Version() > after {
+		e.pushConfig(config, []connector.Peer{{ID: peer}})
+	}
+}
+
+// SendConfig sends a configuration to all peers.
+func (e *Exchanger) SendConfig(config resolver.Config) {
+	e.mutex.Lock()
+	all := e.peers
+	e.mutex.Unlock()
+	e.pushConfig(config, all)
+}
+
+func (e *Exchanger) pushConfig(config resolver.Config, to []connector.Peer) {
+	if len(config.Encoded()) > maxConfigBytes {
 		return
 	}
 	push := messenger.ConfigPush{Version: config.Version(), Body: string(config.Encoded())}
-	hub.Send(connector.Peer{ID: peer}, func(f *messenger.Frame) { f.ConfigPushes = append(f.ConfigPushes, push) })
+	e.sendTo(to, func(f *messenger.Frame) { f.ConfigPushes = append(f.ConfigPushes, push) })
 }
 
-// takeConfig reads what giveConfig sent.
+// takeConfig reads what pushConfig sent.
 func (e *Exchanger) takeConfig(from string, push messenger.ConfigPush, to Receiver) {
 	config, err := e.decoder.Decode([]byte(push.Body))
 	if err != nil {
 		logger.Emit(e.logger, logger.ConfigRejected, slog.String("from", from), slog.Uint64("version", push.Version), slog.String("error", err.Error()))
 		return
 	}
-	to.SetConfig(config)
+	to.ReceivedConfig(config)
 }
 
 // maxConfigBytes is the largest configuration that fits into a frame of 256 KB;
@@ -211,7 +224,7 @@
 // Receiver takes what peers send.
 type Receiver interface {
 	Configs
-	SetConfig(c resolver.Config)
+	ReceivedConfig(c resolver.Config)
 	Received(r controller.PeerReport)
 	ReceivedChange(c controller.RegistryChange)
 }
@@ -228,7 +241,7 @@
 			}
 			e.learn(f.Sender)
 			if f.ConfigRequest != nil {
-				e.giveConfig(hub, f.Sender, f.ConfigRequest.After, to)
+				e.giveConfig(f.Sender, f.ConfigRequest.After, to)
 			}
 			for _, m := range f.ConfigPushes {
 				e.takeConfig(f.Sender, m, to)
@@ -245,7 +258,11 @@
 
 func encode(r controller.Report) messenger.WorkReport {
 	mark := encodeMark(r.Registry)
-	m := messenger.WorkReport{Whole: r.Whole, ConfigVersion: &r.ConfigVersion, Registry: &mark}
+	m := messenger.WorkReport{Whole: r.Whole, ConfigVersion: &r.Config.Version, Registry: &mark}
+	if r.Config.Known {
+		age, hops := uint64(max(r.Config.Age.Milliseconds(), 0)), uint64(max(r.Config.Hops, 0))
+		m.ConfigAgeMs, m.ConfigHops = &age, &hops
+	}
 	for _, l := range r.Loads {
 		m.Targets = append(m.Targets, messenger.TargetWork{
 			Target: l.Target, Unread: count(l.Unread), Running: uint64(l.Running), Memory: count(l.Memory),
@@ -270,7 +287,10 @@
 func decode(m messenger.WorkReport) controller.Report {
 	r := controller.Report{Whole: m.Whole}
 	if m.ConfigVersion != nil {
-		r.ConfigVersion = *m.ConfigVersion
+		r.Config.Version = *m.ConfigVersion
+	}
+	if m.ConfigAgeMs != nil && m.ConfigHops != nil {
+		r.Config.Known, r.Config.Age, r.Config.Hops = true, age(*m.ConfigAgeMs), int(min(*m.ConfigHops, maxGroups))
 	}
 	if m.Registry != nil {
 		r.Registry = decodeMark(*m.Registry)
@@ -301,18 +321,22 @@
 }
 
 func decodeMark(m messenger.RegistryMark) controller.RegistryMark {
-	age := min(m.AgeMs, uint64(maxAge/time.Millisecond))
-	mark := controller.RegistryMark{Revision: m.Revision, Digest: m.Digest, Age: time.Duration(age) * time.Millisecond}
+	mark := controller.RegistryMark{Revision: m.Revision, Digest: m.Digest, Age: age(m.AgeMs)}
 	if m.Hops != nil {
 		mark.Hops = int(min(*m.Hops, maxGroups))
 	}
 	return mark
 }
 
+// age decodes a number of milliseconds.
+func age(milliseconds uint64) time.Duration {
+	return time.Duration(min(milliseconds, uint64(maxAge/time.Millisecond))) * time.Millisecond
+}
+
 // maxGroups is beyond any number of groups.
 const maxGroups = 1 << 16
 
-// maxAge is beyond any age at which a state of the registry is of use.
+// maxAge is beyond any age at which a state of the store is of use.
 const maxAge = time.Hour
 
 func encodeChange(c controller.RegistryChange) messenger.RegistryChange {
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -43,7 +43,7 @@
 
 func (n *node) Received(r controller.PeerReport)           { n.reports <- r }
 func (n *node) ReceivedChange(c controller.RegistryChange) { n.changes <- c }
-func (n *node) SetConfig(c resolver.Config)                { n.configs <- c }
+func (n *node) ReceivedConfig(c resolver.Config)           { n.configs <- c }
 func (n *node) Current() (resolver.Config, bool)           { return n.config, n.config.Version() > 0 }
 func (n *node) sendUntil(send func(), received func() bool) {
 	for !received() {
@@ -77,7 +77,7 @@
 	a, b := newNode(t, "a", 3), newNode(t, "b", 9)
 	a.SetPeers([]connector.Peer{{ID: "b", Address: b.address}})
 	report := controller.Report{
-		Whole: true, ConfigVersion: 3, Registry: controller.RegistryMark{Revision: 5, Digest: 1 << 63, Age: 40 * time.Millisecond, Hops: 1},
+		Whole: true, Config: controller.ConfigMark{Version: 3, Known: true, Age: 70 * time.Millisecond, Hops: 1}, Registry: controller.RegistryMark{Revision: 5, Digest: 1 << 63, Age: 40 * time.Millisecond, Hops: 1},
 		Loads:    []placer.Load{{Target: "t", Unread: 100, Running: 2, Memory: 300}},
 		Accounts: []sharer.Total{{Account: "forge", Asked: 10, Served: 7}},
 		Spills:   []placer.Spill{{Target: "t", Chain: 1 << 62}},
@@ -100,6 +100,10 @@
 	if got := <-a.configs; got.Version() != 9 {
 		t.Errorf("configuration %d", got.Version())
 	}
+	a.sendUntil(func() { a.SendConfig(a.config) }, func() bool { return len(b.configs) > 0 })
+	if got := <-b.configs; got.Version() != 3 {
+		t.Errorf("configuration %d was sent to all", got.Version())
+	}
 }
 
 // Guards against more messages per second in larger fleets.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"io"
 	"log/slog"
+	mathrand "math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -47,6 +48,14 @@
 	// itself because nobody told it that its state is still the newest; a failed read
 	// can be repeated within the bound.
 	staleShare = 0.6
+	// staleSpread spreads these reads over a part of the bound, so that the first ones
+	// can tell the others.
+	staleSpread = 0.1
+	// toldShare is the part of the bound of a changed configuration for which a daemon
+	// that was told the state of the store relies on being told of a change, and
+	// toldBehind the part that a change may take to arrive once it has heard of one. A
+	// read of the store takes some 100 ms.
+	toldShare, toldBehind = 0.75, 0.3
 	// trustShare is the part of the drain bound up to which the state of the registry is
 	// trusted; the rest is for the way of a request to the target.
 	trustShare = 0.85
@@ -82,6 +91,8 @@
 	logger      *slog.Logger
 	start       time.Time
 	incarnation uint64
+	// fraction is between 0 and 1 and differs between daemons.
+	fraction float64
 
 	recorder   *recorder.Recorder
 	controller *controller.Controller
@@ -111,7 +122,7 @@
 		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 		debug.SetGCPercent(collectPercent)
 	}
-	g := &Gateway{options: o, settings: s, start: time.Now()}
+	g := &Gateway{options: o, settings: s, start: time.Now(), fraction: mathrand.Float64()}
 	g.incarnation = uint64(g.start.UnixMicro())
 	record, closeRecorder := recorder.New(o.Out)
 	g.recorder = record
@@ -133,14 +144,14 @@
 	g.exchanger = exchanger.New(g.options.Source, g.logger)
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
-		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, AskConfig: g.exchanger.AskConfig, Probe: g.probe, ReportInterval: exchanger.Interval,
+		Host: s.Host, Send: g.exchanger.Send, SendChange: g.exchanger.SendChange, Behind: func() { g.watcher.Wake() }, AskConfig: g.exchanger.AskConfig, SendConfig: g.exchanger.SendConfig, Probe: g.probe, ReportInterval: exchanger.Interval,
 		Peers: g.exchanger.Peers, Address: g.peerAddress, Learn: g.exchanger.Learn, Clock: g.clock, Logger: g.logger,
 		StaleLimit: time.Duration(trustShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // unused connections end with the process
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
-		Due: g.registryDue, Clock: g.clock,
+		Due: g.registryDue, Role: g.role, Clock: g.clock,
 	})
 	g.room = newRoom(s.MemoryBytes, g.clock, g.logger)
 	g.metrics = newMetrics(g)
@@ -244,7 +255,8 @@
 // registryDue returns the time until this daemon should read the registry.
 func (g *Gateway) registryDue() time.Duration {
 	f, now := g.controller.Freshness(), g.clock()
-	interval := time.Duration(staleShare * float64(g.settings.DrainBound))
+	// Daemons whose knowledge grows old at the same time do not all read.
+	interval := time.Duration((staleShare + staleSpread*g.fraction) * float64(g.settings.DrainBound))
 	if f.Reader {
 		interval = min(time.Duration(readShare*float64(g.settings.DrainBound)), maxReadInterval)
 	}
@@ -258,6 +270,19 @@
 	return due
 }
 
+// role returns what other daemons do for this one.
+func (g *Gateway) role() watcher.Role {
+	f, now := g.controller.Freshness(), g.clock()
+	follower := f.Divided && !f.Reader
+	within := func(since time.Duration, share float64) bool {
+		return now-since < time.Duration(share*float64(g.settings.ConfigBound))
+	}
+	return watcher.Role{
+		Follower: follower,
+		Told:     follower && f.ConfigKnownAt > 0 && within(f.ConfigKnownAt, toldShare) && (f.ConfigBehindSince == 0 || within(f.ConfigBehindSince, toldBehind)),
+	}
+}
+
 // probe tries a connection to a target.
 func (g *Gateway) probe(t registrar.Entry) {
 	go func() {
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -88,6 +88,14 @@
 	return true
 }
 
+// Confirm notes that another daemon has just read the entries that are known here,
+// so that an outage is over.
+func (r *Registry) Confirm(now time.Duration) {
+	if r.outage {
+		r.outage, r.outageEnd = false, now
+	}
+}
+
 // replace puts the entries in the place of those known before.
 func (r *Registry) replace(now time.Duration, entries []Entry) {
 	present := make(map[string]bool, len(entries))
--- a/gateway/registrar/registrar_test.go
+++ b/gateway/registrar/registrar_test.go
@@ -24,6 +24,21 @@
 	return text
 }
 
+// Guards against a daemon that takes the store for away after others have read it:
+// it would use targets that it has not heard of for long.
+func TestOutageEndsWhenAPeerHasReadTheSame(t *testing.T) {
+	r := registrar.New(registrar.Settings{Grace: time.Second})
+	r.Confirm(0)
+	r.Fail()
+	if !r.Outage() {
+		t.Error("no outage after a failed read")
+	}
+	r.Confirm(time.Second)
+	if r.Outage() {
+		t.Error("an outage although a peer has read the registry")
+	}
+}
+
 // Guards against requests to a target that left, and against losing targets
 // whose entries lapsed only because the store was away.
 func TestEntriesComeAndGo(t *testing.T) {
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -31,6 +31,8 @@
 	StopWithin time.Duration
 	// DrainBound is the time within which a leaving target must get no more requests.
 	DrainBound time.Duration
+	// ConfigBound is the time within which a changed configuration must be in force.
+	ConfigBound time.Duration
 	// RetryRatio, RetryWindow and RetrySlack bound the requests that a service gets
 	// again: ratio times its requests in the window, plus slack, over all daemons.
 	RetryRatio  float64
@@ -44,6 +46,7 @@
 const (
 	defaultStopWithin  = 10 * time.Second
 	defaultDrainBound  = 2 * time.Second
+	defaultConfigBound = 2 * time.Second
 	defaultRetryWindow = 10 * time.Second
 	defaultShareWindow = 4 * time.Second
 )
@@ -57,6 +60,7 @@
 	}
 	set(&s.StopWithin, defaultStopWithin)
 	set(&s.DrainBound, defaultDrainBound)
+	set(&s.ConfigBound, defaultConfigBound)
 	set(&s.RetryWindow, defaultRetryWindow)
 	set(&s.ShareWindow, defaultShareWindow)
 	return s
--- a/gateway/watcher/loop.go
+++ b/gateway/watcher/loop.go
@@ -12,6 +12,10 @@
 	"monsoondeck.example/sleeper"
 )
 
+// followerGrowth is the factor between the times to the next calls of a follower:
+// the first one is repeated soon, since only a connection may have been lost.
+const followerGrowth = 4
+
 // loop is the state of one sequence of calls.
 type loop struct {
 	watcher *Watcher
@@ -33,7 +37,11 @@
 		l.lost = time.Now()
 		logger.Emit(l.watcher.options.Logger, logger.PlatformUnavailable, slog.String("what", l.name), slog.String("error", err.Error()))
 	}
-	l.retry = min(max(2*l.retry, minRetry), maxRetry)
+	limit, growth := maxRetry, time.Duration(2)
+	if l.watcher.options.Role().Follower {
+		limit, growth = followerRetry, followerGrowth
+	}
+	l.retry = min(max(growth*l.retry, minRetry), limit)
 	if errors.Is(err, ErrHistoryLost) {
 		l.retry = minRetry
 	}
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -45,16 +45,19 @@
 	Registry(ctx context.Context) (entries []registrar.Entry, unreadable []string, revision uint64, err error)
 	// Daemons returns the list of daemons.
 	Daemons(ctx context.Context) ([]Daemon, error)
-	// Join enters the daemon into the list and returns the secret that all daemons
-	// share; the first one to ask stores the proposal.
-	Join(ctx context.Context, self Daemon, proposal []byte) (secret []byte, err error)
+	// Join enters the daemon into the list and then returns the list and the secret that
+	// all daemons share; the first one to ask stores the proposal. Of two daemons that
+	// join, the list of at least one contains the other.
+	Join(ctx context.Context, self Daemon, proposal []byte) (list []Daemon, secret []byte, err error)
 	// Forget removes the entry of the daemon unless a later incarnation wrote it.
 	Forget(ctx context.Context, d Daemon) error
 }
 
 // Sink takes what the store holds.
 type Sink interface {
-	SetConfig(c resolver.Config)
+	SetConfig(began time.Duration, c resolver.Config)
+	// SetWatching tells whether the store holds a call for the next configuration.
+	SetWatching(on bool)
 	SetRegistry(began time.Duration, revision uint64, entries []registrar.Entry)
 	RegistryFailed()
 }
@@ -66,19 +69,24 @@
 	// connection that went silent is noticed by keep-alive probes before that, and
 	// peers tell of newer configurations.
 	configWait = 20 * time.Second
-	// secondList and listInterval are the times after which the list of daemons is read
-	// again. It only matters for daemons that never connected to this one.
-	secondList   = 1500 * time.Millisecond
+	// listInterval is the time after which the list of daemons is read again. It only
+	// matters for daemons that never connected to this one.
 	listInterval = 30 * time.Second
+	// followCheck is how often a daemon that is told the configuration by others looks
+	// whether it still is.
+	followCheck = 100 * time.Millisecond
 	// dueCheck is how often it is looked whether a read of the registry is due.
 	dueCheck = 100 * time.Millisecond
 	// minReadInterval is the shortest time between two reads of the registry.
 	minReadInterval = 250 * time.Millisecond
 	// waitSlack is added to the time that the store holds a call.
 	waitSlack = 1500 * time.Millisecond
-	// minRetry and maxRetry bound the time between calls that fail.
-	minRetry = 150 * time.Millisecond
-	maxRetry = time.Second
+	// minRetry and maxRetry bound the time between calls that fail. followerRetry is the
+	// longest time of a daemon for which others read: they notice sooner that the store
+	// is back, and each call that fails has a price, too.
+	minRetry      = 150 * time.Millisecond
+	maxRetry      = time.Second
+	followerRetry = 3 * time.Second
 )
 
 // Options are the dependencies of a Watcher.
@@ -87,11 +95,22 @@
 	Sink   Sink
 	// Due returns the time until the registry should be read.
 	Due func() time.Duration
+	// Role returns what others do for this daemon.
+	Role func() Role
 	// Clock returns the monotonic time since the start.
 	Clock  func() time.Duration
 	Logger *slog.Logger
 }
 
+// Role tells what other daemons do for this one.
+type Role struct {
+	// Follower is set in a large fleet in which others read the store for this daemon.
+	Follower bool
+	// Told is set while a follower hears from others often enough that it need not ask
+	// the store for the configuration.
+	Told bool
+}
+
 // Watcher follows the store.
 type Watcher struct {
 	options Options
@@ -143,13 +162,23 @@
 // Calls returns the numbers of calls and of failed calls.
 func (w *Watcher) Calls() (calls, failures int64) { return w.calls.Load(), w.failures.Load() }
 
-// WatchConfig follows the configuration until the context ends.
+// WatchConfig follows the configuration until the context ends. A daemon that is
+// told of changes by others reads it once.
 func (w *Watcher) WatchConfig(ctx context.Context) {
-	known, revision := false, uint64(0)
+	// known is set while the store can tell the changes since revision, applied once a
+	// configuration was read.
+	known, applied, revision := false, false, uint64(0)
 	l := w.loop("configuration")
 	for ctx.Err() == nil {
+		if applied && w.options.Role().Told {
+			known = false // the store forgets its history meanwhile
+			w.options.Sink.SetWatching(false)
+			sleeper.Sleep(ctx, followCheck)
+			continue
+		}
 		var config *resolver.Config
 		var err error
+		began := w.options.Clock()
 		if known {
 			config, revision, err = w.configAfter(ctx, revision)
 		} else {
@@ -157,17 +186,22 @@
 		}
 		if err != nil {
 			known = known && !errors.Is(err, ErrHistoryLost)
+			w.options.Sink.SetWatching(false)
 			l.failed(ctx, err)
 			continue
 		}
 		l.succeeded()
+		if known {
+			began = w.options.Clock() // a held call tells what is the newest when it is answered
+		}
 		if config != nil {
-			w.options.Sink.SetConfig(*config)
+			w.options.Sink.SetConfig(began, *config)
 		} else if !known {
 			sleeper.Sleep(ctx, minRetry) // the first configuration is not written yet
 			continue
 		}
-		known = true
+		known, applied = true, true
+		w.options.Sink.SetWatching(true)
 	}
 }
 
@@ -232,38 +266,46 @@
 // WatchDaemons enters the daemon into the list, calls joined with the secret of
 // the fleet, and then changed with each read of the list, until the context
 // ends. Daemons that start later connect by themselves, so that the list is read
-// rarely. changed returns entries of daemons that are gone for good.
+// rarely, and by followers only once. changed returns entries of daemons that are
+// gone for good.
 func (w *Watcher) WatchDaemons(ctx context.Context, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon) []Daemon) {
 	l := w.loop("daemons")
 	for ctx.Err() == nil {
-		secret, err := w.join(ctx, self, proposal)
+		list, secret, err := w.join(ctx, self, proposal)
 		if err == nil {
 			err = joined(secret)
 		}
-		if err == nil {
-			break
-		}
-		l.failed(ctx, err)
-	}
-	for reads := 0; ctx.Err() == nil; {
-		list, err := w.daemons(ctx)
 		if err != nil {
 			l.failed(ctx, err)
 			continue
 		}
 		l.succeeded()
-		for _, gone := range changed(list) {
-			w.forget(ctx, l, gone)
-		}
-		reads++
-		if reads == 1 {
-			sleeper.Sleep(ctx, jitter(secondList)) // others may be starting at the same time
-		} else {
-			sleeper.Sleep(ctx, jitter(listInterval))
+		changed(list)
+		break
+	}
+	for wait := jitter(listInterval); ctx.Err() == nil; {
+		sleeper.Sleep(ctx, wait)
+		wait = jitter(listInterval)
+		if !w.options.Role().Follower && !w.list(ctx, l, changed) {
+			wait = 0 // the failed call has been waited for
 		}
 	}
 }
 
+// list reads the list of daemons and reports whether it could.
+func (w *Watcher) list(ctx context.Context, l *loop, changed func([]Daemon) []Daemon) bool {
+	list, err := w.daemons(ctx)
+	if err != nil {
+		l.failed(ctx, err)
+		return false
+	}
+	l.succeeded()
+	for _, gone := range changed(list) {
+		w.forget(ctx, l, gone)
+	}
+	return true
+}
+
 func (w *Watcher) forget(ctx context.Context, l *loop, d Daemon) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -273,7 +315,7 @@
 	}
 }
 
-func (w *Watcher) join(ctx context.Context, self Daemon, proposal []byte) ([]byte, error) {
+func (w *Watcher) join(ctx context.Context, self Daemon, proposal []byte) ([]Daemon, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.calls.Add(1)
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,8 +98,8 @@
 
 func (s *store) Daemons(context.Context) ([]watcher.Daemon, error) { return nil, nil }
 
-func (s *store) Join(_ context.Context, _ watcher.Daemon, proposal []byte) ([]byte, error) {
-	return proposal, nil
+func (s *store) Join(_ context.Context, _ watcher.Daemon, proposal []byte) ([]watcher.Daemon, []byte, error) {
+	return nil, proposal, nil
 }
 
 func (s *store) Forget(context.Context, watcher.Daemon) error { return nil }
@@ -114,7 +115,9 @@
 	return &sink{versions: make(chan uint64, 100), reads: make(chan uint64, 10000), failures: make(chan struct{}, 10000)}
 }
 
-func (s *sink) SetConfig(c resolver.Config) { s.versions <- c.Version() }
+func (s *sink) SetConfig(_ time.Duration, c resolver.Config) { s.versions <- c.Version() }
+
+func (s *sink) SetWatching(bool) {}
 
 func (s *sink) SetRegistry(_ time.Duration, revision uint64, _ []registrar.Entry) {
 	select {
@@ -131,9 +134,14 @@
 }
 
 func watch(t *testing.T, source watcher.Source) *sink {
+	t.Helper()
+	return watchAs(t, source, func() watcher.Role { return watcher.Role{} })
+}
+
+func watchAs(t *testing.T, source watcher.Source, role func() watcher.Role) *sink {
 	t.Helper()
 	k := newSink()
-	w := watcher.New(watcher.Options{Source: source, Sink: k, Due: func() time.Duration { return 0 }, Clock: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler)})
+	w := watcher.New(watcher.Options{Source: source, Sink: k, Due: func() time.Duration { return 0 }, Role: role, Clock: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler)})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { w.WatchConfig(ctx) })
@@ -175,6 +183,40 @@
 	}
 }
 
+// Load: a large fleet, in which each change would be read by each daemon. Guards
+// against calls of daemons that are told of changes, and against one that is no
+// longer told and misses a change of which the store has forgotten the history.
+func TestToldDaemonsDoNotAskForTheConfiguration(t *testing.T) {
+	s := newStore()
+	var told atomic.Bool
+	asked := make(chan struct{}, 1000)
+	told.Store(true)
+	k := watchAs(t, s, func() watcher.Role {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+		return watcher.Role{Follower: true, Told: told.Load()}
+	})
+	if v := <-k.versions; v != 1 {
+		t.Fatalf("version %d", v)
+	}
+	s.set(func() { s.version = 2 }, true)
+	for range 3 {
+		<-asked
+	}
+	s.mutex.Lock()
+	if s.held != 0 || s.reads != 1 {
+		t.Errorf("%d held calls and %d reads of a daemon that is told of changes", s.held, s.reads)
+	}
+	s.mutex.Unlock()
+	s.set(func() { s.lost = true }, false)
+	told.Store(false)
+	if v := <-k.versions; v != 2 {
+		t.Fatalf("version %d", v)
+	}
+}
+
 // Guards against waiting for ever for changes that the store has forgotten.
 func TestLostHistoryIsReadAnew(t *testing.T) {
 	s := newStore()
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -457,6 +457,13 @@
 	// Client accounts whose service changed.
 	Accounts []AccountService `json:"accounts,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
+	// Time since the version of the sender was known to be the newest, in
+	// milliseconds; missing if it never was.
+	ConfigAgeMs *uint64 `json:"configAgeMs,omitempty,omitzero" cbor:"10,keyasint,omitempty"`
+
+	// Number of daemons that passed this age on.
+	ConfigHops *uint64 `json:"configHops,omitempty,omitzero" cbor:"11,keyasint,omitempty"`
+
 	// Newest configuration version of the sender.
 	ConfigVersion *uint64 `json:"configVersion,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 
