Close waiting connections of a flooded host with two calls each

A flooding account reaches two small hosts, one with its first attempts and one with the repeats; 115,578 attempts were reset unread, and the hosts spent their processor time on that: each connection was registered, set up with five options and closed, and 400 times a second a record told of dropped records. Change: a busy host closes the connections that wait with accept and close only; connections of callers have no probes of the kernel; the number of dropped records is told once a second.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -23,16 +23,47 @@
 
 // Accept implements net.Listener.
 func (g *guard) Accept() (net.Conn, error) {
+	decided := false // the next connection is to be kept
 	for {
 		c, err := g.Listener.Accept()
-		if err != nil || !g.refuse() {
+		if err != nil || decided || !g.refuse() {
 			return c, err
 		}
 		g.closed.Add(1)
 		_ = c.Close() // the caller sees the end of the connection
+		decided = g.closeWaiting()
 	}
 }
 
+// closeWaiting closes the connections that wait to be accepted until one is to be
+// kept, and reports whether one is. The runtime would register and set up each of
+// them first, which costs several times as much as the two calls made here.
+func (g *guard) closeWaiting() (keep bool) {
+	l, ok := g.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false // the listener is closed; the next Accept tells
+	}
+	_ = raw.Control(func(fd uintptr) { // fails on a closed listener, too
+		for {
+			if !g.refuse() {
+				keep = true
+				return
+			}
+			c, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil {
+				return // none waits any more, or the next Accept meets the error as well
+			}
+			g.closed.Add(1)
+			_ = unix.Close(c) // the caller sees the end of the connection
+		}
+	})
+	return keep
+}
+
 // connectionKey is the key of the caller's connection in the context of a request.
 type connectionKey struct{}
 
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -48,6 +48,53 @@
 	}
 }
 
+// Load: many callers wait to be accepted by a busy host. Guards against closing one
+// that was to be kept, and against closing others than those decided on.
+func TestWaitingConnectionsAreClosedAtOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const callers, kept = 20, 3
+	refused := 0
+	g := &guard{Listener: l, refuse: func() bool {
+		if refused == callers-kept {
+			return false
+		}
+		refused++
+		return true
+	}}
+	defer func() { _ = g.Close() }()
+	var all []net.Conn
+	for range callers {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		all = append(all, c)
+	}
+	for range kept {
+		c, err := g.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "kept"); err != nil {
+			t.Error(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	if n := g.closed.Load(); n != callers-kept {
+		t.Errorf("%d connections closed, want %d", n, callers-kept)
+	}
+	for i, c := range all {
+		n, err := c.Read(make([]byte, 4))
+		if kept := i >= callers-kept; kept != (err == nil && n == 4) {
+			t.Errorf("caller %d: %d bytes, %v", i, n, err)
+		}
+	}
+}
+
 // Guards against callers that are taken for gone, and against not seeing that
 // one has gone.
 func TestCallerLeftIsSeenOnTheSocket(t *testing.T) {
--- a/gateway/recorder/recorder.go
+++ b/gateway/recorder/recorder.go
@@ -85,8 +85,12 @@
 	}
 }
 
+// tellInterval is the time between two records that tell the number of dropped
+// ones: on a busy host they would double the volume.
+const tellInterval = time.Second
+
 // Limit returns a logger that writes at most rate records per second to l, with
-// bursts of one second. The first record after dropped ones tells their number.
+// bursts of one second. A further record each second tells how many were dropped.
 func Limit(l *slog.Logger, rate float64, clock func() time.Duration) *slog.Logger {
 	return slog.New(&limited{Handler: l.Handler(), shared: &bucket{rate: rate, tokens: rate, clock: clock}})
 }
@@ -130,9 +134,12 @@
 	tokens  float64
 	last    time.Duration
 	dropped int
+	// told is when the number of dropped records was last told.
+	told time.Duration
 }
 
-// take reports whether a record may be written and how many were dropped before.
+// take reports whether a record may be written, and how many were dropped before
+// if that is to be told now.
 func (b *bucket) take() (bool, int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -144,7 +151,12 @@
 		return false, 0
 	}
 	b.tokens--
+	if now-b.told < tellInterval && b.told > 0 {
+		return true, 0
+	}
 	dropped := b.dropped
-	b.dropped = 0
+	if dropped > 0 {
+		b.dropped, b.told = 0, now
+	}
 	return true, dropped
 }
--- a/gateway/recorder/recorder_test.go
+++ b/gateway/recorder/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -59,3 +60,36 @@
 		t.Errorf("the dropped records are not told: %s", text)
 	}
 }
+
+// Load: a flooded host drops records all the time. Guards against records that tell
+// so between any two others, and against numbers that are lost meanwhile.
+func TestLossIsToldOnceASecond(t *testing.T) {
+	var out bytes.Buffer
+	now := time.Duration(0)
+	l := recorder.Limit(slog.New(slog.NewJSONHandler(&out, nil)), 100, func() time.Duration { return now })
+	const records = 5000
+	for i := range records {
+		now = time.Duration(i) * time.Millisecond
+		logger.Emit(l, logger.RequestEnded)
+	}
+	now += 2 * time.Second
+	logger.Emit(l, logger.RequestEnded)
+	notices, told := 0, 0
+	for line := range strings.Lines(out.String()) {
+		var r struct{ Event, Records int }
+		if err := json.Unmarshal([]byte(line), &r); err != nil {
+			t.Fatal(err)
+		}
+		if r.Event == logger.RecordsDropped.Number {
+			notices++
+			told += r.Records
+		}
+	}
+	written := strings.Count(out.String(), "\n") - notices
+	if notices > 8 {
+		t.Errorf("%d records in 7 s tell of dropped ones", notices)
+	}
+	if told+written != records+1 {
+		t.Errorf("%d written and %d told as dropped of %d", written, told, records+1)
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -33,7 +33,9 @@
 
 // newServer listens at the address.
 func newServer(address string, h http.Handler, l *slog.Logger) (*server, error) {
-	var config net.ListenConfig
+	// Connections end by the time-outs of the server; probes of the kernel would only
+	// make each new one dearer.
+	config := net.ListenConfig{KeepAlive: -1}
 	config.SetMultipathTCP(false)
 	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
