Hold accounts above the mean of those over their share back by the square

The best served account got more than twice as much as another one over its share, whose callers reach one small host. Ruled out: making the one that is behind count as within its share (tried before). Change: the standing of an account that got more than the mean is squared.

--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -19,8 +19,9 @@
 	// margin lets accounts exceed their share somewhat, so that requests that fail or
 	// end late do not leave it unused.
 	margin = 1.25
-	// maxStanding bounds how much accounts over their share are treated differently.
-	maxStanding = 3.0
+	// minStanding and maxStanding bound how much accounts over their share are treated
+	// differently.
+	minStanding, maxStanding = 0.1, 3.0
 )
 
 // Shares counts service per client account. Service is measured in tokens: one
@@ -144,8 +145,9 @@
 }
 
 // Standing compares an account over its share with the others that are over
-// theirs: the mean of their service over its own, between 1/maxStanding and
-// maxStanding. What capacity is left goes to those with the higher standing.
+// theirs: the mean of their service over its own, squared for one that got more than
+// the mean, so that none gets twice as much as another one. What capacity is left
+// goes to those with the higher standing.
 func (s *Shares) Standing(now time.Duration, name string) float64 {
 	level := s.Level(now)
 	total, accounts := 0.0, 0
@@ -159,7 +161,11 @@
 	if accounts == 0 || total == 0 {
 		return 1
 	}
-	return min(max(total/float64(accounts)/max(served, 1), 1/maxStanding), maxStanding)
+	standing := total / float64(accounts) / max(served, 1)
+	if standing < 1 {
+		standing *= standing
+	}
+	return min(max(standing, minStanding), maxStanding)
 }
 
 // Level returns the service in the window up to which an account is within its
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -134,6 +134,27 @@
 	})
 }
 
+// Load: the callers of a flooding account all reach one small host, which serves
+// few of them, and those of another one reach many hosts. Guards against giving the
+// second one all the spare capacity, twice as much as the first one gets.
+func TestBestServedAccountIsHeldBack(t *testing.T) {
+	s := sharer.New(window)
+	s.SetCapacity(500 / margin)
+	for _, name := range []string{"drowned", "best"} {
+		s.Ask(0, name, 1e6)
+	}
+	s.Serve(0, "drowned", 3500)
+	s.Serve(0, "best", 8500)
+	best, drowned := s.Standing(0, "best"), s.Standing(0, "drowned")
+	if best > 0.5 || drowned < 1.5 {
+		t.Errorf("standing %v of the best served account, %v of the other", best, drowned)
+	}
+	s.Serve(0, "best", 1e9)
+	if s.Standing(0, "best") <= 0 {
+		t.Error("an account gets nothing although capacity is left")
+	}
+}
+
 // Load: several accounts at many times their usual. Spare capacity goes to the
 // one that got least, so that none gets a multiple of another.
 func TestSpareCapacityGoesToTheAccountWithLeast(t *testing.T) {
