Resume a silent stream later, and only with a retry left

A resumable stream reached a busy engine, which made its first event after 1.4 s; the daemon ended the attempt just then, found no place at another target and broke the answer off. A silence of 1.4 s was the limit whatever the route allows, and the budget of retries was asked only afterwards. Ruled out: a stop of the daemon or target (none at that time); the caller leaving (it waits for 6.4 s on this route). Change: the limit is 0.6 of the time after which callers leave, worked out from objective and pause of the route, and half of the time that is left at most; the attempt is ended only with a retry taken from the budget.

--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,8 @@
 	// which the request was sent.
 	waits, attempts int
 	excluded        []string
+	// retryTaken is set while a retry was taken from the budget and not used.
+	retryTaken atomic.Bool
 	// mayHaveRun is set once a target may have begun to work on the request.
 	mayHaveRun bool
 	// kept is a failure of a target that is passed on if no other target succeeds.
@@ -143,7 +146,17 @@
 	if j.mayHaveRun && !j.route.Repeatable() {
 		return false
 	}
-	return j.attempts == 0 || j.receiver.Retries.Retry(j.service)
+	return j.attempts == 0 || j.retryTaken.Swap(false) || j.receiver.Retries.Retry(j.service)
+}
+
+// takeRetry takes a retry from the budget for the next attempt and reports whether
+// there was one.
+func (j *job) takeRetry() bool {
+	taken := j.receiver.Retries.Retry(j.service)
+	if taken {
+		j.retryTaken.Store(true)
+	}
+	return taken
 }
 
 // giveUp ends a request that got no permit.
@@ -164,7 +177,7 @@
 	v, target := j.receiver, permit.Decision().Choice.Target
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatch(j, permit, cancel)
+	watch := newWatch(j, permit, patience, cancel)
 	defer watch.stop()
 	after := j.call.After
 	if j.stream != nil && j.stream.lastID != "" {
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -23,15 +23,36 @@
 	minStallGap = 700 * time.Millisecond
 	// progressInterval is the time between two reports of the events of a stream.
 	progressInterval = 150 * time.Millisecond
-	// resumeAfter is how long a resumable stream waits for a silent target before it
-	// goes on elsewhere; callers leave after two seconds at the earliest.
-	resumeAfter = 1400 * time.Millisecond
+	// callerSilence, callerObjectives and callerGaps tell when a caller abandons a
+	// silent stream: after the longest of a time, of some objectives, and of some of the
+	// longest pauses between events that are on time.
+	callerSilence    = 2 * time.Second
+	callerObjectives = 4
+	callerGaps       = 8
+	// resumeShare is the part of that time after which a resumable stream goes on at
+	// another target. A busy engine may be silent for a second before an event, and
+	// what it has read would be read again.
+	resumeShare = 0.6
+	// resumeLeft is the part of the time of a request after which it goes on elsewhere at
+	// the latest, so that the other target can still answer.
+	resumeLeft = 0.5
+	// budgetCheck is how often a stalled attempt asks again for a retry: the budget is
+	// counted over seconds.
+	budgetCheck = 250 * time.Millisecond
 )
 
+// resumeAfter returns how long a resumable stream waits for a silent target.
+func resumeAfter(r resolver.Route, left time.Duration) time.Duration {
+	caller := max(callerSilence, callerObjectives*r.Objective, callerGaps*r.EventGap)
+	return min(time.Duration(resumeShare*float64(caller)), time.Duration(resumeLeft*float64(left)))
+}
+
 // watch notices a target that is silent.
 type watch struct {
 	permit Permit
 	cancel context.CancelCauseFunc
+	// again takes a retry from the budget; without one, a silent target is waited for.
+	again func() bool
 
 	mutex sync.Mutex
 	timer *time.Timer
@@ -46,14 +67,14 @@
 	reported time.Time
 }
 
-// newWatch watches an attempt of the job.
-func newWatch(j *job, p Permit, cancel context.CancelCauseFunc) *watch {
-	w := &watch{permit: p, cancel: cancel, gap: max(j.route.EventGap, minStallGap)}
+// newWatch watches an attempt of the job, which has some time left.
+func newWatch(j *job, p Permit, left time.Duration, cancel context.CancelCauseFunc) *watch {
+	w := &watch{permit: p, cancel: cancel, again: j.takeRetry, gap: max(j.route.EventGap, minStallGap)}
 	first := 2*p.Decision().Choice.Expected + stallSlack
 	more := j.attempts+1 < j.route.MaxAttempts && j.route.Repeatable()
 	switch {
 	case more && j.route.Kind == resolver.Streaming:
-		w.limit = max(resumeAfter-w.gap, 0)
+		w.limit = max(resumeAfter(j.route, left)-w.gap, time.Millisecond)
 	case more:
 		objective := j.route.Objective
 		if objective <= 0 {
@@ -101,14 +122,17 @@
 	if w.stopped {
 		return
 	}
-	if w.stalled {
+	switch {
+	case !w.stalled:
+		w.stalled = true
+		w.permit.Stall(true)
+		if w.limit > 0 {
+			w.timer.Reset(w.limit)
+		}
+	case w.again():
 		w.cancel(errImpatient)
-		return
-	}
-	w.stalled = true
-	w.permit.Stall(true)
-	if w.limit > 0 {
-		w.timer.Reset(w.limit)
+	default:
+		w.timer.Reset(budgetCheck)
 	}
 }
 
