Do not deliver late what a killed daemon had sent

Ruled out: a wait for a slot at the target (arrived and began within 3 us); a permit from before the drain (it lives for 2 s and is checked before the send); a live daemon (the request was the second one that its daemon sent, the first of the load). Change: the relay resets a connection whose other end no process holds.

--- a/generator/launcher/network.go
+++ b/generator/launcher/network.go
@@ -18,13 +18,22 @@
 // pair is a daemon and what it connects to.
 type pair struct{ from, to place }
 
+// dialler is the process that dialled a connection.
+type dialler struct {
+	place place
+	// known is set if it is a daemon of the fleet.
+	known bool
+	// gone is set if the connection has no owner any more.
+	gone bool
+}
+
 // network relays the connections of daemons to other daemons, targets and the
 // platform over one link of the fault proxy per pair, so that they can be delayed
 // and cut. A cut keeps data back in both or in one direction; connections stay
 // open, as in a partition.
 type network struct {
 	delay  time.Duration // one way, between data centres
-	source func(net.Conn) (place, bool)
+	source func(net.Conn) dialler
 	proxy  *injector.Proxy
 	remove func()
 
@@ -38,7 +47,7 @@
 	group     sync.WaitGroup
 }
 
-func newNetwork(delay time.Duration, source func(net.Conn) (place, bool)) *network {
+func newNetwork(delay time.Duration, source func(net.Conn) dialler) *network {
 	proxy, remove := injector.New()
 	return &network{
 		delay: delay, source: source, proxy: proxy, remove: remove, links: map[pair]*injector.Link{},
@@ -131,8 +140,15 @@
 
 func (n *network) relay(accepted *net.TCPConn, to place, address string) {
 	defer func() { _ = accepted.Close() }()
-	if from, known := n.source(accepted); known {
-		l, err := n.link(pair{from, to}, address)
+	from := n.source(accepted)
+	if from.gone {
+		// Finding it may have taken seconds on a busy machine, and no network delivers so
+		// late what a process sent before it was killed.
+		reset(accepted)
+		return
+	}
+	if from.known {
+		l, err := n.link(pair{from.place, to}, address)
 		if err != nil {
 			reset(accepted)
 			return
--- a/generator/launcher/network_test.go
+++ b/generator/launcher/network_test.go
@@ -54,7 +54,7 @@
 func TestCutKeepsDataBackUntilJoined(t *testing.T) {
 	const short, long = 50 * time.Millisecond, 30 * time.Second
 	from := place{"router-1", "a"}
-	n := newNetwork(0, func(net.Conn) (place, bool) { return from, true })
+	n := newNetwork(0, func(net.Conn) dialler { return dialler{place: from, known: true} })
 	defer n.close()
 	address := echo(t)
 	dial := func(to place) (net.Conn, *bufio.Reader) {
@@ -101,7 +101,7 @@
 // half closes that cut the other direction.
 func TestDelayAndHalfClosePassThrough(t *testing.T) {
 	const delay = 20 * time.Millisecond
-	n := newNetwork(delay, func(net.Conn) (place, bool) { return place{"router-1", "a"}, true })
+	n := newNetwork(delay, func(net.Conn) dialler { return dialler{place: place{"router-1", "a"}, known: true} })
 	defer n.close()
 	relayed, err := n.listen(place{"router-2", "b"}, echo(t))
 	if err != nil {
@@ -148,16 +148,62 @@
 	var group sync.WaitGroup
 	for range 20 {
 		group.Go(func() {
-			if got := f.find(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() {
-				t.Errorf("dialler %d", got)
+			if got, owned := f.find(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() || !owned {
+				t.Errorf("dialler %d, owned %v", got, owned)
 			}
 		})
 	}
 	group.Wait()
-	if got := f.find(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() {
+	if got, _ := f.find(accepted, []int{1 << 30, os.Getpid()}); got != os.Getpid() {
 		t.Fatalf("dialler %d", got)
 	}
-	if got := f.find(accepted, []int{1 << 30}); got != 0 {
-		t.Fatalf("dialler %d among others", got)
+	if got, owned := f.find(accepted, []int{1 << 30}); got != 0 || !owned {
+		t.Fatalf("dialler %d among others, owned %v", got, owned)
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for { // the process is no longer the owner as soon as the close has been carried out
+		if got, owned := f.find(accepted, []int{os.Getpid()}); got == 0 && !owned {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Load: a busy machine, on which it takes seconds to find out which daemon has
+// dialled. Guards against delivering a request of a daemon that was killed
+// meanwhile: a target that began to drain after the kill would get new work.
+func TestRelayDropsWhatAKilledDaemonSent(t *testing.T) {
+	n := newNetwork(0, func(net.Conn) dialler { return dialler{gone: true} })
+	defer n.close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	delivered := make(chan struct{}, 1)
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			delivered <- struct{}{}
+			_ = c.Close()
+		}
+	}()
+	relayed, err := n.listen(place{"desk-1", "a"}, l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The relay may reset the connection before the dialler knows that it is open.
+	if c, err := net.Dial("tcp", relayed); err == nil {
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\n\r\n") // fails on a connection that is reset
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Error("the connection goes on")
+		}
+	}
+	select {
+	case <-delivered:
+		t.Error("the target was reached")
+	default:
 	}
 }
--- a/generator/launcher/relay.go
+++ b/generator/launcher/relay.go
@@ -53,17 +53,18 @@
 )
 
 // source returns the daemon that dialled an accepted connection.
-func (f *Fleet) source(accepted net.Conn) (place, bool) {
+func (f *Fleet) source(accepted net.Conn) dialler {
+	var d dialler
 	for range sourceAttempts {
-		if p, ok := f.findSource(accepted); ok {
-			return p, true
+		if d = f.findSource(accepted); d.known {
+			break
 		}
 		time.Sleep(sourcePause)
 	}
-	return place{}, false
+	return d
 }
 
-func (f *Fleet) findSource(accepted net.Conn) (place, bool) {
+func (f *Fleet) findSource(accepted net.Conn) dialler {
 	var pids []int
 	daemons := map[int]*Daemon{}
 	for _, d := range f.Daemons {
@@ -72,11 +73,11 @@
 			daemons[p.ID()] = d
 		}
 	}
-	d, ok := daemons[f.finder.find(accepted, pids)]
-	if !ok {
-		return place{}, false
+	pid, owned := f.finder.find(accepted, pids)
+	if d, ok := daemons[pid]; ok {
+		return dialler{place: d.place(), known: true}
 	}
-	return d.place(), true
+	return dialler{gone: !owned}
 }
 
 // CutDataCentre cuts a data centre off from the others and from the platform.
--- a/generator/launcher/source.go
+++ b/generator/launcher/source.go
@@ -22,7 +22,15 @@
 type question struct {
 	ends   string // addresses as the dialler's socket has them
 	pids   []int  // candidates
-	answer chan int
+	answer chan owner
+}
+
+// owner is who holds the other end of a connection.
+type owner struct {
+	// pid is 0 if it is none of the candidates.
+	pid int
+	// owned is set if a process holds it.
+	owned bool
 }
 
 func newFinder() *finder {
@@ -34,20 +42,21 @@
 // maxQuestions bounds the connections that one reading answers.
 const maxQuestions = 4096
 
-// find returns the dialling process among candidates, or 0.
-func (f *finder) find(accepted net.Conn, candidates []int) int {
+// find returns the dialling process among candidates, or 0, and whether any
+// process still holds the connection.
+func (f *finder) find(accepted net.Conn, candidates []int) (pid int, owned bool) {
 	remote, local := accepted.RemoteAddr().(*net.TCPAddr), accepted.LocalAddr().(*net.TCPAddr)
-	q := question{kernelAddress(remote) + " " + kernelAddress(local), candidates, make(chan int, 1)}
+	q := question{kernelAddress(remote) + " " + kernelAddress(local), candidates, make(chan owner, 1)}
 	select {
 	case f.questions <- q:
 	case <-f.done:
-		return 0
+		return 0, false
 	}
 	select {
-	case pid := <-q.answer:
-		return pid
+	case o := <-q.answer:
+		return o.pid, o.owned
 	case <-f.done:
-		return 0
+		return 0, false
 	}
 }
 
@@ -80,19 +89,23 @@
 func (f *finder) answer(questions []question) {
 	sockets, owners := inodes(), map[int]map[string]bool{}
 	for _, q := range questions {
-		found := 0
+		inode := sockets[q.ends]
+		found := owner{owned: inode != "" && inode != noInode}
 		for _, pid := range q.pids {
 			if owners[pid] == nil {
 				owners[pid] = socketsOf(pid)
 			}
-			if inode := sockets[q.ends]; inode != "" && owners[pid][inode] {
-				found = pid
+			if found.owned && owners[pid][inode] {
+				found.pid = pid
 			}
 		}
 		q.answer <- found
 	}
 }
 
+// noInode stands in /proc/net/tcp for a socket that no process holds any more.
+const noInode = "0"
+
 // inodes returns the inodes of all IPv4 sockets by their ends.
 func inodes() map[string]string {
 	out := map[string]string{}
