Let two listed daemons read the store at the start, not all

Cause: until a daemon has heard of others it took itself for a reader of the store and read the registry each 0.6 s; when 83 daemons start at once, or all processes are killed, each of them does so for some seconds. Change: within 2.5 s of the start the readers are chosen among the listed daemons; after that among those that were heard of, so that a fleet whose other daemons are not there has readers, too.

--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -170,6 +170,40 @@
 	}
 }
 
+// Load: all daemons of a fleet start at once. Guards against a wave of reads of the
+// store by daemons that have not heard of each other yet, and against a fleet
+// without readers because listed daemons are not there.
+func TestStartingDaemonsDoNotAllRead(t *testing.T) {
+	const daemons = 9
+	readers := 0
+	for i := range daemons {
+		var clock atomic.Int64
+		c := start(t, func(o *controller.Options) {
+			o.Host = fmt.Sprintf("h-%d", i)
+			o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
+			o.Peers = func() []string {
+				var peers []string
+				for p := range daemons {
+					if p != i {
+						peers = append(peers, fmt.Sprintf("h-%d", p))
+					}
+				}
+				return peers
+			}
+		})
+		if c.Freshness().Reader {
+			readers++
+		}
+		clock.Store(int64(3 * time.Second)) // no other daemon was heard of
+		for !c.Freshness().Reader {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if readers != 2 {
+		t.Errorf("%d of %d daemons read at the start", readers, daemons)
+	}
+}
+
 // Guards against a daemon that goes on to rely on others after none of them has
 // asked the store for the configuration, because they tell each other that it is
 // the newest, or read only the registry.
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -226,11 +228,12 @@
 	c.heard.Store(name, now)
 }
 
-// refresh publishes how well the registry is known.
+// refresh publishes how well the store is known. Of the daemons that are alive,
+// the first ones by a hash of the name read it for the others.
 func (c *Controller) refresh() {
 	before := 0
 	own := xxhash.Sum64String(c.options.Host)
-	for name := range c.peers {
+	for _, name := range c.alive() {
 		if xxhash.Sum64String(name) < own {
 			before++
 		}
@@ -241,6 +244,16 @@
 	})
 }
 
+// alive returns the other daemons that were heard of lately, and just after the
+// start all listed ones: many daemons that start at once would all read the store
+// until they hear of each other.
+func (c *Controller) alive() []string {
+	if c.options.Clock() < peerTimeout {
+		return c.options.Peers()
+	}
+	return slices.Collect(maps.Keys(c.peers))
+}
+
 const (
 	// peerTimeout is the time after which a silent peer is forgotten: two whole
 	// reports and some delay.
