--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// others returns the names of all daemons of a fleet but one.
+func others(self, daemons int) []string {
+	var names []string
+	for i := range daemons {
+		if i != self {
+			names = append(names, fmt.Sprintf("h-%d", i))
+		}
+	}
+	return names
+}
+
 // Load: a large fleet. Guards against daemons that do not hear of each other or of
 // the work of others, and against messages from each to each.
 func TestLargeFleetsExchangeSums(t *testing.T) {
@@ -57,20 +68,12 @@
 	for i := range daemons {
 		names = append(names, fmt.Sprintf("h-%d", i))
 	}
-	for _, self := range names {
+	for i, self := range names {
 		c := start(t, func(o *controller.Options) {
 			o.Host = self
 			o.Send = func(r controller.Report, to []string) { n.send(self, r, to) }
 			o.ReportInterval = func(int) time.Duration { return 50 * time.Millisecond }
-			o.Peers = func() []string {
-				var peers []string
-				for _, name := range names {
-					if name != self {
-						peers = append(peers, name)
-					}
-				}
-				return peers
-			}
+			o.Peers = func() []string { return others(i, daemons) }
 		})
 		n.mutex.Lock()
 		n.nodes[self] = c
@@ -126,20 +129,10 @@
 			o.Host = fmt.Sprintf("h-%d", i)
 			o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
 			o.SendConfig = func(resolver.Config) { sent.Add(1) }
-			o.Peers = func() []string {
-				var peers []string
-				for p := range daemons {
-					if p != i {
-						peers = append(peers, fmt.Sprintf("h-%d", p))
-					}
-				}
-				return peers
-			}
+			o.Peers = func() []string { return others(i, daemons) }
 		})
-		for p := range daemons {
-			if p != i {
-				c.Received(controller.PeerReport{Peer: fmt.Sprintf("h-%d", p), Incarnation: 1})
-			}
+		for _, p := range others(i, daemons) {
+			c.Received(controller.PeerReport{Peer: p, Incarnation: 1})
 		}
 		for c.Stats().Peers < daemons-1 {
 			time.Sleep(time.Millisecond)
@@ -181,15 +174,7 @@
 		c := start(t, func(o *controller.Options) {
 			o.Host = fmt.Sprintf("h-%d", i)
 			o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
-			o.Peers = func() []string {
-				var peers []string
-				for p := range daemons {
-					if p != i {
-						peers = append(peers, fmt.Sprintf("h-%d", p))
-					}
-				}
-				return peers
-			}
+			o.Peers = func() []string { return others(i, daemons) }
 		})
 		if c.Freshness().Reader {
 			readers++
