--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -40,12 +40,6 @@
 	// dialTimeout is many times the round trip within a region. A lost packet of the
 	// handshake is repeated only after a second, when another target is tried.
 	dialTimeout = 250 * time.Millisecond
-	// dialDelays is the number of delays of a busy host that are added to it: the poller,
-	// the dialling goroutine and its caller each wait for the processor, and a target
-	// that answers at once must not be taken for unreachable.
-	dialDelays = 5
-	// maxDialTimeout bounds the sum: after it, another target is better.
-	maxDialTimeout = time.Second
 	// defaultIdle is how long an unused connection is kept where the target states
 	// no time.
 	defaultIdle = 3 * time.Second
@@ -105,9 +99,7 @@
 
 // Courier keeps the connections to targets. It is safe for concurrent use.
 type Courier struct {
-	// dialer is never used as it is, see patientDialer.
 	dialer *net.Dialer
-	delay  func() time.Duration
 	Stats  Stats
 
 	mutex sync.Mutex
@@ -116,10 +108,9 @@
 	closed bool
 }
 
-// New returns a Courier and a function that closes unused connections. delay tells
-// by how much the timers of this host are late.
-func New(delay func() time.Duration) (*Courier, func()) {
-	c := &Courier{dialer: dialer.New(dialTimeout), delay: delay, idle: map[Target][]*connection{}}
+// New returns a Courier and a function that closes unused connections.
+func New() (*Courier, func()) {
+	c := &Courier{dialer: dialer.New(dialTimeout), idle: map[Target][]*connection{}}
 	return c, c.close
 }
 
@@ -172,17 +163,10 @@
 	return c.dial(ctx, t)
 }
 
-// patientDialer returns the dialer for the present delay of the host.
-func (c *Courier) patientDialer() *net.Dialer {
-	d := *c.dialer
-	d.Timeout = min(dialTimeout+dialDelays*c.delay(), maxDialTimeout)
-	return &d
-}
-
 // dial opens a connection. Errors: ErrNotSent.
 func (c *Courier) dial(ctx context.Context, t Target) (*connection, error) {
 	c.Stats.Dials.Add(1)
-	raw, err := c.patientDialer().DialContext(ctx, "tcp4", t.Address)
+	raw, err := c.dialer.DialContext(ctx, "tcp4", t.Address)
 	if err != nil {
 		c.Stats.DialFailures.Add(1)
 		return nil, errors.Wrapf(ErrNotSent, "connect: %v", err)
--- a/gateway/courier/courier_test.go
+++ b/gateway/courier/courier_test.go
@@ -94,7 +94,7 @@
 
 func newCourier(t *testing.T) *courier.Courier {
 	t.Helper()
-	c, closeAll := courier.New(func() time.Duration { return 0 })
+	c, closeAll := courier.New()
 	t.Cleanup(closeAll)
 	return c
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,12 +148,12 @@
 		Peers: g.exchanger.Peers, Address: g.peerAddress, Learn: g.exchanger.Learn, Clock: g.clock, Logger: g.logger,
 		StaleLimit: time.Duration(trustShare * float64(s.DrainBound)),
 	})
+	g.courier, _ = courier.New() // unused connections end with the process
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
 		Due: g.registryDue, Role: g.role, Clock: g.clock,
 	})
 	g.room = newRoom(s.MemoryBytes, g.clock, g.logger)
-	g.courier, _ = courier.New(g.room.delay) // unused connections end with the process
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Waiter: g.controller, Configs: g.controller, Carrier: g.courier,
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -22,8 +22,6 @@
 	limit int64
 	// share holds the bits of the part of the requests that is refused.
 	share atomic.Uint64
-	// lag is the mean delay of timers in nanoseconds.
-	lag atomic.Int64
 	// resting is set while the balancer should send new callers elsewhere.
 	resting atomic.Bool
 	// moving is set while callers should connect elsewhere.
@@ -54,9 +52,6 @@
 	return share >= closeShare && rand.Float64() < share
 }
 
-// delay returns by how much timers are late.
-func (r *room) delay() time.Duration { return time.Duration(r.lag.Load()) }
-
 // closeShare is the refused part of the requests from which new connections are
 // closed unread. Below it the host has the time to refuse with an answer.
 const closeShare = 0.3
@@ -73,7 +68,6 @@
 		runtime.Gosched()
 		now := r.clock()
 		r.shedder.Lag(now, now-began-lagInterval)
-		r.lag.Store(int64(r.shedder.MeanLag()))
 		r.share.Store(math.Float64bits(r.shedder.Share()))
 		r.moving.Store(r.shedder.Moving(now))
 		if resting := r.shedder.Resting(now); r.resting.Swap(resting) != resting {
--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -98,9 +98,6 @@
 // Resting reports whether the balancer should send new callers elsewhere.
 func (s *Shedder) Resting(now time.Duration) bool { return now < s.restUntil }
 
-// MeanLag returns the mean delay of timers.
-func (s *Shedder) MeanLag() time.Duration { return time.Duration(s.lag) }
-
 // Share returns the part of the requests that is refused because the processor
 // is busy, between 0 and 1.
 func (s *Shedder) Share() float64 {
