Do not take the extra answer of one test call for that of the next

Ruled out: the stand-in, which plays each fault as asked. Change: each call of the test has a connection of its own; the expectations stay.

--- a/emulator/server/server_test.go
+++ b/emulator/server/server_test.go
@@ -40,7 +40,11 @@
 	if after != "" {
 		r.Header.Set(wire.FieldLastEvent, after)
 	}
-	answer, err := http.DefaultClient.Do(r)
+	// A connection of its own: an extra answer of the call before would be taken for
+	// this one's.
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	answer, err := transport.RoundTrip(r)
 	if err != nil {
 		return 0, nil, "", err
 	}
