Publish what is known of the store once per report

Each report of a peer published it twice, for the configuration and for the registry, and copied the names of all daemons each time. The configuration is now compared first and published with the registry, and the names are not copied.

--- a/gateway/controller/configuration.go
+++ b/gateway/controller/configuration.go
@@ -67,8 +67,7 @@
 		own = config.Version()
 	}
 	if m.Version == own && m.Known && m.Hops < maxHops && now-m.Age > c.configKnownAt {
-		c.configKnownAt, c.configHops = now-m.Age, m.Hops+1
-		c.refresh()
+		c.configKnownAt, c.configHops = now-m.Age, m.Hops+1 // published with the state of the registry
 	}
 	if m.Version <= own {
 		return
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -213,8 +213,8 @@
 func (e peerEvent) apply(c *Controller, now time.Duration) {
 	r := e.report
 	c.hear(now, r.Peer, r.Incarnation)
-	c.heardOfRegistry(now, r.Report.Registry)
 	c.heardOfConfig(now, r.Peer, r.Report.Config)
+	c.heardOfRegistry(now, r.Report.Registry)
 	c.fleet.SetSpills(now, r.Report.Spills)
 	if r.Report.Group.Count > 0 {
 		c.takeSum(now, r)
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"log/slog"
 	"maps"
 	"slices"
@@ -233,7 +234,7 @@
 func (c *Controller) refresh() {
 	before := 0
 	own := xxhash.Sum64String(c.options.Host)
-	for _, name := range c.alive() {
+	for name := range c.alive() {
 		if xxhash.Sum64String(name) < own {
 			before++
 		}
@@ -247,11 +248,11 @@
 // alive returns the other daemons that were heard of lately, and just after the
 // start all listed ones: many daemons that start at once would all read the store
 // until they hear of each other.
-func (c *Controller) alive() []string {
+func (c *Controller) alive() iter.Seq[string] {
 	if c.options.Clock() < peerTimeout {
-		return c.options.Peers()
+		return slices.Values(c.options.Peers())
 	}
-	return slices.Collect(maps.Keys(c.peers))
+	return maps.Keys(c.peers)
 }
 
 const (
