Refuse new connections before the caller listener of a stopping daemon closes

By the times of its log the request was sent when that daemon closed its listener. A connection that the kernel establishes after the last Accept and before the close is reset, and its caller cannot know whether the request ran.

Change: when the time of the drain has come, the kernel drops the first packet of new connections; what waits is accepted, then the listener closes. Callers send the packet again and are refused, which says that nothing ran. The listener is no multipath one, because Linux attaches no filter to these.

--- a/router/listener.go
+++ b/router/listener.go
@@ -30,6 +30,11 @@
 	// until is the time in Unix nanoseconds to which the listener accepts at
 	// least; 0 while it is not draining.
 	until atomic.Int64
+	// filtered is set when the kernel was told to take no more connections, and
+	// filterError if it could not be told. Only Accept uses them before it has
+	// returned net.ErrClosed.
+	filtered    bool
+	filterError error
 }
 
 // drain makes Accept return net.ErrClosed once the queue is empty after the time.
@@ -38,11 +43,16 @@
 	return errors.Wrap(l.SetDeadline(time.Now()), "wake the listener")
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. Once the time of the drain has come, the
+// kernel takes no more connections, so that none is established after the last
+// Accept and reset by the close, and callers that go on connecting cannot make the
+// drain last longer.
 func (l *drainingListener) Accept() (net.Conn, error) {
 	for empty := 0; ; {
-		until := l.until.Load()
-		if until != 0 {
+		if until := l.until.Load(); until != 0 {
+			if !l.filtered && time.Now().UnixNano() >= until {
+				l.filterError, l.filtered = dropNewConnections(l.TCPListener), true
+			}
 			deadline := max(until, time.Now().Add(acceptProbe).UnixNano())
 			if err := l.SetDeadline(time.Unix(0, deadline)); err != nil {
 				return nil, err
@@ -52,7 +62,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
-		if until != 0 {
+		if l.filtered {
 			empty++
 		}
 		if empty > emptyProbes {
--- a/router/server.go
+++ b/router/server.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net"
 	"net/http"
 
@@ -17,7 +18,10 @@
 }
 
 func (s *server) listen(address string) error {
-	l, err := net.Listen("tcp", address)
+	// Linux attaches no filters to multipath listeners, and a drain needs one.
+	config := net.ListenConfig{}
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "open the %s listener", s.name)
 	}
--- a/router/stop.go
+++ b/router/stop.go
@@ -52,6 +52,9 @@
 	}
 	select {
 	case <-d.caller.served:
+		if err := d.caller.listener.filterError; err != nil {
+			logger.Emit(d.logger, logger.ListenerFailed, slog.String("error", err.Error()))
+		}
 		d.pending.wait(ctx)
 		d.pending.waitQuiet(ctx)
 	case <-ctx.Done():
