Reserve the addresses of daemons under test until they are no longer needed

Addresses were looked up, given up and used later, at each restart again. Five soaks at once take 220 of 20,000 ports, and what one has looked up another may take before the daemon listens, or while it is down.

A daemon ends by itself before it is ready only if it cannot listen or read its settings.

Change: the module reserver gives out blocks of ports. Whoever listens on the first port of a block owns the others until it closes it or ends, in all processes of the machine.

The failure itself was not reproduced.

--- a/generator/launcher/fleet.go
+++ b/generator/launcher/fleet.go
@@ -16,6 +16,7 @@
 	"monsoondeck.example/generator/deployment"
 	"monsoondeck.example/provider"
 	"monsoondeck.example/provider/committer"
+	"monsoondeck.example/reserver"
 )
 
 const (
@@ -56,6 +57,8 @@
 	// relayed maps addresses to those that daemons use.
 	relayed map[string]string
 	client  *http.Client
+	// release gives up the addresses of the daemons.
+	release func()
 
 	mu     sync.Mutex
 	config configurer.Config
@@ -64,7 +67,7 @@
 // New starts a deployment, puts its configuration in force and waits until every
 // daemon is ready. The clean-up function ends all processes.
 func New(ctx context.Context, o Options) (*Fleet, func(), error) {
-	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}, relayed: map[string]string{}, starter: NewStarter(), finder: newFinder()}
+	f := &Fleet{options: o, client: &http.Client{Timeout: callTimeout}, relayed: map[string]string{}, starter: NewStarter(), finder: newFinder(), release: func() {}}
 	f.network = newNetwork(o.Deployment.PeerDelay, f.source)
 	if err := f.start(ctx); err != nil {
 		f.close()
@@ -88,6 +91,7 @@
 	}
 	f.starter.Close()
 	f.client.CloseIdleConnections()
+	f.release()
 }
 
 func (f *Fleet) start(ctx context.Context) error {
@@ -191,10 +195,11 @@
 }
 
 func (f *Fleet) startDaemons() error {
-	ports, err := FreeAddresses(3 * len(f.options.Deployment.Routers))
+	ports, release, err := reserver.Addresses(3 * len(f.options.Deployment.Routers))
 	if err != nil {
 		return err
 	}
+	f.release = release
 	for i, centre := range f.options.Deployment.Routers {
 		d := &Daemon{
 			ID: fmt.Sprintf("router-%d", i+1), DataCentre: centre,
--- a/generator/soaker/fleet.go
+++ b/generator/soaker/fleet.go
@@ -19,6 +19,7 @@
 	"monsoondeck.example/generator/launcher"
 	"monsoondeck.example/injector"
 	"monsoondeck.example/platform/wire"
+	"monsoondeck.example/reserver"
 	"monsoondeck.example/sleeper"
 )
 
@@ -48,6 +49,8 @@
 	options     Options
 	log         io.Writer
 	version     uint64
+	// releases give up the addresses of daemons and targets.
+	releases []func()
 	// mutex guards version.
 	mutex sync.Mutex
 }
@@ -78,6 +81,9 @@
 		_ = storeServer.Close()
 		removeProxy()
 		f.starter.Close()
+		for _, release := range f.releases {
+			release()
+		}
 		_ = os.RemoveAll(directory) // a temporary directory
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -105,7 +111,7 @@
 		return err
 	}
 	f.change()
-	addresses, err := launcher.FreeAddresses(4 * f.options.Processes)
+	addresses, err := f.reserve(4 * f.options.Processes)
 	if err != nil {
 		return err
 	}
@@ -151,6 +157,16 @@
 	return f.awaitReady(ctx)
 }
 
+// reserve reserves n addresses for the life of the fleet.
+func (f *fleet) reserve(n int) ([]string, error) {
+	addresses, release, err := reserver.Addresses(n)
+	if err != nil {
+		return nil, err
+	}
+	f.releases = append(f.releases, release)
+	return addresses, nil
+}
+
 func dataCentre(i int) string { return string(rune('a' + i%dataCentres)) }
 
 func (f *fleet) link(name, address string) (*injector.Link, error) {
@@ -160,7 +176,7 @@
 // startTargets starts the engines and the plain service.
 func (f *fleet) startTargets() error {
 	n := f.options.Targets
-	addresses, err := launcher.FreeAddresses(n)
+	addresses, err := f.reserve(n)
 	if err != nil {
 		return err
 	}
--- a/prover/driver/extra.go
+++ b/prover/driver/extra.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"monsoondeck.example/emulator"
 	"monsoondeck.example/generator/launcher"
+	"monsoondeck.example/reserver"
 )
 
 // Extra is a daemon that joins a fleet with settings of its own. It is not
@@ -34,8 +34,11 @@
 	for _, d := range f.Daemons {
 		seeds = append(seeds, d.Advertise)
 	}
-	x := &Extra{Caller: freeAddress(), Admin: freeAddress(), done: make(chan struct{})}
-	peer := freeAddress()
+	addresses, release, err := reserver.Addresses(3)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(release)
+	x := &Extra{Caller: addresses[0], Admin: addresses[1], done: make(chan struct{})}
+	peer := addresses[2]
 	x.command = exec.Command(f.Programs.Daemon)
 	x.command.Env = append(append(os.Environ(),
 		"MONSOOND_ID="+id, "MONSOOND_DATA_CENTRE="+dataCentre, "MONSOOND_FLEET_SECRET="+Secret,
@@ -84,11 +87,3 @@
 		<-x.done
 	}
 }
-
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
