Let no suspect daemon own shards

Change: a suspect may own nothing. If it lives, two daemons grant its slots until it has refuted the suspicion, as in a partition.

--- a/router/controller/membership.go
+++ b/router/controller/membership.go
@@ -98,7 +98,10 @@
 	now := c.now()
 	daemons := make([]locator.Daemon, 0, len(c.members))
 	for _, m := range c.members {
-		daemons = append(daemons, locator.Daemon{ID: m.ID, DataCentre: m.DataCentre, Eligible: !c.leaving[m.ID]})
+		// A suspect is most often gone: its shards would idle until it is removed. If it
+		// is not, two daemons grant the slots of its targets for about a second.
+		eligible := !c.leaving[m.ID] && m.State != detector.Suspect
+		daemons = append(daemons, locator.Daemon{ID: m.ID, DataCentre: m.DataCentre, Eligible: eligible})
 	}
 	self := locator.Daemon{ID: c.options.Self.ID, DataCentre: c.options.Self.DataCentre}
 	previous := c.locator
