Tell peers the pauses and reading speeds seen at engines

Pattern: 68 and 83 daemons before 90 engines, a quarter of them half as fast. Each daemon sees less than one answer of an engine in ten seconds, so that it took all engines for equally fast and did not see which ones had slow streams.

Change: reports carry, per target, the number and mean of recent pauses and of recent reading speeds; groups add them up. The estimate of a speed weighs all samples of the last seconds against the speed that the configuration suggests.

Tests: TestSpeedsThatPeersSawAreUsed, TestPausesThatPeersSawAreUsed, TestReportsTellPausesAndSpeeds.

--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -187,7 +187,7 @@
 		defer c.mutex.Unlock()
 		for _, r := range c.reports {
 			for _, l := range r.Loads {
-				if l.Target == "t" && l.Running == running {
+				if l.Target == placer.KeyOf("t") && l.Running == running {
 					return true
 				}
 			}
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -263,10 +263,8 @@
 		age, hops := uint64(max(r.Config.Age.Milliseconds(), 0)), uint64(max(r.Config.Hops, 0))
 		m.ConfigAgeMs, m.ConfigHops = &age, &hops
 	}
-	for _, l := range r.Loads {
-		m.Targets = append(m.Targets, messenger.TargetWork{
-			Target: l.Target, Unread: count(l.Unread), Running: uint64(l.Running), Memory: count(l.Memory),
-		})
+	if len(r.Loads) > 0 {
+		m.Work = encodeLoads(r.Loads)
 	}
 	for _, t := range r.Accounts {
 		m.Accounts = append(m.Accounts, messenger.AccountService{Account: t.Account, Asked: count(t.Asked), Served: count(t.Served)})
@@ -301,10 +299,8 @@
 	for _, d := range m.Daemons {
 		r.Daemons = append(r.Daemons, controller.Daemon{ID: d.ID, Address: d.Address})
 	}
-	for _, t := range m.Targets {
-		r.Loads = append(r.Loads, placer.Load{
-			Target: t.Target, Unread: float64(t.Unread), Running: int(min(t.Running, math.MaxInt32)), Memory: float64(t.Memory),
-		})
+	if m.Work != nil {
+		r.Loads = decodeLoads(*m.Work)
 	}
 	for _, a := range m.Accounts {
 		r.Accounts = append(r.Accounts, sharer.Total{Account: a.Account, Asked: float64(a.Asked), Served: float64(a.Served)})
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net/http/httptest"
 	"reflect"
 	"strings"
@@ -78,7 +79,9 @@
 	a.SetPeers([]connector.Peer{{ID: "b", Address: b.address}})
 	report := controller.Report{
 		Whole: true, Config: controller.ConfigMark{Version: 3, Known: true, Age: 70 * time.Millisecond, Hops: 1}, Registry: controller.RegistryMark{Revision: 5, Digest: 1 << 63, Age: 40 * time.Millisecond, Hops: 1},
-		Loads:    []placer.Load{{Target: "t", Unread: 100, Running: 2, Memory: 300}},
+		Loads: []placer.Load{{
+			Target: placer.KeyOf("t"), Unread: 160, Running: 2, Memory: 320, Events: 4, Elapsed: 320 * time.Millisecond, Samples: 6, LogSpeed: 6 * math.Log(12.5),
+		}},
 		Accounts: []sharer.Total{{Account: "forge", Asked: 10, Served: 7}},
 		Spills:   []placer.Spill{{Target: "t", Chain: 1 << 62}},
 		Group:    grouper.Group{Index: 3, Count: 8}, Daemons: []controller.Daemon{{ID: "a", Address: a.address}, {ID: "c"}},
--- a/gateway/grouper/grouper_test.go
+++ b/gateway/grouper/grouper_test.go
@@ -98,7 +98,7 @@
 func TestSumsFollowTheMembers(t *testing.T) {
 	s := grouper.NewSums()
 	load := func(unread float64, running int) []placer.Load {
-		return []placer.Load{{Target: "e", Unread: unread, Running: running, Memory: 10}}
+		return []placer.Load{{Target: placer.KeyOf("e"), Unread: unread, Running: running, Memory: 10}}
 	}
 	account := func(asked, served float64) []sharer.Total {
 		return []sharer.Total{{Account: "x", Asked: asked, Served: served}}
@@ -106,7 +106,7 @@
 	s.Set("a", 1, grouper.Report{Loads: load(100, 1), Accounts: account(1000, 1000)})
 	s.Set("b", 1, grouper.Report{Loads: load(50, 2), Accounts: account(0, 0), Spills: []placer.Spill{{Target: "e", Chain: 7}}})
 	r := s.Sum(true)
-	if len(r.Loads) != 1 || r.Loads[0] != (placer.Load{Target: "e", Unread: 150, Running: 3, Memory: 20}) || len(r.Accounts) != 0 || len(r.Spills) != 1 || !r.Whole {
+	if len(r.Loads) != 1 || r.Loads[0] != (placer.Load{Target: placer.KeyOf("e"), Unread: 150, Running: 3, Memory: 20}) || len(r.Accounts) != 0 || len(r.Spills) != 1 || !r.Whole {
 		t.Fatalf("%+v", r)
 	}
 	s.Set("a", 1, grouper.Report{Accounts: account(1500, 1200)})
--- a/gateway/grouper/sums.go
+++ b/gateway/grouper/sums.go
@@ -23,7 +23,7 @@
 
 type member struct {
 	incarnation uint64
-	loads       map[string]placer.Load
+	loads       map[placer.Key]placer.Load
 	totals      map[string]sharer.Total
 }
 
@@ -53,7 +53,7 @@
 	}
 	first := m == nil || m.incarnation < incarnation
 	if first {
-		m = &member{incarnation: incarnation, loads: map[string]placer.Load{}, totals: map[string]sharer.Total{}}
+		m = &member{incarnation: incarnation, loads: map[placer.Key]placer.Load{}, totals: map[string]sharer.Total{}}
 		s.members[name] = m
 	}
 	if r.Whole {
@@ -97,21 +97,18 @@
 // Sum returns the work of all members at each target, the totals that changed
 // since the last call, or all, and the spills since the last call.
 func (s *Sums) Sum(all bool) Report {
-	loads := map[string]placer.Load{}
+	loads := map[placer.Key]placer.Load{}
 	for _, m := range s.members {
 		for id, l := range m.loads {
 			sum := loads[id]
 			sum.Target = id
-			sum.Unread += l.Unread
-			sum.Running += l.Running
-			sum.Memory += l.Memory
-			loads[id] = sum
+			loads[id] = sum.Plus(l)
 		}
 	}
 	r := Report{Whole: true, Spills: s.spills}
 	s.spills = nil
 	for _, l := range loads {
-		if l.Running > 0 || l.Unread > 0 {
+		if !l.Empty() {
 			r.Loads = append(r.Loads, l)
 		}
 	}
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -25,8 +25,11 @@
 	minReading = 5 * time.Millisecond
 	// minSpeed and maxSpeed bound the learnt speed in tokens per millisecond.
 	minSpeed, maxSpeed = 1.0, 2000.0
-	// speedWeight is the weight of the newest first event in the learnt speed.
-	speedWeight = 0.1
+	// speedWindow is the time constant of the samples of the speed of reading: an engine
+	// of a fleet has some samples per second.
+	speedWindow = 8 * time.Second
+	// priorSamples is the number of samples that the speed assumed before any counts as.
+	priorSamples = 3.0
 	// defaultSpeed is used where the configuration does not tell the throughput, in
 	// tokens per millisecond.
 	defaultSpeed = 20.0
--- a/gateway/placer/engine.go
+++ b/gateway/placer/engine.go
@@ -10,11 +10,10 @@
 // engine is what this daemon has learnt of one model engine.
 type engine struct {
 	settings resolver.Engine
-	// speed is the learnt number of prompt tokens read per millisecond while the
-	// engine also generates.
-	speed float64
-	// learnt is set once speed is more than a guess.
-	learnt bool
+	// speed is the estimated number of prompt tokens read per millisecond while the
+	// engine also generates, prior the estimate before anything was seen.
+	speed, prior float64
+	learnt       speedSamples
 	// lastFirst is the time of the newest first event of an own request.
 	lastFirst time.Duration
 	// parts holds the prompt parts that own requests brought to the engine, with the
@@ -26,7 +25,7 @@
 }
 
 func newEngine(s resolver.Engine) *engine {
-	return &engine{settings: s, speed: defaultSpeed, parts: map[uint64]time.Duration{}, brought: map[uint64]time.Duration{}}
+	return &engine{settings: s, speed: defaultSpeed, prior: defaultSpeed, parts: map[uint64]time.Duration{}, brought: map[uint64]time.Duration{}}
 }
 
 // unread returns the number of tokens of the prompt that the engine does not
@@ -102,9 +101,13 @@
 	if ahead < minSample || reading < minReading {
 		return
 	}
-	e.learnt = true
-	sample := min(max(ahead/(float64(reading)/float64(time.Millisecond)), minSpeed), maxSpeed)
-	e.speed = math.Exp((1-speedWeight)*math.Log(e.speed) + speedWeight*math.Log(sample))
+	e.learnt.add(now, ahead/(float64(reading)/float64(time.Millisecond)))
+}
+
+// estimate takes the speeds that a number of first events showed, as the sum of
+// their logarithms.
+func (e *engine) estimate(samples, logSpeed float64) {
+	e.speed = math.Exp((priorSamples*math.Log(e.prior) + logSpeed) / (priorSamples + samples))
 }
 
 // reading returns the expected time to read the tokens.
--- a/gateway/placer/pace.go
+++ b/gateway/placer/pace.go
@@ -33,11 +33,13 @@
 	p.updated = now
 }
 
-// mean returns the mean pause; 0 if too few events arrived lately.
-func (p *pace) mean(now time.Duration) time.Duration {
+// lately returns the number of recent events, which is whole, and the sum of the
+// pauses before them.
+func (p *pace) lately(now time.Duration) (events float64, elapsed time.Duration) {
 	p.decay(now)
-	if p.events < minPaceEvents {
-		return 0
+	events = math.Round(p.events)
+	if events == 0 {
+		return 0, 0
 	}
-	return time.Duration(p.elapsed / p.events)
+	return events, time.Duration(p.elapsed * events / p.events)
 }
--- a/gateway/placer/peers.go
+++ b/gateway/placer/peers.go
@@ -15,7 +15,7 @@
 		}
 	}
 	for _, l := range loads {
-		if t := f.targets[l.Target]; t != nil {
+		if t := f.keys[l.Target]; t != nil {
 			t.setPeer(now, peer, l)
 		}
 	}
@@ -36,7 +36,7 @@
 		t := f.targets[id]
 		t.expire(now)
 		l := t.current(now)
-		if l != t.reported || all && l.Running > 0 {
+		if l.differs(t.reported) || all && !l.Empty() {
 			t.reported = l
 			loads = append(loads, l)
 		}
@@ -78,6 +78,7 @@
 		t.stall(r, false)
 		if t.engine != nil {
 			t.engine.learn(now, now-r.started, r.ahead)
+			t.estimateSpeed(now)
 		}
 	}
 	t.health.succeed(now)
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -17,6 +17,8 @@
 type Fleet struct {
 	settings Settings
 	targets  map[string]*target
+	// keys holds the same targets by the keys of their IDs.
+	keys map[Key]*target
 	// services holds the targets of each service, sorted by ID.
 	services map[string][]*target
 	engines  map[string]resolver.Engine
@@ -91,6 +93,10 @@
 		f.services[e.Service] = append(f.services[e.Service], t)
 	}
 	f.targets = next
+	f.keys = make(map[Key]*target, len(next))
+	for id, t := range next {
+		f.keys[KeyOf(id)] = t
+	}
 	f.equip()
 	for _, ts := range f.services {
 		slices.SortFunc(ts, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
@@ -120,8 +126,9 @@
 		prior = max(f.rate/1000/float64(engines), minSpeed)
 	}
 	for _, t := range f.targets {
-		if t.engine != nil && !t.engine.learnt {
-			t.engine.speed = prior
+		if t.engine != nil {
+			t.engine.prior = prior
+			t.estimateSpeed(t.engine.learnt.updated)
 		}
 	}
 }
--- a/gateway/placer/placer_test.go
+++ b/gateway/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -84,9 +85,9 @@
 		f := fleet(9)
 		home := send(t, f, 0, prompt("hot", 5000, 10), roomy)
 		// Another daemon reports so much work that the home engine is full.
-		f.SetPeer(0, "peer", []placer.Load{{Target: home.Target.ID, Unread: 60 * speed * 1000 / 1000 * 20, Running: 20}}, true)
+		f.SetPeer(0, "peer", []placer.Load{{Target: placer.KeyOf(home.Target.ID), Unread: 60 * speed * 1000 / 1000 * 20, Running: 20}}, true)
 		// Different small loads elsewhere do not change the order.
-		f.SetPeer(0, "other", []placer.Load{{Target: fmt.Sprint("e", daemon), Unread: 100, Running: 1}}, true)
+		f.SetPeer(0, "other", []placer.Load{{Target: placer.KeyOf(fmt.Sprint("e", daemon)), Unread: 100, Running: 1}}, true)
 		early, _ := f.Choose(0, prompt("hot", 5000, 10), roomy)
 		if early.Fits {
 			t.Fatalf("spills at once to %s", early.Target.ID)
@@ -113,7 +114,7 @@
 func TestSpillsOfPeersAreUsed(t *testing.T) {
 	one, other := fleet(9), fleet(9)
 	home := send(t, one, 0, prompt("hot", 5000, 10), roomy)
-	full := []placer.Load{{Target: home.Target.ID, Unread: 100000, Running: 30}}
+	full := []placer.Load{{Target: placer.KeyOf(home.Target.ID), Unread: 100000, Running: 30}}
 	one.SetPeer(0, "p", full, true)
 	other.SetPeer(0, "p", full, true)
 	late := roomy
@@ -187,6 +188,57 @@
 	}
 }
 
+// Load: a large fleet before engines of different speed, so that each daemon sees
+// few answers of each engine. Guards against daemons that take slow engines for
+// as fast as the others.
+func TestSpeedsThatPeersSawAreUsed(t *testing.T) {
+	const samples = 30
+	f := fleet(2)
+	for i, speed := range []float64{50, 10} {
+		l := placer.Load{Target: placer.KeyOf(fmt.Sprint("e", i)), Samples: samples, LogSpeed: samples * math.Log(speed)}
+		f.SetPeer(0, fmt.Sprint("peer", i), []placer.Load{l}, true)
+	}
+	counts := map[string]int{}
+	for i := range 100 {
+		c := send(t, f, 0, prompt(fmt.Sprint("s", i), 200, 1000), roomy)
+		counts[c.Target.ID]++
+		if i%10 == 9 {
+			for id := lastID - 9; id <= lastID; id++ {
+				f.End(0, id, placer.Cancelled)
+			}
+		}
+	}
+	if counts["e1"]*2 > counts["e0"] {
+		t.Errorf("requests %v; the slow engine should get much less", counts)
+	}
+}
+
+// Load: the same fleet, and engines whose streams are slow. Guards against prompts
+// for an engine that only others have seen to be slow.
+func TestPausesThatPeersSawAreUsed(t *testing.T) {
+	f := fleet(2)
+	r := prompt("s", 200, 1000)
+	r.Pace = 250 * time.Millisecond
+	home, _ := f.Choose(0, r, roomy)
+	f.SetPeer(0, "peer", []placer.Load{{Target: placer.KeyOf(home.Target.ID), Running: 8, Events: 20, Elapsed: 20 * 400 * time.Millisecond}}, true)
+	if c, _ := f.Choose(0, r, roomy); c.Target.ID == home.Target.ID || !c.Fits {
+		t.Errorf("chooses %+v, although the streams of %s are slow", c, home.Target.ID)
+	}
+}
+
+// Guards against reports that tell nothing of what this daemon saw of an engine.
+func TestReportsTellPausesAndSpeeds(t *testing.T) {
+	f := fleet(1)
+	r := prompt("s", 200, 4000) // the first engine of a prompt keeps its shared parts
+	send(t, f, 0, r, roomy)
+	f.FirstEvent(225*time.Millisecond, r.ID) // 4,000 tokens in 200 ms, and some time for the network
+	f.Progress(600*time.Millisecond, r.ID, 5, 300*time.Millisecond)
+	loads := f.Loads(600*time.Millisecond, false)
+	if len(loads) != 1 || loads[0].Pause() != 60*time.Millisecond || loads[0].Samples != 1 || math.Abs(math.Exp(loads[0].LogSpeed)-20) > 0.01 {
+		t.Errorf("loads %+v, want one with pauses of 60 ms and a speed of 20", loads)
+	}
+}
+
 // Guards against targets that fail and keep getting requests, and against
 // targets that never come back.
 func TestFailingTargetIsLeftAndTriedAgain(t *testing.T) {
@@ -265,7 +317,7 @@
 // Guards against work of daemons that have gone or restarted.
 func TestWorkOfSilentPeersFades(t *testing.T) {
 	f := fleet(1)
-	f.SetPeer(0, "p", []placer.Load{{Target: "e0", Unread: 1e6, Running: 64}}, true)
+	f.SetPeer(0, "p", []placer.Load{{Target: placer.KeyOf("e0"), Unread: 1e6, Running: 64}}, true)
 	if c, _ := f.Choose(0, prompt("a", 200, 10), roomy); c.Fits {
 		t.Error("the work of a peer does not count")
 	}
@@ -295,7 +347,7 @@
 	r := prompt("a", 200, 1000)
 	c := send(t, f, 0, r, roomy)
 	loads := f.Loads(0, false)
-	if len(loads) != 1 || loads[0].Target != c.Target.ID || loads[0].Running != 1 || loads[0].Unread < 1000 {
+	if len(loads) != 1 || loads[0].Target != placer.KeyOf(c.Target.ID) || loads[0].Running != 1 || loads[0].Unread < 1000 {
 		t.Fatalf("loads %+v", loads)
 	}
 	f.End(0, r.ID, placer.Complete)
@@ -447,7 +499,7 @@
 		subject := fmt.Sprint("hot", i)
 		first := send(t, f, 0, prompt(subject, 5000, 600), roomy)
 		f.SetTargets(entries)
-		f.SetPeer(time.Second, "peer", []placer.Load{{Target: first.Target.ID, Unread: 200000, Running: 1, Memory: 4000}}, true)
+		f.SetPeer(time.Second, "peer", []placer.Load{{Target: placer.KeyOf(first.Target.ID), Unread: 200000, Running: 1, Memory: 4000}}, true)
 		c := send(t, f, time.Second, prompt(subject, 5000, 600), roomy)
 		if !c.Home {
 			continue // the first engine is the same
@@ -474,8 +526,8 @@
 		first := send(t, f, 0, prompt("hot", 5000, 600), roomy)
 		var busy []placer.Load
 		for i := range 4 {
-			load := placer.Load{Target: fmt.Sprint("e", i), Unread: 60 * speed, Running: 1, Memory: 4000}
-			if load.Target == first.Target.ID {
+			load := placer.Load{Target: placer.KeyOf(fmt.Sprint("e", i)), Unread: 60 * speed, Running: 1, Memory: 4000}
+			if load.Target == placer.KeyOf(first.Target.ID) {
 				load.Unread = 2000 * speed
 			}
 			busy = append(busy, load)
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -128,7 +128,7 @@
 		share *= min(spareShare*terms.Standing, 1)
 	}
 	c.Full = c.Full || load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
-		limit > 0 && float64(e.pace.mean(now)) > share*float64(limit)
+		limit > 0 && float64(load.Pause()) > share*float64(limit)
 	// A prompt that takes longer than the allowance by itself still gets a target
 	// that has nothing else to read.
 	idle := e.reading(load.Unread) <= idleReading
--- a/gateway/placer/target.go
+++ b/gateway/placer/target.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -38,7 +39,7 @@
 func newTarget(e registrar.Entry) *target {
 	return &target{
 		hash: xxhash.Sum64String(e.ID), running: map[uint64]*run{}, peers: map[string]peerLoad{},
-		own: Load{Target: e.ID}, reported: Load{Target: e.ID},
+		own: Load{Target: KeyOf(e.ID)}, reported: Load{Target: KeyOf(e.ID)},
 	}
 }
 
@@ -63,34 +64,79 @@
 	time time.Duration
 }
 
-// Load is the work of one daemon at one target.
+// Key names a target in reports: a short hash of its ID. Of 3,000 targets, two have
+// the same key once in a thousand fleets; their work is then added up.
+type Key uint32
+
+// KeyOf returns the key of the target with an ID.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id) & math.MaxUint32) }
+
+// Load is the work of one daemon at one target, and what the answers lately
+// showed of an engine.
 type Load struct {
-	Target string
+	Target Key
 	// Unread is the number of prompt tokens of requests without a first event.
 	Unread float64
 	// Running is the number of requests.
 	Running int
 	// Memory is the number of tokens that the requests need in the engine's memory.
 	Memory float64
+	// Events is the number of recent pauses between events of streams, Elapsed their
+	// sum.
+	Events  float64
+	Elapsed time.Duration
+	// Samples is the number of recent first events that show how fast the engine reads,
+	// LogSpeed the sum of the logarithms of the speeds in tokens per millisecond.
+	Samples, LogSpeed float64
+}
+
+// Plus returns the sum of two loads at the same target.
+func (l Load) Plus(m Load) Load {
+	l.Unread += m.Unread
+	l.Running += m.Running
+	l.Memory += m.Memory
+	l.Events += m.Events
+	l.Elapsed += m.Elapsed
+	l.Samples += m.Samples
+	l.LogSpeed += m.LogSpeed
+	return l
 }
 
-// plus returns the sum of two loads.
-func (l Load) plus(m Load) Load {
-	return Load{Target: l.Target, Unread: l.Unread + m.Unread, Running: l.Running + m.Running, Memory: l.Memory + m.Memory}
+// Minus returns the difference of two loads; rounding does not make it negative.
+func (l Load) Minus(m Load) Load {
+	l.Unread = max(l.Unread-m.Unread, 0)
+	l.Running = max(l.Running-m.Running, 0)
+	l.Memory = max(l.Memory-m.Memory, 0)
+	l.Events = max(l.Events-m.Events, 0)
+	l.Elapsed = max(l.Elapsed-m.Elapsed, 0)
+	l.Samples = max(l.Samples-m.Samples, 0)
+	l.LogSpeed = max(l.LogSpeed-m.LogSpeed, 0)
+	return l
 }
 
-// minus returns the difference of two loads; rounding does not make it negative.
-func (l Load) minus(m Load) Load {
-	return Load{
-		Target: l.Target, Unread: max(l.Unread-m.Unread, 0), Running: max(l.Running-m.Running, 0), Memory: max(l.Memory-m.Memory, 0),
+// Empty reports whether the load tells nothing of the target.
+func (l Load) Empty() bool { return l.Running == 0 && l.Unread == 0 && l.Events == 0 && l.Samples == 0 }
+
+// Pause returns the mean recent pause between events; 0 if there were too few.
+func (l Load) Pause() time.Duration {
+	if l.Events < minPaceEvents {
+		return 0
 	}
+	return time.Duration(float64(l.Elapsed) / l.Events)
+}
+
+// differs reports whether peers should be told of the load after the last one.
+// The sums follow the counts.
+func (l Load) differs(last Load) bool {
+	l.Elapsed, l.LogSpeed = last.Elapsed, last.LogSpeed
+	return l != last
 }
 
 // start adds an own request.
 func (t *target) start(r *run) {
 	t.running[r.request.ID] = r
 	t.pending = append(t.pending, r)
-	t.own = t.own.plus(r.load())
+	t.own = t.own.Plus(r.load())
 }
 
 // answer notes that the answer to an own request began.
@@ -98,7 +144,7 @@
 	if r.answered {
 		return
 	}
-	t.own = t.own.minus(Load{Unread: r.unread})
+	t.own = t.own.Minus(Load{Unread: r.unread})
 	r.answered = true
 	t.pending = slices.DeleteFunc(t.pending, func(p *run) bool { return p == r })
 }
@@ -106,7 +152,7 @@
 // end removes an own request.
 func (t *target) end(r *run) {
 	t.stall(r, false)
-	t.own = t.own.minus(r.load())
+	t.own = t.own.Minus(r.load())
 	t.pending = slices.DeleteFunc(t.pending, func(p *run) bool { return p == r })
 	delete(t.running, r.request.ID)
 }
@@ -136,16 +182,20 @@
 // setPeer replaces the load of another daemon.
 func (t *target) setPeer(now time.Duration, peer string, l Load) {
 	t.removePeer(peer)
-	if l.Running > 0 {
+	if !l.Empty() {
 		t.peers[peer] = peerLoad{load: l, time: now}
-		t.others = t.others.plus(l)
+		t.others = t.others.Plus(l)
 	}
+	t.estimateSpeed(now)
 }
 
 func (t *target) removePeer(peer string) {
 	if p, ok := t.peers[peer]; ok {
 		delete(t.peers, peer)
-		t.others = t.others.minus(p.load)
+		t.others = t.others.Minus(p.load)
+		if len(t.peers) == 0 {
+			t.others = Load{} // no remainder of rounding
+		}
 	}
 }
 
@@ -162,11 +212,25 @@
 func (t *target) current(now time.Duration) Load {
 	l := t.own
 	l.Unread = max(l.Unread-t.progress(now), 0)
+	if t.engine != nil {
+		l.Events, l.Elapsed = t.engine.pace.lately(now)
+		l.Samples, l.LogSpeed = t.engine.learnt.lately(now)
+	}
 	return l
 }
 
+// estimateSpeed works out the speed of reading from what this daemon and its peers
+// have seen.
+func (t *target) estimateSpeed(now time.Duration) {
+	if t.engine == nil {
+		return
+	}
+	samples, logSpeed := t.engine.learnt.lately(now)
+	t.engine.estimate(samples+t.others.Samples, logSpeed+t.others.LogSpeed)
+}
+
 // total returns the work of all daemons.
-func (t *target) total(now time.Duration) Load { return t.current(now).plus(t.others) }
+func (t *target) total(now time.Duration) Load { return t.current(now).Plus(t.others) }
 
 // progress returns the tokens that the engine is expected to have read of the
 // requests that have no first event yet.
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -84,6 +84,19 @@
 	lastID string
 	// header is that of the first target that answered.
 	header http.Header
+	// passedOn is the time at which the last events were passed on, longestPause the
+	// longest time between two such times.
+	passedOn     time.Time
+	longestPause time.Duration
+}
+
+// pass notes that events are passed on now.
+func (s *stream) pass() {
+	now := time.Now()
+	if !s.passedOn.IsZero() {
+		s.longestPause = max(s.longestPause, now.Sub(s.passedOn))
+	}
+	s.passedOn = now
 }
 
 // readBytes is the size of one read of a stream.
@@ -132,6 +145,7 @@
 // writeEvents passes whole events on; false if the caller has left.
 func (j *job) writeEvents(events []byte, lastID string) bool {
 	j.beginStream()
+	j.stream.pass()
 	j.limitWrite()
 	if _, err := j.writer.Write(events); err != nil {
 		return false
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -295,8 +295,12 @@
 func (j *job) end(result string, status int) {
 	total := time.Since(j.start)
 	j.receiver.Observe(Observation{Route: j.route.Name, Outcome: result, FirstByte: j.firstByte, Total: total})
+	var longestPause time.Duration
+	if j.stream != nil {
+		longestPause = j.stream.longestPause
+	}
 	j.log(logger.RequestEnded, slog.String("outcome", result), slog.Int("status", status), slog.Int("attempts", j.attempts),
-		slog.Duration("firstByte", j.firstByte), slog.Duration("total", total))
+		slog.Duration("firstByte", j.firstByte), slog.Duration("longestPause", longestPause), slog.Duration("total", total))
 }
 
 // log writes a record about the request.
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -424,19 +424,34 @@
 	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
 
-// TargetWork is the work of the sender at one target.
+// TargetWork is the work of the sender at some targets and what it saw of them, by
+// column: the values at the same place belong to one target, and missing ones are
+// 0.
 type TargetWork struct {
-	// Tokens that the requests need in the engine's memory.
-	Memory uint64 `json:"memory" cbor:"4,keyasint,omitempty"`
+	// Recent pauses between events of streams.
+	Events []uint64 `json:"events,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
+
+	// Tokens that the requests need in the engine's memory, in units of 64.
+	Memory []uint64 `json:"memory,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
+
+	// Mean of these pauses, in units of 4 ms.
+	Pause []uint64 `json:"pause,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 
 	// Requests.
-	Running uint64 `json:"running" cbor:"3,keyasint,omitempty"`
+	Running []uint64 `json:"running,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
 
-	// Target.
-	Target string `json:"target" cbor:"1,keyasint,omitempty"`
+	// Recent first events that show how fast the engine reads.
+	Samples []uint64 `json:"samples,omitempty,omitzero" cbor:"7,keyasint,omitempty"`
+
+	// Geometric mean of the speeds that they show, in tenths of a token per
+	// millisecond.
+	SpeedTenths []uint64 `json:"speedTenths,omitempty,omitzero" cbor:"8,keyasint,omitempty"`
 
-	// Prompt tokens of requests whose answers have not begun.
-	Unread uint64 `json:"unread" cbor:"2,keyasint,omitempty"`
+	// Short hashes of the names.
+	Targets []uint64 `json:"targets" cbor:"1,keyasint,omitempty"`
+
+	// Prompt tokens of requests whose answers have not begun, in units of 16.
+	Unread []uint64 `json:"unread,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
 }
 
 // TotalEntry is the fleet total of one client account.
@@ -483,9 +498,12 @@
 	// State of the registry that the sender knows.
 	Registry *RegistryMark `json:"registry,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
-	// Targets whose work changed.
-	Targets []TargetWork `json:"targets,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
+	// Not used; keeps its key.
+	Targets []string `json:"targets,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
 
 	// Targets that are not listed have no work of the sender.
 	Whole bool `json:"whole" cbor:"1,keyasint,omitempty"`
+
+	// Targets whose work changed.
+	Work *TargetWork `json:"work,omitempty,omitzero" cbor:"12,keyasint,omitempty"`
 }
