Hold the call for the first configuration instead of reading again and again

Change: after the first read, the store holds the call until there is a configuration, as it does for later ones.

Figures: TestFirstConfigurationIsWaitedFor counts one read; it failed before.

--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -196,12 +196,11 @@
 		}
 		if config != nil {
 			w.options.Sink.SetConfig(began, *config)
-		} else if !known {
-			sleeper.Sleep(ctx, minRetry) // the first configuration is not written yet
-			continue
+			applied = true
 		}
-		known, applied = true, true
-		w.options.Sink.SetWatching(true)
+		// Before the first configuration is written, the store holds the next call, too.
+		known = true
+		w.options.Sink.SetWatching(applied)
 	}
 }
 
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -29,6 +29,12 @@
 	expired bool
 }
 
+// empty makes the store have no configuration yet.
+func (s *store) empty() *store {
+	s.version = 0
+	return s
+}
+
 func newStore() *store { return &store{version: 1, changed: make(chan struct{})} }
 
 // set changes the store and tells the held calls unless they are left unanswered.
@@ -57,6 +63,9 @@
 		return nil, 0, err
 	}
 	s.set(func() { s.reads++ }, false)
+	if v == 0 {
+		return nil, 0, nil
+	}
 	c := resolver.New(resolver.Content{Version: v})
 	return &c, v, nil
 }
@@ -163,6 +172,31 @@
 	}
 }
 
+// Load: all daemons of a fleet start before the first configuration is written.
+// Guards against daemons that read the store again and again until then.
+func TestFirstConfigurationIsWaitedFor(t *testing.T) {
+	s := newStore().empty()
+	k := watch(t, s)
+	count := func() (reads, held int) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return s.reads, s.held
+	}
+	for reads, held := count(); held == 0; reads, held = count() {
+		if reads > 1 {
+			t.Fatalf("the store was read %d times before there was a configuration", reads)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.set(func() { s.version = 3 }, true)
+	if v := <-k.versions; v != 3 {
+		t.Fatalf("version %d", v)
+	}
+	if reads, _ := count(); reads != 1 {
+		t.Errorf("%d reads, want 1", reads)
+	}
+}
+
 // Guards against a change that is seen only when a held call times out, because
 // the store forgot the call during an outage.
 func TestHeldCallsAreRepeatedAfterAnOutage(t *testing.T) {
