Keep what all assessments of a request share in one value

assessEngine had nine parameters, and asked for each target again whether the source of a copy has read the parts. A search holds what the assessments of one request have in common; the limit of the pause is worked out once. Behaviour is the same; the tests of the module pass unchanged.

--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -139,17 +139,12 @@
 // Choose returns the best target for a request; false if the service has no
 // target that may get it.
 func (f *Fleet) Choose(now time.Duration, r Request, terms Terms) (Choice, bool) {
-	order := f.order(r)
-	spills := terms.Waited >= spillWait
-	if terms.Spare {
-		spills = f.roomy(now, r.Service)
-	}
-	source := f.source(now, r, order)
+	s := f.search(now, r, terms)
 	var best, fitting Choice
 	var bestTarget, fittingTarget *target
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
-	for _, t := range f.candidates(now, r, order) {
-		c, score := f.assess(now, t, r, terms, order, source, spills)
+	for _, t := range f.candidates(s) {
+		c, score := f.assess(s, t)
 		if bestScore < 0 || score < bestScore {
 			best, bestTarget, bestScore = c, t, score
 		}
@@ -165,19 +160,19 @@
 	}
 	best.Target = bestTarget.entry
 	if best.Copied > 0 {
-		best.Source = source.entry.Address
+		best.Source = s.source.entry.Address
 	}
 	return best, true
 }
 
 // candidates returns the targets that may get a request. One that was already
 // sent in vain is not used to try out a target, unless there is no other.
-func (f *Fleet) candidates(now time.Duration, r Request, order *places) []*target {
+func (f *Fleet) candidates(s *search) []*target {
 	f.sound, f.onTrial = f.sound[:0], f.onTrial[:0]
-	for _, t := range f.sample(r.Service, order) {
+	for _, t := range f.sample(s.request.Service, s.order) {
 		switch {
-		case !t.health.usable(now) || slices.Contains(r.Excluded, t.entry.ID):
-		case r.Retry && t.health.onTrial():
+		case !t.health.usable(s.now) || slices.Contains(s.request.Excluded, t.entry.ID):
+		case s.request.Retry && t.health.onTrial():
 			f.onTrial = append(f.onTrial, t)
 		default:
 			f.sound = append(f.sound, t)
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -63,17 +63,45 @@
 	return first
 }
 
+// search is what the assessments of all targets for one request have in common.
+type search struct {
+	now     time.Duration
+	request Request
+	terms   Terms
+	// order is nil if the prompt has no shared parts.
+	order *places
+	// source is the engine from which others can copy the shared parts; nil for none.
+	// copyable is set if it is known to have read them.
+	source   *target
+	copyable bool
+	// spills is set if engines may read the shared parts again.
+	spills bool
+	// pace is the longest mean pause between events that an engine may have; 0 sets no
+	// limit.
+	pace time.Duration
+}
+
+func (f *Fleet) search(now time.Duration, r Request, terms Terms) *search {
+	s := &search{now: now, request: r, terms: terms, order: f.order(r), spills: terms.Waited >= spillWait, pace: f.paceLimit(r)}
+	if terms.Spare {
+		s.spills = f.roomy(now, r.Service)
+	}
+	s.source = f.source(now, r, s.order)
+	s.copyable = s.source != nil && s.source.engine.hasRead(now, r.affinity())
+	return s
+}
+
 // assess returns the choice of one target and its score: the expected time to
 // the first event plus penalties; the smallest is the best.
-func (f *Fleet) assess(now time.Duration, t *target, r Request, terms Terms, order *places, source *target, spills bool) (Choice, time.Duration) {
-	load := t.total(now)
+func (f *Fleet) assess(s *search, t *target) (Choice, time.Duration) {
+	load := t.total(s.now)
 	var c Choice // the target is added to the best choices only: entries are large
 	if t.engine == nil {
-		f.assessService(&c, t, load, terms.Allowance)
+		assessService(&c, t, load, s.terms.Allowance)
 	} else {
-		f.assessEngine(now, &c, t, load, r, terms, order != nil && order.targets[0] == t, source, spills)
+		s.assessEngine(&c, t, load)
 	}
-	score := c.Expected + time.Duration(t.health.errorShare(now)*float64(errorPenalty))
+	score := c.Expected + time.Duration(t.health.errorShare(s.now)*float64(errorPenalty))
 	if f.settings.Policy == Fewest {
 		// The baseline knows neither prompt parts nor the pace of streams.
 		c.Full = load.Running >= max(t.entry.Slots, 1)
@@ -84,55 +112,60 @@
 		score += remotePenalty
 	}
 	if c.Shared > spillTokens {
-		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(order.of(t))*rankPenalty
+		score += time.Duration(c.Shared*float64(rereadPenalty)) + time.Duration(s.order.of(t))*rankPenalty
 	}
 	if t.stalled > 0 {
 		score += stallPenalty
 	}
-	if now < t.fullUntil {
+	if s.now < t.fullUntil {
 		score += fullPenalty
 		c.Fits, c.Full = false, true
 	}
 	return c, score
 }
 
-func (f *Fleet) assessEngine(now time.Duration, c *Choice, t *target, load Load, r Request, terms Terms, home bool, source *target, spills bool) {
-	e := t.engine
-	c.Home = home
-	c.Unread, c.Shared = e.unread(now, r, home)
+func (s *search) assessEngine(c *Choice, t *target, load Load) {
+	e, r := t.engine, s.request
+	c.Home = s.order != nil && s.order.targets[0] == t
+	c.Unread, c.Shared = e.unread(s.now, r, c.Home)
 	switch {
-	case source == nil || source == t:
+	case s.source == nil || s.source == t:
 	case c.Shared > spillTokens:
 		c.Copied = c.Shared
-	case home && !e.holds(now, r.affinity()) && source.engine.hasRead(now, r.affinity()):
+	case c.Home && s.copyable && !e.holds(s.now, r.affinity()):
 		// The order has changed since the source read them; nothing is copied if the
 		// engine keeps them.
 		c.Copied = r.shared()
 	}
 	c.Ahead = load.Unread + c.Unread
 	c.Expected = firstEventBase + e.reading(c.Ahead)
-	slots := max(e.settings.Slots, t.entry.Slots, 1)
-	memory := float64(e.settings.MemoryTokens) * memoryShare
-	limit, share := f.paceLimit(r), 1.0
+	share := 1.0
 	if c.Shared > spillTokens {
+		spills := s.spills
 		// Copies let an account that got less than others over their share use engines
 		// that do not keep its subjects.
-		if terms.Spare && terms.Standing > 1 && c.Copied > 0 && source.engine.hasRead(now, r.affinity()) {
+		if s.terms.Spare && s.terms.Standing > 1 && c.Copied > 0 && s.copyable {
 			spills = true
 		} else {
 			share = spillShare
 		}
 		c.Full = !spills
 	}
-	if terms.Spare {
-		share *= min(spareShare*terms.Standing, 1)
+	if s.terms.Spare {
+		share *= min(spareShare*s.terms.Standing, 1)
 	}
-	c.Full = c.Full || load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory ||
-		limit > 0 && float64(load.Pause()) > share*float64(limit)
+	c.Full = c.Full || e.full(load, r, max(e.settings.Slots, t.entry.Slots, 1)) ||
+		s.pace > 0 && float64(load.Pause()) > share*float64(s.pace)
 	// A prompt that takes longer than the allowance by itself still gets a target
 	// that has nothing else to read.
 	idle := e.reading(load.Unread) <= idleReading
-	c.Fits = !c.Full && (idle || float64(c.Expected) <= share*float64(terms.Allowance))
+	c.Fits = !c.Full && (idle || float64(c.Expected) <= share*float64(s.terms.Allowance))
+}
+
+// full reports whether the engine has no slot or no memory for a further request.
+func (e *engine) full(load Load, r Request, slots int) bool {
+	memory := float64(e.settings.MemoryTokens) * memoryShare
+	return load.Running >= slots || memory > 0 && load.Running > 0 && load.Memory+r.memory() > memory
 }
 
 // paceLimit returns the longest mean pause between events that an engine may
@@ -145,7 +178,7 @@
 	return limit
 }
 
-func (f *Fleet) assessService(c *Choice, t *target, load Load, allowance time.Duration) {
+func assessService(c *Choice, t *target, load Load, allowance time.Duration) {
 	slots := max(t.entry.Slots, 1)
 	turns := 1 + float64(load.Running)/float64(slots)
 	c.Expected = time.Duration(turns * float64(max(t.latency, minLatency)))
