--- a/router/controller/controller_test.go
+++ b/router/controller/controller_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"monsoondeck.example/configurer"
+	"monsoondeck.example/detector"
 	"monsoondeck.example/router/locator"
 )
 
@@ -117,3 +119,27 @@
 		}
 	})
 }
+
+// Load: a daemon that schedules a shard dies. Guards against a shard that idles
+// until the death is certain, which takes some seconds.
+func TestSuspectsOwnNoShards(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		f.deliverAll()
+		suspect := rapid.IntRange(0, fleetDaemons-1).Draw(t, "suspect")
+		f.members = slices.Clone(f.members)
+		f.members[suspect].State = detector.Suspect
+		id := f.members[suspect].ID
+		f.settleDown()
+		for name, n := range f.nodes {
+			for key, s := range n.controller.locator.Shards() {
+				if s.Owner == id {
+					t.Fatalf("%s takes the suspect %s for the owner of %s", name, id, key)
+				}
+				if o := n.controller.owned[key]; (o != nil) != (s.Owner == name) {
+					t.Fatalf("%s schedules %s: %v, owner is %s", name, key, o != nil, s.Owner)
+				}
+			}
+		}
+	})
+}
