Probe a member whose connection broke at once

Cause: a killed scheduler was found only when a probe met it by chance, up to some seconds later, and its shard idled meanwhile.

Ruled out: nothing further; what the rest of the loss is due to was not traced.

Change: the hub tells the controller of a connection that ended without having been replaced; the detector probes that member at once and suspects it after twice 300 ms without an answer. A live one answers and is not suspected.

Tests: TestLostConnectionsAreTold, TestDoubtedMembers; both fail to build without the change.

--- a/connector/hub_test.go
+++ b/connector/hub_test.go
@@ -53,6 +53,28 @@
 	}
 }
 
+// Guards against a peer that is gone and noticed only when somebody asks it, and
+// against the end of this daemon that is taken for that of its peers.
+func TestLostConnectionsAreTold(t *testing.T) {
+	lost, own := make(chan string, 8), make(chan string, 8)
+	a, _ := startHub(t, "a", 1, func(o *Options) { o.Lost = func(id string) { lost <- id } })
+	b, stop, err := New(Options{Self: "b", Incarnation: 1, Secret: testSecret, Lost: func(id string) { own <- id }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewServer(b)
+	defer s.Close()
+	a.Send(Peer{ID: "b", Address: strings.TrimPrefix(s.URL, "http://")}, note(1))
+	<-b.Received()
+	stop()
+	if id := <-lost; id != "b" {
+		t.Errorf("%s was lost, want b", id)
+	}
+	if len(own) > 0 {
+		t.Errorf("the hub that was closed told that it lost %s", <-own)
+	}
+}
+
 func TestFramesReachThePeer(t *testing.T) {
 	a, aa := startHub(t, "a", 1)
 	b, ab := startHub(t, "b", 2)
--- a/connector/link.go
+++ b/connector/link.go
@@ -86,7 +86,9 @@
 		}
 	}
 	l.abort()
-	p.detach(l)
+	if p.detach(l) && h.ctx.Err() == nil && h.options.Lost != nil {
+		h.options.Lost(l.id)
+	}
 }
 
 // identify fills in the sender that the peer proved at the handshake. A frame
--- a/connector/options.go
+++ b/connector/options.go
@@ -49,6 +49,10 @@
 	Secret []byte
 	Logger *slog.Logger
 	Dialer Dialer
+	// Lost is called when the only connection to a peer ended without having been
+	// replaced, which is often the first sign that the peer is gone. It must not block
+	// for long; nil is not called.
+	Lost   func(id string)
 	Timing Timing
 }
 
--- a/connector/peer.go
+++ b/connector/peer.go
@@ -245,11 +245,14 @@
 	p.detach(other)
 }
 
-func (p *peer) detach(l *link) {
+// detach removes a link and reports whether it was the only one.
+func (p *peer) detach(l *link) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	only := len(p.links) == 1 && p.links[0] == l
 	p.links = slices.DeleteFunc(p.links, func(o *link) bool { return o == l })
 	signal(p.changed)
+	return only
 }
 
 func (p *peer) abortLinks() {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -122,6 +122,19 @@
 // SetConfigVersion sets the configuration version that messages carry.
 func (d *Detector) SetConfigVersion(v uint64) { d.configVersion = v }
 
+// Doubt probes a member at once, because there is a sign that it is gone, such as
+// a connection that broke. Without an answer within twice IndirectAfter it becomes
+// suspect.
+func (d *Detector) Doubt(now time.Duration, id string) []Send {
+	e := d.entries[id]
+	if e == nil || e.State != Alive || d.current.subject == e {
+		return nil
+	}
+	d.current = probe{subject: e, nonce: d.newNonce(), sent: now}
+	d.nextProbe = now + 2*d.settings.IndirectAfter
+	return []Send{d.probe(e, messenger.Probe{Nonce: d.current.nonce, Subject: e.ID})}
+}
+
 // HandleProbe handles a probe from another daemon: it answers it, or passes it
 // on if it is an indirect probe of a third daemon.
 func (d *Detector) HandleProbe(now time.Duration, from string, p messenger.Probe) []Send {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -148,6 +148,33 @@
 	}
 }
 
+// TestDoubtedMembers guards against a killed daemon that is found only when it is
+// probed by chance, and against a broken connection that makes a live one suspect.
+func TestDoubtedMembers(t *testing.T) {
+	for name, dead := range map[string]bool{"killed": true, "alive": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(12, 1, Settings{})
+			f.introduce()
+			f.run(5 * time.Second)
+			f.nodes[3].frozen = dead
+			for _, n := range f.nodes {
+				if n != f.nodes[3] {
+					f.post(n, n.Doubt(f.now, f.nodes[3].Self().ID))
+				}
+			}
+			f.run(time.Second)
+			for _, n := range f.nodes {
+				if n == f.nodes[3] {
+					continue
+				}
+				if got := n.entries[f.nodes[3].Self().ID].State; (got == Suspect) != dead {
+					t.Errorf("%s takes the member for %v", n.Self().ID, got)
+				}
+			}
+		})
+	}
+}
+
 // TestLeavingDaemonIsDroppedWithoutSuspicion guards against a graceful stop that
 // waits for failure detection.
 func TestLeavingDaemonIsDroppedWithoutSuspicion(t *testing.T) {
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -34,6 +34,7 @@
 	HandleAck(now time.Duration, from string, a messenger.ProbeAck) []detector.Send
 	Members() []detector.Member
 	Leave(now time.Duration) []detector.Send
+	Doubt(now time.Duration, id string) []detector.Send
 }
 
 // Timing holds the periods and limits of the control loop.
--- a/router/controller/fleet_test.go
+++ b/router/controller/fleet_test.go
@@ -63,6 +63,7 @@
 func (*node) HandleAck(time.Duration, string, messenger.ProbeAck) []detector.Send { return nil }
 func (n *node) Members() []detector.Member                                        { return n.fleet.members }
 func (*node) Leave(time.Duration) []detector.Send                                 { return nil }
+func (*node) Doubt(time.Duration, string) []detector.Send                         { return nil }
 
 const (
 	fleetDaemons  = 4
--- a/router/controller/membership.go
+++ b/router/controller/membership.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// peerLostMessage tells that the connection to a daemon broke.
+type peerLostMessage struct{ id string }
+
+func (m peerLostMessage) apply(c *Controller, now time.Duration) {
+	c.handleSends(c.options.Membership.Doubt(now, m.id))
+}
+
+// PeerLost notes that the connection to a daemon broke. A killed process is found
+// by it within a second, and by probes at random within some seconds.
+func (c *Controller) PeerLost(id string) { c.post(peerLostMessage{id}) }
+
 // handleSends passes the detector's messages to the hub with the version of
 // the configuration in force, by which others learn that they are behind.
 func (c *Controller) handleSends(sends []detector.Send) {
--- a/router/router.go
+++ b/router/router.go
@@ -100,6 +100,8 @@
 	}
 	hub, closeHub, err := connector.New(connector.Options{
 		Self: d.settings.ID, Incarnation: incarnation, Secret: []byte(d.settings.FleetSecret), Logger: d.logger,
+		// There are no connections before the controller is set.
+		Lost: func(id string) { d.controller.PeerLost(id) },
 	})
 	if err != nil {
 		return nil, err
