Ask the kernel for one socket when a relay looks for its dialler

By its id the daemon had sent that request 0.2 s before the drain was in force (the next id began at a target then). It and seven others of that moment arrived together 2.8 s later: the relay of the stand-ins held their connections while it read the list of all sockets of the machine.

Ruled out: a permit that is too old (the request had passed the last check), a late configuration (version 7 in force in all daemons within 1 ms).

Change: the relay asks for the one socket over netlink instead of reading all of them.

--- a/generator/launcher/source.go
+++ b/generator/launcher/source.go
@@ -1,28 +1,29 @@
 package launcher
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+
+	"github.com/vishvananda/netlink"
 )
 
 // finder finds the processes that hold the other ends of accepted loopback
 // connections. All daemons of a fleet dial from the same address, so only the
-// owner of the socket tells which one it was. The list of sockets is read once
-// for all connections that wait: reading it for each took longer than daemons
-// wait for an answer when there were many, and they dialled again.
+// owner of the socket tells which one it was. The sockets of a process are listed
+// once for all connections that wait.
 type finder struct {
 	questions chan question
 	done      chan struct{}
 }
 
 type question struct {
-	ends   string // addresses as the dialler's socket has them
-	pids   []int  // candidates
-	answer chan owner
+	dialler, accepted net.Addr // addresses of the two ends
+	pids              []int    // candidates
+	answer            chan owner
 }
 
 // owner is who holds the other end of a connection.
@@ -45,8 +46,7 @@
 // find returns the dialling process among candidates, or 0, and whether any
 // process still holds the connection.
 func (f *finder) find(accepted net.Conn, candidates []int) (pid int, owned bool) {
-	remote, local := accepted.RemoteAddr().(*net.TCPAddr), accepted.LocalAddr().(*net.TCPAddr)
-	q := question{kernelAddress(remote) + " " + kernelAddress(local), candidates, make(chan owner, 1)}
+	q := question{accepted.RemoteAddr(), accepted.LocalAddr(), candidates, make(chan owner, 1)}
 	select {
 	case f.questions <- q:
 	case <-f.done:
@@ -87,10 +87,10 @@
 }
 
 func (f *finder) answer(questions []question) {
-	sockets, owners := inodes(), map[int]map[string]bool{}
+	owners := map[int]map[string]bool{}
 	for _, q := range questions {
-		inode := sockets[q.ends]
-		found := owner{owned: inode != "" && inode != noInode}
+		inode := inodeOf(q.dialler, q.accepted)
+		found := owner{owned: inode != noInode}
 		for _, pid := range q.pids {
 			if owners[pid] == nil {
 				owners[pid] = socketsOf(pid)
@@ -103,34 +103,19 @@
 	}
 }
 
-// noInode stands in /proc/net/tcp for a socket that no process holds any more.
+// noInode stands for a socket that no process holds any more.
 const noInode = "0"
 
-// inodes returns the inodes of all IPv4 sockets by their ends.
-func inodes() map[string]string {
-	out := map[string]string{}
-	f, err := os.Open("/proc/net/tcp")
+// inodeOf returns the inode of the dialler's socket of a connection. The kernel is
+// asked for this one socket: reading the list of all took seconds on a machine with
+// many connections, and a request that was held for so long arrived after a change
+// that its daemon had seen.
+func inodeOf(dialler, accepted net.Addr) string {
+	socket, err := netlink.SocketGet(dialler, accepted)
 	if err != nil {
-		return out
-	}
-	defer func() { _ = f.Close() }()
-	const localField, remoteField, inodeField = 1, 2, 9
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		if fields := strings.Fields(lines.Text()); len(fields) > inodeField {
-			out[fields[localField]+" "+fields[remoteField]] = fields[inodeField]
-		}
-	}
-	return out
-}
-
-// kernelAddress returns an address as /proc/net/tcp shows it on little-endian
-// machines.
-func kernelAddress(a *net.TCPAddr) string {
-	ip := a.IP.To4()
-	if ip == nil {
-		return ""
+		return noInode // closed meanwhile
 	}
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+	return strconv.FormatUint(uint64(socket.INode), 10)
 }
 
 // socketsOf returns the inodes of the sockets of a process.
