Count a grant's first lease from its delivery

Cause of TestTargetsAreNeverOverloaded: a grant took 922 ms to its daemon, which listed it at its next refresh 1.27 s later; that list was still under way 3 s after the grant was issued, when the owner took the slot back and granted it again. Target t0 then ran 3 requests with 2 slots. Delivery, refresh and list take a second each, and timers fire late, so a lease of 3 s can end before the first list arrives. Ruled out: restarts, two owners, restored grants (none in the trace).

Change: the first lease is longer by the longest delivery (1 s, the connector drops older frames). Later leases stay at 3 s.

--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
 // Grants issues and returns the grants that are possible now, and counts them against the
 // demand. It also frees the slots of grants whose lease has ended.
@@ -67,7 +70,11 @@
 // hold adds a grant and takes a slot of its target.
 func (s *Scheduler) hold(g *grant) {
 	s.grants[g.key] = g
-	g.leaseElement = s.leases.PushBack(g)
+	if g.confirmed {
+		g.leaseElement = s.leases.PushBack(g)
+	} else {
+		g.leaseElement = s.firstLeases.PushBack(g)
+	}
 	g.member.heldGrants++
 	g.account.heldGrants++
 	g.account.peakHeld = max(g.account.peakHeld, g.account.heldGrants)
@@ -77,7 +84,8 @@
 // release removes a grant and frees its slot.
 func (s *Scheduler) release(g *grant) {
 	delete(s.grants, g.key)
-	s.leases.Remove(g.leaseElement)
+	s.leases.Remove(g.leaseElement) // does nothing if the other list has the element
+	s.firstLeases.Remove(g.leaseElement)
 	g.member.heldGrants--
 	g.account.heldGrants--
 	s.addUsedSlots(g.target, -1)
@@ -112,11 +120,18 @@
 	}
 }
 
-// expireLeases releases the grants that their members have not listed within the lease.
+// expireLeases releases the grants that their members have not listed within the lease. The
+// first lease is longer: the time in which the grant reaches its member is not part of it.
 func (s *Scheduler) expireLeases() {
-	for e := s.leases.Front(); e != nil; e = s.leases.Front() {
+	s.expire(&s.leases, s.settings.Lease)
+	s.expire(&s.firstLeases, s.settings.DeliveryTimeout+s.settings.Lease)
+}
+
+// expire releases the grants of a list that were last listed at least a lease ago.
+func (s *Scheduler) expire(leases *list.List, lease time.Duration) {
+	for e := leases.Front(); e != nil; e = leases.Front() {
 		g := e.Value.(*grant)
-		if s.now-g.lastListed < s.settings.Lease {
+		if s.now-g.lastListed < lease {
 			return
 		}
 		if !g.confirmed {
@@ -162,5 +177,7 @@
 // renewLease restarts the lease of a grant.
 func (s *Scheduler) renewLease(g *grant) {
 	g.lastListed = s.now
-	s.leases.MoveToBack(g.leaseElement)
+	s.firstLeases.Remove(g.leaseElement)
+	s.leases.Remove(g.leaseElement)
+	g.leaseElement = s.leases.PushBack(g)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -29,11 +29,12 @@
 	// activeWeight is the sum of the weights of the accounts in active.
 	activeWeight float64
 	grants       map[grantKey]*grant
-	// leases orders the grants by the time they were last listed, oldest first.
-	leases        list.List
-	endedGrants   history
-	prefixTargets prefixCache
-	serviceRate   rateMeter
+	// leases orders the confirmed grants by the time they were last listed, oldest first;
+	// firstLeases orders the others by the time they were issued.
+	leases, firstLeases list.List
+	endedGrants         history
+	prefixTargets       prefixCache
+	serviceRate         rateMeter
 	// pendingReports lists the accounts whose service no aggregator has acknowledged.
 	pendingReports []*account
 	lastGrantID    uint64
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -151,6 +151,7 @@
 	lastListed time.Duration
 	// confirmed is set once the member has listed or settled the grant.
 	confirmed bool
-	// leaseElement is the position in Scheduler.leases.
+	// leaseElement is the position in Scheduler.leases, or in firstLeases until the grant is
+	// confirmed.
 	leaseElement *list.Element
 }
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -73,6 +73,9 @@
 	Epoch uint64
 	// Lease is the time after which a grant is freed if its member has not listed it again.
 	Lease time.Duration
+	// DeliveryTimeout is the longest time that a message to a member can take. The first lease of
+	// a grant is longer by it.
+	DeliveryTimeout time.Duration
 	// RebuildWindow limits how long a new owner waits for the holdings of the live members before
 	// it issues grants.
 	RebuildWindow time.Duration
@@ -84,6 +87,7 @@
 // Defaults of Settings.
 const (
 	DefaultLease                = 3 * time.Second
+	DefaultDeliveryTimeout      = time.Second // connector drops messages that wait longer
 	DefaultRebuildWindow        = 300 * time.Millisecond
 	DefaultAdjustmentCapSeconds = 5.0
 )
@@ -92,6 +96,9 @@
 	if s.Lease <= 0 {
 		s.Lease = DefaultLease
 	}
+	if s.DeliveryTimeout <= 0 {
+		s.DeliveryTimeout = DefaultDeliveryTimeout
+	}
 	if s.RebuildWindow <= 0 {
 		s.RebuildWindow = DefaultRebuildWindow
 	}
