Spread the requests of plain services among targets with old reports

Cause: every daemon sent a request to the target with the shortest expected time by the last reports. Reports are 0.1 s (small fleets) to 1 s old (295 daemons), the work takes 15 to 60 ms, so all daemons chose the same target until the next report. On the large site 21,298 of 71,919 arrivals at the order desk were turned away as full while it was 0.8 loaded. The first supposition of the issue, no spare slots, is ruled out by the model: with the same load and an even choice nothing is refused.

Change: the load that peers report counts less the older it is against the service time, in favour of its mean over 3 s; the better one of two random targets is chosen, with a random time added to each that grows with the age of the reports. With fresh reports the choice is the old one, between two.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/queuer"
@@ -203,7 +205,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventBuffer),
 		registry: registrar.New(registrar.Settings{Grace: registryGrace}),
-		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy}),
+		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host)}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
 		groups: map[grouper.Group]time.Duration{}, sums: grouper.NewSums(), directPeers: map[string]bool{},
--- a/gateway/placer/constants.go
+++ b/gateway/placer/constants.go
@@ -141,6 +141,16 @@
 	// minServiceTime is the lower bound of the service time of a plain service, and is
 	// assumed before any answer.
 	minServiceTime = 5 * time.Millisecond
+	// peerRunningTimeConstant is the time constant of the mean number of requests that
+	// peers report: several report intervals, so that daemons do not all follow a
+	// difference that they have caused themselves.
+	peerRunningTimeConstant = 3 * time.Second
+	// uncertainTurns is the mean random time, in service times, that is added to the
+	// expected time of a target about which all reports are old.
+	uncertainTurns = 2.0
+	// drawnTargets is the number of random targets of a plain service of which the best
+	// one is chosen.
+	drawnTargets = 2
 	// maxRequestsPerSlot limits the requests at a target of a plain service, as a
 	// multiple of its slots. Those beyond the slots wait at the target.
 	maxRequestsPerSlot = 3
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -10,6 +10,7 @@
 package placer
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -45,6 +46,7 @@
 	preferredTargets, recoveringTargets, sampledTargets []*target
 	// lastSampled is the index of the last target that was sampled.
 	lastSampled int
+	random      *rand.Rand
 }
 
 // Settings configures a Fleet.
@@ -53,6 +55,8 @@
 	DataCentre string
 	// Policy is the rule by which targets are chosen.
 	Policy Policy
+	// Seed seeds the random choices, so that those of different daemons differ.
+	Seed uint64
 }
 
 // Policy is a rule by which targets are chosen.
@@ -73,6 +77,7 @@
 	return &Fleet{
 		settings: s, targets: map[string]*target{}, targetsByService: map[string][]*target{},
 		engineSettings: map[string]resolver.Engine{}, gapLimits: map[string]time.Duration{}, loadChecks: map[string]loadCheck{}, targetOfRequest: map[uint64]*target{},
+		random: rand.New(rand.NewPCG(s.Seed, s.Seed)),
 	}
 }
 
@@ -154,8 +159,15 @@
 	var best, fitting Choice
 	var bestTarget, fittingTarget *target
 	bestScore, fittingScore := time.Duration(-1), time.Duration(-1)
-	for _, t := range f.candidates(s) {
+	candidates := f.candidates(s)
+	if len(candidates) > 0 && candidates[0].engine == nil && f.settings.Policy == ShortestExpectedTime {
+		candidates = f.drawServices(s, candidates)
+	}
+	for _, t := range candidates {
 		c, score := f.assess(s, t)
+		if t.engine == nil {
+			score += time.Duration(f.random.ExpFloat64() * float64(t.uncertainty(now)))
+		}
 		if bestScore < 0 || score < bestScore {
 			best, bestTarget, bestScore = c, t, score
 		}
@@ -196,6 +208,27 @@
 	return f.recoveringTargets
 }
 
+// drawServices returns two random targets of a plain service, or all candidates if
+// neither has room. With old reports, the target that seems best to one daemon seems
+// best to all; the better one of two random targets spreads the requests of hundreds
+// of daemons.
+func (f *Fleet) drawServices(s *search, candidates []*target) []*target {
+	if len(candidates) <= drawnTargets {
+		return candidates
+	}
+	fits := false
+	for i := range drawnTargets {
+		j := i + f.random.IntN(len(candidates)-i)
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+		c, _ := f.assess(s, candidates[i])
+		fits = fits || c.Fits
+	}
+	if !fits {
+		return candidates
+	}
+	return candidates[:drawnTargets]
+}
+
 // sample returns the targets of a service that are assessed for one request: all of
 // them, or in a large service the top-ranked ones for the prompt and some others in
 // turn.
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // lightlyLoaded reports whether the engines of the service have so little to prefill
 // that computing shared parts again delays nobody.
@@ -100,7 +103,7 @@
 	load := t.totalLoadAt(s.now)
 	var c Choice // Choose sets Target for the best choice only, since entries are large
 	if t.engine == nil {
-		assessService(&c, t, load, s.constraints.FirstEventBudget)
+		t.assessService(&c, s.now, s.constraints.FirstEventBudget)
 	} else {
 		s.assessEngine(&c, t, load)
 	}
@@ -182,9 +185,31 @@
 	return limit
 }
 
-func assessService(c *Choice, t *target, load Load, budget time.Duration) {
-	slots := max(t.entry.Slots, 1)
-	turns := 1 + float64(load.Running)/float64(slots)
-	c.Expected = time.Duration(turns * float64(max(t.serviceTime, minServiceTime)))
-	c.Fits = load.Running < slots || load.Running < slots*maxRequestsPerSlot && c.Expected <= budget
+func (t *target) assessService(c *Choice, now time.Duration, budget time.Duration) {
+	slots := float64(max(t.entry.Slots, 1))
+	running := t.expectedRunning(now)
+	serviceTime := float64(max(t.serviceTime, minServiceTime))
+	c.Expected = time.Duration((1 + running/slots) * serviceTime)
+	c.Fits = running < slots || running < slots*maxRequestsPerSlot && c.Expected <= budget
+}
+
+// expectedRunning returns the expected number of requests at a target of a plain
+// service. A request that peers reported has probably ended after the service time,
+// and others have come; the older the reports, the more the mean of the last reports
+// counts instead.
+func (t *target) expectedRunning(now time.Duration) float64 {
+	peers := float64(t.peerTotal.Running) + t.reportAge(now)*(t.meanPeerRunning-float64(t.peerTotal.Running))
+	return float64(t.ownLoad.Running) + max(peers, 0)
+}
+
+// uncertainty returns the time by which the expected time of a target of a plain
+// service can be wrong because the reports of the peers are old.
+func (t *target) uncertainty(now time.Duration) time.Duration {
+	return time.Duration(t.reportAge(now) * uncertainTurns * float64(max(t.serviceTime, minServiceTime)))
+}
+
+// reportAge returns the expected share of the requests in the last reports of the
+// peers that have ended since, between 0 and 1.
+func (t *target) reportAge(now time.Duration) float64 {
+	return 1 - math.Exp(-float64(now-t.peersReported)/float64(max(t.serviceTime, minServiceTime)))
 }
--- a/gateway/placer/target.go
+++ b/gateway/placer/target.go
@@ -30,6 +30,10 @@
 	// peerLoads holds the last load reported by each peer; peerTotal is their sum.
 	peerLoads map[string]peerLoad
 	peerTotal Load
+	// peersReported is the time of the last report of a peer, and meanPeerRunning the
+	// moving mean of peerTotal.Running.
+	peersReported   time.Duration
+	meanPeerRunning float64
 	// lastReported is the own load last returned for the peers.
 	lastReported Load
 	health       health
@@ -196,6 +200,9 @@
 		t.peerLoads[peer] = peerLoad{load: l, time: now}
 		t.peerTotal = t.peerTotal.Add(l)
 	}
+	weight := 1 - math.Exp(-float64(now-t.peersReported)/float64(peerRunningTimeConstant))
+	t.meanPeerRunning += weight * (float64(t.peerTotal.Running) - t.meanPeerRunning)
+	t.peersReported = now
 	t.updatePrefillSpeed(now)
 }
 
