--- a/gateway/controller/configuration.go
+++ b/gateway/controller/configuration.go
@@ -36,8 +36,12 @@
 		c.publishFreshness()
 		return
 	}
-	if e.fromStore && old != nil && !c.plan.Undivided() && c.freshness.Load().Reader {
-		c.options.SendConfig(e.config) // in a large fleet, most daemons do not read the store
+	switch { // in a large fleet, most daemons do not read the store
+	case c.plan.Undivided() || old == nil:
+	case e.fromStore && c.reader:
+		c.options.SendConfig(e.config, c.broadcastRecipients())
+	case !e.fromStore && c.plan.Relay:
+		c.options.SendConfig(e.config, c.plan.Members)
 	}
 	c.fleet.SetConfig(e.config)
 	c.shares.SetCapacity(e.config.Limits().TokensPerSecond)
--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -52,21 +52,19 @@
 	ShareWindow time.Duration
 	// Host is the name of this daemon.
 	Host string
-	// SendReport sends a report to the named peers; the names are sorted.
-	// SendRegistryChange sends a change of the registry to all peers. Neither blocks.
+	// Address is the peer address of this daemon.
+	Address string
+	// SendReport, SendRegistryChange and SendConfig send a report, a change of the
+	// registry and a configuration to the named peers; the names are sorted. None blocks.
 	SendReport         func(r Report, to []string)
-	SendRegistryChange func(RegistryChange)
-	// Peers returns the names of all other daemons. Address returns the peer address
-	// of a daemon, or "" if it is unknown. AddPeers adds daemons that a peer reported.
-	Peers    func() []string
-	Address  func(host string) string
+	SendRegistryChange func(c RegistryChange, to []string)
+	SendConfig         func(c resolver.Config, to []string)
+	// Peers returns all other daemons. AddPeers adds daemons that a peer reported.
+	Peers    func() []Daemon
 	AddPeers func([]Daemon)
 	// Probe starts a connection attempt to a target, whose result is passed to
 	// ProbeFinished; it does not block.
 	Probe func(registrar.Entry)
-	// SendConfig sends a configuration that this daemon has read from the store to all
-	// peers; it does not block.
-	SendConfig func(resolver.Config)
 	// RefetchConfig reads the configuration from the store again, because a peer has a
 	// newer one. RequestConfig requests a configuration newer than the given version
 	// from the peer, because the store did not return it in time. Neither blocks.
@@ -109,19 +107,27 @@
 	// waiting holds the permits of queued requests and placed those of requests at
 	// targets, by request ID.
 	waiting, placed map[uint64]*permit
-	// peers maps each live peer to the time of the last sign of life. groups maps each
-	// other group to the time of its last sum.
-	peers  map[string]time.Duration
-	groups map[grouper.Group]time.Duration
-	// plan selects the recipients of reports; sums adds up the reports of the own
-	// group.
+	// peers maps each live peer to the time of the last sign of life.
+	peers map[string]time.Duration
+	// plan says to whom this daemon sends what.
 	plan grouper.Plan
-	sums *grouper.Sums
-	// directPeers holds the peers whose work is known from their own reports instead
-	// of from the sum of a group. lastSumTargets is the number of targets in the last
-	// sum of the own group.
-	directPeers    map[string]bool
-	lastSumTargets int
+	// sums adds up the reports of the own group, and totals these and the sums of the
+	// other groups. Only relays use them.
+	sums, totals *grouper.Sums
+	// sources maps each daemon whose reports, sums or totals are counted to the time of
+	// the last one; groupSources maps each other group to the source of its sums.
+	sources      map[string]time.Duration
+	groupSources map[grouper.Group]string
+	// dataCentres maps the peers to their data centres.
+	dataCentres map[string]string
+	// failedRelays maps relays from which no total came to the time until which others
+	// take their place.
+	failedRelays map[string]time.Duration
+	// sourceSince is the time since which plan.Source has been the source of totals, and
+	// lastChosenTotal the time of its last total.
+	sourceSince, lastChosenTotal time.Duration
+	// reader is set if this daemon reads the store on behalf of the fleet.
+	reader bool
 	// fullReports is the number of full reports sent, lastFullReport the time of the
 	// last one. lastDispatch is the time at which the queue last ran.
 	fullReports    int
@@ -208,11 +214,13 @@
 		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host)}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
-		groups: map[grouper.Group]time.Duration{}, sums: grouper.NewSums(), directPeers: map[string]bool{},
+		sums: grouper.NewSums(), totals: grouper.NewSums(),
+		sources: map[string]time.Duration{}, groupSources: map[grouper.Group]string{}, failedRelays: map[string]time.Duration{}, dataCentres: map[string]string{},
 	}
 	c.queue = queuer.New(o.Queue, c.fleet, c.shares)
 	c.stats.Store(&Stats{})
-	c.publishFreshness()
+	c.updatePlan(0)
+	c.updateReader()
 	return c
 }
 
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -35,9 +35,9 @@
 			defer c.mutex.Unlock()
 			c.reports = append(c.reports, r)
 		},
-		Host: "self", SendRegistryChange: func(controller.RegistryChange) {}, Probe: func(registrar.Entry) {}, RefetchConfig: func() {}, RequestConfig: func(string, uint64) {}, SendConfig: func(resolver.Config) {},
+		Host: "self", SendRegistryChange: func(controller.RegistryChange, []string) {}, Probe: func(registrar.Entry) {}, RefetchConfig: func() {}, RequestConfig: func(string, uint64) {}, SendConfig: func(resolver.Config, []string) {},
 		ReportInterval: func(int) time.Duration { return time.Millisecond },
-		Peers:          func() []string { return nil }, Address: func(string) string { return "" }, AddPeers: func([]controller.Daemon) {},
+		Peers:          func() []controller.Daemon { return nil }, AddPeers: func([]controller.Daemon) {},
 		Clock: func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
 	}
 	for _, f := range change {
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -125,8 +125,9 @@
 	newUsable := c.registry.Usable()
 	c.fleet.SetTargets(newUsable)
 	c.logTargets(e.revision, oldUsable, newUsable)
-	if e.fromStore && c.freshness.Load().Reader {
-		c.options.SendRegistryChange(RegistryChange{Change: registrar.Difference(oldEntries, c.registryEntries, e.revision), Age: now - e.readStart})
+	if e.fromStore && c.reader {
+		change := registrar.Difference(oldEntries, c.registryEntries, e.revision)
+		c.options.SendRegistryChange(RegistryChange{Change: change, Age: now - e.readStart}, c.broadcastRecipients())
 	}
 }
 
@@ -139,6 +140,9 @@
 		return // the registry state in the next report of a peer shows that this daemon is behind
 	}
 	registryEvent{readStart: now - e.change.Age, revision: e.change.Revision, entries: entries}.apply(c, now)
+	if c.plan.Relay {
+		c.options.SendRegistryChange(e.change, c.plan.Members)
+	}
 }
 
 // comparePeerRegistry compares the state of the registry that a peer knows with the
@@ -162,9 +166,9 @@
 const (
 	// maxHops is the maximum number of times that an age is forwarded. An age does not
 	// include the transmission time, so that it would stay small for ever if daemons
-	// forwarded it in a circle. Two hops are needed: from a store reader to a daemon of
-	// its group, and from there to a daemon of another group.
-	maxHops = 2
+	// forwarded it in a circle. Three hops are needed: from a store reader to a relay of
+	// its group, from there to a relay of another group, and to a daemon of that group.
+	maxHops = 3
 )
 
 // logTargets writes one log record for each target that joined or left.
@@ -218,10 +222,5 @@
 	c.markAlive(now, r.Peer, r.Incarnation)
 	c.comparePeerConfig(now, r.Peer, r.Report.Config)
 	c.comparePeerRegistry(now, r.Report.Registry)
-	c.fleet.AddPeerSpills(now, r.Report.Spills)
-	if r.Report.Group.Count > 0 {
-		c.applySum(now, r)
-		return
-	}
 	c.applyReport(now, r)
 }
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,17 +19,25 @@
 type network struct {
 	mutex sync.Mutex
 	nodes map[string]*testController
+	// silent holds the daemons whose messages are lost in both directions.
+	silent map[string]bool
 	// sent counts the reports by sender and recipient. loads holds the number of
-	// running requests at the target that each recipient was last told of, by sender
-	// or, for sums, by group.
+	// running requests at the target that each recipient was last told of, by sender,
+	// group, or totalReport.
 	sent  map[string]map[string]int
 	loads map[string]map[string]int
 }
 
+// totalReport is the key of totals in network.loads.
+const totalReport = "total"
+
 func (n *network) send(from string, r controller.Report, to []string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	for _, name := range to {
+		if n.silent[from] || n.silent[name] {
+			continue
+		}
 		if n.sent[from] == nil {
 			n.sent[from] = map[string]int{}
 		}
@@ -36,11 +45,17 @@
 		if n.loads[name] == nil {
 			n.loads[name] = map[string]int{}
 		}
+		key := from
+		switch {
+		case r.Total:
+			key = totalReport
+		case r.Group != "":
+			key = string(r.Group)
+		}
+		if r.Whole {
+			n.loads[name][key] = 0
+		}
 		for _, l := range r.Loads {
-			key := from
-			if r.Group.Count > 0 {
-				key = fmt.Sprint(r.Group)
-			}
 			n.loads[name][key] = l.Running
 		}
 		if node := n.nodes[name]; node != nil {
@@ -49,64 +64,86 @@
 	}
 }
 
-// otherNames returns the names of all daemons of a fleet except the one with index
-// self.
-func otherNames(self, daemons int) []string {
-	var names []string
+// known returns the number of running requests that a daemon was last told of.
+func (n *network) known(name string) int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if total, ok := n.loads[name][totalReport]; ok {
+		return total
+	}
+	known := 0
+	for _, running := range n.loads[name] {
+		known += running
+	}
+	return known
+}
+
+// waitUntil waits until a condition holds.
+func waitUntil(condition func() bool) {
+	for !condition() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+const testDataCentres = 3
+
+func daemonName(i int) string { return fmt.Sprintf("h-%d", i) }
+
+func dataCentreName(i int) string { return fmt.Sprintf("d-%d", i%testDataCentres) }
+
+// otherDaemons returns all daemons of a fleet except the one with index self.
+func otherDaemons(self, daemons int) []controller.Daemon {
+	var others []controller.Daemon
 	for i := range daemons {
 		if i != self {
-			names = append(names, fmt.Sprintf("h-%d", i))
+			others = append(others, controller.Daemon{ID: daemonName(i), DataCentre: dataCentreName(i)})
 		}
 	}
-	return names
+	return others
 }
 
-// Load: a large fleet. Guards against daemons that do not learn of each other or of
-// the work of others, and against reports from every daemon to every other one.
-func TestLargeFleetExchangesSums(t *testing.T) {
-	const daemons = 48
-	n := &network{nodes: map[string]*testController{}, sent: map[string]map[string]int{}, loads: map[string]map[string]int{}}
-	var names []string
+// startFleet starts a large fleet whose clocks run five times as fast as real time.
+func startFleet(t *testing.T, daemons int) *network {
+	t.Helper()
+	n := &network{nodes: map[string]*testController{}, silent: map[string]bool{}, sent: map[string]map[string]int{}, loads: map[string]map[string]int{}}
+	began := time.Now()
 	for i := range daemons {
-		names = append(names, fmt.Sprintf("h-%d", i))
-	}
-	for i, self := range names {
+		self := daemonName(i)
 		c := start(t, func(o *controller.Options) {
-			o.Host = self
+			o.Host, o.DataCentre = self, dataCentreName(i)
+			o.Clock = func() time.Duration { return 5 * time.Since(began) }
 			o.SendReport = func(r controller.Report, to []string) { n.send(self, r, to) }
 			o.ReportInterval = func(int) time.Duration { return 50 * time.Millisecond }
-			o.Peers = func() []string { return otherNames(i, daemons) }
+			o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
 		})
 		n.mutex.Lock()
 		n.nodes[self] = c
 		n.mutex.Unlock()
 	}
+	for _, c := range n.nodes {
+		waitUntil(func() bool { return c.Stats().Peers == daemons-1 })
+	}
+	return n
+}
+
+// Load: a large fleet. Guards against daemons that do not learn of each other or of
+// the work of others, or count it twice, and against reports from every daemon to
+// every other one.
+func TestLargeFleetExchangesTotals(t *testing.T) {
+	const daemons = 48
+	n := startFleet(t, daemons)
 	results := []placer.Result{placer.Complete, placer.Complete}
 	for i := range results {
-		p := wait(context.Background(), t, n.nodes["h-0"], uint64(i+1))
+		p := wait(context.Background(), t, n.nodes[daemonName(0)], uint64(i+1))
 		defer p.End(placer.Complete)
 	}
-	for _, self := range names {
-		for n.nodes[self].Stats().Peers < daemons-1 {
-			time.Sleep(10 * time.Millisecond)
-		}
-	}
-	for _, self := range names[1:] {
-		for {
-			n.mutex.Lock()
-			reported := 0
-			for _, running := range n.loads[self] {
-				reported += running
-			}
-			n.mutex.Unlock()
-			if reported > len(results) {
-				t.Fatalf("%s received reports of %d requests at the target, %d run", self, reported, len(results))
-			}
-			if reported == len(results) {
-				break
+	for i := 1; i < daemons; i++ {
+		waitUntil(func() bool {
+			if known := n.known(daemonName(i)); known > len(results) {
+				t.Fatalf("%s was told of %d requests at the target, %d run", daemonName(i), known, len(results))
 			}
-			time.Sleep(10 * time.Millisecond)
-		}
+			return n.known(daemonName(i)) == len(results)
+		})
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -114,28 +151,63 @@
 	for _, to := range n.sent {
 		pairs += len(to)
 	}
-	if pairs > daemons*daemons/2 {
-		t.Errorf("%d daemons send to %d recipients in total, want at most half of all pairs", daemons, pairs)
+	if pairs > daemons*daemons/5 {
+		t.Errorf("%d daemons send to %d recipients in total, want at most a fifth of all pairs", daemons, pairs)
 	}
 }
 
+// Guards against a group that learns nothing of the others after all of its relays
+// have died at once, until they are back.
+func TestOtherDaemonsReplaceDeadRelays(t *testing.T) {
+	const daemons = 36
+	n := startFleet(t, daemons)
+	relays := 0
+	n.mutex.Lock()
+	for i := range daemons {
+		// Only a relay has recipients in other data centres.
+		for to := range n.sent[daemonName(i)] {
+			if index := slices.IndexFunc(otherDaemons(-1, daemons), func(d controller.Daemon) bool { return d.ID == to }); dataCentreName(index) != dataCentreName(i) && dataCentreName(i) == dataCentreName(0) {
+				n.silent[daemonName(i)] = true
+			}
+		}
+	}
+	relays = len(n.silent)
+	var observer, worker string
+	for i := range daemons {
+		switch {
+		case n.silent[daemonName(i)]:
+		case dataCentreName(i) == dataCentreName(0):
+			observer = daemonName(i)
+		case n.loads[daemonName(i)] != nil:
+			worker = daemonName(i)
+		}
+	}
+	n.mutex.Unlock()
+	if relays != 2 {
+		t.Fatalf("a data centre has %d relays, want 2", relays)
+	}
+	p := wait(context.Background(), t, n.nodes[worker], 1)
+	defer p.End(placer.Complete)
+	waitUntil(func() bool { return n.known(observer) == 1 })
+}
+
 // Load: a large fleet, in which few daemons read the configuration from the store.
 // Guards against store readers that do not send a new configuration to the others,
 // and against other daemons that send it, too.
 func TestStoreReadersForwardConfigurations(t *testing.T) {
 	const daemons = 40
 	var sent atomic.Int64
-	senders := 0
+	var senders [2]int // of configurations that were received, and of those read
 	for i := range daemons {
 		var clock atomic.Int64 // stands still, so that no peer times out
 		c := start(t, func(o *controller.Options) {
-			o.Host = fmt.Sprintf("h-%d", i)
+			o.Host, o.DataCentre = daemonName(i), dataCentreName(i)
 			o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
-			o.SendConfig = func(resolver.Config) { sent.Add(1) }
-			o.Peers = func() []string { return otherNames(i, daemons) }
+			o.SendConfig = func(resolver.Config, []string) { sent.Add(1) }
+			o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
 		})
-		for _, p := range otherNames(i, daemons) {
-			c.Received(controller.PeerReport{Peer: p, Incarnation: 1})
+		for _, p := range otherDaemons(i, daemons) {
+			c.Received(controller.PeerReport{Peer: p.ID, Incarnation: 1})
 		}
 		for c.Stats().Peers < daemons-1 {
 			time.Sleep(time.Millisecond)
@@ -144,25 +216,24 @@
 		for !c.Freshness().Grouped {
 			time.Sleep(time.Millisecond)
 		}
-		before := sent.Load()
 		initial, _ := c.Current()
-		c.ReceivedConfig(resolver.New(resolver.Content{Version: initial.Version() + 1}))
-		c.SetConfig(0, resolver.New(resolver.Content{Version: initial.Version() + 2}))
-		for {
-			if current, _ := c.Current(); current.Version() == initial.Version()+2 {
-				break
+		for j, set := range []func(resolver.Config){c.ReceivedConfig, func(config resolver.Config) { c.SetConfig(0, config) }} {
+			before, version := sent.Load(), initial.Version()+uint64(j)+1
+			set(resolver.New(resolver.Content{Version: version}))
+			waitUntil(func() bool { current, _ := c.Current(); return current.Version() == version })
+			switch n := sent.Load() - before; {
+			case n == 1:
+				senders[j]++
+			case n > 1:
+				t.Errorf("a daemon sent one configuration %d times, want at most once", n)
 			}
-			time.Sleep(time.Millisecond)
-		}
-		switch n := sent.Load() - before; {
-		case n == 1:
-			senders++
-		case n > 1:
-			t.Errorf("a daemon sent one configuration %d times, want at most once", n)
 		}
 	}
-	if senders != 2 {
-		t.Errorf("%d of %d daemons forwarded the configuration that they read, want the 2 store readers", senders, daemons)
+	if senders[1] != 2 {
+		t.Errorf("%d of %d daemons sent the configuration that they read, want the 2 store readers", senders[1], daemons)
+	}
+	if relays := 2 * testDataCentres; senders[0] != relays {
+		t.Errorf("%d of %d daemons forwarded a configuration that they received, want the %d relays", senders[0], daemons, relays)
 	}
 }
 
@@ -175,9 +246,9 @@
 	for i := range daemons {
 		var clock atomic.Int64
 		c := start(t, func(o *controller.Options) {
-			o.Host = fmt.Sprintf("h-%d", i)
+			o.Host, o.DataCentre = daemonName(i), dataCentreName(i)
 			o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
-			o.Peers = func() []string { return otherNames(i, daemons) }
+			o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
 		})
 		if c.Freshness().Reader {
 			readers++
@@ -214,7 +285,7 @@
 		t.Errorf("configuration confirmed at %v, want 9 s", at)
 	}
 	for _, s := range []controller.ConfigState{
-		{Version: 1, Confirmed: true, Age: time.Millisecond, Hops: 2}, // forwarded too often
+		{Version: 1, Confirmed: true, Age: time.Millisecond, Hops: 3}, // forwarded too often
 		{Version: 1, Age: 2 * time.Millisecond},                       // never confirmed
 		{Version: 0, Confirmed: true, Age: 3 * time.Millisecond},      // older version
 	} {
@@ -256,10 +327,10 @@
 		}
 		return c.Freshness().RegistryConfirmedAt - before
 	}
-	if report(0) <= 0 || report(1) <= 0 {
-		t.Error("an age that was forwarded at most once was ignored")
+	if report(0) <= 0 || report(1) <= 0 || report(2) <= 0 {
+		t.Error("an age that was forwarded at most twice was ignored")
 	}
-	if report(2) > 0 || report(7) > 0 {
-		t.Error("an age that was forwarded twice or more was accepted")
+	if report(3) > 0 || report(7) > 0 {
+		t.Error("an age that was forwarded three times or more was accepted")
 	}
 }
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -33,8 +33,11 @@
 	Config ConfigState
 	// Group is set if the report is the sum of the reports of a group of daemons.
 	Group grouper.Group
-	// Daemons lists the sender and, in full sums, the live daemons of its group; it is
-	// empty in reports that are not full.
+	// Total is set if the report is the sum of the reports of all daemons but the
+	// recipient.
+	Total bool
+	// Daemons lists the sender and, in full sums and totals, the live daemons of its
+	// group or of the fleet; it is empty in reports that are not full.
 	Daemons []Daemon
 }
 
@@ -43,9 +46,9 @@
 	return grouper.Report{Complete: r.Whole, Loads: r.Loads, Accounts: r.Accounts, Spills: r.Spills}
 }
 
-// Daemon is the name of a daemon and its peer address, which is empty in most
-// reports.
-type Daemon struct{ ID, Address string }
+// Daemon is the name of a daemon, its peer address and its data centre; the latter two
+// are empty in most reports.
+type Daemon struct{ ID, Address, DataCentre string }
 
 // RegistryState identifies the state of the registry that a daemon knows.
 type RegistryState struct {
@@ -83,8 +86,9 @@
 	Report      Report
 }
 
-// sendReport starts probes that are due and sends a report to the group and, in a
-// large fleet, the sum of the group to other daemons.
+// sendReport starts probes that are due and sends a report to the relays of the group,
+// or to all peers of a small fleet. A relay also sends the sum of its group to the
+// relays of other groups, and the total of the fleet to the daemons of its group.
 func (c *Controller) sendReport() {
 	now := c.options.Clock()
 	c.removeSilent(now)
@@ -95,23 +99,22 @@
 	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills()}
 	r.Registry = RegistryState{Revision: c.registry.Revision(), Digest: c.registryDigest, Age: now - c.registryConfirmedAt, Hops: c.registryHops}
 	r.Config = c.configState(now)
-	c.publishFreshness()
 	if whole {
 		c.lastFullReport = now
 		c.fullReports++
-		c.plan = grouper.New(c.options.Host, c.options.Peers(), func(name string) bool {
-			_, heard := c.peers[name]
-			// Just after the start, all peers count as live; otherwise this daemon would
-			// take itself for the only live one of its group and send to all others.
-			return heard || now < peerTimeout
-		})
-		c.sums.RemoveExcept(c.plan.Member)
-		r.Daemons = c.liveDaemons(nil)
+		c.updatePlan(now)
+	}
+	c.updateReader()
+	if whole {
+		r.Daemons = c.describe(func(string) bool { return false })
 	}
 	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 {
-		c.options.SendReport(r, c.plan.Members)
+		c.options.SendReport(r, c.plan.ReportRecipients)
+	}
+	if c.plan.Relay {
+		c.sendSum(r)
+		c.sendTotals(r)
 	}
-	c.sendSum(r)
 	level := c.shares.FairShare(now)
 	if level > maxShareLevel {
 		level = 0
@@ -119,110 +122,219 @@
 	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), ShareLevel: level})
 }
 
-// reportInterval returns the time until the next report. Sums that list many targets
-// are sent less often.
+// reportInterval returns the time until the next report.
 func (c *Controller) reportInterval() time.Duration {
-	return c.options.ReportInterval(c.plan.Recipients() * max(1, c.lastSumTargets/targetsPerInterval))
+	n := c.plan.Recipients()
+	if !c.plan.Undivided() {
+		n = max(n, minDividedRecipients)
+	}
+	return c.options.ReportInterval(n)
 }
 
-// sendSum sends the sum of the own group to the daemons of other groups that receive
-// it from this daemon.
-func (c *Controller) sendSum(own Report) {
-	if c.plan.Undivided() {
-		return
+// updatePlan divides the fleet anew. A peer counts as live after a sign of life. All
+// peers do just after the start, and while no total arrives, except the relays that
+// should have sent it: otherwise a daemon would take itself for the only live one.
+func (c *Controller) updatePlan(now time.Duration) {
+	var peers []grouper.Daemon
+	clear(c.dataCentres)
+	for _, d := range c.options.Peers() {
+		c.dataCentres[d.ID] = d.DataCentre
+		peers = append(peers, grouper.Daemon{ID: d.ID, DataCentre: d.DataCentre})
+	}
+	uninformed := c.isUninformed(now)
+	if uninformed && now-c.sourceSince > totalTimeout {
+		c.failedRelays[c.plan.Source], c.sourceSince = now+relayRetryInterval, now
+	}
+	plan := grouper.New(grouper.Daemon{ID: c.options.Host, DataCentre: c.options.DataCentre}, peers, func(name string) bool {
+		if now < c.failedRelays[name] {
+			return false
+		}
+		_, heard := c.peers[name]
+		return heard || now < peerTimeout || uninformed
+	})
+	if plan.Source != c.plan.Source {
+		c.sourceSince = now
+	}
+	if plan.Relay != c.plan.Relay || plan.OwnGroup != c.plan.OwnGroup {
+		for name := range c.sources {
+			c.dropSource(name) // other daemons report the same work from now on
+		}
+		c.sums, c.totals = grouper.NewSums(), grouper.NewSums()
 	}
+	c.plan = plan
+	c.sums.RemoveExcept(func(name string) bool { return name == c.options.Host || plan.Member(name) })
+}
+
+// isUninformed reports whether this daemon gets no total although it should.
+func (c *Controller) isUninformed(now time.Duration) bool {
+	heard, ok := c.sources[totalKey]
+	return c.plan.Source != "" && (!ok || now-heard > totalTimeout)
+}
+
+// sendSum sends the sum of the own group to relays of other groups.
+func (c *Controller) sendSum(own Report) {
 	c.sums.Set(c.options.Host, 0, own.summable())
 	sum := c.sums.TakeSum(own.Whole)
 	r := own
 	r.Group, r.Whole, r.Loads, r.Accounts, r.Spills = c.plan.OwnGroup, sum.Complete, sum.Loads, sum.Accounts, sum.Spills
 	if own.Whole {
-		r.Daemons = c.liveDaemons(c.plan.Members)
+		r.Daemons = c.describe(c.plan.Member)
 	}
-	c.lastSumTargets = len(r.Loads)
 	if len(c.plan.SumRecipients) > 0 {
 		c.options.SendReport(r, c.plan.SumRecipients)
 	}
 }
 
-// liveDaemons returns this daemon and the live ones among members. It includes their
+// sendTotals sends the total of the fleet to daemons of the group, to each without its
+// own part.
+func (c *Controller) sendTotals(own Report) {
+	c.totals.Set(c.options.Host, 0, own.summable())
+	total := c.totals.TakeSum(own.Whole)
+	r := own
+	r.Total = true
+	if own.Whole {
+		r.Daemons = c.describe(func(string) bool { return true })
+	}
+	for _, m := range c.plan.TotalRecipients {
+		sum := c.totals.Without(m, total)
+		r.Whole, r.Loads, r.Accounts, r.Spills = sum.Complete, sum.Loads, sum.Accounts, sum.Spills
+		c.options.SendReport(r, []string{m})
+	}
+}
+
+// broadcastRecipients returns the daemons to which a store reader sends a change; in a
+// large fleet, they forward it to their groups.
+func (c *Controller) broadcastRecipients() []string {
+	if c.plan.Undivided() {
+		return c.plan.ReportRecipients
+	}
+	to := slices.Clone(c.plan.Relays)
+	if c.plan.Relay {
+		to = append(to, c.plan.Members...)
+		slices.Sort(to)
+		to = slices.Compact(to)
+	}
+	return to
+}
+
+// describe returns this daemon and those live ones that are included. It adds their
 // addresses in one of addressReportPeriod full reports.
-func (c *Controller) liveDaemons(members []string) []Daemon {
-	address := func(string) string { return "" }
-	if c.fullReports%addressReportPeriod == 1 {
-		address = c.options.Address
+func (c *Controller) describe(include func(name string) bool) []Daemon {
+	list := []Daemon{{ID: c.options.Host, Address: c.options.Address, DataCentre: c.options.DataCentre}}
+	for _, d := range c.options.Peers() {
+		if _, alive := c.peers[d.ID]; alive && include(d.ID) {
+			list = append(list, d)
+		}
 	}
-	list := []Daemon{{ID: c.options.Host, Address: address(c.options.Host)}}
-	for _, name := range members {
-		if _, alive := c.peers[name]; alive {
-			list = append(list, Daemon{ID: name, Address: address(name)})
+	if c.fullReports%addressReportPeriod != 1 {
+		for i, d := range list {
+			list[i] = Daemon{ID: d.ID}
 		}
 	}
 	return list
 }
 
-// removeSilent removes the daemons and groups without a sign of life within
-// peerTimeout.
+// removeSilent removes the daemons without a sign of life, and the work of those that
+// stopped reporting, within peerTimeout.
 func (c *Controller) removeSilent(now time.Duration) {
 	for name, heard := range c.peers {
 		if now-heard > peerTimeout {
-			delete(c.peers, name)
-			delete(c.directPeers, name)
-			c.fleet.RemovePeerLoads(name)
-			c.sums.Remove(name)
-			logger.Emit(c.options.Logger, logger.MemberLeft, slog.String("member", name), slog.Duration("silent", now-heard))
+			c.removePeer(name, now-heard)
 		}
 	}
-	for g, heard := range c.groups {
+	for name, heard := range c.sources {
 		if now-heard > peerTimeout {
-			delete(c.groups, g)
-			c.fleet.RemovePeerLoads(groupKey(g))
+			c.dropSource(name)
 		}
 	}
 }
 
-// groupKey returns the key under which the work of a group is stored beside that of
-// daemons. It contains a slash, which names of daemons never do.
-func groupKey(g grouper.Group) string { return fmt.Sprintf("group/%d/%d", g.Count, g.Index) }
+// dropSource stops counting the work that a source has reported.
+func (c *Controller) dropSource(name string) {
+	delete(c.sources, name)
+	c.fleet.RemovePeerLoads(name)
+	c.totals.Remove(name)
+}
+
+// applyReport applies the report of a daemon, a sum or a total. In a large fleet,
+// relays count the reports of their group and the sums of other groups, other daemons
+// only the totals of one relay, so that no work counts twice.
+func (c *Controller) applyReport(now time.Duration, r PeerReport) {
+	c.applyDaemons(now, r)
+	key := r.Peer
+	switch {
+	case r.Report.Total:
+		if key = totalKey; c.plan.Relay || c.plan.Undivided() || !c.acceptTotal(now, r.Peer) {
+			return
+		}
+	case r.Report.Group != "":
+		if key = groupKey(r.Report.Group, r.Peer); !c.plan.Relay || r.Report.Group == c.plan.OwnGroup {
+			return
+		}
+		if old, ok := c.groupSources[r.Report.Group]; ok && old != key {
+			c.dropSource(old)
+		}
+		c.groupSources[r.Report.Group] = key
+	case !c.plan.Undivided() && !(c.plan.Relay && c.plan.Member(r.Peer)):
+		return
+	}
+	c.sources[key] = now
+	c.fleet.AddPeerSpills(now, r.Report.Spills)
+	c.fleet.SetPeerLoads(now, key, r.Report.Loads, r.Report.Whole)
+	c.shares.SetPeer(now, key+" by "+r.Peer, r.Incarnation, r.Report.Accounts)
+	if c.plan.Relay {
+		c.totals.Set(key, r.Incarnation, r.Report.summable())
+		if r.Report.Group == "" {
+			c.sums.Set(key, r.Incarnation, r.Report.summable())
+		}
+	}
+}
 
-// applySum applies the sum of another group. It replaces the sums of overlapping
-// groups, which come from daemons that divide the fleet differently, and the reports
-// of single daemons of the group, so that no work counts twice.
-func (c *Controller) applySum(now time.Duration, r PeerReport) {
-	g := r.Report.Group
+// applyDaemons records the daemons that a report lists. A full sum lists all live ones
+// of its group and a full total those of the fleet, so that the others have left.
+func (c *Controller) applyDaemons(now time.Duration, r PeerReport) {
+	listed := map[string]bool{r.Peer: true}
 	for _, d := range r.Report.Daemons {
+		listed[d.ID] = true
 		c.markAlive(now, d.ID, 0)
-		if c.directPeers[d.ID] && !c.plan.Member(d.ID) {
-			delete(c.directPeers, d.ID)
-			c.fleet.RemovePeerLoads(d.ID)
-		}
 	}
 	c.options.AddPeers(r.Report.Daemons)
-	if g.Overlaps(c.plan.OwnGroup) {
-		return // this daemon receives the reports of the group's daemons directly
+	if len(listed) == 1 || c.plan.Undivided() || c.plan.Relay && r.Report.Total {
+		return
 	}
-	for o := range c.groups {
-		if o != g && o.Overlaps(g) {
-			delete(c.groups, o)
-			c.fleet.RemovePeerLoads(groupKey(o))
+	for name := range c.peers {
+		covered := r.Report.Total || r.Report.Group != "" && c.dataCentres[name] == string(r.Report.Group) && r.Report.Group != c.plan.OwnGroup
+		if covered && !listed[name] {
+			c.removePeer(name, 0)
 		}
 	}
-	c.groups[g] = now
-	c.fleet.SetPeerLoads(now, groupKey(g), r.Report.Loads, r.Report.Whole)
-	// The totals of a group are cumulative per sender, so each sender has its own key.
-	c.shares.SetPeer(now, groupKey(g)+" by "+r.Peer, r.Incarnation, r.Report.Accounts)
 }
 
-// applyReport applies the report of a single daemon.
-func (c *Controller) applyReport(now time.Duration, r PeerReport) {
-	c.options.AddPeers(r.Report.Daemons)
-	c.directPeers[r.Peer] = true
-	c.fleet.SetPeerLoads(now, r.Peer, r.Report.Loads, r.Report.Whole)
-	c.shares.SetPeer(now, r.Peer, r.Incarnation, r.Report.Accounts)
-	if !c.plan.Undivided() && c.plan.Member(r.Peer) {
-		c.sums.Set(r.Peer, r.Incarnation, r.Report.summable())
+// removePeer removes a daemon that has been silent for some time.
+func (c *Controller) removePeer(name string, silent time.Duration) {
+	delete(c.peers, name)
+	c.sums.Remove(name)
+	c.totals.Remove(name)
+	logger.Emit(c.options.Logger, logger.MemberLeft, slog.String("member", name), slog.Duration("silent", silent))
+}
+
+// acceptTotal reports whether the totals of a relay count: those of the chosen one,
+// and of others until the chosen one sends.
+func (c *Controller) acceptTotal(now time.Duration, relay string) bool {
+	if relay == c.plan.Source {
+		c.lastChosenTotal = now
+		return true
 	}
+	return now-c.lastChosenTotal > totalTimeout
 }
 
+// totalKey is the key under which the work in totals is stored beside that of daemons,
+// and groupKey returns that for a sum. They contain a slash, which names of daemons
+// never do.
+const totalKey = "total/"
+
+func groupKey(g grouper.Group, relay string) string { return fmt.Sprintf("group/%s/%s", g, relay) }
+
 // markAlive records a sign of life of a daemon.
 func (c *Controller) markAlive(now time.Duration, name string, incarnation uint64) {
 	if name == c.options.Host {
@@ -235,10 +347,9 @@
 	c.lastHeard.Store(name, now)
 }
 
-// publishFreshness updates the snapshot that Freshness returns. The storeReaders
-// live daemons whose names have the lowest hashes read the store on behalf of the
-// fleet.
-func (c *Controller) publishFreshness() {
+// updateReader decides whether this daemon reads the store on behalf of the fleet, as
+// the storeReaders live daemons whose names have the lowest hashes do.
+func (c *Controller) updateReader() {
 	rank := 0
 	ownHash := xxhash.Sum64String(c.options.Host)
 	for name := range c.livePeers() {
@@ -246,8 +357,14 @@
 			rank++
 		}
 	}
+	c.reader = rank < storeReaders
+	c.publishFreshness()
+}
+
+// publishFreshness updates the snapshot that Freshness returns.
+func (c *Controller) publishFreshness() {
 	c.freshness.Store(&Freshness{
-		RegistryConfirmedAt: c.registryConfirmedAt, Reader: rank < storeReaders, Grouped: !c.plan.Undivided(), RegistryBehindSince: c.registryBehindSince,
+		RegistryConfirmedAt: c.registryConfirmedAt, Reader: c.reader, Grouped: !c.plan.Undivided(), RegistryBehindSince: c.registryBehindSince,
 		ConfigConfirmedAt: c.configConfirmedAt, ConfigBehindSince: c.configBehindSince,
 	})
 }
@@ -257,7 +374,13 @@
 // all read the store until they hear from each other.
 func (c *Controller) livePeers() iter.Seq[string] {
 	if c.options.Clock() < peerTimeout {
-		return slices.Values(c.options.Peers())
+		return func(yield func(string) bool) {
+			for _, d := range c.options.Peers() {
+				if !yield(d.ID) {
+					return
+				}
+			}
+		}
 	}
 	return maps.Keys(c.peers)
 }
@@ -266,9 +389,14 @@
 	// peerTimeout is the time after which a silent peer is removed: two full reports and
 	// some delay.
 	peerTimeout = 2500 * time.Millisecond
-	// targetsPerInterval is the number of targets in a sum for which the report interval
-	// grows by another step; a sum of that many costs as much as several small messages.
-	targetsPerInterval = 100
+	// totalTimeout is the time without a total after which a daemon takes its relay for
+	// dead, and relayRetryInterval the time until the relay may be one again.
+	totalTimeout       = 2500 * time.Millisecond
+	relayRetryInterval = 10 * time.Second
+	// minDividedRecipients is the number of recipients that determines the interval of
+	// daemons of a large fleet that have fewer: more frequent reports would only wait for
+	// the next total.
+	minDividedRecipients = 25
 	// addressReportPeriod is the number of full reports of which one contains addresses.
 	// Peers need the addresses of daemons that joined after they read the list of
 	// daemons.
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -52,7 +52,13 @@
 	// so that the slice can be used after unlocking.
 	mutex sync.Mutex
 	hub   *connector.Hub
-	peers []connector.Peer
+	peers []Peer
+}
+
+// Peer is another daemon. Address and data centre are empty while they are unknown.
+type Peer struct {
+	connector.Peer
+	DataCentre string
 }
 
 // New returns an Exchanger without peers. It sends nothing until SetHub is called.
@@ -67,38 +73,26 @@
 
 // SetPeers replaces the peers. Peers without an address, which connected to this
 // daemon by themselves, stay.
-func (e *Exchanger) SetPeers(peers []connector.Peer) {
+func (e *Exchanger) SetPeers(peers []Peer) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, old := range e.peers {
-		if old.Address == "" && !slices.ContainsFunc(peers, func(p connector.Peer) bool { return p.ID == old.ID }) {
+		if old.Address == "" && !slices.ContainsFunc(peers, func(p Peer) bool { return p.ID == old.ID }) {
 			peers = append(peers, old)
 		}
 	}
 	e.peers = peers
 }
 
-// Peers returns the IDs of all peers.
-func (e *Exchanger) Peers() []string {
+// Peers returns all peers.
+func (e *Exchanger) Peers() []controller.Daemon {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	names := make([]string, len(e.peers))
+	peers := make([]controller.Daemon, len(e.peers))
 	for i, p := range e.peers {
-		names[i] = p.ID
-	}
-	return names
-}
-
-// Address returns the address of a peer, or "" if it is unknown.
-func (e *Exchanger) Address(name string) string {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	for _, p := range e.peers {
-		if p.ID == name {
-			return p.Address
-		}
+		peers[i] = controller.Daemon{ID: p.ID, Address: p.Address, DataCentre: p.DataCentre}
 	}
-	return ""
+	return peers
 }
 
 // ReportInterval returns the time between two reports to the given number of
@@ -121,19 +115,17 @@
 	var found []connector.Peer
 	for _, p := range e.peers {
 		if _, ok := slices.BinarySearch(names, p.ID); ok {
-			found = append(found, p)
+			found = append(found, p.Peer)
 		}
 	}
 	return found
 }
 
-// SendChange sends a change of the registry to all peers.
-func (e *Exchanger) SendChange(c controller.RegistryChange) {
+// SendChange sends a change of the registry to the peers with the given IDs, which
+// must be sorted.
+func (e *Exchanger) SendChange(c controller.RegistryChange, to []string) {
 	message := encodeRegistryChange(c)
-	e.mutex.Lock()
-	all := e.peers
-	e.mutex.Unlock()
-	e.sendTo(all, func(f *messenger.Frame) { f.RegistryChanges = append(f.RegistryChanges, message) })
+	e.sendTo(e.peersNamed(to), func(f *messenger.Frame) { f.RegistryChanges = append(f.RegistryChanges, message) })
 }
 
 // sendTo passes a message to the hub for each of the peers; merge adds it to the
@@ -155,13 +147,13 @@
 func (e *Exchanger) addConnected(id string) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if !slices.ContainsFunc(e.peers, func(p connector.Peer) bool { return p.ID == id }) {
-		e.peers = append(slices.Clone(e.peers), connector.Peer{ID: id})
+	if !slices.ContainsFunc(e.peers, func(p Peer) bool { return p.ID == id }) {
+		e.peers = append(slices.Clone(e.peers), Peer{Peer: connector.Peer{ID: id}})
 	}
 }
 
 // AddPeers adds the daemons that a peer reported with an address, and sets the
-// addresses of known peers.
+// addresses and data centres of known peers.
 func (e *Exchanger) AddPeers(daemons []controller.Daemon) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -169,13 +161,14 @@
 		if d.Address == "" {
 			continue
 		}
-		i := slices.IndexFunc(e.peers, func(p connector.Peer) bool { return p.ID == d.ID })
+		peer := Peer{Peer: connector.Peer{ID: d.ID, Address: d.Address}, DataCentre: d.DataCentre}
+		i := slices.IndexFunc(e.peers, func(p Peer) bool { return p.ID == d.ID })
 		switch {
 		case i < 0:
-			e.peers = append(slices.Clone(e.peers), connector.Peer{ID: d.ID, Address: d.Address})
-		case e.peers[i].Address != d.Address:
+			e.peers = append(slices.Clone(e.peers), peer)
+		case e.peers[i] != peer:
 			e.peers = slices.Clone(e.peers)
-			e.peers[i].Address = d.Address
+			e.peers[i] = peer
 		}
 	}
 }
@@ -199,12 +192,10 @@
 	}
 }
 
-// SendConfig sends a configuration to all peers.
-func (e *Exchanger) SendConfig(config resolver.Config) {
-	e.mutex.Lock()
-	all := e.peers
-	e.mutex.Unlock()
-	e.pushConfig(config, all)
+// SendConfig sends a configuration to the peers with the given IDs, which must be
+// sorted.
+func (e *Exchanger) SendConfig(config resolver.Config, to []string) {
+	e.pushConfig(config, e.peersNamed(to))
 }
 
 // pushConfig sends a configuration to some peers. It skips one that does not fit
@@ -280,12 +271,18 @@
 	for _, t := range r.Accounts {
 		m.Accounts = append(m.Accounts, messenger.AccountService{Account: t.Account, Asked: roundToUint(t.Demand), Served: roundToUint(t.Served)})
 	}
-	if g := r.Group; g.Count > 0 {
-		groups, index := uint64(g.Count), uint64(g.Index)
-		m.Groups, m.Group = &groups, &index
+	if r.Group != "" {
+		m.DataCentre = (*string)(&r.Group)
+	}
+	if r.Total {
+		m.Total = &r.Total
 	}
 	for _, d := range r.Daemons {
-		m.Daemons = append(m.Daemons, messenger.DaemonAddress{ID: d.ID, Address: d.Address})
+		daemon := messenger.DaemonAddress{ID: d.ID, Address: d.Address}
+		if d.DataCentre != "" {
+			daemon.DataCentre = &d.DataCentre
+		}
+		m.Daemons = append(m.Daemons, daemon)
 	}
 	for _, s := range r.Spills {
 		m.Parts = append(m.Parts, messenger.PromptPart{Target: s.Target, Chain: s.PrefixHash})
@@ -304,11 +301,16 @@
 	if m.Registry != nil {
 		r.Registry = decodeRegistryState(*m.Registry)
 	}
-	if m.Groups != nil && m.Group != nil {
-		r.Group = grouper.Group{Index: int(min(*m.Group, maxDecodedCount)), Count: int(min(*m.Groups, maxDecodedCount))}
+	if m.DataCentre != nil {
+		r.Group = grouper.Group(*m.DataCentre)
 	}
+	r.Total = m.Total != nil && *m.Total
 	for _, d := range m.Daemons {
-		r.Daemons = append(r.Daemons, controller.Daemon{ID: d.ID, Address: d.Address})
+		daemon := controller.Daemon{ID: d.ID, Address: d.Address}
+		if d.DataCentre != nil {
+			daemon.DataCentre = *d.DataCentre
+		}
+		r.Daemons = append(r.Daemons, daemon)
 	}
 	if m.Work != nil {
 		r.Loads = decodeLoads(*m.Work)
@@ -340,8 +342,7 @@
 	return time.Duration(min(milliseconds, uint64(maxDecodedDuration/time.Millisecond))) * time.Millisecond
 }
 
-// maxDecodedCount bounds decoded numbers of groups and hops; it is beyond any that
-// occurs.
+// maxDecodedCount bounds decoded numbers of hops; it is beyond any that occurs.
 const maxDecodedCount = 1 << 16
 
 // maxDecodedDuration bounds decoded ages and gaps between events; it is beyond any age
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -79,7 +79,7 @@
 // transmission, and against a daemon that cannot send to one that connected to it.
 func TestPeersExchangeReportsChangesAndConfigurations(t *testing.T) {
 	a, b := newNode(t, "a", 3), newNode(t, "b", 9)
-	a.SetPeers([]connector.Peer{{ID: "b", Address: b.address}})
+	a.SetPeers([]exchanger.Peer{{Peer: connector.Peer{ID: "b", Address: b.address}}})
 	report := controller.Report{
 		Whole: true, Config: controller.ConfigState{Version: 3, Confirmed: true, Age: 70 * time.Millisecond, Hops: 1}, Registry: controller.RegistryState{Revision: 5, Digest: 1 << 63, Age: 40 * time.Millisecond, Hops: 1},
 		Loads: []placer.Load{{
@@ -87,7 +87,7 @@
 		}},
 		Accounts: []sharer.Total{{Account: "forge", Demand: 10, Served: 7}},
 		Spills:   []placer.Spill{{Target: "t", PrefixHash: 1 << 62}},
-		Group:    grouper.Group{Index: 3, Count: 8}, Daemons: []controller.Daemon{{ID: "a", Address: a.address}, {ID: "c"}},
+		Group:    grouper.Group("d"), Total: true, Daemons: []controller.Daemon{{ID: "a", Address: a.address, DataCentre: "d"}, {ID: "c"}},
 	}
 	a.resendUntil(func() { a.Send(report, []string{"b"}) }, func() bool { return len(b.reports) > 0 })
 	if got := <-b.reports; got.Peer != "a" || got.Incarnation != 1 || !reflect.DeepEqual(got.Report, report) {
@@ -98,7 +98,7 @@
 		Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Incarnation: 7, Slots: 6, Draining: true}},
 	}}
 	// b does not know the address of a and uses the connection that a opened.
-	b.resendUntil(func() { b.SendChange(change) }, func() bool { return len(a.changes) > 0 })
+	b.resendUntil(func() { b.SendChange(change, []string{"a"}) }, func() bool { return len(a.changes) > 0 })
 	if got := <-a.changes; !reflect.DeepEqual(got, change) {
 		t.Errorf("received registry change %+v, want %+v", got, change)
 	}
@@ -106,7 +106,7 @@
 	if got := <-a.configs; got.Version() != 9 {
 		t.Errorf("received configuration version %d, want 9", got.Version())
 	}
-	a.resendUntil(func() { a.SendConfig(a.config) }, func() bool { return len(b.configs) > 0 })
+	a.resendUntil(func() { a.SendConfig(a.config, []string{"b"}) }, func() bool { return len(b.configs) > 0 })
 	if got := <-b.configs; got.Version() != 3 {
 		t.Errorf("SendConfig sent version %d, want 3", got.Version())
 	}
@@ -130,14 +130,14 @@
 // unreachable, and against reports to daemons that are not among the recipients.
 func TestReportsReachDaemonsLearnedFromPeers(t *testing.T) {
 	a, b, c := newNode(t, "a", 1), newNode(t, "b", 1), newNode(t, "c", 1)
-	a.SetPeers([]connector.Peer{{ID: "b", Address: b.address}})
+	a.SetPeers([]exchanger.Peer{{Peer: connector.Peer{ID: "b", Address: b.address}}})
 	a.AddPeers([]controller.Daemon{{ID: "c"}})
 	if names := a.Peers(); len(names) != 1 {
 		t.Errorf("a daemon without an address was added to the peers: %v", names)
 	}
-	a.AddPeers([]controller.Daemon{{ID: "c", Address: c.address}})
-	if a.Address("c") != c.address || a.Address("d") != "" {
-		t.Errorf("address of c is %q and of d %q, want that of c and none of d", a.Address("c"), a.Address("d"))
+	a.AddPeers([]controller.Daemon{{ID: "c", Address: c.address, DataCentre: "d"}})
+	if peers := a.Peers(); len(peers) != 2 || peers[1] != (controller.Daemon{ID: "c", Address: c.address, DataCentre: "d"}) {
+		t.Errorf("peers %+v, want b and c with the address and the data centre of c", peers)
 	}
 	a.resendUntil(func() { a.Send(controller.Report{}, []string{"c", "d"}) }, func() bool { return len(c.reports) > 0 })
 	if len(b.reports) > 0 {
--- a/gateway/exchanger/size_test.go
+++ b/gateway/exchanger/size_test.go
@@ -17,7 +17,7 @@
 // targets at which the group has work.
 func BenchmarkReport(b *testing.B) {
 	for _, targets := range []int{10, 90, 330} {
-		r := controller.Report{Whole: true, Config: controller.ConfigState{Version: 17, Confirmed: true, Age: time.Second}, Group: grouper.Group{Index: 3, Count: 16}}
+		r := controller.Report{Whole: true, Config: controller.ConfigState{Version: 17, Confirmed: true, Age: time.Second}, Group: grouper.Group("sapporo-a")}
 		for i := range targets {
 			r.Loads = append(r.Loads, placer.Load{Target: placer.KeyOf(fmt.Sprintf("i-7f3a%04d", i)), PrefillTokens: float64(900 * i), Running: 3, MemoryTokens: float64(40000 + i)})
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,7 @@
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
 		Host: s.Host, SendReport: g.exchanger.Send, SendRegistryChange: g.exchanger.SendChange, RefetchConfig: func() { g.watcher.RestartLongPolls() }, RequestConfig: g.exchanger.RequestConfig, SendConfig: g.exchanger.SendConfig, Probe: g.probe, ReportInterval: exchanger.ReportInterval,
-		Peers: g.exchanger.Peers, Address: g.peerAddress, AddPeers: g.exchanger.AddPeers, Clock: g.clock, Logger: g.logger,
+		Peers: g.exchanger.Peers, Address: s.PeerAddress, AddPeers: g.exchanger.AddPeers, Clock: g.clock, Logger: g.logger,
 		MaxRegistryAge: time.Duration(registryAgeShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // the process ends without closing unused connections
@@ -233,19 +233,11 @@
 	return watcher.Daemon{Host: g.settings.Host, DataCentre: g.settings.DataCentre, Address: g.settings.PeerAddress, Incarnation: g.incarnation}
 }
 
-// peerAddress returns the peer address of a daemon, or "" if it is unknown.
-func (g *Gateway) peerAddress(host string) string {
-	if host == g.settings.Host {
-		return g.settings.PeerAddress
-	}
-	return g.exchanger.Address(host)
-}
-
 // setDaemons sets the peers from the list of daemons. On a store reader it returns
 // the entries of daemons that have been silent for daemonExpiry, which are then
 // removed from the list.
 func (g *Gateway) setDaemons(list []watcher.Daemon) []watcher.Daemon {
-	var peers []connector.Peer
+	var peers []exchanger.Peer
 	var gone []watcher.Daemon
 	reader := g.controller.Freshness().Reader
 	for _, d := range list {
@@ -257,7 +249,7 @@
 			gone = append(gone, d)
 			continue
 		}
-		peers = append(peers, connector.Peer{ID: d.Host, Address: d.Address})
+		peers = append(peers, exchanger.Peer{Peer: connector.Peer{ID: d.Host, Address: d.Address}, DataCentre: d.DataCentre})
 	}
 	g.exchanger.SetPeers(peers)
 	return gone
--- a/gateway/grouper/grouper_test.go
+++ b/gateway/grouper/grouper_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -12,88 +12,93 @@
 	"monsoondeck.example/gateway/sharer"
 )
 
-func daemonNames(n int) []string {
-	all := make([]string, n)
+// newDaemons returns n daemons in a number of data centres.
+func newDaemons(n, dataCentres int) []grouper.Daemon {
+	all := make([]grouper.Daemon, n)
 	for i := range all {
-		all[i] = fmt.Sprintf("h-%d", i)
+		all[i] = grouper.Daemon{ID: fmt.Sprintf("h-%d", i), DataCentre: fmt.Sprintf("d-%d", i%dataCentres)}
 	}
 	return all
 }
 
-// peersOf returns all names but that of self.
-func peersOf(all []string, self string) []string {
-	var peers []string
-	for _, name := range all {
-		if name != self {
-			peers = append(peers, name)
-		}
-	}
-	return peers
+// peersOf returns all daemons but self.
+func peersOf(all []grouper.Daemon, self grouper.Daemon) []grouper.Daemon {
+	return slices.DeleteFunc(slices.Clone(all), func(d grouper.Daemon) bool { return d == self })
 }
 
-// Guards against a daemon that gets the sum of a group from no member or from two,
-// whichever daemons are dead, as long as the group has a live one.
-func TestEveryDaemonGetsEachGroupSumOnce(t *testing.T) {
+// Guards against a daemon whose work reaches another one not at all or twice, whichever
+// daemons are dead: a report must reach each relay of the group, the sum of a group
+// each outside relay once, and the total each other daemon once.
+func TestEveryDaemonLearnsOfAllOthersOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		all := daemonNames(rapid.IntRange(1, 200).Draw(t, "daemons"))
+		all := newDaemons(rapid.IntRange(1, 200).Draw(t, "daemons"), rapid.IntRange(1, 5).Draw(t, "dataCentres"))
 		dead := map[string]bool{}
 		for range rapid.IntRange(0, len(all)/2).Draw(t, "dead") {
-			dead[all[rapid.IntRange(0, len(all)-1).Draw(t, "which")]] = true
+			dead[all[rapid.IntRange(0, len(all)-1).Draw(t, "which")].ID] = true
 		}
-		received := map[string]map[grouper.Group]int{}
-		alive := map[grouper.Group]bool{}
+		plans := map[string]grouper.Plan{}
 		for _, self := range all {
-			if dead[self] {
-				continue
+			if !dead[self.ID] {
+				plans[self.ID] = grouper.New(self, peersOf(all, self), func(peer string) bool { return !dead[peer] })
 			}
-			p := grouper.New(self, peersOf(all, self), func(peer string) bool { return !dead[peer] })
+		}
+		sums, totals := map[string]map[grouper.Group]int{}, map[string][]string{}
+		alive := map[grouper.Group]bool{}
+		for name, p := range plans {
 			alive[p.OwnGroup] = true
-			for _, to := range append(p.Members, p.SumRecipients...) {
-				if received[to] == nil {
-					received[to] = map[grouper.Group]int{}
+			for _, to := range p.SumRecipients {
+				if sums[to] == nil {
+					sums[to] = map[grouper.Group]int{}
 				}
-				received[to][p.OwnGroup]++
+				sums[to][p.OwnGroup]++
+			}
+			for _, to := range p.TotalRecipients {
+				totals[to] = append(totals[to], name)
+			}
+			if p.Undivided() && len(p.ReportRecipients) != len(all)-1 {
+				t.Fatalf("%s reports to %d daemons of %d", name, len(p.ReportRecipients), len(all))
 			}
 		}
-		for _, self := range all {
-			own := grouper.New(self, peersOf(all, self), func(string) bool { return true }).OwnGroup
+		for name, p := range plans {
+			if p.Undivided() {
+				continue
+			}
+			for other, q := range plans {
+				if other != name && q.OwnGroup == p.OwnGroup && q.Relay != slices.Contains(p.ReportRecipients, other) {
+					t.Fatalf("%s reports to %v, but %s is a relay: %v", name, p.ReportRecipients, other, q.Relay)
+				}
+			}
 			for g := range alive {
-				if n := received[self][g]; g != own && n != 1 {
-					t.Fatalf("%s gets %d sums of group %v, want 1", self, n, g)
+				if n := sums[name][g]; p.Relay && g != p.OwnGroup && n != 1 {
+					t.Fatalf("relay %s gets %d sums of group %v, want 1", name, n, g)
 				}
 			}
+			if p.Relay != (p.Source == "") || !p.Relay && (len(totals[name]) != 1 || totals[name][0] != p.Source) {
+				t.Fatalf("%s, a relay: %v, gets totals from %v, want one from %q", name, p.Relay, totals[name], p.Source)
+			}
 		}
 	})
 }
 
-// Load: fleets of different sizes. Guards against messages that grow in proportion
-// to the fleet.
-func TestRecipientsGrowWithTheSquareRoot(t *testing.T) {
+// Load: fleets of different sizes. Guards against messages that grow in proportion to
+// the fleet, in most daemons or in the relays.
+func TestFewDaemonsSendManyMessages(t *testing.T) {
 	for _, n := range []int{40, 83, 300, 1000} {
-		all := daemonNames(n)
-		most := 0
+		all := newDaemons(n, 5)
+		total, most := 0, 0
 		for _, self := range all {
-			most = max(most, grouper.New(self, peersOf(all, self), func(string) bool { return true }).Recipients())
+			r := grouper.New(self, peersOf(all, self), func(string) bool { return true }).Recipients()
+			total += r
+			most = max(most, r)
 		}
-		// Members and SumRecipients both have the square root of the fleet on
-		// average; hashing divides the daemons unevenly.
-		if bound := 5 * math.Sqrt(float64(n)); float64(most) > bound {
-			t.Errorf("a daemon in a fleet of %d sends to %d others, want at most %.0f", n, most, bound)
+		// Each daemon sends to its relays and gets one total; relays exchange few sums.
+		if bound := 10 * n; total > bound {
+			t.Errorf("%d daemons send %d messages in an interval, want at most %d", n, total, bound)
 		}
-	}
-}
-
-// Guards against counting load twice when daemons divide the fleet differently.
-func TestGroupsOfDifferentSizesOverlap(t *testing.T) {
-	for _, name := range daemonNames(100) {
-		eight, sixteen := grouper.Of(name, 8), grouper.Of(name, 16)
-		if !eight.Overlaps(sixteen) || !sixteen.Overlaps(eight) || !eight.Overlaps(grouper.Group{}) {
-			t.Errorf("the groups %v and %v of %s do not overlap", eight, sixteen, name)
+		if bound := 100; most > bound {
+			t.Errorf("a daemon in a fleet of %d sends to %d others, want at most %d", n, most, bound)
 		}
 	}
-	if (grouper.Group{Index: 1, Count: 8}).Overlaps(grouper.Group{Index: 2, Count: 16}) {
-		t.Error("groups that cannot have a daemon in common overlap")
-	}
 }
 
 // Guards against sums that lose or repeat service when a member restarts, and
@@ -128,3 +133,29 @@
 		t.Errorf("the sum has unchanged totals: %+v", r)
 	}
 }
+
+// Guards against a daemon that counts its own work twice, as a part of the total that
+// it gets back, also after it was silent for a while.
+func TestTotalLeavesOutTheRecipient(t *testing.T) {
+	s := grouper.NewSums()
+	load := func(running int) []placer.Load { return []placer.Load{{Target: placer.KeyOf("e"), Running: running}} }
+	account := func(demand, served float64) []sharer.Total {
+		return []sharer.Total{{Account: "x", Demand: demand, Served: served}}
+	}
+	for _, name := range []string{"a", "b"} {
+		s.Set(name, 1, grouper.Report{Accounts: account(0, 0)})
+	}
+	s.Set("a", 1, grouper.Report{Loads: load(3), Accounts: account(100, 90)})
+	s.Set("b", 1, grouper.Report{Loads: load(2), Accounts: account(10, 9)})
+	sum := s.TakeSum(true)
+	if r := s.Without("a", sum); len(r.Loads) != 1 || r.Loads[0].Running != 2 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 10, Served: 9}) {
+		t.Errorf("total for a: %+v, want the work of b", r)
+	}
+	if r := s.Without("c", sum); r.Loads[0].Running != 5 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 110, Served: 99}) {
+		t.Errorf("total for c: %+v, want the work of a and b", r)
+	}
+	s.Remove("a")
+	if r := s.Without("a", s.TakeSum(true)); r.Loads[0].Running != 2 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 10, Served: 9}) {
+		t.Errorf("total for a after it was removed: %+v, want the work of b", r)
+	}
+}
--- a/gateway/grouper/sums.go
+++ b/gateway/grouper/sums.go
@@ -20,6 +20,9 @@
 	// totals holds the sums by account. They are cumulative since NewSums, so that they
 	// do not fall when a member restarts or leaves.
 	totals map[string]*accountTotal
+	// contributions holds the part of each daemon in totals, by name and account. It
+	// stays when the daemon leaves, since totals do.
+	contributions map[string]map[string]sharer.Total
 	// spills holds the spills since the last sum.
 	spills []placer.Spill
 }
@@ -52,7 +55,9 @@
 }
 
 // NewSums returns empty sums.
-func NewSums() *Sums { return &Sums{members: map[string]*member{}, totals: map[string]*accountTotal{}} }
+func NewSums() *Sums {
+	return &Sums{members: map[string]*member{}, totals: map[string]*accountTotal{}, contributions: map[string]map[string]sharer.Total{}}
+}
 
 // Set records the report of a member. The first totals of an incarnation only set
 // the baseline, since it is unknown when that service was given.
@@ -83,15 +88,45 @@
 			sum = &accountTotal{Total: sharer.Total{Account: t.Account}}
 			s.totals[t.Account] = sum
 		}
-		sum.Demand += max(t.Demand-old.Demand, 0)
-		sum.Served += t.Served - old.Served
+		demand, served := max(t.Demand-old.Demand, 0), t.Served-old.Served
+		sum.Demand += demand
+		sum.Served += served
 		sum.unreported = true
+		s.contribute(name, t.Account, demand, served)
 	}
 	if room := maxPendingSpills - len(s.spills); room > 0 {
 		s.spills = append(s.spills, r.Spills[:min(len(r.Spills), room)]...)
 	}
 }
 
+func (s *Sums) contribute(name, account string, demand, served float64) {
+	if s.contributions[name] == nil {
+		s.contributions[name] = map[string]sharer.Total{}
+	}
+	c := s.contributions[name][account]
+	s.contributions[name][account] = sharer.Total{Account: account, Demand: c.Demand + demand, Served: c.Served + served}
+}
+
+// Without returns a sum of TakeSum less the loads and totals of one member, which knows
+// its own.
+func (s *Sums) Without(name string, sum Report) Report {
+	var own map[placer.Key]placer.Load
+	if m := s.members[name]; m != nil {
+		own = m.loads
+	}
+	r := Report{Complete: sum.Complete, Spills: sum.Spills}
+	for _, l := range sum.Loads {
+		if l = l.Sub(own[l.Target]); !l.Empty() {
+			r.Loads = append(r.Loads, l)
+		}
+	}
+	for _, t := range sum.Accounts {
+		c := s.contributions[name][t.Account]
+		r.Accounts = append(r.Accounts, sharer.Total{Account: t.Account, Demand: t.Demand - c.Demand, Served: t.Served - c.Served})
+	}
+	return r
+}
+
 // Remove drops the loads of a member. The service that it gave stays in the totals.
 func (s *Sums) Remove(name string) { delete(s.members, name) }
 
--- a/gateway/placer/target.go
+++ b/gateway/placer/target.go
@@ -113,8 +113,8 @@
 	return l
 }
 
-// sub returns the difference of two loads. No field becomes negative by rounding.
-func (l Load) sub(m Load) Load {
+// Sub returns the difference of two loads. No field becomes negative by rounding.
+func (l Load) Sub(m Load) Load {
 	l.PrefillTokens = max(l.PrefillTokens-m.PrefillTokens, 0)
 	l.Running = max(l.Running-m.Running, 0)
 	l.MemoryTokens = max(l.MemoryTokens-m.MemoryTokens, 0)
@@ -158,7 +158,7 @@
 	if r.answered {
 		return
 	}
-	t.ownLoad = t.ownLoad.sub(Load{PrefillTokens: r.uncachedTokens})
+	t.ownLoad = t.ownLoad.Sub(Load{PrefillTokens: r.uncachedTokens})
 	r.answered = true
 	t.pending = slices.DeleteFunc(t.pending, func(p *placedRequest) bool { return p == r })
 }
@@ -166,7 +166,7 @@
 // removeRequest removes a request of this daemon.
 func (t *target) removeRequest(r *placedRequest) {
 	t.setStalled(r, false)
-	t.ownLoad = t.ownLoad.sub(r.load())
+	t.ownLoad = t.ownLoad.Sub(r.load())
 	t.pending = slices.DeleteFunc(t.pending, func(p *placedRequest) bool { return p == r })
 	delete(t.running, r.request.ID)
 }
@@ -209,7 +209,7 @@
 func (t *target) removePeerLoad(peer string) {
 	if p, ok := t.peerLoads[peer]; ok {
 		delete(t.peerLoads, peer)
-		t.peerTotal = t.peerTotal.sub(p.load)
+		t.peerTotal = t.peerTotal.Sub(p.load)
 		if len(t.peerLoads) == 0 {
 			t.peerTotal = Load{} // discards the remainder of rounding
 		}
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -41,6 +41,9 @@
 	// Address, IP:PORT.
 	Address string `json:"address" cbor:"2,keyasint,omitempty"`
 
+	// Data centre of the daemon; missing like the address.
+	DataCentre *string `json:"dataCentre,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
+
 	// Daemon.
 	ID string `json:"id" cbor:"1,keyasint,omitempty"`
 }
@@ -490,10 +493,14 @@
 	// report is not the sum of a group.
 	Daemons []DaemonAddress `json:"daemons,omitempty,omitzero" cbor:"9,keyasint,omitempty"`
 
-	// Index of the group.
+	// Data centre whose daemons the report sums up; missing in the report of one
+	// daemon.
+	DataCentre *string `json:"dataCentre,omitempty,omitzero" cbor:"13,keyasint,omitempty"`
+
+	// Unused, like groups.
 	Group *uint64 `json:"group,omitempty,omitzero" cbor:"8,keyasint,omitempty"`
 
-	// Number of groups of the fleet if the report is the sum of a group.
+	// Unused; the property stays because keys follow from positions.
 	Groups *uint64 `json:"groups,omitempty,omitzero" cbor:"7,keyasint,omitempty"`
 
 	// Prompt parts cached by engines that are not the first choice for them.
@@ -505,6 +512,9 @@
 	// Unused; the property stays because keys follow from positions.
 	Targets []string `json:"targets,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
 
+	// Whether the report sums up all daemons of the fleet but the recipient.
+	Total *bool `json:"total,omitempty,omitzero" cbor:"14,keyasint,omitempty"`
+
 	// Whether the report is complete: the sender has no work at targets that are not
 	// listed.
 	Whole bool `json:"whole" cbor:"1,keyasint,omitempty"`
