Answer refused connections of a flooded host

A caller whose connection is reset does not know whether its request was read, so requests that must run only once are lost; after a 503 with Retry-After they come back to another host. The host closed connections unread because an answer by the HTTP server costs too much at a thousand connections a second.

Change: package refuser answers without the HTTP server and without parsing: it waits for the end of the header, sends one of eight prepared responses (Retry-After 50 to 400 ms), and keeps the connection until the caller closes it, since an earlier close would reset it. It takes effect from a refused share of 0.1 instead of 0.3. Beyond a fifth of the descriptors, connections are closed unread as before.

The two tests of the closing listener are replaced by tests that callers are answered, and that connections beyond the limit are closed.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -9,40 +9,85 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"monsoondeck.example/gateway/refuser"
 )
 
-// sheddingListener is a net.Listener that closes new connections unread while the
-// host is overloaded. That costs a small part of the work for an answer, and a
-// caller whose request was not read may try another host at once, instead of
-// waiting for seconds.
+// sheddingListener is a net.Listener that refuses part of the new connections while
+// the host is overloaded: with an answer while it has the processor time for that, and
+// by closing them unread otherwise.
 type sheddingListener struct {
 	net.Listener
-	// shed decides whether the next connection is closed. It is called once for each
+	// shed decides what happens to the next connection. It is called once for each
 	// connection.
-	shed func() bool
-	// shedCount is the number of connections that were closed unread.
-	shedCount atomic.Int64
+	shed    func() shedding
+	refuser *refuser.Refuser
+	// refusedCount is the number of connections that were refused with an answer,
+	// closedCount that of connections closed unread.
+	refusedCount, closedCount atomic.Int64
 }
 
+// shedding says what happens to a new connection.
+type shedding int
+
+const (
+	keepConnection shedding = iota
+	refuseConnection
+	closeConnection
+)
+
 // Accept implements net.Listener.
 func (l *sheddingListener) Accept() (net.Conn, error) {
 	keepNext := false // shed has already decided to keep the next connection
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil || keepNext || !l.shed() {
+		if err != nil || keepNext {
 			return c, err
 		}
-		l.shedCount.Add(1)
-		_ = c.Close() // the caller sees the end of the connection
-		keepNext = l.closePending()
+		decision := l.shed()
+		if decision == keepConnection {
+			return c, nil
+		}
+		if descriptor, err := duplicate(c); err == nil {
+			l.drop(descriptor, decision)
+		}
+		_ = c.Close() // the duplicate, if any, keeps the connection open
+		keepNext = l.dropPending()
+	}
+}
+
+// drop refuses or closes a connection.
+func (l *sheddingListener) drop(descriptor int, decision shedding) {
+	if decision == refuseConnection {
+		l.refusedCount.Add(1)
+		l.refuser.Refuse(descriptor)
+		return
+	}
+	l.closedCount.Add(1)
+	_ = unix.Close(descriptor) // the caller sees the end of the connection
+}
+
+// duplicate returns another file descriptor of a connection.
+func duplicate(c net.Conn) (int, error) {
+	inner, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return 0, err
 	}
+	descriptor := 0
+	var duplicated error
+	err = raw.Control(func(fd uintptr) { descriptor, duplicated = unix.FcntlInt(fd, unix.F_DUPFD_CLOEXEC, 0) })
+	return descriptor, errors.Join(err, duplicated)
 }
 
-// closePending closes connections from the accept queue of the kernel until shed
-// decides to keep one, and reports whether it did. Accepting them with net.Listener
-// would register and set up each one in the runtime, which costs several times as
-// much as the two system calls made here.
-func (l *sheddingListener) closePending() (keep bool) {
+// dropPending drops connections from the accept queue of the kernel until shed decides
+// to keep one, and reports whether it did. Accepting them with net.Listener would
+// register and set up each one in the runtime, which costs several times as much as
+// the system calls made here.
+func (l *sheddingListener) dropPending() (keep bool) {
 	inner, ok := l.Listener.(syscall.Conn)
 	if !ok {
 		return false
@@ -53,7 +98,8 @@
 	}
 	_ = raw.Control(func(fd uintptr) { // an error means a closed listener, which the next Accept reports
 		for {
-			if !l.shed() {
+			decision := l.shed()
+			if decision == keepConnection {
 				keep = true
 				return
 			}
@@ -61,8 +107,7 @@
 			if err != nil {
 				return // the accept queue is empty, or the next Accept gets the same error
 			}
-			l.shedCount.Add(1)
-			_ = unix.Close(c) // the caller sees the end of the connection
+			l.drop(c, decision)
 		}
 	})
 	return keep
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -1,99 +1,121 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"monsoondeck.example/gateway/refuser"
 )
 
-// Load: more callers than a small host can answer. Guards against new connections
-// that stay open while the host is overloaded, and against refusing them after
-// that.
-func TestListenerShedsConnectionsWhileOverloaded(t *testing.T) {
+// startShedding returns a listener that treats its connections as decided, and keeps
+// the later ones.
+func startShedding(t *testing.T, decisions ...shedding) *sheddingListener {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	shed := make(chan bool, 2)
-	shed <- true
-	shed <- false
-	s := &sheddingListener{Listener: l, shed: func() bool { return <-shed }}
-	defer func() { _ = s.Close() }()
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		c, err := s.Accept()
-		if err != nil {
-			t.Error(err)
-		}
-		accepted <- c
-	}()
-	first, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = first.Close() }()
-	if _, err := first.Read(make([]byte, 1)); err == nil {
-		t.Error("the first connection was not closed")
-	}
-	second, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = second.Close() }()
-	defer func() { _ = (<-accepted).Close() }()
-	if s.shedCount.Load() != 1 {
-		t.Errorf("%d connections were closed, want 1", s.shedCount.Load())
-	}
+	start := time.Now()
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	s := &sheddingListener{
+		Listener: l, refuser: refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }),
+		shed: func() shedding {
+			if len(decisions) == 0 {
+				return keepConnection
+			}
+			next := decisions[0]
+			decisions = decisions[1:]
+			return next
+		},
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
 }
 
-// Load: many connections in the accept queue of an overloaded host. Guards against
-// closing a connection that should be kept, and against closing more connections
-// than decided.
-func TestListenerShedsPendingConnections(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func dial(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// Load: many callers of one account at an overloaded host. Guards against callers
+// without an answer, against an answer that is lost because the rest of a long request
+// arrives after it, and against refusing a connection that should be kept.
+func TestListenerAnswersRefusedConnections(t *testing.T) {
 	const callers, kept = 20, 3
-	shedCount := 0
-	s := &sheddingListener{Listener: l, shed: func() bool {
-		if shedCount == callers-kept {
-			return false
-		}
-		shedCount++
-		return true
-	}}
-	defer func() { _ = s.Close() }()
+	decisions := make([]shedding, callers-kept)
+	for i := range decisions {
+		decisions[i] = refuseConnection
+	}
+	s := startShedding(t, decisions...)
 	var all []net.Conn
 	for range callers {
-		c, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = c.Close() }()
-		all = append(all, c)
+		all = append(all, dial(t, s))
 	}
 	for range kept {
 		c, err := s.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
+		defer func() { _ = c.Close() }()
 		if _, err := io.WriteString(c, "kept"); err != nil {
 			t.Error(err)
 		}
-		defer func() { _ = c.Close() }()
 	}
-	if n := s.shedCount.Load(); n != callers-kept {
-		t.Errorf("%d connections were closed, want %d", n, callers-kept)
+	if n := s.refusedCount.Load(); n != callers-kept {
+		t.Errorf("%d connections were refused, want %d", n, callers-kept)
 	}
+	body := make([]byte, 64<<10)
 	for i, c := range all {
-		n, err := c.Read(make([]byte, 4))
-		if kept := i >= callers-kept; kept != (err == nil && n == 4) {
-			t.Errorf("caller %d read %d bytes with error %v", i, n, err)
+		if i >= callers-kept {
+			if n, err := io.ReadFull(c, make([]byte, 4)); err != nil {
+				t.Errorf("caller %d read %d bytes of a kept connection: %v", i, n, err)
+			}
+			continue
+		}
+		if _, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body)); err != nil {
+			t.Error(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("caller %d got %v, %v, want status 503", i, response, err)
+			continue
 		}
+		_ = response.Body.Close()
+		if _, err := c.Write(body); err != nil {
+			t.Errorf("caller %d could not send its body after the answer: %v", i, err)
+		}
+	}
+}
+
+// Guards against a process that runs out of descriptors: connections beyond the limit
+// are closed unread.
+func TestListenerClosesConnectionsBeyondTheLimit(t *testing.T) {
+	s := startShedding(t, closeConnection, closeConnection)
+	first, second := dial(t, s), dial(t, s)
+	third := dial(t, s)
+	c, err := s.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	for _, closed := range []net.Conn{first, second} {
+		if _, err := closed.Read(make([]byte, 1)); err == nil {
+			t.Error("a connection beyond the limit was not closed")
+		}
+	}
+	if c.RemoteAddr().String() != third.LocalAddr().String() || s.closedCount.Load() != 2 {
+		t.Errorf("kept %v after closing %d, want %v after 2", c.RemoteAddr(), s.closedCount.Load(), third.LocalAddr())
 	}
 }
 
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -110,7 +110,7 @@
 	if !rc.LoadShedder.Admit(rc.ActiveRequests.Load()) {
 		// The body is not read: that would cost more than the rejection saves.
 		w.Header().Set("Connection", "close")
-		p.reject(rejection{status: http.StatusServiceUnavailable, code: "hostBusy", retryAfter: hostBusyRetryAfter})
+		p.reject(rejection{status: http.StatusServiceUnavailable, code: codeBusy, retryAfter: hostBusyRetryAfter})
 		return
 	}
 	if !p.readBody() {
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -54,6 +55,20 @@
 	p.recordEnd(r.code, r.status)
 }
 
+// codeBusy is the code of rejections because the host is busy.
+const codeBusy = "hostBusy"
+
+// BusyResponse returns a whole response that rejects a request which was not read,
+// because the host is busy, and closes the connection. It names no request.
+func BusyResponse(p Protocol, retryAfter time.Duration) []byte {
+	body, err := json.Marshal(rejectionBody{rejectionError{Code: codeBusy, RetryAfterSeconds: retryAfter.Seconds()}})
+	if err != nil {
+		body = nil // status and Retry-After are sufficient
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nRetry-After: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), p.FormatRetryAfter(retryAfter), len(body), body)
+}
+
 // setWriteDeadline sets the deadline of the next write to the caller.
 func (p *proxyRequest) setWriteDeadline() {
 	// The error is ignored: response writers of tests may not support deadlines.
--- /dev/null
+++ b/gateway/refuser/refuser.go
@@ -0,0 +1,122 @@
+// Package refuser answers the requests on new connections with a refusal, at a small
+// part of the cost of the HTTP server. It serves hosts that get many times the requests
+// that they can serve: a caller whose connection is closed without an answer does not
+// know whether its request was read, and many give up.
+//
+// A refused request is not parsed. The connection is kept until the caller has closed
+// it, since the kernel resets a connection that is closed with unread data, and the
+// caller may then lose the response.
+package refuser
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// sweepInterval is the time between two looks at the open connections.
+	sweepInterval = 20 * time.Millisecond
+	// readBytes is the size of the read buffer, enough for most requests.
+	readBytes = 16 << 10
+)
+
+// Refuser answers connections. It is safe for concurrent use.
+type Refuser struct {
+	responses [][]byte
+	limit     int
+	clock     func() time.Duration
+
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	// open holds the connections that are not closed yet.
+	open []connection
+	// sweeping is set while a goroutine looks after the open connections.
+	sweeping bool
+	buffer   []byte
+}
+
+// connection is a refused connection by its file descriptor.
+type connection struct {
+	descriptor int
+	exchange   exchange
+}
+
+// New returns a Refuser that answers with one of the responses, chosen at random, and
+// keeps at most limit connections open.
+func New(responses [][]byte, limit int, clock func() time.Duration) *Refuser {
+	return &Refuser{responses: responses, limit: limit, clock: clock, buffer: make([]byte, readBytes)}
+}
+
+// Refuse answers the connection with the file descriptor, which it owns from now on.
+// It does not block. Beyond the limit, it closes the connection without an answer.
+func (r *Refuser) Refuse(descriptor int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	c := connection{descriptor: descriptor, exchange: exchange{accepted: r.clock()}}
+	if len(r.open) >= r.limit {
+		closeDescriptor(descriptor)
+		return
+	}
+	if r.advance(&c) {
+		return
+	}
+	r.open = append(r.open, c)
+	if !r.sweeping {
+		r.sweeping = true
+		go r.sweep()
+	}
+}
+
+// sweep looks after the open connections until there is none.
+func (r *Refuser) sweep() {
+	for {
+		time.Sleep(sweepInterval)
+		if r.sweepOnce() {
+			return
+		}
+	}
+}
+
+// sweepOnce looks after each open connection once and reports whether none is left.
+func (r *Refuser) sweepOnce() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	left := r.open[:0]
+	for _, c := range r.open {
+		if !r.advance(&c) {
+			left = append(left, c)
+		}
+	}
+	r.open = left
+	r.sweeping = len(left) > 0
+	return !r.sweeping
+}
+
+// advance reads what has arrived, answers if it is time, and reports whether the
+// connection was closed. The caller holds the mutex.
+func (r *Refuser) advance(c *connection) bool {
+	n, _, err := unix.Recvfrom(c.descriptor, r.buffer, unix.MSG_DONTWAIT)
+	closed := err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+	switch c.exchange.receive(r.clock(), r.buffer[:max(n, 0)], closed) {
+	case wait:
+		return false
+	case answer:
+		response := r.responses[rand.IntN(len(r.responses))]
+		// The send buffer of a new connection takes the whole response.
+		if err := unix.Sendto(c.descriptor, response, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil); err == nil {
+			_ = unix.Shutdown(c.descriptor, unix.SHUT_WR) // fails only if the caller is gone
+			return false
+		}
+	case finish:
+	}
+	closeDescriptor(c.descriptor)
+	return true
+}
+
+// closeDescriptor closes a connection. An error changes nothing: the descriptor is gone
+// either way.
+func closeDescriptor(descriptor int) { _ = unix.Close(descriptor) }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -50,17 +50,15 @@
 func (m *overloadMonitor) ShouldCloseConnections() bool { return m.closeAfterAnswer.Load() }
 
 // shedConnection decides at random, with the refused share as the probability,
-// whether a new connection should be closed unread.
-func (m *overloadMonitor) shedConnection() bool {
+// whether a new connection should be refused.
+func (m *overloadMonitor) shedConnection() shedding {
 	share := m.refusedShare()
-	return share >= minShedShare && rand.Float64() < share
+	if share >= shedder.MinConnectionShare && rand.Float64() < share {
+		return refuseConnection
+	}
+	return keepConnection
 }
 
-// minShedShare is the refused share of requests from which new connections are
-// closed unread. Below it, the host has enough CPU time to refuse requests with an
-// answer.
-const minShedShare = 0.3
-
 // refusedShare returns the share of requests that is refused, between 0 and 1.
 func (m *overloadMonitor) refusedShare() float64 { return math.Float64frombits(m.shareBits.Load()) }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/gateway/receiver"
+	"monsoondeck.example/gateway/refuser"
 )
 
 const (
@@ -97,6 +100,42 @@
 	return limit > 0 && g.callerServer.openConnections() >= limit
 }
 
+// shedConnection decides what happens to a new connection.
+func (g *Gateway) shedConnection() shedding {
+	if g.atConnectionLimit() {
+		return closeConnection
+	}
+	return g.overload.shedConnection()
+}
+
+const (
+	// refusedDescriptorShare is the part of the file descriptors that refused connections
+	// may use until their callers have closed them.
+	refusedDescriptorShare = 0.2
+	// defaultRefusedConnections is their number if the limit of descriptors is unknown.
+	defaultRefusedConnections = 512
+	// minRefusalRetryAfter and maxRefusalRetryAfter bound the time after which refused
+	// callers should come back. It is short, since a new connection reaches another host,
+	// and varies, so that they do not come back together.
+	minRefusalRetryAfter, maxRefusalRetryAfter = 50 * time.Millisecond, 400 * time.Millisecond
+	// refusalVariants is the number of different times.
+	refusalVariants = 8
+)
+
+// newRefuser returns a refuser that answers as receiver.Handler answers for a busy host.
+func (g *Gateway) newRefuser() *refuser.Refuser {
+	var responses [][]byte
+	for i := range refusalVariants {
+		after := minRefusalRetryAfter + (maxRefusalRetryAfter-minRefusalRetryAfter)*time.Duration(i)/(refusalVariants-1)
+		responses = append(responses, receiver.BusyResponse(g.options.Protocol, after))
+	}
+	limit := int(refusedDescriptorShare * float64(g.settings.Descriptors))
+	if limit <= 0 {
+		limit = defaultRefusedConnections
+	}
+	return refuser.New(responses, limit, g.clock)
+}
+
 // closeIdle closes the connections that have been idle for longer than the timeout;
 // 0 closes none.
 func (s *server) closeIdle(timeout time.Duration) {
@@ -144,7 +183,7 @@
 		}
 		all = append(all, s)
 		if i == 0 {
-			g.listener = &sheddingListener{Listener: s.listener, shed: func() bool { return g.overload.shedConnection() || g.atConnectionLimit() }}
+			g.listener = &sheddingListener{Listener: s.listener, shed: g.shedConnection, refuser: g.newRefuser()}
 			s.listener = g.listener
 			g.callerServer = s
 		} else {
--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -42,6 +42,10 @@
 	// balancerNoticeTime is how long the balancer needs to take the host out. Callers
 	// whose connections are closed earlier connect to the same host again.
 	balancerNoticeTime = 2 * time.Second
+	// MinConnectionShare is the refused share of requests from which new connections are
+	// refused without reading their requests. Below it, the host has enough processor time
+	// to read them, and callers of unknown routes or keys get their proper answers.
+	MinConnectionShare = 0.1
 	// lagWeight is the weight of the newest delay in the mean.
 	lagWeight = 0.3
 )
--- a/gateway/shedder/shedder_test.go
+++ b/gateway/shedder/shedder_test.go
@@ -1,6 +1,7 @@
 package shedder_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -123,3 +124,49 @@
 		t.Error("the host is still unready for long after a minute without load")
 	}
 }
+
+// Load: an account floods one host of 0.144 cores with eight times the requests that it
+// can serve, for seven seconds, most of them on new connections. Every caller must get
+// an answer, within a time in which it still can go to another host, and the host must
+// use most of its processor time for requests that it serves.
+func TestFloodedHostAnswersEveryCaller(t *testing.T) {
+	const (
+		// serveCost and refuseCost are in real time on a host of 0.144 cores. The HTTP
+		// server would need 1.2 ms for a refusal.
+		serveCost  = 8 * time.Millisecond
+		refuseCost = 350 * time.Microsecond
+		arrival    = time.Second / 1000
+		timer      = 50 * time.Millisecond
+		flood      = 7 * time.Second
+		patience   = 400 * time.Millisecond
+		// settled is the time until the refused share has adapted.
+		settled    = 1500 * time.Millisecond
+		wantServed = int(flood / serveCost / 4)
+	)
+	s := shedder.New(0)
+	random := rand.New(rand.NewPCG(1, 1))
+	busyUntil, served, answered, late := time.Duration(0), 0, 0, 0
+	nextTimer := timer
+	for now := time.Duration(0); now < flood; now += arrival {
+		for ; nextTimer <= now; nextTimer += timer {
+			s.RecordTimerDelay(nextTimer, max(busyUntil-nextTimer, 0))
+		}
+		cost := serveCost
+		if share := s.RefusedShare(); share >= shedder.MinConnectionShare && random.Float64() < share {
+			cost = refuseCost
+		} else {
+			served++
+		}
+		busyUntil = max(busyUntil, now) + cost
+		answered++
+		if now > settled && busyUntil-now > patience {
+			late++
+		}
+	}
+	if share := float64(late) / float64(answered); share > 0.05 {
+		t.Errorf("%.2f of the callers wait longer than %v for an answer, want at most 0.05", share, patience)
+	}
+	if served < wantServed {
+		t.Errorf("the host served %d requests, want at least %d", served, wantServed)
+	}
+}
