Bound what a target in trouble can make a daemon read

Found while looking for bytes without end: the courier read the header of a response, informational responses before it and the body of a response to another request for as long as the target sent them. A header without end grows in memory until the process is killed. And a stalled stream that sends a comment now and then counted as going on, so that it was not resumed at another target before the caller gave up.

Change: a header with all informational responses has at most 64 KB, a foreign body 256 KB; then the connection is closed and the attempt fails as invalid. Only events with a field restart the timer that detects a stall, and count as the first event.

--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -60,6 +60,12 @@
 	// read. Larger bodies are written concurrently with reading, since a target may
 	// respond before it has read the body.
 	maxInlineBodyBytes = 2 << 10
+	// maxHeadBytes bounds the header of a response, with all informational responses
+	// before it. A faulty target may send bytes without end.
+	maxHeadBytes = 64 << 10
+	// maxForeignBodyBytes bounds the body of a response to another request that is read in
+	// order to reach the next response.
+	maxForeignBodyBytes = 256 << 10
 	// maxSkippedResponses bounds the responses to other requests that are dropped before
 	// the connection is closed.
 	maxSkippedResponses = 2
@@ -254,6 +260,9 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// headBytesLeft is the number of bytes that may still be read for the header of the
+	// current response; negative while there is no limit.
+	headBytesLeft int
 	// idleTimeout is how long the connection may be idle before it is closed.
 	idleTimeout time.Duration
 	// idleSince and idleUntil bound the current idle time; they are set while the
@@ -262,7 +271,27 @@
 }
 
 func newConnection(raw net.Conn) *connection {
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	c := &connection{Conn: raw, idleTimeout: defaultIdleTimeout, headBytesLeft: -1}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// errLongHead reports a header that is longer than maxHeadBytes.
+var errLongHead = errors.New("the header of the response is too long")
+
+// Read reads from the connection. It returns errLongHead beyond the limit for a header.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.headBytesLeft == 0 {
+		return 0, errLongHead
+	}
+	if c.headBytesLeft > 0 {
+		p = p[:min(len(p), c.headBytesLeft)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headBytesLeft > 0 {
+		c.headBytesLeft -= n
+	}
+	return n, err
 }
 
 // abort closes the connection. It ignores the error of closing, which says nothing
--- a/gateway/courier/courier_test.go
+++ b/gateway/courier/courier_test.go
@@ -272,6 +272,41 @@
 	}
 }
 
+// Guards against a daemon that reads a response without end until its memory or the
+// time of the request is used up.
+func TestEndlessResponsesAreErrors(t *testing.T) {
+	const foreign = "HTTP/1.1 200 OK\r\nId: other\r\n"
+	for name, raw := range map[string]struct{ start, repeated string }{
+		"status line":             {"HTTP/1.1 200 ", "O"},
+		"field without end":       {"HTTP/1.1 200 OK\r\nId: ", "1"},
+		"fields":                  {"HTTP/1.1 200 OK\r\n", "Id: 1\r\n"},
+		"informational responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"foreign body":            {foreign + "\r\n", "x"},
+		"foreign chunks":          {foreign + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nshort\r\n"},
+		"bytes":                   {"", "\x00"},
+	} {
+		var sent atomic.Int64
+		s := startTarget(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, raw.start)
+			piece := []byte(strings.Repeat(raw.repeated, 4096/len(raw.repeated)))
+			for sent.Load() < 64<<20 {
+				n, err := c.Write(piece)
+				sent.Add(int64(n))
+				if err != nil {
+					break // the daemon has closed the connection
+				}
+			}
+			return false
+		})
+		if got, err := do(t, newClient(t), s, newRequest("1")); !errors.Is(err, courier.ErrInvalid) {
+			t.Errorf("%s: %q, %v, want ErrInvalid", name, got, err)
+		}
+		if n := sent.Load(); n >= 64<<20 {
+			t.Errorf("%s: the connection was still open after %d bytes", name, n)
+		}
+	}
+}
+
 // A target may respond before it has read a long body. Guards against reuse of the
 // connection, on which the rest of the body would take the place of the next request.
 func TestEarlyResponseToALongBody(t *testing.T) {
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -100,7 +100,11 @@
 
 // receive reads responses until one belongs to the request.
 func (x *exchange) receive() (*Response, error) {
+	defer func() { x.connection.headBytesLeft = -1 }()
 	for skipped := 0; ; {
+		if x.connection.headBytesLeft < 0 {
+			x.connection.headBytesLeft = maxHeadBytes
+		}
 		response, err := http.ReadResponse(x.connection.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return nil, x.classifyReadError(err)
@@ -115,9 +119,14 @@
 		if skipped++; skipped > maxSkippedResponses || response.Close {
 			return nil, errors.Wrap(ErrInvalid, "response belongs to another request")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		x.connection.headBytesLeft = -1
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBodyBytes))
+		if err != nil {
 			return nil, errors.Wrapf(ErrBroken, "read the body of a response to another request: %v", err)
 		}
+		if n == maxForeignBodyBytes {
+			return nil, errors.Wrap(ErrInvalid, "long response to another request")
+		}
 	}
 }
 
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -124,14 +124,16 @@
 				return p.failAttempt(permit, placer.Failed, "stream event exceeds the size limit", nil)
 			}
 			if len(ready) > 0 {
-				if first && resumeAfterID != "" && startsAtOrBefore(ready, resumeAfterID) {
+				if first && events.count > 0 && resumeAfterID != "" && startsAtOrBefore(ready, resumeAfterID) {
 					return p.failAttempt(permit, placer.Failed, "target restarted the stream instead of resuming it", nil)
 				}
-				if first {
+				if first && events.count > 0 {
 					first = false
 					permit.FirstEvent()
 				}
-				watch.recordEvents(events.count)
+				if events.count > 0 {
+					watch.recordEvents(events.count)
+				}
 				if !p.writeEvents(ready, events.lastEventID) {
 					permit.End(placer.Cancelled)
 					return outcomeFailed
--- a/gateway/receiver/splitter.go
+++ b/gateway/receiver/splitter.go
@@ -14,7 +14,9 @@
 	pending []byte
 	// lastEventID is the ID of the last whole event that had one.
 	lastEventID string
-	// count is the number of whole events that the last call of add returned.
+	// count is the number of whole events with a field that the last call of add
+	// returned. Comments only keep a connection open, so that a target can send them
+	// without end although it has stalled.
 	count int
 }
 
@@ -31,7 +33,7 @@
 		return nil, true
 	}
 	events = p[:end]
-	s.count = bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
+	s.count = countEvents(events)
 	if id, ok := lastID(events); ok {
 		s.lastEventID = id
 	}
@@ -40,6 +42,21 @@
 	return events, false
 }
 
+// countEvents returns the number of events that have a field.
+func countEvents(events []byte) int {
+	count, hasField := 0, false
+	for line := range bytes.Lines(events) {
+		switch line = bytes.TrimRight(line, "\r\n"); {
+		case len(line) == 0 && hasField:
+			count++
+			hasField = false
+		case len(line) > 0 && line[0] != ':':
+			hasField = true
+		}
+	}
+	return count
+}
+
 // rest returns the bytes after the last whole event.
 func (s *eventSplitter) rest() []byte { return s.pending }
 
