Reach relays of a data centre of which no daemon is known to live

When all relays of a group die, the other groups hear nothing of it for 2.5 s and take all its daemons for dead; its new relays hear nothing of the others and do the same. Neither side then sent to the other again.

--- a/gateway/grouper/grouper.go
+++ b/gateway/grouper/grouper.go
@@ -118,7 +118,8 @@
 	return p
 }
 
-// relays returns the relays of a group of daemons.
+// relays returns the relays of a group of daemons. If no daemon of the group is known to
+// be alive, they are chosen among all: two groups that have lost each other must try.
 func relays(names []string, live func(name string) bool) []string {
 	count := max(minRelays, (len(names)+daemonsPerRelay-1)/daemonsPerRelay)
 	var alive []string
@@ -127,6 +128,9 @@
 			alive = append(alive, name)
 		}
 	}
+	if len(alive) == 0 {
+		alive = slices.Clone(names)
+	}
 	slices.SortFunc(alive, func(a, b string) int {
 		return cmp.Or(cmp.Compare(relayRank(a), relayRank(b)), cmp.Compare(a, b))
 	})
