Bound the header of a response in monsoond

The header of a response to monsoond was limited to the 10 MB of net/http, a thirteenth of the memory that a daemon may use. It is now 64 KB, as in the gateway. The new test failed before (more than 4 MB were read).

--- a/router/dispatcher/dispatcher.go
+++ b/router/dispatcher/dispatcher.go
@@ -23,6 +23,9 @@
 	// transportBuffer, in bytes, is below the default of 4 KB, because each open
 	// stream holds two buffers. Most requests and events are smaller.
 	transportBuffer = 2 << 10
+	// maxHeadBytes bounds the header of a response. The default of 10 MB would let a few
+	// targets that send headers without end use up the memory.
+	maxHeadBytes = 64 << 10
 	// captureLimit, in bytes, bounds the responses kept in memory, including those
 	// stored with idempotency keys.
 	captureLimit = 64 << 10
@@ -122,6 +125,8 @@
 		ReadBufferSize:      transportBuffer,
 		WriteBufferSize:     transportBuffer,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/router/receiver/limits_test.go
+++ b/router/receiver/limits_test.go
@@ -111,6 +111,29 @@
 		Expect(seen.Get("Monsoondeck-Fleet")).To(Equal("1"))
 	})
 
+	// Guards against a target that sends a header without end, until the memory of the
+	// daemon is used up.
+	It("closes the connection of a target that sends a header without end", func() {
+		const enough = 4 << 20
+		sent := make(chan int, 1)
+		f := newFixture(nil, func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := w.(http.Hijacker).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = c.Close() }()
+			n, _ := c.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			field := []byte("X-Field: " + strings.Repeat("x", 1000) + "\r\n")
+			for err == nil && n < enough {
+				var written int
+				written, err = c.Write(field)
+				n += written
+			}
+			sent <- n
+		})
+		res, _ := f.do("GET", "/services/orders/", "")
+		Expect(res.StatusCode).To(BeNumerically(">=", 400))
+		Expect(<-sent).To(BeNumerically("<", enough))
+	})
+
 	It("counts responses to another request", func() {
 		d, closeIdle := dispatcher.New(dispatcher.Options{})
 		DeferCleanup(closeIdle)
