--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -13,9 +13,8 @@
 	"monsoondeck.example/gateway/refuser"
 )
 
-// sheddingListener is a net.Listener that refuses part of the new connections while
-// the host is overloaded: with an answer while it has the processor time for that, and
-// by closing them unread otherwise.
+// sheddingListener is a net.Listener that refuses part of the new connections with an
+// answer while the host is overloaded, and closes those beyond its limit unread.
 type sheddingListener struct {
 	net.Listener
 	// shed decides what happens to the next connection. It is called once for each
