Log the parts of prompts and whether a failed answer had begun

The records of a request did not name the parts of its prompt, so that requests with a part in common could not be found, and event 515 did not say whether the answer had begun.

--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -12,6 +12,8 @@
 // leading parts in common, and engines keep the computed state of parts in a cache.
 // The last part of a prompt is not shared.
 type PromptPart struct {
+	// ID is a hash of the identity of the part alone, wherever it occurs.
+	ID uint64
 	// PrefixHash is a hash of the part and all parts before it, since an engine can
 	// use a cached part only together with those before it.
 	PrefixHash uint64
@@ -30,7 +32,7 @@
 	for i, id := range identities {
 		_, _ = h.WriteString("\x00")
 		_, _ = h.WriteString(id)
-		parts[i] = PromptPart{PrefixHash: h.Sum64(), Tokens: tokens[i]}
+		parts[i] = PromptPart{ID: xxhash.Sum64String(id), PrefixHash: h.Sum64(), Tokens: tokens[i]}
 	}
 	return parts
 }
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -5,6 +5,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -135,7 +137,8 @@
 	}
 	p.log(logger.RequestPlaced, slog.String("target", d.Choice.Target.ID), slog.Int("attempt", p.attempts+1),
 		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits),
-		slog.Bool("home", d.Choice.FirstRanked), slog.Float64("unread", d.Choice.UncachedTokens), slog.Float64("shared", d.Choice.UncachedSharedTokens), slog.Float64("copied", d.Choice.CopyTokens))
+		slog.Bool("home", d.Choice.FirstRanked), slog.Float64("unread", d.Choice.UncachedTokens), slog.Float64("shared", d.Choice.UncachedSharedTokens), slog.Float64("copied", d.Choice.CopyTokens),
+		slog.String("parts", formatParts(p.info.Parts)))
 	return p.send(ctx, permit, timeLeft)
 }
 
@@ -251,7 +254,8 @@
 	permit.End(result)
 	target := permit.Decision().Choice.Target.ID
 	p.excluded = append(p.excluded, target)
-	attrs := []slog.Attr{slog.String("target", target), slog.Bool("sent", true), slog.String("what", reason)}
+	attrs := []slog.Attr{slog.String("target", target), slog.Bool("sent", true), slog.String("what", reason),
+		slog.Bool("began", p.stream != nil && p.stream.started), slog.String("parts", formatParts(p.info.Parts))}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", err.Error()))
 	}
@@ -318,6 +322,19 @@
 		slog.Duration("firstByte", p.firstByte), slog.Duration("longestPause", longestPause), slog.Duration("total", total))
 }
 
+// formatParts returns the IDs of the parts of a prompt in order, so that requests with
+// a part in common can be found in the log.
+func formatParts(parts []placer.PromptPart) string {
+	var b strings.Builder
+	for i, part := range parts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.FormatUint(part.ID, 16))
+	}
+	return b.String()
+}
+
 // log logs an event of the request.
 func (p *proxyRequest) log(e logger.Event, attrs ...slog.Attr) {
 	attrs = append([]slog.Attr{
