Quarantine prompt parts that crash targets

Cause: what a daemon knows about the crash of a target is a failure of that target. Nothing remembers under which prompts it happened, and nothing tells the other daemons, so that the next request with the part crashes the next target. Ruled out: repetitions of one request (the eight crashes traced belong to eight requests with one attempt each), and targets that get the request again when they are back.

Change: gateway/quarantiner collects incidents and proofs, from which all daemons derive the same verdict; reports carry them. A crash is confirmed by a probe, so that a broken connection alone counts for nothing. The result of such an attempt is placer.Broken now; four tests of the receiver expected Failed, which covers stalls and errors as well, and now expect the stricter Broken. The property keys of the report are appended, so that old and new daemons understand each other.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -15,6 +15,7 @@
 
 	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/registrar"
@@ -107,6 +108,14 @@
 	// waiting holds the permits of queued requests and placed those of requests at
 	// targets, by request ID.
 	waiting, placed map[uint64]*permit
+	// quarantine holds what is known about prompt parts that crash targets, quarantined
+	// the parts that are in quarantine, sorted.
+	quarantine  *quarantiner.Quarantine
+	quarantined []quarantiner.Part
+	// suspicions holds the targets that may have crashed, by ID. held holds the requests
+	// that are repeated only if they did not crash such a target.
+	suspicions map[string]*suspicion
+	held       []*permit
 	// peers maps each live peer to the time of the last sign of life.
 	peers map[string]time.Duration
 	// plan says to whom this daemon sends what.
@@ -160,6 +169,8 @@
 	// Waiting is the number of queued requests, Placed that of requests at targets,
 	// Targets that of usable targets and Peers that of live peers.
 	Waiting, Placed, Targets, Peers int
+	// Quarantined is the number of prompt parts in quarantine.
+	Quarantined int
 	// ShareLevel is the service, in tokens per window, up to which an account is within
 	// its fair share; 0 means no limit.
 	ShareLevel float64
@@ -214,6 +225,7 @@
 		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host)}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
+		quarantine: quarantiner.New(), suspicions: map[string]*suspicion{},
 		sums: grouper.NewSums(), totals: grouper.NewSums(),
 		sources: map[string]time.Duration{}, groupSources: map[grouper.Group]string{}, failedRelays: map[string]time.Duration{}, dataCentres: map[string]string{},
 	}
@@ -298,8 +310,7 @@
 		if d.Reason == "" {
 			c.placed[d.ID] = p
 		}
-		p.decidedAt = now
-		p.decisionCh <- d
+		p.decide(now, d)
 	}
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/logger"
@@ -15,11 +16,24 @@
 type enqueueEvent struct{ permit *permit }
 
 func (e enqueueEvent) apply(c *Controller, now time.Duration) {
-	d := e.permit.demand
+	if c.hold(e.permit) {
+		return
+	}
+	c.enqueue(now, e.permit)
+}
+
+// enqueue adds a request to the queue, or refuses it if a part of its prompt crashes
+// targets. The latter takes nothing from the share of its account.
+func (c *Controller) enqueue(now time.Duration, p *permit) {
+	if d, refused := c.quarantineDecision(now, p); refused {
+		p.decide(now, d)
+		return
+	}
+	d := p.demand
 	if d.CountsTowardsShare && d.FirstWait {
 		c.shares.RecordDemand(now, d.Account, d.Request.Cost())
 	}
-	c.waiting[d.Request.ID] = e.permit
+	c.waiting[d.Request.ID] = p
 	c.queue.Add(queuer.Item{
 		Request: d.Request, Account: d.Account, CountsTowardsShare: d.CountsTowardsShare, Priority: d.Priority,
 		Arrived: now, Objective: d.Objective, Deadline: now + d.TimeLeft,
@@ -31,6 +45,10 @@
 
 func (e cancelEvent) apply(c *Controller, now time.Duration) {
 	id := e.permit.demand.Request.ID
+	if i := slices.Index(c.held, e.permit); i >= 0 {
+		c.held = slices.Delete(c.held, i, i+1)
+		return
+	}
 	if c.queue.Remove(id) {
 		delete(c.waiting, id)
 		return
@@ -43,6 +61,9 @@
 type answerStartEvent struct{ permit *permit }
 
 func (e answerStartEvent) apply(c *Controller, now time.Duration) {
+	if !e.permit.began {
+		e.permit.began, e.permit.beganAt = true, now
+	}
 	c.fleet.RecordFirstEvent(now, e.permit.demand.Request.ID)
 }
 
@@ -54,6 +75,9 @@
 }
 
 func (e progressEvent) apply(c *Controller, now time.Duration) {
+	if e.permit.began && now-e.permit.beganAt >= quarantiner.ProofTime {
+		c.recordProof(now, e.permit)
+	}
 	c.fleet.RecordEvents(now, e.permit.demand.Request.ID, e.streamEvents, e.elapsed)
 }
 
@@ -87,6 +111,7 @@
 	}
 	delete(c.placed, d.Request.ID)
 	c.fleet.RecordEnd(now, d.Request.ID, result)
+	c.recordEvidence(now, p, result)
 	if d.CountsTowardsShare && !ran {
 		c.shares.RecordService(now, d.Account, -d.Request.Cost())
 	}
@@ -212,6 +237,7 @@
 
 func (e probeFinishedEvent) apply(c *Controller, now time.Duration) {
 	c.fleet.RecordProbe(now, e.target, e.reached)
+	c.resolveSuspicion(now, e.target, e.reached)
 }
 
 // peerReportEvent delivers the report of a peer.
@@ -222,5 +248,6 @@
 	c.markAlive(now, r.Peer, r.Incarnation)
 	c.comparePeerConfig(now, r.Peer, r.Report.Config)
 	c.comparePeerRegistry(now, r.Report.Registry)
+	c.learnEvidence(now, r.Report.Evidence)
 	c.applyReport(now, r)
 }
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -108,17 +108,7 @@
 	n := &network{nodes: map[string]*testController{}, silent: map[string]bool{}, sent: map[string]map[string]int{}, loads: map[string]map[string]int{}}
 	began := time.Now()
 	for i := range daemons {
-		self := daemonName(i)
-		c := start(t, func(o *controller.Options) {
-			o.Host, o.DataCentre = self, dataCentreName(i)
-			o.Clock = func() time.Duration { return 5 * time.Since(began) }
-			o.SendReport = func(r controller.Report, to []string) { n.send(self, r, to) }
-			o.ReportInterval = func(int) time.Duration { return 50 * time.Millisecond }
-			o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
-		})
-		n.mutex.Lock()
-		n.nodes[self] = c
-		n.mutex.Unlock()
+		n.start(t, i, daemons, began)
 	}
 	for _, c := range n.nodes {
 		waitUntil(func() bool { return c.Stats().Peers == daemons-1 })
@@ -126,6 +116,23 @@
 	return n
 }
 
+// start starts the daemon with the index i, or replaces it by one that knows nothing.
+func (n *network) start(t *testing.T, i, daemons int, began time.Time) *testController {
+	t.Helper()
+	self := daemonName(i)
+	c := start(t, func(o *controller.Options) {
+		o.Host, o.DataCentre = self, dataCentreName(i)
+		o.Clock = func() time.Duration { return 5 * time.Since(began) }
+		o.SendReport = func(r controller.Report, to []string) { n.send(self, r, to) }
+		o.ReportInterval = func(int) time.Duration { return 50 * time.Millisecond }
+		o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
+	})
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.nodes[self] = c
+	return c
+}
+
 // Load: a large fleet. Guards against daemons that do not learn of each other or of
 // the work of others, or count it twice, and against reports from every daemon to
 // every other one.
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -6,6 +6,7 @@
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
+	"monsoondeck.example/gateway/registrar"
 )
 
 // permit implements receiver.Permit for one request that waits or is at a target.
@@ -17,6 +18,21 @@
 	decision   queuer.Decision
 	// decidedAt is the time of the decision; it is set before the decision is sent.
 	decidedAt time.Duration
+
+	// The fields below are only accessed by the goroutine of Controller.Run.
+
+	// target is the chosen target; empty if there is none.
+	target registrar.Entry
+	// began is set once the answer has begun, at beganAt; proven is set once the answer
+	// has proved that the prompt does not crash its target.
+	began, proven bool
+	beganAt       time.Duration
+}
+
+// decide passes a decision to the waiting request.
+func (p *permit) decide(now time.Duration, d queuer.Decision) {
+	p.decidedAt, p.target = now, d.Choice.Target
+	p.decisionCh <- d
 }
 
 // Decision implements receiver.Permit.
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -6,6 +6,7 @@
 
 	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/sharer"
 )
@@ -20,6 +21,9 @@
 	Accounts []sharer.Total
 	// Spills are the spills since the last report.
 	Spills []placer.Spill
+	// Evidence is that on prompt parts that crash targets: all of it in a full report, else
+	// that since the last one. The ages are as of the time of sending.
+	Evidence quarantiner.Evidence
 	// Registry is the state of the registry that the sender knows.
 	Registry RegistryState
 	// Config is the state of the configuration that the sender has in force.
@@ -92,10 +96,14 @@
 	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills()}
 	r.Registry = RegistryState{Revision: c.registry.Revision(), Digest: c.registryDigest, Age: now - c.registryConfirmedAt, Hops: c.registryHops}
 	r.Config = c.configState(now)
+	c.checkSuspicions(now)
+	r.Evidence = c.takeEvidence(now, whole)
 	if whole {
 		c.lastFullReport = now
 		c.fullReports++
 		c.updatePlan(now)
+		c.quarantine.Expire(now)
+		c.updateQuarantine(now)
 	}
 	c.updateReader()
 	if whole {
@@ -103,7 +111,7 @@
 	}
 	// In a large fleet, the others learn only from the readers' reports how recent their
 	// state of the store is.
-	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || c.reader && !c.plan.Undivided() {
+	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || !r.Evidence.Empty() || c.reader && !c.plan.Undivided() {
 		c.options.SendReport(r, c.plan.ReportRecipients)
 	}
 	if c.plan.Relay {
@@ -114,7 +122,7 @@
 	if level > maxShareLevel {
 		level = 0
 	}
-	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), ShareLevel: level})
+	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), Quarantined: len(c.quarantined), ShareLevel: level})
 }
 
 // reportInterval returns the time until the next report. Members of a large group
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -15,6 +15,7 @@
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/gateway/sharer"
@@ -284,6 +285,12 @@
 		}
 		m.Daemons = append(m.Daemons, daemon)
 	}
+	for _, i := range r.Evidence.Incidents {
+		m.Incidents = append(m.Incidents, messenger.PartIncident{Part: uint64(i.Part), Crash: uint64(i.Crash), Request: i.Request, AgeMs: uint64(max(i.Age.Milliseconds(), 0))})
+	}
+	for _, p := range r.Evidence.Proofs {
+		m.Proofs = append(m.Proofs, messenger.PartProof{Part: uint64(p.Part), Crash: uint64(p.Crash)})
+	}
 	for _, s := range r.Spills {
 		m.Parts = append(m.Parts, messenger.PromptPart{Target: s.Target, Chain: s.PrefixHash})
 	}
@@ -318,6 +325,12 @@
 	for _, a := range m.Accounts {
 		r.Accounts = append(r.Accounts, sharer.Total{Account: a.Account, Demand: float64(a.Asked), Served: float64(a.Served)})
 	}
+	for _, i := range m.Incidents {
+		r.Evidence.Incidents = append(r.Evidence.Incidents, quarantiner.Incident{Part: quarantiner.Part(i.Part), Crash: quarantiner.Crash(i.Crash), Request: i.Request, Age: decodeLongAge(i.AgeMs)})
+	}
+	for _, p := range m.Proofs {
+		r.Evidence.Proofs = append(r.Evidence.Proofs, quarantiner.Proof{Part: quarantiner.Part(p.Part), Crash: quarantiner.Crash(p.Crash)})
+	}
 	for _, p := range m.Parts {
 		r.Spills = append(r.Spills, placer.Spill{Target: p.Target, PrefixHash: p.Chain})
 	}
@@ -342,6 +355,15 @@
 	return time.Duration(min(milliseconds, uint64(maxDecodedDuration/time.Millisecond))) * time.Millisecond
 }
 
+// decodeLongAge converts the age of evidence in milliseconds, which matters for longer
+// than that of a state of the store.
+func decodeLongAge(milliseconds uint64) time.Duration {
+	return time.Duration(min(milliseconds, uint64(maxEvidenceAge/time.Millisecond))) * time.Millisecond
+}
+
+// maxEvidenceAge is beyond any age at which evidence matters.
+const maxEvidenceAge = 48 * time.Hour
+
 // maxDecodedCount bounds decoded numbers of hops; it is beyond any that occurs.
 const maxDecodedCount = 1 << 16
 
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -16,6 +16,7 @@
 	"monsoondeck.example/gateway/exchanger"
 	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/gateway/sharer"
@@ -86,8 +87,11 @@
 			Target: placer.KeyOf("t"), PrefillTokens: 160, Running: 2, MemoryTokens: 320, EventGaps: 4, EventGapSum: 320 * time.Millisecond, SpeedSamples: 6, LogSpeedSum: 6 * math.Log(12.5),
 		}},
 		Accounts: []sharer.Total{{Account: "forge", Demand: 10, Served: 7}},
-		Spills:   []placer.Spill{{Target: "t", PrefixHash: 1 << 62}},
-		Group:    grouper.Group("d"), Total: true, Daemons: []controller.Daemon{{ID: "a", Address: a.address, DataCentre: "d"}, {ID: "c"}},
+		Evidence: quarantiner.Evidence{
+			Incidents: []quarantiner.Incident{{Part: math.MaxUint64, Crash: 2, Request: 3, Age: 2 * time.Hour}}, Proofs: []quarantiner.Proof{{Part: 4, Crash: 5}},
+		},
+		Spills: []placer.Spill{{Target: "t", PrefixHash: 1 << 62}},
+		Group:  grouper.Group("d"), Total: true, Daemons: []controller.Daemon{{ID: "a", Address: a.address, DataCentre: "d"}, {ID: "c"}},
 	}
 	a.resendUntil(func() { a.Send(report, []string{"b"}) }, func() bool { return len(b.reports) > 0 })
 	if got := <-b.reports; got.Peer != "a" || got.Incarnation != 1 || !reflect.DeepEqual(got.Report, report) {
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -306,6 +306,9 @@
 	Misdirected
 	// Failed means that the request may have run but its whole answer did not arrive.
 	Failed
+	// Broken means that the connection broke before the whole answer of a request that may
+	// have run had arrived.
+	Broken
 	// Cancelled means that the caller gave up the request.
 	Cancelled
 	// Unsent means that the request was given up before it was sent.
@@ -335,7 +338,7 @@
 		t.health.recordFailure(now, true)
 	case Misdirected:
 		t.health.recordMisdirection(now)
-	case Failed:
+	case Failed, Broken:
 		t.health.recordFailure(now, false)
 	case Cancelled, Unsent:
 	}
--- /dev/null
+++ b/gateway/quarantiner/quarantiner.go
@@ -0,0 +1,396 @@
+// Package quarantiner finds prompt parts that crash the targets which answer them, and
+// keeps requests with such a part away from the targets. It does no I/O; callers pass
+// the time.
+//
+// When a target crashes, each part of a request whose answer had not begun, or had only
+// just begun, is a suspect: that is an Incident. An answer that goes on for ProofTime
+// proves that the parts of its request are sound, and clears their earlier incidents. A
+// part that stays a suspect in several independent crashes is quarantined.
+//
+// Daemons exchange incidents and proofs. The verdict on a part depends on these alone,
+// so that all daemons reach the same one, in whatever order they learn of them.
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// ProofTime is the time for which an answer must go on to prove that the parts of
+	// its request do not crash targets. A crash within it may be the fault of the request.
+	ProofTime = time.Second
+	// newPartCrashes is the number of independent crashes from which a part is
+	// quarantined of which no answer is known, and provenPartCrashes that for a part with
+	// an earlier answer or with companions that are equally suspect.
+	newPartCrashes    = 2
+	provenPartCrashes = 3
+	// minCrashInterval separates independent crashes: targets that fail together, such as
+	// those of one rack, tell as much about their requests as one target does.
+	minCrashInterval = 300 * time.Millisecond
+	// baseDuration is how long a part stays in quarantine after its last crash. It doubles
+	// with each crash after the quarantine, which costs a target and the streams on it.
+	baseDuration = 10 * time.Minute
+	maxDuration  = 24 * time.Hour
+	// maxIncidents bounds the incidents that are kept for a part, maxParts the parts with
+	// incidents.
+	maxIncidents = 16
+	maxParts     = 4096
+	// maxKnownParts bounds each of the two generations of parts that are known to be
+	// sound.
+	maxKnownParts = 4096
+	// maxReported bounds the incidents in a report, and the proofs.
+	maxReported = 512
+)
+
+// Part identifies a prompt part at a service.
+type Part uint64
+
+// PartOf returns the Part for the ID of a prompt part at a service.
+func PartOf(service string, id uint64) Part {
+	return Part(xxhash.Sum64String(service) ^ id*0x9e3779b97f4a7c15)
+}
+
+// Crash identifies the crash of one incarnation of a target, as all daemons see it.
+type Crash uint64
+
+// CrashOf returns the Crash of a target's incarnation.
+func CrashOf(target string, incarnation int64) Crash {
+	return Crash(xxhash.Sum64String(target) ^ uint64(incarnation)*0x9e3779b97f4a7c15)
+}
+
+// Incident says that a part was in a request whose answer had not begun, or had only
+// just begun, when its target crashed.
+type Incident struct {
+	Part  Part
+	Crash Crash
+	// Request identifies the prompt. The crashes of one prompt that is sent repeatedly
+	// count once.
+	Request uint64
+	// Age is the time since the crash. Daemons have no common clock, so that the age omits
+	// the transmission time.
+	Age time.Duration
+}
+
+// incident is an Incident with the time of the crash by the clock of this daemon.
+type incident struct {
+	Incident
+	at time.Duration
+}
+
+// incidentAt returns the incident with its time, given the present one.
+func (i Incident) incidentAt(now time.Duration) incident {
+	return incident{Incident: i, at: now - i.Age}
+}
+
+// withAge returns the Incident with its present age.
+func (i incident) withAge(now time.Duration) Incident {
+	i.Age = max(now-i.at, 0)
+	return i.Incident
+}
+
+// Proof says that a part was in an answered request. If Crash is not 0, that answer
+// began after the crash, so that the part did not cause it.
+type Proof struct {
+	Part  Part
+	Crash Crash
+}
+
+// Evidence holds incidents and proofs that daemons tell each other.
+type Evidence struct {
+	Incidents []Incident
+	Proofs    []Proof
+}
+
+// Empty reports whether there is no evidence.
+func (e Evidence) Empty() bool { return len(e.Incidents) == 0 && len(e.Proofs) == 0 }
+
+// suspect is what is known about a part with an incident.
+type suspect struct {
+	// incidents are those that no proof has cleared, in the order of their times.
+	incidents []incident
+	// cleared holds the crashes of which a proof cleared the part.
+	cleared []Crash
+	// known is set if the part is known to have been answered.
+	known bool
+	// lastChange is the time of the last new evidence.
+	lastChange time.Duration
+}
+
+// Quarantine holds the evidence of one daemon. It is not safe for concurrent use.
+type Quarantine struct {
+	suspects map[Part]*suspect
+	// current and previous hold the time at which the last answered request with a part
+	// began its answer, in two generations of bounded size.
+	current, previous map[Part]time.Duration
+	// own and learned hold the evidence of this daemon and of others that TakeNew has not
+	// returned yet.
+	own, learned news
+}
+
+// news is evidence that was not reported yet.
+type news struct {
+	incidents []incident
+	proofs    []Proof
+}
+
+// evidence returns the news as Evidence.
+func (n news) evidence(now time.Duration) Evidence {
+	e := Evidence{Proofs: n.proofs}
+	for _, i := range n.incidents {
+		e.Incidents = append(e.Incidents, i.withAge(now))
+	}
+	return e
+}
+
+// New returns a Quarantine without evidence.
+func New() *Quarantine {
+	return &Quarantine{suspects: map[Part]*suspect{}, current: map[Part]time.Duration{}, previous: map[Part]time.Duration{}}
+}
+
+// RecordAnswer records that the answer to a request with these parts began at the given
+// time and proved them sound.
+func (q *Quarantine) RecordAnswer(now time.Duration, parts []Part, began time.Duration) {
+	for _, p := range parts {
+		if len(q.current) >= maxKnownParts {
+			q.current, q.previous = make(map[Part]time.Duration, maxKnownParts), q.current
+		}
+		q.current[p] = max(q.current[p], began)
+		if s := q.suspects[p]; s != nil {
+			q.testify(now, p, s)
+		}
+	}
+}
+
+// answered returns the time at which the last answer to a request with the part began.
+func (q *Quarantine) answered(p Part) (time.Duration, bool) {
+	if at, ok := q.current[p]; ok {
+		return at, true
+	}
+	at, ok := q.previous[p]
+	return at, ok
+}
+
+// testify tells the other daemons what the answers of this one say about a suspect.
+func (q *Quarantine) testify(now time.Duration, p Part, s *suspect) {
+	began, ok := q.answered(p)
+	if !ok {
+		return
+	}
+	if !s.known {
+		q.own.proofs = append(q.own.proofs, Proof{Part: p})
+		s.known, s.lastChange = true, now
+	}
+	for _, i := range slices.Clone(s.incidents) {
+		if began > i.at {
+			q.own.proofs = append(q.own.proofs, Proof{Part: p, Crash: i.Crash})
+			s.clear(now, i.Crash)
+		}
+	}
+}
+
+// clear removes the incidents of a crash.
+func (s *suspect) clear(now time.Duration, c Crash) {
+	if slices.Contains(s.cleared, c) {
+		return
+	}
+	s.incidents = slices.DeleteFunc(s.incidents, func(i incident) bool { return i.Crash == c })
+	s.cleared = append(s.cleared, c)
+	if len(s.cleared) > maxIncidents {
+		s.cleared = slices.Delete(s.cleared, 0, 1)
+	}
+	s.lastChange = now
+}
+
+// RecordIncident records an incident that this daemon has observed.
+func (q *Quarantine) RecordIncident(now time.Duration, i Incident) {
+	if added := i.incidentAt(now); q.addIncident(now, added) {
+		q.own.incidents = append(q.own.incidents, added)
+	}
+}
+
+// Learn records the evidence of another daemon.
+func (q *Quarantine) Learn(now time.Duration, e Evidence) {
+	for _, i := range e.Incidents {
+		if added := i.incidentAt(now); q.addIncident(now, added) {
+			q.learned.incidents = append(q.learned.incidents, added)
+		}
+	}
+	for _, p := range e.Proofs {
+		s := q.suspects[p.Part]
+		switch {
+		case s == nil:
+		case p.Crash == 0 && !s.known:
+			s.known, s.lastChange = true, now
+			q.learned.proofs = append(q.learned.proofs, p)
+		case p.Crash != 0 && !slices.Contains(s.cleared, p.Crash):
+			s.clear(now, p.Crash)
+			q.learned.proofs = append(q.learned.proofs, p)
+		}
+	}
+}
+
+// addIncident adds an incident and reports whether it was new.
+func (q *Quarantine) addIncident(now time.Duration, i incident) bool {
+	s := q.suspects[i.Part]
+	if s == nil {
+		if len(q.suspects) >= maxParts {
+			q.removeOldest()
+		}
+		s = &suspect{lastChange: now}
+		q.suspects[i.Part] = s
+	}
+	if slices.ContainsFunc(s.incidents, func(o incident) bool { return o.Crash == i.Crash }) {
+		return false
+	}
+	if slices.Contains(s.cleared, i.Crash) {
+		// The sender has not heard of the proof.
+		q.own.proofs = append(q.own.proofs, Proof{Part: i.Part, Crash: i.Crash})
+		return false
+	}
+	s.incidents = append(s.incidents, i)
+	slices.SortFunc(s.incidents, func(a, b incident) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Crash, b.Crash)) })
+	if len(s.incidents) > maxIncidents {
+		s.incidents = slices.Delete(s.incidents, 1, 2) // the verdict depends on the number and on the last one
+	}
+	s.lastChange = now
+	q.testify(now, i.Part, s)
+	return true
+}
+
+// removeOldest forgets the suspect without news for the longest time, except those in
+// quarantine.
+func (q *Quarantine) removeOldest() {
+	var oldest Part
+	var since time.Duration
+	for p, s := range q.suspects {
+		if (oldest == 0 || s.lastChange < since) && len(s.incidents) < newPartCrashes {
+			oldest, since = p, s.lastChange
+		}
+	}
+	delete(q.suspects, oldest)
+}
+
+// Expire forgets evidence that is too old for any verdict.
+func (q *Quarantine) Expire(now time.Duration) {
+	for p, s := range q.suspects {
+		age := now - s.lastChange
+		if age > maxDuration || len(s.incidents) < newPartCrashes && age > baseDuration {
+			delete(q.suspects, p)
+		}
+	}
+}
+
+// independent returns the number of crashes that tell independently of each other that
+// the part crashes targets, and the last of them.
+func (s *suspect) independent() (count int, last incident) {
+	var requests []uint64
+	for _, i := range s.incidents {
+		if count > 0 && (i.at-last.at < minCrashInterval || slices.Contains(requests, i.Request)) {
+			continue
+		}
+		count, last = count+1, i
+		requests = append(requests, i.Request)
+	}
+	return count, last
+}
+
+// Blocked returns the time until which a part is in quarantine; false if it is not.
+func (q *Quarantine) Blocked(now time.Duration, p Part) (time.Duration, bool) {
+	s := q.suspects[p]
+	if s == nil {
+		return 0, false
+	}
+	count, last := s.independent()
+	threshold := newPartCrashes
+	if s.known || count == newPartCrashes && q.hasCompanion(p, s) {
+		threshold = provenPartCrashes
+	}
+	if count < threshold {
+		return 0, false
+	}
+	until := last.at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
+	return until, now < until
+}
+
+// hasCompanion reports whether another part, of which no answer is known either, was a
+// suspect in all the same crashes, so that either can be the cause.
+func (q *Quarantine) hasCompanion(p Part, s *suspect) bool {
+	for other, o := range q.suspects {
+		if other == p || o.known || len(o.incidents) < len(s.incidents) {
+			continue
+		}
+		missing := slices.ContainsFunc(s.incidents, func(i incident) bool {
+			return !slices.ContainsFunc(o.incidents, func(j incident) bool { return j.Crash == i.Crash })
+		})
+		if !missing {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspected reports whether the part has an incident and no known answer, so that a
+// request with it should not be repeated.
+func (q *Quarantine) Suspected(p Part) bool {
+	s := q.suspects[p]
+	return s != nil && !s.known && len(s.incidents) > 0
+}
+
+// Quarantined returns the parts in quarantine in ascending order.
+func (q *Quarantine) Quarantined(now time.Duration) []Part {
+	var parts []Part
+	for p := range q.suspects {
+		if _, blocked := q.Blocked(now, p); blocked {
+			parts = append(parts, p)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// Incidents returns the incidents of a part that no proof has cleared.
+func (q *Quarantine) Incidents(now time.Duration, p Part) []Incident {
+	if s := q.suspects[p]; s != nil {
+		return news{incidents: s.incidents}.evidence(now).Incidents
+	}
+	return nil
+}
+
+// TakeNew returns the evidence since the last call: that of this daemon, and that which
+// others have sent.
+func (q *Quarantine) TakeNew(now time.Duration) (own, learned Evidence) {
+	own, learned = q.own.evidence(now), q.learned.evidence(now)
+	q.own, q.learned = news{}, news{}
+	return own, learned
+}
+
+// All returns all evidence, for daemons that lack some of it. Evidence on parts in
+// quarantine comes first; the rest is bounded.
+func (q *Quarantine) All(now time.Duration) Evidence {
+	parts := make([]Part, 0, len(q.suspects))
+	for p := range q.suspects {
+		parts = append(parts, p)
+	}
+	slices.SortFunc(parts, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(len(q.suspects[b].incidents), len(q.suspects[a].incidents)), cmp.Compare(q.suspects[b].lastChange, q.suspects[a].lastChange), cmp.Compare(a, b))
+	})
+	var all news
+	for _, p := range parts {
+		s := q.suspects[p]
+		if len(s.incidents) == 0 || len(all.incidents)+len(s.incidents) > maxReported || len(all.proofs)+len(s.cleared)+1 > maxReported {
+			break // the parts without incidents come last
+		}
+		all.incidents = append(all.incidents, s.incidents...)
+		if s.known {
+			all.proofs = append(all.proofs, Proof{Part: p})
+		}
+		for _, c := range s.cleared {
+			all.proofs = append(all.proofs, Proof{Part: p, Crash: c})
+		}
+	}
+	return all.evidence(now)
+}
--- /dev/null
+++ b/gateway/quarantiner/quarantiner_test.go
@@ -0,0 +1,207 @@
+package quarantiner_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"monsoondeck.example/gateway/quarantiner"
+)
+
+const (
+	deadly = quarantiner.Part(1)
+	// subject comes with the deadly part and in sound requests, shared in most requests.
+	subject = quarantiner.Part(2)
+	shared  = quarantiner.Part(3)
+)
+
+// crash records that a target crashed under a prompt that was not answered yet.
+func crash(q *quarantiner.Quarantine, now time.Duration, id quarantiner.Crash, prompt uint64, parts ...quarantiner.Part) {
+	for _, p := range parts {
+		q.RecordIncident(now, quarantiner.Incident{Part: p, Crash: id, Request: prompt})
+	}
+}
+
+func blocked(q *quarantiner.Quarantine, now time.Duration, p quarantiner.Part) bool {
+	_, is := q.Blocked(now, p)
+	return is
+}
+
+// Guards against requests of one kind that crash target after target, and against
+// refusing the sound requests that share their other parts.
+func TestVerdicts(t *testing.T) {
+	const s = time.Second
+	parts := []quarantiner.Part{shared, subject, deadly}
+	for name, c := range map[string]struct {
+		run  func(q *quarantiner.Quarantine)
+		want []quarantiner.Part
+	}{
+		"one crash says nothing": {func(q *quarantiner.Quarantine) {
+			crash(q, 1*s, 11, 101, parts...)
+		}, nil},
+		"a part without an answer in two crashes": {func(q *quarantiner.Quarantine) {
+			q.RecordAnswer(1*s, []quarantiner.Part{shared, subject}, 1*s)
+			crash(q, 2*s, 11, 101, parts...)
+			crash(q, 4*s, 12, 102, parts...)
+		}, []quarantiner.Part{deadly}},
+		"two parts without an answer: either can be the cause": {func(q *quarantiner.Quarantine) {
+			q.RecordAnswer(1*s, []quarantiner.Part{shared}, 1*s)
+			crash(q, 2*s, 11, 101, parts...)
+			crash(q, 4*s, 12, 102, parts...)
+		}, nil},
+		"the answer of one of two suspects begins after the crashes": {func(q *quarantiner.Quarantine) {
+			q.RecordAnswer(1*s, []quarantiner.Part{shared}, 1*s)
+			crash(q, 2*s, 11, 101, parts...)
+			crash(q, 4*s, 12, 102, parts...)
+			q.RecordAnswer(6*s, []quarantiner.Part{shared, subject}, 5*s)
+		}, []quarantiner.Part{deadly}},
+		"two parts without an answer in three crashes": {func(q *quarantiner.Quarantine) {
+			q.RecordAnswer(1*s, []quarantiner.Part{shared}, 1*s)
+			crash(q, 2*s, 11, 101, parts...)
+			crash(q, 4*s, 12, 102, parts...)
+			crash(q, 6*s, 13, 103, parts...)
+			q.RecordAnswer(8*s, []quarantiner.Part{shared}, 7*s)
+		}, []quarantiner.Part{deadly, subject}},
+		"a part that was sound becomes deadly": {func(q *quarantiner.Quarantine) {
+			q.RecordAnswer(1*s, parts, 1*s)
+			crash(q, 2*s, 11, 101, deadly)
+			crash(q, 4*s, 12, 102, deadly)
+			crash(q, 6*s, 13, 103, deadly)
+		}, []quarantiner.Part{deadly}},
+		"targets that crash together count once": {func(q *quarantiner.Quarantine) {
+			crash(q, 2*s, 11, 101, subject)
+			crash(q, 2*s+50*time.Millisecond, 12, 102, subject)
+			crash(q, 2*s+90*time.Millisecond, 13, 103, subject)
+		}, nil},
+		"repetitions of one prompt count once": {func(q *quarantiner.Quarantine) {
+			crash(q, 2*s, 11, 101, subject)
+			crash(q, 4*s, 12, 101, subject)
+			crash(q, 6*s, 13, 101, subject)
+		}, nil},
+		"crashes under different sound prompts, each answered later": {func(q *quarantiner.Quarantine) {
+			for i := range 10 {
+				at := time.Duration(3*i) * s
+				crash(q, at, quarantiner.Crash(11+i), uint64(i), shared, subject)
+				q.RecordAnswer(at+2*s, []quarantiner.Part{shared, subject}, at+s)
+			}
+		}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := quarantiner.New()
+			c.run(q)
+			if got := q.Quarantined(40 * s); !slices.Equal(got, c.want) {
+				t.Errorf("in quarantine %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a quarantine that never ends, and against one that lets a target crash
+// every ten minutes.
+func TestQuarantineDoublesAfterEachTrial(t *testing.T) {
+	q := quarantiner.New()
+	now := time.Second
+	crash(q, now, 11, 101, deadly)
+	crash(q, now+time.Second, 12, 102, deadly)
+	now += time.Second
+	for i, want := range []time.Duration{10 * time.Minute, 20 * time.Minute, 40 * time.Minute} {
+		until, _ := q.Blocked(now, deadly)
+		if until-now != want {
+			t.Errorf("quarantine %d lasts %v, want %v", i+1, until-now, want)
+		}
+		now = until
+		q.Expire(now)
+		if blocked(q, now, deadly) {
+			t.Errorf("quarantine %d does not end", i+1)
+		}
+		crash(q, now, quarantiner.Crash(20+i), uint64(200+i), deadly)
+	}
+}
+
+// Guards against a part that a proof has cleared and that comes back into quarantine by
+// the report of a daemon that has not heard of the proof.
+func TestProofsPrevailOverOldReports(t *testing.T) {
+	a, b := quarantiner.New(), quarantiner.New()
+	crash(a, 1*time.Second, 11, 101, deadly)
+	crash(a, 2*time.Second, 12, 102, deadly)
+	old := a.All(2 * time.Second)
+	b.Learn(2*time.Second, old)
+	a.RecordAnswer(4*time.Second, []quarantiner.Part{deadly}, 3*time.Second)
+	own, _ := a.TakeNew(4 * time.Second)
+	for range 3 {
+		a.Learn(5*time.Second, old)
+		if blocked(a, 5*time.Second, deadly) {
+			t.Fatal("an old report renews the quarantine")
+		}
+	}
+	b.Learn(5*time.Second, own)
+	if blocked(b, 5*time.Second, deadly) {
+		t.Error("the other daemon keeps the quarantine")
+	}
+}
+
+// Guards against verdicts that depend on the order in which daemons learn of the
+// evidence, so that a request is refused by one and crashes a target through another.
+func TestVerdictsDoNotDependOnTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		observers := []*quarantiner.Quarantine{quarantiner.New(), quarantiner.New(), quarantiner.New()}
+		now := time.Second
+		var reports []quarantiner.Evidence
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(400, 3000).Draw(t, "pause")) * time.Millisecond
+			q := rapid.SampledFrom(observers).Draw(t, "observer")
+			part := quarantiner.Part(rapid.IntRange(1, 4).Draw(t, "part"))
+			if rapid.Bool().Draw(t, "answer") {
+				q.RecordAnswer(now, []quarantiner.Part{part}, now-100*time.Millisecond)
+			} else {
+				crash(q, now, quarantiner.Crash(now), uint64(now), part)
+			}
+		}
+		for _, q := range observers {
+			reports = append(reports, q.All(now))
+		}
+		one, other := quarantiner.New(), quarantiner.New()
+		for _, r := range reports {
+			one.Learn(now, r)
+		}
+		// Proofs may arrive before the incidents that they clear; full reports repeat them.
+		for range 2 {
+			for _, r := range slices.Backward(reports) {
+				other.Learn(now, r)
+			}
+		}
+		for range 2 {
+			for _, r := range reports {
+				one.Learn(now, r)
+			}
+		}
+		if a, b := one.Quarantined(now), other.Quarantined(now); !slices.Equal(a, b) {
+			t.Fatalf("the same evidence leads to %v and to %v", a, b)
+		}
+	})
+}
+
+// Load: thousands of parts in crashes that they did not cause. Guards against evidence
+// that grows without limit, and against one that forgets a part in quarantine.
+func TestEvidenceIsBounded(t *testing.T) {
+	q := quarantiner.New()
+	crash(q, 1*time.Second, 11, 101, deadly)
+	crash(q, 2*time.Second, 12, 102, deadly)
+	for i := range 20000 {
+		now := 3*time.Second + time.Duration(i)*time.Millisecond
+		crash(q, now, quarantiner.Crash(100+i/40), uint64(i), quarantiner.Part(1000+i))
+	}
+	now := time.Minute
+	if !blocked(q, now, deadly) {
+		t.Error("the part is no longer in quarantine")
+	}
+	e := q.All(now)
+	if n := len(e.Incidents); n > 600 {
+		t.Errorf("a report has %d incidents, want at most about 512", n)
+	}
+	if !slices.ContainsFunc(e.Incidents, func(i quarantiner.Incident) bool { return i.Part == deadly }) {
+		t.Error("the report lacks the part in quarantine")
+	}
+}
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/quarantiner"
 )
 
 // Placer chooses targets. placer.Fleet implements it.
@@ -65,6 +66,11 @@
 	ReasonOverload Reason = "overload"
 	// ReasonNoTarget means that the service has no target that may get the request.
 	ReasonNoTarget Reason = "noTarget"
+	// ReasonQuarantined means that a part of the prompt crashes targets.
+	ReasonQuarantined Reason = "partQuarantined"
+	// ReasonSuspected means that the request is not repeated because its last target
+	// crashed and a part of its prompt is not known to be sound.
+	ReasonSuspected Reason = "partSuspected"
 )
 
 // Decision says whether a waiting request is sent or refused.
@@ -77,6 +83,8 @@
 	Reason Reason
 	// RetryAfter is the time after which a refused caller should try again.
 	RetryAfter time.Duration
+	// Part is the prompt part for which a request is refused; 0 if there is another reason.
+	Part quarantiner.Part
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
 }
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -20,7 +20,7 @@
 	permit.FirstEvent()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
-		return p.failAttempt(permit, p.failureResult(ctx), "response body is incomplete", err)
+		return p.failAttempt(permit, p.failureResult(ctx, err), "response body is incomplete", err)
 	}
 	if len(data) > maxBufferedBytes {
 		return p.forwardLargeResponse(ctx, permit, response, data)
@@ -60,7 +60,7 @@
 		_, err = io.Copy(deadlineWriter{p}, response.Body)
 	}
 	if err != nil {
-		permit.End(p.failureResult(ctx))
+		permit.End(p.failureResult(ctx, err))
 		p.recordEnd("answerBroken", response.Status)
 		panic(http.ErrAbortHandler)
 	}
@@ -144,7 +144,7 @@
 			return p.endStream(permit, events.rest())
 		}
 		if err != nil {
-			return p.failAttempt(permit, p.failureResult(ctx), "stream broke before its end", err)
+			return p.failAttempt(permit, p.failureResult(ctx, err), "stream broke before its end", err)
 		}
 	}
 }
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -14,6 +14,7 @@
 
 	"monsoondeck.example/gateway/courier"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/logger"
 )
@@ -138,7 +139,7 @@
 	p.log(logger.RequestPlaced, slog.String("target", d.Choice.Target.ID), slog.Int("attempt", p.attempts+1),
 		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits),
 		slog.Bool("home", d.Choice.FirstRanked), slog.Float64("unread", d.Choice.UncachedTokens), slog.Float64("shared", d.Choice.UncachedSharedTokens), slog.Float64("copied", d.Choice.CopyTokens),
-		slog.String("parts", formatParts(p.info.Parts)))
+		slog.String("parts", p.formatParts()))
 	return p.send(ctx, permit, timeLeft)
 }
 
@@ -179,7 +180,7 @@
 	d := permit.Decision()
 	p.reject(rejection{
 		status: http.StatusServiceUnavailable, code: string(d.Reason), retryAfter: d.RetryAfter,
-		waited: d.Waited, expected: d.Choice.Expected, target: d.Choice.Target.ID,
+		waited: d.Waited, expected: d.Choice.Expected, target: d.Choice.Target.ID, part: d.Part,
 	})
 	return outcomeDone
 }
@@ -236,14 +237,18 @@
 	}
 	p.attempts++
 	p.mayHaveRun = true
-	return p.failAttempt(permit, p.failureResult(ctx), "no response", err)
+	return p.failAttempt(permit, p.failureResult(ctx, err), "no response", err)
 }
 
-// failureResult returns the result of an incomplete attempt: Cancelled if the request
-// was cancelled or timed out, and Failed if the target failed or stalled.
-func (p *proxyRequest) failureResult(ctx context.Context) placer.Result {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
+// failureResult returns the result of an incomplete attempt that ended with the error:
+// Cancelled if the request was cancelled or timed out, Broken if the connection broke,
+// and Failed if the target failed or stalled.
+func (p *proxyRequest) failureResult(ctx context.Context, err error) placer.Result {
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
 		return placer.Cancelled
+	case ctx.Err() == nil && errors.Is(err, courier.ErrBroken):
+		return placer.Broken
 	}
 	return placer.Failed
 }
@@ -255,7 +260,7 @@
 	target := permit.Decision().Choice.Target.ID
 	p.excluded = append(p.excluded, target)
 	attrs := []slog.Attr{slog.String("target", target), slog.Bool("sent", true), slog.String("what", reason),
-		slog.Bool("began", p.stream != nil && p.stream.started), slog.String("parts", formatParts(p.info.Parts))}
+		slog.Bool("began", p.stream != nil && p.stream.started), slog.String("parts", p.formatParts())}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", err.Error()))
 	}
@@ -322,15 +327,15 @@
 		slog.Duration("firstByte", p.firstByte), slog.Duration("longestPause", longestPause), slog.Duration("total", total))
 }
 
-// formatParts returns the IDs of the parts of a prompt in order, so that requests with
-// a part in common can be found in the log.
-func formatParts(parts []placer.PromptPart) string {
+// formatParts returns the parts of the prompt in order, as they are named in the records
+// of the quarantine, so that requests with a part in common can be found in the log.
+func (p *proxyRequest) formatParts() string {
 	var b strings.Builder
-	for i, part := range parts {
+	for i, part := range p.info.Parts {
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		b.WriteString(strconv.FormatUint(part.ID, 16))
+		b.WriteString(strconv.FormatUint(uint64(quarantiner.PartOf(p.service, part.ID)), 16))
 	}
 	return b.String()
 }
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -76,7 +76,7 @@
 	if r := f.postDefault(t, "/safe/1"); r.status != 502 || len(f.client.requests) != 1 {
 		t.Errorf("status %d, %d requests sent", r.status, len(f.client.requests))
 	}
-	f.wantResults(t, placer.Failed)
+	f.wantResults(t, placer.Broken)
 }
 
 // Guards against sending a request by a decision that was made before the process was
@@ -137,7 +137,7 @@
 	if r.err == nil || r.body != "id: 1\ndata: a\n\n" {
 		t.Errorf("body %q, error %v; want only whole events and an error", r.body, r.err)
 	}
-	f.wantResults(t, placer.Failed)
+	f.wantResults(t, placer.Broken)
 }
 
 // Guards against events that are missing, duplicated or merged when another target
@@ -154,7 +154,7 @@
 	if after := f.client.requests[1].Header.Get("After"); after != "2" {
 		t.Errorf("resumed after %q", after)
 	}
-	f.wantResults(t, placer.Failed, placer.Complete)
+	f.wantResults(t, placer.Broken, placer.Complete)
 }
 
 // Guards against duplicate events from a target that was asked to continue a stream
@@ -168,7 +168,7 @@
 	if r.err == nil || r.body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
 		t.Errorf("body %q, error %v", r.body, r.err)
 	}
-	f.wantResults(t, placer.Failed, placer.Failed)
+	f.wantResults(t, placer.Broken, placer.Failed)
 }
 
 // Guards against an error response that is forwarded in the middle of a stream.
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/logger"
 )
 
@@ -22,6 +23,9 @@
 	// the expected time to the first event, and the ID of the best target.
 	waited, expected time.Duration
 	target           string
+	// part is the prompt part for which the request is refused; 0 if there is another
+	// reason.
+	part quarantiner.Part
 }
 
 // rejectionBody is the JSON body of a rejection.
@@ -50,8 +54,12 @@
 	p.setWriteDeadline()
 	p.writer.WriteHeader(r.status)
 	_, _ = p.writer.Write(body) // the caller may be disconnected
-	p.log(logger.RequestRejected, slog.Int("status", r.status), slog.String("code", r.code), slog.Duration("retryAfter", r.retryAfter),
-		slog.Duration("waited", r.waited), slog.Duration("expected", r.expected), slog.String("target", r.target))
+	attrs := []slog.Attr{slog.Int("status", r.status), slog.String("code", r.code), slog.Duration("retryAfter", r.retryAfter),
+		slog.Duration("waited", r.waited), slog.Duration("expected", r.expected), slog.String("target", r.target)}
+	if r.part != 0 {
+		attrs = append(attrs, slog.String("part", strconv.FormatUint(uint64(r.part), 16)))
+	}
+	p.log(logger.RequestRejected, attrs...)
 	p.recordEnd(r.code, r.status)
 }
 
--- a/logger/events.go
+++ b/logger/events.go
@@ -58,6 +58,9 @@
 	AttemptRefused   = Event{516, slog.LevelInfo, "target refused a request without running it", ""}
 	RecordsDropped   = Event{517, slog.LevelWarn, "request log records dropped to limit the log rate", "Sum the metrics instead; the rate of records is bounded."}
 	HostBusy         = Event{518, slog.LevelWarn, "host is busy and refuses a part of its requests", "Give the host more processor time, or the balancer its weight."}
+	TargetCrashed    = Event{519, slog.LevelWarn, "target crashed while requests waited for its answer", "Look at the target's own log."}
+	PartQuarantined  = Event{520, slog.LevelWarn, "prompt part crashes targets and is refused", "Find the requests with the part in events 511 and 515 and tell the owners of the account and of the model."}
+	PartReleased     = Event{521, slog.LevelInfo, "prompt part is no longer refused", ""}
 
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
@@ -73,6 +76,7 @@
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
+		TargetCrashed, PartQuarantined, PartReleased,
 		PlatformUnavailable, PlatformAvailable,
 	}
 }
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -234,6 +234,31 @@
 	State uint64 `json:"state" cbor:"4,keyasint,omitempty"`
 }
 
+// PartIncident says that a target crashed before it had answered a request with a
+// prompt part.
+type PartIncident struct {
+	// Time since the crash, in milliseconds.
+	AgeMs uint64 `json:"ageMs" cbor:"4,keyasint,omitempty"`
+
+	// Incarnation of the target that crashed.
+	Crash uint64 `json:"crash" cbor:"2,keyasint,omitempty"`
+
+	// Prompt part at a service.
+	Part uint64 `json:"part" cbor:"1,keyasint,omitempty"`
+
+	// Prompt; repetitions of one prompt have the same number.
+	Request uint64 `json:"request" cbor:"3,keyasint,omitempty"`
+}
+
+// PartProof says that a request with a prompt part was answered.
+type PartProof struct {
+	// Crash after which the answer began; 0 stands for any time.
+	Crash uint64 `json:"crash" cbor:"2,keyasint,omitempty"`
+
+	// Prompt part at a service.
+	Part uint64 `json:"part" cbor:"1,keyasint,omitempty"`
+}
+
 // Probe asks a member for an acknowledgement.
 type Probe struct {
 	// Newest configuration version of the sender.
@@ -503,9 +528,15 @@
 	// Unused; the property stays because keys follow from positions.
 	Groups *uint64 `json:"groups,omitempty,omitzero" cbor:"7,keyasint,omitempty"`
 
+	// Prompt parts that are suspected of having crashed a target.
+	Incidents []PartIncident `json:"incidents,omitempty,omitzero" cbor:"15,keyasint,omitempty"`
+
 	// Prompt parts cached by engines that are not the first choice for them.
 	Parts []PromptPart `json:"parts,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
 
+	// Prompt parts that were answered.
+	Proofs []PartProof `json:"proofs,omitempty,omitzero" cbor:"16,keyasint,omitempty"`
+
 	// State of the registry that the sender knows.
 	Registry *RegistryMark `json:"registry,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
