Take a stream that ends inside an event for broken

Callers of a stream without length or chunks got the beginning of an event and the end of the response, as if it were complete, when the target crashed; a stream whose target crashed before the first event looked like an empty one.

Cause: endStream forwarded what followed the last whole event and recorded the request as answered; nothing told a response that only the end of the connection delimits from a framed one. Ruled out: framed responses, whose truncation the client reports already.

Change: Response.EndsWithConnection; a stream that ends inside an event, or on such a response before its first event, is a broken attempt, which is resumed where the route allows it and otherwise aborts the caller's connection. Bytes of a comment at the end are still forwarded.

Test: receiver TestStreamThatEndsInsideAnEventIsBroken, three of five cases failed before.

--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -96,7 +96,10 @@
 	Header http.Header
 	// Length is the number of bytes of the body; -1 is unknown.
 	Length int64
-	Body   io.ReadCloser
+	// EndsWithConnection is set if only the end of the connection shows the end of the
+	// body, so that a crash of the target can look like it.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 // Stats holds the counters of a Client. Dials counts attempts to open a connection,
--- a/gateway/courier/courier_test.go
+++ b/gateway/courier/courier_test.go
@@ -223,6 +223,28 @@
 	}
 }
 
+// Guards against a crash of the target that cannot be told from the end of a body.
+func TestResponsesSayWhetherTheConnectionEndsThem(t *testing.T) {
+	for raw, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody":                                                 true,
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody":                            false,
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n": false,
+	} {
+		s := startTarget(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, raw)
+			return false
+		})
+		response, err := newClient(t).Do(context.Background(), courier.Target{ID: "t", Address: s.address}, newRequest("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.EndsWithConnection != want {
+			t.Errorf("%q: ends with the connection: %t", raw, response.EndsWithConnection)
+		}
+		_ = response.Body.Close()
+	}
+}
+
 // Guards against incomplete bodies that are read without an error.
 func TestIncompleteBodiesAreErrors(t *testing.T) {
 	for name, raw := range map[string]string{
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -150,7 +150,8 @@
 	x.connection.setIdleTimeout(r.Header)
 	return &Response{
 		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
-		Body: &body{exchange: x, reader: r.Body, reusable: !r.Close},
+		EndsWithConnection: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
+		Body:               &body{exchange: x, reader: r.Body, reusable: !r.Close},
 	}
 }
 
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -141,6 +141,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if events.insideEvent() || first && response.EndsWithConnection {
+				return p.failAttempt(permit, placer.Broken, "stream ended inside an event or before the first one", nil)
+			}
 			return p.endStream(permit, events.rest())
 		}
 		if err != nil {
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -140,6 +140,35 @@
 	f.wantResults(t, placer.Broken)
 }
 
+// Guards against the end of a connection that is taken for the end of a stream: the
+// target crashed, and nothing else delimits its response.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		body, want string
+		broken     bool
+	}{
+		"inside an event":          {"id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", true},
+		"before the empty line":    {"id: 1\ndata: a\n\nid: 2\ndata: b\n", "id: 1\ndata: a\n\n", true},
+		"before the first event":   {"", "", true},
+		"after an event":           {"id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n", false},
+		"inside a comment at last": {"id: 1\ndata: a\n\n: x", "id: 1\ndata: a\n\n: x", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, []reply{{status: 200, header: signed, body: c.body}}, nil)
+			r := f.postDefault(t, "/stream/1")
+			incomplete := r.err != nil || r.status != http.StatusOK
+			if incomplete != c.broken || r.status == http.StatusOK && r.body != c.want {
+				t.Errorf("status %d, body %q, error %v", r.status, r.body, r.err)
+			}
+			result := placer.Complete
+			if c.broken {
+				result = placer.Broken
+			}
+			f.wantResults(t, result)
+		})
+	}
+}
+
 // Guards against events that are missing, duplicated or merged when another target
 // continues a stream.
 func TestResumableStreamContinuesAtAnotherTarget(t *testing.T) {
--- a/gateway/receiver/splitter.go
+++ b/gateway/receiver/splitter.go
@@ -60,6 +60,17 @@
 // rest returns the bytes after the last whole event.
 func (s *eventSplitter) rest() []byte { return s.pending }
 
+// insideEvent reports whether the bytes after the last whole event belong to an event
+// that is not complete, and not only to a comment.
+func (s *eventSplitter) insideEvent() bool {
+	for line := range bytes.Lines(s.pending) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // lastEventEnd returns the length of the whole events in p.
 func lastEventEnd(p []byte) int {
 	end := 0
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -164,7 +164,7 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return &courier.Response{Status: r.status, Header: h, Length: -1, Body: io.NopCloser(body)}, nil
+	return &courier.Response{Status: r.status, Header: h, Length: -1, EndsWithConnection: true, Body: io.NopCloser(body)}, nil
 }
 
 // brokenReader is a body whose connection broke.
