Refuse suspects that always came together only together

One crash more than needed came first, since two equal suspects waited for a third.

Cause: each of several suspects of the same crashes was judged alone, although they had always been in the same prompts and any one of them explains all.

Change: a part in quarantine is refused only together with its companions, the parts that were in the same prompt in each of its crashes. Requests with one of them are served and prove it, or crash a target and leave the culprit alone.

--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -141,9 +141,8 @@
 	parts := c.quarantine.Quarantined(now)
 	for _, p := range parts {
 		if _, found := slices.BinarySearch(c.quarantined, p); !found {
-			until, _ := c.quarantine.Blocked(now, p)
-			logger.Emit(c.options.Logger, logger.PartQuarantined, slog.String("part", formatPart(p)),
-				slog.Int("crashes", len(c.quarantine.Incidents(now, p))), slog.Duration("for", until-now))
+			logger.Emit(c.options.Logger, logger.PartQuarantined, slog.String("part", formatPart(p)), slog.Int("companions", len(c.quarantine.Companions(p))),
+				slog.Int("crashes", len(c.quarantine.Incidents(now, p))), slog.Duration("for", c.quarantine.Until(p)-now))
 		}
 	}
 	for _, p := range c.quarantined {
@@ -170,16 +169,12 @@
 // that must not be repeated because it may have crashed its target.
 func (c *Controller) quarantineDecision(now time.Duration, p *permit) (queuer.Decision, bool) {
 	r := p.demand.Request
-	for _, part := range partsOf(r) {
-		d := queuer.Decision{ID: r.ID, Part: part}
-		if until, blocked := c.quarantine.Blocked(now, part); blocked {
-			d.Reason, d.RetryAfter = queuer.ReasonQuarantined, until-now
-			return d, true
-		}
-		if r.Retry && c.quarantine.Suspected(part) {
-			d.Reason = queuer.ReasonSuspected
-			return d, true
-		}
+	parts := partsOf(r)
+	if part, until, blocked := c.quarantine.Blocked(now, parts); blocked {
+		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonQuarantined, Part: part, RetryAfter: until - now}, true
+	}
+	if i := slices.IndexFunc(parts, c.quarantine.Suspected); r.Retry && i >= 0 {
+		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonSuspected, Part: parts[i]}, true
 	}
 	return queuer.Decision{}, false
 }
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -5,7 +5,9 @@
 // When a target crashes, each part of a request whose answer had not begun, or had only
 // just begun, is a suspect: that is an Incident. An answer that goes on for ProofTime
 // proves that the parts of its request are sound, and clears their earlier incidents. A
-// part that stays a suspect in several independent crashes is quarantined.
+// part that stays a suspect in several independent crashes is quarantined. If other
+// suspects were in all of the same prompts, any of them can be the cause: then only
+// requests with all of them are refused, so that sound requests with one can prove it.
 //
 // Daemons exchange incidents and proofs. The verdict on a part depends on these alone,
 // so that all daemons reach the same one, in whatever order they learn of them.
@@ -13,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,7 +28,7 @@
 	ProofTime = time.Second
 	// newPartCrashes is the number of independent crashes from which a part is
 	// quarantined of which no answer is known, and provenPartCrashes that for a part with
-	// an earlier answer or with companions that are equally suspect.
+	// an earlier answer.
 	newPartCrashes    = 2
 	provenPartCrashes = 3
 	// minCrashInterval separates independent crashes: targets that fail together, such as
@@ -298,39 +301,79 @@
 	return count, last
 }
 
-// Blocked returns the time until which a part is in quarantine; false if it is not.
-func (q *Quarantine) Blocked(now time.Duration, p Part) (time.Duration, bool) {
+// Blocked returns the first part in quarantine because of which a request with the given
+// parts is refused, and the time until then; false if the request may be sent.
+func (q *Quarantine) Blocked(now time.Duration, parts []Part) (p Part, until time.Duration, blocked bool) {
+	for _, p := range parts {
+		until := q.Until(p)
+		if now >= until {
+			continue
+		}
+		missing := func(companion Part) bool { return !slices.Contains(parts, companion) }
+		if !slices.ContainsFunc(q.Companions(p), missing) {
+			return p, until, true
+		}
+	}
+	return 0, 0, false
+}
+
+// Until returns the time until which a part is or was in quarantine; 0 if it never was.
+func (q *Quarantine) Until(p Part) time.Duration {
 	s := q.suspects[p]
 	if s == nil {
-		return 0, false
+		return 0
 	}
 	count, last := s.independent()
 	threshold := newPartCrashes
-	if s.known || count == newPartCrashes && q.hasCompanion(p, s) {
+	if s.known {
 		threshold = provenPartCrashes
 	}
 	if count < threshold {
-		return 0, false
+		return 0
 	}
-	until := last.at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
-	return until, now < until
+	return last.at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
 }
 
-// hasCompanion reports whether another part, of which no answer is known either, was a
-// suspect in all the same crashes, so that either can be the cause.
-func (q *Quarantine) hasCompanion(p Part, s *suspect) bool {
+// Companions returns the other parts that may have caused all crashes in which the part
+// is a suspect, since they were in the same prompts, in ascending order. A part that was
+// answered before is not one of a part that never was.
+func (q *Quarantine) Companions(p Part) []Part {
+	s := q.suspects[p]
+	if s == nil {
+		return nil
+	}
+	var companions []Part
 	for other, o := range q.suspects {
-		if other == p || o.known || len(o.incidents) < len(s.incidents) {
-			continue
+		if other != p && (s.known || !o.known) && o.includes(s) {
+			companions = append(companions, other)
 		}
-		missing := slices.ContainsFunc(s.incidents, func(i incident) bool {
-			return !slices.ContainsFunc(o.incidents, func(j incident) bool { return j.Crash == i.Crash })
-		})
-		if !missing {
-			return true
+	}
+	slices.Sort(companions)
+	return companions
+}
+
+// includes reports whether s was in all prompts that make o a suspect.
+func (s *suspect) includes(o *suspect) bool {
+	return len(s.incidents) >= len(o.incidents) && !slices.ContainsFunc(o.incidents, func(i incident) bool {
+		return !slices.ContainsFunc(s.incidents, func(j incident) bool { return j.Crash == i.Crash && j.Request == i.Request })
+	})
+}
+
+// Durable returns the evidence on parts that are or were in quarantine, which must
+// outlive the daemons, and the parts that proofs have released.
+func (q *Quarantine) Durable(now time.Duration) (e Evidence, released []Part) {
+	for _, p := range slices.Sorted(maps.Keys(q.suspects)) {
+		s := q.suspects[p]
+		if q.Until(p) > 0 {
+			e.Incidents = append(e.Incidents, q.Incidents(now, p)...)
+			if s.known {
+				e.Proofs = append(e.Proofs, Proof{Part: p})
+			}
+		} else if len(s.incidents) == 0 && len(s.cleared) > 0 {
+			released = append(released, p)
 		}
 	}
-	return false
+	return e, released
 }
 
 // Suspected reports whether the part has an incident and no known answer, so that a
@@ -344,7 +387,7 @@
 func (q *Quarantine) Quarantined(now time.Duration) []Part {
 	var parts []Part
 	for p := range q.suspects {
-		if _, blocked := q.Blocked(now, p); blocked {
+		if now < q.Until(p) {
 			parts = append(parts, p)
 		}
 	}
