Keep the quarantine in the platform's store

After a restart of all daemons at once nothing is known at all.

Cause: the evidence was in the memory of the daemons only. The same for a daemon that no peer reaches, but that reaches the store.

Change: the two store readers write the evidence on parts in quarantine to a table of their own and long-poll it; every daemon reads it once before it reports itself ready. A failed read does not keep a daemon from serving. Ages are counted by the steady clock of the store, since clocks of hosts jump.

--- a/emulator/storer/storer.go
+++ b/emulator/storer/storer.go
@@ -187,11 +187,17 @@
 	}
 }
 
+// storeNow returns the time of the store's clock in milliseconds.
+func storeNow() *float64 {
+	ms := float64(time.Now().UnixMilli())
+	return &ms
+}
+
 // serveRead returns the first page of the rows of a part of a table from a key on.
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mutex.Lock()
-	page := wire.Rows{Rows: []wire.Row{}, Version: s.version}
+	page := wire.Rows{Rows: []wire.Row{}, Version: s.version, Now: storeNow()}
 	for _, row := range s.rows {
 		if row.Table == query.Get(wire.QueryTable) && row.Part == query.Get(wire.QueryPart) && row.Key >= query.Get(wire.QueryFrom) {
 			page.Rows = append(page.Rows, row)
@@ -243,7 +249,7 @@
 // changesLocked returns the rows of a table that were written or deleted after a
 // version.
 func (s *Store) changesLocked(table string, after uint64) wire.Rows {
-	page := wire.Rows{Rows: []wire.Row{}, Version: s.version}
+	page := wire.Rows{Rows: []wire.Row{}, Version: s.version, Now: storeNow()}
 	for _, rows := range []map[string]wire.Row{s.rows, s.deleted} {
 		for _, row := range rows {
 			if row.Table == table && row.Version > after {
--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -92,6 +92,8 @@
 	// freshness and stats are snapshots for other goroutines; they are never nil.
 	freshness atomic.Pointer[Freshness]
 	stats     atomic.Pointer[Stats]
+	// quarantineState is the snapshot for the daemon's watcher of the store; never nil.
+	quarantineState atomic.Pointer[quarantineSnapshot]
 	// watching is set while a long poll for the next configuration is pending at the
 	// store.
 	watching atomic.Bool
@@ -231,6 +233,7 @@
 	}
 	c.queue = queuer.New(o.Queue, c.fleet, c.shares)
 	c.stats.Store(&Stats{})
+	c.quarantineState.Store(&quarantineSnapshot{})
 	c.updatePlan(0)
 	c.updateReader()
 	return c
--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -10,6 +10,7 @@
 	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/watcher"
 	"monsoondeck.example/logger"
 )
 
@@ -151,6 +152,7 @@
 		}
 	}
 	c.quarantined = parts
+	c.publishQuarantine(now)
 	if len(parts) == 0 {
 		return
 	}
@@ -162,6 +164,46 @@
 	}
 }
 
+// publishQuarantine updates the snapshot that QuarantineState returns.
+func (c *Controller) publishQuarantine(now time.Duration) {
+	old := c.quarantineState.Load()
+	evidence, released := c.quarantine.Durable(now)
+	same := func(a, b quarantiner.Incident) bool { return a.Part == b.Part && a.Crash == b.Crash }
+	if slices.EqualFunc(evidence.Incidents, old.Evidence.Incidents, same) && slices.Equal(released, old.Released) {
+		return
+	}
+	version := old.Version
+	if len(evidence.Incidents) > 0 || len(old.Evidence.Incidents) > 0 {
+		version++ // parts that were never in quarantine are not stored
+	}
+	c.quarantineState.Store(&quarantineSnapshot{QuarantineState: watcher.QuarantineState{Version: version, Evidence: evidence, Released: released}, at: now})
+}
+
+// quarantineSnapshot is a QuarantineState with the time as of which it has the ages.
+type quarantineSnapshot struct {
+	watcher.QuarantineState
+	at time.Duration
+}
+
+// QuarantineState implements watcher.QuarantineSink.
+func (c *Controller) QuarantineState() watcher.QuarantineState {
+	s := c.quarantineState.Load()
+	state := s.QuarantineState
+	state.Evidence.Incidents = slices.Clone(state.Evidence.Incidents)
+	for i := range state.Evidence.Incidents {
+		state.Evidence.Incidents[i].Age += c.options.Clock() - s.at
+	}
+	return state
+}
+
+// LearnEvidence implements watcher.QuarantineSink.
+func (c *Controller) LearnEvidence(e quarantiner.Evidence) { c.events <- evidenceEvent{e} }
+
+// evidenceEvent delivers evidence from the store.
+type evidenceEvent struct{ evidence quarantiner.Evidence }
+
+func (e evidenceEvent) apply(c *Controller, now time.Duration) { c.learnEvidence(now, e.evidence) }
+
 // formatPart returns the name of a part in the log.
 func formatPart(p quarantiner.Part) string { return strconv.FormatUint(uint64(p), 16) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,11 +79,17 @@
 	secretBytes = 32
 )
 
+// Source reads and writes the platform's store.
+type Source interface {
+	watcher.Source
+	watcher.QuarantineStore
+}
+
 // Options are the dependencies of a Gateway.
 type Options struct {
 	Settings settings.Settings
 	Protocol receiver.Protocol
-	Source   watcher.Source
+	Source   Source
 	Policy   placer.Policy
 	// Out receives the log.
 	Out io.Writer
@@ -160,6 +166,7 @@
 	g.courier, _ = courier.New() // the process ends without closing unused connections
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
+		QuarantineStore: g.options.Source, QuarantineSink: g.controller,
 		RegistryDue: g.registryDue, Role: g.role, Clock: g.clock,
 	})
 	g.overload = newOverloadMonitor(s.MemoryBytes, g.clock, g.logger)
@@ -196,6 +203,8 @@
 	go g.controller.Run(ctx)
 	go g.watcher.WatchConfig(ctx)
 	go g.watcher.WatchRegistry(ctx)
+	go g.watcher.WatchQuarantine(ctx)
+	go g.watcher.SaveQuarantine(ctx)
 	go g.watchDaemons(ctx)
 	go g.closeUnusedConnections(ctx)
 	go g.overload.run(ctx)
@@ -287,6 +296,7 @@
 		return now-since < time.Duration(share*float64(g.settings.ConfigBound))
 	}
 	return watcher.Role{
+		Reader:          f.Reader,
 		Follower:        follower,
 		ConfigFromPeers: follower && f.ConfigConfirmedAt > 0 && within(f.ConfigConfirmedAt, configAgeShare) && (f.ConfigBehindSince == 0 || within(f.ConfigBehindSince, configBehindShare)),
 	}
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -38,6 +38,8 @@
 	// with each crash after the quarantine, which costs a target and the streams on it.
 	baseDuration = 10 * time.Minute
 	maxDuration  = 24 * time.Hour
+	// MaxAge is the age from which evidence is forgotten.
+	MaxAge = maxDuration
 	// maxIncidents bounds the incidents that are kept for a part, maxParts the parts with
 	// incidents.
 	maxIncidents = 16
@@ -218,6 +220,9 @@
 // Learn records the evidence of another daemon.
 func (q *Quarantine) Learn(now time.Duration, e Evidence) {
 	for _, i := range e.Incidents {
+		if i.Age > MaxAge {
+			continue
+		}
 		if added := i.incidentAt(now); q.addIncident(now, added) {
 			q.learned.incidents = append(q.learned.incidents, added)
 		}
@@ -281,7 +286,7 @@
 func (q *Quarantine) Expire(now time.Duration) {
 	for p, s := range q.suspects {
 		age := now - s.lastChange
-		if age > maxDuration || len(s.incidents) < newPartCrashes && age > baseDuration {
+		if age > MaxAge || len(s.incidents) < newPartCrashes && age > baseDuration {
 			delete(q.suspects, p)
 		}
 	}
--- /dev/null
+++ b/gateway/watcher/quarantine.go
@@ -0,0 +1,131 @@
+package watcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/gateway/quarantiner"
+	"monsoondeck.example/sleeper"
+)
+
+// QuarantineStore keeps the evidence on prompt parts in quarantine, so that it outlives
+// the daemons.
+type QuarantineStore interface {
+	// Quarantine returns the stored evidence and the revision of the store.
+	Quarantine(ctx context.Context) (quarantiner.Evidence, uint64, error)
+	// QuarantineAfter is a long poll for changes after the revision. It returns
+	// ErrCompacted if the store no longer keeps them.
+	QuarantineAfter(ctx context.Context, revision uint64, wait time.Duration) (quarantiner.Evidence, uint64, error)
+	// SaveQuarantine stores the evidence, part by part, and removes that on the released
+	// parts. It can be repeated safely after a response was lost.
+	SaveQuarantine(ctx context.Context, e quarantiner.Evidence, released []quarantiner.Part) error
+}
+
+// QuarantineState is what should be stored.
+type QuarantineState struct {
+	// Version increases with each change.
+	Version  uint64
+	Evidence quarantiner.Evidence
+	// Released holds the parts that must not be stored any more.
+	Released []quarantiner.Part
+}
+
+// QuarantineSink receives the stored evidence and provides that of this daemon.
+type QuarantineSink interface {
+	LearnEvidence(e quarantiner.Evidence)
+	QuarantineState() QuarantineState
+}
+
+// quarantineCheckInterval is how often a daemon checks whether it has to save or to
+// follow the quarantine.
+const quarantineCheckInterval = 100 * time.Millisecond
+
+// WatchQuarantine reads the stored quarantine at the start, and again whenever it
+// changes while this daemon reads the store on behalf of the fleet.
+func (w *Watcher) WatchQuarantine(ctx context.Context) {
+	b := w.newBackoff("quarantine")
+	historyKnown, read, revision := false, false, uint64(0)
+	for ctx.Err() == nil {
+		if read && !w.options.Role().Reader {
+			sleeper.Sleep(ctx, quarantineCheckInterval)
+			continue
+		}
+		evidence, next, err := w.readQuarantine(ctx, historyKnown, revision)
+		w.markQuarantineRead()
+		if err != nil {
+			historyKnown = historyKnown && !errors.Is(err, ErrCompacted)
+			b.failed(ctx, err)
+			continue
+		}
+		b.succeeded()
+		read, historyKnown, revision = true, true, next
+		if !evidence.Empty() {
+			w.options.QuarantineSink.LearnEvidence(evidence)
+		}
+	}
+}
+
+// readQuarantine reads the whole quarantine, or waits for its changes if the history
+// since the revision is known.
+func (w *Watcher) readQuarantine(ctx context.Context, historyKnown bool, revision uint64) (quarantiner.Evidence, uint64, error) {
+	w.calls.Add(1)
+	if !historyKnown {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return w.options.QuarantineStore.Quarantine(ctx)
+	}
+	ctx, done := w.longPollContext(ctx, longPollTimeout)
+	defer done()
+	evidence, next, err := w.options.QuarantineStore.QuarantineAfter(ctx, revision, longPollTimeout)
+	if err != nil && errors.Is(context.Cause(ctx), errRestarted) {
+		return quarantiner.Evidence{}, revision, nil
+	}
+	return evidence, next, err
+}
+
+// markQuarantineRead releases waitForQuarantine.
+func (w *Watcher) markQuarantineRead() {
+	w.quarantineOnce.Do(func() { close(w.quarantineRead) })
+}
+
+// waitForQuarantine waits for the end of the first attempt to read the quarantine. A
+// daemon that gets requests before would send those with a part in quarantine to
+// targets.
+func (w *Watcher) waitForQuarantine(ctx context.Context) {
+	if w.options.QuarantineStore == nil {
+		return
+	}
+	select {
+	case <-w.quarantineRead:
+	case <-ctx.Done():
+	}
+}
+
+// SaveQuarantine stores the quarantine after each change while this daemon reads the
+// store on behalf of the fleet.
+func (w *Watcher) SaveQuarantine(ctx context.Context) {
+	b := w.newBackoff("save quarantine")
+	saved := uint64(0)
+	for ctx.Err() == nil {
+		state := w.options.QuarantineSink.QuarantineState()
+		if state.Version == saved || !w.options.Role().Reader {
+			sleeper.Sleep(ctx, quarantineCheckInterval)
+			continue
+		}
+		if err := w.saveQuarantine(ctx, state); err != nil {
+			b.failed(ctx, err)
+			continue
+		}
+		b.succeeded()
+		saved = state.Version
+	}
+}
+
+func (w *Watcher) saveQuarantine(ctx context.Context, s QuarantineState) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	w.calls.Add(1)
+	return w.options.QuarantineStore.SaveQuarantine(ctx, s.Evidence, s.Released)
+}
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -99,6 +99,9 @@
 type Options struct {
 	Source Source
 	Sink   Sink
+	// QuarantineStore and QuarantineSink are nil if the quarantine is not stored.
+	QuarantineStore QuarantineStore
+	QuarantineSink  QuarantineSink
 	// RegistryDue returns the time until the registry should be read; it is due if
 	// that is not positive.
 	RegistryDue func() time.Duration
@@ -111,6 +114,8 @@
 
 // Role describes to what extent this daemon relies on others to read the store.
 type Role struct {
+	// Reader is set if this daemon reads the store on behalf of the fleet.
+	Reader bool
 	// Follower is set in a large fleet in which other daemons read the store on behalf
 	// of this one.
 	Follower bool
@@ -125,6 +130,10 @@
 	// calls counts the calls to the store, failures the failed ones among them.
 	failures atomic.Int64
 	calls    atomic.Int64
+	// quarantineRead is closed, by quarantineOnce, after the first attempt to read the
+	// quarantine.
+	quarantineRead chan struct{}
+	quarantineOnce sync.Once
 
 	mutex sync.Mutex
 	// longPolls holds the functions that cancel the pending long polls, by an ID taken
@@ -167,7 +176,7 @@
 
 // New returns a Watcher.
 func New(o Options) *Watcher {
-	return &Watcher{options: o, longPolls: map[int]context.CancelCauseFunc{}}
+	return &Watcher{options: o, longPolls: map[int]context.CancelCauseFunc{}, quarantineRead: make(chan struct{})}
 }
 
 // Calls returns the number of calls to the store and how many of them failed.
@@ -266,6 +275,7 @@
 				logger.Emit(w.options.Logger, logger.EntryUnreadable, slog.String("key", key), slog.Uint64("revision", revision))
 			}
 		}
+		w.waitForQuarantine(ctx)
 		w.options.Sink.SetRegistry(readStart, revision, entries)
 		sleeper.Sleep(ctx, minRegistryInterval)
 	}
