--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -61,6 +61,8 @@
 	Misdirected bool
 	// Signed is set if the response bears the signature of the target that ran the request.
 	Signed bool
+	// Limit is the number of requests that the target takes.
+	Limit placer.RequestLimit
 }
 
 // Protocol translates between the header fields of the platform and the types of this
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -70,6 +70,8 @@
 	mayHaveRun bool
 	// fallback is an error response that is forwarded if no other target succeeds.
 	fallback *bufferedResponse
+	// limit is the request limit in the last response of a target.
+	limit placer.RequestLimit
 	// stream is set once a target has started to respond with a stream.
 	stream *streamState
 	// firstByte is the time to the first byte of the response; 0 if there is none yet.
@@ -210,6 +212,7 @@
 	defer func() { _ = response.Body.Close() }() // never returns an error
 	p.attempts++
 	info := rc.Protocol.InspectResponse(p.info.ID, response.Status, response.Header)
+	p.limit = info.Limit
 	if info.NotRun || info.Misdirected {
 		return p.handleNotRun(permit, response, info)
 	}
@@ -323,8 +326,12 @@
 	if p.stream != nil {
 		longestPause = p.stream.longestPause
 	}
-	p.log(logger.RequestEnded, slog.String("outcome", outcome), slog.Int("status", status), slog.Int("attempts", p.attempts),
-		slog.Duration("firstByte", p.firstByte), slog.Duration("longestPause", longestPause), slog.Duration("total", total))
+	attrs := []slog.Attr{slog.String("outcome", outcome), slog.Int("status", status), slog.Int("attempts", p.attempts),
+		slog.Duration("firstByte", p.firstByte), slog.Duration("longestPause", longestPause), slog.Duration("total", total)}
+	if p.limit.Limited {
+		attrs = append(attrs, slog.Float64("targetLimit", p.limit.PerSecond))
+	}
+	p.log(logger.RequestEnded, attrs...)
 }
 
 // formatParts returns the parts of the prompt in order, as they are named in the records
