Share the request limit of a target among all daemons

Cause: no daemon reads the limit. Reading it alone would not do: a daemon first hears of it from its own answers up to 16 s after the others (16 of 50 pairs later than 4 s), forgets it at a restart, and up to nine daemons send to one target, so that each keeping to the limit sends nine times as much.

Change: the newest limit that any daemon has seen is in force at all of them. Load reports have it with its age, and the demand for the service, from which each daemon derives its share; gateway/pacer turns the share into slots. A target without an open slot counts as full. The ages of limits go on in the sums of a group, so that an old report of a limit does not prevail over the news that it was lifted. Targets that take none get one request in ten seconds, whose answer shows when that ends.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -118,6 +118,8 @@
 	// that are repeated only if they did not crash such a target.
 	suspicions map[string]*suspicion
 	held       []*permit
+	// limits holds the request limits that are in force, by target.
+	limits map[string]float64
 	// peers maps each live peer to the time of the last sign of life.
 	peers map[string]time.Duration
 	// plan says to whom this daemon sends what.
@@ -173,6 +175,8 @@
 	Waiting, Placed, Targets, Peers int
 	// Quarantined is the number of prompt parts in quarantine.
 	Quarantined int
+	// Limited is the number of targets whose request limit is in force.
+	Limited int
 	// ShareLevel is the service, in tokens per window, up to which an account is within
 	// its fair share; 0 means no limit.
 	ShareLevel float64
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -30,6 +30,9 @@
 		return
 	}
 	d := p.demand
+	if d.FirstWait {
+		c.fleet.RecordDemand(now, d.Request.Service)
+	}
 	if d.CountsTowardsShare && d.FirstWait {
 		c.shares.RecordDemand(now, d.Account, d.Request.Cost())
 	}
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -49,6 +49,14 @@
 	p.controller.events <- progressEvent{p, events, elapsed}
 }
 
+// ObserveLimit implements receiver.Permit. That there is no limit is only news of a
+// target that had one.
+func (p *permit) ObserveLimit(l placer.RequestLimit) {
+	if l.Limited || p.decision.Choice.Limited {
+		p.controller.events <- limitEvent{p.decision.Choice.Target.ID, l}
+	}
+}
+
 // SetStalled implements receiver.Permit.
 func (p *permit) SetStalled(stalled bool) { p.controller.events <- stallEvent{p, stalled} }
 
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -97,6 +97,7 @@
 	r.Registry = RegistryState{Revision: c.registry.Revision(), Digest: c.registryDigest, Age: now - c.registryConfirmedAt, Hops: c.registryHops}
 	r.Config = c.configState(now)
 	c.checkSuspicions(now)
+	c.updateLimits(now)
 	r.Evidence = c.takeEvidence(now, whole)
 	if whole {
 		c.lastFullReport = now
@@ -115,14 +116,14 @@
 		c.options.SendReport(r, c.plan.ReportRecipients)
 	}
 	if c.plan.Relay {
-		c.sendSum(r)
-		c.sendTotals(r)
+		c.sendSum(now, r)
+		c.sendTotals(now, r)
 	}
 	level := c.shares.FairShare(now)
 	if level > maxShareLevel {
 		level = 0
 	}
-	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), Quarantined: len(c.quarantined), ShareLevel: level})
+	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), Quarantined: len(c.quarantined), Limited: len(c.limits), ShareLevel: level})
 }
 
 // reportInterval returns the time until the next report. Members of a large group
@@ -135,9 +136,9 @@
 }
 
 // sendSum sends the sum of the own group to relays of other groups.
-func (c *Controller) sendSum(own Report) {
-	c.sums.Set(c.options.Host, 0, own.summable())
-	sum := c.sums.TakeSum(own.Whole)
+func (c *Controller) sendSum(now time.Duration, own Report) {
+	c.sums.Set(now, c.options.Host, 0, own.summable())
+	sum := c.sums.TakeSum(now, own.Whole)
 	r := own
 	r.Group, r.Whole, r.Loads, r.Accounts, r.Spills = c.plan.OwnGroup, sum.Complete, sum.Loads, sum.Accounts, sum.Spills
 	if own.Whole {
@@ -150,9 +151,9 @@
 
 // sendTotals sends the total of the fleet to daemons of the group, to each without its
 // own part.
-func (c *Controller) sendTotals(own Report) {
-	c.totals.Set(c.options.Host, 0, own.summable())
-	total := c.totals.TakeSum(own.Whole)
+func (c *Controller) sendTotals(now time.Duration, own Report) {
+	c.totals.Set(now, c.options.Host, 0, own.summable())
+	total := c.totals.TakeSum(now, own.Whole)
 	r := own
 	r.Total = true
 	if own.Whole {
@@ -192,9 +193,9 @@
 	c.fleet.SetPeerLoads(now, key, r.Report.Loads, r.Report.Whole)
 	c.shares.SetPeer(now, key+" by "+r.Peer, r.Incarnation, r.Report.Accounts)
 	if c.plan.Relay {
-		c.totals.Set(key, r.Incarnation, r.Report.summable())
+		c.totals.Set(now, key, r.Incarnation, r.Report.summable())
 		if r.Report.Group == "" {
-			c.sums.Set(key, r.Incarnation, r.Report.summable())
+			c.sums.Set(now, key, r.Incarnation, r.Report.summable())
 		}
 	}
 }
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -85,6 +85,10 @@
 		Whole: true, Config: controller.ConfigState{Version: 3, Confirmed: true, Age: 70 * time.Millisecond, Hops: 1}, Registry: controller.RegistryState{Revision: 5, Digest: 1 << 63, Age: 40 * time.Millisecond, Hops: 1},
 		Loads: []placer.Load{{
 			Target: placer.KeyOf("t"), PrefillTokens: 160, Running: 2, MemoryTokens: 320, EventGaps: 4, EventGapSum: 320 * time.Millisecond, SpeedSamples: 6, LogSpeedSum: 6 * math.Log(12.5),
+		}, {
+			Target: placer.KeyOf("limited"), Wanted: 12.5, LimitKnown: true, LimitAge: 250 * time.Millisecond, Limit: placer.RequestLimit{Limited: true, PerSecond: 3.125},
+		}, {
+			Target: placer.KeyOf("unlimited again"), LimitKnown: true,
 		}},
 		Accounts: []sharer.Total{{Account: "forge", Demand: 10, Served: 7}},
 		Evidence: quarantiner.Evidence{
--- a/gateway/exchanger/loads.go
+++ b/gateway/exchanger/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"monsoondeck.example/gateway/placer"
@@ -21,6 +22,10 @@
 	// maxSamples bounds the decoded numbers of event gaps and of speed samples. It
 	// exceeds the number of recent gaps or samples at any target.
 	maxSamples = 1 << 20
+	// wantedUnit is in requests per second, like maxLimit, beyond which a limit does not
+	// matter.
+	wantedUnit = 1.0 / 16
+	maxLimit   = 1e9
 )
 
 func encodeLoads(loads []placer.Load) *messenger.TargetWork {
@@ -44,9 +49,41 @@
 		m.Samples = append(m.Samples, samples)
 		m.SpeedTenths = append(m.SpeedTenths, speed)
 	}
+	if slices.ContainsFunc(loads, func(l placer.Load) bool { return l.LimitKnown || l.Wanted > 0 }) {
+		encodeLimits(m, loads)
+	}
 	return m
 }
 
+// encodeLimits adds the columns about request limits, which most reports do not have.
+func encodeLimits(m *messenger.TargetWork, loads []placer.Load) {
+	for _, l := range loads {
+		var limit, age uint64
+		if l.LimitKnown {
+			age = uint64(max(l.LimitAge.Milliseconds(), 0)) + 1
+		}
+		if l.LimitKnown && l.Limit.Limited {
+			limit = roundToUint(min(l.Limit.PerSecond, maxLimit)*1000) + 1
+		}
+		m.Wanted = append(m.Wanted, roundToUint(l.Wanted/wantedUnit))
+		m.LimitMilli = append(m.LimitMilli, limit)
+		m.LimitAge = append(m.LimitAge, age)
+	}
+}
+
+// decodeLimit sets the fields about the request limit of load i.
+func decodeLimit(l *placer.Load, m messenger.TargetWork, i int) {
+	l.Wanted = float64(min(valueAt(m.Wanted, i), maxSamples)) * wantedUnit
+	age, limit := valueAt(m.LimitAge, i), valueAt(m.LimitMilli, i)
+	if age == 0 {
+		return
+	}
+	l.LimitKnown, l.LimitAge = true, decodeAge(age-1)
+	if limit > 0 {
+		l.Limit = placer.RequestLimit{Limited: true, PerSecond: float64(min(limit-1, uint64(maxLimit*1000))) / 1000}
+	}
+}
+
 func decodeLoads(m messenger.TargetWork) []placer.Load {
 	loads := make([]placer.Load, 0, len(m.Targets))
 	for i, key := range m.Targets {
@@ -63,6 +100,7 @@
 			// likewise.
 			l.LogSpeedSum = l.SpeedSamples * math.Log(max(float64(speed)*speedUnit, 1))
 		}
+		decodeLimit(&l, m, i)
 		loads = append(loads, l)
 	}
 	return loads
--- a/gateway/grouper/grouper_test.go
+++ b/gateway/grouper/grouper_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -101,6 +102,21 @@
 	}
 }
 
+// Guards against an old request limit that looks as new as on the day of its report, and
+// prevails over the news that it was lifted.
+func TestSumsHaveTheNewestLimit(t *testing.T) {
+	s := grouper.NewSums()
+	report := func(limit placer.RequestLimit, age time.Duration) grouper.Report {
+		return grouper.Report{Loads: []placer.Load{{Target: placer.KeyOf("e"), LimitKnown: true, Limit: limit, LimitAge: age, Wanted: 2}}}
+	}
+	s.Set(1*time.Second, "a", 1, report(placer.RequestLimit{Limited: true, PerSecond: 3}, 0))
+	s.Set(4*time.Second, "b", 1, report(placer.RequestLimit{}, 500*time.Millisecond))
+	r := s.TakeSum(5*time.Second, true)
+	if len(r.Loads) != 1 || r.Loads[0] != (placer.Load{Target: placer.KeyOf("e"), LimitKnown: true, LimitAge: 1500 * time.Millisecond, Wanted: 4}) {
+		t.Errorf("sum %+v, want the limit that was lifted 1.5 s ago", r.Loads)
+	}
+}
+
 // Guards against sums that lose or repeat service when a member restarts, and
 // against counting the load of members that left.
 func TestSumsFollowMemberReports(t *testing.T) {
@@ -111,25 +127,25 @@
 	account := func(demand, served float64) []sharer.Total {
 		return []sharer.Total{{Account: "x", Demand: demand, Served: served}}
 	}
-	s.Set("a", 1, grouper.Report{Loads: load(100, 1), Accounts: account(1000, 1000)})
-	s.Set("b", 1, grouper.Report{Loads: load(50, 2), Accounts: account(0, 0), Spills: []placer.Spill{{Target: "e", PrefixHash: 7}}})
-	r := s.TakeSum(true)
+	s.Set(0, "a", 1, grouper.Report{Loads: load(100, 1), Accounts: account(1000, 1000)})
+	s.Set(0, "b", 1, grouper.Report{Loads: load(50, 2), Accounts: account(0, 0), Spills: []placer.Spill{{Target: "e", PrefixHash: 7}}})
+	r := s.TakeSum(0, true)
 	if len(r.Loads) != 1 || r.Loads[0] != (placer.Load{Target: placer.KeyOf("e"), PrefillTokens: 150, Running: 3, MemoryTokens: 20}) || len(r.Accounts) != 0 || len(r.Spills) != 1 || !r.Complete {
 		t.Fatalf("sum %+v, want the loads of both members added up", r)
 	}
-	s.Set("a", 1, grouper.Report{Accounts: account(1500, 1200)})
-	s.Set("b", 1, grouper.Report{Accounts: account(40, 30)})
-	if r = s.TakeSum(false); len(r.Accounts) != 1 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 540, Served: 230}) || len(r.Spills) != 0 {
+	s.Set(0, "a", 1, grouper.Report{Accounts: account(1500, 1200)})
+	s.Set(0, "b", 1, grouper.Report{Accounts: account(40, 30)})
+	if r = s.TakeSum(0, false); len(r.Accounts) != 1 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 540, Served: 230}) || len(r.Spills) != 0 {
 		t.Fatalf("sum %+v, want a demand of 540 tokens and 230 served", r)
 	}
-	s.Set("a", 2, grouper.Report{Accounts: account(10, 10)})
-	s.Set("a", 1, grouper.Report{Accounts: account(9000, 9000)}) // a late report of the previous incarnation
-	s.Set("a", 2, grouper.Report{Accounts: account(30, 30)})
+	s.Set(0, "a", 2, grouper.Report{Accounts: account(10, 10)})
+	s.Set(0, "a", 1, grouper.Report{Accounts: account(9000, 9000)}) // a late report of the previous incarnation
+	s.Set(0, "a", 2, grouper.Report{Accounts: account(30, 30)})
 	s.Remove("b")
-	if r = s.TakeSum(false); len(r.Loads) != 0 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 560, Served: 250}) {
+	if r = s.TakeSum(0, false); len(r.Loads) != 0 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 560, Served: 250}) {
 		t.Fatalf("sum %+v, want no loads, a demand of 560 tokens and 250 served", r)
 	}
-	if r = s.TakeSum(false); len(r.Accounts) != 0 {
+	if r = s.TakeSum(0, false); len(r.Accounts) != 0 {
 		t.Errorf("the sum has unchanged totals: %+v", r)
 	}
 }
@@ -143,11 +159,11 @@
 		return []sharer.Total{{Account: "x", Demand: demand, Served: served}}
 	}
 	for _, name := range []string{"a", "b"} {
-		s.Set(name, 1, grouper.Report{Accounts: account(0, 0)})
+		s.Set(0, name, 1, grouper.Report{Accounts: account(0, 0)})
 	}
-	s.Set("a", 1, grouper.Report{Loads: load(3), Accounts: account(100, 90)})
-	s.Set("b", 1, grouper.Report{Loads: load(2), Accounts: account(10, 9)})
-	sum := s.TakeSum(true)
+	s.Set(0, "a", 1, grouper.Report{Loads: load(3), Accounts: account(100, 90)})
+	s.Set(0, "b", 1, grouper.Report{Loads: load(2), Accounts: account(10, 9)})
+	sum := s.TakeSum(0, true)
 	if r := s.Without("a", sum); len(r.Loads) != 1 || r.Loads[0].Running != 2 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 10, Served: 9}) {
 		t.Errorf("total for a: %+v, want the work of b", r)
 	}
@@ -155,7 +171,7 @@
 		t.Errorf("total for c: %+v, want the work of a and b", r)
 	}
 	s.Remove("a")
-	if r := s.Without("a", s.TakeSum(true)); r.Loads[0].Running != 2 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 10, Served: 9}) {
+	if r := s.Without("a", s.TakeSum(0, true)); r.Loads[0].Running != 2 || r.Accounts[0] != (sharer.Total{Account: "x", Demand: 10, Served: 9}) {
 		t.Errorf("total for a after it was removed: %+v, want the work of b", r)
 	}
 }
--- a/gateway/grouper/sums.go
+++ b/gateway/grouper/sums.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/sharer"
@@ -30,8 +31,10 @@
 // member holds what one daemon last reported.
 type member struct {
 	incarnation uint64
-	loads       map[placer.Key]placer.Load
-	totals      map[string]sharer.Total
+	// loads holds the last load at each target; its LimitAge is as of loadTimes.
+	loads     map[placer.Key]placer.Load
+	loadTimes map[placer.Key]time.Duration
+	totals    map[string]sharer.Total
 }
 
 // accountTotal is the sum of the totals of one account.
@@ -61,21 +64,22 @@
 
 // Set records the report of a member. The first totals of an incarnation only set
 // the baseline, since it is unknown when that service was given.
-func (s *Sums) Set(name string, incarnation uint64, r Report) {
+func (s *Sums) Set(now time.Duration, name string, incarnation uint64, r Report) {
 	m := s.members[name]
 	if m != nil && incarnation < m.incarnation {
 		return
 	}
 	first := m == nil || m.incarnation < incarnation
 	if first {
-		m = &member{incarnation: incarnation, loads: map[placer.Key]placer.Load{}, totals: map[string]sharer.Total{}}
+		m = &member{incarnation: incarnation, loads: map[placer.Key]placer.Load{}, loadTimes: map[placer.Key]time.Duration{}, totals: map[string]sharer.Total{}}
 		s.members[name] = m
 	}
 	if r.Complete {
 		clear(m.loads)
+		clear(m.loadTimes)
 	}
 	for _, l := range r.Loads {
-		m.loads[l.Target] = l
+		m.loads[l.Target], m.loadTimes[l.Target] = l, now
 	}
 	for _, t := range r.Accounts {
 		old := m.totals[t.Account]
@@ -141,12 +145,13 @@
 
 // TakeSum returns the load of all members at each target, the totals that changed since
 // the last call, or all of them, and the spills since the last call.
-func (s *Sums) TakeSum(all bool) Report {
+func (s *Sums) TakeSum(now time.Duration, all bool) Report {
 	loads := map[placer.Key]placer.Load{}
 	for _, m := range s.members {
 		for id, l := range m.loads {
 			sum := loads[id]
 			sum.Target = id
+			l.LimitAge += now - m.loadTimes[id]
 			loads[id] = sum.Add(l)
 		}
 	}
--- a/gateway/placer/peers.go
+++ b/gateway/placer/peers.go
@@ -17,6 +17,9 @@
 	for _, l := range loads {
 		if t := f.targetsByKey[l.Target]; t != nil {
 			t.setPeerLoad(now, peer, l)
+			if l.LimitKnown {
+				f.applyLimit(now, t, observedLimit{RequestLimit: l.Limit, known: true, at: now - l.LimitAge})
+			}
 		}
 	}
 }
@@ -35,7 +38,7 @@
 	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
 		t := f.targets[id]
 		t.expirePeerLoads(now)
-		l := t.ownLoadAt(now)
+		l := t.ownLoadAt(now).Add(f.limitLoad(now, t))
 		if l.changedFrom(t.lastReported) || all && !l.Empty() {
 			t.lastReported = l
 			loads = append(loads, l)
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -47,6 +47,12 @@
 	// lastSampled is the index of the last target that was sampled.
 	lastSampled int
 	random      *rand.Rand
+	// demand counts the recent requests for each service at this daemon, peers the other
+	// daemons.
+	demand map[string]*decayingSum
+	peers  int
+	// limitedTargets is the number of targets with a pacer.
+	limitedTargets int
 }
 
 // Settings configures a Fleet.
@@ -77,6 +83,7 @@
 	return &Fleet{
 		settings: s, targets: map[string]*target{}, targetsByService: map[string][]*target{},
 		engineSettings: map[string]resolver.Engine{}, gapLimits: map[string]time.Duration{}, loadChecks: map[string]loadCheck{}, targetOfRequest: map[uint64]*target{},
+		demand: map[string]*decayingSum{},
 		random: rand.New(rand.NewPCG(s.Seed, s.Seed)),
 	}
 }
@@ -109,6 +116,12 @@
 		f.targetsByService[e.Service] = append(f.targetsByService[e.Service], t)
 	}
 	f.targets = next
+	f.limitedTargets = 0
+	for _, t := range next {
+		if t.pacer != nil {
+			f.limitedTargets++
+		}
+	}
 	f.targetsByKey = make(map[Key]*target, len(next))
 	for id, t := range next {
 		f.targetsByKey[KeyOf(id)] = t
@@ -181,7 +194,7 @@
 	if bestTarget == nil {
 		return Choice{}, false
 	}
-	best.Target = bestTarget.entry
+	best.Target, best.Limited = bestTarget.entry, bestTarget.limited(now)
 	if best.CopyTokens > 0 {
 		best.CopySource = s.copySource.entry.Address
 	}
@@ -257,6 +270,9 @@
 		return
 	}
 	t.health.recordSend(now)
+	if t.pacer != nil {
+		t.pacer.Use()
+	}
 	t.addRequest(&placedRequest{request: r, started: now, uncachedTokens: c.UncachedTokens, prefillBacklog: c.PrefillBacklog})
 	f.targetOfRequest[r.ID] = t
 	if r.MaxMeanEventGap > 0 {
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -106,6 +106,8 @@
 	// Full is set if the target has no slot or memory, if its event gaps are too long,
 	// or if the request may not spill to it.
 	Full bool
+	// Limited is set if a request limit of the target is in force.
+	Limited bool
 	// FirstRanked is set if the target is the first one in the rendezvous order of
 	// the prompt.
 	FirstRanked bool
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -100,6 +100,17 @@
 // assess returns the choice of one target and its score, which is the expected time
 // to the first event plus penalties. The smallest score is the best.
 func (f *Fleet) assess(s *search, t *target) (Choice, time.Duration) {
+	c, score := f.assessLoad(s, t)
+	if wait := f.paceWait(s.now, t); wait > 0 {
+		c.Fits, c.Full = false, true
+		c.Expected += wait
+		score += wait
+	}
+	return c, score
+}
+
+// assessLoad does what assess does, without the request limit of the target.
+func (f *Fleet) assessLoad(s *search, t *target) (Choice, time.Duration) {
 	load := t.totalLoadAt(s.now)
 	var c Choice // Choose sets Target for the best choice only, since entries are large
 	if t.engine == nil {
--- a/gateway/placer/target.go
+++ b/gateway/placer/target.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"monsoondeck.example/gateway/pacer"
 	"monsoondeck.example/gateway/registrar"
 )
 
@@ -41,6 +42,11 @@
 	serviceTime time.Duration
 	// fullUntil is the time until which the target counts as full after a refusal.
 	fullUntil time.Duration
+	// ownLimit is the last request limit in an answer to this daemon, limit the newest one
+	// that any daemon has seen. pacer is set while one is in force, since limitedSince.
+	ownLimit, limit observedLimit
+	limitedSince    time.Duration
+	pacer           *pacer.Pacer
 }
 
 func newTarget(e registrar.Entry) *target {
@@ -99,6 +105,14 @@
 	// was measured, LogSpeedSum the sum of the logarithms of those speeds in tokens per
 	// millisecond.
 	SpeedSamples, LogSpeedSum float64
+	// Limit is the newest request limit that the daemons have seen in an answer, LimitAge
+	// the time since then. LimitKnown is set if there is one.
+	Limit      RequestLimit
+	LimitKnown bool
+	LimitAge   time.Duration
+	// Wanted is the number of requests per second for the service, if a limit of the
+	// target is in force.
+	Wanted float64
 }
 
 // Add returns the sum of two loads at the same target.
@@ -110,10 +124,15 @@
 	l.EventGapSum += m.EventGapSum
 	l.SpeedSamples += m.SpeedSamples
 	l.LogSpeedSum += m.LogSpeedSum
+	l.Wanted += m.Wanted
+	if m.LimitKnown && (!l.LimitKnown || m.LimitAge < l.LimitAge) {
+		l.Limit, l.LimitKnown, l.LimitAge = m.Limit, true, m.LimitAge
+	}
 	return l
 }
 
-// Sub returns the difference of two loads. No field becomes negative by rounding.
+// Sub returns the difference of two loads. No field becomes negative by rounding. The
+// limit stays, since it is that of the target and not of one daemon.
 func (l Load) Sub(m Load) Load {
 	l.PrefillTokens = max(l.PrefillTokens-m.PrefillTokens, 0)
 	l.Running = max(l.Running-m.Running, 0)
@@ -122,12 +141,13 @@
 	l.EventGapSum = max(l.EventGapSum-m.EventGapSum, 0)
 	l.SpeedSamples = max(l.SpeedSamples-m.SpeedSamples, 0)
 	l.LogSpeedSum = max(l.LogSpeedSum-m.LogSpeedSum, 0)
+	l.Wanted = max(l.Wanted-m.Wanted, 0)
 	return l
 }
 
 // Empty reports whether the load says nothing about the target.
 func (l Load) Empty() bool {
-	return l.Running == 0 && l.PrefillTokens == 0 && l.EventGaps == 0 && l.SpeedSamples == 0
+	return l.Running == 0 && l.PrefillTokens == 0 && l.EventGaps == 0 && l.SpeedSamples == 0 && !l.LimitKnown && l.Wanted == 0
 }
 
 // MeanEventGap returns the mean recent gap between events; 0 if there were too few.
@@ -140,9 +160,12 @@
 
 // changedFrom reports whether peers should get this load after the last one.
 // EventGapSum and LogSpeedSum are not compared, since they change only together with
-// the counts.
+// the counts, and neither is LimitAge, which always changes.
 func (l Load) changedFrom(last Load) bool {
-	l.EventGapSum, l.LogSpeedSum = last.EventGapSum, last.LogSpeedSum
+	l.EventGapSum, l.LogSpeedSum, l.LimitAge = last.EventGapSum, last.LogSpeedSum, last.LimitAge
+	if math.Abs(l.Wanted-last.Wanted) < wantedResolution*max(last.Wanted, 1) && (l.Wanted == 0) == (last.Wanted == 0) {
+		l.Wanted = last.Wanted
+	}
 	return l != last
 }
 
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -108,6 +108,8 @@
 	Decision() queuer.Decision
 	// Age returns the time since the decision.
 	Age() time.Duration
+	// ObserveLimit reports the request limit that the response names, or that it names none.
+	ObserveLimit(l placer.RequestLimit)
 	// FirstEvent reports that the response has started.
 	FirstEvent()
 	// Progress reports the number of events that arrived within the elapsed time.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -213,6 +213,7 @@
 	p.attempts++
 	info := rc.Protocol.InspectResponse(p.info.ID, response.Status, response.Header)
 	p.limit = info.Limit
+	permit.ObserveLimit(info.Limit)
 	if info.NotRun || info.Misdirected {
 		return p.handleNotRun(permit, response, info)
 	}
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -130,6 +131,17 @@
 	}
 }
 
+// Guards against a request limit that is read only from some responses, so that a target
+// that refuses everything gets as many requests as before.
+func TestLimitsAreReadFromAllResponses(t *testing.T) {
+	f := newFixture(t, []reply{{status: 503, header: "Not-Run=1;Limit=2"}, {status: 500, header: "Signed=s;Limit=3"}, {status: 200, header: signed, body: "x"}}, nil)
+	f.postDefault(t, "/safe/1")
+	want := []placer.RequestLimit{{Limited: true, PerSecond: 2}, {Limited: true, PerSecond: 3}, {}}
+	if got := f.permitSource.limits; !slices.Equal(got, want[:len(got)]) || len(got) < 2 {
+		t.Errorf("limits %v, want the first of %v", got, want)
+	}
+}
+
 // Guards against an incomplete stream that looks complete to the caller.
 func TestBrokenStreamEndsWithAnError(t *testing.T) {
 	f := newFixture(t, []reply{{status: 200, header: signed, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true}}, nil)
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -24,7 +25,7 @@
 )
 
 // protocol is a minimal receiver.Protocol with the header fields Id, Key, After,
-// Target, Not-Run and Signed.
+// Target, Not-Run, Signed and Limit.
 type protocol struct{}
 
 func (protocol) ParseRequest(r *http.Request) receiver.RequestInfo {
@@ -39,7 +40,8 @@
 }
 
 func (protocol) InspectResponse(_ string, _ int, h http.Header) receiver.ResponseInfo {
-	return receiver.ResponseInfo{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != ""}
+	perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return receiver.ResponseInfo{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Limit: placer.RequestLimit{Limited: err == nil, PerSecond: perSecond}}
 }
 
 func (protocol) CopyResponseHeader(to, from http.Header) {
@@ -59,6 +61,8 @@
 	refuse queuer.Reason
 	// results holds the results of the ended permits, in the order in which they ended.
 	results []placer.Result
+	// limits are the request limits that were observed.
+	limits []placer.RequestLimit
 	// stale is the number of next permits that are too old to be used.
 	stale int
 	// ended receives a value when a permit ends.
@@ -92,9 +96,14 @@
 	age          time.Duration
 }
 
-func (p *permit) Decision() queuer.Decision   { return p.decision }
-func (p *permit) Age() time.Duration          { return p.age }
-func (p *permit) FirstEvent()                 {}
+func (p *permit) Decision() queuer.Decision { return p.decision }
+func (p *permit) Age() time.Duration        { return p.age }
+func (p *permit) FirstEvent()               {}
+func (p *permit) ObserveLimit(l placer.RequestLimit) {
+	p.permitSource.mutex.Lock()
+	defer p.permitSource.mutex.Unlock()
+	p.permitSource.limits = append(p.permitSource.limits, l)
+}
 func (p *permit) Progress(int, time.Duration) {}
 func (p *permit) SetStalled(bool)             {}
 func (p *permit) End(r placer.Result) {
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -14,12 +14,13 @@
 // stallCounter is a Permit that counts the calls of SetStalled.
 type stallCounter struct{ calls int }
 
-func (*stallCounter) Decision() queuer.Decision   { return queuer.Decision{} }
-func (*stallCounter) Age() time.Duration          { return 0 }
-func (*stallCounter) FirstEvent()                 {}
-func (*stallCounter) Progress(int, time.Duration) {}
-func (s *stallCounter) SetStalled(bool)           { s.calls++ }
-func (*stallCounter) End(placer.Result)           {}
+func (*stallCounter) Decision() queuer.Decision        { return queuer.Decision{} }
+func (*stallCounter) Age() time.Duration               { return 0 }
+func (*stallCounter) FirstEvent()                      {}
+func (*stallCounter) ObserveLimit(placer.RequestLimit) {}
+func (*stallCounter) Progress(int, time.Duration)      {}
+func (s *stallCounter) SetStalled(bool)                { s.calls++ }
+func (*stallCounter) End(placer.Result)                {}
 
 // budget is a RetryBudget that allows a fixed number of retries.
 type budget struct{ retries int }
--- a/logger/events.go
+++ b/logger/events.go
@@ -61,6 +61,8 @@
 	TargetCrashed    = Event{519, slog.LevelWarn, "target crashed while requests waited for its answer", "Look at the target's own log."}
 	PartQuarantined  = Event{520, slog.LevelWarn, "prompt part crashes targets and is refused", "Find the requests with the part in events 511 and 515 and tell the owners of the account and of the model."}
 	PartReleased     = Event{521, slog.LevelInfo, "prompt part is no longer refused", ""}
+	TargetLimited    = Event{522, slog.LevelWarn, "target limits the rate of its requests", "Look at the target: it says that it is in trouble. The daemons share its limit."}
+	TargetUnlimited  = Event{523, slog.LevelInfo, "target no longer limits the rate of its requests", ""}
 
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
@@ -76,7 +78,7 @@
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
-		TargetCrashed, PartQuarantined, PartReleased,
+		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited,
 		PlatformUnavailable, PlatformAvailable,
 	}
 }
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -462,6 +462,14 @@
 	// Number of recent gaps between events of streams.
 	Events []uint64 `json:"events,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
+	// 1 plus the time since the answer that said so, in milliseconds; 0 if no answer
+	// did.
+	LimitAge []uint64 `json:"limitAge,omitempty,omitzero" cbor:"11,keyasint,omitempty"`
+
+	// 1 plus the number of requests that the target takes in 1000 s; 0 if it no
+	// longer limits them.
+	LimitMilli []uint64 `json:"limitMilli,omitempty,omitzero" cbor:"10,keyasint,omitempty"`
+
 	// Tokens that the requests need in the engine's memory, in units of 64 tokens.
 	Memory []uint64 `json:"memory,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
 
@@ -484,6 +492,10 @@
 	// Prompt tokens of requests whose responses have not begun, in units of 16
 	// tokens.
 	Unread []uint64 `json:"unread,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
+
+	// Requests for the service, in sixteenths per second, if the target has named a
+	// request limit. This column and the next two are missing if there is no limit.
+	Wanted []uint64 `json:"wanted,omitempty,omitzero" cbor:"9,keyasint,omitempty"`
 }
 
 // TotalEntry is the fleet total of one client account.
