Blame a prompt itself only after three crashes

If the last part stands for a session, all of the session would have been refused.

Cause: the last part of a prompt counted like any other, although the crashes under one prompt that is repeated are not independent.

Change: the last part needs three crashes. What crashes targets under several prompts is found by the other parts. quarantiner.Incidents builds the incidents of a prompt, so that the rule is in one place; in one test the prompts had the numbers of their crashes and have others now.

Test: TestVerdicts, a prompt that its caller repeats; the first case failed before.

--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -113,13 +113,8 @@
 func (c *Controller) recordCrash(now time.Duration, s *suspicion) {
 	crash := quarantiner.CrashOf(s.target.ID, s.target.Incarnation)
 	for _, prompt := range s.prompts {
-		own := prompt[len(prompt)-1]
-		for i, part := range prompt {
-			request := uint64(own)
-			if i == len(prompt)-1 {
-				request = uint64(crash) // each crash counts against the prompt itself
-			}
-			c.quarantine.RecordIncident(now, quarantiner.Incident{Part: part, Crash: crash, Request: request, Age: now - s.since})
+		for _, i := range quarantiner.Incidents(prompt, crash, now-s.since) {
+			c.quarantine.RecordIncident(now, i)
 		}
 	}
 	logger.Emit(c.options.Logger, logger.TargetCrashed, slog.String("target", s.target.ID), slog.Int64("incarnation", s.target.Incarnation),
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -28,7 +28,8 @@
 	ProofTime = time.Second
 	// newPartCrashes is the number of independent crashes from which a part is
 	// quarantined of which no answer is known, and provenPartCrashes that for a part with
-	// an earlier answer.
+	// an earlier answer and for the last part of a prompt: a sound prompt that its caller
+	// repeats can be a bystander twice.
 	newPartCrashes    = 2
 	provenPartCrashes = 3
 	// minCrashInterval separates independent crashes: targets that fail together, such as
@@ -73,13 +74,29 @@
 	Part  Part
 	Crash Crash
 	// Request identifies the prompt. The crashes of one prompt that is sent repeatedly
-	// count once.
+	// count once, except for its last part, for which Request repeats Crash.
 	Request uint64
 	// Age is the time since the crash. Daemons have no common clock, so that the age omits
 	// the transmission time.
 	Age time.Duration
 }
 
+// Incidents returns the incidents of the parts of a prompt at a crash of the given age.
+// Each crash counts against the last part, which stands for the prompt itself.
+func Incidents(prompt []Part, c Crash, age time.Duration) []Incident {
+	incidents := make([]Incident, len(prompt))
+	for i, part := range prompt {
+		incidents[i] = Incident{Part: part, Crash: c, Request: uint64(prompt[len(prompt)-1]), Age: age}
+		if i == len(prompt)-1 {
+			incidents[i].Request = uint64(c)
+		}
+	}
+	return incidents
+}
+
+// ofWholePrompt reports whether the part is the last one of its prompt.
+func (i Incident) ofWholePrompt() bool { return i.Request == uint64(i.Crash) }
+
 // incident is an Incident with the time of the crash by the clock of this daemon.
 type incident struct {
 	Incident
@@ -330,7 +347,7 @@
 	}
 	count, last := s.independent()
 	threshold := newPartCrashes
-	if s.known {
+	if s.known || last.ofWholePrompt() {
 		threshold = provenPartCrashes
 	}
 	if count < threshold {
