--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -15,11 +15,8 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -52,84 +49,6 @@
 	maxReported = 512
 )
 
-// Part identifies a prompt part at a service.
-type Part uint64
-
-// PartOf returns the Part for the ID of a prompt part at a service.
-func PartOf(service string, id uint64) Part {
-	return Part(xxhash.Sum64String(service) ^ id*0x9e3779b97f4a7c15)
-}
-
-// Crash identifies the crash of one incarnation of a target, as all daemons see it.
-type Crash uint64
-
-// CrashOf returns the Crash of a target's incarnation.
-func CrashOf(target string, incarnation int64) Crash {
-	return Crash(xxhash.Sum64String(target) ^ uint64(incarnation)*0x9e3779b97f4a7c15)
-}
-
-// Incident says that a part was in a request whose answer had not begun, or had only
-// just begun, when its target crashed.
-type Incident struct {
-	Part  Part
-	Crash Crash
-	// Request identifies the prompt. The crashes of one prompt that is sent repeatedly
-	// count once, except for its last part, for which Request repeats Crash.
-	Request uint64
-	// Age is the time since the crash. Daemons have no common clock, so that the age omits
-	// the transmission time.
-	Age time.Duration
-}
-
-// Incidents returns the incidents of the parts of a prompt at a crash of the given age.
-// Each crash counts against the last part, which stands for the prompt itself.
-func Incidents(prompt []Part, c Crash, age time.Duration) []Incident {
-	incidents := make([]Incident, len(prompt))
-	for i, part := range prompt {
-		incidents[i] = Incident{Part: part, Crash: c, Request: uint64(prompt[len(prompt)-1]), Age: age}
-		if i == len(prompt)-1 {
-			incidents[i].Request = uint64(c)
-		}
-	}
-	return incidents
-}
-
-// ofWholePrompt reports whether the part is the last one of its prompt.
-func (i Incident) ofWholePrompt() bool { return i.Request == uint64(i.Crash) }
-
-// incident is an Incident with the time of the crash by the clock of this daemon.
-type incident struct {
-	Incident
-	at time.Duration
-}
-
-// incidentAt returns the incident with its time, given the present one.
-func (i Incident) incidentAt(now time.Duration) incident {
-	return incident{Incident: i, at: now - i.Age}
-}
-
-// withAge returns the Incident with its present age.
-func (i incident) withAge(now time.Duration) Incident {
-	i.Age = max(now-i.at, 0)
-	return i.Incident
-}
-
-// Proof says that a part was in an answered request. If Crash is not 0, that answer
-// began after the crash, so that the part did not cause it.
-type Proof struct {
-	Part  Part
-	Crash Crash
-}
-
-// Evidence holds incidents and proofs that daemons tell each other.
-type Evidence struct {
-	Incidents []Incident
-	Proofs    []Proof
-}
-
-// Empty reports whether there is no evidence.
-func (e Evidence) Empty() bool { return len(e.Incidents) == 0 && len(e.Proofs) == 0 }
-
 // suspect is what is known about a part with an incident.
 type suspect struct {
 	// incidents are those that no proof has cleared, in the order of their times.
@@ -153,21 +72,6 @@
 	own, learned news
 }
 
-// news is evidence that was not reported yet.
-type news struct {
-	incidents []incident
-	proofs    []Proof
-}
-
-// evidence returns the news as Evidence.
-func (n news) evidence(now time.Duration) Evidence {
-	e := Evidence{Proofs: n.proofs}
-	for _, i := range n.incidents {
-		e.Incidents = append(e.Incidents, i.withAge(now))
-	}
-	return e
-}
-
 // New returns a Quarantine without evidence.
 func New() *Quarantine {
 	return &Quarantine{suspects: map[Part]*suspect{}, current: map[Part]time.Duration{}, previous: map[Part]time.Duration{}}
@@ -309,122 +213,6 @@
 	}
 }
 
-// independent returns the number of crashes that tell independently of each other that
-// the part crashes targets, and the last of them.
-func (s *suspect) independent() (count int, last incident) {
-	var requests []uint64
-	for _, i := range s.incidents {
-		if count > 0 && (i.at-last.at < minCrashInterval || slices.Contains(requests, i.Request)) {
-			continue
-		}
-		count, last = count+1, i
-		requests = append(requests, i.Request)
-	}
-	return count, last
-}
-
-// Blocked returns the first part in quarantine because of which a request with the given
-// parts is refused, and the time until then; false if the request may be sent.
-func (q *Quarantine) Blocked(now time.Duration, parts []Part) (p Part, until time.Duration, blocked bool) {
-	for _, p := range parts {
-		until := q.Until(p)
-		if now >= until {
-			continue
-		}
-		missing := func(companion Part) bool { return !slices.Contains(parts, companion) }
-		if !slices.ContainsFunc(q.Companions(p), missing) {
-			return p, until, true
-		}
-	}
-	return 0, 0, false
-}
-
-// Until returns the time until which a part is or was in quarantine; 0 if it never was.
-func (q *Quarantine) Until(p Part) time.Duration {
-	s := q.suspects[p]
-	if s == nil {
-		return 0
-	}
-	count, last := s.independent()
-	threshold := newPartCrashes
-	if s.known || last.ofWholePrompt() {
-		threshold = provenPartCrashes
-	}
-	if count < threshold {
-		return 0
-	}
-	return last.at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
-}
-
-// Companions returns the other parts that may have caused all crashes in which the part
-// is a suspect, since they were in the same prompts, in ascending order. A part that was
-// answered before is not one of a part that never was.
-func (q *Quarantine) Companions(p Part) []Part {
-	s := q.suspects[p]
-	if s == nil {
-		return nil
-	}
-	var companions []Part
-	for other, o := range q.suspects {
-		if other != p && (s.known || !o.known) && o.includes(s) {
-			companions = append(companions, other)
-		}
-	}
-	slices.Sort(companions)
-	return companions
-}
-
-// includes reports whether s was in all prompts that make o a suspect.
-func (s *suspect) includes(o *suspect) bool {
-	return len(s.incidents) >= len(o.incidents) && !slices.ContainsFunc(o.incidents, func(i incident) bool {
-		return !slices.ContainsFunc(s.incidents, func(j incident) bool { return j.Crash == i.Crash && j.Request == i.Request })
-	})
-}
-
-// Durable returns the evidence on parts that are or were in quarantine, which must
-// outlive the daemons, and the parts that proofs have released.
-func (q *Quarantine) Durable(now time.Duration) (e Evidence, released []Part) {
-	for _, p := range slices.Sorted(maps.Keys(q.suspects)) {
-		s := q.suspects[p]
-		if q.Until(p) > 0 {
-			e.Incidents = append(e.Incidents, q.Incidents(now, p)...)
-			if s.known {
-				e.Proofs = append(e.Proofs, Proof{Part: p})
-			}
-		} else if len(s.incidents) == 0 && len(s.cleared) > 0 {
-			released = append(released, p)
-		}
-	}
-	return e, released
-}
-
-// Suspected reports whether the part has an incident and no known answer, so that a
-// request with it should not be repeated.
-func (q *Quarantine) Suspected(p Part) bool {
-	s := q.suspects[p]
-	return s != nil && !s.known && len(s.incidents) > 0
-}
-
-// Quarantined returns the parts in quarantine in ascending order.
-func (q *Quarantine) Quarantined(now time.Duration) []Part {
-	var parts []Part
-	for p := range q.suspects {
-		if now < q.Until(p) {
-			parts = append(parts, p)
-		}
-	}
-	slices.Sort(parts)
-	return parts
-}
-
-// Incidents returns the incidents of a part that no proof has cleared.
-func (q *Quarantine) Incidents(now time.Duration, p Part) []Incident {
-	if s := q.suspects[p]; s != nil {
-		return news{incidents: s.incidents}.evidence(now).Incidents
-	}
-	return nil
-}
-
 // TakeNew returns the evidence since the last call: that of this daemon, and that which
 // others have sent.
 func (q *Quarantine) TakeNew(now time.Duration) (own, learned Evidence) {
