Judge a part by all prompts of a crash

Cause: a part had one incident for each crash, with the prompt that came first. The second crash had a sound and a deadly prompt with the subject, and the sound one came first. So the subject did not seem to come with the deadly part, and was judged alone; as all requests with it were refused, no answer could prove it. The same for a part that was in other prompts at the same targets by chance. Ruled out: network faults (both crashes were real).

Change: incidents are kept for each prompt of a crash. A part is a companion if each crash has a prompt with both. If a part of other prompts explains all crashes as well, the verdict waits for the third one, and meanwhile sound requests prove their parts. The case "a part of other prompts at the same targets" of TestVerdicts expected the deadly part to be refused after two crashes while the other part was refused alone; it is now four cases, which also expect that the other part is served.

Tests: TestVerdicts, three of these cases failed before.

--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -24,9 +24,10 @@
 	// its request do not crash targets. A crash within it may be the fault of the request.
 	ProofTime = time.Second
 	// newPartCrashes is the number of independent crashes from which a part is
-	// quarantined of which no answer is known, and provenPartCrashes that for a part with
-	// an earlier answer and for the last part of a prompt: a sound prompt that its caller
-	// repeats can be a bystander twice.
+	// quarantined of which no answer is known. provenPartCrashes is that for a part with an
+	// earlier answer, for one whose crashes a part of other prompts explains as well, and
+	// for the last part of a prompt: a sound prompt that its caller repeats can be a
+	// bystander twice.
 	newPartCrashes    = 2
 	provenPartCrashes = 3
 	// minCrashInterval separates independent crashes: targets that fail together, such as
@@ -172,7 +173,7 @@
 		s = &suspect{lastChange: now}
 		q.suspects[i.Part] = s
 	}
-	if slices.ContainsFunc(s.incidents, func(o incident) bool { return o.Crash == i.Crash }) {
+	if slices.ContainsFunc(s.incidents, func(o incident) bool { return o.Crash == i.Crash && o.Request == i.Request }) {
 		return false
 	}
 	if slices.Contains(s.cleared, i.Crash) {
--- a/gateway/quarantiner/verdict.go
+++ b/gateway/quarantiner/verdict.go
@@ -44,7 +44,7 @@
 	}
 	count, last := s.independent()
 	threshold := newPartCrashes
-	if s.known || last.ofWholePrompt() {
+	if s.known || last.ofWholePrompt() || count == newPartCrashes && q.hasAlternative(p, s) {
 		threshold = provenPartCrashes
 	}
 	if count < threshold {
@@ -63,7 +63,7 @@
 	}
 	var companions []Part
 	for other, o := range q.suspects {
-		if other != p && (s.known || !o.known) && o.includes(s) {
+		if other != p && (s.known || !o.known) && o.explains(s, samePrompt) {
 			companions = append(companions, other)
 		}
 	}
@@ -71,11 +71,33 @@
 	return companions
 }
 
-// includes reports whether s was in all prompts that make o a suspect.
-func (s *suspect) includes(o *suspect) bool {
-	return len(s.incidents) >= len(o.incidents) && !slices.ContainsFunc(o.incidents, func(i incident) bool {
-		return !slices.ContainsFunc(s.incidents, func(j incident) bool { return j.Crash == i.Crash && j.Request == i.Request })
-	})
+// hasAlternative reports whether a part of other prompts, of which no answer is known
+// either, may have caused all crashes in which the part is a suspect.
+func (q *Quarantine) hasAlternative(p Part, s *suspect) bool {
+	for other, o := range q.suspects {
+		if other != p && !o.known && o.explains(s, sameCrash) && !o.explains(s, samePrompt) {
+			return true
+		}
+	}
+	return false
+}
+
+func sameCrash(i, j incident) bool { return i.Crash == j.Crash }
+
+func samePrompt(i, j incident) bool { return i.Crash == j.Crash && i.Request == j.Request }
+
+// explains reports whether each crash in which o is a suspect has incidents of both that
+// match.
+func (s *suspect) explains(o *suspect, match func(i, j incident) bool) bool {
+	for _, i := range o.incidents {
+		explained := slices.ContainsFunc(o.incidents, func(k incident) bool {
+			return k.Crash == i.Crash && slices.ContainsFunc(s.incidents, func(j incident) bool { return match(k, j) })
+		})
+		if !explained {
+			return false
+		}
+	}
+	return len(o.incidents) > 0
 }
 
 // Durable returns the evidence on parts that are or were in quarantine, which must
