Count the prompts of one crash once

Cause: since incidents are kept for each prompt of a crash, one crash that daemons report with delay could count twice or more for a part, which is then refused after a single crash. Found by reading, not seen in a run.

Change: independent skips crashes that were counted. Test: TestVerdicts, one crash of which daemons report several prompts with delay, failed before.

--- a/gateway/quarantiner/quarantiner_test.go
+++ b/gateway/quarantiner/quarantiner_test.go
@@ -121,6 +121,11 @@
 			crash(q, 2*s+50*time.Millisecond, 12, 102, subject)
 			crash(q, 2*s+90*time.Millisecond, 13, 103, subject)
 		}, nil, set{sound}},
+		"one crash of which daemons report several prompts with delay": {func(q *quarantiner.Quarantine) {
+			crash(q, 2*s, 11, 101, subject)
+			crash(q, 3*s, 11, 102, subject)
+			crash(q, 4*s, 11, 103, subject)
+		}, nil, set{sound}},
 		"repetitions of one prompt count once": {func(q *quarantiner.Quarantine) {
 			crash(q, 2*s, 11, 101, subject)
 			crash(q, 4*s, 12, 101, subject)
--- a/gateway/quarantiner/verdict.go
+++ b/gateway/quarantiner/verdict.go
@@ -10,12 +10,13 @@
 // the part crashes targets, and the last of them.
 func (s *suspect) independent() (count int, last incident) {
 	var requests []uint64
+	var crashes []Crash
 	for _, i := range s.incidents {
-		if count > 0 && (i.at-last.at < minCrashInterval || slices.Contains(requests, i.Request)) {
+		if count > 0 && (i.at-last.at < minCrashInterval || slices.Contains(requests, i.Request) || slices.Contains(crashes, i.Crash)) {
 			continue
 		}
 		count, last = count+1, i
-		requests = append(requests, i.Request)
+		requests, crashes = append(requests, i.Request), append(crashes, i.Crash)
 	}
 	return count, last
 }
