Repeat requests with sound parts after a crash

Callers saw: a request that may be repeated got 502 whenever its target crashed before the first event, although all its shared parts were known to be sound.

Cause: the check for suspects included the last part, which is that of the request itself, has an incident from just that crash and can have no proof.

Change: only the shared parts count. Test: TestRepetitionWaitsForTheVerdict expects the sound request to be repeated, too; failed before ("partSuspected").

--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -210,7 +210,9 @@
 	if part, until, blocked := c.quarantine.Blocked(now, parts); blocked {
 		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonQuarantined, Part: part, RetryAfter: until - now}, true
 	}
-	if i := slices.IndexFunc(parts, c.quarantine.Suspected); r.Retry && i >= 0 {
+	// The last part is that of the request itself, which nothing can have proved.
+	shared := parts[:max(len(parts)-1, 0)]
+	if i := slices.IndexFunc(shared, c.quarantine.Suspected); r.Retry && i >= 0 {
 		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonSuspected, Part: parts[i]}, true
 	}
 	return queuer.Decision{}, false
--- a/gateway/controller/evidence_test.go
+++ b/gateway/controller/evidence_test.go
@@ -82,6 +82,9 @@
 		if id == 2 && r != queuer.ReasonSuspected {
 			t.Errorf("the request with an unknown part is repeated: %q", r)
 		}
+		if id == 3 && r != "" {
+			t.Errorf("the request with known parts is not repeated: %q", r)
+		}
 	}
 }
 
