Bound the open slots of a pacer

Cause: a faulty target can name any limit; with 10^9 per second a daemon opened 4,096 slots at each look, 409,600 after 100 ms. Found by reading.

Change: at most 4,096 slots are open. Test: pacer TestOpenSlotsAreBounded, failed before.

--- a/gateway/pacer/pacer.go
+++ b/gateway/pacer/pacer.go
@@ -98,8 +98,10 @@
 	elapsed := now - p.updated
 	p.updated = now
 	p.progress += perSecond * elapsed.Seconds()
-	if opened := int(min(p.progress, maxSlots)); opened > 0 {
-		p.progress -= float64(int(p.progress))
+	if p.progress >= 1 {
+		var whole float64
+		whole, p.progress = math.Modf(p.progress)
+		opened := int(min(whole, float64(maxSlots-len(p.open))))
 		for i := opened - 1; i >= 0; i-- {
 			age := (p.progress + float64(i)) / perSecond
 			p.open = append(p.open, now-time.Duration(age*float64(time.Second))+slotLifetime)
--- a/gateway/pacer/pacer_test.go
+++ b/gateway/pacer/pacer_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// Guards against a target that names an absurd limit and thereby fills the memory of a
+// daemon with open slots.
+func TestOpenSlotsAreBounded(t *testing.T) {
+	p := pacer.New(0, 0)
+	now := time.Duration(0)
+	for range 100 {
+		now += time.Millisecond
+		p.Wait(now, 1e9)
+	}
+	slots := 0
+	for ; p.Wait(now, 1e9) == 0 && slots < 1<<20; slots++ {
+		p.Use()
+	}
+	if slots > 1<<12 {
+		t.Errorf("%d slots are open", slots)
+	}
+}
+
 // Guards against shares that add up to more than the whole.
 func TestSharesAddUp(t *testing.T) {
 	wanted := []float64{0, 0.5, 3, 20}
