Stop sending to targets that announce in their answers that they leave

Cause: only the registry was read. A target that leaves says so in each answer (Server-Leaving), also while the store is down or a daemon cannot reach it; the field only passed through.

Change: the first such answer takes the target out of use for its incarnation, at the daemon that got it and, by its next report, at all of them. The registry remembers departures for an hour, so that an entry that comes back as ready does not revive a target that was seen draining; before, that was forgotten with its entry.

The property test of draining now also covers an entry that was gone in between.

Conclusion: the news is in force at once where it arrives. Whether other paths use old news too long is examined next.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -120,6 +120,9 @@
 	held       []*permit
 	// limits holds the request limits that are in force, by target.
 	limits map[string]float64
+	// newDepartures holds the targets of whose leave this daemon learned after its last
+	// report.
+	newDepartures []registrar.Departure
 	// peers maps each live peer to the time of the last sign of life.
 	peers map[string]time.Duration
 	// plan says to whom this daemon sends what.
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -263,5 +263,6 @@
 	c.comparePeerConfig(now, r.Peer, r.Report.Config)
 	c.comparePeerRegistry(now, r.Report.Registry)
 	c.learnEvidence(now, r.Report.Evidence)
+	c.learnDepartures(now, r.Peer, r.Report.Departures)
 	c.applyReport(now, r)
 }
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -57,6 +57,12 @@
 	}
 }
 
+// ObserveLeave implements receiver.Permit.
+func (p *permit) ObserveLeave() {
+	t := p.decision.Choice.Target
+	p.controller.events <- leaveEvent{registrar.Departure{ID: t.ID, Incarnation: t.Incarnation}}
+}
+
 // SetStalled implements receiver.Permit.
 func (p *permit) SetStalled(stalled bool) { p.controller.events <- stallEvent{p, stalled} }
 
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -24,6 +24,9 @@
 	// Evidence is that on prompt parts that crash targets: all of it in a full report, else
 	// that since the last one. The ages are as of the time of sending.
 	Evidence quarantiner.Evidence
+	// Departures are targets that leave: the recent ones in a full report, else those since
+	// the last one.
+	Departures []registrar.Departure
 	// Registry is the state of the registry that the sender knows.
 	Registry RegistryState
 	// Config is the state of the configuration that the sender has in force.
@@ -99,6 +102,7 @@
 	c.checkSuspicions(now)
 	c.updateLimits(now)
 	r.Evidence = c.takeEvidence(now, whole)
+	r.Departures = c.takeDepartures(now, whole)
 	if whole {
 		c.lastFullReport = now
 		c.fullReports++
@@ -112,7 +116,7 @@
 	}
 	// In a large fleet, the others learn only from the readers' reports how recent their
 	// state of the store is.
-	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || !r.Evidence.Empty() || c.reader && !c.plan.Undivided() {
+	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || !r.Evidence.Empty() || len(r.Departures) > 0 || c.reader && !c.plan.Undivided() {
 		c.options.SendReport(r, c.plan.ReportRecipients)
 	}
 	if c.plan.Relay {
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -291,6 +291,9 @@
 	for _, p := range r.Evidence.Proofs {
 		m.Proofs = append(m.Proofs, messenger.PartProof{Part: uint64(p.Part), Crash: uint64(p.Crash)})
 	}
+	for _, d := range r.Departures {
+		m.Departures = append(m.Departures, messenger.Departure{ID: d.ID, Incarnation: uint64(d.Incarnation)})
+	}
 	for _, s := range r.Spills {
 		m.Parts = append(m.Parts, messenger.PromptPart{Target: s.Target, Chain: s.PrefixHash})
 	}
@@ -328,6 +331,9 @@
 	for _, i := range m.Incidents {
 		r.Evidence.Incidents = append(r.Evidence.Incidents, quarantiner.Incident{Part: quarantiner.Part(i.Part), Crash: quarantiner.Crash(i.Crash), Request: i.Request, Age: decodeLongAge(i.AgeMs)})
 	}
+	for _, d := range m.Departures {
+		r.Departures = append(r.Departures, registrar.Departure{ID: d.ID, Incarnation: int64(d.Incarnation)})
+	}
 	for _, p := range m.Proofs {
 		r.Evidence.Proofs = append(r.Evidence.Proofs, quarantiner.Proof{Part: quarantiner.Part(p.Part), Crash: quarantiner.Crash(p.Crash)})
 	}
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -94,8 +94,9 @@
 		Evidence: quarantiner.Evidence{
 			Incidents: []quarantiner.Incident{{Part: math.MaxUint64, Crash: 2, Request: 3, Age: 2 * time.Hour}}, Proofs: []quarantiner.Proof{{Part: 4, Crash: 5}},
 		},
-		Spills: []placer.Spill{{Target: "t", PrefixHash: 1 << 62}},
-		Group:  grouper.Group("d"), Total: true, Daemons: []controller.Daemon{{ID: "a", Address: a.address, DataCentre: "d"}, {ID: "c"}},
+		Departures: []registrar.Departure{{ID: "t", Incarnation: 1 << 40}, {ID: "u"}},
+		Spills:     []placer.Spill{{Target: "t", PrefixHash: 1 << 62}},
+		Group:      grouper.Group("d"), Total: true, Daemons: []controller.Daemon{{ID: "a", Address: a.address, DataCentre: "d"}, {ID: "c"}},
 	}
 	a.resendUntil(func() { a.Send(report, []string{"b"}) }, func() bool { return len(b.reports) > 0 })
 	if got := <-b.reports; got.Peer != "a" || got.Incarnation != 1 || !reflect.DeepEqual(got.Report, report) {
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -63,6 +63,8 @@
 	Signed bool
 	// Limit is the number of requests that the target takes.
 	Limit placer.RequestLimit
+	// Leaving is set if the target announces that it leaves and should get no new requests.
+	Leaving bool
 }
 
 // Protocol translates between the header fields of the platform and the types of this
@@ -110,6 +112,8 @@
 	Age() time.Duration
 	// ObserveLimit reports the request limit that the response names, or that it names none.
 	ObserveLimit(l placer.RequestLimit)
+	// ObserveLeave reports that the target announced in its response that it leaves.
+	ObserveLeave()
 	// FirstEvent reports that the response has started.
 	FirstEvent()
 	// Progress reports the number of events that arrived within the elapsed time.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -214,6 +214,9 @@
 	info := rc.Protocol.InspectResponse(p.info.ID, response.Status, response.Header)
 	p.limit = info.Limit
 	permit.ObserveLimit(info.Limit)
+	if info.Leaving {
+		permit.ObserveLeave()
+	}
 	if info.NotRun || info.Misdirected {
 		return p.handleNotRun(permit, response, info)
 	}
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -142,6 +142,17 @@
 	}
 }
 
+// Guards against a leave that is read only from some responses, so that a target that
+// refuses everything is still chosen.
+func TestLeavesAreReadFromAllResponses(t *testing.T) {
+	f := newFixture(t, []reply{{status: 503, header: "Not-Run=1;Leaving=1"}, {status: 500, header: "Signed=s;Leaving=1"}, {status: 200, header: signed, body: "x"}}, nil)
+	f.postDefault(t, "/safe/1")
+	f.postDefault(t, "/safe/1")
+	if f.permitSource.leaves != 2 {
+		t.Errorf("%d leaves were observed, want 2", f.permitSource.leaves)
+	}
+}
+
 // Guards against an incomplete stream that looks complete to the caller.
 func TestBrokenStreamEndsWithAnError(t *testing.T) {
 	f := newFixture(t, []reply{{status: 200, header: signed, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true}}, nil)
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -41,7 +41,7 @@
 
 func (protocol) InspectResponse(_ string, _ int, h http.Header) receiver.ResponseInfo {
 	perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return receiver.ResponseInfo{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Limit: placer.RequestLimit{Limited: err == nil, PerSecond: perSecond}}
+	return receiver.ResponseInfo{Leaving: h.Get("Leaving") != "", NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Limit: placer.RequestLimit{Limited: err == nil, PerSecond: perSecond}}
 }
 
 func (protocol) CopyResponseHeader(to, from http.Header) {
@@ -67,6 +67,8 @@
 	stale int
 	// ended receives a value when a permit ends.
 	ended chan struct{}
+	// leaves counts the responses in which a target announced that it leaves.
+	leaves int
 	// demands are those of all calls of Wait.
 	demands []receiver.Demand
 }
@@ -104,6 +106,11 @@
 	defer p.permitSource.mutex.Unlock()
 	p.permitSource.limits = append(p.permitSource.limits, l)
 }
+func (p *permit) ObserveLeave() {
+	p.permitSource.mutex.Lock()
+	defer p.permitSource.mutex.Unlock()
+	p.permitSource.leaves++
+}
 func (p *permit) Progress(int, time.Duration) {}
 func (p *permit) SetStalled(bool)             {}
 func (p *permit) End(r placer.Result) {
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -18,6 +18,7 @@
 func (*stallCounter) Age() time.Duration               { return 0 }
 func (*stallCounter) FirstEvent()                      {}
 func (*stallCounter) ObserveLimit(placer.RequestLimit) {}
+func (*stallCounter) ObserveLeave()                    {}
 func (*stallCounter) Progress(int, time.Duration)      {}
 func (s *stallCounter) SetStalled(bool)                { s.calls++ }
 func (*stallCounter) End(placer.Result)                {}
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -27,6 +27,12 @@
 	WarmUp time.Duration
 }
 
+// Departure is one start of a target that is known to leave, whatever its entry says.
+type Departure struct {
+	ID          string
+	Incarnation int64
+}
+
 // Registry holds the entries that are in effect. It is not safe for concurrent use.
 type Registry struct {
 	settings Settings
@@ -40,8 +46,15 @@
 	// outage is set from a failed read until a successful read or a call of
 	// ConfirmByPeer.
 	outage bool
+	// departures holds the time at which this daemon learned of each departure that it
+	// remembers. A departure is permanent.
+	departures map[Departure]time.Duration
 }
 
+// departureMemory is how long a departure is remembered: longer than any target takes to
+// end after it has announced that it leaves.
+const departureMemory = time.Hour
+
 // Settings configures a Registry.
 type Settings struct {
 	// Grace is the time after an outage of the registry in which a missing entry does
@@ -53,15 +66,13 @@
 // record is an entry with its state over successive reads.
 type record struct {
 	entry Entry
-	// draining stays set for the rest of the incarnation.
-	draining bool
 	// missing is set if the last read did not contain the entry.
 	missing bool
 }
 
 // New returns an empty Registry.
 func New(s Settings) *Registry {
-	return &Registry{settings: s, entries: map[string]*record{}}
+	return &Registry{settings: s, entries: map[string]*record{}, departures: map[Departure]time.Duration{}}
 }
 
 // RecordFailedRead records a failed read, which starts an outage.
@@ -118,29 +129,64 @@
 			r.entries[e.ID] = old
 		}
 		old.entry, old.missing = e, false
-		old.draining = old.draining || e.Draining
+		if e.Draining {
+			r.RecordDeparture(now, departureOf(e))
+		}
 	}
 	for id, rec := range r.entries {
 		if present[id] {
 			continue
 		}
 		rec.missing = true
-		if now >= r.graceEnd || rec.draining {
+		if now >= r.graceEnd || r.departed(rec.entry) {
 			delete(r.entries, id)
 		}
 	}
 }
 
+func departureOf(e Entry) Departure { return Departure{ID: e.ID, Incarnation: e.Incarnation} }
+
+func (r *Registry) departed(e Entry) bool {
+	_, ok := r.departures[departureOf(e)]
+	return ok
+}
+
+// RecordDeparture records that a target leaves. It reports whether that is news.
+func (r *Registry) RecordDeparture(now time.Duration, d Departure) bool {
+	if _, ok := r.departures[d]; ok {
+		return false
+	}
+	for old, at := range r.departures {
+		if now-at > departureMemory {
+			delete(r.departures, old)
+		}
+	}
+	r.departures[d] = now
+	return true
+}
+
+// RecentDepartures returns the departures of which this daemon has learned since the
+// given time.
+func (r *Registry) RecentDepartures(since time.Duration) []Departure {
+	var recent []Departure
+	for d, at := range r.departures {
+		if at >= since {
+			recent = append(recent, d)
+		}
+	}
+	return recent
+}
+
 // Revision returns the revision of the newest read.
 func (r *Registry) Revision() uint64 { return r.revision }
 
-// Entries returns all entries in effect, including those of draining targets, sorted
+// Entries returns all entries in effect, including those of targets that leave, sorted
 // by ID and without their WarmUp.
 func (r *Registry) Entries() []Entry {
 	all := make([]Entry, 0, len(r.entries))
 	for _, rec := range r.entries {
 		e := rec.entry
-		e.Draining, e.WarmUp = rec.draining, 0
+		e.WarmUp = 0
 		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
@@ -151,7 +197,7 @@
 func (r *Registry) Usable() []Entry {
 	var usable []Entry
 	for _, rec := range r.entries {
-		if !rec.draining {
+		if !r.departed(rec.entry) {
 			usable = append(usable, rec.entry)
 		}
 	}
--- a/gateway/registrar/registrar_test.go
+++ b/gateway/registrar/registrar_test.go
@@ -89,7 +89,7 @@
 }
 
 // Guards against sending requests to an incarnation after it was seen draining,
-// whatever later reads say.
+// whatever later reads say, and even if its entry was gone in between.
 func TestDrainingIsPermanentPerIncarnation(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := registrar.New(registrar.Settings{Grace: grace})
@@ -119,10 +119,35 @@
 				if i, ok := current[e.ID]; ok && i != e.Incarnation {
 					t.Fatalf("%s: incarnation %d is usable, %d was read", e.ID, e.Incarnation, i)
 				}
-				if e.Draining {
-					t.Fatalf("%s is usable while draining", e.ID)
+				if drained[fmt.Sprint(e.ID, e.Incarnation)] {
+					t.Fatalf("%s is usable although its incarnation %d was seen draining", e.ID, e.Incarnation)
 				}
 			}
 		}
 	})
 }
+
+// Guards against DRAIN of 2026-12-05: a target that announced its leave otherwise than in
+// the registry stays usable, or one that starts again under its ID does not.
+func TestDeparturesAreNotUsable(t *testing.T) {
+	r := registrar.New(registrar.Settings{Grace: grace})
+	leave := registrar.Departure{ID: "a", Incarnation: 1}
+	r.ApplyRead(0, 1, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)})
+	if !r.RecordDeparture(time.Second, leave) || r.RecordDeparture(2*time.Second, leave) {
+		t.Error("a departure is news once")
+	}
+	if got := usable(r); got != "b/1 " {
+		t.Errorf("usable %q after the departure of a", got)
+	}
+	if got := r.RecentDepartures(time.Second); len(got) != 1 || got[0] != leave || len(r.RecentDepartures(time.Second+1)) != 0 {
+		t.Errorf("recent departures %v", got)
+	}
+	r.ApplyRead(3*time.Second, 2, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)})
+	if got := usable(r); got != "b/1 " {
+		t.Errorf("usable %q after a read in which a is ready", got)
+	}
+	r.ApplyRead(4*time.Second, 3, []registrar.Entry{newEntry("a", 2, false), newEntry("b", 1, false)})
+	if got := usable(r); got != "a/2 b/1 " {
+		t.Errorf("usable %q after a has started again", got)
+	}
+}
--- a/logger/events.go
+++ b/logger/events.go
@@ -64,6 +64,8 @@
 	TargetLimited    = Event{522, slog.LevelWarn, "target limits the rate of its requests", "Look at the target: it says that it is in trouble. The daemons share its limit."}
 	TargetUnlimited  = Event{523, slog.LevelInfo, "target no longer limits the rate of its requests", ""}
 
+	TargetAnnouncedLeave = Event{524, slog.LevelInfo, "target announced that it leaves", ""}
+
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
 )
@@ -78,7 +80,7 @@
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
-		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited,
+		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave,
 		PlatformUnavailable, PlatformAvailable,
 	}
 }
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -80,6 +80,15 @@
 	Waiting uint64 `json:"waiting" cbor:"2,keyasint,omitempty"`
 }
 
+// Departure is one start of a target that leaves and gets no new requests.
+type Departure struct {
+	// Target.
+	ID string `json:"id" cbor:"1,keyasint,omitempty"`
+
+	// Identifies the start of the target.
+	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint,omitempty"`
+}
+
 // Frame is the unit of transmission between daemons: a header and the messages
 // batched for one peer.
 type Frame struct {
@@ -534,6 +543,9 @@
 	// daemon.
 	DataCentre *string `json:"dataCentre,omitempty,omitzero" cbor:"13,keyasint,omitempty"`
 
+	// Targets that leave.
+	Departures []Departure `json:"departures,omitempty,omitzero" cbor:"17,keyasint,omitempty"`
+
 	// Unused, like groups.
 	Group *uint64 `json:"group,omitempty,omitzero" cbor:"8,keyasint,omitempty"`
 
