Take the age of the store's state from the store's clock

Cause: an age does not include the time for which a report waits in a queue, on a link or at a busy recipient, at each of up to three daemons. An old state counted as young, and a target that leaves could be used for longer than the bound. Registry changes were also forwarded with the age of the first sender.

Change: reports and changes also have the time by the store's clock, which is the same for all. gateway/timekeeper converts it; its difference comes from the daemon's own calls and errs on the side of old. The stated age only counts if it is older. A receipt from the future shows that the host was suspended. Event 204 and 206 have the age and the hops of the news.

--- a/gateway/controller/configuration.go
+++ b/gateway/controller/configuration.go
@@ -29,8 +29,8 @@
 
 func (e configEvent) apply(c *Controller, _ time.Duration) {
 	old := c.config.Load()
-	if e.fromStore && (old == nil || old.Version() <= e.config.Version()) && e.readStart > c.configConfirmedAt {
-		c.configConfirmedAt, c.configHops = e.readStart, 0
+	if confirmed := c.confirmedByStore(e.readStart); e.fromStore && (old == nil || old.Version() <= e.config.Version()) && confirmed.newerThan(c.configConfirmed) {
+		c.configConfirmed = confirmed
 	}
 	if old != nil && old.Version() >= e.config.Version() {
 		c.publishFreshness()
@@ -60,10 +60,11 @@
 	if config == nil {
 		return ConfigState{}
 	}
-	if c.watching.Load() && c.registryHops == 0 && c.registryConfirmedAt > c.configConfirmedAt {
-		c.configConfirmedAt, c.configHops = c.registryConfirmedAt, 0
+	if c.watching.Load() && c.registryConfirmed.hops == 0 && c.registryConfirmed.newerThan(c.configConfirmed) {
+		c.configConfirmed = c.registryConfirmed
 	}
-	return ConfigState{Version: config.Version(), Confirmed: c.configConfirmedAt > 0, Age: now - c.configConfirmedAt, Hops: c.configHops}
+	n := c.configConfirmed
+	return ConfigState{Version: config.Version(), Confirmed: n.at > 0, Age: now - n.at, StoreTime: n.storeTime, Hops: n.hops}
 }
 
 // comparePeerConfig compares the configuration of a peer with the own one. An equal
@@ -73,8 +74,10 @@
 	if config := c.config.Load(); config != nil {
 		own = config.Version()
 	}
-	if s.Version == own && s.Confirmed && s.Hops < maxHops && now-s.Age > c.configConfirmedAt {
-		c.configConfirmedAt, c.configHops = now-s.Age, s.Hops+1 // comparePeerRegistry publishes it
+	if s.Version == own && s.Confirmed {
+		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Hops); n.newerThan(c.configConfirmed) {
+			c.configConfirmed = n // comparePeerRegistry publishes it
+		}
 	}
 	if s.Version <= own {
 		return
--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -21,6 +21,7 @@
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/gateway/sharer"
+	"monsoondeck.example/gateway/timekeeper"
 )
 
 const (
@@ -149,22 +150,18 @@
 	fullReports    int
 	lastFullReport time.Duration
 	lastDispatch   time.Duration
-	// registryEntries is the last known state of the registry and registryDigest its
-	// digest. registryConfirmedAt is the latest time at which that state is known to
-	// have been the newest.
-	registryEntries     []registrar.Entry
-	registryDigest      uint64
-	registryConfirmedAt time.Duration
-	// registryHops is the number of daemons that forwarded registryConfirmedAt; 0 if
-	// this daemon read the store itself.
-	registryHops int
+	// storeClock converts times of the store's clock.
+	storeClock timekeeper.Keeper
+	// registryEntries is the last known state of the registry, registryDigest its digest
+	// and registryConfirmed the last confirmation that it is the newest.
+	registryEntries   []registrar.Entry
+	registryDigest    uint64
+	registryConfirmed confirmation
 	// registryBehindSince is the time at which a peer first reported a newer state of the
 	// registry; 0 if this daemon is not known to be behind.
 	registryBehindSince time.Duration
-	// configConfirmedAt is the latest time at which the configuration in force is known to
-	// have been the newest, and configHops the number of daemons that forwarded that time.
-	configConfirmedAt time.Duration
-	configHops        int
+	// configConfirmed is the last confirmation that the configuration in force is the newest.
+	configConfirmed confirmation
 	// configBehindSince is the time at which a peer first reported a newer configuration;
 	// 0 if this daemon is not known to be behind. lastConfigRefetch is the time of the
 	// last call of RefetchConfig.
@@ -295,7 +292,7 @@
 // targets that may have left. During an outage of the store, the last known state
 // is used whatever its age.
 func (c *Controller) registryFresh(now time.Duration) bool {
-	return c.options.MaxRegistryAge <= 0 || c.registry.Outage() || now-c.registryConfirmedAt <= c.options.MaxRegistryAge
+	return c.options.MaxRegistryAge <= 0 || c.registry.Outage() || now-c.registryConfirmed.at <= c.options.MaxRegistryAge
 }
 
 // applyPending applies the events that have arrived meanwhile, so that the queue
@@ -340,8 +337,8 @@
 
 // SetRegistry applies the state of the registry that this daemon has read from the
 // store; readStart is the time, by Options.Clock, at which the read started.
-func (c *Controller) SetRegistry(readStart time.Duration, revision uint64, entries []registrar.Entry) {
-	c.events <- registryEvent{readStart: readStart, revision: revision, entries: entries, fromStore: true}
+func (c *Controller) SetRegistry(readStart time.Duration, read registrar.Read) {
+	c.events <- registryEvent{confirmedAt: readStart, read: read, fromStore: true}
 }
 
 // ReceivedRegistryChange applies a change of the registry that a peer sent.
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -49,7 +49,7 @@
 	go func() { defer close(ended); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
 	c.SetConfig(0, config(1))
-	c.SetRegistry(0, 1, []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
+	c.SetRegistry(0, registrar.Read{Revision: 1, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}})
 	return c
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -122,66 +122,81 @@
 
 // registryEvent delivers a state of the registry.
 type registryEvent struct {
-	// readStart is the time at which the read of the registry started.
-	readStart time.Duration
-	revision  uint64
-	entries   []registrar.Entry
+	// confirmedAt is the time at which the read of the registry started.
+	confirmedAt time.Duration
+	read        registrar.Read
 	// fromStore is set if this daemon read the registry from the store itself.
 	fromStore bool
+	// hops is the number of daemons that forwarded the state.
+	hops int
 }
 
-func (e registryEvent) apply(c *Controller, now time.Duration) {
+func (e registryEvent) apply(c *Controller, now time.Duration) { c.applyRegistry(now, e) }
+
+// applyRegistry applies a state of the registry unless a newer one is known, and reports
+// whether it did.
+func (c *Controller) applyRegistry(now time.Duration, e registryEvent) bool {
 	oldUsable := c.registry.Usable()
-	update := c.registry.ApplyPeerRead
+	update, confirmed := c.registry.ApplyPeerRead, confirmation{at: e.confirmedAt, storeTime: e.read.StoreTime, hops: e.hops}
 	if e.fromStore {
-		update = c.registry.ApplyRead
+		if e.read.StoreTime > 0 {
+			c.storeClock.RecordCall(e.confirmedAt, e.read.StoreTime)
+		}
+		update, confirmed = c.registry.ApplyRead, c.confirmedByStore(e.confirmedAt)
 	}
-	if !update(now, e.revision, e.entries) {
-		return
+	if !update(now, e.read.Revision, e.read.Entries) {
+		return false
 	}
 	oldEntries := c.registryEntries
-	c.registryEntries, c.registryConfirmedAt, c.registryBehindSince = c.registry.Entries(), e.readStart, 0
-	c.registryHops = 0
-	if !e.fromStore {
-		c.registryHops = 1
-	}
+	c.registryEntries, c.registryConfirmed, c.registryBehindSince = c.registry.Entries(), confirmed, 0
 	c.registryDigest = registrar.Digest(c.registryEntries)
 	c.publishFreshness()
 	if c.registryLoaded.Swap(true) && slices.Equal(oldEntries, c.registryEntries) {
-		return
+		return true
 	}
 	newUsable := c.registry.Usable()
 	c.fleet.SetTargets(newUsable)
-	c.logTargets(e.revision, oldUsable, newUsable)
+	c.logTargets(now, oldUsable, newUsable)
 	if e.fromStore && c.reader {
-		change := registrar.Difference(oldEntries, c.registryEntries, e.revision)
-		c.options.SendRegistryChange(RegistryChange{Change: change, Age: now - e.readStart}, c.broadcastRecipients())
+		change := registrar.Difference(oldEntries, c.registryEntries, e.read.Revision)
+		c.options.SendRegistryChange(RegistryChange{Change: change, Age: now - confirmed.at, StoreTime: confirmed.storeTime}, c.broadcastRecipients())
 	}
+	return true
 }
 
 // registryChangeEvent delivers a change of the registry that a peer has read.
 type registryChangeEvent struct{ change RegistryChange }
 
 func (e registryChangeEvent) apply(c *Controller, now time.Duration) {
-	entries, ok := e.change.Apply(c.registryEntries)
+	change := e.change
+	entries, ok := change.Apply(c.registryEntries)
 	if !ok {
 		return // the registry state in the next report of a peer shows that this daemon is behind
 	}
-	registryEvent{readStart: now - e.change.Age, revision: e.change.Revision, entries: entries}.apply(c, now)
+	confirmed := c.confirmedByPeer(now, change.Age, change.StoreTime, change.Hops)
+	read := registrar.Read{Revision: change.Revision, StoreTime: change.StoreTime, Entries: entries}
+	c.applyRegistry(now, registryEvent{confirmedAt: confirmed.at, read: read, hops: confirmed.hops})
 	if c.plan.Relay {
-		c.options.SendRegistryChange(e.change, c.plan.Members)
+		change.Age, change.Hops = now-confirmed.at, confirmed.hops
+		c.options.SendRegistryChange(change, c.plan.Members)
 	}
 }
 
+// registryState returns the state of the registry that is reported to the peers.
+func (c *Controller) registryState(now time.Duration) RegistryState {
+	n := c.registryConfirmed
+	return RegistryState{Revision: c.registry.Revision(), Digest: c.registryDigest, Age: now - n.at, StoreTime: n.storeTime, Hops: n.hops}
+}
+
 // comparePeerRegistry compares the state of the registry that a peer knows with the
 // own one. An equal one may confirm that the own state is the newest.
 func (c *Controller) comparePeerRegistry(now time.Duration, s RegistryState) {
 	switch {
 	case s.Revision == 0:
 	case s.Digest == c.registryDigest:
-		if s.Hops < maxHops && now-s.Age > c.registryConfirmedAt {
-			c.registryConfirmedAt, c.registryHops = now-s.Age, s.Hops+1
-			if s.Age < minOutageAge {
+		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Hops); n.newerThan(c.registryConfirmed) {
+			c.registryConfirmed = n
+			if now-n.at < minOutageAge {
 				c.registry.ConfirmByPeer(now)
 			}
 		}
@@ -191,29 +206,23 @@
 	c.publishFreshness()
 }
 
-const (
-	// maxHops is the maximum number of times that an age is forwarded. An age does not
-	// include the transmission time, so that it would stay small for ever if daemons
-	// forwarded it in a circle. Three hops are needed: from a store reader to a relay of
-	// its group, from there to a relay of another group, and to a daemon of that group.
-	maxHops = 3
-)
-
-// logTargets writes one log record for each target that joined or left.
-func (c *Controller) logTargets(revision uint64, before, after []registrar.Entry) {
+// logTargets writes one log record for each target that joined or left, with the age and
+// the origin of the news.
+func (c *Controller) logTargets(now time.Duration, before, after []registrar.Entry) {
+	log := c.options.Logger.With(slog.Uint64("revision", c.registry.Revision()), slog.Duration("age", now-c.registryConfirmed.at), slog.Int("hops", c.registryConfirmed.hops))
 	known := make(map[string]registrar.Entry, len(before))
 	for _, t := range before {
 		known[t.ID] = t
 	}
 	for _, t := range after {
 		if old, ok := known[t.ID]; !ok || old.Incarnation != t.Incarnation {
-			logger.Emit(c.options.Logger, logger.TargetJoined, slog.String("target", t.ID), slog.String("service", t.Service),
-				slog.String("address", t.Address), slog.Int64("incarnation", t.Incarnation), slog.Uint64("revision", revision))
+			logger.Emit(log, logger.TargetJoined, slog.String("target", t.ID), slog.String("service", t.Service),
+				slog.String("address", t.Address), slog.Int64("incarnation", t.Incarnation))
 		}
 		delete(known, t.ID)
 	}
 	for id := range known {
-		logger.Emit(c.options.Logger, logger.TargetLeaving, slog.String("target", id), slog.Uint64("revision", revision))
+		logger.Emit(log, logger.TargetLeaving, slog.String("target", id))
 	}
 }
 
@@ -223,7 +232,7 @@
 func (registryFailedEvent) apply(c *Controller, now time.Duration) {
 	// While peers confirm the state of the registry, the store is only unreachable from
 	// this host.
-	if now-c.registryConfirmedAt >= minOutageAge {
+	if now-c.registryConfirmed.at >= minOutageAge {
 		c.registry.RecordFailedRead()
 	}
 }
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -26,8 +26,29 @@
 	// group, or totalReport.
 	sent  map[string]map[string]int
 	loads map[string]map[string]int
+	// began is the real time at which the clocks of the daemons show 0, and speed how fast
+	// they run.
+	began time.Time
+	speed time.Duration
+	// delay is the time by the daemons' clocks for which each message waits on its way.
+	delay time.Duration
+	// maxRegistryAge is Options.MaxRegistryAge of all daemons.
+	maxRegistryAge time.Duration
 }
 
+func newNetwork() *network {
+	return &network{
+		nodes: map[string]*testController{}, silent: map[string]bool{}, sent: map[string]map[string]int{}, loads: map[string]map[string]int{},
+		began: time.Now(), speed: 1,
+	}
+}
+
+// clock returns the time of the daemons' clocks.
+func (n *network) clock() time.Duration { return n.speed * time.Since(n.began) }
+
+// realTime converts a time by the daemons' clocks.
+func (n *network) realTime(d time.Duration) time.Duration { return d / n.speed }
+
 // totalReport is the key of totals in network.loads.
 const totalReport = "total"
 
@@ -59,7 +80,7 @@
 			n.loads[name][key] = l.Running
 		}
 		if node := n.nodes[name]; node != nil {
-			go node.Received(controller.PeerReport{Peer: from, Incarnation: 1, Report: r})
+			time.AfterFunc(n.realTime(n.delay), func() { node.Received(controller.PeerReport{Peer: from, Incarnation: 1, Report: r}) })
 		}
 	}
 }
@@ -110,15 +131,23 @@
 // as fast beyond maxFastFleet.
 func startFleet(t *testing.T, daemons int) *network {
 	t.Helper()
-	n := &network{nodes: map[string]*testController{}, silent: map[string]bool{}, sent: map[string]map[string]int{}, loads: map[string]map[string]int{}}
-	began := time.Now()
+	n := newNetwork()
+	n.fill(t, daemons)
+	return n
+}
+
+// fill starts the daemons of a fleet and waits until all know each other.
+func (n *network) fill(t *testing.T, daemons int) {
+	t.Helper()
+	if daemons <= maxFastFleet {
+		n.speed = 5
+	}
 	for i := range daemons {
-		n.start(t, i, daemons, began)
+		n.start(t, i, daemons, n.began)
 	}
 	for _, c := range n.nodes {
 		waitUntil(func() bool { return c.Stats().Peers == daemons-1 })
 	}
-	return n
 }
 
 // start starts the daemon with the index i, or replaces it by one that knows nothing.
@@ -127,11 +156,11 @@
 	self := daemonName(i)
 	c := start(t, func(o *controller.Options) {
 		o.Host, o.DataCentre = self, dataCentreName(i)
-		speed, interval := time.Duration(5), 50*time.Millisecond
+		interval := 50 * time.Millisecond
 		if daemons > maxFastFleet {
-			speed, interval = 1, 350*time.Millisecond
+			interval = 350 * time.Millisecond
 		}
-		o.Clock = func() time.Duration { return speed * time.Since(began) }
+		o.Clock, o.MaxRegistryAge = func() time.Duration { return n.speed * time.Since(began) }, n.maxRegistryAge
 		o.SendReport = func(r controller.Report, to []string) { n.send(self, r, to) }
 		o.ReportInterval = func(int) time.Duration { return interval }
 		o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
@@ -310,7 +339,7 @@
 		}
 	}
 	clock.Store(int64(20 * time.Second))
-	c.SetRegistry(20*time.Second, 2, []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}})
+	c.SetRegistry(20*time.Second, registrar.Read{Revision: 2, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}})
 	if at := report(controller.ConfigState{}); at != 9*time.Second {
 		t.Errorf("configuration confirmed at %v after a read of only the registry, want 9 s", at)
 	}
--- a/gateway/controller/membership.go
+++ b/gateway/controller/membership.go
@@ -164,8 +164,8 @@
 // publishFreshness updates the snapshot that Freshness returns.
 func (c *Controller) publishFreshness() {
 	c.freshness.Store(&Freshness{
-		RegistryConfirmedAt: c.registryConfirmedAt, Reader: c.reader, Grouped: !c.plan.Undivided(), RegistryBehindSince: c.registryBehindSince,
-		ConfigConfirmedAt: c.configConfirmedAt, ConfigBehindSince: c.configBehindSince,
+		RegistryConfirmedAt: c.registryConfirmed.at, Reader: c.reader, Grouped: !c.plan.Undivided(), RegistryBehindSince: c.registryBehindSince,
+		ConfigConfirmedAt: c.configConfirmed.at, ConfigBehindSince: c.configBehindSince,
 	})
 }
 
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -54,8 +54,10 @@
 type RegistryState struct {
 	Revision, Digest uint64
 	// Age is the time since the state is known to have been the newest, counted from the
-	// start of the read of the registry.
+	// start of the read of the registry, at the time of sending.
 	Age time.Duration
+	// StoreTime is the time of the store's clock at which it was; 0 means unknown.
+	StoreTime time.Duration
 	// Hops is the number of daemons that forwarded the age.
 	Hops int
 }
@@ -68,6 +70,8 @@
 	// is the time since then.
 	Confirmed bool
 	Age       time.Duration
+	// StoreTime is the time of the store's clock at which it was; 0 means unknown.
+	StoreTime time.Duration
 	// Hops is the number of daemons that forwarded the age.
 	Hops int
 }
@@ -75,8 +79,12 @@
 // RegistryChange is a change of the registry that a daemon has read.
 type RegistryChange struct {
 	registrar.Change
-	// Age is the time since the read of the registry started.
+	// Age is the time since the read of the registry started, at the time of sending.
 	Age time.Duration
+	// StoreTime is the time of the store's clock at the read; 0 means unknown.
+	StoreTime time.Duration
+	// Hops is the number of daemons that forwarded the change.
+	Hops int
 }
 
 // PeerReport is a report together with its sender.
@@ -97,7 +105,7 @@
 	}
 	whole := c.fullReports == 0 || now-c.lastFullReport >= fullReportInterval
 	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills()}
-	r.Registry = RegistryState{Revision: c.registry.Revision(), Digest: c.registryDigest, Age: now - c.registryConfirmedAt, Hops: c.registryHops}
+	r.Registry = c.registryState(now)
 	r.Config = c.configState(now)
 	c.checkSuspicions(now)
 	c.updateLimits(now)
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -264,7 +264,7 @@
 	m := messenger.WorkReport{Whole: r.Whole, ConfigVersion: &r.Config.Version, Registry: &state}
 	if r.Config.Confirmed {
 		age, hops := uint64(max(r.Config.Age.Milliseconds(), 0)), uint64(max(r.Config.Hops, 0))
-		m.ConfigAgeMs, m.ConfigHops = &age, &hops
+		m.ConfigAgeMs, m.ConfigHops, m.ConfigStoreMs = &age, &hops, encodeStoreTime(r.Config.StoreTime)
 	}
 	if len(r.Loads) > 0 {
 		m.Work = encodeLoads(r.Loads)
@@ -307,6 +307,7 @@
 	}
 	if m.ConfigAgeMs != nil && m.ConfigHops != nil {
 		r.Config.Confirmed, r.Config.Age, r.Config.Hops = true, decodeAge(*m.ConfigAgeMs), int(min(*m.ConfigHops, maxDecodedCount))
+		r.Config.StoreTime = decodeStoreTime(m.ConfigStoreMs)
 	}
 	if m.Registry != nil {
 		r.Registry = decodeRegistryState(*m.Registry)
@@ -345,11 +346,28 @@
 
 func encodeRegistryState(s controller.RegistryState) messenger.RegistryMark {
 	hops := uint64(max(s.Hops, 0))
-	return messenger.RegistryMark{Revision: s.Revision, Digest: s.Digest, AgeMs: uint64(max(s.Age.Milliseconds(), 0)), Hops: &hops}
+	return messenger.RegistryMark{Revision: s.Revision, Digest: s.Digest, AgeMs: uint64(max(s.Age.Milliseconds(), 0)), Hops: &hops, StoreMs: encodeStoreTime(s.StoreTime)}
+}
+
+// encodeStoreTime converts a time of the store's clock to milliseconds; nil stands for 0,
+// an unknown time.
+func encodeStoreTime(t time.Duration) *uint64 {
+	ms := uint64(max(t.Milliseconds(), 0))
+	if ms == 0 {
+		return nil
+	}
+	return &ms
+}
+
+func decodeStoreTime(ms *uint64) time.Duration {
+	if ms == nil {
+		return 0
+	}
+	return time.Duration(min(*ms, uint64(math.MaxInt64/time.Millisecond))) * time.Millisecond
 }
 
 func decodeRegistryState(m messenger.RegistryMark) controller.RegistryState {
-	state := controller.RegistryState{Revision: m.Revision, Digest: m.Digest, Age: decodeAge(m.AgeMs)}
+	state := controller.RegistryState{Revision: m.Revision, Digest: m.Digest, Age: decodeAge(m.AgeMs), StoreTime: decodeStoreTime(m.StoreMs)}
 	if m.Hops != nil {
 		state.Hops = int(min(*m.Hops, maxDecodedCount))
 	}
@@ -378,7 +396,7 @@
 const maxDecodedDuration = time.Hour
 
 func encodeRegistryChange(c controller.RegistryChange) messenger.RegistryChange {
-	m := messenger.RegistryChange{Base: c.Base, Mark: encodeRegistryState(controller.RegistryState{Revision: c.Revision, Digest: c.Digest, Age: c.Age}), Gone: c.RemovedIDs}
+	m := messenger.RegistryChange{Base: c.Base, Mark: encodeRegistryState(controller.RegistryState{Revision: c.Revision, Digest: c.Digest, Age: c.Age, StoreTime: c.StoreTime, Hops: c.Hops}), Gone: c.RemovedIDs}
 	for _, e := range c.Entries {
 		m.Entries = append(m.Entries, messenger.RegistryEntry{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
@@ -390,7 +408,7 @@
 
 func decodeRegistryChange(m messenger.RegistryChange) controller.RegistryChange {
 	state := decodeRegistryState(m.Mark)
-	c := controller.RegistryChange{Age: state.Age, Change: registrar.Change{Base: m.Base, Digest: state.Digest, Revision: state.Revision, RemovedIDs: m.Gone}}
+	c := controller.RegistryChange{Age: state.Age, StoreTime: state.StoreTime, Hops: state.Hops, Change: registrar.Change{Base: m.Base, Digest: state.Digest, Revision: state.Revision, RemovedIDs: m.Gone}}
 	for _, e := range m.Entries {
 		c.Entries = append(c.Entries, registrar.Entry{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -27,6 +27,15 @@
 	WarmUp time.Duration
 }
 
+// Read is a complete read of the registry.
+type Read struct {
+	// Revision is that of the store at the read.
+	Revision uint64
+	// StoreTime is the time of the store's clock at the read; 0 means unknown.
+	StoreTime time.Duration
+	Entries   []Entry
+}
+
 // Departure is one start of a target that is known to leave, whatever its entry says.
 type Departure struct {
 	ID          string
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -44,7 +44,7 @@
 	Decode(encoded []byte) (resolver.Config, error)
 	// Registry returns the readable entries of all targets and the keys of the
 	// unreadable ones.
-	Registry(ctx context.Context) (entries []registrar.Entry, unreadable []string, revision uint64, err error)
+	Registry(ctx context.Context) (read registrar.Read, unreadable []string, err error)
 	// Daemons returns the list of daemons.
 	Daemons(ctx context.Context) ([]Daemon, error)
 	// AddDaemon adds the daemon to the list and then returns the list and the secret
@@ -62,7 +62,7 @@
 	SetConfig(readStart time.Duration, c resolver.Config)
 	// SetWatching records whether a long poll for the next configuration is pending.
 	SetWatching(on bool)
-	SetRegistry(readStart time.Duration, revision uint64, entries []registrar.Entry)
+	SetRegistry(readStart time.Duration, read registrar.Read)
 	RegistryFailed()
 }
 
@@ -260,7 +260,7 @@
 			continue
 		}
 		readStart := w.options.Clock()
-		entries, unreadable, revision, err := w.readRegistry(ctx)
+		read, unreadable, err := w.readRegistry(ctx)
 		if err != nil {
 			w.options.Sink.RegistryFailed()
 			b.failed(ctx, err)
@@ -272,16 +272,16 @@
 		for _, key := range unreadable {
 			if !logged[key] {
 				logged[key] = true
-				logger.Emit(w.options.Logger, logger.EntryUnreadable, slog.String("key", key), slog.Uint64("revision", revision))
+				logger.Emit(w.options.Logger, logger.EntryUnreadable, slog.String("key", key), slog.Uint64("revision", read.Revision))
 			}
 		}
 		w.waitForQuarantine(ctx)
-		w.options.Sink.SetRegistry(readStart, revision, entries)
+		w.options.Sink.SetRegistry(readStart, read)
 		sleeper.Sleep(ctx, minRegistryInterval)
 	}
 }
 
-func (w *Watcher) readRegistry(ctx context.Context) ([]registrar.Entry, []string, uint64, error) {
+func (w *Watcher) readRegistry(ctx context.Context) (registrar.Read, []string, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.calls.Add(1)
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -101,9 +101,9 @@
 
 func (s *store) Decode([]byte) (resolver.Config, error) { return resolver.Config{}, errUnavailable }
 
-func (s *store) Registry(context.Context) ([]registrar.Entry, []string, uint64, error) {
+func (s *store) Registry(context.Context) (registrar.Read, []string, error) {
 	v, err := s.state()
-	return nil, nil, v, err
+	return registrar.Read{Revision: v}, nil, err
 }
 
 func (s *store) Daemons(context.Context) ([]watcher.Daemon, error) { return nil, nil }
@@ -129,9 +129,9 @@
 
 func (s *sink) SetWatching(bool) {}
 
-func (s *sink) SetRegistry(_ time.Duration, revision uint64, _ []registrar.Entry) {
+func (s *sink) SetRegistry(_ time.Duration, read registrar.Read) {
 	select {
-	case s.reads <- revision:
+	case s.reads <- read.Revision:
 	default:
 	}
 }
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -375,6 +375,10 @@
 
 	// Revision of the registry at the newest read.
 	Revision uint64 `json:"revision" cbor:"1,keyasint,omitempty"`
+
+	// The time from which the age is counted by the store's clock, in milliseconds;
+	// missing if it is unknown.
+	StoreMs *uint64 `json:"storeMs,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 }
 
 // ServiceEntry reports service granted by one shard owner.
@@ -532,6 +536,10 @@
 	// Number of daemons that forwarded this age.
 	ConfigHops *uint64 `json:"configHops,omitempty,omitzero" cbor:"11,keyasint,omitempty"`
 
+	// The time from which configAgeMs is counted by the store's clock, in
+	// milliseconds; missing if it is unknown.
+	ConfigStoreMs *uint64 `json:"configStoreMs,omitempty,omitzero" cbor:"18,keyasint,omitempty"`
+
 	// Newest configuration version of the sender.
 	ConfigVersion *uint64 `json:"configVersion,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
 
