Look at the registry again just before a request is written

Cause: the target of a request is chosen, then the request waits for processor time and for a connection, up to 250 ms each, and was written without a second look. A target that began to leave meanwhile got it.

Change: the courier asks once the connection is there. If the target has begun to leave, has started again, or the registry has become too old, the request is withdrawn: no attempt, no failure of the target, the connection is kept.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -93,6 +93,9 @@
 	// freshness and stats are snapshots for other goroutines; they are never nil.
 	freshness atomic.Pointer[Freshness]
 	stats     atomic.Pointer[Stats]
+	// usableTargets holds the incarnations of the targets that may get requests, by ID; it
+	// is never nil.
+	usableTargets atomic.Pointer[map[string]int64]
 	// quarantineState is the snapshot for the daemon's watcher of the store; never nil.
 	quarantineState atomic.Pointer[quarantineSnapshot]
 	// watching is set while a long poll for the next configuration is pending at the
@@ -188,6 +191,9 @@
 	// RegistryConfirmedAt is the latest time at which the known state of the registry is
 	// known to have been the newest; 0 before the first one.
 	RegistryConfirmedAt time.Duration
+	// RegistryOutage is set while the registry is used whatever its age, because the store
+	// does not answer.
+	RegistryOutage bool
 	// Reader is set if this daemon reads the store on behalf of the fleet.
 	Reader bool
 	// Grouped is set if the fleet is large enough to be divided into groups.
@@ -237,6 +243,7 @@
 	}
 	c.queue = queuer.New(o.Queue, c.fleet, c.shares)
 	c.stats.Store(&Stats{})
+	c.usableTargets.Store(&map[string]int64{})
 	c.quarantineState.Store(&quarantineSnapshot{})
 	c.updatePlan(0)
 	c.updateReader()
@@ -292,7 +299,24 @@
 // targets that may have left. During an outage of the store, the last known state
 // is used whatever its age.
 func (c *Controller) registryFresh(now time.Duration) bool {
-	return c.options.MaxRegistryAge <= 0 || c.registry.Outage() || now-c.registryConfirmed.at <= c.options.MaxRegistryAge
+	return c.registry.Outage() || c.recentEnough(now, c.registryConfirmed.at)
+}
+
+// recentEnough reports whether a state of the registry that was confirmed at the given
+// time may be used.
+func (c *Controller) recentEnough(now, confirmedAt time.Duration) bool {
+	return c.options.MaxRegistryAge <= 0 || now-confirmedAt <= c.options.MaxRegistryAge
+}
+
+// setTargets makes the usable targets known to the queue and to the requests that are
+// about to be sent.
+func (c *Controller) setTargets(usable []registrar.Entry) {
+	incarnations := make(map[string]int64, len(usable))
+	for _, t := range usable {
+		incarnations[t.ID] = t.Incarnation
+	}
+	c.usableTargets.Store(&incarnations)
+	c.fleet.SetTargets(usable)
 }
 
 // applyPending applies the events that have arrived meanwhile, so that the queue
--- a/gateway/controller/departures.go
+++ b/gateway/controller/departures.go
@@ -31,7 +31,7 @@
 	}
 	if len(news) > 0 {
 		c.newDepartures = append(c.newDepartures, news...)
-		c.fleet.SetTargets(c.registry.Usable())
+		c.setTargets(c.registry.Usable())
 	}
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -155,7 +155,7 @@
 		return true
 	}
 	newUsable := c.registry.Usable()
-	c.fleet.SetTargets(newUsable)
+	c.setTargets(newUsable)
 	c.logTargets(now, oldUsable, newUsable)
 	if e.fromStore && c.reader {
 		change := registrar.Difference(oldEntries, c.registryEntries, e.read.Revision)
@@ -234,6 +234,7 @@
 	// this host.
 	if now-c.registryConfirmed.at >= minOutageAge {
 		c.registry.RecordFailedRead()
+		c.publishFreshness()
 	}
 }
 
--- a/gateway/controller/late_test.go
+++ b/gateway/controller/late_test.go
@@ -40,6 +40,42 @@
 	}
 }
 
+// Guards against a permit that is used although its target has begun to leave since the
+// decision, has started again, or the registry has become too old.
+func TestPermitEndsWithItsTarget(t *testing.T) {
+	var clock atomic.Int64
+	clock.Store(int64(time.Second))
+	c := start(t, func(o *controller.Options) {
+		o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
+		o.MaxRegistryAge = time.Second
+	})
+	entry := registrar.Entry{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}
+	revision := uint64(1)
+	read := func(e registrar.Entry) {
+		revision++
+		c.SetRegistry(time.Duration(clock.Load()), registrar.Read{Revision: revision, Entries: []registrar.Entry{e}})
+	}
+	changes := map[string]func(){
+		"announced in an answer":   func() {},
+		"draining in the registry": func() { e := entry; e.Draining = true; read(e) },
+		"started again":            func() { e := entry; e.Incarnation++; read(e) },
+		"registry is too old":      func() { clock.Add(int64(time.Second + 1)) },
+	}
+	for name, change := range changes {
+		entry.Incarnation += 10
+		read(entry)
+		p := wait(context.Background(), t, c, revision)
+		if !p.TargetUsable() {
+			t.Errorf("%s: the target is not usable at first", name)
+		}
+		if change(); name == "announced in an answer" {
+			p.ObserveLeave()
+		}
+		p.End(placer.Complete)
+		waitUntil(func() bool { return !p.TargetUsable() })
+	}
+}
+
 // lateNews is the time for which each message between daemons waits on its way, and
 // maxAge the age up to which the registry may be used, in the time of the test's clocks.
 const (
--- a/gateway/controller/membership.go
+++ b/gateway/controller/membership.go
@@ -164,7 +164,7 @@
 // publishFreshness updates the snapshot that Freshness returns.
 func (c *Controller) publishFreshness() {
 	c.freshness.Store(&Freshness{
-		RegistryConfirmedAt: c.registryConfirmed.at, Reader: c.reader, Grouped: !c.plan.Undivided(), RegistryBehindSince: c.registryBehindSince,
+		RegistryConfirmedAt: c.registryConfirmed.at, RegistryOutage: c.registry.Outage(), Reader: c.reader, Grouped: !c.plan.Undivided(), RegistryBehindSince: c.registryBehindSince,
 		ConfigConfirmedAt: c.configConfirmed.at, ConfigBehindSince: c.configBehindSince,
 	})
 }
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -41,6 +41,14 @@
 // Age implements receiver.Permit.
 func (p *permit) Age() time.Duration { return p.controller.options.Clock() - p.decidedAt }
 
+// TargetUsable implements receiver.Permit.
+func (p *permit) TargetUsable() bool {
+	c, t := p.controller, p.decision.Choice.Target
+	incarnation, ok := (*c.usableTargets.Load())[t.ID]
+	f := c.freshness.Load()
+	return ok && incarnation == t.Incarnation && (f.RegistryOutage || c.recentEnough(c.options.Clock(), f.RegistryConfirmedAt))
+}
+
 // FirstEvent implements receiver.Permit.
 func (p *permit) FirstEvent() { p.controller.events <- answerStartEvent{p} }
 
--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -31,6 +31,8 @@
 	// ErrRefused: the host of the target refused the connection, so that the target does not
 	// run. It is also an ErrNotSent.
 	ErrRefused = errors.Wrap(ErrNotSent, "connection was refused")
+	// ErrWithdrawn: Request.MaySend did not permit the request. It is also an ErrNotSent.
+	ErrWithdrawn = errors.Wrap(ErrNotSent, "request was withdrawn")
 	// ErrInvalid: the target sent data that is not a response to the request.
 	ErrInvalid = errors.New("invalid response from the target")
 )
@@ -90,6 +92,9 @@
 	// Matches reports whether a response with this status and header belongs to the
 	// request.
 	Matches func(status int, h http.Header) bool
+	// MaySend, unless nil, is asked once a connection is there, which can take a while, and
+	// just before the request is written.
+	MaySend func() bool
 }
 
 // Response is a response of which the header has been read. Body must be closed;
@@ -135,12 +140,16 @@
 
 // Do sends the request and returns the response once its header has been read. The
 // context bounds the whole exchange, including reading the body. Errors: ErrNotSent,
-// ErrBroken, ErrInvalid, and the cause of the context's end.
+// ErrWithdrawn, ErrBroken, ErrInvalid, and the cause of the context's end.
 func (c *Client) Do(ctx context.Context, t Target, r Request) (*Response, error) {
 	conn, err := c.getConnection(ctx, t, r.NonRepeatable)
 	if err != nil {
 		return nil, err
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		c.putIdle(t, conn)
+		return nil, ErrWithdrawn
+	}
 	x := &exchange{courier: c, target: t, connection: conn, request: r}
 	x.stopWatch = context.AfterFunc(ctx, conn.abort)
 	response, err := x.run()
--- a/gateway/courier/courier_test.go
+++ b/gateway/courier/courier_test.go
@@ -472,3 +472,24 @@
 		t.Errorf("header %v", h)
 	}
 }
+
+// Guards against DRAIN of 2026-12-05: a request is written to a target that has begun to
+// leave since it was chosen, or the connection is lost with the request.
+func TestWithdrawnRequestIsNotWritten(t *testing.T) {
+	s := startTarget(t, func(_ int64, c net.Conn, r *http.Request) bool {
+		writeResponse(c, r.Header.Get("Id"), "whole")
+		return true
+	})
+	client := newClient(t)
+	for i, may := range []bool{false, true, false, true} {
+		r := newRequest(fmt.Sprint(i))
+		r.MaySend = func() bool { return may }
+		_, err := do(t, client, s, r)
+		if may && err != nil || !may && (!errors.Is(err, courier.ErrWithdrawn) || !errors.Is(err, courier.ErrNotSent)) {
+			t.Errorf("request %d: error %v", i, err)
+		}
+	}
+	if connections, requests := s.connections.Load(), s.requests.Load(); connections != 1 || requests != 2 {
+		t.Errorf("%d connections and %d requests, want 1 and 2", connections, requests)
+	}
+}
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -103,13 +103,16 @@
 	FirstWait bool
 }
 
-// Permit allows sending a request to a target once. Its methods, except Decision and
-// Age, report the progress of the request to the PermitSource that gave the permit.
+// Permit allows sending a request to a target once. Its methods, except Decision, Age and
+// TargetUsable, report the progress of the request to the PermitSource that gave the permit.
 type Permit interface {
 	// Decision returns the chosen target, or the reason for which the permit is refused.
 	Decision() queuer.Decision
 	// Age returns the time since the decision.
 	Age() time.Duration
+	// TargetUsable reports whether the target may still get the request: it may have begun
+	// to leave since the decision.
+	TargetUsable() bool
 	// ObserveLimit reports the request limit that the response names, or that it names none.
 	ObserveLimit(l placer.RequestLimit)
 	// ObserveLeave reports that the target announced in its response that it leaves.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -202,6 +202,7 @@
 		Method: p.request.Method, URI: p.request.RequestURI, Host: p.request.Host, Body: p.body,
 		Header:        rc.Protocol.TargetHeader(p.request.Header, ForwardInfo{TargetID: target.ID, Account: p.account, TimeLeft: timeLeft, LastEventID: lastEventID, CopyFrom: permit.Decision().Choice.CopySource}),
 		NonRepeatable: !p.route.Repeatable(),
+		MaySend:       permit.TargetUsable,
 		Matches: func(status int, h http.Header) bool {
 			return !rc.Protocol.InspectResponse(p.info.ID, status, h).Foreign
 		},
@@ -236,6 +237,11 @@
 // handleSendError handles an attempt that ended without a response header.
 func (p *proxyRequest) handleSendError(ctx context.Context, permit Permit, err error) attemptOutcome {
 	target := permit.Decision().Choice.Target.ID
+	if errors.Is(err, courier.ErrWithdrawn) {
+		permit.End(placer.Unsent)
+		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
+		return outcomeRetry
+	}
 	if errors.Is(err, courier.ErrNotSent) {
 		permit.End(placer.Unreachable)
 		p.excluded = append(p.excluded, target)
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -91,6 +91,18 @@
 	f.wantResults(t, placer.Unsent, placer.Complete)
 }
 
+// Guards against DRAIN of 2026-12-05: a request is sent to a target that began to leave
+// while a connection to it was opened. Withdrawing it must not count as an attempt or as a
+// failure of the target.
+func TestRequestIsWithdrawnFromATargetThatLeaves(t *testing.T) {
+	f := newFixture(t, []reply{{status: 200, header: signed, body: "ok"}}, nil)
+	f.permitSource.left = 2
+	if r := f.postDefault(t, "/once/1"); r.status != 200 || len(f.client.requests) != 1 {
+		t.Errorf("status %d, %d requests sent", r.status, len(f.client.requests))
+	}
+	f.wantResults(t, placer.Unsent, placer.Unsent, placer.Complete)
+}
+
 // Guards against rejections with a wrong status, or without Retry-After where the
 // caller should retry.
 func TestRejections(t *testing.T) {
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -65,6 +65,8 @@
 	limits []placer.RequestLimit
 	// stale is the number of next permits that are too old to be used.
 	stale int
+	// left is the number of next permits whose target leaves before the request is sent.
+	left int
 	// ended receives a value when a permit ends.
 	ended chan struct{}
 	// leaves counts the responses in which a target announced that it leaves.
@@ -82,6 +84,10 @@
 		w.stale--
 		p.age = time.Second
 	}
+	if w.left > 0 {
+		w.left--
+		p.left = true
+	}
 	if w.refuse != "" {
 		p.decision = queuer.Decision{Reason: w.refuse, RetryAfter: 250 * time.Millisecond}
 		return p, receiver.ErrRefused
@@ -96,10 +102,12 @@
 	permitSource *permitSource
 	decision     queuer.Decision
 	age          time.Duration
+	left         bool
 }
 
 func (p *permit) Decision() queuer.Decision { return p.decision }
 func (p *permit) Age() time.Duration        { return p.age }
+func (p *permit) TargetUsable() bool        { return !p.left }
 func (p *permit) FirstEvent()               {}
 func (p *permit) ObserveLimit(l placer.RequestLimit) {
 	p.permitSource.mutex.Lock()
@@ -152,6 +160,9 @@
 }
 
 func (c *targetClient) Do(ctx context.Context, _ courier.Target, request courier.Request) (*courier.Response, error) {
+	if request.MaySend != nil && !request.MaySend() {
+		return nil, courier.ErrWithdrawn
+	}
 	c.mutex.Lock()
 	c.requests = append(c.requests, request)
 	r := c.replies[0]
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -16,6 +16,7 @@
 
 func (*stallCounter) Decision() queuer.Decision        { return queuer.Decision{} }
 func (*stallCounter) Age() time.Duration               { return 0 }
+func (*stallCounter) TargetUsable() bool               { return true }
 func (*stallCounter) FirstEvent()                      {}
 func (*stallCounter) ObserveLimit(placer.RequestLimit) {}
 func (*stallCounter) ObserveLeave()                    {}
