--- a/emulator/storer/storer.go
+++ b/emulator/storer/storer.go
@@ -1,6 +1,6 @@
 // Package storer emulates the platform's store. It speaks the protocol of the
-// platform and injects faults: delays, outages, a lost history of changes, and lost
-// responses.
+// platform and injects faults: delays, outages, a lost history of changes, lost
+// responses, and a state that is restored from a copy.
 package storer
 
 import (
@@ -46,8 +46,10 @@
 	// PageRows is the largest number of rows in the response to one read.
 	PageRows int
 
-	mutex   sync.Mutex
-	version uint64              // increases by one at every change
+	mutex sync.Mutex
+	// era increases by one with each call of Restore.
+	era     uint64
+	version uint64              // increases by one at every change, until Restore
 	rows    map[string]wire.Row // by rowKey
 	// deleted holds, by rowKey, the deleted rows that calls for changes report.
 	deleted map[string]wire.Row
@@ -61,7 +63,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{PageRows: defaultPageRows, rows: map[string]wire.Row{}, deleted: map[string]wire.Row{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{era: 1, PageRows: defaultPageRows, rows: map[string]wire.Row{}, deleted: map[string]wire.Row{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // rowKey returns the key of a row in Store.rows and Store.deleted.
@@ -120,6 +122,30 @@
 	s.notifyLocked()
 }
 
+// Copy is a copy of the rows of a store.
+type Copy struct {
+	version       uint64
+	rows, deleted map[string]wire.Row
+}
+
+// Copy returns a copy of the rows as they are now.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{version: s.version, rows: maps.Clone(s.rows), deleted: maps.Clone(s.deleted)}
+}
+
+// Restore replaces the rows by those of a copy, so that versions are given out again.
+// Calls that wait for a change get no response, like those on a connection that has gone
+// silent.
+func (s *Store) Restore(c Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.version, s.rows, s.deleted = c.version, maps.Clone(c.rows), maps.Clone(c.deleted)
+	s.notifyLocked()
+}
+
 // SetFault replaces the injected fault. Calls that have begun are not affected.
 func (s *Store) SetFault(f Fault) {
 	s.mutex.Lock()
@@ -162,8 +188,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
 	s.calls[strings.TrimSpace(r.URL.Path+" "+r.URL.Query().Get(wire.QueryTable))]++
-	f := s.fault
+	f, era := s.fault, s.era
 	s.mutex.Unlock()
+	w.Header().Set(wire.FieldEra, strconv.FormatUint(era, 10))
 	if f.Delay > 0 && !sleeper.Sleep(r.Context(), f.Delay) {
 		return
 	}
@@ -179,7 +206,7 @@
 	case wire.PathRead:
 		s.serveRead(w, r)
 	case wire.PathFeed:
-		s.serveChanges(w, r)
+		s.serveChanges(w, r, era)
 	case wire.PathTransact:
 		s.serveTransaction(w, r, f.LoseAnswers)
 	default:
@@ -212,8 +239,8 @@
 }
 
 // serveChanges responds when there is a change after the given version, or when the
-// requested time has passed.
-func (s *Store) serveChanges(w http.ResponseWriter, r *http.Request) {
+// requested time has passed. era is that at the start of the call.
+func (s *Store) serveChanges(w http.ResponseWriter, r *http.Request, era uint64) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get(wire.QueryAfter), 10, 64)
 	ms, errWait := strconv.ParseInt(query.Get(wire.QueryWait), 10, 64)
@@ -225,8 +252,13 @@
 	defer timeout.Stop()
 	for {
 		s.mutex.Lock()
-		page, known, changed := s.changesLocked(query.Get(wire.QueryTable), after), after >= s.historyStart, s.changed
+		page, changed := s.changesLocked(query.Get(wire.QueryTable), after), s.changed
+		known, restored := after >= s.historyStart && after <= s.version, s.era != era
 		s.mutex.Unlock()
+		if restored {
+			<-r.Context().Done()
+			return
+		}
 		if !known {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/gateway/controller/configuration.go
+++ b/gateway/controller/configuration.go
@@ -60,7 +60,7 @@
 	if config == nil {
 		return ConfigState{}
 	}
-	if c.watching.Load() && c.registryConfirmed.hops == 0 && c.registryConfirmed.newerThan(c.configConfirmed) {
+	if c.watching.Load() && c.watchingEra.Load() == c.registry.Moment().Era && c.registryConfirmed.hops == 0 && c.registryConfirmed.newerThan(c.configConfirmed) {
 		c.configConfirmed = c.registryConfirmed
 	}
 	n := c.configConfirmed
@@ -68,14 +68,15 @@
 }
 
 // comparePeerConfig compares the configuration of a peer with the own one. An equal
-// one may confirm that the own configuration is the newest; a newer one is fetched.
-func (c *Controller) comparePeerConfig(now time.Duration, peer string, s ConfigState) {
+// one may confirm that the own configuration is the newest; a newer one is fetched. era is
+// that of the store at the peer.
+func (c *Controller) comparePeerConfig(now time.Duration, peer string, s ConfigState, era uint64) {
 	own := uint64(0)
 	if config := c.config.Load(); config != nil {
 		own = config.Version()
 	}
 	if s.Version == own && s.Confirmed {
-		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Hops); n.newerThan(c.configConfirmed) {
+		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, era, s.Hops); n.newerThan(c.configConfirmed) {
 			c.configConfirmed = n // comparePeerRegistry publishes it
 		}
 	}
--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -71,6 +71,9 @@
 	// newer one. RequestConfig requests a configuration newer than the given version
 	// from the peer, because the store did not return it in time. Neither blocks.
 	RefetchConfig func()
+	// NoticeEra is called with the era of the store that a peer reports, if it is later than
+	// the one known here. It does not block.
+	NoticeEra     func(era uint64)
 	RequestConfig func(peer string, after uint64)
 	// ReportInterval returns the time between two reports to the given number of peers.
 	ReportInterval func(recipients int) time.Duration
@@ -99,8 +102,9 @@
 	// quarantineState is the snapshot for the daemon's watcher of the store; never nil.
 	quarantineState atomic.Pointer[quarantineSnapshot]
 	// watching is set while a long poll for the next configuration is pending at the
-	// store.
-	watching atomic.Bool
+	// store, in the era watchingEra.
+	watching    atomic.Bool
+	watchingEra atomic.Uint64
 	// lastHeard maps the name of each peer, including those that have gone silent, to
 	// the time of its last sign of life: a report, or a group sum that lists it.
 	lastHeard sync.Map
@@ -353,8 +357,11 @@
 }
 
 // SetWatching records whether a long poll, which the store answers as soon as the
-// configuration changes, is pending.
-func (c *Controller) SetWatching(on bool) { c.watching.Store(on) }
+// configuration changes, is pending, and the era of the store since whose moment it is.
+func (c *Controller) SetWatching(on bool, era uint64) {
+	c.watchingEra.Store(era)
+	c.watching.Store(on)
+}
 
 // ReceivedConfig applies a configuration that a peer sent.
 func (c *Controller) ReceivedConfig(config resolver.Config) { c.events <- configEvent{config: config} }
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -35,7 +35,7 @@
 			defer c.mutex.Unlock()
 			c.reports = append(c.reports, r)
 		},
-		Host: "self", SendRegistryChange: func(controller.RegistryChange, []string) {}, Probe: func(registrar.Entry) {}, RefetchConfig: func() {}, RequestConfig: func(string, uint64) {}, SendConfig: func(resolver.Config, []string) {},
+		Host: "self", SendRegistryChange: func(controller.RegistryChange, []string) {}, Probe: func(registrar.Entry) {}, RefetchConfig: func() {}, NoticeEra: func(uint64) {}, RequestConfig: func(string, uint64) {}, SendConfig: func(resolver.Config, []string) {},
 		ReportInterval: func(int) time.Duration { return time.Millisecond },
 		Peers:          func() []controller.Daemon { return nil }, AddPeers: func([]controller.Daemon) {},
 		Clock: func() time.Duration { return time.Since(began) }, Logger: slog.New(slog.DiscardHandler),
@@ -49,7 +49,7 @@
 	go func() { defer close(ended); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
 	c.SetConfig(0, config(1))
-	c.SetRegistry(0, registrar.Read{Revision: 1, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}})
+	c.SetRegistry(0, registrar.Read{Moment: registrar.Moment{Revision: 1}, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}})
 	return c
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -9,6 +9,7 @@
 	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/timekeeper"
 	"monsoondeck.example/logger"
 )
 
@@ -136,6 +137,10 @@
 // applyRegistry applies a state of the registry unless a newer one is known, and reports
 // whether it did.
 func (c *Controller) applyRegistry(now time.Duration, e registryEvent) bool {
+	if e.read.Before(c.registry.Moment()) {
+		return false
+	}
+	c.startEra(e.read.Era)
 	oldUsable := c.registry.Usable()
 	update, confirmed := c.registry.ApplyPeerRead, confirmation{at: e.confirmedAt, storeTime: e.read.StoreTime, hops: e.hops}
 	if e.fromStore {
@@ -144,9 +149,7 @@
 		}
 		update, confirmed = c.registry.ApplyRead, c.confirmedByStore(e.confirmedAt)
 	}
-	if !update(now, e.read.Revision, e.read.Entries) {
-		return false
-	}
+	update(now, e.read)
 	oldEntries := c.registryEntries
 	c.registryEntries, c.registryConfirmed, c.registryBehindSince = c.registry.Entries(), confirmed, 0
 	c.registryDigest = registrar.Digest(c.registryEntries)
@@ -158,12 +161,21 @@
 	c.setTargets(newUsable)
 	c.logTargets(now, oldUsable, newUsable)
 	if e.fromStore && c.reader {
-		change := registrar.Difference(oldEntries, c.registryEntries, e.read.Revision)
+		change := registrar.Difference(oldEntries, c.registryEntries, e.read.Moment)
 		c.options.SendRegistryChange(RegistryChange{Change: change, Age: now - confirmed.at, StoreTime: confirmed.storeTime}, c.broadcastRecipients())
 	}
 	return true
 }
 
+// startEra drops the times of the store's clock when the store has come back with an older
+// state.
+func (c *Controller) startEra(era uint64) {
+	if era > c.registry.Moment().Era {
+		c.storeClock = timekeeper.Keeper{}
+		c.registryConfirmed.storeTime, c.configConfirmed.storeTime = 0, 0
+	}
+}
+
 // registryChangeEvent delivers a change of the registry that a peer has read.
 type registryChangeEvent struct{ change RegistryChange }
 
@@ -173,8 +185,8 @@
 	if !ok {
 		return // the registry state in the next report of a peer shows that this daemon is behind
 	}
-	confirmed := c.confirmedByPeer(now, change.Age, change.StoreTime, change.Hops)
-	read := registrar.Read{Revision: change.Revision, StoreTime: change.StoreTime, Entries: entries}
+	confirmed := c.confirmedByPeer(now, change.Age, change.StoreTime, change.Era, change.Hops)
+	read := registrar.Read{Moment: change.Moment, StoreTime: change.StoreTime, Entries: entries}
 	c.applyRegistry(now, registryEvent{confirmedAt: confirmed.at, read: read, hops: confirmed.hops})
 	if c.plan.Relay {
 		change.Age, change.Hops = now-confirmed.at, confirmed.hops
@@ -185,22 +197,25 @@
 // registryState returns the state of the registry that is reported to the peers.
 func (c *Controller) registryState(now time.Duration) RegistryState {
 	n := c.registryConfirmed
-	return RegistryState{Revision: c.registry.Revision(), Digest: c.registryDigest, Age: now - n.at, StoreTime: n.storeTime, Hops: n.hops}
+	return RegistryState{Moment: c.registry.Moment(), Digest: c.registryDigest, Age: now - n.at, StoreTime: n.storeTime, Hops: n.hops}
 }
 
 // comparePeerRegistry compares the state of the registry that a peer knows with the
 // own one. An equal one may confirm that the own state is the newest.
 func (c *Controller) comparePeerRegistry(now time.Duration, s RegistryState) {
+	if s.Era > c.registry.Moment().Era {
+		c.options.NoticeEra(s.Era)
+	}
 	switch {
 	case s.Revision == 0:
 	case s.Digest == c.registryDigest:
-		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Hops); n.newerThan(c.registryConfirmed) {
+		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Era, s.Hops); n.newerThan(c.registryConfirmed) {
 			c.registryConfirmed = n
 			if now-n.at < minOutageAge {
 				c.registry.ConfirmByPeer(now)
 			}
 		}
-	case s.Revision > c.registry.Revision() && c.registryBehindSince == 0:
+	case c.registry.Moment().Before(s.Moment) && c.registryBehindSince == 0:
 		c.registryBehindSince = now
 	}
 	c.publishFreshness()
@@ -209,7 +224,7 @@
 // logTargets writes one log record for each target that joined or left, with the age and
 // the origin of the news.
 func (c *Controller) logTargets(now time.Duration, before, after []registrar.Entry) {
-	log := c.options.Logger.With(slog.Uint64("revision", c.registry.Revision()), slog.Duration("age", now-c.registryConfirmed.at), slog.Int("hops", c.registryConfirmed.hops))
+	log := c.options.Logger.With(slog.Uint64("revision", c.registry.Moment().Revision), slog.Duration("age", now-c.registryConfirmed.at), slog.Int("hops", c.registryConfirmed.hops))
 	known := make(map[string]registrar.Entry, len(before))
 	for _, t := range before {
 		known[t.ID] = t
@@ -270,7 +285,7 @@
 func (e peerReportEvent) apply(c *Controller, now time.Duration) {
 	r := e.report
 	c.markAlive(now, r.Peer, r.Incarnation)
-	c.comparePeerConfig(now, r.Peer, r.Report.Config)
+	c.comparePeerConfig(now, r.Peer, r.Report.Config, r.Report.Registry.Era)
 	c.comparePeerRegistry(now, r.Report.Registry)
 	c.learnEvidence(now, r.Report.Evidence)
 	c.learnDepartures(now, r.Peer, r.Report.Departures)
--- a/gateway/controller/evidence_test.go
+++ b/gateway/controller/evidence_test.go
@@ -67,7 +67,7 @@
 	c = start(t, crashing(&c), func(o *controller.Options) {
 		o.ReportInterval = func(int) time.Duration { return 10 * time.Millisecond }
 	})
-	c.SetRegistry(0, registrar.Read{Revision: 2, Entries: targets(4, 1)})
+	c.SetRegistry(0, registrar.Read{Moment: registrar.Moment{Revision: 2}, Entries: targets(4, 1)})
 	if r := refusal(t, c, promptDemand(1, "all"), placer.Complete); r != "" {
 		t.Fatal(r)
 	}
@@ -112,7 +112,7 @@
 		}
 	})
 	for i := range uint64(6) {
-		c.SetRegistry(50*time.Since(began), registrar.Read{Revision: i + 2, Entries: targets(4, int64(i+1))})
+		c.SetRegistry(50*time.Since(began), registrar.Read{Moment: registrar.Moment{Revision: i + 2}, Entries: targets(4, int64(i+1))})
 		if r := refusal(t, c, promptDemand(i+1, "all"), placer.Broken); r != "" {
 			t.Fatalf("request %d: %s", i+1, r)
 		}
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -339,11 +339,11 @@
 		}
 	}
 	clock.Store(int64(20 * time.Second))
-	c.SetRegistry(20*time.Second, registrar.Read{Revision: 2, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}})
+	c.SetRegistry(20*time.Second, registrar.Read{Moment: registrar.Moment{Revision: 2}, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}})
 	if at := report(controller.ConfigState{}); at != 9*time.Second {
 		t.Errorf("configuration confirmed at %v after a read of only the registry, want 9 s", at)
 	}
-	c.SetWatching(true)
+	c.SetWatching(true, 0)
 	for c.Freshness().ConfigConfirmedAt != 20*time.Second {
 		time.Sleep(time.Millisecond) // updated with the next report
 	}
@@ -362,7 +362,7 @@
 		before := c.Freshness().RegistryConfirmedAt
 		time.Sleep(2 * time.Millisecond)
 		c.Received(controller.PeerReport{Peer: "p", Incarnation: 1, Report: controller.Report{
-			Registry: controller.RegistryState{Revision: 1, Digest: digest, Hops: hops},
+			Registry: controller.RegistryState{Moment: registrar.Moment{Revision: 1}, Digest: digest, Hops: hops},
 		}})
 		for range 50 {
 			if c.Freshness().RegistryConfirmedAt > before {
--- a/gateway/controller/late_test.go
+++ b/gateway/controller/late_test.go
@@ -20,14 +20,14 @@
 	c := start(t, func(o *controller.Options) { o.Clock = func() time.Duration { return time.Duration(clock.Load()) } })
 	entries := []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}
 	// This daemon reads the registry when the store's clock shows 100 s.
-	c.SetRegistry(10*time.Second, registrar.Read{Revision: 1, StoreTime: 100 * time.Second, Entries: entries})
+	c.SetRegistry(10*time.Second, registrar.Read{Moment: registrar.Moment{Revision: 1}, StoreTime: 100 * time.Second, Entries: entries})
 	clock.Store(int64(15 * time.Second))
 	id := uint64(0)
 	receive := func(storeTime, age time.Duration) controller.Freshness {
 		id++
 		c.Received(controller.PeerReport{Peer: "p", Incarnation: 1, Report: controller.Report{
 			Config:   controller.ConfigState{Version: 1, Confirmed: true, Age: age, StoreTime: storeTime},
-			Registry: controller.RegistryState{Revision: 1, Digest: registrar.Digest(entries), Age: age, StoreTime: storeTime},
+			Registry: controller.RegistryState{Moment: registrar.Moment{Revision: 1}, Digest: registrar.Digest(entries), Age: age, StoreTime: storeTime},
 		}})
 		wait(context.Background(), t, c, id).End(placer.Complete) // the report has been applied before
 		return c.Freshness()
@@ -53,7 +53,7 @@
 	revision := uint64(1)
 	read := func(e registrar.Entry) {
 		revision++
-		c.SetRegistry(time.Duration(clock.Load()), registrar.Read{Revision: revision, Entries: []registrar.Entry{e}})
+		c.SetRegistry(time.Duration(clock.Load()), registrar.Read{Moment: registrar.Moment{Revision: revision}, Entries: []registrar.Entry{e}})
 	}
 	changes := map[string]func(){
 		"announced in an answer":   func() {},
@@ -99,13 +99,13 @@
 				for _, c := range n.nodes {
 					if c.Freshness().Reader {
 						now := n.clock()
-						c.SetRegistry(now, registrar.Read{Revision: revision, StoreTime: now + time.Hour, Entries: []registrar.Entry{e}})
+						c.SetRegistry(now, registrar.Read{Moment: registrar.Moment{Revision: revision}, StoreTime: now + time.Hour, Entries: []registrar.Entry{e}})
 					}
 				}
 			}
 			for _, c := range n.nodes { // each daemon reads the store once at its start
 				now := n.clock()
-				c.SetRegistry(now, registrar.Read{Revision: 1, StoreTime: now + time.Hour, Entries: []registrar.Entry{entry}})
+				c.SetRegistry(now, registrar.Read{Moment: registrar.Moment{Revision: 1}, StoreTime: now + time.Hour, Entries: []registrar.Entry{entry}})
 			}
 			for end := n.clock() + 3*time.Second; n.clock() < end; time.Sleep(n.realTime(100 * time.Millisecond)) {
 				read(1, false)
@@ -129,3 +129,27 @@
 		})
 	}
 }
+
+// Guards against CONFIG of 2026-12-05: daemons that know a later revision of the store than
+// it has after it was restored ignore it, and the peers that have read it.
+func TestDaemonFollowsPeersIntoANewEra(t *testing.T) {
+	var noticed atomic.Uint64
+	c := start(t, func(o *controller.Options) { o.NoticeEra = func(era uint64) { noticed.Store(era) } })
+	entry := registrar.Entry{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}
+	before := []registrar.Entry{entry}
+	c.SetRegistry(0, registrar.Read{Moment: registrar.Moment{Era: 1, Revision: 40}, Entries: before})
+	entry.Draining = true
+	after := []registrar.Entry{entry}
+	restored := registrar.Moment{Era: 2, Revision: 31}
+	c.Received(controller.PeerReport{Peer: "p", Incarnation: 1, Report: controller.Report{
+		Registry: controller.RegistryState{Moment: restored, Digest: registrar.Digest(after)},
+	}})
+	waitUntil(func() bool { return noticed.Load() == 2 && c.Freshness().RegistryBehindSince > 0 })
+	c.ReceivedRegistryChange(controller.RegistryChange{Change: registrar.Difference(before, after, restored)})
+	waitUntil(func() bool { return c.Freshness().RegistryBehindSince == 0 })
+	d := demand(1)
+	d.Objective = time.Millisecond
+	if _, err := c.Wait(context.Background(), d); err == nil {
+		t.Error("the target is used although it leaves by the registry of the new era")
+	}
+}
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -52,7 +52,8 @@
 
 // RegistryState identifies the state of the registry that a daemon knows.
 type RegistryState struct {
-	Revision, Digest uint64
+	registrar.Moment
+	Digest uint64
 	// Age is the time since the state is known to have been the newest, counted from the
 	// start of the read of the registry, at the time of sending.
 	Age time.Duration
@@ -107,6 +108,9 @@
 	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills()}
 	r.Registry = c.registryState(now)
 	r.Config = c.configState(now)
+	if c.registry.Settle(now) {
+		c.setTargets(c.registry.Usable())
+	}
 	c.checkSuspicions(now)
 	c.updateLimits(now)
 	r.Evidence = c.takeEvidence(now, whole)
--- a/gateway/exchanger/exchanger.go
+++ b/gateway/exchanger/exchanger.go
@@ -346,7 +346,11 @@
 
 func encodeRegistryState(s controller.RegistryState) messenger.RegistryMark {
 	hops := uint64(max(s.Hops, 0))
-	return messenger.RegistryMark{Revision: s.Revision, Digest: s.Digest, AgeMs: uint64(max(s.Age.Milliseconds(), 0)), Hops: &hops, StoreMs: encodeStoreTime(s.StoreTime)}
+	mark := messenger.RegistryMark{Revision: s.Revision, Digest: s.Digest, AgeMs: uint64(max(s.Age.Milliseconds(), 0)), Hops: &hops, StoreMs: encodeStoreTime(s.StoreTime)}
+	if s.Era > 0 {
+		mark.Era = &s.Era
+	}
+	return mark
 }
 
 // encodeStoreTime converts a time of the store's clock to milliseconds; nil stands for 0,
@@ -367,7 +371,10 @@
 }
 
 func decodeRegistryState(m messenger.RegistryMark) controller.RegistryState {
-	state := controller.RegistryState{Revision: m.Revision, Digest: m.Digest, Age: decodeAge(m.AgeMs), StoreTime: decodeStoreTime(m.StoreMs)}
+	state := controller.RegistryState{Moment: registrar.Moment{Revision: m.Revision}, Digest: m.Digest, Age: decodeAge(m.AgeMs), StoreTime: decodeStoreTime(m.StoreMs)}
+	if m.Era != nil {
+		state.Era = *m.Era
+	}
 	if m.Hops != nil {
 		state.Hops = int(min(*m.Hops, maxDecodedCount))
 	}
@@ -396,7 +403,7 @@
 const maxDecodedDuration = time.Hour
 
 func encodeRegistryChange(c controller.RegistryChange) messenger.RegistryChange {
-	m := messenger.RegistryChange{Base: c.Base, Mark: encodeRegistryState(controller.RegistryState{Revision: c.Revision, Digest: c.Digest, Age: c.Age, StoreTime: c.StoreTime, Hops: c.Hops}), Gone: c.RemovedIDs}
+	m := messenger.RegistryChange{Base: c.Base, Mark: encodeRegistryState(controller.RegistryState{Moment: c.Moment, Digest: c.Digest, Age: c.Age, StoreTime: c.StoreTime, Hops: c.Hops}), Gone: c.RemovedIDs}
 	for _, e := range c.Entries {
 		m.Entries = append(m.Entries, messenger.RegistryEntry{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
@@ -408,7 +415,7 @@
 
 func decodeRegistryChange(m messenger.RegistryChange) controller.RegistryChange {
 	state := decodeRegistryState(m.Mark)
-	c := controller.RegistryChange{Age: state.Age, StoreTime: state.StoreTime, Hops: state.Hops, Change: registrar.Change{Base: m.Base, Digest: state.Digest, Revision: state.Revision, RemovedIDs: m.Gone}}
+	c := controller.RegistryChange{Age: state.Age, StoreTime: state.StoreTime, Hops: state.Hops, Change: registrar.Change{Base: m.Base, Digest: state.Digest, Moment: state.Moment, RemovedIDs: m.Gone}}
 	for _, e := range m.Entries {
 		c.Entries = append(c.Entries, registrar.Entry{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -82,7 +82,7 @@
 	a, b := newNode(t, "a", 3), newNode(t, "b", 9)
 	a.SetPeers([]exchanger.Peer{{Peer: connector.Peer{ID: "b", Address: b.address}}})
 	report := controller.Report{
-		Whole: true, Config: controller.ConfigState{Version: 3, Confirmed: true, Age: 70 * time.Millisecond, StoreTime: 9 * time.Second, Hops: 1}, Registry: controller.RegistryState{Revision: 5, Digest: 1 << 63, Age: 40 * time.Millisecond, StoreTime: 48 * time.Hour, Hops: 1},
+		Whole: true, Config: controller.ConfigState{Version: 3, Confirmed: true, Age: 70 * time.Millisecond, StoreTime: 9 * time.Second, Hops: 1}, Registry: controller.RegistryState{Moment: registrar.Moment{Era: 2, Revision: 5}, Digest: 1 << 63, Age: 40 * time.Millisecond, StoreTime: 48 * time.Hour, Hops: 1},
 		Loads: []placer.Load{{
 			Target: placer.KeyOf("t"), PrefillTokens: 160, Running: 2, MemoryTokens: 320, EventGaps: 4, EventGapSum: 320 * time.Millisecond, SpeedSamples: 6, LogSpeedSum: 6 * math.Log(12.5),
 		}, {
@@ -103,7 +103,7 @@
 		t.Errorf("received report %+v, want %+v", got, report)
 	}
 	change := controller.RegistryChange{Age: 30 * time.Millisecond, StoreTime: time.Minute, Hops: 2, Change: registrar.Change{
-		Base: 1, Digest: 2, Revision: 3, RemovedIDs: []string{"old"},
+		Base: 1, Digest: 2, Moment: registrar.Moment{Era: 1 << 40, Revision: 3}, RemovedIDs: []string{"old"},
 		Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Incarnation: 7, Slots: 6, Draining: true}},
 	}}
 	// b does not know the address of a and uses the connection that a opened.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"io"
@@ -161,7 +162,7 @@
 	g.exchanger = exchanger.New(g.options.Source, g.logger)
 	g.controller = controller.New(controller.Options{
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
-		Host: s.Host, SendReport: g.exchanger.Send, SendRegistryChange: g.exchanger.SendChange, RefetchConfig: func() { g.watcher.RestartLongPolls() }, RequestConfig: g.exchanger.RequestConfig, SendConfig: g.exchanger.SendConfig, Probe: g.probe, ReportInterval: exchanger.ReportInterval,
+		Host: s.Host, SendReport: g.exchanger.Send, SendRegistryChange: g.exchanger.SendChange, RefetchConfig: func() { g.watcher.RestartLongPolls() }, NoticeEra: func(era uint64) { g.watcher.NoticeEra(era) }, RequestConfig: g.exchanger.RequestConfig, SendConfig: g.exchanger.SendConfig, Probe: g.probe, ReportInterval: exchanger.ReportInterval,
 		Peers: g.exchanger.Peers, Address: s.PeerAddress, AddPeers: g.exchanger.AddPeers, Clock: g.clock, Logger: g.logger,
 		MaxRegistryAge: time.Duration(registryAgeShare * float64(s.DrainBound)),
 	})
@@ -222,21 +223,30 @@
 }
 
 // watchDaemons joins the fleet and exchanges reports with the other daemons.
-// Without a peer address it does neither.
+// Without a peer address it does neither. If a restored store has another secret, the
+// daemon uses that from then on.
 func (g *Gateway) watchDaemons(ctx context.Context) {
 	if g.settings.PeerAddress == "" {
 		return
 	}
 	secretProposal := make([]byte, secretBytes)
 	_, _ = rand.Read(secretProposal) // never fails
+	var known []byte
+	closeHub := func() {}
 	g.watcher.WatchDaemons(ctx, g.self(), secretProposal, func(secret []byte) error {
-		hub, _, err := connector.New(connector.Options{Self: g.settings.Host, Incarnation: g.incarnation, Secret: secret, Logger: g.logger})
+		if bytes.Equal(secret, known) {
+			return nil
+		}
+		hub, closeNew, err := connector.New(connector.Options{Self: g.settings.Host, Incarnation: g.incarnation, Secret: secret, Logger: g.logger})
 		if err != nil {
 			return err
 		}
+		closeOld := closeHub
+		known, closeHub = secret, closeNew
 		g.hub.Store(hub)
 		g.exchanger.SetHub(hub)
 		go g.exchanger.Run(ctx, hub, g.controller)
+		go closeOld() // waits until what is queued has been sent
 		return nil
 	}, g.setDaemons)
 }
--- a/gateway/registrar/change.go
+++ b/gateway/registrar/change.go
@@ -11,8 +11,8 @@
 	// Base is the digest of the state before the change, Digest that of the state after
 	// it.
 	Base, Digest uint64
-	// Revision is the revision of the state after the change.
-	Revision uint64
+	// Moment is that of the state after the change.
+	Moment
 	// Entries are the new and changed entries, RemovedIDs the IDs of the removed ones.
 	Entries    []Entry
 	RemovedIDs []string
@@ -29,8 +29,8 @@
 }
 
 // Difference returns the change from one state to another.
-func Difference(before, after []Entry, revision uint64) Change {
-	c := Change{Base: Digest(before), Digest: Digest(after), Revision: revision}
+func Difference(before, after []Entry, m Moment) Change {
+	c := Change{Base: Digest(before), Digest: Digest(after), Moment: m}
 	old := make(map[string]Entry, len(before))
 	for _, e := range before {
 		old[e.ID] = e
--- a/gateway/registrar/change_test.go
+++ b/gateway/registrar/change_test.go
@@ -24,7 +24,7 @@
 func TestApplyingAChangeGivesTheNextState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		before, after, other := drawEntries(t, "before "), drawEntries(t, "after "), drawEntries(t, "other ")
-		c := registrar.Difference(before, after, 7)
+		c := registrar.Difference(before, after, registrar.Moment{Era: 1, Revision: 7})
 		got, ok := c.Apply(before)
 		if !ok || registrar.Digest(got) != registrar.Digest(after) {
 			t.Fatalf("applying the change to %v gives %v, want %v", before, got, after)
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -27,10 +27,21 @@
 	WarmUp time.Duration
 }
 
+// Moment is a point in the history of the store.
+type Moment struct {
+	// Era increases whenever the store comes back with an older state; Revision increases
+	// with each change within an era.
+	Era, Revision uint64
+}
+
+// Before reports whether the moment is earlier than another one.
+func (m Moment) Before(other Moment) bool {
+	return m.Era < other.Era || m.Era == other.Era && m.Revision < other.Revision
+}
+
 // Read is a complete read of the registry.
 type Read struct {
-	// Revision is that of the store at the read.
-	Revision uint64
+	Moment
 	// StoreTime is the time of the store's clock at the read; 0 means unknown.
 	StoreTime time.Duration
 	Entries   []Entry
@@ -45,12 +56,12 @@
 // Registry holds the entries that are in effect. It is not safe for concurrent use.
 type Registry struct {
 	settings Settings
-	// revision is the revision of the newest read. Older reads are ignored.
-	revision uint64
+	// moment is that of the newest read. Older reads are ignored.
+	moment Moment
 	// entries holds the entries by the IDs of their targets.
 	entries map[string]*record
 	// graceEnd is the time from which missing entries are removed: the first successful
-	// read after an outage plus Settings.Grace.
+	// read after an outage or in a new era plus Settings.Grace.
 	graceEnd time.Duration
 	// outage is set from a failed read until a successful read or a call of
 	// ConfirmByPeer.
@@ -58,6 +69,11 @@
 	// departures holds the time at which this daemon learned of each departure that it
 	// remembers. A departure is permanent.
 	departures map[Departure]time.Duration
+	// removals holds, of targets whose entries were removed, the time of the removal. A
+	// store that comes back with an older state has the entries again; until eraSettled,
+	// they are not used.
+	removals   map[Departure]time.Duration
+	eraSettled time.Duration
 }
 
 // departureMemory is how long a departure is remembered: longer than any target takes to
@@ -68,7 +84,8 @@
 type Settings struct {
 	// Grace is the time after an outage of the registry in which a missing entry does
 	// not mean that the target has ended: entries expire during an outage, and targets
-	// need this long to write them again.
+	// need this long to write them again. It also is the time for which a store that came
+	// back with an older state may have entries that were removed.
 	Grace time.Duration
 }
 
@@ -77,11 +94,14 @@
 	entry Entry
 	// missing is set if the last read did not contain the entry.
 	missing bool
+	// hidden is set if the entry was removed and only came back with an older state of the
+	// store.
+	hidden bool
 }
 
 // New returns an empty Registry.
 func New(s Settings) *Registry {
-	return &Registry{settings: s, entries: map[string]*record{}, departures: map[Departure]time.Duration{}}
+	return &Registry{settings: s, entries: map[string]*record{}, departures: map[Departure]time.Duration{}, removals: map[Departure]time.Duration{}}
 }
 
 // RecordFailedRead records a failed read, which starts an outage.
@@ -91,30 +111,41 @@
 // neither of this daemon nor of another one.
 func (r *Registry) Outage() bool { return r.outage }
 
-// ApplyRead replaces the entries by those of a complete read at the given revision,
-// except that entries missing during the grace are kept. It ignores a read that is
-// older than the last one and returns false.
-func (r *Registry) ApplyRead(now time.Duration, revision uint64, entries []Entry) bool {
-	if revision < r.revision {
+// ApplyRead replaces the entries by those of a complete read, except that entries missing
+// during the grace are kept. It ignores a read that is older than the last one and
+// returns false.
+func (r *Registry) ApplyRead(now time.Duration, read Read) bool {
+	if read.Before(r.moment) {
 		return false
 	}
-	r.revision = revision
-	if r.outage {
-		r.outage, r.graceEnd = false, now+r.settings.Grace
+	if r.startEra(now, read.Moment) || r.outage {
+		r.graceEnd = now + r.settings.Grace
 	}
-	r.setEntries(now, entries)
+	r.moment, r.outage = read.Moment, false
+	r.setEntries(now, read.Entries)
 	return true
 }
 
+// startEra records that a read is the first one after the store came back with an older
+// state, and reports whether it is.
+func (r *Registry) startEra(now time.Duration, m Moment) bool {
+	started := r.moment != Moment{} && m.Era > r.moment.Era
+	if started {
+		r.eraSettled = now + r.settings.Grace
+	}
+	return started
+}
+
 // ApplyPeerRead replaces the entries by those that another daemon has read. That
 // daemon had no outage, so that missing entries are removed without a grace. It
 // ignores a read that is older than the last one and returns false.
-func (r *Registry) ApplyPeerRead(now time.Duration, revision uint64, entries []Entry) bool {
-	if revision < r.revision {
+func (r *Registry) ApplyPeerRead(now time.Duration, read Read) bool {
+	if read.Before(r.moment) {
 		return false
 	}
-	r.revision, r.outage, r.graceEnd = revision, false, now
-	r.setEntries(now, entries)
+	r.startEra(now, read.Moment)
+	r.moment, r.outage, r.graceEnd = read.Moment, false, now
+	r.setEntries(now, read.Entries)
 	return true
 }
 
@@ -141,6 +172,10 @@
 		if e.Draining {
 			r.RecordDeparture(now, departureOf(e))
 		}
+		_, removed := r.removals[departureOf(e)]
+		if old.hidden = removed && now < r.eraSettled; !old.hidden {
+			delete(r.removals, departureOf(e))
+		}
 	}
 	for id, rec := range r.entries {
 		if present[id] {
@@ -149,8 +184,32 @@
 		rec.missing = true
 		if now >= r.graceEnd || r.departed(rec.entry) {
 			delete(r.entries, id)
+			remember(r.removals, now, departureOf(rec.entry))
+		}
+	}
+}
+
+// Settle makes the entries usable that came back with an older state of the store and are
+// still there. It reports whether there are any.
+func (r *Registry) Settle(now time.Duration) bool {
+	settled := false
+	for _, rec := range r.entries {
+		if rec.hidden && now >= r.eraSettled {
+			rec.hidden, settled = false, true
+			delete(r.removals, departureOf(rec.entry))
 		}
 	}
+	return settled
+}
+
+// remember adds a departure and drops those that are older than departureMemory.
+func remember(known map[Departure]time.Duration, now time.Duration, d Departure) {
+	for old, at := range known {
+		if now-at > departureMemory {
+			delete(known, old)
+		}
+	}
+	known[d] = now
 }
 
 func departureOf(e Entry) Departure { return Departure{ID: e.ID, Incarnation: e.Incarnation} }
@@ -165,12 +224,7 @@
 	if _, ok := r.departures[d]; ok {
 		return false
 	}
-	for old, at := range r.departures {
-		if now-at > departureMemory {
-			delete(r.departures, old)
-		}
-	}
-	r.departures[d] = now
+	remember(r.departures, now, d)
 	return true
 }
 
@@ -186,8 +240,8 @@
 	return recent
 }
 
-// Revision returns the revision of the newest read.
-func (r *Registry) Revision() uint64 { return r.revision }
+// Moment returns the moment of the newest read.
+func (r *Registry) Moment() Moment { return r.moment }
 
 // Entries returns all entries in effect, including those of targets that leave, sorted
 // by ID and without their WarmUp.
@@ -206,7 +260,7 @@
 func (r *Registry) Usable() []Entry {
 	var usable []Entry
 	for _, rec := range r.entries {
-		if !r.departed(rec.entry) {
+		if !rec.hidden && !r.departed(rec.entry) {
 			usable = append(usable, rec.entry)
 		}
 	}
--- a/gateway/registrar/registrar_test.go
+++ b/gateway/registrar/registrar_test.go
@@ -16,6 +16,10 @@
 	return registrar.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Incarnation: incarnation, Draining: draining}
 }
 
+func newRead(revision uint64, entries []registrar.Entry) registrar.Read {
+	return registrar.Read{Moment: registrar.Moment{Era: 1, Revision: revision}, Entries: entries}
+}
+
 // usable lists the usable targets as ID/INCARNATION.
 func usable(r *registrar.Registry) string {
 	text := ""
@@ -66,7 +70,7 @@
 		if s.fail {
 			r.RecordFailedRead()
 		} else {
-			r.ApplyRead(s.now, s.revision, s.entries)
+			r.ApplyRead(s.now, newRead(s.revision, s.entries))
 		}
 		if got := usable(r); got != s.want {
 			t.Fatalf("%s: usable %q, want %q", s.name, got, s.want)
@@ -78,12 +82,12 @@
 // targets that the other daemons have seen leave.
 func TestEntriesReadByPeersNeedNoGrace(t *testing.T) {
 	r := registrar.New(registrar.Settings{Grace: grace})
-	r.ApplyRead(0, 1, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)})
+	r.ApplyRead(0, newRead(1, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)}))
 	r.RecordFailedRead()
-	if !r.ApplyPeerRead(time.Second, 2, []registrar.Entry{newEntry("a", 1, false)}) || usable(r) != "a/1 " || r.Outage() {
+	if !r.ApplyPeerRead(time.Second, newRead(2, []registrar.Entry{newEntry("a", 1, false)})) || usable(r) != "a/1 " || r.Outage() {
 		t.Errorf("usable %q, outage %t, want a/1 and no outage", usable(r), r.Outage())
 	}
-	if r.ApplyPeerRead(time.Second, 1, nil) || usable(r) != "a/1 " {
+	if r.ApplyPeerRead(time.Second, newRead(1, nil)) || usable(r) != "a/1 " {
 		t.Error("entries of an older revision were accepted")
 	}
 }
@@ -107,7 +111,7 @@
 					list = append(list, newEntry(id, int64(rapid.IntRange(1, 3).Draw(t, "incarnation")), rapid.Bool().Draw(t, "draining")))
 				}
 			}
-			r.ApplyRead(now, revision, list)
+			r.ApplyRead(now, newRead(revision, list))
 			current := map[string]int64{}
 			for _, e := range list {
 				current[e.ID] = e.Incarnation
@@ -132,7 +136,7 @@
 func TestDeparturesAreNotUsable(t *testing.T) {
 	r := registrar.New(registrar.Settings{Grace: grace})
 	leave := registrar.Departure{ID: "a", Incarnation: 1}
-	r.ApplyRead(0, 1, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)})
+	r.ApplyRead(0, newRead(1, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)}))
 	if !r.RecordDeparture(time.Second, leave) || r.RecordDeparture(2*time.Second, leave) {
 		t.Error("a departure is news once")
 	}
@@ -142,12 +146,63 @@
 	if got := r.RecentDepartures(time.Second); len(got) != 1 || got[0] != leave || len(r.RecentDepartures(time.Second+1)) != 0 {
 		t.Errorf("recent departures %v", got)
 	}
-	r.ApplyRead(3*time.Second, 2, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)})
+	r.ApplyRead(3*time.Second, newRead(2, []registrar.Entry{newEntry("a", 1, false), newEntry("b", 1, false)}))
 	if got := usable(r); got != "b/1 " {
 		t.Errorf("usable %q after a read in which a is ready", got)
 	}
-	r.ApplyRead(4*time.Second, 3, []registrar.Entry{newEntry("a", 2, false), newEntry("b", 1, false)})
+	r.ApplyRead(4*time.Second, newRead(3, []registrar.Entry{newEntry("a", 2, false), newEntry("b", 1, false)}))
 	if got := usable(r); got != "a/2 b/1 " {
 		t.Errorf("usable %q after a has started again", got)
 	}
 }
+
+// Guards against CONFIG of 2026-12-05: a store that comes back with an older state is
+// ignored, or revives targets that have left.
+func TestReadsFollowARestoredStore(t *testing.T) {
+	r := registrar.New(registrar.Settings{Grace: grace})
+	read := func(now time.Duration, era, revision uint64, entries ...registrar.Entry) bool {
+		return r.ApplyRead(now, registrar.Read{Moment: registrar.Moment{Era: era, Revision: revision}, Entries: entries})
+	}
+	a, b, c := newEntry("a", 1, false), newEntry("b", 1, false), newEntry("c", 1, false)
+	read(0, 1, 10, a, b)
+	read(time.Second, 1, 20, a, c) // b has left, c is new
+	for _, s := range []struct {
+		name     string
+		now      time.Duration
+		era      uint64
+		revision uint64
+		entries  []registrar.Entry
+		applied  bool
+		want     string
+	}{
+		{"restored", 2 * time.Second, 2, 11, []registrar.Entry{a, b}, true, "a/1 c/1 "},
+		{"late read of the era before", 2 * time.Second, 1, 21, []registrar.Entry{b}, false, "a/1 c/1 "},
+		{"written again", 3 * time.Second, 2, 12, []registrar.Entry{a, b, c}, true, "a/1 c/1 "},
+		{"settled", 4 * time.Second, 2, 12, []registrar.Entry{a, b, c}, true, "a/1 b/1 c/1 "},
+		{"c has left", 5 * time.Second, 2, 13, []registrar.Entry{a, b}, true, "a/1 b/1 "},
+		{"c is back, as after an outage of its own", 6 * time.Second, 2, 14, []registrar.Entry{a, b, c}, true, "a/1 b/1 c/1 "},
+	} {
+		if applied := read(s.now, s.era, s.revision, s.entries...); applied != s.applied || usable(r) != s.want {
+			t.Errorf("%s: applied %t, usable %q; want %t, %q", s.name, applied, usable(r), s.applied, s.want)
+		}
+	}
+}
+
+// Guards against an entry that came back with an older state and is never used again,
+// because no later read differs from the one before.
+func TestRestoredEntriesSettle(t *testing.T) {
+	r := registrar.New(registrar.Settings{Grace: grace})
+	read := func(era uint64, entries ...registrar.Entry) {
+		r.ApplyPeerRead(0, registrar.Read{Moment: registrar.Moment{Era: era, Revision: 1}, Entries: entries})
+	}
+	a := newEntry("a", 1, false)
+	read(1, a)
+	read(1)
+	read(2, a)
+	if r.Settle(grace-1) || usable(r) != "" {
+		t.Errorf("usable %q before the store has settled", usable(r))
+	}
+	if !r.Settle(grace) || usable(r) != "a/1 " || r.Settle(grace) {
+		t.Errorf("usable %q after the store has settled", usable(r))
+	}
+}
--- a/gateway/watcher/quarantine.go
+++ b/gateway/watcher/quarantine.go
@@ -7,17 +7,18 @@
 	"github.com/cockroachdb/errors"
 
 	"monsoondeck.example/gateway/quarantiner"
+	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/sleeper"
 )
 
 // QuarantineStore keeps the evidence on prompt parts in quarantine, so that it outlives
 // the daemons.
 type QuarantineStore interface {
-	// Quarantine returns the stored evidence and the revision of the store.
-	Quarantine(ctx context.Context) (quarantiner.Evidence, uint64, error)
-	// QuarantineAfter is a long poll for changes after the revision. It returns
-	// ErrCompacted if the store no longer keeps them.
-	QuarantineAfter(ctx context.Context, revision uint64, wait time.Duration) (quarantiner.Evidence, uint64, error)
+	// Quarantine returns the stored evidence and the moment of the read.
+	Quarantine(ctx context.Context) (quarantiner.Evidence, registrar.Moment, error)
+	// QuarantineAfter is a long poll for changes after the moment. It returns ErrCompacted
+	// if the store does not keep them, as in a new era.
+	QuarantineAfter(ctx context.Context, after registrar.Moment, wait time.Duration) (quarantiner.Evidence, registrar.Moment, error)
 	// SaveQuarantine stores the evidence, part by part, and removes that on the released
 	// parts. It can be repeated safely after a response was lost.
 	SaveQuarantine(ctx context.Context, e quarantiner.Evidence, released []quarantiner.Part) error
@@ -46,13 +47,16 @@
 // changes while this daemon reads the store on behalf of the fleet.
 func (w *Watcher) WatchQuarantine(ctx context.Context) {
 	b := w.newBackoff("quarantine")
-	historyKnown, read, revision := false, false, uint64(0)
+	historyKnown, read, moment, era := false, false, registrar.Moment{}, w.era.Load()
 	for ctx.Err() == nil {
 		if read && !w.options.Role().Reader {
 			sleeper.Sleep(ctx, quarantineCheckInterval)
 			continue
 		}
-		evidence, next, err := w.readQuarantine(ctx, historyKnown, revision)
+		if noticed := w.era.Load(); noticed > era {
+			historyKnown, era = historyKnown && moment.Era >= noticed, noticed
+		}
+		evidence, next, err := w.readQuarantine(ctx, historyKnown, moment)
 		w.markQuarantineRead()
 		if err != nil {
 			historyKnown = historyKnown && !errors.Is(err, ErrCompacted)
@@ -60,7 +64,8 @@
 			continue
 		}
 		b.succeeded()
-		read, historyKnown, revision = true, true, next
+		read, historyKnown, moment = true, true, next
+		w.NoticeEra(moment.Era)
 		if !evidence.Empty() {
 			w.options.QuarantineSink.LearnEvidence(evidence)
 		}
@@ -68,8 +73,8 @@
 }
 
 // readQuarantine reads the whole quarantine, or waits for its changes if the history
-// since the revision is known.
-func (w *Watcher) readQuarantine(ctx context.Context, historyKnown bool, revision uint64) (quarantiner.Evidence, uint64, error) {
+// since the moment is known.
+func (w *Watcher) readQuarantine(ctx context.Context, historyKnown bool, after registrar.Moment) (quarantiner.Evidence, registrar.Moment, error) {
 	w.calls.Add(1)
 	if !historyKnown {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -78,9 +83,9 @@
 	}
 	ctx, done := w.longPollContext(ctx, longPollTimeout)
 	defer done()
-	evidence, next, err := w.options.QuarantineStore.QuarantineAfter(ctx, revision, longPollTimeout)
+	evidence, next, err := w.options.QuarantineStore.QuarantineAfter(ctx, after, longPollTimeout)
 	if err != nil && errors.Is(context.Cause(ctx), errRestarted) {
-		return quarantiner.Evidence{}, revision, nil
+		return quarantiner.Evidence{}, after, nil
 	}
 	return evidence, next, err
 }
@@ -103,13 +108,16 @@
 	}
 }
 
-// SaveQuarantine stores the quarantine after each change while this daemon reads the
-// store on behalf of the fleet.
+// SaveQuarantine stores the quarantine after each change, and in each new era, while this
+// daemon reads the store on behalf of the fleet.
 func (w *Watcher) SaveQuarantine(ctx context.Context) {
 	b := w.newBackoff("save quarantine")
-	saved := uint64(0)
+	saved, savedEra := uint64(0), uint64(0)
 	for ctx.Err() == nil {
-		state := w.options.QuarantineSink.QuarantineState()
+		state, era := w.options.QuarantineSink.QuarantineState(), w.era.Load()
+		if savedEra > 0 && era > savedEra && state.Version > 0 {
+			saved = 0 // the store may have lost what was saved
+		}
 		if state.Version == saved || !w.options.Role().Reader {
 			sleeper.Sleep(ctx, quarantineCheckInterval)
 			continue
@@ -119,7 +127,7 @@
 			continue
 		}
 		b.succeeded()
-		saved = state.Version
+		saved, savedEra = state.Version, era
 	}
 }
 
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -18,9 +18,9 @@
 	"monsoondeck.example/sleeper"
 )
 
-// ErrCompacted reports that the store no longer keeps the changes since a
-// revision, so that the current state must be read again.
-var ErrCompacted = errors.New("the store no longer keeps the changes since the revision")
+// ErrCompacted reports that the store does not keep the changes since a moment, so
+// that the current state must be read again.
+var ErrCompacted = errors.New("the store does not keep the changes since the moment")
 
 // Daemon is an entry in the list of daemons.
 type Daemon struct {
@@ -33,13 +33,13 @@
 
 // Source reads and writes the store.
 type Source interface {
-	// Config returns the configuration and the revision of the store at the read; the
-	// configuration is nil before the first one is written.
-	Config(ctx context.Context) (*resolver.Config, uint64, error)
-	// ConfigAfter is a long poll: it waits for a configuration that is newer than the
-	// revision, and returns nil if there was none in time. It returns ErrCompacted
-	// if the store no longer keeps the changes since the revision.
-	ConfigAfter(ctx context.Context, revision uint64, wait time.Duration) (*resolver.Config, uint64, error)
+	// Config returns the configuration and the moment of the read; the configuration is
+	// nil before the first one is written.
+	Config(ctx context.Context) (*resolver.Config, registrar.Moment, error)
+	// ConfigAfter is a long poll: it waits for a configuration that was written after the
+	// moment, and returns nil if there was none in time. It returns ErrCompacted if the
+	// store does not keep the changes since the moment, as in a new era.
+	ConfigAfter(ctx context.Context, after registrar.Moment, wait time.Duration) (*resolver.Config, registrar.Moment, error)
 	// Decode decodes a configuration that a peer sent.
 	Decode(encoded []byte) (resolver.Config, error)
 	// Registry returns the readable entries of all targets and the keys of the
@@ -60,8 +60,9 @@
 // which the read started or, for a configuration from a long poll, ended.
 type Sink interface {
 	SetConfig(readStart time.Duration, c resolver.Config)
-	// SetWatching records whether a long poll for the next configuration is pending.
-	SetWatching(on bool)
+	// SetWatching records whether a long poll for the next configuration is pending, and
+	// the era of the store since whose moment it is.
+	SetWatching(on bool, era uint64)
 	SetRegistry(readStart time.Duration, read registrar.Read)
 	RegistryFailed()
 }
@@ -80,6 +81,10 @@
 	// followerCheckInterval is how often a daemon that gets the configuration from its
 	// peers checks whether it still does.
 	followerCheckInterval = 100 * time.Millisecond
+	// eraCheckInterval is how often a daemon checks whether it has to join the fleet again.
+	eraCheckInterval = 200 * time.Millisecond
+	// rejoinDelay spreads the calls of hundreds of followers that join again.
+	rejoinDelay = 2 * time.Second
 	// dueCheckInterval is the maximum time between two checks of whether a read of the
 	// registry is due.
 	dueCheckInterval = 100 * time.Millisecond
@@ -134,6 +139,8 @@
 	// quarantine.
 	quarantineRead chan struct{}
 	quarantineOnce sync.Once
+	// era is the latest era of the store that is known.
+	era atomic.Uint64
 
 	mutex sync.Mutex
 	// longPolls holds the functions that cancel the pending long polls, by an ID taken
@@ -171,6 +178,24 @@
 	}
 }
 
+// NoticeEra records that the store has reached an era. At the first notice of one, the
+// pending long polls are made again: the store may never answer them.
+func (w *Watcher) NoticeEra(era uint64) {
+	for {
+		known := w.era.Load()
+		if era <= known {
+			return
+		}
+		if w.era.CompareAndSwap(known, era) {
+			if known > 0 {
+				logger.Emit(w.options.Logger, logger.StoreRestored, slog.Uint64("era", era))
+			}
+			w.RestartLongPolls()
+			return
+		}
+	}
+}
+
 // errRestarted is the cause of the cancellation by RestartLongPolls.
 var errRestarted = errors.New("the long poll is restarted")
 
@@ -185,31 +210,36 @@
 // WatchConfig follows the configuration until the context ends. While peers provide
 // the configuration, the store is not asked once a first configuration was read.
 func (w *Watcher) WatchConfig(ctx context.Context) {
-	// historyKnown is set while the store can be asked for the changes since revision,
-	// applied once a configuration was read.
-	historyKnown, applied, revision := false, false, uint64(0)
+	// historyKnown is set while the store can be asked for the changes since moment, applied
+	// once a configuration was read.
+	historyKnown, applied, moment, era := false, false, registrar.Moment{}, w.era.Load()
 	b := w.newBackoff("configuration")
 	for ctx.Err() == nil {
 		if applied && w.options.Role().ConfigFromPeers {
 			historyKnown = false // the store may drop the history in the meantime
-			w.options.Sink.SetWatching(false)
+			w.options.Sink.SetWatching(false, moment.Era)
 			sleeper.Sleep(ctx, followerCheckInterval)
 			continue
 		}
+		if noticed := w.era.Load(); noticed > era {
+			historyKnown, era = historyKnown && moment.Era >= noticed, noticed
+			w.options.Sink.SetWatching(false, moment.Era)
+		}
 		var config *resolver.Config
 		var err error
 		readStart := w.options.Clock()
 		if historyKnown {
-			config, revision, err = w.pollConfig(ctx, revision)
+			config, moment, err = w.pollConfig(ctx, moment)
 		} else {
-			config, revision, err = w.readConfig(ctx)
+			config, moment, err = w.readConfig(ctx)
 		}
 		if err != nil {
 			historyKnown = historyKnown && !errors.Is(err, ErrCompacted)
-			w.options.Sink.SetWatching(false)
+			w.options.Sink.SetWatching(false, moment.Era)
 			b.failed(ctx, err)
 			continue
 		}
+		w.NoticeEra(moment.Era)
 		b.succeeded()
 		if historyKnown {
 			readStart = w.options.Clock() // the answer to a long poll is the newest configuration when it is sent
@@ -225,27 +255,27 @@
 		}
 		// The next call is a long poll even if no configuration has been written yet.
 		historyKnown = true
-		w.options.Sink.SetWatching(applied)
+		w.options.Sink.SetWatching(applied, moment.Era)
 	}
 }
 
-func (w *Watcher) readConfig(ctx context.Context) (*resolver.Config, uint64, error) {
+func (w *Watcher) readConfig(ctx context.Context) (*resolver.Config, registrar.Moment, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.calls.Add(1)
 	return w.options.Source.Config(ctx)
 }
 
-func (w *Watcher) pollConfig(ctx context.Context, revision uint64) (*resolver.Config, uint64, error) {
+func (w *Watcher) pollConfig(ctx context.Context, after registrar.Moment) (*resolver.Config, registrar.Moment, error) {
 	ctx, done := w.longPollContext(ctx, longPollTimeout)
 	defer done()
 	w.calls.Add(1)
-	config, next, err := w.options.Source.ConfigAfter(ctx, revision, longPollTimeout)
+	config, next, err := w.options.Source.ConfigAfter(ctx, after, longPollTimeout)
 	if err != nil && errors.Is(context.Cause(ctx), errRestarted) {
-		return nil, revision, nil
+		return nil, after, nil
 	}
 	if err != nil {
-		return nil, revision, err
+		return nil, after, err
 	}
 	return config, next, nil
 }
@@ -275,6 +305,7 @@
 				logger.Emit(w.options.Logger, logger.EntryUnreadable, slog.String("key", key), slog.Uint64("revision", read.Revision))
 			}
 		}
+		w.NoticeEra(read.Era)
 		w.waitForQuarantine(ctx)
 		w.options.Sink.SetRegistry(readStart, read)
 		sleeper.Sleep(ctx, minRegistryInterval)
@@ -292,9 +323,30 @@
 // secret of the fleet. It then calls changed with each list that it reads, until
 // the context ends. Daemons that start later connect to this one by themselves, so
 // the list is read rarely, and by followers only once. changed returns the entries
-// to remove, of daemons that are gone for good.
+// to remove, of daemons that are gone for good. In each new era of the store, the daemon
+// adds itself again, with the secret that it knows, and calls joined with the stored one.
 func (w *Watcher) WatchDaemons(ctx context.Context, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon) []Daemon) {
 	b := w.newBackoff("daemons")
+	era := w.era.Load()
+	secret := w.join(ctx, b, self, proposal, joined, changed)
+	for wait := jitter(daemonListInterval); ctx.Err() == nil; {
+		if w.sleepUntilEra(ctx, wait, era); w.era.Load() > era {
+			// Followers learn of the era from the reports of their peers, all at once.
+			if era = w.era.Load(); w.options.Role().Follower {
+				sleeper.Sleep(ctx, jitter(rejoinDelay))
+			}
+			secret = w.join(ctx, b, self, secret, joined, changed)
+		}
+		wait = jitter(daemonListInterval)
+		if !w.options.Role().Follower && !w.updateDaemons(ctx, b, changed) {
+			wait = 0 // updateDaemons has already slept after the failed call
+		}
+	}
+}
+
+// join adds the daemon to the list of daemons until that succeeds, and returns the secret
+// of the fleet.
+func (w *Watcher) join(ctx context.Context, b *backoff, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon) []Daemon) []byte {
 	for ctx.Err() == nil {
 		list, secret, err := w.addDaemon(ctx, self, proposal)
 		if err == nil {
@@ -306,14 +358,19 @@
 		}
 		b.succeeded()
 		changed(list)
-		break
+		return secret
 	}
-	for wait := jitter(daemonListInterval); ctx.Err() == nil; {
-		sleeper.Sleep(ctx, wait)
-		wait = jitter(daemonListInterval)
-		if !w.options.Role().Follower && !w.updateDaemons(ctx, b, changed) {
-			wait = 0 // updateDaemons has already slept after the failed call
+	return proposal
+}
+
+// sleepUntilEra sleeps, but not longer than until the store reaches a later era.
+func (w *Watcher) sleepUntilEra(ctx context.Context, d time.Duration, era uint64) {
+	for end := w.options.Clock() + d; ctx.Err() == nil && w.era.Load() <= era; {
+		left := end - w.options.Clock()
+		if left <= 0 {
+			return
 		}
+		sleeper.Sleep(ctx, min(left, eraCheckInterval))
 	}
 }
 
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -58,20 +58,20 @@
 	return s.version, nil
 }
 
-func (s *store) Config(context.Context) (*resolver.Config, uint64, error) {
+func (s *store) Config(context.Context) (*resolver.Config, registrar.Moment, error) {
 	v, err := s.state()
 	if err != nil {
-		return nil, 0, err
+		return nil, registrar.Moment{}, err
 	}
 	s.set(func() { s.reads++ }, false)
 	if v == 0 {
-		return nil, 0, nil
+		return nil, moment(0), nil
 	}
 	c := resolver.New(resolver.Content{Version: v})
-	return &c, v, nil
+	return &c, moment(v), nil
 }
 
-func (s *store) ConfigAfter(ctx context.Context, revision uint64, _ time.Duration) (*resolver.Config, uint64, error) {
+func (s *store) ConfigAfter(ctx context.Context, after registrar.Moment, _ time.Duration) (*resolver.Config, registrar.Moment, error) {
 	s.mutex.Lock()
 	s.longPolls++
 	s.mutex.Unlock()
@@ -82,18 +82,18 @@
 		s.mutex.Unlock()
 		switch {
 		case compacted:
-			return nil, 0, watcher.ErrCompacted
+			return nil, registrar.Moment{}, watcher.ErrCompacted
 		case down:
 			<-ctx.Done() // an unavailable store never answers
 			s.set(func() { s.timedOut = s.timedOut || errors.Is(ctx.Err(), context.DeadlineExceeded) }, false)
-			return nil, 0, ctx.Err()
-		case v > revision:
+			return nil, registrar.Moment{}, ctx.Err()
+		case v > after.Revision:
 			c := resolver.New(resolver.Content{Version: v})
-			return &c, v, nil
+			return &c, moment(v), nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, registrar.Moment{}, ctx.Err()
 		case <-changed:
 		}
 	}
@@ -103,7 +103,7 @@
 
 func (s *store) Registry(context.Context) (registrar.Read, []string, error) {
 	v, err := s.state()
-	return registrar.Read{Revision: v}, nil, err
+	return registrar.Read{Moment: moment(v)}, nil, err
 }
 
 func (s *store) Daemons(context.Context) ([]watcher.Daemon, error) { return nil, nil }
@@ -114,6 +114,9 @@
 
 func (s *store) RemoveDaemon(context.Context, watcher.Daemon) error { return nil }
 
+// moment returns the moment of a revision in the only era.
+func moment(revision uint64) registrar.Moment { return registrar.Moment{Era: 1, Revision: revision} }
+
 // sink records what it receives.
 type sink struct {
 	versions chan uint64
@@ -127,7 +130,7 @@
 
 func (s *sink) SetConfig(_ time.Duration, c resolver.Config) { s.versions <- c.Version() }
 
-func (s *sink) SetWatching(bool) {}
+func (s *sink) SetWatching(bool, uint64) {}
 
 func (s *sink) SetRegistry(_ time.Duration, read registrar.Read) {
 	select {
--- a/logger/events.go
+++ b/logger/events.go
@@ -68,6 +68,7 @@
 
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
+	StoreRestored       = Event{603, slog.LevelWarn, "platform's store was restored from an older state", "Check that the operator's changes of the last seconds are in force again."}
 )
 
 // Catalogue returns every event, ordered by number.
@@ -81,6 +82,6 @@
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
 		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave,
-		PlatformUnavailable, PlatformAvailable,
+		PlatformUnavailable, PlatformAvailable, StoreRestored,
 	}
 }
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -369,6 +369,10 @@
 	// Digest of the entries; equal entries have equal digests.
 	Digest uint64 `json:"digest" cbor:"2,keyasint,omitempty"`
 
+	// Era of the store at the newest read; missing if it was never restored from an
+	// older state.
+	Era *uint64 `json:"era,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
+
 	// Number of daemons that forwarded the age; 0 from a daemon that read the
 	// registry itself.
 	Hops *uint64 `json:"hops,omitempty,omitzero" cbor:"4,keyasint,omitempty"`
