Resume a stream only with events that follow the last one

Report of other operators: a stream had begun and broke off, the next target answered with an error, and callers found its text in the middle of the stream.

Cause: a resumed stream was only checked for an ID that was not greater; events without an ID passed.

Change: the first events of a resumed stream must have an ID, greater than the last one if both are numbers; otherwise the attempt has failed and the stream is broken off.

--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -124,8 +124,8 @@
 				return p.failAttempt(permit, placer.Failed, "stream event exceeds the size limit", nil)
 			}
 			if len(ready) > 0 {
-				if first && events.count > 0 && resumeAfterID != "" && startsAtOrBefore(ready, resumeAfterID) {
-					return p.failAttempt(permit, placer.Failed, "target restarted the stream instead of resuming it", nil)
+				if first && events.count > 0 && resumeAfterID != "" && !continuesAfter(ready, resumeAfterID) {
+					return p.failAttempt(permit, placer.Failed, "target did not resume the stream where it broke", nil)
 				}
 				if first && events.count > 0 {
 					first = false
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -235,14 +235,36 @@
 	f.wantResults(t, placer.Broken, placer.Failed)
 }
 
-// Guards against an error response that is forwarded in the middle of a stream.
+// Guards against an error response that is forwarded in the middle of a stream, or after
+// which the stream looks complete.
 func TestFailedResumptionEndsTheStreamWithAnError(t *testing.T) {
-	f := newFixture(t, []reply{
-		{status: 200, header: signed, body: "id: 1\n\n", broken: true},
-		{status: 500, header: signed, body: "failed"},
-	}, nil)
-	if r := f.postDefault(t, "/resume/1"); r.err == nil || r.body != "id: 1\n\n" {
-		t.Errorf("body %q, error %v", r.body, r.err)
+	for name, second := range map[string]reply{
+		"error":                     {status: 500, header: signed, body: "failed"},
+		"error like an event":       {status: 500, header: signed, body: "id: 2\ndata: failed\n\n"},
+		"error of another server":   {status: 404, body: "HTTP/1.1 404 Not Found\r\n\r\nfailed"},
+		"unsigned success":          {status: 200, body: "id: 2\ndata: b\n\n"},
+		"success without a stream":  {status: 206, header: signed, body: "id: 2\ndata: b\n\n"},
+		"text":                      {status: 200, header: signed, body: "failed"},
+		"text that ends like event": {status: 200, header: signed, body: "failed\n\n"},
+		"empty stream that breaks":  {status: 200, header: signed, broken: true},
+		"refusal":                   {status: 503, header: "Not-Run=1", body: "full"},
+		"no response":               {err: errReset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, []reply{{status: 200, header: signed, body: "id: 1\n\n", broken: true}, second}, nil)
+			if r := f.postDefault(t, "/resume/1"); r.err == nil || r.body != "id: 1\n\n" {
+				t.Errorf("body %q, error %v", r.body, r.err)
+			}
+		})
+	}
+}
+
+// Guards against an error text of a target that runs a request anew after the first one
+// sent a header but no event.
+func TestErrorAfterAStreamWithoutEvents(t *testing.T) {
+	f := newFixture(t, []reply{{status: 200, header: signed, broken: true}, {status: 500, header: signed, body: "failed"}}, nil)
+	if r := f.postDefault(t, "/resume/1"); r.err == nil && (r.status < 500 || r.header.Get("Signed") != "" && r.body != "failed") {
+		t.Errorf("status %d, body %q, signature %q", r.status, r.body, r.header.Get("Signed"))
 	}
 }
 
--- a/gateway/receiver/splitter.go
+++ b/gateway/receiver/splitter.go
@@ -104,17 +104,14 @@
 	return "", false
 }
 
-// startsAtOrBefore reports whether the first ID in the events is less than or equal to
-// the given one. It returns false if one of them is not a number.
-func startsAtOrBefore(events []byte, id string) bool {
+// continuesAfter reports whether the events can follow the one with the given ID: they
+// have an ID, which is greater if both are numbers.
+func continuesAfter(events []byte, id string) bool {
 	text, ok := firstID(events)
 	if !ok {
 		return false
 	}
-	first, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		return false
-	}
-	last, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && first <= last
+	first, errFirst := strconv.ParseUint(text, 10, 64)
+	last, errLast := strconv.ParseUint(id, 10, 64)
+	return errFirst != nil || errLast != nil || first > last
 }
