Do not take a repeated refusal for the answer to the next request

Report of other operators: a faulty target wrote an earlier refusal once more on a kept connection; callers were told that a request had not run that had.

Seen here: with the ID of its request, the repeated refusal was dropped. Without an ID it counted for the next request (TestRepeatedRefusalIsNotTakenForAnAnswer failed), which was then reported as not run or sent to a second target.

Cause: a refusal without an ID is accepted, because a target may refuse a request before it has read its header, on any connection.

Change: such a refusal is doubtful. It is accepted only as the first response on a connection, which cannot be an earlier one; otherwise the connection is closed and the request counts as one that may have run.

Ruled out: that refusals of sound targets lack the ID.

--- a/gateway/courier/connection.go
+++ b/gateway/courier/connection.go
@@ -20,6 +20,8 @@
 	// headBytesLeft is the number of bytes that may still be read for the header of the
 	// current response; negative while there is no limit.
 	headBytesLeft int
+	// answered is set once a response has been read.
+	answered bool
 	// idleTimeout is how long the connection may be idle before it is closed.
 	idleTimeout time.Duration
 	// idleSince and idleUntil bound the current idle time; they are set while the
--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -80,6 +80,17 @@
 	Incarnation int64
 }
 
+// Match says whether a response belongs to a request.
+type Match int
+
+// Matches. A doubtful response names no request. On a connection that had a response
+// before it can be that one once more, so that it says nothing about this request.
+const (
+	Own Match = iota
+	Foreign
+	Doubtful
+)
+
 // Request is a request to a target.
 type Request struct {
 	Method string
@@ -89,9 +100,8 @@
 	Body      []byte
 	// NonRepeatable is set for requests that must not run twice.
 	NonRepeatable bool
-	// Matches reports whether a response with this status and header belongs to the
-	// request.
-	Matches func(status int, h http.Header) bool
+	// Match says whether a response with this status and header belongs to the request.
+	Match func(status int, h http.Header) Match
 	// MaySend, unless nil, is asked once a connection is there, which can take a while, and
 	// just before the request is written.
 	MaySend func() bool
--- a/gateway/courier/courier_test.go
+++ b/gateway/courier/courier_test.go
@@ -67,11 +67,20 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-// newRequest returns a request that accepts only responses with its ID.
+// newRequest returns a request that accepts only responses with its ID, and those without
+// one if they are not in doubt.
 func newRequest(id string) courier.Request {
 	return courier.Request{
 		Method: http.MethodPost, URI: "/p//a?x=%2f", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("b"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Match: func(_ int, h http.Header) courier.Match {
+			switch h.Get("Id") {
+			case id:
+				return courier.Own
+			case "":
+				return courier.Doubtful
+			}
+			return courier.Foreign
+		},
 	}
 }
 
@@ -473,6 +482,36 @@
 	}
 }
 
+// Guards against a refusal of an earlier request that its target writes once more on a kept
+// connection and that counts for the next request, which has run or is running.
+func TestRepeatedRefusalIsNotTakenForAnAnswer(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"without an ID":            "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+		"with that of its request": "HTTP/1.1 503 Full\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startTarget(t, func(n int64, c net.Conn, r *http.Request) bool {
+				_, _ = io.WriteString(c, refusal)
+				if n > 1 {
+					writeResponse(c, r.Header.Get("Id"), "whole")
+				}
+				return true
+			})
+			client := newClient(t)
+			if _, err := do(t, client, s, newRequest("1")); err != nil {
+				t.Fatal(err)
+			}
+			got, err := do(t, client, s, newRequest("2"))
+			if s.connections.Load() != 1 {
+				t.Fatal("the connection was not kept")
+			}
+			if got != "whole" && !errors.Is(err, courier.ErrInvalid) {
+				t.Errorf("body %q, error %v; want the answer of the second request or ErrInvalid", got, err)
+			}
+		})
+	}
+}
+
 // Guards against DRAIN of 2026-12-05: a request is written to a target that has begun to
 // leave since it was chosen, or the connection is lost with the request.
 func TestWithdrawnRequestIsNotWritten(t *testing.T) {
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -112,8 +112,13 @@
 		if response.StatusCode < 200 {
 			continue // informational; the final response follows
 		}
-		if x.request.Matches(response.StatusCode, response.Header) {
+		match, answered := x.request.Match(response.StatusCode, response.Header), x.connection.answered
+		x.connection.answered = true
+		switch {
+		case match == Own, match == Doubtful && !answered:
 			return x.newResponse(response), nil
+		case match == Doubtful:
+			return nil, errors.Wrap(ErrInvalid, "response may be an earlier one once more")
 		}
 		x.courier.Stats.ForeignResponses.Add(1)
 		if skipped++; skipped > maxSkippedResponses || response.Close {
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -52,8 +52,8 @@
 
 // ResponseInfo holds what status and header of a response say about it.
 type ResponseInfo struct {
-	// Foreign is set if the response belongs to another request.
-	Foreign bool
+	// Match says whether the response belongs to the request.
+	Match courier.Match
 	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
 	// Misdirected is set if the request reached a target for which it was not meant, which
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -203,8 +203,8 @@
 		Header:        rc.Protocol.TargetHeader(p.request.Header, ForwardInfo{TargetID: target.ID, Account: p.account, TimeLeft: timeLeft, LastEventID: lastEventID, CopyFrom: permit.Decision().Choice.CopySource}),
 		NonRepeatable: !p.route.Repeatable(),
 		MaySend:       permit.TargetUsable,
-		Matches: func(status int, h http.Header) bool {
-			return !rc.Protocol.InspectResponse(p.info.ID, status, h).Foreign
+		Match: func(status int, h http.Header) courier.Match {
+			return rc.Protocol.InspectResponse(p.info.ID, status, h).Match
 		},
 	})
 	if err != nil {
