Leave a target alone for as long as it asks for

The target counted as full for 100 ms.

Change: the target is not chosen until that time has passed; this holds for the daemon that got the answer and for this start of the target. If all targets of a service are closed for longer than a request would wait, it is refused at once, with the time until the first one reopens (reason "closed"); before, it waited 0.4 of its objective.

--- a/gateway/controller/departures.go
+++ b/gateway/controller/departures.go
@@ -45,3 +45,15 @@
 	}
 	return news
 }
+
+// closureEvent records that a target wants no requests of this daemon until a time.
+type closureEvent struct {
+	target registrar.Entry
+	until  time.Duration
+}
+
+func (e closureEvent) apply(c *Controller, now time.Duration) {
+	if c.fleet.Close(e.target.ID, e.target.Incarnation, e.until) {
+		logger.Emit(c.options.Logger, logger.TargetClosed, slog.String("target", e.target.ID), slog.Duration("for", e.until-now))
+	}
+}
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// ObserveClosure implements receiver.Permit.
+func (p *permit) ObserveClosure(closedFor time.Duration) {
+	c, t := p.controller, p.decision.Choice.Target
+	until := c.options.Clock() + closedFor
+	c.events <- closureEvent{t, until}
+}
+
 // ObserveLeave implements receiver.Permit.
 func (p *permit) ObserveLeave() {
 	t := p.decision.Choice.Target
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -208,7 +208,7 @@
 	f.preferredTargets, f.recoveringTargets = f.preferredTargets[:0], f.recoveringTargets[:0]
 	for _, t := range f.sample(s.request.Service, s.ranked) {
 		switch {
-		case !t.health.usable(s.now) || slices.Contains(s.request.Excluded, t.entry.ID):
+		case !t.health.usable(s.now) || s.now < t.closedUntil || slices.Contains(s.request.Excluded, t.entry.ID):
 		case s.request.Retry && t.health.recovering():
 			f.recoveringTargets = append(f.recoveringTargets, t)
 		default:
--- a/gateway/placer/target.go
+++ b/gateway/placer/target.go
@@ -42,6 +42,8 @@
 	serviceTime time.Duration
 	// fullUntil is the time until which the target counts as full after a refusal.
 	fullUntil time.Duration
+	// closedUntil is the time until which the target wants no requests of this daemon.
+	closedUntil time.Duration
 	// ownLimit is the last request limit in an answer to this daemon, limit the newest one
 	// that any daemon has seen. pacer is set while one is in force, since limitedSince.
 	ownLimit, limit observedLimit
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -21,6 +21,8 @@
 	RecordStart(now time.Duration, r placer.Request, c placer.Choice)
 	// Targets returns the number of targets of a service, whether usable now or not.
 	Targets(service string) int
+	// ReopensIn returns the time for which all targets of a service want no requests.
+	ReopensIn(now time.Duration, service string) time.Duration
 }
 
 // Shares reports what client accounts are entitled to. sharer.Shares implements it.
@@ -64,6 +66,8 @@
 	ReasonOverShare Reason = "overShare"
 	// ReasonOverload means that no target can answer in time.
 	ReasonOverload Reason = "overload"
+	// ReasonClosed means that all targets of the service want no requests for some time.
+	ReasonClosed Reason = "closed"
 	// ReasonNoTarget means that the service has no target that may get the request.
 	ReasonNoTarget Reason = "noTarget"
 	// ReasonQuarantined means that a part of the prompt crashes targets.
@@ -202,6 +206,11 @@
 	}
 	maxWait := time.Duration(q.settings.MaxWaitShare * float64(w.Objective))
 	noTargets := !found && q.placer.Targets(w.Request.Service) == 0
+	if !found {
+		if reopensIn := q.placer.ReopensIn(now, w.Request.Service); reopensIn > max(maxWait-waited, 0) {
+			return q.refuseClosed(now, w, reopensIn), true
+		}
+	}
 	if !w.overShare && !noTargets && waited < maxWait && now < w.Deadline {
 		return Decision{}, false
 	}
@@ -230,6 +239,16 @@
 	default:
 		d.RetryAfter = max(c.Expected-w.Objective/2, minOverloadRetryAfter)
 	}
+	return withRetryAfter(now, w, d)
+}
+
+// refuseClosed refuses a request for which no target will be there in time.
+func (q *Queue) refuseClosed(now time.Duration, w candidate, reopensIn time.Duration) Decision {
+	return withRetryAfter(now, w, Decision{ID: w.Request.ID, Reason: ReasonClosed, Waited: now - w.Arrived, RetryAfter: reopensIn})
+}
+
+// withRetryAfter bounds and varies the time after which a refused caller should try again.
+func withRetryAfter(now time.Duration, w candidate, d Decision) Decision {
 	// Callers wait at most a third of the time that they have left.
 	d.RetryAfter = min(d.RetryAfter, (w.Deadline-now)/3)
 	d.RetryAfter = max(addJitter(d.RetryAfter, w.Request.ID), 0)
--- a/gateway/queuer/queuer_test.go
+++ b/gateway/queuer/queuer_test.go
@@ -23,6 +23,8 @@
 	full bool
 	// expected is the expected time to the first event at all targets.
 	expected time.Duration
+	// reopensIn is the time for which all targets want no requests.
+	reopensIn time.Duration
 	// sent holds the IDs of the requests that were sent.
 	sent []uint64
 	// spareOnly holds the value of SpareOnly in each call of Choose.
@@ -48,6 +50,8 @@
 
 func (t *fakePlacer) Targets(string) int { return t.registered }
 
+func (t *fakePlacer) ReopensIn(time.Duration, string) time.Duration { return t.reopensIn }
+
 func newQueue(t *fakePlacer) (*queuer.Queue, *sharer.Shares) {
 	shares := sharer.New(4 * time.Second)
 	return queuer.New(queuer.DefaultSettings(), t, shares), shares
@@ -171,3 +175,22 @@
 		t.Errorf("decisions %+v, want none after the removal", d)
 	}
 }
+
+// Guards against requests that wait although all targets have said that they want none for
+// longer, and against a retry time before the targets want some.
+func TestRequestsForClosedTargetsAreRefusedAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		reopensIn time.Duration
+		refused   bool
+	}{{0, false}, {300 * time.Millisecond, false}, {2 * time.Second, true}} {
+		q, _ := newQueue(&fakePlacer{registered: 2, reopensIn: tc.reopensIn})
+		q.Add(newItem(1, "a", 0))
+		d := q.Decide(0)
+		if (len(d) == 1) != tc.refused {
+			t.Fatalf("closed for %v: decisions %+v", tc.reopensIn, d)
+		}
+		if tc.refused && (d[0].Reason != queuer.ReasonClosed || d[0].RetryAfter < tc.reopensIn*3/4) {
+			t.Errorf("closed for %v: decision %+v", tc.reopensIn, d[0])
+		}
+	}
+}
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -63,6 +63,9 @@
 	Signed bool
 	// Limit is the number of requests that the target takes.
 	Limit placer.RequestLimit
+	// ClosedFor is the time for which the target, which turned the request away, wants no
+	// requests from this daemon; 0 if it names none.
+	ClosedFor time.Duration
 	// Leaving is set if the target announces that it leaves and should get no new requests.
 	Leaving bool
 }
@@ -115,6 +118,8 @@
 	TargetUsable() bool
 	// ObserveLimit reports the request limit that the response names, or that it names none.
 	ObserveLimit(l placer.RequestLimit)
+	// ObserveClosure reports that the target wants no requests of this daemon for some time.
+	ObserveClosure(closedFor time.Duration)
 	// ObserveLeave reports that the target announced in its response that it leaves.
 	ObserveLeave()
 	// FirstEvent reports that the response has started.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -218,6 +218,9 @@
 	if info.Leaving {
 		permit.ObserveLeave()
 	}
+	if info.ClosedFor > 0 {
+		permit.ObserveClosure(info.ClosedFor)
+	}
 	if info.NotRun || info.Misdirected {
 		return p.handleNotRun(permit, response, info)
 	}
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -69,6 +69,8 @@
 	left int
 	// ended receives a value when a permit ends.
 	ended chan struct{}
+	// closures are the times for which targets wanted no requests.
+	closures []time.Duration
 	// leaves counts the responses in which a target announced that it leaves.
 	leaves int
 	// demands are those of all calls of Wait.
@@ -114,6 +116,11 @@
 	defer p.permitSource.mutex.Unlock()
 	p.permitSource.limits = append(p.permitSource.limits, l)
 }
+func (p *permit) ObserveClosure(closedFor time.Duration) {
+	p.permitSource.mutex.Lock()
+	defer p.permitSource.mutex.Unlock()
+	p.permitSource.closures = append(p.permitSource.closures, closedFor)
+}
 func (p *permit) ObserveLeave() {
 	p.permitSource.mutex.Lock()
 	defer p.permitSource.mutex.Unlock()
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -19,6 +19,7 @@
 func (*stallCounter) TargetUsable() bool               { return true }
 func (*stallCounter) FirstEvent()                      {}
 func (*stallCounter) ObserveLimit(placer.RequestLimit) {}
+func (*stallCounter) ObserveClosure(time.Duration)     {}
 func (*stallCounter) ObserveLeave()                    {}
 func (*stallCounter) Progress(int, time.Duration)      {}
 func (s *stallCounter) SetStalled(bool)                { s.calls++ }
--- a/logger/events.go
+++ b/logger/events.go
@@ -65,6 +65,7 @@
 	TargetUnlimited  = Event{523, slog.LevelInfo, "target no longer limits the rate of its requests", ""}
 
 	TargetAnnouncedLeave = Event{524, slog.LevelInfo, "target announced that it leaves", ""}
+	TargetClosed         = Event{525, slog.LevelInfo, "target wants no requests for some time", ""}
 
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
@@ -81,7 +82,7 @@
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
-		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave,
+		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed,
 		PlatformUnavailable, PlatformAvailable, StoreRestored,
 	}
 }
