Do not take the first era of the store for a new one

Cause: a daemon that learned of the first era stopped to count its long poll as pending until the next answer, up to 20 s later, and added itself to the list of daemons a second time.

Change: the watch ends only if the era is later than that of the configuration. AddDaemon returns the era in which the daemon is in the list, and it joins again only in a later one. It fails if the store was restored between the write and the read. Followers spread their return over 3 s.

--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,15 @@
 	Incarnation uint64
 }
 
+// Fleet is what the store keeps about the daemons.
+type Fleet struct {
+	Daemons []Daemon
+	// Secret is the secret that all daemons share; nil if none is stored.
+	Secret []byte
+	// Era is that of the store at the read.
+	Era uint64
+}
+
 // Source reads and writes the store.
 type Source interface {
 	// Config returns the configuration and the moment of the read; the configuration is
@@ -47,11 +57,10 @@
 	Registry(ctx context.Context) (read registrar.Read, unreadable []string, err error)
 	// Daemons returns the list of daemons.
 	Daemons(ctx context.Context) ([]Daemon, error)
-	// AddDaemon adds the daemon to the list and then returns the list and the secret
-	// that all daemons share. The first daemon stores its proposal as the secret. If
-	// two daemons are added at the same time, at least one of them gets a list that
-	// contains the other.
-	AddDaemon(ctx context.Context, self Daemon, proposal []byte) (list []Daemon, secret []byte, err error)
+	// AddDaemon adds the daemon to the list and then returns the fleet. The first daemon
+	// stores its proposal as the secret. If two daemons are added at the same time, at
+	// least one of them gets a list that contains the other.
+	AddDaemon(ctx context.Context, self Daemon, proposal []byte) (Fleet, error)
 	// RemoveDaemon removes the entry of the daemon unless a later incarnation wrote it.
 	RemoveDaemon(ctx context.Context, d Daemon) error
 }
@@ -83,8 +92,9 @@
 	followerCheckInterval = 100 * time.Millisecond
 	// eraCheckInterval is how often a daemon checks whether it has to join the fleet again.
 	eraCheckInterval = 200 * time.Millisecond
-	// rejoinDelay spreads the calls of hundreds of followers that join again.
-	rejoinDelay = 2 * time.Second
+	// rejoinSpread is the time over which hundreds of followers that join again spread their
+	// calls.
+	rejoinSpread = 3 * time.Second
 	// dueCheckInterval is the maximum time between two checks of whether a read of the
 	// registry is due.
 	dueCheckInterval = 100 * time.Millisecond
@@ -222,8 +232,11 @@
 			continue
 		}
 		if noticed := w.era.Load(); noticed > era {
-			historyKnown, era = historyKnown && moment.Era >= noticed, noticed
-			w.options.Sink.SetWatching(false, moment.Era)
+			era = noticed
+			if moment.Era < noticed {
+				historyKnown = false
+				w.options.Sink.SetWatching(false, moment.Era)
+			}
 		}
 		var config *resolver.Config
 		var err error
@@ -327,15 +340,14 @@
 // adds itself again, with the secret that it knows, and calls joined with the stored one.
 func (w *Watcher) WatchDaemons(ctx context.Context, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon) []Daemon) {
 	b := w.newBackoff("daemons")
-	era := w.era.Load()
-	secret := w.join(ctx, b, self, proposal, joined, changed)
+	fleet := w.join(ctx, b, self, proposal, joined, changed)
 	for wait := jitter(daemonListInterval); ctx.Err() == nil; {
-		if w.sleepUntilEra(ctx, wait, era); w.era.Load() > era {
+		if w.sleepUntilEra(ctx, wait, fleet.Era); w.era.Load() > fleet.Era {
 			// Followers learn of the era from the reports of their peers, all at once.
-			if era = w.era.Load(); w.options.Role().Follower {
-				sleeper.Sleep(ctx, jitter(rejoinDelay))
+			if w.options.Role().Follower {
+				sleeper.Sleep(ctx, time.Duration(rand.Float64()*float64(rejoinSpread)))
 			}
-			secret = w.join(ctx, b, self, secret, joined, changed)
+			fleet = w.join(ctx, b, self, fleet.Secret, joined, changed)
 		}
 		wait = jitter(daemonListInterval)
 		if !w.options.Role().Follower && !w.updateDaemons(ctx, b, changed) {
@@ -344,23 +356,23 @@
 	}
 }
 
-// join adds the daemon to the list of daemons until that succeeds, and returns the secret
-// of the fleet.
-func (w *Watcher) join(ctx context.Context, b *backoff, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon) []Daemon) []byte {
+// join adds the daemon to the list of daemons until that succeeds, and returns the fleet.
+func (w *Watcher) join(ctx context.Context, b *backoff, self Daemon, proposal []byte, joined func(secret []byte) error, changed func([]Daemon) []Daemon) Fleet {
 	for ctx.Err() == nil {
-		list, secret, err := w.addDaemon(ctx, self, proposal)
+		fleet, err := w.addDaemon(ctx, self, proposal)
 		if err == nil {
-			err = joined(secret)
+			err = joined(fleet.Secret)
 		}
 		if err != nil {
 			b.failed(ctx, err)
 			continue
 		}
 		b.succeeded()
-		changed(list)
-		return secret
+		w.NoticeEra(fleet.Era)
+		changed(fleet.Daemons)
+		return fleet
 	}
-	return proposal
+	return Fleet{Secret: proposal}
 }
 
 // sleepUntilEra sleeps, but not longer than until the store reaches a later era.
@@ -398,7 +410,7 @@
 	}
 }
 
-func (w *Watcher) addDaemon(ctx context.Context, self Daemon, proposal []byte) ([]Daemon, []byte, error) {
+func (w *Watcher) addDaemon(ctx context.Context, self Daemon, proposal []byte) (Fleet, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.calls.Add(1)
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -22,6 +22,8 @@
 	version   uint64
 	down      bool
 	compacted bool
+	// restores is the number of times that the store came back with an older state.
+	restores  uint64
 	changed   chan struct{}
 	longPolls int
 	reads     int
@@ -65,10 +67,10 @@
 	}
 	s.set(func() { s.reads++ }, false)
 	if v == 0 {
-		return nil, moment(0), nil
+		return nil, s.moment(0), nil
 	}
 	c := resolver.New(resolver.Content{Version: v})
-	return &c, moment(v), nil
+	return &c, s.moment(v), nil
 }
 
 func (s *store) ConfigAfter(ctx context.Context, after registrar.Moment, _ time.Duration) (*resolver.Config, registrar.Moment, error) {
@@ -89,7 +91,7 @@
 			return nil, registrar.Moment{}, ctx.Err()
 		case v > after.Revision:
 			c := resolver.New(resolver.Content{Version: v})
-			return &c, moment(v), nil
+			return &c, s.moment(v), nil
 		}
 		select {
 		case <-ctx.Done():
@@ -103,23 +105,29 @@
 
 func (s *store) Registry(context.Context) (registrar.Read, []string, error) {
 	v, err := s.state()
-	return registrar.Read{Moment: moment(v)}, nil, err
+	return registrar.Read{Moment: s.moment(v)}, nil, err
 }
 
 func (s *store) Daemons(context.Context) ([]watcher.Daemon, error) { return nil, nil }
 
-func (s *store) AddDaemon(_ context.Context, _ watcher.Daemon, proposal []byte) ([]watcher.Daemon, []byte, error) {
-	return nil, proposal, nil
+// moment returns the moment of a revision in the current era.
+func (s *store) moment(revision uint64) registrar.Moment {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return registrar.Moment{Era: 1 + s.restores, Revision: revision}
 }
 
-func (s *store) RemoveDaemon(context.Context, watcher.Daemon) error { return nil }
+func (s *store) AddDaemon(_ context.Context, _ watcher.Daemon, proposal []byte) (watcher.Fleet, error) {
+	return watcher.Fleet{Secret: proposal, Era: 1}, nil
+}
 
-// moment returns the moment of a revision in the only era.
-func moment(revision uint64) registrar.Moment { return registrar.Moment{Era: 1, Revision: revision} }
+func (s *store) RemoveDaemon(context.Context, watcher.Daemon) error { return nil }
 
 // sink records what it receives.
 type sink struct {
 	versions chan uint64
+	// watching is the last argument of SetWatching.
+	watching atomic.Bool
 	reads    chan uint64
 	failures chan struct{}
 }
@@ -130,7 +138,7 @@
 
 func (s *sink) SetConfig(_ time.Duration, c resolver.Config) { s.versions <- c.Version() }
 
-func (s *sink) SetWatching(bool, uint64) {}
+func (s *sink) SetWatching(on bool, _ uint64) { s.watching.Store(on) }
 
 func (s *sink) SetRegistry(_ time.Duration, read registrar.Read) {
 	select {
@@ -294,3 +302,33 @@
 		t.Errorf("the configuration was read %d times, want at least 2", s.reads)
 	}
 }
+
+// Guards against a long poll that does not count as pending because the daemon has just
+// learned of the first era: its peers would take their configuration for unconfirmed.
+func TestFirstEraDoesNotEndTheLongPoll(t *testing.T) {
+	s, k := newStore(), newSink()
+	w := watcher.New(watcher.Options{Source: s, Sink: k, Role: func() watcher.Role { return watcher.Role{} }, Clock: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { w.WatchConfig(ctx) }) // the first read of the configuration names the era
+	t.Cleanup(func() { cancel(); group.Wait() })
+	for pending := 0; pending == 0; time.Sleep(time.Millisecond) {
+		s.set(func() { pending = s.longPolls }, false)
+	}
+	if !k.watching.Load() {
+		t.Error("the pending long poll does not count")
+	}
+}
+
+// Guards against CONFIG of 2026-12-05: a long poll that a restored store never answers.
+func TestConfigurationIsReadAgainInANewEra(t *testing.T) {
+	s := newStore()
+	k := watch(t, s)
+	if v := <-k.versions; v != 1 {
+		t.Fatalf("version %d", v)
+	}
+	s.set(func() { s.restores, s.version = 1, 2 }, false) // the pending long poll is not answered
+	if v := <-k.versions; v != 2 {
+		t.Errorf("version %d, want that of the new era", v)
+	}
+}
