--- a/emulator/storer/storer.go
+++ b/emulator/storer/storer.go
@@ -4,6 +4,7 @@
 package storer
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"maps"
@@ -135,14 +136,27 @@
 	return Copy{version: s.version, rows: maps.Clone(s.rows), deleted: maps.Clone(s.deleted)}
 }
 
-// Restore replaces the rows by those of a copy, so that versions are given out again.
-// Calls that wait for a change get no response, like those on a connection that has gone
-// silent.
-func (s *Store) Restore(c Copy) {
+// Restore replaces the rows by those of a copy, so that versions are given out again. What
+// was written since to the tables in rewritten is then written again. Calls that wait for
+// a change get no response, like those on a connection that has gone silent.
+func (s *Store) Restore(c Copy, rewritten ...string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	lost := s.rows
 	s.era++
 	s.version, s.rows, s.deleted = c.version, maps.Clone(c.rows), maps.Clone(c.deleted)
+	for k, row := range lost {
+		if slices.Contains(rewritten, row.Table) && !bytes.Equal(s.rows[k].Payload, row.Payload) {
+			s.version++
+			s.putLocked(wire.Put{Table: row.Table, Part: row.Part, Key: row.Key, Payload: row.Payload})
+		}
+	}
+	for k, row := range c.rows {
+		if _, ok := lost[k]; !ok && slices.Contains(rewritten, row.Table) {
+			s.version++
+			s.deleteLocked(wire.Key{Table: row.Table, Part: row.Part, Key: row.Key})
+		}
+	}
 	s.notifyLocked()
 }
 
--- a/emulator/storer/storer_test.go
+++ b/emulator/storer/storer_test.go
@@ -1,6 +1,7 @@
 package storer_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -74,3 +75,38 @@
 		t.Error("the write during an outage was applied")
 	}
 }
+
+// Guards against a store that comes back from a copy with what it should have lost, or that
+// answers calls for changes after a version that it does not have.
+func TestRestoredStoreLosesWhatWasWrittenSince(t *testing.T) {
+	s := storer.New()
+	server := httptest.NewServer(s)
+	defer server.Close()
+	s.Put("kept", "a", []byte("old"))
+	s.Put("kept", "gone", nil)
+	s.Put("lost", "a", []byte("old"))
+	c := s.Copy()
+	s.Put("kept", "a", []byte("new"))
+	s.Delete("kept", "gone")
+	s.Put("lost", "a", []byte("new"))
+	s.Put("lost", "b", nil)
+	before := s.Put("lost", "c", nil)
+	s.Restore(c, "kept")
+	if a, _ := s.Row("kept", "a"); string(a.Payload) != "new" || a.Version > before {
+		t.Errorf("kept row %+v", a)
+	}
+	if a, _ := s.Row("lost", "a"); string(a.Payload) != "old" || len(s.Keys("lost")) != 1 || len(s.Keys("kept")) != 1 {
+		t.Errorf("lost row %+v, keys %v and %v", a, s.Keys("lost"), s.Keys("kept"))
+	}
+	if status, _ := sendCall(t, http.MethodGet, server.URL+fmt.Sprintf("/rows-feed?table-name=lost&after=%d&wait-ms=0", before), ""); status != http.StatusGone {
+		t.Errorf("changes after a version that was lost: status %d", status)
+	}
+	response, err := http.Get(server.URL + "/rows-get?table-name=kept")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if era := response.Header.Get("Store-Era"); era != "2" {
+		t.Errorf("era %q after the restoration, want 2", era)
+	}
+}
--- a/generator/soaker/events.go
+++ b/generator/soaker/events.go
@@ -34,6 +34,8 @@
 		return r.reload(d, e)
 	case KindStoreAway, KindStoreBusy, KindStoreSilent, KindStoreSlow, KindStoreLoses, KindStoreForgets, KindRegistryLost:
 		return r.injectStoreFault(ctx, e)
+	case KindStoreRestored:
+		return r.restoreStore(ctx, e)
 	case KindStoreLink:
 		defer r.beginFault(storeSubject)()
 		return r.injectLinkFault(ctx, d.currentStoreLink(), e)
@@ -218,6 +220,22 @@
 	return nil
 }
 
+// restoreStore restores the store from a copy that is e.Length old. One time in two it does
+// not respond for a second before.
+func (r *run) restoreStore(ctx context.Context, e Event) error {
+	s := r.fleet.store
+	old := s.Copy()
+	sleeper.Sleep(ctx, e.Length)
+	defer r.beginFault(storeSubject)()
+	if e.Choice%2 == 0 {
+		s.SetFault(storer.Fault{Status: 503})
+		sleeper.Sleep(ctx, time.Second)
+	}
+	s.Restore(old, wire.ConfigTable, wire.TargetsTable)
+	s.SetFault(storer.Fault{})
+	return nil
+}
+
 // injectLinkFault makes a link fail in the way that e.Choice selects.
 func (r *run) injectLinkFault(ctx context.Context, l *injector.Link, e Event) error {
 	faults := []injector.Fault{
--- a/generator/soaker/options.go
+++ b/generator/soaker/options.go
@@ -23,6 +23,7 @@
 	Processes int           `arg:"--processes" default:"9" help:"number of daemons"`
 	Targets   int           `arg:"--targets" default:"8" help:"number of targets, which this process emulates"`
 	Gap       time.Duration `arg:"--gap" default:"700ms" help:"mean time between two events of the schedule"`
+	Restores  int           `arg:"--restores" default:"0" help:"number of times that the store is restored from an older copy"`
 	Timed     bool          `arg:"--timed" help:"also check time limits; needs an otherwise idle machine"`
 	Logs      string        `arg:"--logs" placeholder:"DIR" help:"directory for the logs of the daemons [default: none]"`
 	Program   string        `arg:"--monsoongate" placeholder:"PATH" help:"path of monsoongate [default: built]"`
--- a/generator/soaker/schedule.go
+++ b/generator/soaker/schedule.go
@@ -26,6 +26,7 @@
 	KindStoreSlow      Kind = "storeSlow"      // the store delays its responses
 	KindStoreLoses     Kind = "storeLoses"     // the responses to writes are lost
 	KindStoreForgets   Kind = "storeForgets"   // the store drops its history of changes
+	KindStoreRestored  Kind = "storeRestored"  // the store loses what was written during Length; operator and targets write theirs again
 	KindRegistryLost   Kind = "registryLost"   // the store responds with 503 and the entries of targets expire
 	KindStoreLink      Kind = "storeLink"      // the link of a daemon to the store fails
 	KindPeerLink       Kind = "peerLink"       // the link of the other daemons to a daemon fails
@@ -86,6 +87,18 @@
 	seriesGap = 250 * time.Millisecond
 )
 
+// restoreSchedule returns events in which the store is restored from a copy. They are drawn
+// apart from the others, so that the schedules of known seeds stay as they are.
+func restoreSchedule(seed uint64, duration time.Duration, restores int) []Event {
+	r := rand.New(rand.NewPCG(seed, 11))
+	var out []Event
+	for range restores {
+		at := quietStart + time.Duration(r.Float64()*float64(duration-quietStart-quietEnd))
+		out = append(out, Event{At: at, Length: time.Duration(r.Float64() * float64(8*time.Second)), Kind: KindStoreRestored, Choice: r.IntN(1 << 20)})
+	}
+	return out
+}
+
 // Schedule returns the events of a run in order of time. The result depends only on
 // the arguments.
 func Schedule(seed uint64, duration, gap time.Duration) []Event {
--- a/generator/soaker/schedule_test.go
+++ b/generator/soaker/schedule_test.go
@@ -35,6 +35,11 @@
 			t.Errorf("%s never occurs", k.name)
 		}
 	}
+	for _, e := range restoreSchedule(5, duration, 3) {
+		if e.Kind != KindStoreRestored || e.At < quietStart || e.At > duration-quietEnd {
+			t.Errorf("%+v is no restoration of the store during the load", e)
+		}
+	}
 	if overlaps == 0 {
 		t.Error("no events overlap")
 	}
--- a/generator/soaker/soaker.go
+++ b/generator/soaker/soaker.go
@@ -111,7 +111,7 @@
 // runSchedule runs the events of the schedule, which may overlap, and returns when
 // all have ended.
 func (r *run) runSchedule(ctx context.Context) error {
-	events := Schedule(r.options.Seed, r.options.Duration, r.options.Gap)
+	events := append(Schedule(r.options.Seed, r.options.Duration, r.options.Gap), restoreSchedule(r.options.Seed, r.options.Duration, r.options.Restores)...)
 	failed := make(chan error, len(events))
 	for _, e := range events {
 		go func() {
--- a/generator/soaker/soaker_test.go
+++ b/generator/soaker/soaker_test.go
@@ -30,6 +30,12 @@
 	soak(t, soaker.Options{Seed: 1, Duration: 8 * time.Second, Processes: 4, Targets: 6, Gap: soaker.DefaultGap})
 }
 
+// Guards against daemons that do not follow a store that comes back from an older copy, also
+// twice and while they start, stop and crash.
+func TestSoakWithARestoredStoreKeepsGuarantees(t *testing.T) {
+	soak(t, soaker.Options{Seed: 2, Duration: 10 * time.Second, Processes: 4, Targets: 6, Gap: soaker.DefaultGap, Restores: 2})
+}
+
 // Guards against the faults that the listed seeds have revealed.
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, r := range regressions {
