Bound the suspects of the quarantine that were in several crashes

Found by reading, after the landing of the quarantine. Cause: at the bound only suspects of a single crash were removed; once all 4,096 had two, each new one was added on top. Change: those of a single crash still go first, then the one without news for the longest time.

Evidence: TestSuspectsOfSeveralCrashesAreBounded failed, 4,196 suspects.

--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -191,19 +191,28 @@
 	return true
 }
 
-// removeOldest forgets the suspect without news for the longest time, except those in
-// quarantine.
+// removeOldest forgets the suspect without news for the longest time. Those of a single
+// crash go before the others, which may be in quarantine.
 func (q *Quarantine) removeOldest() {
 	var oldest Part
-	var since time.Duration
+	var found *suspect
 	for p, s := range q.suspects {
-		if (oldest == 0 || s.lastChange < since) && len(s.incidents) < newPartCrashes {
-			oldest, since = p, s.lastChange
+		if found == nil || s.removedBefore(found) {
+			oldest, found = p, s
 		}
 	}
 	delete(q.suspects, oldest)
 }
 
+// removedBefore reports whether the suspect is forgotten before another one.
+func (s *suspect) removedBefore(other *suspect) bool {
+	single, otherSingle := len(s.incidents) < newPartCrashes, len(other.incidents) < newPartCrashes
+	if single != otherSingle {
+		return single
+	}
+	return s.lastChange < other.lastChange
+}
+
 // Expire forgets evidence that is too old for any verdict.
 func (q *Quarantine) Expire(now time.Duration) {
 	for p, s := range q.suspects {
--- a/gateway/quarantiner/quarantiner_test.go
+++ b/gateway/quarantiner/quarantiner_test.go
@@ -274,3 +274,29 @@
 		t.Error("the report lacks the part in quarantine")
 	}
 }
+
+// Guards against suspects without a bound: once all of them have been in two crashes, none
+// was removed for a new one.
+func TestSuspectsOfSeveralCrashesAreBounded(t *testing.T) {
+	const most = 4096
+	q := quarantiner.New()
+	for i := range most + 100 {
+		p := quarantiner.Part(i + 1)
+		now := time.Duration(i) * time.Millisecond
+		for c := range 2 {
+			q.RecordIncident(now, quarantiner.Incident{Part: p, Crash: quarantiner.Crash(10*i + c + 1), Request: uint64(c)})
+		}
+	}
+	known := 0
+	for i := range most + 100 {
+		if len(q.Incidents(time.Minute, quarantiner.Part(i+1))) > 0 {
+			known++
+		}
+	}
+	if known > most {
+		t.Errorf("%d suspects are kept, want at most %d", known, most)
+	}
+	if len(q.Incidents(time.Minute, most+100)) == 0 {
+		t.Error("the newest suspect was forgotten")
+	}
+}
