Do not report a dropped incident as new again

Found by reading. Cause: of more than 16 incidents of a part, the second oldest is dropped. Each full report of a peer that still has it brought it back, and it was passed on as new every second. Change: an incident that would be dropped at once is not added.

Evidence: TestDroppedIncidentIsNotNewsAgain failed, 4 of 20 incidents.

--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -181,6 +181,9 @@
 		q.own.proofs = append(q.own.proofs, Proof{Part: i.Part, Crash: i.Crash})
 		return false
 	}
+	if n := len(s.incidents); n == maxIncidents && i.at >= s.incidents[0].at && i.at <= s.incidents[1].at {
+		return false // it would be dropped at once
+	}
 	s.incidents = append(s.incidents, i)
 	slices.SortFunc(s.incidents, func(a, b incident) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Crash, b.Crash)) })
 	if len(s.incidents) > maxIncidents {
--- a/gateway/quarantiner/quarantiner_test.go
+++ b/gateway/quarantiner/quarantiner_test.go
@@ -300,3 +300,19 @@
 		t.Error("the newest suspect was forgotten")
 	}
 }
+
+// Guards against an incident that is dropped beyond the bound, comes back with each full
+// report of a peer, and is reported as new each time.
+func TestDroppedIncidentIsNotNewsAgain(t *testing.T) {
+	q := quarantiner.New()
+	var all []quarantiner.Incident
+	for i := range 20 {
+		all = append(all, quarantiner.Incident{Part: deadly, Crash: quarantiner.Crash(i + 1), Request: uint64(i), Age: time.Duration(20-i) * time.Second})
+	}
+	q.Learn(time.Minute, quarantiner.Evidence{Incidents: all})
+	_, _ = q.TakeNew(time.Minute)
+	q.Learn(time.Minute, quarantiner.Evidence{Incidents: all})
+	if _, learned := q.TakeNew(time.Minute); len(learned.Incidents) > 0 {
+		t.Errorf("%d incidents are news again", len(learned.Incidents))
+	}
+}
