Queue a proof for the next report only once

Found by reading. Cause: each repetition of an old report of a crash that is cleared here queued the same proof again, without a bound until the next report.

Evidence: TestProofIsQueuedOnce failed, 5 proofs instead of 1.

--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -178,7 +178,9 @@
 	}
 	if slices.Contains(s.cleared, i.Crash) {
 		// The sender has not heard of the proof.
-		q.own.proofs = append(q.own.proofs, Proof{Part: i.Part, Crash: i.Crash})
+		if p := (Proof{Part: i.Part, Crash: i.Crash}); !slices.Contains(q.own.proofs, p) {
+			q.own.proofs = append(q.own.proofs, p)
+		}
 		return false
 	}
 	if n := len(s.incidents); n == maxIncidents && i.at >= s.incidents[0].at && i.at <= s.incidents[1].at {
--- a/gateway/quarantiner/quarantiner_test.go
+++ b/gateway/quarantiner/quarantiner_test.go
@@ -316,3 +316,18 @@
 		t.Errorf("%d incidents are news again", len(learned.Incidents))
 	}
 }
+
+// Guards against a proof that is queued once more with each repetition of an old report.
+func TestProofIsQueuedOnce(t *testing.T) {
+	q := quarantiner.New()
+	q.RecordAnswer(10*time.Second, []quarantiner.Part{shared}, 9*time.Second)
+	old := quarantiner.Evidence{Incidents: []quarantiner.Incident{{Part: shared, Crash: 1, Request: 1, Age: 5 * time.Second}}}
+	q.Learn(10*time.Second, old)
+	_, _ = q.TakeNew(10 * time.Second)
+	for range 5 {
+		q.Learn(10*time.Second, old)
+	}
+	if own, _ := q.TakeNew(10 * time.Second); len(own.Proofs) != 1 {
+		t.Errorf("%d proofs are queued, want 1", len(own.Proofs))
+	}
+}
