Keep the store's clock and the known peers across a restoration

(1) At a new era a daemon forgot how its clock relates to that of the store. Followers of a large fleet call the store only at their start, so that late reports would have counted as young again until their next call. The relation corrects itself if the store's clock is set back or ahead; it is kept, and the code for it is gone. (2) The list of daemons that a daemon reads just after the restoration may lack others that have not added themselves again yet; they were dropped from its peers until the next read, 30 s later, or until they connected. Peers that were heard within ten minutes now stay.

No test has shown either; the tests of restored stores and of late reports pass as before.

--- a/gateway/controller/configuration.go
+++ b/gateway/controller/configuration.go
@@ -68,15 +68,14 @@
 }
 
 // comparePeerConfig compares the configuration of a peer with the own one. An equal
-// one may confirm that the own configuration is the newest; a newer one is fetched. era is
-// that of the store at the peer.
-func (c *Controller) comparePeerConfig(now time.Duration, peer string, s ConfigState, era uint64) {
+// one may confirm that the own configuration is the newest; a newer one is fetched.
+func (c *Controller) comparePeerConfig(now time.Duration, peer string, s ConfigState) {
 	own := uint64(0)
 	if config := c.config.Load(); config != nil {
 		own = config.Version()
 	}
 	if s.Version == own && s.Confirmed {
-		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, era, s.Hops); n.newerThan(c.configConfirmed) {
+		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Hops); n.newerThan(c.configConfirmed) {
 			c.configConfirmed = n // comparePeerRegistry publishes it
 		}
 	}
--- a/gateway/controller/confirmation.go
+++ b/gateway/controller/confirmation.go
@@ -26,15 +26,13 @@
 	return confirmation{at: sent, storeTime: max(storeTime, 0)}
 }
 
-// confirmedByPeer returns the confirmation that a peer states, with the era of the store in
-// which it was made. A message may have waited for long on its way, which the age does not
-// show; the store's clock does.
-func (c *Controller) confirmedByPeer(now, age, storeTime time.Duration, era uint64, hops int) confirmation {
-	n := confirmation{at: now - age, hops: hops + 1}
-	if storeTime == 0 || era != c.registry.Moment().Era {
+// confirmedByPeer returns the confirmation that a peer states. A message may have waited
+// for long on its way, which the age does not show; the store's clock does.
+func (c *Controller) confirmedByPeer(now, age, storeTime time.Duration, hops int) confirmation {
+	n := confirmation{at: now - age, storeTime: storeTime, hops: hops + 1}
+	if storeTime == 0 {
 		return n
 	}
-	n.storeTime = storeTime
 	c.storeClock.RecordReceipt(now, storeTime)
 	if at, ok := c.storeClock.Local(storeTime); ok {
 		n.at = min(n.at, at)
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -9,7 +9,6 @@
 	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/registrar"
-	"monsoondeck.example/gateway/timekeeper"
 	"monsoondeck.example/logger"
 )
 
@@ -132,15 +131,11 @@
 	hops int
 }
 
-func (e registryEvent) apply(c *Controller, now time.Duration) { c.applyRegistry(now, e) }
-
-// applyRegistry applies a state of the registry unless a newer one is known, and reports
-// whether it did.
-func (c *Controller) applyRegistry(now time.Duration, e registryEvent) bool {
+// apply does nothing if a newer state is known.
+func (e registryEvent) apply(c *Controller, now time.Duration) {
 	if e.read.Before(c.registry.Moment()) {
-		return false
+		return
 	}
-	c.startEra(e.read.Era)
 	oldUsable := c.registry.Usable()
 	update, confirmed := c.registry.ApplyPeerRead, confirmation{at: e.confirmedAt, storeTime: e.read.StoreTime, hops: e.hops}
 	if e.fromStore {
@@ -155,7 +150,7 @@
 	c.registryDigest = registrar.Digest(c.registryEntries)
 	c.publishFreshness()
 	if c.registryLoaded.Swap(true) && slices.Equal(oldEntries, c.registryEntries) {
-		return true
+		return
 	}
 	newUsable := c.registry.Usable()
 	c.setTargets(newUsable)
@@ -164,16 +159,6 @@
 		change := registrar.Difference(oldEntries, c.registryEntries, e.read.Moment)
 		c.options.SendRegistryChange(RegistryChange{Change: change, Age: now - confirmed.at, StoreTime: confirmed.storeTime}, c.broadcastRecipients())
 	}
-	return true
-}
-
-// startEra drops the times of the store's clock when the store has come back with an older
-// state.
-func (c *Controller) startEra(era uint64) {
-	if era > c.registry.Moment().Era {
-		c.storeClock = timekeeper.Keeper{}
-		c.registryConfirmed.storeTime, c.configConfirmed.storeTime = 0, 0
-	}
 }
 
 // registryChangeEvent delivers a change of the registry that a peer has read.
@@ -185,9 +170,9 @@
 	if !ok {
 		return // the registry state in the next report of a peer shows that this daemon is behind
 	}
-	confirmed := c.confirmedByPeer(now, change.Age, change.StoreTime, change.Era, change.Hops)
+	confirmed := c.confirmedByPeer(now, change.Age, change.StoreTime, change.Hops)
 	read := registrar.Read{Moment: change.Moment, StoreTime: change.StoreTime, Entries: entries}
-	c.applyRegistry(now, registryEvent{confirmedAt: confirmed.at, read: read, hops: confirmed.hops})
+	registryEvent{confirmedAt: confirmed.at, read: read, hops: confirmed.hops}.apply(c, now)
 	if c.plan.Relay {
 		change.Age, change.Hops = now-confirmed.at, confirmed.hops
 		c.options.SendRegistryChange(change, c.plan.Members)
@@ -209,7 +194,7 @@
 	switch {
 	case s.Revision == 0:
 	case s.Digest == c.registryDigest:
-		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Era, s.Hops); n.newerThan(c.registryConfirmed) {
+		if n := c.confirmedByPeer(now, s.Age, s.StoreTime, s.Hops); n.newerThan(c.registryConfirmed) {
 			c.registryConfirmed = n
 			if now-n.at < minOutageAge {
 				c.registry.ConfirmByPeer(now)
@@ -285,7 +270,7 @@
 func (e peerReportEvent) apply(c *Controller, now time.Duration) {
 	r := e.report
 	c.markAlive(now, r.Peer, r.Incarnation)
-	c.comparePeerConfig(now, r.Peer, r.Report.Config, r.Report.Registry.Era)
+	c.comparePeerConfig(now, r.Peer, r.Report.Config)
 	c.comparePeerRegistry(now, r.Report.Registry)
 	c.learnEvidence(now, r.Report.Evidence)
 	c.learnDepartures(now, r.Peer, r.Report.Departures)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -256,9 +257,10 @@
 	return watcher.Daemon{Host: g.settings.Host, DataCentre: g.settings.DataCentre, Address: g.settings.PeerAddress, Incarnation: g.incarnation}
 }
 
-// setDaemons sets the peers from the list of daemons. On a store reader it returns
-// the entries of daemons that have been silent for daemonExpiry, which are then
-// removed from the list.
+// setDaemons sets the peers from the list of daemons. Those that were heard within
+// daemonExpiry stay: a restored store may lack their entries until they have added
+// themselves again. On a store reader it returns the entries of daemons that have been
+// silent for that long, which are then removed from the list.
 func (g *Gateway) setDaemons(list []watcher.Daemon) []watcher.Daemon {
 	var peers []exchanger.Peer
 	var gone []watcher.Daemon
@@ -274,6 +276,12 @@
 		}
 		peers = append(peers, exchanger.Peer{Peer: connector.Peer{ID: d.Host, Address: d.Address}, DataCentre: d.DataCentre})
 	}
+	for _, d := range g.exchanger.Peers() {
+		listed := slices.ContainsFunc(list, func(l watcher.Daemon) bool { return l.Host == d.ID })
+		if heard, ok := g.controller.LastHeard(d.ID); !listed && ok && g.clock()-heard <= daemonExpiry {
+			peers = append(peers, exchanger.Peer{Peer: connector.Peer{ID: d.ID, Address: d.Address}, DataCentre: d.DataCentre})
+		}
+	}
 	g.exchanger.SetPeers(peers)
 	return gone
 }
--- a/gateway/timekeeper/timekeeper.go
+++ b/gateway/timekeeper/timekeeper.go
@@ -2,6 +2,9 @@
 // daemons have no clock in common but that of the store, and an age that one of them
 // states does not include the time for which the message waited on its way. The package
 // does no I/O; callers pass the time.
+//
+// If the store's clock is set back, all news looks old until the next call, and if it is
+// set ahead, the daemon's clock seems to have stood still.
 package timekeeper
 
 import "time"
