--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// sendChange delivers a change of the registry to those that are not silent.
+func (n *network) sendChange(from string, c controller.RegistryChange, to []string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, name := range to {
+		if node := n.nodes[name]; node != nil && !n.silent[from] && !n.silent[name] {
+			time.AfterFunc(n.realTime(n.delay), func() { node.ReceivedRegistryChange(c) })
+		}
+	}
+}
+
 // known returns the number of running requests that a daemon was last told of.
 func (n *network) known(name string) int {
 	n.mutex.Lock()
@@ -162,6 +173,7 @@
 		}
 		o.Clock, o.MaxRegistryAge = func() time.Duration { return n.speed * time.Since(began) }, n.maxRegistryAge
 		o.SendReport = func(r controller.Report, to []string) { n.send(self, r, to) }
+		o.SendRegistryChange = func(c controller.RegistryChange, to []string) { n.sendChange(self, c, to) }
 		o.ReportInterval = func(int) time.Duration { return interval }
 		o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
 	})
--- a/gateway/controller/late_test.go
+++ b/gateway/controller/late_test.go
@@ -153,3 +153,49 @@
 		t.Error("the target is used although it leaves by the registry of the new era")
 	}
 }
+
+// Load: a fleet whose store comes back from an older copy. Guards against CONFIG of
+// 2026-12-05: daemons that know later revisions than the store has ignore a target's leave
+// that its readers have read, and the changes that they forward.
+func TestFleetFollowsARestoredStore(t *testing.T) {
+	for _, daemons := range []int{6, 40, 300} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			n := newNetwork()
+			n.fill(t, daemons)
+			entry := registrar.Entry{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 100000}
+			for _, c := range n.nodes {
+				c.SetRegistry(n.clock(), registrar.Read{Moment: registrar.Moment{Era: 1, Revision: 40}, StoreTime: n.clock() + time.Hour, Entries: []registrar.Entry{entry}})
+			}
+			for _, c := range n.nodes {
+				wait(context.Background(), t, c, 1<<40).End(placer.Complete)
+			}
+			entry.Draining = true
+			restored := n.clock()
+			readers := 0
+			for _, c := range n.nodes {
+				if c.Freshness().Reader {
+					readers++
+					c.SetRegistry(restored, registrar.Read{Moment: registrar.Moment{Era: 2, Revision: 31}, StoreTime: restored + time.Hour, Entries: []registrar.Entry{entry}})
+				}
+			}
+			if readers != 2 {
+				t.Fatalf("%d daemons read the store, want 2", readers)
+			}
+			for i := range daemons {
+				waitUntil(func() bool {
+					d := demand(1 << 41)
+					d.Objective = time.Millisecond
+					p, err := n.nodes[daemonName(i)].Wait(context.Background(), d)
+					if err == nil {
+						p.End(placer.Complete)
+					}
+					if err == nil && n.clock()-restored > maxAge {
+						t.Fatalf("%s uses the target %v after the readers saw its leave", daemonName(i), n.clock()-restored)
+					}
+					return err != nil
+				})
+			}
+			t.Logf("%d daemons after %v", daemons, n.clock()-restored)
+		})
+	}
+}
