--- a/gateway/controller/departures.go
+++ b/gateway/controller/announcements.go
@@ -53,7 +53,7 @@
 }
 
 func (e closureEvent) apply(c *Controller, now time.Duration) {
-	if c.fleet.Close(e.target.ID, e.target.Incarnation, e.until) {
+	if c.fleet.RecordClosure(e.target.ID, e.target.Incarnation, e.until) {
 		logger.Emit(c.options.Logger, logger.TargetClosed, slog.String("target", e.target.ID), slog.Duration("for", e.until-now))
 	}
 }
--- a/gateway/placer/closure.go
+++ b/gateway/placer/closure.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Close records that a target wants no requests of this daemon until a time. It reports
+// RecordClosure records that a target wants no requests of this daemon until a time. It reports
 // whether that is news.
-func (f *Fleet) Close(id string, incarnation int64, until time.Duration) bool {
+func (f *Fleet) RecordClosure(id string, incarnation int64, until time.Duration) bool {
 	t := f.targets[id]
 	if t == nil || t.entry.Incarnation != incarnation || until <= t.closedUntil {
 		return false
--- a/gateway/placer/closure_test.go
+++ b/gateway/placer/closure_test.go
@@ -20,7 +20,7 @@
 		c, _ := f.Choose(now, placer.Request{ID: 1, Service: "s"}, placer.Constraints{FirstEventBudget: time.Second})
 		return c.Target.ID
 	}
-	if !f.Close("a", 1, 5*time.Second) || f.Close("a", 1, 4*time.Second) || f.Close("b", 2, time.Hour) || f.Close("c", 1, time.Hour) {
+	if !f.RecordClosure("a", 1, 5*time.Second) || f.RecordClosure("a", 1, 4*time.Second) || f.RecordClosure("b", 2, time.Hour) || f.RecordClosure("c", 1, time.Hour) {
 		t.Error("a closure is news if it is longer and that of a known target")
 	}
 	for now := range 5 {
@@ -31,7 +31,7 @@
 	if in := f.ReopensIn(0, "s"); in != 0 {
 		t.Errorf("reopens in %v although b is open", in)
 	}
-	f.Close("b", 1, 7*time.Second)
+	f.RecordClosure("b", 1, 7*time.Second)
 	if got, in := chosen(3*time.Second), f.ReopensIn(3*time.Second, "s"); got != "" || in != 2*time.Second {
 		t.Errorf("%q chosen, reopens in %v; want none and 2 s", got, in)
 	}
