Ignore the leave of another target at the address

Found by reading. A misdirected response (421) comes from another target that now has the address; its announcement counted for the target that was meant. TestLeaveOfAnotherTargetAtTheAddressIsIgnored failed before (1 leave observed).

--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -215,7 +215,7 @@
 	info := rc.Protocol.InspectResponse(p.info.ID, response.Status, response.Header)
 	p.limit = info.Limit
 	permit.ObserveLimit(info.Limit)
-	if info.Leaving {
+	if info.Leaving && !info.Misdirected { // else it is another target at the address that leaves
 		permit.ObserveLeave()
 	}
 	if info.ClosedFor > 0 {
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -165,6 +165,15 @@
 	}
 }
 
+// Guards against a target that is taken for leaving because another one leaves that now has
+// its address.
+func TestLeaveOfAnotherTargetAtTheAddressIsIgnored(t *testing.T) {
+	f := newFixture(t, []reply{{status: 421, header: "Misdirected=1;Leaving=1"}, {status: 200, header: signed, body: "x"}}, nil)
+	if r := f.postDefault(t, "/safe/1"); r.status != 200 || f.permitSource.leaves != 0 {
+		t.Errorf("status %d, %d leaves were observed", r.status, f.permitSource.leaves)
+	}
+}
+
 // Guards against an incomplete stream that looks complete to the caller.
 func TestBrokenStreamEndsWithAnError(t *testing.T) {
 	f := newFixture(t, []reply{{status: 200, header: signed, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true}}, nil)
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -41,7 +41,7 @@
 
 func (protocol) InspectResponse(_ string, _ int, h http.Header) receiver.ResponseInfo {
 	perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return receiver.ResponseInfo{Leaving: h.Get("Leaving") != "", NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Limit: placer.RequestLimit{Limited: err == nil, PerSecond: perSecond}}
+	return receiver.ResponseInfo{Leaving: h.Get("Leaving") != "", Misdirected: h.Get("Misdirected") != "", NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Limit: placer.RequestLimit{Limited: err == nil, PerSecond: perSecond}}
 }
 
 func (protocol) CopyResponseHeader(to, from http.Header) {
