Keep idle connections on which a request waits unread

Cause, suspected: a connection counts as idle until the server has read the first byte of a request. A busy host reads late.

Evidence: TestIdleConnectionWithAnUnreadRequestIsKept failed before.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -129,15 +129,34 @@
 	if !ok {
 		return false
 	}
+	n, err := peek(c)
+	return err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+}
+
+// hasUnread reports whether the caller has sent bytes that the server has not read yet.
+func hasUnread(c net.Conn) bool {
+	inner, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	n, err := peek(inner)
+	return err == nil && n > 0
+}
+
+// peek returns the number of bytes, at most one, that can be read from a connection, and 0
+// if the other side has closed it. The error is EAGAIN if there are none yet.
+func peek(c syscall.Conn) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	left := false
+	var errPeek error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+		n, _, errPeek = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return left || err != nil
+	if err != nil {
+		return 0, err
+	}
+	return n, errPeek
 }
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -171,3 +171,42 @@
 		t.Error("a closed connection counts towards the limit")
 	}
 }
+
+// Guards against a request that is lost because it waits unread on a busy host while its
+// connection counts as idle for too long, as after a shorter idle timeout is configured.
+func TestIdleConnectionWithAnUnreadRequestIsKept(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connect := func() (caller, accepted net.Conn) {
+		caller, err := net.Dial("tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted, err = l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = caller.Close(); _ = accepted.Close() })
+		return caller, accepted
+	}
+	caller, waiting := connect()
+	other, unused := connect()
+	if _, err := io.WriteString(caller, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	for !hasUnread(waiting) {
+		time.Sleep(time.Millisecond)
+	}
+	s := &server{idle: map[net.Conn]time.Time{waiting: {}, unused: {}}}
+	s.closeIdle(time.Second)
+	data := make([]byte, 3)
+	if _, err := io.ReadFull(waiting, data); err != nil || string(data) != "GET" {
+		t.Errorf("read %q, error %v from the connection with an unread request", data, err)
+	}
+	if _, err := other.Read(data); err == nil {
+		t.Error("the unused connection is still open")
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -137,7 +137,7 @@
 }
 
 // closeIdle closes the connections that have been idle for longer than the timeout;
-// 0 closes none.
+// 0 closes none. It leaves those with a request that a busy host has not read yet.
 func (s *server) closeIdle(timeout time.Duration) {
 	if timeout <= 0 {
 		return
@@ -145,7 +145,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for c, since := range s.idle {
-		if time.Since(since) > timeout {
+		if time.Since(since) > timeout && !hasUnread(c) {
 			delete(s.idle, c)
 			_ = c.Close() // an error changes nothing: the connection is gone either way
 		}
