--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -43,6 +43,16 @@
 	mutex  sync.Mutex
 	active int
 	runs   []*Run
+	// trouble, unless nil, may answer a request in place of the sound answer. It reports
+	// whether it did.
+	trouble func(w http.ResponseWriter, r *http.Request, id string) bool
+}
+
+// SetTrouble makes the server answer with f, where f does so; nil ends the trouble.
+func (s *Server) SetTrouble(f func(w http.ResponseWriter, r *http.Request, id string) bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.trouble = f
 }
 
 // StartServer starts a server and registers it.
@@ -110,6 +120,12 @@
 		s.active--
 		run.Complete = complete
 	}()
+	s.mutex.Lock()
+	trouble := s.trouble
+	s.mutex.Unlock()
+	if trouble != nil && trouble(w, r, id) {
+		return
+	}
 	complete = s.answer(w, r, id)
 }
 
