Answer refused connections beyond the limit of the refuser

Cause: at its limit, the refuser closed new connections without an answer, and a caller that sent its header later than a second after connecting got none either. A caller without an answer does not know whether its request ran.

Ruled out: a higher limit, which takes descriptors from connections to targets, and answering new connections at once without reading the header, since the answer can then be lost in a reset.

Change: at the limit, the refuser closes the connection that was answered first, or else answers and closes the oldest one. A caller without a header is answered after headTimeout and then lingers like the others.

--- a/gateway/refuser/exchange.go
+++ b/gateway/refuser/exchange.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// headTimeout limits the time until the header of the request has arrived. Callers
-	// abandon a request that is not read within a second.
+	// headTimeout limits the time until the header of the request has arrived, after which
+	// the answer is sent without it. Callers abandon a request that is not read within a
+	// second.
 	headTimeout = time.Second
 	// lingerTimeout limits the time between the response and the close. A connection
 	// that is closed while data arrives is reset, and the response can get lost.
@@ -29,7 +30,8 @@
 const headEnd = "\r\n\r\n"
 
 // exchange is the state of one refused connection: it waits for the header of the
-// request, answers, and waits until the caller has closed its side.
+// request, answers, and waits until the caller has closed its side. A caller that sends no
+// header gets the answer, too.
 type exchange struct {
 	// accepted is the time of the connection, answered that of the response; 0 before.
 	accepted, answered time.Duration
@@ -62,7 +64,10 @@
 	switch {
 	case closed, e.read > maxRequestBytes:
 		return finish
-	case e.answered == 0 && now-e.accepted > headTimeout, e.answered > 0 && now-e.answered > lingerTimeout:
+	case e.answered == 0 && now-e.accepted > headTimeout:
+		e.answered = now
+		return answer
+	case e.answered > 0 && now-e.answered > lingerTimeout:
 		return finish
 	}
 	return wait
--- a/gateway/refuser/refuser.go
+++ b/gateway/refuser/refuser.go
@@ -11,7 +11,9 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,6 +31,8 @@
 	responses [][]byte
 	limit     int
 	clock     func() time.Duration
+	// unanswered is the number of connections that were closed without an answer.
+	unanswered atomic.Int64
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -46,24 +50,27 @@
 }
 
 // New returns a Refuser that answers with one of the responses, chosen at random, and
-// keeps at most limit connections open.
+// keeps at most limit connections open, which must be positive.
 func New(responses [][]byte, limit int, clock func() time.Duration) *Refuser {
 	return &Refuser{responses: responses, limit: limit, clock: clock, buffer: make([]byte, readBytes)}
 }
 
+// Unanswered returns the number of connections that were closed without an answer.
+func (r *Refuser) Unanswered() int64 { return r.unanswered.Load() }
+
 // Refuse answers the connection with the file descriptor, which it owns from now on.
-// It does not block. Beyond the limit, it closes the connection without an answer.
+// It does not block. At the limit, it closes another connection: one that has its answer,
+// else the oldest one, which gets its answer at once.
 func (r *Refuser) Refuse(descriptor int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	c := connection{descriptor: descriptor, exchange: exchange{accepted: r.clock()}}
-	if len(r.open) >= r.limit {
-		closeDescriptor(descriptor)
-		return
-	}
 	if r.advance(&c) {
 		return
 	}
+	if len(r.open) >= r.limit {
+		r.makeRoom()
+	}
 	r.open = append(r.open, c)
 	if !r.sweeping {
 		r.sweeping = true
@@ -71,6 +78,44 @@
 	}
 }
 
+// makeRoom closes one connection. The caller holds the mutex.
+func (r *Refuser) makeRoom() {
+	i := dispensable(r.open)
+	c := &r.open[i]
+	if c.exchange.answered == 0 {
+		r.answer(c)
+	}
+	closeDescriptor(c.descriptor)
+	r.open = slices.Delete(r.open, i, i+1)
+}
+
+// dispensable returns the index of the connection that needs its place least: the one that
+// was answered first, or accepted first if none was answered.
+func dispensable(open []connection) int {
+	best := 0
+	for i, c := range open {
+		a, b := c.exchange, open[best].exchange
+		switch {
+		case a.answered > 0 && (b.answered == 0 || a.answered < b.answered), b.answered == 0 && a.accepted < b.accepted:
+			best = i
+		}
+	}
+	return best
+}
+
+// answer sends the response and ends the sending direction. It reports whether the
+// response was sent.
+func (r *Refuser) answer(c *connection) bool {
+	response := r.responses[rand.IntN(len(r.responses))]
+	// The send buffer of a new connection takes the whole response.
+	if err := unix.Sendto(c.descriptor, response, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil); err != nil {
+		r.unanswered.Add(1)
+		return false
+	}
+	_ = unix.Shutdown(c.descriptor, unix.SHUT_WR) // fails only if the caller is gone
+	return true
+}
+
 // sweep looks after the open connections until there is none.
 func (r *Refuser) sweep() {
 	for {
@@ -105,13 +150,13 @@
 	case wait:
 		return false
 	case answer:
-		response := r.responses[rand.IntN(len(r.responses))]
-		// The send buffer of a new connection takes the whole response.
-		if err := unix.Sendto(c.descriptor, response, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil); err == nil {
-			_ = unix.Shutdown(c.descriptor, unix.SHUT_WR) // fails only if the caller is gone
+		if r.answer(c) {
 			return false
 		}
 	case finish:
+		if c.exchange.answered == 0 && !closed {
+			r.unanswered.Add(1)
+		}
 	}
 	closeDescriptor(c.descriptor)
 	return true
