Replace idle connections at the connection limit and report not ready

At its connection limit a host closed every new connection unread, closed idle ones only after the whole idle timeout, and answered the readiness check with 200.

Change: connectionTracker knows the open connections and the idle ones in order; connectionGate asks shedder.ConnectionLimit about each new connection and for the readiness. New connections that cannot be kept go to the refuser (503 with Retry-After). An idle connection is closed by a read deadline in the past, so that a server that has just read a request serves it. Requests in progress are also bounded by the descriptors for targets.

--- /dev/null
+++ b/gateway/connections.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"monsoondeck.example/gateway/shedder"
+)
+
+const (
+	// maxSkippedIdle is the number of idle connections with an unread request that are
+	// passed over in the search for one to close.
+	maxSkippedIdle = 8
+	// closingTimeout is the time after which a connection that should have closed by
+	// itself is closed. The server may have set its own deadline at the same moment.
+	closingTimeout = time.Second
+)
+
+// connectionTracker knows the open connections of a server. It is safe for concurrent use.
+type connectionTracker struct {
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	// open is the number of open connections.
+	open int
+	// idle holds the connections without a request in progress, as idleConnection, the
+	// longest idle first; elements has the same by connection.
+	idle     *list.List
+	elements map[net.Conn]*list.Element
+	// closing maps each connection that closeLongestIdle has told to close to the time of
+	// that. It is in none of the above.
+	closing map[net.Conn]time.Time
+}
+
+// idleConnection is a connection and the time since which it has had no request.
+type idleConnection struct {
+	connection net.Conn
+	since      time.Time
+}
+
+func newConnectionTracker() *connectionTracker {
+	return &connectionTracker{idle: list.New(), elements: map[net.Conn]*list.Element{}, closing: map[net.Conn]time.Time{}}
+}
+
+// track counts the open connections and records since when each idle one has been
+// idle. The HTTP server calls it when the state of a connection changes.
+func (t *connectionTracker) track(c net.Conn, state http.ConnState) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	switch state {
+	case http.StateNew:
+		t.open++
+	case http.StateClosed, http.StateHijacked:
+		t.open--
+	}
+	t.forget(c)
+	delete(t.closing, c)
+	if state == http.StateIdle {
+		t.elements[c] = t.idle.PushBack(idleConnection{connection: c, since: time.Now()})
+	}
+}
+
+// forget removes a connection from the idle ones. The caller holds the mutex.
+func (t *connectionTracker) forget(c net.Conn) {
+	if e, ok := t.elements[c]; ok {
+		t.idle.Remove(e)
+		delete(t.elements, c)
+	}
+}
+
+// occupancy returns the numbers of connections.
+func (t *connectionTracker) occupancy() shedder.Occupancy {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	o := shedder.Occupancy{Open: t.open, Idle: t.idle.Len(), Closing: len(t.closing)}
+	if e := t.idle.Front(); e != nil {
+		o.LongestIdle = time.Since(idleOf(e).since)
+	}
+	return o
+}
+
+// idleOf returns the idle connection of an element of connectionTracker.idle.
+func idleOf(e *list.Element) idleConnection {
+	c, _ := e.Value.(idleConnection) // the list holds nothing else
+	return c
+}
+
+// closeLongestIdle closes the connection that has been idle for longest, except those with
+// a request that has not been read yet, and reports whether there was one. It ends the
+// read in which the server waits for the next request. A server that has just read one
+// takes no notice and serves it.
+func (t *connectionTracker) closeLongestIdle() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	skipped := 0
+	for e := t.idle.Front(); e != nil && skipped < maxSkippedIdle; e = e.Next() {
+		c := idleOf(e).connection
+		if hasUnread(c) {
+			skipped++
+			continue
+		}
+		t.forget(c)
+		t.closing[c] = time.Now()
+		_ = c.SetReadDeadline(time.Unix(0, 1)) // an error means that it is closed already
+		return true
+	}
+	return false
+}
+
+// closeIdle closes the connections that have been idle for longer than the timeout;
+// 0 closes none. It leaves those with a request that a busy host has not read yet.
+func (t *connectionTracker) closeIdle(timeout time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for c, since := range t.closing {
+		if time.Since(since) > closingTimeout && !hasUnread(c) {
+			_ = c.Close() // an error changes nothing: the connection is gone either way
+		}
+	}
+	if timeout <= 0 {
+		return
+	}
+	var next *list.Element
+	for e := t.idle.Front(); e != nil && time.Since(idleOf(e).since) > timeout; e = next {
+		next = e.Next()
+		if c := idleOf(e).connection; !hasUnread(c) {
+			t.forget(c)
+			_ = c.Close() // as above
+		}
+	}
+}
--- /dev/null
+++ b/gateway/connections_test.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// idleServer is an HTTP server whose connections are tracked.
+type idleServer struct {
+	server      *httptest.Server
+	connections *connectionTracker
+}
+
+func startIdleServer(t *testing.T) *idleServer {
+	t.Helper()
+	s := &idleServer{connections: newConnectionTracker()}
+	s.server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.server.Config.ConnState = s.connections.track
+	s.server.Start()
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// waitFor waits until a condition holds.
+func waitFor(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// connect opens a connection, sends one request on it and waits until it is idle.
+func (s *idleServer) connect(t *testing.T) net.Conn {
+	t.Helper()
+	idle := s.connections.occupancy().Idle
+	c, err := net.Dial("tcp4", s.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	s.request(t, c)
+	waitFor(func() bool { return s.connections.occupancy().Idle == idle+1 })
+	return c
+}
+
+func (s *idleServer) request(t *testing.T, c net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatal(response, err)
+	}
+}
+
+// Guards against closing a connection other than the longest idle one, and against
+// connections that are counted wrongly after that.
+func TestLongestIdleConnectionIsClosedFirst(t *testing.T) {
+	s := startIdleServer(t)
+	first, second, third := s.connect(t), s.connect(t), s.connect(t)
+	s.request(t, first) // now the second one has been idle for longest
+	waitFor(func() bool { return s.connections.occupancy().Idle == 3 })
+	if !s.connections.closeLongestIdle() {
+		t.Fatal("no connection was closed")
+	}
+	if _, err := second.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("read from the longest idle connection: %v, want its end", err)
+	}
+	waitFor(func() bool { o := s.connections.occupancy(); return o.Open == 2 && o.Idle == 2 && o.Closing == 0 })
+	s.request(t, first)
+	s.request(t, third)
+}
+
+// Guards against closing a connection whose request has arrived but has not been read.
+func TestConnectionWithAnUnreadRequestMakesNoRoom(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	caller, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = caller.Close(), accepted.Close() })
+	if _, err := io.WriteString(caller, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(func() bool { return hasUnread(accepted) })
+	connections := newConnectionTracker()
+	connections.track(accepted, http.StateNew)
+	connections.track(accepted, http.StateIdle)
+	if connections.closeLongestIdle() {
+		t.Error("a connection with an unread request was closed")
+	}
+}
+
+// Guards against a process that runs out of file descriptors and can accept no
+// connection, and against closed connections that count.
+func TestCallerConnectionsAreLimited(t *testing.T) {
+	const limit = 4
+	connections := newConnectionTracker()
+	gate := newConnectionGate(limit, connections, func() time.Duration { return time.Second }, slog.New(slog.DiscardHandler))
+	a, b := net.Pipe()
+	defer func() { _, _ = a.Close(), b.Close() }()
+	for i := range limit {
+		if gate.admit() != keepConnection {
+			t.Fatalf("a connection was refused at %d open ones", i)
+		}
+		connections.track(a, http.StateNew)
+	}
+	if gate.admit() != refuseConnection || gate.ready() {
+		t.Error("a full host keeps a connection or says that it is ready")
+	}
+	connections.track(a, http.StateClosed)
+	if gate.admit() != keepConnection {
+		t.Error("a closed connection counts towards the limit")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,6 +121,7 @@
 	overload     *overloadMonitor
 	metrics      *metrics
 	callerServer *server
+	gate         *connectionGate
 	listener     *sheddingListener
 	otherServers []*server
 	// hub is nil until the fleet secret is known.
@@ -173,7 +174,7 @@
 		QuarantineStore: g.options.Source, QuarantineSink: g.controller,
 		RegistryDue: g.registryDue, Role: g.role, Clock: g.clock,
 	})
-	g.overload = newOverloadMonitor(s.MemoryBytes, g.clock, g.logger)
+	g.overload = newOverloadMonitor(s.MemoryBytes, s.Descriptors, g.clock, g.logger)
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier,
@@ -351,7 +352,7 @@
 
 // serveReady answers the readiness check of the balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopAt.Load() != 0 || !g.controller.Ready() || g.overload.unready.Load() {
+	if g.stopAt.Load() != 0 || !g.controller.Ready() || g.overload.unready.Load() || !g.gate.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -371,7 +372,7 @@
 		}
 		g.courier.CloseIdle(func(courier.Target) bool { return true })
 		if config, ok := g.controller.Current(); ok {
-			g.callerServer.closeIdle(config.Limits().IdleTimeout)
+			g.callerServer.connections.closeIdle(config.Limits().IdleTimeout)
 		}
 	}
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -13,17 +13,16 @@
 	"monsoondeck.example/gateway/refuser"
 )
 
-// sheddingListener is a net.Listener that refuses part of the new connections with an
-// answer while the host is overloaded, and closes those beyond its limit unread.
+// sheddingListener is a net.Listener that refuses new connections with an answer while the
+// host is overloaded or has no room for them.
 type sheddingListener struct {
 	net.Listener
 	// shed decides what happens to the next connection. It is called once for each
 	// connection.
 	shed    func() shedding
 	refuser *refuser.Refuser
-	// refusedCount is the number of connections that were refused with an answer,
-	// closedCount that of connections closed unread.
-	refusedCount, closedCount atomic.Int64
+	// refusedCount is the number of connections that were refused.
+	refusedCount atomic.Int64
 }
 
 // shedding says what happens to a new connection.
@@ -32,7 +31,6 @@
 const (
 	keepConnection shedding = iota
 	refuseConnection
-	closeConnection
 )
 
 // Accept implements net.Listener.
@@ -43,27 +41,21 @@
 		if err != nil || keepNext {
 			return c, err
 		}
-		decision := l.shed()
-		if decision == keepConnection {
+		if l.shed() == keepConnection {
 			return c, nil
 		}
 		if descriptor, err := duplicate(c); err == nil {
-			l.drop(descriptor, decision)
+			l.refuse(descriptor)
 		}
 		_ = c.Close() // the duplicate, if any, keeps the connection open
-		keepNext = l.dropPending()
+		keepNext = l.refusePending()
 	}
 }
 
-// drop refuses or closes a connection.
-func (l *sheddingListener) drop(descriptor int, decision shedding) {
-	if decision == refuseConnection {
-		l.refusedCount.Add(1)
-		l.refuser.Refuse(descriptor)
-		return
-	}
-	l.closedCount.Add(1)
-	_ = unix.Close(descriptor) // the caller sees the end of the connection
+// refuse answers a connection.
+func (l *sheddingListener) refuse(descriptor int) {
+	l.refusedCount.Add(1)
+	l.refuser.Refuse(descriptor)
 }
 
 // duplicate returns another file descriptor of a connection.
@@ -82,11 +74,11 @@
 	return descriptor, errors.Join(err, duplicated)
 }
 
-// dropPending drops connections from the accept queue of the kernel until shed decides
+// refusePending refuses connections from the accept queue of the kernel until shed decides
 // to keep one, and reports whether it did. Accepting them with net.Listener would
 // register and set up each one in the runtime, which costs several times as much as
 // the system calls made here.
-func (l *sheddingListener) dropPending() (keep bool) {
+func (l *sheddingListener) refusePending() (keep bool) {
 	inner, ok := l.Listener.(syscall.Conn)
 	if !ok {
 		return false
@@ -97,8 +89,7 @@
 	}
 	_ = raw.Control(func(fd uintptr) { // an error means a closed listener, which the next Accept reports
 		for {
-			decision := l.shed()
-			if decision == keepConnection {
+			if l.shed() == keepConnection {
 				keep = true
 				return
 			}
@@ -106,7 +97,7 @@
 			if err != nil {
 				return // the accept queue is empty, or the next Accept gets the same error
 			}
-			l.drop(c, decision)
+			l.refuse(c)
 		}
 	})
 	return keep
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -35,9 +35,13 @@
 	logger  *slog.Logger
 }
 
-func newOverloadMonitor(memory int64, clock func() time.Duration, l *slog.Logger) *overloadMonitor {
+func newOverloadMonitor(memory int64, descriptors int, clock func() time.Duration, l *slog.Logger) *overloadMonitor {
 	s := shedder.New(memory)
-	return &overloadMonitor{maxActive: s.Limit(), shedder: s, clock: clock, logger: l}
+	maxActive := s.Limit()
+	if targets := shedder.Divide(descriptors).Targets; targets > 0 {
+		maxActive = min(maxActive, int64(targets)) // each needs a connection to a target
+	}
+	return &overloadMonitor{maxActive: maxActive, shedder: s, clock: clock, logger: l}
 }
 
 // Admit implements receiver.LoadShedder.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -5,13 +5,13 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/refuser"
+	"monsoondeck.example/gateway/shedder"
 )
 
 const (
@@ -27,14 +27,8 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
-
-	// mutex guards open and idle.
-	mutex sync.Mutex
-	// open is the number of open connections.
-	open int
-	// idle maps each connection without a request in progress to the time since which
-	// it has had none.
-	idle map[net.Conn]time.Time
+	// connections are the open connections.
+	connections *connectionTracker
 }
 
 // newServer returns a server that listens on the address; run serves its requests.
@@ -47,9 +41,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	s := &server{listener: listener, idle: map[net.Conn]time.Time{}}
+	s := &server{listener: listener, connections: newConnectionTracker()}
 	s.http = &http.Server{
-		ConnContext: withConnection, Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ConnState: s.track,
+		ConnContext: withConnection, Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ConnState: s.connections.track,
 		ErrorLog: slog.NewLogLogger(l.Handler(), slog.LevelDebug),
 	}
 	return s, nil
@@ -64,56 +58,15 @@
 	return errors.Wrap(err, "serve HTTP")
 }
 
-// track counts the open connections and records since when each idle one has been
-// idle. The HTTP server calls it when the state of a connection changes.
-func (s *server) track(c net.Conn, state http.ConnState) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	switch state {
-	case http.StateNew:
-		s.open++
-	case http.StateClosed, http.StateHijacked:
-		s.open--
-	}
-	if state == http.StateIdle {
-		s.idle[c] = time.Now()
-	} else {
-		delete(s.idle, c)
-	}
-}
-
-// openConnections returns the number of open connections.
-func (s *server) openConnections() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.open
-}
-
-// callerDescriptorShare is the part of the file descriptors that connections of
-// callers may use. Connections to targets need as many, and the process some more.
-const callerDescriptorShare = 0.45
-
-// atConnectionLimit reports whether callers have as many connections as they may. It
-// is always false if the limit of file descriptors is unknown.
-func (g *Gateway) atConnectionLimit() bool {
-	limit := int(callerDescriptorShare * float64(g.settings.Descriptors))
-	return limit > 0 && g.callerServer.openConnections() >= limit
-}
-
 // shedConnection decides what happens to a new connection.
 func (g *Gateway) shedConnection() shedding {
-	if g.atConnectionLimit() {
-		return closeConnection
+	if decision := g.overload.shedConnection(); decision != keepConnection {
+		return decision
 	}
-	return g.overload.shedConnection()
+	return g.gate.admit()
 }
 
 const (
-	// refusedDescriptorShare is the part of the file descriptors that refused connections
-	// may use until their callers have closed them.
-	refusedDescriptorShare = 0.2
-	// defaultRefusedConnections is their number if the limit of descriptors is unknown.
-	defaultRefusedConnections = 512
 	// minRefusalRetryAfter and maxRefusalRetryAfter bound the time after which refused
 	// callers should come back. It is short, since a new connection reaches another host,
 	// and varies, so that they do not come back together.
@@ -129,27 +82,7 @@
 		after := minRefusalRetryAfter + (maxRefusalRetryAfter-minRefusalRetryAfter)*time.Duration(i)/(refusalVariants-1)
 		responses = append(responses, receiver.BusyResponse(g.options.Protocol, after))
 	}
-	limit := int(refusedDescriptorShare * float64(g.settings.Descriptors))
-	if limit <= 0 {
-		limit = defaultRefusedConnections
-	}
-	return refuser.New(responses, limit, g.clock)
-}
-
-// closeIdle closes the connections that have been idle for longer than the timeout;
-// 0 closes none. It leaves those with a request that a busy host has not read yet.
-func (s *server) closeIdle(timeout time.Duration) {
-	if timeout <= 0 {
-		return
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for c, since := range s.idle {
-		if time.Since(since) > timeout && !hasUnread(c) {
-			delete(s.idle, c)
-			_ = c.Close() // an error changes nothing: the connection is gone either way
-		}
-	}
+	return refuser.New(responses, shedder.Divide(g.settings.Descriptors).Refused, g.clock)
 }
 
 // listen opens all listeners and returns a function that closes them.
@@ -186,6 +119,7 @@
 			g.listener = &sheddingListener{Listener: s.listener, shed: g.shedConnection, refuser: g.newRefuser()}
 			s.listener = g.listener
 			g.callerServer = s
+			g.gate = newConnectionGate(shedder.Divide(g.settings.Descriptors).Callers, s.connections, g.clock, g.logger)
 		} else {
 			g.otherServers = append(g.otherServers, s)
 		}
