Charge bodies as they grow and release every charge

Cause: a chunked body was admitted with a sixteenth of max-body-bytes and read up to the whole limit. The release of a chunked body that turned out to be over the limit (413) was never called. A process with 134 MB was killed by chunked bodies of 4 MiB, and refused everything after enough bodies of the second kind.

Ruled out: admitting a chunked body with the whole limit refuses ordinary chunked bodies of some KB. A second account beside limiter.Admission would be a second copy of the same decision.

Change: limiter.Admission hands out charges that grow, shrink and are released once, by kind of memory. A body is charged before its buffer is allocated, in steps, also if it has a length: an announced length holds no memory any more. The charge is released by a deferred call. A body that misses its deadline gets 408, which has not run, instead of a closed connection, and the deadline also holds for bodies that are not read, of which net/http discards a part without any deadline. While memory is short, transfers without progress can be ended, the longest stalled first.

Before: a body of 900 bytes was accepted with memory for 600, and the 199th chunked body over the limit got 503. After: 503 for the first, 413 for all.

Conclusion: the sum of the bodies is bounded by the account on every path.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,9 +178,10 @@
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier,
 		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, CallerDisconnected: callerLeft,
-		BodyMemory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyMemoryShare * float64(s.MemoryBytes))}),
-		Logger:     recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
-		Observe:    g.metrics.observe,
+		Memory:  limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyMemoryShare * float64(s.MemoryBytes))}),
+		Clock:   g.clock,
+		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
+		Observe: g.metrics.observe,
 	})
 }
 
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -16,6 +16,7 @@
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/resolver"
+	"monsoondeck.example/limiter"
 	"monsoondeck.example/logger"
 )
 
@@ -56,8 +57,12 @@
 	// bodyLimit is the largest body in bytes; 0 stands for defaultBodyBytes.
 	bodyLimit int
 	body      []byte
-	// release frees the memory that was admitted for the body.
-	release func()
+	// charge is the memory that the request holds.
+	charge limiter.Charge
+	// watched is set once the charge is watched while the body is read. reported is the
+	// number of bytes of the body that were reported to the charge.
+	watched  bool
+	reported int64
 
 	// waits counts the permits that were requested, attempts the targets to which the
 	// request was sent.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -11,12 +10,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/limiter"
-	"monsoondeck.example/logger"
 )
 
 const (
@@ -42,7 +38,8 @@
 	// memoryRetryAfter is about the time for which a request in progress holds the memory
 	// of its body.
 	memoryRetryAfter = 300 * time.Millisecond
-	// bodyReadTimeout bounds reading a body, so that slow callers do not hold memory.
+	// bodyReadTimeout bounds reading a body, so that slow callers do not hold memory. It also
+	// holds for a body that is not read, of which the HTTP server discards a part.
 	bodyReadTimeout = 10 * time.Second
 )
 
@@ -57,8 +54,10 @@
 	LoadShedder   LoadShedder
 	// CallerDisconnected reports whether the caller has closed its connection.
 	CallerDisconnected func(r *http.Request) bool
-	// BodyMemory bounds the memory for request bodies.
-	BodyMemory *limiter.Admission
+	// Memory is the account of the memory that callers and targets make the process hold.
+	Memory *limiter.Admission
+	// Clock returns the time since the start of the process.
+	Clock func() time.Duration
 	// Logger receives a record for each decision about a request.
 	Logger *slog.Logger
 	// Observe is called at the end of each request.
@@ -100,6 +99,10 @@
 	defer rc.ActiveRequests.Add(-1)
 	p := &proxyRequest{receiver: rc, writer: w, request: r, control: http.NewResponseController(w), start: time.Now()}
 	p.info = rc.Protocol.ParseRequest(r)
+	if r.ContentLength != 0 {
+		// The error is ignored: response writers of tests may not support deadlines.
+		_ = p.control.SetReadDeadline(p.start.Add(bodyReadTimeout))
+	}
 	since, left, stopping := rc.ShutdownState.Stopping()
 	if stopping || rc.LoadShedder.ShouldCloseConnections() {
 		w.Header().Set("Connection", "close")
@@ -113,10 +116,10 @@
 		p.reject(rejection{status: http.StatusServiceUnavailable, code: codeBusy, retryAfter: hostBusyRetryAfter})
 		return
 	}
+	defer p.charge.Release()
 	if !p.readBody() {
 		return
 	}
-	defer p.release()
 	if stopping && p.requiredTime(since) > left {
 		p.reject(rejection{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stoppingRetryAfter})
 		return
@@ -158,57 +161,6 @@
 	return true
 }
 
-// readBody reads the whole body into memory, so that it can be sent to a second
-// target and a disconnect of the caller is noticed. It returns false if it has
-// rejected the request.
-func (p *proxyRequest) readBody() bool {
-	limit := int64(p.bodyLimit)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	r := p.request
-	if r.ContentLength > limit {
-		p.reject(rejection{status: http.StatusRequestEntityTooLarge, code: "bodyTooLarge"})
-		return false
-	}
-	expected := r.ContentLength
-	if expected < 0 {
-		expected = limit / 16 // chunked, size unknown; most bodies are far below the limit
-	}
-	release, err := p.receiver.BodyMemory.Admit(p.account, expected)
-	if err != nil {
-		p.writer.Header().Set("Connection", "close")
-		p.reject(rejection{status: http.StatusServiceUnavailable, code: "memory", retryAfter: memoryRetryAfter})
-		return false
-	}
-	p.release = release
-	if r.ContentLength == 0 {
-		return true
-	}
-	// The error is ignored: response writers of tests may not support deadlines.
-	_ = p.control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	if r.ContentLength > 0 {
-		p.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, p.body)
-	} else {
-		p.body, err = io.ReadAll(http.MaxBytesReader(p.writer, r.Body, limit))
-	}
-	_ = p.control.SetReadDeadline(time.Time{})
-	if err == nil {
-		return true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		p.reject(rejection{status: http.StatusRequestEntityTooLarge, code: "bodyTooLarge"})
-		return false
-	}
-	// A response cannot be delivered: the caller disconnected or stalled in the middle of
-	// the body.
-	p.log(logger.RequestAbandoned, slog.String("error", err.Error()))
-	release()
-	panic(http.ErrAbortHandler)
-}
-
 // stopNoticeTime is the time after the stop signal for which callers cannot know that
 // the daemon is stopping, because the balancer still sends it new connections.
 const stopNoticeTime = 3 * time.Second
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -118,7 +118,7 @@
 		"no key":           {"/safe/1", "", "", nil, 401, false},
 		"long body":        {"/safe/1", "k", strings.Repeat("x", 1001), nil, 413, false},
 		"no memory": {"/safe/1", "k", strings.Repeat("x", 100), func(o *receiver.Options) {
-			o.BodyMemory = limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 50})
+			o.Memory = limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 50})
 		}, 503, true},
 		"host busy": {"/once/1", "k", "x", func(o *receiver.Options) { o.LoadShedder = loadShedder{full: true} }, 503, true},
 		"overload":  {"/once/1", "k", "x", func(o *receiver.Options) { o.Permits = &permitSource{refuse: queuer.ReasonOverload} }, 503, true},
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -269,7 +269,7 @@
 	}
 	f.options = receiver.Options{
 		Protocol: protocol{}, Permits: f.permitSource, Configs: configs{&config}, TargetClient: f.client, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, CallerDisconnected: func(*http.Request) bool { return false },
-		BodyMemory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Logger: slog.New(slog.DiscardHandler),
+		Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Clock: clock, Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
 	if change != nil {
@@ -332,3 +332,6 @@
 // errReset is the error of an attempt whose connection was reset, and of a held
 // attempt that is released.
 var errReset = errors.Join(courier.ErrBroken, errors.New("reset"))
+
+// clock is the clock of receivers in tests.
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/limiter/admission.go
+++ b/limiter/admission.go
@@ -6,19 +6,27 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Errors returned by Admit.
+// Errors returned by Admit, OpenRequest and Grow.
 var (
 	ErrQueueFull = errors.New("limiter: the account's queue is full")
-	ErrBytesFull = errors.New("limiter: too many bytes are queued")
+	ErrBytesFull = errors.New("limiter: too many bytes are held")
+	ErrReleased  = errors.New("limiter: the charge is not open")
 )
 
-// AdmissionSettings bounds the waiting requests of one router. A bound of 0 means no bound.
+// AdmissionSettings bounds the requests and the memory of one process. A bound of 0 means
+// no bound.
 type AdmissionSettings struct {
 	// AccountRequests and AccountBytes bound the requests and their bytes per account.
 	AccountRequests int
 	AccountBytes    int64
-	// TotalBytes bounds the bytes queued for all accounts.
+	// TotalBytes bounds the sum of all charges.
 	TotalBytes int64
+	// ReservedBytes is the part of TotalBytes that only charges of up to SmallBytes may
+	// take, so that large bodies cannot keep out ordinary requests.
+	ReservedBytes, SmallBytes int64
+	// HeaderBytes bounds the sum of KindHeader, which connections hold before their
+	// requests can be told apart.
+	HeaderBytes int64
 }
 
 // accountQueue counts the admitted requests of one account that have not been released.
@@ -27,20 +35,33 @@
 	bytes    int64
 }
 
-// Admission bounds the queues of one router. It is safe for concurrent use.
+// Admission is the account of the memory that others make a process hold, and bounds the
+// queues of client accounts. It is safe for concurrent use.
 type Admission struct {
 	settings AdmissionSettings
-	mutex    sync.Mutex
-	queues   map[string]*accountQueue
+	// shortage holds a signal after memory was refused.
+	shortage chan struct{}
+
+	// mutex guards the fields below and those of all open charges.
+	mutex  sync.Mutex
+	queues map[string]*accountQueue
 	// requestLimits holds the accounts whose limit differs from AccountRequests.
 	requestLimits map[string]int
-	// bytes is the sum of the bytes of all queues.
+	// bytes is the sum of all charges, kinds their sum by kind.
 	bytes int64
+	kinds [kindCount]int64
+	// refusals counts the refused calls of Grow by kind.
+	refusals [kindCount]int64
+	// watched holds the charges of transfers that may be evicted.
+	watched map[*Charge]struct{}
 }
 
-// NewAdmission returns an Admission with empty queues.
+// NewAdmission returns an Admission without charges.
 func NewAdmission(s AdmissionSettings) *Admission {
-	return &Admission{settings: s, queues: map[string]*accountQueue{}, requestLimits: map[string]int{}}
+	return &Admission{
+		settings: s, shortage: make(chan struct{}, 1), queues: map[string]*accountQueue{}, requestLimits: map[string]int{},
+		watched: map[*Charge]struct{}{},
+	}
 }
 
 // SetAccountRequests overrides AccountRequests for one account; 0 removes the override.
@@ -64,43 +85,17 @@
 	return 0
 }
 
-// Admit takes a place in the account's queue, or returns ErrQueueFull or ErrBytesFull. The caller
-// calls release when the request leaves the queue; further calls have no effect.
+// Admit takes a place in the account's queue for a request with a body, or returns
+// ErrQueueFull or ErrBytesFull. The caller calls release when the request leaves the
+// queue; further calls have no effect.
 func (a *Admission) Admit(account string, bytes int64) (release func(), err error) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	q := a.queues[account]
-	if q == nil {
-		q = &accountQueue{}
-	}
-	s := a.settings
-	bytes = max(bytes, 0)
-	requests, found := a.requestLimits[account]
-	if !found {
-		requests = s.AccountRequests
-	}
-	if requests > 0 && q.requests >= requests {
-		return nil, ErrQueueFull
+	c := &Charge{}
+	if err := a.OpenRequest(c, account); err != nil {
+		return nil, err
 	}
-	if s.AccountBytes > 0 && q.bytes+bytes > s.AccountBytes || s.TotalBytes > 0 && a.bytes+bytes > s.TotalBytes {
-		return nil, ErrBytesFull
-	}
-	q.requests++
-	q.bytes += bytes
-	a.bytes += bytes
-	a.queues[account] = q
-	return sync.OnceFunc(func() { a.releasePlace(account, bytes) }), nil
-}
-
-// releasePlace removes a request from the account's queue.
-func (a *Admission) releasePlace(account string, bytes int64) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	q := a.queues[account]
-	q.requests--
-	q.bytes -= bytes
-	a.bytes -= bytes
-	if q.requests == 0 {
-		delete(a.queues, account)
+	if err := c.Grow(KindBody, bytes); err != nil {
+		c.Release()
+		return nil, err
 	}
+	return c.Release, nil
 }
