Account for the connections of callers and enforce the header limits

Requests that are sent ahead, and responses that are not read, stayed in kernel buffers of up to megabytes per connection.

Ruled out: http.Server.MaxHeaderBytes and ReadHeaderTimeout cannot change while the server runs. A fixed limit on the number of fields either lets the memory through or refuses headers within max-header-bytes.

Change: package meter wraps the connections of callers. It counts bytes and lines while a header arrives, charges 256 bytes a field and three times the bytes, answers 431 or 503 itself, and closes after the timeout in force. The account bounds the headers of all connections together, and the sum of all kinds by 0.4 of the memory limit of the process (256 MiB if that is unknown), a quarter of it reserved for requests of up to 64 KiB. While memory is short, connections that have been idle for a second are closed, then transfers without progress are ended.

Conclusion: what callers hold before their handlers run is bounded by the account or by the number of connections times the socket buffers.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/courier"
 	"monsoondeck.example/gateway/exchanger"
+	"monsoondeck.example/gateway/meter"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
@@ -40,9 +41,6 @@
 	// gcPercent is below the default of 100, so that the heap grows less between two
 	// collections: memory has a price, and the live heap is small.
 	gcPercent = 60
-	// bodyMemoryShare is the part of the process memory limit that request bodies may
-	// take.
-	bodyMemoryShare = 0.2
 	// readerIntervalShare is the part of the drain bound between two registry reads of
 	// a store reader, up to maxReaderInterval, or maxGroupedReaderInterval in a large
 	// fleet. Frequent reads by the two store readers cost less than reads by all daemons
@@ -122,6 +120,12 @@
 	metrics      *metrics
 	callerServer *server
 	listener     *sheddingListener
+	// memory is the account of the memory that callers and targets make the process hold,
+	// meter charges it with the connections of callers.
+	memory *limiter.Admission
+	meter  *meter.Meter
+	// stalledEnded counts the transfers that were ended because memory was short.
+	stalledEnded atomic.Int64
 	otherServers []*server
 	// hub is nil until the fleet secret is known.
 	hub atomic.Pointer[connector.Hub]
@@ -174,11 +178,13 @@
 		RegistryDue: g.registryDue, Role: g.role, Clock: g.clock,
 	})
 	g.overload = newOverloadMonitor(s.MemoryBytes, g.clock, g.logger)
+	g.memory = newMemory(s)
+	g.meter = g.newMeter()
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier,
 		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, CallerDisconnected: callerLeft,
-		Memory:  limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyMemoryShare * float64(s.MemoryBytes))}),
+		Memory: g.memory, ChargeHeader: chargeHeader,
 		Clock:   g.clock,
 		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
 		Observe: g.metrics.observe,
@@ -213,6 +219,8 @@
 	go g.watchDaemons(ctx)
 	go g.closeUnusedConnections(ctx)
 	go g.overload.run(ctx)
+	go g.relieveMemory(ctx)
+	go g.sweepMemory(ctx)
 	select {
 	case err := <-failed:
 		logger.Emit(g.logger, logger.ListenerFailed, slog.String("error", err.Error()))
--- /dev/null
+++ b/gateway/meter/conn.go
@@ -0,0 +1,273 @@
+package meter
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"monsoondeck.example/limiter"
+)
+
+// Conn is a connection of a caller. The HTTP server uses it as any net.Conn.
+type Conn struct {
+	net.Conn
+	meter *Meter
+	// charge is the memory that the connection holds.
+	charge limiter.Charge
+	// refused is set if there was no memory for the connection.
+	refused bool
+
+	// active is set from the end of the header of a request until its response is
+	// complete. The fields below describe the header while it is not set, and are only
+	// used by the goroutine that reads.
+	active   atomic.Bool
+	scanner  headerScanner
+	charged  int64
+	deadline time.Time
+	// deadlineSet is set once the deadline is in force.
+	deadlineSet bool
+	// ended is set after a refusal or a timeout; no further response is sent.
+	ended bool
+	// unread is set while unreadBytes are charged.
+	unread bool
+
+	// written is the number of bytes that were written.
+	written atomic.Int64
+	// The fields below are only used by the sweep: the number of bytes that the caller has
+	// acknowledged, the time since which it has not grown, and the bytes that are charged
+	// for those that it has not.
+	acknowledged, outgoingCharged int64
+	acknowledgedAt                time.Duration
+}
+
+// errRefused ends the connection after a refusal. The HTTP server sends no response of its
+// own after an error of a read.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.active.Load() {
+		return c.readActive(p)
+	}
+	if c.ended {
+		return 0, errRefused
+	}
+	if c.scanner.size > 0 && !c.deadlineSet {
+		c.deadlineSet = true
+		if err := c.Conn.SetReadDeadline(c.deadline); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		if c.scanner.size > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.ended = true
+			c.meter.record(HeaderTimeout, c)
+		}
+		return n, err
+	}
+	limits := c.meter.Limits()
+	if c.scanner.size == 0 {
+		timeout := limits.HeaderTimeout
+		if timeout <= 0 {
+			timeout = HeaderStartTimeout
+		}
+		c.deadline = time.Now().Add(timeout)
+	}
+	c.scanner.scan(p[:n])
+	maxSize, maxFields := HeaderLimits(limits)
+	switch {
+	case c.refused:
+		return c.refuse(ConnectionMemory, http.StatusServiceUnavailable, p)
+	case c.scanner.exceeds(maxSize, maxFields):
+		return c.refuse(HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, p)
+	case !c.chargeHeader(c.scanner.cost()):
+		return c.refuse(HeaderMemory, http.StatusServiceUnavailable, p)
+	}
+	return n, err
+}
+
+// readActive reads the body of a request, or one byte of what follows while the request is
+// served.
+func (c *Conn) readActive(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	// The HTTP server reads a single byte while a handler runs, to notice the end of the
+	// connection. The byte is the start of data that nobody reads until the response is
+	// complete.
+	if n > 0 && len(p) == 1 && !c.unread {
+		if c.unread = c.charge.Grow(limiter.KindKernel, unreadBytes) == nil; !c.unread {
+			c.meter.record(UnreadRequests, c)
+			_ = c.Close() // the connection is gone either way
+			return 0, errRefused
+		}
+	}
+	return n, err
+}
+
+// chargeHeader raises the charge for the header to the cost, and reports whether there is
+// memory for it.
+func (c *Conn) chargeHeader(cost int64) bool {
+	if cost <= c.charged {
+		return true
+	}
+	if c.charge.Grow(limiter.KindHeader, cost-c.charged) != nil {
+		return false
+	}
+	c.charged = cost
+	return true
+}
+
+// ChargeHeader charges a parsed header of the size and the number of fields. The scan
+// misses what was read together with an earlier request. It is called by the handler of
+// the request.
+func (c *Conn) ChargeHeader(size, fields int) error {
+	if !c.chargeHeader(headerCost(size, fields)) {
+		c.meter.record(HeaderMemory, c)
+		return limiter.ErrBytesFull
+	}
+	return nil
+}
+
+// refuse answers a request that was not read and ends the connection.
+func (c *Conn) refuse(reason Reason, status int, buffer []byte) (int, error) {
+	c.ended = true
+	c.meter.record(reason, c)
+	if _, err := c.write(c.meter.Refusal(status)); err != nil {
+		return 0, errRefused
+	}
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return 0, errRefused
+	}
+	for left := lingerBytes; left > 0; {
+		n, err := c.Conn.Read(buffer)
+		if err != nil {
+			break
+		}
+		left -= n
+	}
+	return 0, errRefused
+}
+
+// Write implements net.Conn. Each write has a deadline of its own.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.ended {
+		return 0, errRefused // the HTTP server answers a part of a request line
+	}
+	return c.write(p)
+}
+
+func (c *Conn) write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.meter.record(SlowReader, c)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.charge.Release()
+	c.meter.forget(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending direction. The HTTP server uses it before it closes a
+// connection with unread data.
+func (c *Conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// SetReadDeadline implements net.Conn. The HTTP server sets a deadline when the first
+// bytes of a header have arrived; that of the configuration in force replaces it. The
+// first deadline of a connection also bounds the time without any byte.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if !c.active.Load() && c.scanner.size > 0 && !t.IsZero() {
+		c.deadlineSet = true
+		t = c.deadline
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if inner, ok := c.Conn.(syscall.Conn); ok {
+		return inner.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
+// setState follows the requests of the connection. The HTTP server calls it on the
+// goroutine that reads, or before that one starts.
+func (c *Conn) setState(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.active.Store(true)
+	case http.StateIdle:
+		c.scanner, c.charged, c.deadlineSet = headerScanner{}, 0, false
+		c.charge.Shrink(limiter.KindHeader)
+		if c.unread {
+			c.unread = false
+			c.charge.Shrink(limiter.KindKernel)
+		}
+		c.active.Store(false)
+	case http.StateClosed, http.StateHijacked:
+		c.charge.Release()
+		c.meter.forget(c)
+	case http.StateNew:
+	}
+}
+
+// sweep charges the data that the caller has not read. It returns false if the connection
+// should be closed: the caller has read nothing for writeTimeout, or there is no memory.
+func (c *Conn) sweep(now time.Duration) bool {
+	written := c.written.Load()
+	if written == c.acknowledged {
+		return true
+	}
+	n, err := c.unacknowledged()
+	if err != nil {
+		return true // closed meanwhile
+	}
+	if acknowledged := max(written-n, c.acknowledged); acknowledged > c.acknowledged || c.outgoingCharged == 0 {
+		c.acknowledged, c.acknowledgedAt = acknowledged, now
+	}
+	switch {
+	case n > c.outgoingCharged:
+		if c.charge.Grow(limiter.KindResponse, n-c.outgoingCharged) != nil {
+			return false
+		}
+		c.outgoingCharged = n
+	case n == 0 && c.outgoingCharged > 0:
+		c.outgoingCharged = 0
+		c.charge.Shrink(limiter.KindResponse)
+	}
+	return n == 0 || now-c.acknowledgedAt < writeTimeout
+}
+
+// unacknowledged returns the number of bytes that the other side has not acknowledged.
+// Those that it acknowledged are in its own memory.
+func (c *Conn) unacknowledged() (int64, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var n int
+	var errQueue error
+	if err := raw.Control(func(fd uintptr) { n, errQueue = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil {
+		return 0, err
+	}
+	return int64(n), errQueue
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -38,7 +38,7 @@
 			Name: "monsoondeck_request_seconds", Help: "Time to the end of the answer.", Buckets: totalBuckets,
 		}, []string{"route"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByte, m.total)
+	m.registry.MustRegister(m.requests, m.firstByte, m.total, newMemoryCollector(g))
 	gauges := map[string]struct {
 		help  string
 		value func() float64
--- a/gateway/receiver/body.go
+++ b/gateway/receiver/body.go
@@ -63,7 +63,7 @@
 	case errors.Is(err, limiter.ErrBytesFull), errors.Is(err, limiter.ErrQueueFull), p.charge.Evicted():
 		p.charge.Release()
 		p.writer.Header().Set("Connection", "close")
-		p.reject(rejection{status: http.StatusServiceUnavailable, code: "memory", retryAfter: memoryRetryAfter})
+		p.reject(rejection{status: http.StatusServiceUnavailable, code: codeMemory, retryAfter: memoryRetryAfter})
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		p.charge.Release()
 		p.writer.Header().Set("Connection", "close")
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -56,6 +56,9 @@
 	CallerDisconnected func(r *http.Request) bool
 	// Memory is the account of the memory that callers and targets make the process hold.
 	Memory *limiter.Admission
+	// ChargeHeader charges the header of a request to its connection, or returns an error if
+	// memory is short.
+	ChargeHeader func(r *http.Request, size, fields int) error
 	// Clock returns the time since the start of the process.
 	Clock func() time.Duration
 	// Logger receives a record for each decision about a request.
@@ -137,6 +140,9 @@
 		return false
 	}
 	p.version = config.Version()
+	if !p.checkHeader(config.Limits()) {
+		return false
+	}
 	path, _, _ := strings.Cut(p.request.RequestURI, "?")
 	if p.route, ok = config.Resolve(p.request.Host, path); !ok {
 		p.reject(rejection{status: http.StatusNotFound, code: "noRoute"})
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -66,15 +66,37 @@
 // codeBusy is the code of rejections because the host is busy.
 const codeBusy = "hostBusy"
 
+// codeMemory is the code of rejections because memory is short, codeHeaderTooLarge of those
+// because the header exceeds its limits.
+const (
+	codeMemory         = "memory"
+	codeHeaderTooLarge = "headerTooLarge"
+)
+
 // BusyResponse returns a whole response that rejects a request which was not read,
 // because the host is busy, and closes the connection. It names no request.
 func BusyResponse(p Protocol, retryAfter time.Duration) []byte {
-	body, err := json.Marshal(rejectionBody{rejectionError{Code: codeBusy, RetryAfterSeconds: retryAfter.Seconds()}})
+	return unreadResponse(http.StatusServiceUnavailable, codeBusy, "Retry-After: "+p.FormatRetryAfter(retryAfter)+"\r\n", retryAfter)
+}
+
+// MemoryResponse is like BusyResponse, because memory is short.
+func MemoryResponse(p Protocol, retryAfter time.Duration) []byte {
+	return unreadResponse(http.StatusServiceUnavailable, codeMemory, "Retry-After: "+p.FormatRetryAfter(retryAfter)+"\r\n", retryAfter)
+}
+
+// HeaderTooLargeResponse is like BusyResponse, because the header exceeds its limits.
+func HeaderTooLargeResponse() []byte {
+	return unreadResponse(http.StatusRequestHeaderFieldsTooLarge, codeHeaderTooLarge, "", 0)
+}
+
+// unreadResponse returns a whole response that rejects a request which was not read.
+func unreadResponse(status int, code, field string, retryAfter time.Duration) []byte {
+	body, err := json.Marshal(rejectionBody{rejectionError{Code: code, RetryAfterSeconds: retryAfter.Seconds()}})
 	if err != nil {
 		body = nil // status and Retry-After are sufficient
 	}
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nRetry-After: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
-		http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), p.FormatRetryAfter(retryAfter), len(body), body)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), field, len(body), body)
 }
 
 // setWriteDeadline sets the deadline of the next write to the caller.
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -269,7 +269,7 @@
 	}
 	f.options = receiver.Options{
 		Protocol: protocol{}, Permits: f.permitSource, Configs: configs{&config}, TargetClient: f.client, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, CallerDisconnected: func(*http.Request) bool { return false },
-		Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Clock: clock, Logger: slog.New(slog.DiscardHandler),
+		Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Clock: clock, ChargeHeader: func(*http.Request, int, int) error { return nil }, Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
 	if change != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -15,12 +15,11 @@
 )
 
 const (
-	// headerTimeout limits the time in which a caller sends the header of a request.
-	// It holds for all configurations, since the HeaderTimeout of resolver.Limits is not
-	// applied here. A caller that needs longer is faulty.
+	// headerTimeout limits the time in which the header of a request must arrive, and
+	// headerBytes its size, on the listeners for health checks, peers and metrics. The
+	// limits for callers are those of package meter.
 	headerTimeout = 10 * time.Second
-	// headerBytes limits the size of the header of a request.
-	headerBytes = 64 << 10
+	headerBytes   = 64 << 10
 )
 
 // server is an HTTP server with its listener and its open connections.
@@ -183,8 +182,10 @@
 		}
 		all = append(all, s)
 		if i == 0 {
+			socket := s.listener
 			g.listener = &sheddingListener{Listener: s.listener, shed: g.shedConnection, refuser: g.newRefuser()}
 			s.listener = g.listener
+			g.meterCallers(s, socket)
 			g.callerServer = s
 		} else {
 			g.otherServers = append(g.otherServers, s)
--- a/limiter/charge.go
+++ b/limiter/charge.go
@@ -15,6 +15,8 @@
 	KindHeader
 	// KindConnection is memory for buffers of connections.
 	KindConnection
+	// KindKernel is memory of the kernel for data that the process has not read.
+	KindKernel
 	// KindRequest is the fixed cost of requests that wait or are in progress.
 	KindRequest
 	// KindResponse is memory for responses that are read before they are forwarded, and
@@ -26,7 +28,7 @@
 )
 
 // kindNames are the names of the kinds in metrics.
-var kindNames = [kindCount]string{"body", "header", "connection", "request", "response", "stream"}
+var kindNames = [kindCount]string{"body", "header", "connection", "kernel", "request", "response", "stream"}
 
 // String returns the name of the kind.
 func (k Kind) String() string { return kindNames[k] }
--- a/logger/events.go
+++ b/logger/events.go
@@ -67,6 +67,9 @@
 	TargetAnnouncedLeave = Event{524, slog.LevelInfo, "target announced that it leaves", ""}
 	TargetClosed         = Event{525, slog.LevelInfo, "target wants no requests for some time", ""}
 
+	MemoryShort     = Event{526, slog.LevelWarn, "memory is short and requests are refused", "Look at the kinds in monsoondeck_memory_bytes; give the host more memory if they come from ordinary callers."}
+	ConnectionEnded = Event{527, slog.LevelInfo, "connection of a caller refused or closed to protect the memory", "The reason says which limit the caller has reached."}
+
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
 	StoreRestored       = Event{603, slog.LevelWarn, "platform's store was restored from an older state", "Check that the operator's changes of the last seconds are in force again."}
@@ -83,6 +86,7 @@
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
 		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed,
+		MemoryShort, ConnectionEnded,
 		PlatformUnavailable, PlatformAvailable, StoreRestored,
 	}
 }
