Charge responses, streams and callers that do not read

Cause: a response of up to 256 KiB was read without a charge, and so were events of a stream, which may have 1 MiB each. A caller that does not read held the memory of its request for the whole write timeout also while others were refused.

Ruled out: refusing a request because its response does not fit. The request has run, and a completed response must be delivered.

Change: responses are charged as they are read. Without memory, they are forwarded as they arrive, as large ones are; only the retry after a response that breaks off is lost. Incomplete events are charged in steps; without memory, the stream breaks off, or resumes where the route allows it. Writes of requests that hold 64 KiB or more can be ended while memory is short.

Conclusion: what a target or a slow reader makes the process hold is in the same account as bodies and headers.

--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -18,11 +18,11 @@
 // incomplete.
 func (p *proxyRequest) forwardResponse(ctx context.Context, permit Permit, response *courier.Response, info ResponseInfo) attemptOutcome {
 	permit.FirstEvent()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	data, whole, err := p.readResponse(response)
 	if err != nil {
 		return p.failAttempt(permit, p.failureResult(ctx, err), "response body is incomplete", err)
 	}
-	if len(data) > maxBufferedBytes {
+	if !whole {
 		return p.forwardLargeResponse(ctx, permit, response, data)
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: data}
@@ -55,7 +55,7 @@
 	p.firstByte = time.Since(p.start)
 	p.setWriteDeadline()
 	p.writer.WriteHeader(response.Status)
-	_, err := p.writer.Write(beginning)
+	_, err := p.write(beginning)
 	if err == nil {
 		_, err = io.Copy(deadlineWriter{p}, response.Body)
 	}
@@ -75,7 +75,7 @@
 
 func (w deadlineWriter) Write(p []byte) (int, error) {
 	w.request.setWriteDeadline()
-	return w.request.writer.Write(p)
+	return w.request.write(p)
 }
 
 // streamState is the state of a stream that is forwarded to the caller, possibly from
@@ -123,6 +123,9 @@
 			if tooLong {
 				return p.failAttempt(permit, placer.Failed, "stream event exceeds the size limit", nil)
 			}
+			if err := p.chargeStream(len(events.pending)); err != nil {
+				return p.failAttempt(permit, placer.Cancelled, "no memory for an event of the stream", err)
+			}
 			if len(ready) > 0 {
 				if first && events.count > 0 && resumeAfterID != "" && !continuesAfter(ready, resumeAfterID) {
 					return p.failAttempt(permit, placer.Failed, "target did not resume the stream where it broke", nil)
@@ -158,7 +161,7 @@
 	p.startStream()
 	p.stream.markForwarded()
 	p.setWriteDeadline()
-	if _, err := p.writer.Write(events); err != nil {
+	if _, err := p.write(events); err != nil {
 		return false
 	}
 	if err := p.control.Flush(); err != nil {
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -63,6 +63,8 @@
 	// number of bytes of the body that were reported to the charge.
 	watched  bool
 	reported int64
+	// streamCharged is the number of bytes that are charged for incomplete events.
+	streamCharged int
 
 	// waits counts the permits that were requested, attempts the targets to which the
 	// request was sent.
--- a/gateway/receiver/memory_test.go
+++ b/gateway/receiver/memory_test.go
@@ -174,3 +174,129 @@
 		t.Errorf("status %d after the stalled body was ended, want 200", r.status)
 	}
 }
+
+// Guards against a completed response that is lost because there is no memory to hold it,
+// and against its charge staying.
+func TestResponseIsDeliveredWhenMemoryIsShort(t *testing.T) {
+	body := strings.Repeat("y", 300<<10)
+	for _, size := range []int{0, 3000, 4 << 10, 20 << 10, 256 << 10, 300 << 10} {
+		for name, memory := range map[string]int64{"nothing left": requestBytes + 4, "first step": requestBytes + 5<<10, "plenty": 4 << 20} {
+			f := newFixture(t, []reply{{status: 200, header: signed, body: body[:size]}}, limitMemory(memory))
+			if r := f.postDefault(t, "/safe/1"); r.status != http.StatusOK || r.body != body[:size] || r.err != nil {
+				t.Errorf("%s, %d bytes: status %d, %d bytes, error %v", name, size, r.status, len(r.body), r.err)
+			}
+			f.wantReleased(t)
+		}
+	}
+}
+
+// wantReleased waits until nothing is charged any more.
+func (f *fixture) wantReleased(t *testing.T) {
+	t.Helper()
+	for _, k := range limiter.Kinds() {
+		for bytes := int64(1); bytes != 0; bytes, _ = f.options.Memory.Charged(k) {
+			runtime.Gosched()
+		}
+	}
+}
+
+// Guards against targets that make the process hold a megabyte for each of many streams by
+// events that do not end, and against streams with short events that are charged.
+func TestIncompleteEventsAreCharged(t *testing.T) {
+	long := "id: 1\ndata: " + strings.Repeat("x", 100<<10) + "\n\n"
+	for name, c := range map[string]struct {
+		body   string
+		memory int64
+		broken bool
+	}{
+		"long event, little memory":  {"id: 0\n\n" + long, requestBytes + 30<<10, true},
+		"long event, enough memory":  {"id: 0\n\n" + long, requestBytes + 200<<10, false},
+		"short events, none left":    {strings.Repeat("id: 1\ndata: x\n\n", 5000), requestBytes + 4, false},
+		"long event of another size": {long[:4000] + "\n\n", requestBytes + 4, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, []reply{{status: 200, header: signed, body: c.body}}, limitMemory(c.memory))
+			r := f.postDefault(t, "/stream/1")
+			if (r.err != nil) != c.broken || !c.broken && r.body != c.body {
+				t.Errorf("status %d, %d bytes, error %v", r.status, len(r.body), r.err)
+			}
+			f.wantReleased(t)
+		})
+	}
+}
+
+// stuckWriter is an http.ResponseWriter whose caller does not read: a write of more than
+// some bytes blocks until its deadline is in the past.
+type stuckWriter struct {
+	*httptest.ResponseRecorder
+	ended chan struct{}
+}
+
+func (w stuckWriter) SetWriteDeadline(t time.Time) error {
+	if t.Before(time.Now()) {
+		close(w.ended)
+	}
+	return nil
+}
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	if len(p) > 64<<10 {
+		<-w.ended
+		return 0, os.ErrDeadlineExceeded
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against callers that do not read their responses and hold the memory of them for
+// the whole write timeout.
+func TestSlowReaderIsEndedWhenMemoryIsShort(t *testing.T) {
+	for name, size := range map[string]int{"response that is held": 200 << 10, "larger response": 600 << 10} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, []reply{{status: 200, header: signed, body: strings.Repeat("y", size)}}, nil)
+			r := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
+			r.Host = "h.example"
+			r.Header.Set("Key", "k")
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				defer func() { _ = recover() }() // the connection is aborted
+				receiver.New(f.options).ServeHTTP(stuckWriter{httptest.NewRecorder(), make(chan struct{})}, r)
+			}()
+			for f.options.Memory.EvictStalled(clock()+time.Second, time.Second, 1) == 0 {
+				runtime.Gosched() // nothing is written yet
+			}
+			<-done
+			f.wantReleased(t)
+		})
+	}
+}
+
+// Guards against a header over the limits of the configuration that was not seen before the
+// handler, and against a request whose header has no memory.
+func TestHeaderIsCheckedAgainstTheLimitsInForce(t *testing.T) {
+	short := errors.New("no memory")
+	for name, c := range map[string]struct {
+		header int
+		charge error
+		status int
+	}{
+		"ordinary":         {100, nil, 200},
+		"over the default": {70 << 10, nil, 431},
+		"no memory":        {100, short, 503},
+	} {
+		f := newFixture(t, []reply{{status: 200, header: signed, body: "ok"}}, func(o *receiver.Options) {
+			o.ChargeHeader = func(*http.Request, int, int) error { return c.charge }
+		})
+		r := f.post(context.Background(), t, "/safe/1", "k", "x")
+		if c.header > 100 {
+			w := httptest.NewRecorder()
+			request := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
+			request.Header.Set("A", strings.Repeat("x", c.header))
+			receiver.New(f.options).ServeHTTP(w, request)
+			r.status = w.Code
+		}
+		if r.status != c.status {
+			t.Errorf("%s: status %d, want %d", name, r.status, c.status)
+		}
+	}
+}
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -120,7 +120,7 @@
 	p.setWriteDeadline()
 	p.firstByte = time.Since(p.start)
 	p.writer.WriteHeader(r.status)
-	_, _ = p.writer.Write(r.body) // the caller may be disconnected
+	_, _ = p.write(r.body) // the caller may be disconnected
 	p.receiver.observeDuration(p.route.Name, p.firstByte)
 	p.recordEnd("answered", r.status)
 }
