Bound the bodies that are being written to one target

Cause: this host wrote any number of bodies to one target at a time. Targets read slowly and crash when the requests that they hold exceed their memory.

Ruled out: counting a body until the response has begun would throttle engines that hold hundreds of ordinary prompts on purpose.

Change: at most 4 MiB of bodies are being written to one target at a time; a single body is always permitted. A request waits up to 250 ms for room, and is then given another target. It counts as not sent.

Before: a second body of 64 MiB was written to a target that read nothing of the first. After: ErrSendingFull, and the next body is permitted once the first one has ended.

Conclusion: bodies of up to 2 KiB, which one write takes, are not counted.

--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -33,6 +33,9 @@
 	ErrRefused = errors.Wrap(ErrNotSent, "connection was refused")
 	// ErrWithdrawn: Request.MaySend did not permit the request. It is also an ErrNotSent.
 	ErrWithdrawn = errors.Wrap(ErrNotSent, "request was withdrawn")
+	// ErrSendingFull: too many bytes of other requests are being written to the target. It
+	// is also an ErrWithdrawn.
+	ErrSendingFull = errors.Wrap(ErrWithdrawn, "too many bodies are being written to the target")
 	// ErrInvalid: the target sent data that is not a response to the request.
 	ErrInvalid = errors.New("invalid response from the target")
 )
@@ -124,9 +127,10 @@
 // Stats holds the counters of a Client. Dials counts attempts to open a connection,
 // DialFailures those that failed. Reuses counts requests sent on a pooled
 // connection, Stale the pooled connections that were found unusable, and
-// ForeignResponses the responses that belong to other requests.
+// ForeignResponses the responses that belong to other requests. SendingFull counts the
+// requests that were not sent because of the bodies being written to their target.
 type Stats struct {
-	Dials, DialFailures, Reuses, ForeignResponses, Stale atomic.Int64
+	Dials, DialFailures, Reuses, ForeignResponses, Stale, SendingFull atomic.Int64
 }
 
 // Client sends requests to targets and pools the connections to them. It is safe
@@ -140,27 +144,44 @@
 	// idle.
 	idle   map[Target][]*connection
 	closed bool
+	// sending has a mutex of its own.
+	sending sendingBounds
 }
 
 // New returns a Client and a function that closes its idle connections.
 func New() (*Client, func()) {
-	c := &Client{dialer: dialer.New(dialTimeout), idle: map[Target][]*connection{}}
+	c := &Client{dialer: dialer.New(dialTimeout), idle: map[Target][]*connection{}, sending: sendingBounds{targets: map[Target]*sending{}}}
 	return c, c.close
 }
 
 // Do sends the request and returns the response once its header has been read. The
 // context bounds the whole exchange, including reading the body. Errors: ErrNotSent,
-// ErrWithdrawn, ErrBroken, ErrInvalid, and the cause of the context's end.
+// ErrWithdrawn, ErrSendingFull, ErrBroken, ErrInvalid, and the cause of the context's end.
 func (c *Client) Do(ctx context.Context, t Target, r Request) (*Response, error) {
+	if len(r.Body) <= maxInlineBodyBytes {
+		return c.exchange(ctx, t, r, func() {})
+	}
+	if !c.sending.start(ctx, t, int64(len(r.Body))) {
+		c.Stats.SendingFull.Add(1)
+		return nil, ErrSendingFull
+	}
+	return c.exchange(ctx, t, r, sync.OnceFunc(func() { c.sending.end(t, int64(len(r.Body))) }))
+}
+
+// exchange sends a request and reads the header of the response. It calls sent once no
+// more of the body will be written.
+func (c *Client) exchange(ctx context.Context, t Target, r Request, sent func()) (*Response, error) {
 	conn, err := c.getConnection(ctx, t, r.NonRepeatable)
 	if err != nil {
+		sent()
 		return nil, err
 	}
 	if r.MaySend != nil && !r.MaySend() {
 		c.putIdle(t, conn)
+		sent()
 		return nil, ErrWithdrawn
 	}
-	x := &exchange{courier: c, target: t, connection: conn, request: r}
+	x := &exchange{courier: c, target: t, connection: conn, request: r, sent: sent}
 	x.stopWatch = context.AfterFunc(ctx, conn.abort)
 	response, err := x.run()
 	if err != nil {
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -22,6 +22,8 @@
 	// stopWatch stops closing the connection when the context ends. It returns false if
 	// the context has already ended.
 	stopWatch func() bool
+	// sent is called once no more of the body will be written.
+	sent func()
 	// written is set once the whole request has been written.
 	written atomic.Bool
 }
@@ -42,6 +44,7 @@
 	}
 	n, err := x.connection.Write(head)
 	if err != nil && n == 0 {
+		x.sent()
 		return nil, errors.Wrapf(ErrNotSent, "write: %v", err)
 	}
 	go x.writeBody()
@@ -49,6 +52,7 @@
 }
 
 func (x *exchange) writeBody() {
+	defer x.sent()
 	// The error of a failed write is ignored: reading the response fails as well.
 	if _, err := x.connection.Write(x.request.Body); err == nil {
 		x.written.Store(true)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -54,6 +54,7 @@
 		"monsoondeck_log_records_dropped":  {"Log records that were not written.", func() float64 { return float64(g.recorder.Dropped.Load()) }},
 		"monsoondeck_target_dials":         {"Connections opened to targets.", func() float64 { return float64(g.courier.Stats.Dials.Load()) }},
 		"monsoondeck_target_dial_failures": {"Connections to targets that failed to open.", func() float64 { return float64(g.courier.Stats.DialFailures.Load()) }},
+		"monsoondeck_target_sends_full":    {"Requests that were not sent because of the bodies being written to their target.", func() float64 { return float64(g.courier.Stats.SendingFull.Load()) }},
 		"monsoondeck_foreign_answers":      {"Answers of targets to other requests, dropped.", func() float64 { return float64(g.courier.Stats.ForeignResponses.Load()) }},
 		"monsoondeck_connections_refused":  {"Connections of callers that were refused with an answer because the host was busy.", func() float64 { return float64(g.listener.refusedCount.Load()) }},
 		"monsoondeck_connections_closed":   {"Connections of callers that were closed unread because there were too many.", func() float64 { return float64(g.listener.closedCount.Load()) }},
