--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -67,6 +67,9 @@
 	// maxHeadBytes bounds the header of a response, with all informational responses
 	// before it. A faulty target may send bytes without end.
 	maxHeadBytes = 64 << 10
+	// maxHeadFields bounds the fields of the header of a response. Very many short fields
+	// hold far more memory than their bytes.
+	maxHeadFields = 1000
 	// maxForeignBodyBytes bounds the body of a response to another request that is read in
 	// order to reach the next response.
 	maxForeignBodyBytes = 256 << 10
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -113,6 +113,9 @@
 		if err != nil {
 			return nil, x.classifyReadError(err)
 		}
+		if countFields(response.Header) > maxHeadFields {
+			return nil, errors.Wrap(ErrInvalid, "the header of the response has too many fields")
+		}
 		if response.StatusCode < 200 {
 			continue // informational; the final response follows
 		}
@@ -139,6 +142,15 @@
 	}
 }
 
+// countFields returns the number of fields of a header.
+func countFields(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // classifyReadError returns ErrBroken if reading a response header failed because of
 // the connection, and ErrInvalid if the header could not be parsed.
 func (x *exchange) classifyReadError(err error) error {
--- a/gateway/courier/sending_test.go
+++ b/gateway/courier/sending_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -97,3 +98,33 @@
 	}
 	_ = response.Body.Close()
 }
+
+// Guards against a target that makes the process hold megabytes by very many short fields
+// within the size of a header.
+func TestResponseWithVeryManyFieldsIsInvalid(t *testing.T) {
+	for fields, valid := range map[int]bool{maxHeadFields - 1: true, maxHeadFields + 1: false} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+strings.Repeat("a:\r\n", fields)+"\r\n") // Do reports a failure
+		}()
+		c, closeClient := New()
+		response, err := c.Do(context.Background(), Target{ID: "t", Address: l.Addr().String()}, Request{
+			Method: http.MethodGet, URI: "/", Host: "h", Match: func(int, http.Header) Match { return Own },
+		})
+		if valid != (err == nil) || !valid && !errors.Is(err, ErrInvalid) {
+			t.Errorf("%d fields: error %v", fields, err)
+		}
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		closeClient()
+		_ = l.Close()
+	}
+}
--- a/gateway/meter/header.go
+++ b/gateway/meter/header.go
@@ -46,14 +46,25 @@
 // took on the connection, and their number. The blank after a colon is not counted, since
 // the HTTP server does not keep it.
 func HeaderSize(r *http.Request) (size, fields int) {
-	const lineEnd, colon = 2, 1
+	size, fields = fieldsSize(r.Header)
 	if r.Host != "" {
-		size += len("Host") + colon + len(r.Host) + lineEnd
+		size += len("Host") + colonBytes + len(r.Host) + lineEndBytes
 		fields++
 	}
-	for name, values := range r.Header {
+	return size, fields
+}
+
+// HeaderCost returns the memory that a parsed header and its copies hold.
+func HeaderCost(h http.Header) int64 { return headerCost(fieldsSize(h)) }
+
+// colonBytes and lineEndBytes are the sizes of what surrounds name and value of a field.
+const colonBytes, lineEndBytes = 1, 2
+
+// fieldsSize returns the size and the number of the fields of a header.
+func fieldsSize(h http.Header) (size, fields int) {
+	for name, values := range h {
 		for _, v := range values {
-			size += len(name) + colon + len(v) + lineEnd
+			size += len(name) + colonBytes + len(v) + lineEndBytes
 		}
 		fields += len(values)
 	}
--- a/gateway/receiver/body.go
+++ b/gateway/receiver/body.go
@@ -115,6 +115,7 @@
 				return io.ErrUnexpectedEOF
 			}
 			p.body = buffer[:n]
+			p.charge.Unwatch() // else the deadline of an eviction could come after this one
 			// The error is ignored: response writers of tests may not support deadlines.
 			_ = p.control.SetReadDeadline(time.Time{})
 			return nil
--- a/gateway/receiver/header.go
+++ b/gateway/receiver/header.go
@@ -5,6 +5,7 @@
 
 	"monsoondeck.example/gateway/meter"
 	"monsoondeck.example/gateway/resolver"
+	"monsoondeck.example/limiter"
 )
 
 // checkHeader checks the header against the limits and charges it. It returns false if it
@@ -25,3 +26,14 @@
 	}
 	return true
 }
+
+// freeHeaderBytes is the cost up to which the header of a response needs no memory beside
+// requestBytes, so that ordinary responses are delivered also while memory is short.
+const freeHeaderBytes = 16 << 10
+
+// chargeResponseHeader charges the header of a response, and reports whether there is
+// memory for it.
+func (p *proxyRequest) chargeResponseHeader(h http.Header) bool {
+	cost := meter.HeaderCost(h)
+	return cost <= freeHeaderBytes || p.charge.Grow(limiter.KindHeader, cost) == nil
+}
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -232,6 +232,9 @@
 		return p.handleNotRun(permit, response, info)
 	}
 	p.mayHaveRun = true
+	if !p.chargeResponseHeader(response.Header) {
+		return p.failAttempt(permit, placer.Cancelled, "no memory for the header of the response", nil)
+	}
 	if response.Status < 300 && !info.Signed {
 		return p.failAttempt(permit, placer.Failed, "success response without a signature", nil)
 	}
--- a/limiter/charge.go
+++ b/limiter/charge.go
@@ -61,7 +61,8 @@
 	// closeStalled is called, with the mutex of the Admission held, to end a transfer
 	// that has stalled. It is nil unless the charge is watched.
 	closeStalled func()
-	evicted      bool
+	// evicted is set if the last watched transfer was ended.
+	evicted bool
 }
 
 // Open opens a charge that belongs to no account.
--- a/limiter/stall.go
+++ b/limiter/stall.go
@@ -18,7 +18,7 @@
 	if !c.open {
 		return
 	}
-	c.progressAt, c.unreported, c.closeStalled = now, 0, closeStalled
+	c.progressAt, c.unreported, c.closeStalled, c.evicted = now, 0, closeStalled, false
 	c.admission.watched[c] = struct{}{}
 }
 
@@ -45,7 +45,7 @@
 	}
 }
 
-// Evicted reports whether EvictStalled has ended a transfer of the charge.
+// Evicted reports whether EvictStalled has ended the last watched transfer of the charge.
 func (c *Charge) Evicted() bool {
 	if c.admission == nil {
 		return false
