--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -103,12 +103,20 @@
 		}
 		t.forget(c)
 		t.closing[c] = time.Now()
-		_ = c.SetReadDeadline(time.Unix(0, 1)) // an error means that it is closed already
+		_ = endIdle(c) // an error means that it is closed already
 		return true
 	}
 	return false
 }
 
+// endIdle ends the read in which the server waits for the next request on a connection.
+func endIdle(c net.Conn) error {
+	if metered, ok := c.(interface{ EndIdle() error }); ok {
+		return metered.EndIdle()
+	}
+	return c.SetReadDeadline(time.Unix(0, 1))
+}
+
 // closeIdle closes the connections that have been idle for longer than the timeout;
 // 0 closes none. It leaves those with a request that a busy host has not read yet.
 func (t *connectionTracker) closeIdle(timeout time.Duration) {
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -22,6 +22,8 @@
 	// stopWatch stops closing the connection when the context ends. It returns false if
 	// the context has already ended.
 	stopWatch func() bool
+	// sent is called once no more of the body will be written.
+	sent func()
 	// written is set once the whole request has been written.
 	written atomic.Bool
 }
@@ -42,6 +44,7 @@
 	}
 	n, err := x.connection.Write(head)
 	if err != nil && n == 0 {
+		x.sent()
 		return nil, errors.Wrapf(ErrNotSent, "write: %v", err)
 	}
 	go x.writeBody()
@@ -49,6 +52,7 @@
 }
 
 func (x *exchange) writeBody() {
+	defer x.sent()
 	// The error of a failed write is ignored: reading the response fails as well.
 	if _, err := x.connection.Write(x.request.Body); err == nil {
 		x.written.Store(true)
@@ -109,6 +113,9 @@
 		if err != nil {
 			return nil, x.classifyReadError(err)
 		}
+		if countFields(response.Header) > maxHeadFields {
+			return nil, errors.Wrap(ErrInvalid, "the header of the response has too many fields")
+		}
 		if response.StatusCode < 200 {
 			continue // informational; the final response follows
 		}
@@ -135,6 +142,15 @@
 	}
 }
 
+// countFields returns the number of fields of a header.
+func countFields(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // classifyReadError returns ErrBroken if reading a response header failed because of
 // the connection, and ErrInvalid if the header could not be parsed.
 func (x *exchange) classifyReadError(err error) error {
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -16,6 +16,7 @@
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/resolver"
+	"monsoondeck.example/limiter"
 	"monsoondeck.example/logger"
 )
 
@@ -56,8 +57,14 @@
 	// bodyLimit is the largest body in bytes; 0 stands for defaultBodyBytes.
 	bodyLimit int
 	body      []byte
-	// release frees the memory that was admitted for the body.
-	release func()
+	// charge is the memory that the request holds.
+	charge limiter.Charge
+	// watched is set once the charge is watched while the body is read. reported is the
+	// number of bytes of the body that were reported to the charge.
+	watched  bool
+	reported int64
+	// streamCharged is the number of bytes that are charged for incomplete events.
+	streamCharged int
 
 	// waits counts the permits that were requested, attempts the targets to which the
 	// request was sent.
@@ -225,6 +232,9 @@
 		return p.handleNotRun(permit, response, info)
 	}
 	p.mayHaveRun = true
+	if !p.chargeResponseHeader(response.Header) {
+		return p.failAttempt(permit, placer.Cancelled, "no memory for the header of the response", nil)
+	}
 	if response.Status < 300 && !info.Signed {
 		return p.failAttempt(permit, placer.Failed, "success response without a signature", nil)
 	}
