Tell responses without a body from those that end with their connection

Cause: a response to HEAD without Content-Length has the length -1 and no transfer encoding, so that EndsWithConnection was set although its end is known. Nothing depended on it so far; a check of the target at such ends would be paid for each HEAD request.

Change: a response that has no body does not end with its connection.

Evidence: TestResponsesWithoutABodyDoNotEndWithTheConnection failed before for HEAD (204 was right already).

--- a/gateway/courier/courier_test.go
+++ b/gateway/courier/courier_test.go
@@ -277,6 +277,26 @@
 	}
 }
 
+// Guards against a check of the target after each response that has no body.
+func TestResponsesWithoutABodyDoNotEndWithTheConnection(t *testing.T) {
+	for method, status := range map[string]int{http.MethodHead: http.StatusOK, http.MethodGet: http.StatusNoContent} {
+		s := startTarget(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %d -\r\nId: 1\r\n\r\n", status)
+			return true
+		})
+		r := newRequest("1")
+		r.Method, r.Body = method, nil
+		response, err := newClient(t).Do(context.Background(), courier.Target{ID: "t", Address: s.address}, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.EndsWithConnection {
+			t.Errorf("%s, status %d: the response ends with the connection", method, status)
+		}
+		_ = response.Body.Close()
+	}
+}
+
 // Guards against incomplete bodies that are read without an error.
 func TestIncompleteBodiesAreErrors(t *testing.T) {
 	for name, raw := range map[string]string{
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -155,7 +155,7 @@
 	x.connection.setIdleTimeout(r.Header)
 	return &Response{
 		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
-		EndsWithConnection: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
+		EndsWithConnection: r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody,
 		Body:               &body{exchange: x, reader: r.Body, reusable: !r.Close},
 	}
 }
