Check the target at the end of a response that ends with its connection

Cause: the kernel closes the connections of a killed process without a reset. A stream or response that has neither a length nor chunks reached its caller as complete, with the events sent up to then.

Ruled out: connection attempts alone. Waiting on the connection instead would delay every sound end by the longest time that the kernel may need.

Change: gateway/prober sends a health check, which the kernel resets if the process is gone and another instance answers for itself or with 421. A refused connection shows the end without a request. All responses that ended before a check started share it, and checks of one target start at least 5 ms apart, so that a target gets at most one for each such response and 200 a second from one daemon. The connection goes into the pool. Without a health path there are two connection attempts 5 ms apart. A check without a result within 100 ms leaves the response as it is. If the target is gone, the attempt is Broken: a stream is resumed and a response repeated where the route allows it, else the caller gets 502 or its connection is broken off.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"monsoondeck.example/gateway/courier"
 	"monsoondeck.example/gateway/exchanger"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/prober"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/recorder"
@@ -115,6 +116,7 @@
 	recorder     *recorder.Writer
 	controller   *controller.Controller
 	courier      *courier.Client
+	prober       *prober.Prober
 	exchanger    *exchanger.Exchanger
 	watcher      *watcher.Watcher
 	receiver     *receiver.Handler
@@ -168,6 +170,7 @@
 		MaxRegistryAge: time.Duration(registryAgeShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // the process ends without closing unused connections
+	g.prober = prober.New(prober.Options{Client: g.courier, Protocol: g.options.Protocol})
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
 		QuarantineStore: g.options.Source, QuarantineSink: g.controller,
@@ -176,7 +179,7 @@
 	g.overload = newOverloadMonitor(s.MemoryBytes, g.clock, g.logger)
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
-		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier,
+		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier, TargetChecker: g.prober,
 		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, CallerDisconnected: callerLeft,
 		BodyMemory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: int64(bodyMemoryShare * float64(s.MemoryBytes))}),
 		Logger:     recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -25,6 +25,9 @@
 	if len(data) > maxBufferedBytes {
 		return p.forwardLargeResponse(ctx, permit, response, data)
 	}
+	if p.endedByCrash(ctx, permit, response) {
+		return p.failAttempt(permit, placer.Broken, reasonTargetGone, nil)
+	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: data}
 	if response.Status >= 500 {
 		permit.End(placer.Failed)
@@ -59,6 +62,9 @@
 	if err == nil {
 		_, err = io.Copy(deadlineWriter{p}, response.Body)
 	}
+	if err == nil && p.endedByCrash(ctx, permit, response) {
+		err = errTargetGone
+	}
 	if err != nil {
 		permit.End(p.failureResult(ctx, err))
 		p.recordEnd("answerBroken", response.Status)
@@ -70,6 +76,19 @@
 	return outcomeDone
 }
 
+// reasonTargetGone is the reason for which an attempt failed whose response ended with its
+// target.
+const reasonTargetGone = "response ended with its connection, and its target is gone"
+
+// errTargetGone is the error of reading such a response.
+var errTargetGone = errors.Wrap(courier.ErrBroken, reasonTargetGone)
+
+// endedByCrash reports whether a response that has ended with its connection is incomplete
+// because its target has ended, too.
+func (p *proxyRequest) endedByCrash(ctx context.Context, permit Permit, response *courier.Response) bool {
+	return response.EndsWithConnection && p.receiver.TargetChecker.Gone(ctx, courierTarget(permit.Decision().Choice.Target), p.healthPath)
+}
+
 // deadlineWriter writes to the caller and sets a deadline for each write.
 type deadlineWriter struct{ request *proxyRequest }
 
@@ -144,6 +163,10 @@
 			if events.insideEvent() || first && response.EndsWithConnection {
 				return p.failAttempt(permit, placer.Broken, "stream ended inside an event or before the first one", nil)
 			}
+			watch.stop()
+			if p.endedByCrash(ctx, permit, response) {
+				return p.failAttempt(permit, placer.Broken, reasonTargetGone, nil)
+			}
 			return p.endStream(permit, events.rest())
 		}
 		if err != nil {
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -80,6 +80,11 @@
 	TargetHeader(from http.Header, f ForwardInfo) http.Header
 	// InspectResponse reads status and header of a response to the request with the ID.
 	InspectResponse(id string, status int, h http.Header) ResponseInfo
+	// HealthCheckHeader returns the header of a health check of the target with the ID.
+	HealthCheckHeader(targetID string) http.Header
+	// InspectHealth says whether the response to a health check comes from the target with
+	// the ID; it is Doubtful if the response names no target.
+	InspectHealth(targetID string, status int, h http.Header) courier.Match
 	// CopyResponseHeader copies the header fields of a target's response that are
 	// forwarded to the caller.
 	CopyResponseHeader(to, from http.Header)
@@ -157,6 +162,14 @@
 	Do(ctx context.Context, t courier.Target, r courier.Request) (*courier.Response, error)
 }
 
+// TargetChecker finds out whether a target still runs.
+type TargetChecker interface {
+	// Gone reports whether the target has ended, by a check that starts after the call. It
+	// returns false if the check cannot tell. healthPath is the path of the health check of
+	// the target; empty if there is none.
+	Gone(ctx context.Context, t courier.Target, healthPath string) bool
+}
+
 // RetryBudget is the budget for sending requests more than once.
 type RetryBudget interface {
 	// RecordRequest counts a new request to the service.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -15,6 +15,7 @@
 	"monsoondeck.example/gateway/courier"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/quarantiner"
+	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/logger"
 )
@@ -50,8 +51,10 @@
 	account string
 	service string
 	// engine is nil unless the targets of the service are inference engines.
-	engine   *resolver.Engine
-	priority int
+	engine *resolver.Engine
+	// healthPath is the path of the health check of the targets; empty if there is none.
+	healthPath string
+	priority   int
 
 	// bodyLimit is the largest body in bytes; 0 stands for defaultBodyBytes.
 	bodyLimit int
@@ -198,7 +201,7 @@
 	if p.stream != nil && p.stream.lastEventID != "" {
 		lastEventID = p.stream.lastEventID
 	}
-	response, err := rc.TargetClient.Do(ctx, courier.Target{ID: target.ID, Address: target.Address, Incarnation: target.Incarnation}, courier.Request{
+	response, err := rc.TargetClient.Do(ctx, courierTarget(target), courier.Request{
 		Method: p.request.Method, URI: p.request.RequestURI, Host: p.request.Host, Body: p.body,
 		Header:        rc.Protocol.TargetHeader(p.request.Header, ForwardInfo{TargetID: target.ID, Account: p.account, TimeLeft: timeLeft, LastEventID: lastEventID, CopyFrom: permit.Decision().Choice.CopySource}),
 		NonRepeatable: !p.route.Repeatable(),
@@ -237,6 +240,11 @@
 	return p.forwardResponse(ctx, permit, response, info)
 }
 
+// courierTarget returns the target to which a request for the entry is sent.
+func courierTarget(e registrar.Entry) courier.Target {
+	return courier.Target{ID: e.ID, Address: e.Address, Incarnation: e.Incarnation}
+}
+
 // handleSendError handles an attempt that ended without a response header.
 func (p *proxyRequest) handleSendError(ctx context.Context, permit Permit, err error) attemptOutcome {
 	target := permit.Decision().Choice.Target.ID
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -52,6 +52,7 @@
 	Permits       PermitSource
 	Configs       Configs
 	TargetClient  TargetClient
+	TargetChecker TargetChecker
 	RetryBudget   RetryBudget
 	ShutdownState ShutdownState
 	LoadShedder   LoadShedder
@@ -153,7 +154,7 @@
 	}
 	p.service = p.route.Destination(rand.Uint64())
 	service, _ := config.Service(p.service)
-	p.engine = service.Engine
+	p.engine, p.healthPath = service.Engine, service.HealthPath
 	p.bodyLimit = config.Limits().BodyBytes
 	return true
 }
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,10 @@
 	return receiver.ResponseInfo{Leaving: h.Get("Leaving") != "", Misdirected: h.Get("Misdirected") != "", NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Limit: placer.RequestLimit{Limited: err == nil, PerSecond: perSecond}}
 }
 
+func (protocol) HealthCheckHeader(string) http.Header { return nil }
+
+func (protocol) InspectHealth(string, int, http.Header) courier.Match { return courier.Own }
+
 func (protocol) CopyResponseHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
@@ -148,6 +153,8 @@
 	body   string
 	// broken ends the body with an error.
 	broken bool
+	// delimited is set if the response has a length or chunks.
+	delimited bool
 	// held withholds the response until the attempt is cancelled or release is closed.
 	held bool
 }
@@ -198,7 +205,7 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return &courier.Response{Status: r.status, Header: h, Length: -1, EndsWithConnection: true, Body: io.NopCloser(body)}, nil
+	return &courier.Response{Status: r.status, Header: h, Length: -1, EndsWithConnection: !r.delimited, Body: io.NopCloser(body)}, nil
 }
 
 // brokenReader is a body whose connection broke.
@@ -206,6 +213,22 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, courier.ErrBroken }
 
+// targetChecker is a receiver.TargetChecker that records the checks.
+type targetChecker struct {
+	mutex sync.Mutex
+	// gone holds the IDs of the targets that have ended.
+	gone []string
+	// checks holds ID and health path of the checked targets.
+	checks []string
+}
+
+func (c *targetChecker) Gone(_ context.Context, t courier.Target, healthPath string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.checks = append(c.checks, t.ID+healthPath)
+	return slices.Contains(c.gone, t.ID)
+}
+
 type configs struct{ config *resolver.Config }
 
 func (c configs) Current() (resolver.Config, bool) {
@@ -239,6 +262,7 @@
 type fixture struct {
 	permitSource *permitSource
 	client       *targetClient
+	checker      *targetChecker
 	server       *httptest.Server
 	options      receiver.Options
 }
@@ -259,16 +283,17 @@
 			route("safe", resolver.Idempotent, 2, false), route("once", resolver.NonIdempotent, 2, false),
 			route("stream", resolver.Streaming, 2, false), route("resume", resolver.Streaming, 2, true),
 		},
-		Services: []resolver.Service{{Name: "s"}},
+		Services: []resolver.Service{{Name: "s", HealthPath: "/health"}},
 		Accounts: []resolver.Account{{Name: "forge", Keys: []string{"k"}}},
 		Limits:   resolver.Limits{BodyBytes: 1000},
 	})
 	f := &fixture{
 		permitSource: &permitSource{ended: make(chan struct{}, 16)},
+		checker:      &targetChecker{},
 		client:       &targetClient{replies: replies, started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})},
 	}
 	f.options = receiver.Options{
-		Protocol: protocol{}, Permits: f.permitSource, Configs: configs{&config}, TargetClient: f.client, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, CallerDisconnected: func(*http.Request) bool { return false },
+		Protocol: protocol{}, Permits: f.permitSource, Configs: configs{&config}, TargetClient: f.client, TargetChecker: f.checker, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, CallerDisconnected: func(*http.Request) bool { return false },
 		BodyMemory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
