--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"monsoondeck.example/gateway/exchanger"
 	"monsoondeck.example/gateway/meter"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/prober"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/recorder"
@@ -113,6 +114,7 @@
 	recorder     *recorder.Writer
 	controller   *controller.Controller
 	courier      *courier.Client
+	prober       *prober.Prober
 	exchanger    *exchanger.Exchanger
 	watcher      *watcher.Watcher
 	receiver     *receiver.Handler
@@ -173,6 +175,7 @@
 		MaxRegistryAge: time.Duration(registryAgeShare * float64(s.DrainBound)),
 	})
 	g.courier, _ = courier.New() // the process ends without closing unused connections
+	g.prober = prober.New(prober.Options{Client: g.courier, Protocol: g.options.Protocol})
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
 		QuarantineStore: g.options.Source, QuarantineSink: g.controller,
@@ -183,7 +186,7 @@
 	g.meter = g.newMeter()
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
-		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier,
+		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier, TargetChecker: g.prober,
 		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, CallerDisconnected: callerLeft,
 		Memory: g.memory, ChargeHeader: chargeHeader,
 		Clock:   g.clock,
