placer: keep the facts about a target beyond a lapsed entry

Cause: pause and request limit were part of the target, which SetTargets drops with its registry entry. An entry that lapsed for some seconds and came back under the same incarnation was without either: the daemon sent requests that the target had asked it not to send.

Ruled out: keeping lapsed targets in the fleet. Their health and cached prompt parts belong to an address that answers, and Targets(service) would count them.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -315,12 +315,9 @@
 // setTargets makes the usable targets known to the queue and to the requests that are
 // about to be sent.
 func (c *Controller) setTargets(usable []registrar.Entry) {
-	incarnations := make(map[string]int64, len(usable))
-	for _, t := range usable {
-		incarnations[t.ID] = t.Incarnation
-	}
-	c.usableTargets.Store(&incarnations)
 	c.fleet.SetTargets(usable)
+	sendable := c.fleet.Sendable()
+	c.usableTargets.Store(&sendable)
 }
 
 // applyPending applies the events that have arrived meanwhile, so that the queue
--- /dev/null
+++ b/gateway/placer/admission.go
@@ -0,0 +1,56 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+// obstacle is a reason for which a target must not get a request now, however much room
+// it has.
+type obstacle int
+
+const (
+	noObstacle obstacle = iota
+	// failing: the target is unreachable or in a back-off.
+	failing
+	// paused: the target wants no requests of this daemon for some time.
+	paused
+	// excluded: the target has failed or refused the request before.
+	excluded
+)
+
+// obstacle is the only place that decides whether a request may be sent to a target now.
+// Targets that leave are not in the fleet: registrar removes them for good.
+func (f *Fleet) obstacle(now time.Duration, r Request, t *target) obstacle {
+	switch o := t.lastingObstacle(); {
+	case o != noObstacle:
+		return o
+	case !t.health.usable(now):
+		return failing
+	case now < t.closedUntil:
+		return paused
+	case slices.Contains(r.Excluded, t.entry.ID):
+		return excluded
+	}
+	return noObstacle
+}
+
+// lastingObstacle returns the obstacle that holds for every request and ends only by
+// news from the store or from a peer. It is checked once more just before a request is
+// written. Facts about the data centre of a target belong here.
+func (t *target) lastingObstacle() obstacle { return noObstacle }
+
+// slotWait returns the time until the target has a slot for a request of this daemon; 0
+// if it has one now. Without one, the target counts as full.
+func (f *Fleet) slotWait(now time.Duration, t *target) time.Duration { return f.paceWait(now, t) }
+
+// Sendable returns the incarnations of the targets without a lasting obstacle, by ID.
+func (f *Fleet) Sendable() map[string]int64 {
+	incarnations := make(map[string]int64, len(f.targets))
+	for id, t := range f.targets {
+		if t.lastingObstacle() == noObstacle {
+			incarnations[id] = t.entry.Incarnation
+		}
+	}
+	return incarnations
+}
--- a/gateway/placer/peers.go
+++ b/gateway/placer/peers.go
@@ -34,6 +34,9 @@
 // TakeLoads returns the loads of this daemon that changed since they were last
 // returned, and with all also every other load that is not empty.
 func (f *Fleet) TakeLoads(now time.Duration, all bool) []Load {
+	if all {
+		f.expireFacts(now)
+	}
 	var loads []Load
 	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
 		t := f.targets[id]
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -24,6 +24,9 @@
 type Fleet struct {
 	settings Settings
 	targets  map[string]*target
+	// facts holds what is known about the starts of targets, including those whose
+	// entries have lapsed.
+	facts map[start]*facts
 	// targetsByKey holds the same targets by the keys of their IDs.
 	targetsByKey map[Key]*target
 	// targetsByService holds the targets of each service, sorted by ID.
@@ -81,7 +84,7 @@
 // New returns a Fleet without targets.
 func New(s Settings) *Fleet {
 	return &Fleet{
-		settings: s, targets: map[string]*target{}, targetsByService: map[string][]*target{},
+		settings: s, targets: map[string]*target{}, facts: map[start]*facts{}, targetsByService: map[string][]*target{},
 		engineSettings: map[string]resolver.Engine{}, gapLimits: map[string]time.Duration{}, loadChecks: map[string]loadCheck{}, targetOfRequest: map[uint64]*target{},
 		demand: map[string]*decayingSum{},
 		random: rand.New(rand.NewPCG(s.Seed, s.Seed)),
@@ -102,14 +105,15 @@
 }
 
 // SetTargets replaces the usable targets. The state of a target is kept unless its
-// incarnation, address or service has changed.
+// incarnation, address or service has changed; the facts about its start are kept even
+// if it was not listed for a while.
 func (f *Fleet) SetTargets(entries []registrar.Entry) {
 	next := make(map[string]*target, len(entries))
 	f.targetsByService = map[string][]*target{}
 	for _, e := range entries {
 		t := f.targets[e.ID]
 		if t == nil || t.entry.Incarnation != e.Incarnation || t.entry.Address != e.Address || t.entry.Service != e.Service {
-			t = newTarget(e)
+			t = newTarget(e, f.factsOf(e))
 		}
 		t.entry = e
 		next[e.ID] = t
@@ -208,7 +212,7 @@
 	f.preferredTargets, f.recoveringTargets = f.preferredTargets[:0], f.recoveringTargets[:0]
 	for _, t := range f.sample(s.request.Service, s.ranked) {
 		switch {
-		case !t.health.usable(s.now) || s.now < t.closedUntil || slices.Contains(s.request.Excluded, t.entry.ID):
+		case f.obstacle(s.now, s.request, t) != noObstacle:
 		case s.request.Retry && t.health.recovering():
 			f.recoveringTargets = append(f.recoveringTargets, t)
 		default:
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -101,7 +101,7 @@
 // to the first event plus penalties. The smallest score is the best.
 func (f *Fleet) assess(s *search, t *target) (Choice, time.Duration) {
 	c, score := f.assessLoad(s, t)
-	if wait := f.paceWait(s.now, t); wait > 0 {
+	if wait := f.slotWait(s.now, t); wait > 0 {
 		c.Fits, c.Full = false, true
 		c.Expected += wait
 		score += wait
@@ -109,7 +109,7 @@
 	return c, score
 }
 
-// assessLoad does what assess does, without the request limit of the target.
+// assessLoad does what assess does, without the slots of the target.
 func (f *Fleet) assessLoad(s *search, t *target) (Choice, time.Duration) {
 	load := t.totalLoadAt(s.now)
 	var c Choice // Choose sets Target for the best choice only, since entries are large
--- a/gateway/placer/target.go
+++ b/gateway/placer/target.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"monsoondeck.example/gateway/pacer"
 	"monsoondeck.example/gateway/registrar"
 )
 
@@ -42,18 +41,13 @@
 	serviceTime time.Duration
 	// fullUntil is the time until which the target counts as full after a refusal.
 	fullUntil time.Duration
-	// closedUntil is the time until which the target wants no requests of this daemon.
-	closedUntil time.Duration
-	// ownLimit is the last request limit in an answer to this daemon, limit the newest one
-	// that any daemon has seen. pacer is set while one is in force, since limitedSince.
-	ownLimit, limit observedLimit
-	limitedSince    time.Duration
-	pacer           *pacer.Pacer
+	// facts is never nil. It outlives the target, whose entry may lapse for a while.
+	*facts
 }
 
-func newTarget(e registrar.Entry) *target {
+func newTarget(e registrar.Entry, known *facts) *target {
 	return &target{
-		idHash: xxhash.Sum64String(e.ID), running: map[uint64]*placedRequest{}, peerLoads: map[string]peerLoad{},
+		facts: known, idHash: xxhash.Sum64String(e.ID), running: map[uint64]*placedRequest{}, peerLoads: map[string]peerLoad{},
 		ownLoad: Load{Target: KeyOf(e.ID)}, lastReported: Load{Target: KeyOf(e.ID)},
 	}
 }
