watcher, controller: bound the calls and the work that crashes cause

Cause: a save of the quarantine followed at once on the last one while the evidence kept changing, and each save ended the long polls of both readers, which read again at once. The version to be saved also grew with each part that a proof released, stored or not. So the calls to the store grew with the number of crashes, up to what its latency allows; a deployment with many crashes made 15,000 calls in a minute instead of 2,000. Besides, each report with evidence, of each peer, evaluated all suspects.

Ruled out: a fixed pause after each call. A daemon without peers learns of the quarantine from the store alone, and TestQuarantineReachesIsolatedDaemons failed once with a pause of 2 s.

Change: saves and reads are paced, a save per 2 s and a read per second after a burst of four. Only changes of the evidence that has to be stored count as a new version. All evidence is evaluated at most every 50 ms; new requests are checked against the latest evidence as before.

Whether this was the whole cause at that deployment is not measured.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -122,6 +122,10 @@
 	// the parts that are in quarantine, sorted.
 	quarantine  *quarantiner.Quarantine
 	quarantined []quarantiner.Part
+	// evidenceChanged is set while there is evidence that updateQuarantine has not seen;
+	// quarantineUpdated is the time of its last run.
+	evidenceChanged   bool
+	quarantineUpdated time.Duration
 	// suspicions holds the targets that may have crashed, by ID. held holds the requests
 	// that are repeated only if they did not crash such a target.
 	suspicions map[string]*suspicion
@@ -287,7 +291,9 @@
 			c.sendReport()
 			report.Reset(c.reportInterval())
 		}
-		if now := c.options.Clock(); !c.registryFresh(now) {
+		now := c.options.Clock()
+		c.updateQuarantineIfDue(now)
+		if !c.registryFresh(now) {
 			check.Reset(queueCheckInterval)
 		} else if len(c.waiting) < longQueue || now-c.lastDispatch >= longQueueInterval {
 			c.dispatch(now)
--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -20,6 +20,10 @@
 	maxCrashProbes = 2
 	// suspicionTimeout is the time after which an unfinished probe counts as inconclusive.
 	suspicionTimeout = 1500 * time.Millisecond
+	// quarantineUpdateInterval is the minimum time between two evaluations of all evidence,
+	// which cost up to a millisecond each and would follow each report of each peer while
+	// many targets crash. New requests are checked against the latest evidence anyway.
+	quarantineUpdateInterval = 50 * time.Millisecond
 )
 
 // suspicion is a target whose connections broke, until a probe tells whether it
@@ -119,7 +123,7 @@
 	}
 	logger.Emit(c.options.Logger, logger.TargetCrashed, slog.String("target", s.target.ID), slog.Int64("incarnation", s.target.Incarnation),
 		slog.Int("prompts", len(s.prompts)), slog.Duration("age", now-s.since))
-	c.updateQuarantine(now)
+	c.evidenceChanged = true
 }
 
 // learnEvidence records the evidence of another daemon.
@@ -128,12 +132,20 @@
 		return
 	}
 	c.quarantine.Learn(now, e)
-	c.updateQuarantine(now)
+	c.evidenceChanged = true
+}
+
+// updateQuarantineIfDue evaluates the evidence if it has changed, but not too often.
+func (c *Controller) updateQuarantineIfDue(now time.Duration) {
+	if c.evidenceChanged && (c.quarantineUpdated == 0 || now-c.quarantineUpdated >= quarantineUpdateInterval) {
+		c.updateQuarantine(now)
+	}
 }
 
 // updateQuarantine logs the changes of the quarantine and refuses the waiting requests
 // that are now in it.
 func (c *Controller) updateQuarantine(now time.Duration) {
+	c.evidenceChanged, c.quarantineUpdated = false, now
 	parts := c.quarantine.Quarantined(now)
 	for _, p := range parts {
 		if _, found := slices.BinarySearch(c.quarantined, p); !found {
@@ -164,14 +176,10 @@
 	old := c.quarantineState.Load()
 	evidence, released := c.quarantine.Durable(now)
 	same := func(a, b quarantiner.Incident) bool { return a.Part == b.Part && a.Crash == b.Crash }
-	if slices.EqualFunc(evidence.Incidents, old.Evidence.Incidents, same) && slices.Equal(released, old.Released) {
-		return
-	}
-	version := old.Version
-	if len(evidence.Incidents) > 0 || len(old.Evidence.Incidents) > 0 {
-		version++ // parts that were never in quarantine are not stored
+	if slices.EqualFunc(evidence.Incidents, old.Evidence.Incidents, same) {
+		return // parts that were never in quarantine are not stored, whether released or not
 	}
-	c.quarantineState.Store(&quarantineSnapshot{QuarantineState: watcher.QuarantineState{Version: version, Evidence: evidence, Released: released}, at: now})
+	c.quarantineState.Store(&quarantineSnapshot{QuarantineState: watcher.QuarantineState{Version: old.Version + 1, Evidence: evidence, Released: released}, at: now})
 }
 
 // quarantineSnapshot is a QuarantineState with the time as of which it has the ages.
--- a/gateway/watcher/loop.go
+++ b/gateway/watcher/loop.go
@@ -68,3 +68,27 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
 }
+
+// pace bounds the number of calls of one sequence: a burst after a quiet time, then one
+// per interval.
+type pace struct {
+	interval time.Duration
+	burst    int
+	// due is the time of the next call; a time before now stands for saved calls.
+	due time.Time
+}
+
+// wait sleeps until the next call may be made and counts it. If it had to sleep, it only
+// reports so, and the caller decides anew.
+func (p *pace) wait(ctx context.Context) bool {
+	now := time.Now()
+	if oldest := now.Add(-time.Duration(p.burst-1) * p.interval); p.due.Before(oldest) {
+		p.due = oldest
+	}
+	if left := p.due.Sub(now); left > 0 {
+		sleeper.Sleep(ctx, left)
+		return true
+	}
+	p.due = p.due.Add(p.interval)
+	return false
+}
--- a/gateway/watcher/quarantine.go
+++ b/gateway/watcher/quarantine.go
@@ -39,14 +39,25 @@
 	QuarantineState() QuarantineState
 }
 
-// quarantineCheckInterval is how often a daemon checks whether it has to save or to
-// follow the quarantine.
-const quarantineCheckInterval = 100 * time.Millisecond
+const (
+	// quarantineCheckInterval is how often a daemon checks whether it has to save or to
+	// follow the quarantine.
+	quarantineCheckInterval = 100 * time.Millisecond
+	// saveInterval is the time per save of the quarantine, and quarantineReadInterval that
+	// per read of it, while many targets crash, each of which changes the evidence. They
+	// bound the calls to the store. Peers learn of the evidence from reports; only daemons
+	// that start later or have no peers need the stored one.
+	saveInterval           = 2 * time.Second
+	quarantineReadInterval = time.Second
+	// quarantineBurst is the number of saves or reads without a delay after a quiet time, so
+	// that a single part in quarantine is stored and read at once.
+	quarantineBurst = 4
+)
 
 // WatchQuarantine reads the stored quarantine at the start, and again whenever it
 // changes while this daemon reads the store on behalf of the fleet.
 func (w *Watcher) WatchQuarantine(ctx context.Context) {
-	b := w.newBackoff("quarantine")
+	b, pace := w.newBackoff("quarantine"), &pace{interval: quarantineReadInterval, burst: quarantineBurst}
 	historyKnown, read, moment, era := false, false, registrar.Moment{}, w.era.Load()
 	for ctx.Err() == nil {
 		if read && !w.options.Role().Reader {
@@ -56,6 +67,9 @@
 		if noticed := w.era.Load(); noticed > era {
 			historyKnown, era = historyKnown && moment.Era >= noticed, noticed
 		}
+		if pace.wait(ctx) {
+			continue
+		}
 		evidence, next, err := w.readQuarantine(ctx, historyKnown, moment)
 		w.markQuarantineRead()
 		if err != nil {
@@ -109,9 +123,10 @@
 }
 
 // SaveQuarantine stores the quarantine after each change, and in each new era, while this
-// daemon reads the store on behalf of the fleet.
+// daemon reads the store on behalf of the fleet. While there are many, several are
+// stored together.
 func (w *Watcher) SaveQuarantine(ctx context.Context) {
-	b := w.newBackoff("save quarantine")
+	b, pace := w.newBackoff("save quarantine"), &pace{interval: saveInterval, burst: quarantineBurst}
 	saved, savedEra := uint64(0), uint64(0)
 	for ctx.Err() == nil {
 		state, era := w.options.QuarantineSink.QuarantineState(), w.era.Load()
@@ -122,6 +137,9 @@
 			sleeper.Sleep(ctx, quarantineCheckInterval)
 			continue
 		}
+		if pace.wait(ctx) {
+			continue // the state may have changed meanwhile
+		}
 		if err := w.saveQuarantine(ctx, state); err != nil {
 			b.failed(ctx, err)
 			continue
