--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -25,8 +25,9 @@
 	minMemoryBytes = 32 << 20
 	// defaultMemoryBytes is the bound if the memory limit of the process is unknown.
 	defaultMemoryBytes = 256 << 20
-	// reservedMemoryShare is the part of the bound that only connections and requests of up
-	// to smallRequestBytes may take, so that large bodies cannot keep out ordinary ones.
+	// reservedMemoryShare is the part of the bounds of the sum and of headers that only
+	// connections and requests of up to smallRequestBytes may take, so that large ones
+	// cannot keep out ordinary ones.
 	reservedMemoryShare = 0.25
 	smallRequestBytes   = 64 << 10
 	// headerMemoryShare is the part of the bound that header fields may take.
@@ -51,9 +52,10 @@
 	if s.MemoryBytes > 0 {
 		total = max(int64(memoryShare*float64(s.MemoryBytes)), minMemoryBytes)
 	}
+	headers := headerMemoryShare * float64(total)
 	return limiter.NewAdmission(limiter.AdmissionSettings{
 		TotalBytes: total, ReservedBytes: int64(reservedMemoryShare * float64(total)), SmallBytes: smallRequestBytes,
-		HeaderBytes: int64(headerMemoryShare * float64(total)),
+		HeaderBytes: int64(headers), ReservedHeaderBytes: int64(reservedMemoryShare * headers),
 	})
 }
 
@@ -69,7 +71,7 @@
 	refusals, tooLarge := responses(receiver.MemoryResponse), receiver.HeaderTooLargeResponse()
 	requestLogger := recorder.Limit(g.logger, recorder.DefaultRate, g.clock)
 	return meter.New(meter.Options{
-		Memory: g.memory, Limits: g.callerLimits,
+		Memory: g.memory, Limits: g.callerLimits, Clock: g.clock,
 		Refusal: func(status int) []byte {
 			if status == http.StatusRequestHeaderFieldsTooLarge {
 				return tooLarge
--- a/gateway/meter/conn.go
+++ b/gateway/meter/conn.go
@@ -34,18 +34,24 @@
 	deadlineSet bool
 	// ended is set after a refusal or a timeout; no further response is sent.
 	ended bool
+	// watched is set while the charge is watched because of the header.
+	watched bool
 	// unread is set while unreadBytes are charged.
 	unread bool
 
 	// written is the number of bytes that were written.
 	written atomic.Int64
-	// The fields below are only used by the sweep: the number of bytes that the caller has
-	// acknowledged, the time since which it has not grown, and the bytes that are charged
-	// for those that it has not.
+	// The fields below are only used by the sweep: whether the last one found bytes that the
+	// caller had not acknowledged, the number of those that it had, the time since which
+	// that has not grown, and the bytes that are charged for the others.
+	unsent                        bool
 	acknowledged, outgoingCharged int64
 	acknowledgedAt                time.Duration
 }
 
+// longAgo is a deadline that ends every read at once.
+var longAgo = time.Unix(1, 0)
+
 // errRefused ends the connection after a refusal. The HTTP server sends no response of its
 // own after an error of a read.
 var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
@@ -66,6 +72,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
+		if c.charge.Evicted() {
+			return c.refuse(HeaderMemory, http.StatusServiceUnavailable, p)
+		}
 		if c.scanner.size > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			c.ended = true
 			c.meter.record(HeaderTimeout, c)
@@ -90,9 +99,25 @@
 	case !c.chargeHeader(c.scanner.cost()):
 		return c.refuse(HeaderMemory, http.StatusServiceUnavailable, p)
 	}
+	c.watchHeader(n)
 	return n, err
 }
 
+// watchHeader makes the read of a large header end if it stalls while memory is short. n
+// bytes of it have just arrived.
+func (c *Conn) watchHeader(n int) {
+	switch {
+	case c.watched && c.scanner.ended:
+		c.watched = false
+		c.charge.Unwatch()
+	case c.watched:
+		c.charge.Progress(c.meter.Clock(), int64(n))
+	case !c.scanner.ended && c.charged > watchedHeaderBytes:
+		c.watched = true
+		c.charge.Watch(c.meter.Clock(), func() { _ = c.Conn.SetReadDeadline(longAgo) }) // fails if it is closed
+	}
+}
+
 // readActive reads the body of a request, or one byte of what follows while the request is
 // served.
 func (c *Conn) readActive(p []byte) (int, error) {
@@ -214,9 +239,12 @@
 func (c *Conn) setState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
+		if c.watched {
+			c.charge.Unwatch() // the HTTP server may see the end of a header elsewhere
+		}
 		c.active.Store(true)
 	case http.StateIdle:
-		c.scanner, c.charged, c.deadlineSet = headerScanner{}, 0, false
+		c.scanner, c.charged, c.deadlineSet, c.watched = headerScanner{}, 0, false, false
 		c.charge.Shrink(limiter.KindHeader)
 		if c.unread {
 			c.unread = false
@@ -230,31 +258,33 @@
 	}
 }
 
-// sweep charges the data that the caller has not read. It returns false if the connection
-// should be closed: the caller has read nothing for writeTimeout, or there is no memory.
+// sweep charges the data that the caller has not read since the last sweep. It returns
+// false if the connection should be closed: the caller has read nothing for writeTimeout, or
+// there is no memory.
 func (c *Conn) sweep(now time.Duration) bool {
-	written := c.written.Load()
-	if written == c.acknowledged {
-		return true
-	}
-	n, err := c.unacknowledged()
-	if err != nil {
-		return true // closed meanwhile
+	written, n := c.written.Load(), int64(0)
+	if written > c.acknowledged {
+		var err error
+		if n, err = c.unacknowledged(); err != nil {
+			return true // closed meanwhile
+		}
 	}
-	if acknowledged := max(written-n, c.acknowledged); acknowledged > c.acknowledged || c.outgoingCharged == 0 {
-		c.acknowledged, c.acknowledgedAt = acknowledged, now
+	acknowledged := max(written-n, c.acknowledged)
+	if n == 0 || !c.unsent || acknowledged > c.acknowledged {
+		c.unsent, c.acknowledged, c.acknowledgedAt = n > 0, acknowledged, now
+		if c.outgoingCharged > 0 {
+			c.outgoingCharged = 0
+			c.charge.Shrink(limiter.KindResponse)
+		}
+		return true
 	}
-	switch {
-	case n > c.outgoingCharged:
+	if n > c.outgoingCharged {
 		if c.charge.Grow(limiter.KindResponse, n-c.outgoingCharged) != nil {
 			return false
 		}
 		c.outgoingCharged = n
-	case n == 0 && c.outgoingCharged > 0:
-		c.outgoingCharged = 0
-		c.charge.Shrink(limiter.KindResponse)
 	}
-	return n == 0 || now-c.acknowledgedAt < writeTimeout
+	return now-c.acknowledgedAt < writeTimeout
 }
 
 // unacknowledged returns the number of bytes that the other side has not acknowledged.
--- a/gateway/meter/meter.go
+++ b/gateway/meter/meter.go
@@ -30,6 +30,9 @@
 	// unreadBytes is charged while a caller sends more data than the current request, which
 	// waits in the receive buffer.
 	unreadBytes = 2 * socketBytes
+	// watchedHeaderBytes is the charge of a header from which its read may be ended while
+	// memory is short.
+	watchedHeaderBytes = 64 << 10
 	// HeaderStartTimeout limits the time until the first byte of a new connection, and the
 	// time to receive a header if the configuration sets none.
 	HeaderStartTimeout = 10 * time.Second
@@ -84,6 +87,8 @@
 	// Refusal returns a whole response that rejects a request which was not read, with 431
 	// or 503, and closes the connection.
 	Refusal func(status int) []byte
+	// Clock returns the time since the start of the process.
+	Clock func() time.Duration
 	// OnClose is called when a connection is refused or closed.
 	OnClose func(r Reason, remote net.Addr)
 }
--- a/gateway/meter/meter_test.go
+++ b/gateway/meter/meter_test.go
@@ -15,6 +15,9 @@
 	"monsoondeck.example/limiter"
 )
 
+// clock is the clock of the tests.
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // fixture is an HTTP server with metered connections.
 type fixture struct {
 	meter  *Meter
@@ -32,7 +35,7 @@
 	}
 	f := &fixture{memory: limiter.NewAdmission(memory), addr: l.Addr().String()}
 	f.meter = New(Options{
-		Memory: f.memory, Limits: func() resolver.Limits { return limits }, OnClose: func(Reason, net.Addr) {},
+		Memory: f.memory, Limits: func() resolver.Limits { return limits }, OnClose: func(Reason, net.Addr) {}, Clock: clock,
 		Refusal: func(status int) []byte {
 			return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 		},
@@ -195,6 +198,45 @@
 	}
 }
 
+// Guards against ordinary callers that are refused until the header timeout because large
+// headers that do not end hold the memory: it keeps a reserve for small ones, and ends those
+// that stall.
+func TestStalledHeaderIsEndedWhenMemoryIsShort(t *testing.T) {
+	const bound = 1 << 20
+	f := start(t, resolver.Limits{HeaderBytes: 16384}, limiter.AdmissionSettings{
+		TotalBytes: 64 << 20, HeaderBytes: bound, ReservedHeaderBytes: bound / 4, SmallBytes: 64 << 10,
+	}, ok)
+	head := "GET / HTTP/1.1\r\nHost:\r\n" + strings.Repeat("a:\r\n", 2000)
+	c := f.dial(t)
+	if _, err := io.WriteString(c, head); err != nil {
+		t.Fatal(err)
+	}
+	for charged := int64(0); charged < headerCost(len(head), 2002); charged, _ = f.memory.Charged(limiter.KindHeader) {
+		runtime.Gosched()
+	}
+	if status := f.exchange(t, head+"\r\n"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d for another large header, want 503", status)
+	}
+	for range 10 {
+		if status := f.exchange(t, "GET / HTTP/1.1\r\nHost:\r\n\r\n"); status != http.StatusOK {
+			t.Errorf("status %d for an ordinary request, want 200", status)
+		}
+	}
+	for f.memory.EvictStalled(clock()+time.Second, time.Second, 1) == 0 {
+		runtime.Gosched() // the header is not watched yet
+	}
+	if response, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("the stalled header got %v, %v; want 503", response, err)
+	}
+	_ = c.Close()
+	for charged := int64(1); charged != 0; charged, _ = f.memory.Charged(limiter.KindHeader) {
+		runtime.Gosched()
+	}
+	if status := f.exchange(t, head+"\r\n"); status != http.StatusOK {
+		t.Errorf("status %d for a large header afterwards, want 200", status)
+	}
+}
+
 // Guards against a connection without memory that is closed without a response.
 func TestConnectionWithoutMemoryIsRefused(t *testing.T) {
 	f := start(t, resolver.Limits{}, limiter.AdmissionSettings{TotalBytes: connectionBytes - 1}, ok)
@@ -301,7 +343,7 @@
 // BenchmarkRead measures what the accounting adds to one request of a caller.
 func BenchmarkRead(b *testing.B) {
 	head := []byte("POST /v1/x HTTP/1.1\r\nHost: h.example\r\n" + strings.Repeat("X-Some-Field: 0123456789abcdef\r\n", 14) + "\r\n")
-	m := New(Options{Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 30}), Limits: func() resolver.Limits { return resolver.Limits{HeaderBytes: 16384, HeaderTimeout: time.Second} }})
+	m := New(Options{Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 30}), Limits: func() resolver.Limits { return resolver.Limits{HeaderBytes: 16384, HeaderTimeout: time.Second} }, Clock: clock})
 	for name, conn := range map[string]net.Conn{"plain": readerConn{data: head}, "metered": m.wrap(readerConn{data: head})} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
--- a/limiter/admission.go
+++ b/limiter/admission.go
@@ -21,12 +21,13 @@
 	AccountBytes    int64
 	// TotalBytes bounds the sum of all charges.
 	TotalBytes int64
-	// ReservedBytes is the part of TotalBytes that only charges of up to SmallBytes may
-	// take, so that large bodies cannot keep out ordinary requests.
-	ReservedBytes, SmallBytes int64
 	// HeaderBytes bounds the sum of KindHeader, which connections hold before their
 	// requests can be told apart.
 	HeaderBytes int64
+	// ReservedBytes and ReservedHeaderBytes are the parts of TotalBytes and HeaderBytes that
+	// only charges of up to SmallBytes may take, so that large bodies and headers cannot
+	// keep out ordinary requests.
+	ReservedBytes, ReservedHeaderBytes, SmallBytes int64
 }
 
 // accountQueue counts the admitted requests of one account that have not been released.
--- a/limiter/charge.go
+++ b/limiter/charge.go
@@ -166,14 +166,15 @@
 	if c.queue != nil && s.AccountBytes > 0 && c.queue.bytes+bytes > s.AccountBytes {
 		return false
 	}
-	if k == KindHeader && s.HeaderBytes > 0 && a.kinds[k]+bytes > s.HeaderBytes {
-		return false
-	}
-	bound := s.TotalBytes
+	total, headers := s.TotalBytes, s.HeaderBytes
 	if c.total+bytes > s.SmallBytes {
-		bound -= s.ReservedBytes
+		total -= s.ReservedBytes
+		headers -= s.ReservedHeaderBytes
+	}
+	if k == KindHeader && s.HeaderBytes > 0 && a.kinds[k]+bytes > headers {
+		return false
 	}
-	return s.TotalBytes <= 0 || a.bytes+bytes <= bound
+	return s.TotalBytes <= 0 || a.bytes+bytes <= total
 }
 
 // signalShortage makes Shortage readable. The caller holds the mutex.
