Limit the comments of a stream

Cause: comments were forwarded as fast as a target sent them until the caller left. They did not count as progress, so that the target counted as stalled, but on a route that cannot be resumed the flood went on until the deadline.

Ruled out: failing a stream after a number of bytes of comments, which padding before the first event could reach; failing every target that sends only comments for the stall time, since a slow prefill that keeps its connection open looks like that. The latter counts as stalled as before.

A target that exceeds this and has sent no event for the stall time of the route has failed.

--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -133,6 +133,7 @@
 		p.stream = &streamState{status: response.Status, header: response.Header}
 	}
 	var events eventSplitter
+	var comments commentFilter
 	buffer := make([]byte, streamReadBytes)
 	first, resumeAfterID := true, p.stream.lastEventID
 	for {
@@ -153,10 +154,17 @@
 				if events.count > 0 {
 					watch.recordEvents(events.count)
 				}
-				if !p.writeEvents(ready, events.lastEventID) {
+				ready, excess := comments.apply(time.Now(), ready)
+				if excess && watch.isStalled() {
+					return p.failAttempt(permit, placer.Failed, "target sent only comments, and too many", nil)
+				}
+				if len(ready) > 0 && !p.writeEvents(ready, events.lastEventID) {
 					permit.End(placer.Cancelled)
 					return outcomeFailed
 				}
+				if excess {
+					pauseReading(ctx)
+				}
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/gateway/receiver/crash_test.go
+++ b/gateway/receiver/crash_test.go
@@ -16,25 +16,26 @@
 	whole := reply{status: 200, header: signed, body: "whole"}
 	stream := reply{status: 200, header: signed, body: events}
 	large := strings.Repeat("x", 300<<10)
+	broken, repeated, complete := []placer.Result{placer.Broken}, []placer.Result{placer.Broken, placer.Complete}, []placer.Result{placer.Complete}
 	for name, tc := range map[string]struct {
 		path    string
 		replies []reply
 		// status is 0 if the caller's connection is broken off.
-		status int
-		body   string
-		broken bool
-		sent   int
-		result placer.Result
+		status  int
+		body    string
+		broken  bool
+		sent    int
+		results []placer.Result
 	}{
-		"stream":                  {"/stream/1", []reply{stream}, 200, events, true, 1, placer.Broken},
-		"resumable stream":        {"/resume/1", []reply{stream, {status: 200, header: signed, body: "id: 2\ndata: b\n\n"}}, 200, events + "id: 2\ndata: b\n\n", false, 2, placer.Broken},
-		"response":                {"/once/1", []reply{part}, 502, "", false, 1, placer.Broken},
-		"idempotent response":     {"/safe/1", []reply{part, whole}, 200, "whole", false, 2, placer.Broken},
-		"large response":          {"/safe/1", []reply{{status: 200, header: signed, body: large}}, 200, large, true, 1, placer.Broken},
-		"error, idempotent":       {"/safe/1", []reply{{status: 500, header: signed, body: "part"}, whole}, 200, "whole", false, 2, placer.Broken},
-		"stream with a length":    {"/stream/1", []reply{{status: 200, header: signed, body: events, delimited: true}}, 200, events, false, 1, placer.Complete},
-		"response with a length":  {"/once/1", []reply{{status: 200, header: signed, body: "whole", delimited: true}}, 200, "whole", false, 1, placer.Complete},
-		"large one with a length": {"/safe/1", []reply{{status: 200, header: signed, body: large, delimited: true}}, 200, large, false, 1, placer.Complete},
+		"stream":                  {"/stream/1", []reply{stream}, 200, events, true, 1, broken},
+		"resumable stream":        {"/resume/1", []reply{stream, {status: 200, header: signed, body: "id: 2\ndata: b\n\n"}}, 200, events + "id: 2\ndata: b\n\n", false, 2, repeated},
+		"response":                {"/once/1", []reply{part}, 502, "", false, 1, broken},
+		"idempotent response":     {"/safe/1", []reply{part, whole}, 200, "whole", false, 2, repeated},
+		"large response":          {"/safe/1", []reply{{status: 200, header: signed, body: large}}, 200, large, true, 1, broken},
+		"error, idempotent":       {"/safe/1", []reply{{status: 500, header: signed, body: "part"}, whole}, 200, "whole", false, 2, repeated},
+		"stream with a length":    {"/stream/1", []reply{{status: 200, header: signed, body: events, delimited: true}}, 200, events, false, 1, complete},
+		"response with a length":  {"/once/1", []reply{{status: 200, header: signed, body: "whole", delimited: true}}, 200, "whole", false, 1, complete},
+		"large one with a length": {"/safe/1", []reply{{status: 200, header: signed, body: large, delimited: true}}, 200, large, false, 1, complete},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, tc.replies, nil)
@@ -46,11 +47,10 @@
 			if len(f.client.requests) != tc.sent {
 				t.Errorf("%d requests sent, want %d", len(f.client.requests), tc.sent)
 			}
-			if f.permitSource.results[0] != tc.result {
-				t.Errorf("result %v, want %v", f.permitSource.results[0], tc.result)
-			}
-			if tc.replies[0].delimited != (len(f.checker.checks) == 0) || !tc.replies[0].delimited && f.checker.checks[0] != "t0/health" {
-				t.Errorf("checks of targets: %q", f.checker.checks)
+			f.wantResults(t, tc.results...)
+			checks := f.checker.checked()
+			if tc.replies[0].delimited != (len(checks) == 0) || !tc.replies[0].delimited && checks[0] != "t0/health" {
+				t.Errorf("checks of targets: %q", checks)
 			}
 		})
 	}
@@ -65,8 +65,8 @@
 			t.Errorf("%s: status %d, %d bytes, error %v", path, r.status, len(r.body), r.err)
 		}
 		f.wantResults(t, placer.Complete)
-		if !slices.Equal(f.checker.checks, []string{"t0/health"}) {
-			t.Errorf("%s: checks of targets: %q", path, f.checker.checks)
+		if checks := f.checker.checked(); !slices.Equal(checks, []string{"t0/health"}) {
+			t.Errorf("%s: checks of targets: %q", path, checks)
 		}
 	}
 }
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -78,6 +79,9 @@
 	closures []time.Duration
 	// leaves counts the responses in which a target announced that it leaves.
 	leaves int
+	// expected is the expected time to the first event; 0 stands for a time so long that no
+	// target counts as stalled before its first event.
+	expected time.Duration
 	// demands are those of all calls of Wait.
 	demands []receiver.Demand
 }
@@ -100,7 +104,7 @@
 		return p, receiver.ErrRefused
 	}
 	p.decision.Choice.Target = registrar.Entry{ID: fmt.Sprint("t", w.waits), Address: "127.0.0.1:1"}
-	p.decision.Choice.Expected = time.Minute // long enough that no target counts as stalled
+	p.decision.Choice.Expected = cmp.Or(w.expected, time.Minute)
 	w.waits++
 	return p, nil
 }
@@ -153,6 +157,8 @@
 	body   string
 	// broken ends the body with an error.
 	broken bool
+	// endless, unless empty, is repeated without end after the body.
+	endless string
 	// delimited is set if the response has a length or chunks.
 	delimited bool
 	// held withholds the response until the attempt is cancelled or release is closed.
@@ -205,6 +211,9 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
+	if r.endless != "" {
+		body = io.MultiReader(body, endlessReader(r.endless))
+	}
 	return &courier.Response{Status: r.status, Header: h, Length: -1, EndsWithConnection: !r.delimited, Body: io.NopCloser(body)}, nil
 }
 
@@ -213,6 +222,11 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, courier.ErrBroken }
 
+// endlessReader is a body that repeats a text without end.
+type endlessReader string
+
+func (r endlessReader) Read(p []byte) (int, error) { return copy(p, r), nil }
+
 // targetChecker is a receiver.TargetChecker that records the checks.
 type targetChecker struct {
 	mutex sync.Mutex
@@ -229,6 +243,12 @@
 	return slices.Contains(c.gone, t.ID)
 }
 
+func (c *targetChecker) checked() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.checks)
+}
+
 type configs struct{ config *resolver.Config }
 
 func (c configs) Current() (resolver.Config, bool) {
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// isStalled reports whether the target has sent no event for longer than expected.
+func (w *stallWatch) isStalled() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.stalled
+}
+
 // onTimer runs when the target has sent no data for too long. The first time it reports
 // the stall; later it cancels the attempt as soon as a retry is available.
 func (w *stallWatch) onTimer() {
