Restrict requests to the targets of their allowed regions

Cause: routes and client accounts may have allowed-regions, which was ignored.

Ruled out: a penalty in the score, which does not hold under load, and a filter on the registry, which needs one state of the fleet per limit.

If the service has targets but none in an allowed region, the request is refused at once with 503 and the code noTargetInRegion. In a service above the sampling threshold, a request with a limit is assessed for all targets, since a sample may hold none that is allowed. Requests without a limit are placed as before.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -47,8 +47,10 @@
 // Options are the dependencies of a Controller.
 type Options struct {
 	DataCentre string
-	Policy     placer.Policy
-	Queue      queuer.Settings
+	// Regions holds the region of each data centre; those without a known one are absent.
+	Regions map[string]string
+	Policy  placer.Policy
+	Queue   queuer.Settings
 	// ShareWindow is the sliding window over which accounts are entitled to their fair
 	// share.
 	ShareWindow time.Duration
@@ -238,7 +240,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventBuffer),
 		registry: registrar.New(registrar.Settings{Grace: registryGrace}),
-		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host)}),
+		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Regions: o.Regions, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host)}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
 		quarantine: quarantiner.New(), suspicions: map[string]*suspicion{},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,7 +164,7 @@
 	s := g.settings
 	g.exchanger = exchanger.New(g.options.Source, g.logger)
 	g.controller = controller.New(controller.Options{
-		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
+		DataCentre: s.DataCentre, Regions: s.Regions, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
 		Host: s.Host, SendReport: g.exchanger.Send, SendRegistryChange: g.exchanger.SendChange, RefetchConfig: func() { g.watcher.RestartLongPolls() }, NoticeEra: func(era uint64) { g.watcher.NoticeEra(era) }, RequestConfig: g.exchanger.RequestConfig, SendConfig: g.exchanger.SendConfig, Probe: g.probe, ReportInterval: exchanger.ReportInterval,
 		Peers: g.exchanger.Peers, Address: s.PeerAddress, AddPeers: g.exchanger.AddPeers, Clock: g.clock, Logger: g.logger,
 		MaxRegistryAge: time.Duration(registryAgeShare * float64(s.DrainBound)),
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -59,6 +59,8 @@
 type Settings struct {
 	// DataCentre is the data centre of this daemon.
 	DataCentre string
+	// Regions holds the region of each data centre; those without a known one are absent.
+	Regions map[string]string
 	// Policy is the rule by which targets are chosen.
 	Policy Policy
 	// Seed seeds the random choices, so that those of different daemons differ.
@@ -206,8 +208,9 @@
 // attempt there too.
 func (f *Fleet) candidates(s *search) []*target {
 	f.preferredTargets, f.recoveringTargets = f.preferredTargets[:0], f.recoveringTargets[:0]
-	for _, t := range f.sample(s.request.Service, s.ranked) {
+	for _, t := range f.sample(s.request, s.ranked) {
 		switch {
+		case !f.inAllowedRegion(s.request, t):
 		case !t.health.usable(s.now) || s.now < t.closedUntil || slices.Contains(s.request.Excluded, t.entry.ID):
 		case s.request.Retry && t.health.recovering():
 			f.recoveringTargets = append(f.recoveringTargets, t)
@@ -244,10 +247,11 @@
 
 // sample returns the targets of a service that are assessed for one request: all of
 // them, or in a large service the top-ranked ones for the prompt and some others in
-// turn.
-func (f *Fleet) sample(service string, ranked *topRanked) []*target {
-	all := f.targetsByService[service]
-	if len(all) <= samplingThreshold {
+// turn. A request with allowed regions is assessed for all, since a sample may have no
+// target in them.
+func (f *Fleet) sample(r Request, ranked *topRanked) []*target {
+	all := f.targetsByService[r.Service]
+	if len(all) <= samplingThreshold || r.Regions.Limited() {
 		return all
 	}
 	f.sampledTargets = f.sampledTargets[:0]
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoondeck.example/gateway/registrar"
+	"monsoondeck.example/gateway/resolver"
 )
 
 // PromptPart is a section of a prompt with an identity of its own. Requests have
@@ -50,6 +51,8 @@
 	// MaxMeanEventGap is the longest mean gap between events with which the whole
 	// answer is on time; 0 sets no limit.
 	MaxMeanEventGap time.Duration
+	// Regions limits the regions whose targets may get the request.
+	Regions resolver.Regions
 	// Retry is set if the request was sent to a target before.
 	Retry bool
 	// Excluded holds the IDs of the targets that have failed or refused the request.
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -30,8 +30,8 @@
 	light, valid bool
 }
 
-// rankTargets returns the top-ranked targets for the prompt, on which all daemons
-// agree; nil if the prompt has no shared parts.
+// rankTargets returns the top-ranked targets for the prompt in its allowed regions, on
+// which all daemons agree; nil if the prompt has no shared parts.
 func (f *Fleet) rankTargets(r Request) *topRanked {
 	prefix := r.sharedPrefix()
 	if prefix == 0 {
@@ -39,7 +39,9 @@
 	}
 	var p topRanked
 	for _, t := range f.targetsByService[r.Service] {
-		p.insert(t, rank(prefix, t.idHash))
+		if f.inAllowedRegion(r, t) {
+			p.insert(t, rank(prefix, t.idHash))
+		}
 	}
 	return &p
 }
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -21,6 +21,9 @@
 	RecordStart(now time.Duration, r placer.Request, c placer.Choice)
 	// Targets returns the number of targets of a service, whether usable now or not.
 	Targets(service string) int
+	// TargetsInRegion returns the number of those that are in a region that the request may
+	// use.
+	TargetsInRegion(r placer.Request) int
 	// ReopensIn returns the time for which all targets of a service want no requests.
 	ReopensIn(now time.Duration, service string) time.Duration
 }
@@ -70,6 +73,8 @@
 	ReasonClosed Reason = "closed"
 	// ReasonNoTarget means that the service has no target that may get the request.
 	ReasonNoTarget Reason = "noTarget"
+	// ReasonRegion means that no target of the service is in an allowed region.
+	ReasonRegion Reason = "noTargetInRegion"
 	// ReasonQuarantined means that a part of the prompt crashes targets.
 	ReasonQuarantined Reason = "partQuarantined"
 	// ReasonSuspected means that the request is not repeated because its last target
@@ -205,7 +210,7 @@
 		return q.send(now, w, choice), true
 	}
 	maxWait := time.Duration(q.settings.MaxWaitShare * float64(w.Objective))
-	noTargets := !found && q.placer.Targets(w.Request.Service) == 0
+	noTargets := !found && q.placer.TargetsInRegion(w.Request) == 0
 	if !found {
 		if reopensIn := q.placer.ReopensIn(now, w.Request.Service); reopensIn > max(maxWait-waited, 0) {
 			return q.refuseClosed(now, w, reopensIn), true
@@ -232,6 +237,8 @@
 func (q *Queue) refuse(now time.Duration, w candidate, c placer.Choice, found bool) Decision {
 	d := Decision{ID: w.Request.ID, Choice: c, Reason: ReasonOverload, Waited: now - w.Arrived}
 	switch {
+	case !found && q.placer.Targets(w.Request.Service) > 0 && q.placer.TargetsInRegion(w.Request) == 0:
+		d.Reason, d.RetryAfter = ReasonRegion, noTargetRetryAfter
 	case !found:
 		d.Reason, d.RetryAfter = ReasonNoTarget, noTargetRetryAfter
 	case w.overShare:
--- a/gateway/queuer/queuer_test.go
+++ b/gateway/queuer/queuer_test.go
@@ -17,6 +17,8 @@
 	freeSlots int
 	// registered is the number of targets of the service, whether usable or not.
 	registered int
+	// outside is the number of those that are in no allowed region.
+	outside int
 	// found is false if no target may get a request.
 	found bool
 	// full is set if the targets have no room, rather than being slow.
@@ -50,6 +52,8 @@
 
 func (t *fakePlacer) Targets(string) int { return t.registered }
 
+func (t *fakePlacer) TargetsInRegion(placer.Request) int { return t.registered - t.outside }
+
 func (t *fakePlacer) ReopensIn(time.Duration, string) time.Duration { return t.reopensIn }
 
 func newQueue(t *fakePlacer) (*queuer.Queue, *sharer.Shares) {
@@ -141,6 +145,21 @@
 	}
 }
 
+// Guards against requests that wait for a target in a region where there is none.
+func TestRequestWithoutAnAllowedTargetIsRefusedAtOnce(t *testing.T) {
+	f := &fakePlacer{registered: 3, outside: 3}
+	q, _ := newQueue(f)
+	q.Add(newItem(1, "a", 0))
+	if d := q.Decide(0); len(d) != 1 || d[0].Reason != queuer.ReasonRegion || d[0].RetryAfter <= 0 {
+		t.Errorf("decisions %+v, want one refusal because of the region", d)
+	}
+	f.outside = 2 // one may be used again soon
+	q.Add(newItem(2, "a", 0))
+	if d := q.Decide(0); len(d) != 0 {
+		t.Errorf("decisions %+v, want none while there is a target in an allowed region", d)
+	}
+}
+
 // Guards against callers that all return at the same time, and against a Retry-After
 // that is longer than callers wait.
 func TestRetryAfterIsJitteredAndBounded(t *testing.T) {
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -50,6 +50,8 @@
 	// account is the name of the client account; empty for anonymous requests.
 	account string
 	service string
+	// regions limits the regions whose targets may get the request.
+	regions resolver.Regions
 	// engine is nil unless the targets of the service are inference engines.
 	engine *resolver.Engine
 	// healthPath is the path of the health check of the targets; empty if there is none.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -141,6 +141,7 @@
 		return false
 	}
 	p.priority = p.route.Priority
+	p.regions = resolver.AllowedRegions(p.route, resolver.Account{})
 	if config.HasAccounts() && !p.route.Anonymous {
 		account, ok := config.AccountByKey(p.info.APIKey)
 		if !ok {
@@ -148,6 +149,7 @@
 			return false
 		}
 		p.account = account.Name
+		p.regions = resolver.AllowedRegions(p.route, account)
 		if account.HasPriority {
 			p.priority = account.Priority
 		}
@@ -296,7 +298,7 @@
 		Request: placer.Request{
 			ID: p.receiver.nextID.Add(1), Service: p.service, PromptTokens: p.info.PromptTokens, OutputTokens: outputTokens,
 			Parts: p.info.Parts, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, time.Until(deadline)),
-			Retry: p.attempts > 0, Excluded: p.excluded,
+			Regions: p.regions, Retry: p.attempts > 0, Excluded: p.excluded,
 		},
 		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "", Priority: p.priority,
 		Objective: max(objective-time.Since(p.start), 0), TimeLeft: time.Until(deadline),
--- a/gateway/resolver/config_test.go
+++ b/gateway/resolver/config_test.go
@@ -1,6 +1,7 @@
 package resolver_test
 
 import (
+	"slices"
 	"testing"
 
 	"monsoondeck.example/gateway/resolver"
@@ -72,3 +73,31 @@
 		}
 	}
 }
+
+// Guards against a limit of the route or the account that is ignored when both set one, and
+// against taking an empty intersection or an unknown region for no limit.
+func TestAllowedRegionsOfRouteAndAccountBothApply(t *testing.T) {
+	for name, tc := range map[string]struct {
+		route, account, allowed []string
+		limited                 bool
+	}{
+		"none":         {nil, nil, []string{"be", "nl", "de", ""}, false},
+		"empty":        {[]string{}, []string{}, []string{"be", "nl", "de", ""}, false},
+		"route":        {[]string{"be", "nl"}, nil, []string{"be", "nl"}, true},
+		"account":      {nil, []string{"nl"}, []string{"nl"}, true},
+		"both":         {[]string{"be", "nl"}, []string{"nl", "de"}, []string{"nl"}, true},
+		"disjoint":     {[]string{"be"}, []string{"de"}, nil, true},
+		"unnamed":      {[]string{""}, nil, nil, true},
+		"both unnamed": {[]string{"", "be"}, []string{""}, nil, true},
+	} {
+		r := resolver.AllowedRegions(resolver.Route{AllowedRegions: tc.route}, resolver.Account{AllowedRegions: tc.account})
+		if r.Limited() != tc.limited {
+			t.Errorf("%s: limited: %t", name, r.Limited())
+		}
+		for _, region := range []string{"be", "nl", "de", ""} {
+			if want := slices.Contains(tc.allowed, region); r.Allow(region) != want {
+				t.Errorf("%s: region %q is allowed: %t", name, region, !want)
+			}
+		}
+	}
+}
--- a/gateway/resolver/route.go
+++ b/gateway/resolver/route.go
@@ -2,7 +2,10 @@
 // finds the route and the client account of a request. The package does no I/O.
 package resolver
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says which requests of a route may be repeated.
 type Kind int
@@ -51,6 +54,9 @@
 	// Resumable is set if a broken stream may continue at another target after its last
 	// event.
 	Resumable bool
+	// AllowedRegions holds the regions whose targets may get the requests; empty sets no
+	// limit.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -91,6 +97,43 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions holds the regions whose targets may get the requests; empty sets no
+	// limit beside that of the route.
+	AllowedRegions []string
+}
+
+// Regions is a limit on the regions whose targets may get a request. The zero value sets
+// none.
+type Regions struct {
+	// limited is set if only the regions in allowed, of which there may be none, may be used.
+	limited bool
+	allowed []string
+}
+
+// AllowedRegions returns the limit that route and account set together.
+func AllowedRegions(r Route, a Account) Regions {
+	switch {
+	case len(r.AllowedRegions) == 0:
+		return Regions{len(a.AllowedRegions) > 0, a.AllowedRegions}
+	case len(a.AllowedRegions) == 0:
+		return Regions{true, r.AllowedRegions}
+	}
+	var both []string
+	for _, region := range r.AllowedRegions {
+		if slices.Contains(a.AllowedRegions, region) {
+			both = append(both, region)
+		}
+	}
+	return Regions{true, both}
+}
+
+// Limited reports whether there is a limit.
+func (r Regions) Limited() bool { return r.limited }
+
+// Allow reports whether targets in the region may get the request. The region is empty if it
+// is not known.
+func (r Regions) Allow(region string) bool {
+	return !r.limited || region != "" && slices.Contains(r.allowed, region)
 }
 
 // Limits bound what callers may send.
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -18,6 +18,8 @@
 	// Host is the name of this daemon, unique in the fleet.
 	Host       string
 	DataCentre string
+	// Regions holds the region of each data centre; those without a known one are absent.
+	Regions map[string]string
 	// CallerAddress, HealthAddress and PeerAddress are the addresses of the listeners
 	// for callers, for health checks and for peers, as IP:PORT. Without a PeerAddress
 	// the daemon has no peers.
