--- a/gateway/placer/admission.go
+++ b/gateway/placer/admission.go
@@ -17,6 +17,8 @@
 	paused
 	// excluded: the target has failed or refused the request before.
 	excluded
+	// outside: the target is in no region that the request may use.
+	outside
 )
 
 // obstacle is the only place that decides whether a request may be sent to a target now.
@@ -25,6 +27,8 @@
 	switch o := t.lastingObstacle(); {
 	case o != noObstacle:
 		return o
+	case !f.inAllowedRegion(r, t):
+		return outside
 	case !t.health.usable(now):
 		return failing
 	case now < t.closedUntil:
