Accept a daemon that restarts after its clock went back

Cause: the incarnation is the time of the start. After a restart with a clock that went back, it is smaller than the one that the peers have seen, and they reject the daemon until its clock has caught up.

Ruled out: peers that accept a smaller incarnation after a pause, since they cannot tell a new run from a late connection, and sharer and grouper compare incarnations as well.

Change: a peer that rejects a dialer as stale names the larger incarnation in its proved part of the handshake; the daemon takes that plus one and connects again within 2 s (event 306). It does so only if that peer has not been connected to this run before, so that an earlier run cannot replace a later one. The field is sent only with a rejection: handshakes with earlier versions stay valid. Only monsoongate enables it (Options.OnRaised); monsoond also names its incarnation in its membership messages.

--- a/connector/handshake.go
+++ b/connector/handshake.go
@@ -47,6 +47,9 @@
 	// a clock that jumps must not disconnect a daemon.
 	TimeMs int64  `json:"timeMs"`
 	Nonce  []byte `json:"nonce"`
+	// Newest is the largest incarnation that the acceptor has seen of the dialer, if that of
+	// the dialer is smaller; otherwise 0.
+	Newest uint64 `json:"newest,omitempty"`
 }
 
 // answer is the acceptor's hello with its proof.
@@ -70,7 +73,7 @@
 	if _, err := rand.Read(n); err != nil {
 		return hello{}, errors.Wrap(err, "read random bytes")
 	}
-	return hello{ID: h.options.Self, Incarnation: h.options.Incarnation, TimeMs: time.Now().UnixMilli(), Nonce: n}, nil
+	return hello{ID: h.options.Self, Incarnation: h.incarnation.Load(), TimeMs: time.Now().UnixMilli(), Nonce: n}, nil
 }
 
 // proof returns the HMAC of the label and both hellos. Each string is preceded by
@@ -88,6 +91,9 @@
 		m.Write(binary.BigEndian.AppendUint64(nil, o.Incarnation))
 		m.Write(binary.BigEndian.AppendUint64(nil, uint64(o.TimeMs)))
 		writeString(o.Nonce)
+		if o.Newest != 0 { // otherwise the proof is that of earlier versions
+			m.Write(binary.BigEndian.AppendUint64(nil, o.Newest))
+		}
 	}
 	return m.Sum(nil)
 }
@@ -111,6 +117,11 @@
 		_ = c.Close(websocket.StatusPolicyViolation, reasonUnauthenticated)
 		return nil, errors.Wrapf(ErrUnauthenticated, "acceptor %q", a.Hello.ID)
 	}
+	if a.Hello.Newest > own.Incarnation {
+		h.raise(a.Hello)
+		_ = c.Close(websocket.StatusPolicyViolation, reasonStale)
+		return nil, errors.Wrapf(ErrStale, "acceptor %q has seen incarnation %d of this daemon", a.Hello.ID, a.Hello.Newest)
+	}
 	if err := writeMessage(ctx, c, confirm{Proof: h.proof(labelDialer, own, a.Hello)}); err != nil {
 		return nil, err
 	}
@@ -138,6 +149,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if newest := h.newest(peer.ID); newest > peer.Incarnation {
+		own.Newest = newest
+	}
 	if err := writeMessage(ctx, c, answer{Hello: own, Proof: h.proof(labelAcceptor, peer, own)}); err != nil {
 		return nil, err
 	}
--- a/connector/handshake_test.go
+++ b/connector/handshake_test.go
@@ -103,8 +103,8 @@
 	h, _ := startHub(t, "a", 1)
 	base := hello{ID: "b", To: "a", Incarnation: 1, TimeMs: 1, Nonce: []byte("n")}
 	seen := map[string]bool{string(h.proof(labelDialer, base, base)): true, string(h.proof(labelAcceptor, base, base)): true}
-	changes := []hello{{"c", "a", 1, 1, base.Nonce}, {"b", "", 1, 1, base.Nonce}, {"b", "a", 2, 1, base.Nonce},
-		{"b", "a", 1, 2, base.Nonce}, {"b", "a", 1, 1, []byte("m")}, {"ba", "", 1, 1, base.Nonce}}
+	changes := []hello{{"c", "a", 1, 1, base.Nonce, 0}, {"b", "", 1, 1, base.Nonce, 0}, {"b", "a", 2, 1, base.Nonce, 0},
+		{"b", "a", 1, 2, base.Nonce, 0}, {"b", "a", 1, 1, []byte("m"), 0}, {"ba", "", 1, 1, base.Nonce, 0}, {"b", "a", 1, 1, base.Nonce, 1}}
 	for _, c := range changes {
 		seen[string(h.proof(labelDialer, c, base))] = true
 		seen[string(h.proof(labelDialer, base, c))] = true
--- a/connector/hub.go
+++ b/connector/hub.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -34,6 +35,8 @@
 	received chan *messenger.Frame
 	counters counters
 	started  time.Time
+	// incarnation is the number of this process, which grows if OnRaised is set.
+	incarnation atomic.Uint64
 	// sequence is the sequence number of the last frame sent to any peer.
 	sequence atomic.Uint64
 
@@ -52,6 +55,8 @@
 	// newestIncarnation holds the largest incarnation seen of each daemon ID. Entries
 	// are never removed; at 300 replaced hosts a day they take 10 MB in a year.
 	newestIncarnation map[string]uint64
+	// attached holds the IDs of the daemons to which this process has been connected.
+	attached map[string]bool
 }
 
 // New returns a Hub and a function that closes it: it sends the frames queued for
@@ -84,8 +89,10 @@
 		peers:             make(map[string]*peer),
 		idByAddress:       make(map[string]string),
 		newestIncarnation: make(map[string]uint64),
+		attached:          make(map[string]bool),
 		started:           time.Now(),
 	}
+	h.incarnation.Store(o.Incarnation)
 	h.client = &http.Client{Transport: &http.Transport{DialContext: o.Dialer.DialContext, DisableKeepAlives: true}}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	return h, h.close, nil
@@ -180,6 +187,7 @@
 		return errors.Wrapf(ErrStale, "daemon %q", l.id)
 	}
 	h.newestIncarnation[l.id] = l.incarnation
+	h.attached[l.id] = true
 	p := h.peerLocked(l.id, "")
 	if l.dialed != "" {
 		h.idByAddress[l.dialed] = l.id
@@ -231,6 +239,33 @@
 	return incarnation >= h.newestIncarnation[id]
 }
 
+// newest returns the largest incarnation that was seen of the daemon; 0 if there is none.
+func (h *Hub) newest(id string) uint64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.newestIncarnation[id]
+}
+
+// raise raises the incarnation of this process above the one that the peer, which has proved
+// who it is, has seen. A peer to which this process was connected before has seen a later
+// run instead, which this one must not replace.
+func (h *Hub) raise(peer hello) {
+	if h.options.OnRaised == nil || peer.Newest == math.MaxUint64 {
+		return
+	}
+	h.mutex.Lock()
+	own := h.incarnation.Load()
+	raised := peer.Newest > own && !h.attached[peer.ID]
+	if raised {
+		h.incarnation.Store(peer.Newest + 1)
+	}
+	h.mutex.Unlock()
+	if raised {
+		logger.Emit(h.options.Logger, logger.IncarnationRaised, slog.String("peer", peer.ID), slog.Uint64("from", own), slog.Uint64("to", peer.Newest+1))
+		h.options.OnRaised(peer.Newest + 1)
+	}
+}
+
 // clock returns the time since New on the monotonic clock; never 0.
 func (h *Hub) clock() time.Duration { return time.Since(h.started) + 1 }
 
--- a/connector/options.go
+++ b/connector/options.go
@@ -44,8 +44,13 @@
 type Options struct {
 	// Self is the ID of this daemon.
 	Self string
-	// Incarnation is the number of this process; it must grow with each restart.
+	// Incarnation is the number of this process; it must grow with each restart, unless
+	// OnRaised is set.
 	Incarnation uint64
+	// OnRaised, if not nil, lets the hub raise its incarnation: a peer to which this process
+	// has not been connected yet has seen a larger one, of a run whose clock was ahead.
+	// OnRaised is called with the new incarnation and must not block for long.
+	OnRaised func(incarnation uint64)
 	// Secret is shared by all daemons of the fleet; at least MinSecretBytes long.
 	Secret []byte
 	Logger *slog.Logger
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,8 +107,9 @@
 	logger   *slog.Logger
 	start    time.Time
 	// incarnation is the start time in microseconds since the Unix epoch, so that it
-	// increases with each start.
-	incarnation uint64
+	// increases with each start. If the clock went back since an earlier start, it is raised
+	// above the one that peers have seen.
+	incarnation atomic.Uint64
 	// jitter is a random number between 0 and 1 that spreads the registry reads of the
 	// daemons.
 	jitter float64
@@ -144,7 +145,7 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	g := &Gateway{options: o, settings: s, start: time.Now(), jitter: mathrand.Float64()}
-	g.incarnation = uint64(g.start.UnixMicro())
+	g.incarnation.Store(uint64(g.start.UnixMicro()))
 	record, closeRecorder := recorder.New(o.Out)
 	g.recorder = record
 	g.logger = slog.New(slog.NewJSONHandler(record, nil)).With(slog.String("host", s.Host))
@@ -201,7 +202,7 @@
 func (g *Gateway) Run(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	logger.Emit(g.logger, logger.DaemonStarted, slog.String("dataCentre", g.settings.DataCentre), slog.Uint64("incarnation", g.incarnation),
+	logger.Emit(g.logger, logger.DaemonStarted, slog.String("dataCentre", g.settings.DataCentre), slog.Uint64("incarnation", g.incarnation.Load()),
 		slog.String("caller", g.settings.CallerAddress), slog.String("store", g.settings.StoreAddress))
 	failed := make(chan error, len(g.otherServers)+1)
 	for _, s := range append(g.otherServers, g.callerServer) {
@@ -241,7 +242,7 @@
 		if bytes.Equal(secret, known) {
 			return nil
 		}
-		hub, closeNew, err := connector.New(connector.Options{Self: g.settings.Host, Incarnation: g.incarnation, Secret: secret, Logger: g.logger})
+		hub, closeNew, err := connector.New(connector.Options{Self: g.settings.Host, Incarnation: g.incarnation.Load(), OnRaised: g.incarnation.Store, Secret: secret, Logger: g.logger})
 		if err != nil {
 			return err
 		}
@@ -257,7 +258,7 @@
 
 // self returns the own entry in the list of daemons.
 func (g *Gateway) self() watcher.Daemon {
-	return watcher.Daemon{Host: g.settings.Host, DataCentre: g.settings.DataCentre, Address: g.settings.PeerAddress, Incarnation: g.incarnation}
+	return watcher.Daemon{Host: g.settings.Host, DataCentre: g.settings.DataCentre, Address: g.settings.PeerAddress, Incarnation: g.incarnation.Load()}
 }
 
 // setDaemons sets the peers from the list of daemons. Those that were heard within
--- a/logger/events.go
+++ b/logger/events.go
@@ -35,11 +35,12 @@
 	SettingsReloaded   = Event{208, slog.LevelInfo, "settings file reloaded", ""}
 	SettingsUnreadable = Event{209, slog.LevelWarn, "settings file could not be read", "Check the file; the settings read before stay in force."}
 
-	MemberJoined     = Event{301, slog.LevelInfo, "member joined", ""}
-	MemberLeft       = Event{302, slog.LevelInfo, "member left", "If the host should be up, look at its own log."}
-	PeerConnected    = Event{303, slog.LevelDebug, "peer connected", ""}
-	PeerDisconnected = Event{304, slog.LevelDebug, "peer disconnected", ""}
-	PeerRejected     = Event{305, slog.LevelWarn, "peer connection rejected", "Check that all daemons have the same fleet secret and different names."}
+	MemberJoined      = Event{301, slog.LevelInfo, "member joined", ""}
+	MemberLeft        = Event{302, slog.LevelInfo, "member left", "If the host should be up, look at its own log."}
+	PeerConnected     = Event{303, slog.LevelDebug, "peer connected", ""}
+	PeerDisconnected  = Event{304, slog.LevelDebug, "peer disconnected", ""}
+	PeerRejected      = Event{305, slog.LevelWarn, "peer connection rejected", "Check that all daemons have the same fleet secret and different names."}
+	IncarnationRaised = Event{306, slog.LevelWarn, "incarnation raised because a peer has seen a larger one", "Check the clock of the host: it went back since an earlier start."}
 
 	ShardAcquired = Event{401, slog.LevelInfo, "shard acquired", ""}
 	ShardReleased = Event{402, slog.LevelInfo, "shard released", ""}
@@ -78,7 +79,7 @@
 		DaemonStarted, DaemonReady, DaemonStopping, DaemonStopped, DaemonAborted, ListenerFailed,
 		ConfigApplied, ConfigRejected, ConfigLoadFailed, TargetLeaving, SnapshotUnreadable,
 		TargetJoined, EntryUnreadable, SettingsReloaded, SettingsUnreadable,
-		MemberJoined, MemberLeft, PeerConnected, PeerDisconnected, PeerRejected,
+		MemberJoined, MemberLeft, PeerConnected, PeerDisconnected, PeerRejected, IncarnationRaised,
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
