Do not resume a stream whose events have no IDs

Cause: a resumable stream that broke after events without an ID was sent to another target from its beginning, and the caller got these events twice. Found while the end of a killed target's response took this path, too.

Change: once events were forwarded and none of them has an ID, there is no further attempt, and a stalled attempt is not cancelled for one. Comments do not count.

Evidence: TestStreamWithoutIDsIsNotResumed got the first two events twice before.

--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -158,6 +158,11 @@
 				if excess && watch.isStalled() {
 					return p.failAttempt(permit, placer.Failed, "target sent only comments, and too many", nil)
 				}
+				if events.count > 0 && events.lastEventID == "" && p.stream.lastEventID == "" {
+					p.unresumable.Store(true)
+				} else if events.lastEventID != "" {
+					p.unresumable.Store(false)
+				}
 				if len(ready) > 0 && !p.writeEvents(ready, events.lastEventID) {
 					permit.End(placer.Cancelled)
 					return outcomeFailed
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -71,6 +71,9 @@
 	excluded []string
 	// retryTaken is set while a retry is taken from the budget but not yet used.
 	retryTaken atomic.Bool
+	// unresumable is set while events of the stream were forwarded and none of them has an
+	// ID after which another target could continue.
+	unresumable atomic.Bool
 	// mayHaveRun is set once a target may have started to work on the request.
 	mayHaveRun bool
 	// fallback is an error response that is forwarded if no other target succeeds.
@@ -162,15 +165,18 @@
 	if ctx.Err() != nil || p.waits >= maxWaits || p.attempts >= p.route.MaxAttempts {
 		return false
 	}
-	if p.mayHaveRun && !p.route.Repeatable() {
+	if p.mayHaveRun && !p.route.Repeatable() || p.unresumable.Load() {
 		return false
 	}
 	return p.attempts == 0 || p.retryTaken.Swap(false) || p.receiver.RetryBudget.TakeRetry(p.service)
 }
 
 // takeRetry reserves a retry from the budget for the next attempt. It reports whether
-// one was available.
+// one was available and may be used.
 func (p *proxyRequest) takeRetry() bool {
+	if p.unresumable.Load() {
+		return false
+	}
 	taken := p.receiver.RetryBudget.TakeRetry(p.service)
 	if taken {
 		p.retryTaken.Store(true)
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -230,6 +230,26 @@
 	f.wantResults(t, placer.Broken, placer.Complete)
 }
 
+// Guards against duplicate events if none of those that were forwarded has an ID after which
+// another target could continue the stream.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	f := newFixture(t, []reply{
+		{status: 200, header: signed, body: "data: a\n\ndata: b\n\n", broken: true},
+		{status: 200, header: signed, body: "data: a\n\ndata: b\n\ndata: c\n\n"},
+	}, nil)
+	if r := f.postDefault(t, "/resume/1"); r.err == nil || r.body != "data: a\n\ndata: b\n\n" {
+		t.Errorf("body %q, error %v", r.body, r.err)
+	}
+	f.wantResults(t, placer.Broken)
+	comments := newFixture(t, []reply{
+		{status: 200, header: signed, body: ": wait\n\n", broken: true},
+		{status: 200, header: signed, body: "data: a\n\n"},
+	}, nil)
+	if r := comments.postDefault(t, "/resume/1"); r.err != nil || r.body != ": wait\n\ndata: a\n\n" {
+		t.Errorf("after a comment: body %q, error %v", r.body, r.err)
+	}
+}
+
 // Guards against duplicate events from a target that was asked to continue a stream
 // and starts it from the beginning.
 func TestRestartedStreamIsNotForwarded(t *testing.T) {
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// Guards against cancelling a stalled stream that no other target can continue.
+func TestStalledStreamWithoutIDsIsNotCancelled(t *testing.T) {
+	p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}}), route: resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2}}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	w := newStallWatch(p, &stallCounter{}, time.Hour, cancel)
+	defer w.stop()
+	p.unresumable.Store(true)
+	w.onTimer()
+	w.onTimer()
+	if ctx.Err() != nil || p.mayTryAgain(context.Background()) {
+		t.Errorf("the attempt was cancelled: %v", context.Cause(ctx))
+	}
+}
+
 // Guards against leaving a busy engine too early, and against leaving a stalled one so
 // late that no other target can respond before the caller gives up.
 func TestStreamsResumeBeforeTheCallerGivesUp(t *testing.T) {
