--- a/connector/hub.go
+++ b/connector/hub.go
@@ -34,6 +34,8 @@
 	received chan *messenger.Frame
 	counters counters
 	started  time.Time
+	// incarnation is the number of this process, which grows if OnRaised is set.
+	incarnation atomic.Uint64
 	// sequence is the sequence number of the last frame sent to any peer.
 	sequence atomic.Uint64
 
@@ -52,6 +54,8 @@
 	// newestIncarnation holds the largest incarnation seen of each daemon ID. Entries
 	// are never removed; at 300 replaced hosts a day they take 10 MB in a year.
 	newestIncarnation map[string]uint64
+	// attached holds the IDs of the daemons to which this process has been connected.
+	attached map[string]bool
 }
 
 // New returns a Hub and a function that closes it: it sends the frames queued for
@@ -84,8 +88,10 @@
 		peers:             make(map[string]*peer),
 		idByAddress:       make(map[string]string),
 		newestIncarnation: make(map[string]uint64),
+		attached:          make(map[string]bool),
 		started:           time.Now(),
 	}
+	h.incarnation.Store(o.Incarnation)
 	h.client = &http.Client{Transport: &http.Transport{DialContext: o.Dialer.DialContext, DisableKeepAlives: true}}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	return h, h.close, nil
@@ -180,6 +186,7 @@
 		return errors.Wrapf(ErrStale, "daemon %q", l.id)
 	}
 	h.newestIncarnation[l.id] = l.incarnation
+	h.attached[l.id] = true
 	p := h.peerLocked(l.id, "")
 	if l.dialed != "" {
 		h.idByAddress[l.dialed] = l.id
@@ -224,13 +231,6 @@
 	return true
 }
 
-// isNewest reports whether no larger incarnation of the daemon was seen.
-func (h *Hub) isNewest(id string, incarnation uint64) bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return incarnation >= h.newestIncarnation[id]
-}
-
 // clock returns the time since New on the monotonic clock; never 0.
 func (h *Hub) clock() time.Duration { return time.Since(h.started) + 1 }
 
