--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -104,7 +104,7 @@
 	}
 	change := controller.RegistryChange{Age: 30 * time.Millisecond, StoreTime: time.Minute, Hops: 2, Change: registrar.Change{
 		Base: 1, Digest: 2, Moment: registrar.Moment{Era: 1 << 40, Revision: 3}, RemovedIDs: []string{"old"},
-		Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Incarnation: 7, Slots: 6, Draining: true}},
+		Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Incarnation: 7, Slots: 6, Draining: true}, {ID: "u", Incarnation: 8, Cold: true, WarmUp: 9 * time.Second}},
 	}}
 	// b does not know the address of a and uses the connection that a opened.
 	b.resendUntil(func() { b.SendChange(change, []string{"a"}) }, func() bool { return len(a.changes) > 0 })
--- a/gateway/exchanger/messages.go
+++ b/gateway/exchanger/messages.go
@@ -159,10 +159,15 @@
 func encodeRegistryChange(c controller.RegistryChange) messenger.RegistryChange {
 	m := messenger.RegistryChange{Base: c.Base, Mark: encodeRegistryState(controller.RegistryState{Moment: c.Moment, Digest: c.Digest, Age: c.Age, StoreTime: c.StoreTime, Hops: c.Hops}), Gone: c.RemovedIDs}
 	for _, e := range c.Entries {
-		m.Entries = append(m.Entries, messenger.RegistryEntry{
+		entry := messenger.RegistryEntry{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 			Incarnation: uint64(e.Incarnation), Slots: uint64(max(e.Slots, 0)), Draining: e.Draining,
-		})
+		}
+		if e.Cold {
+			cold := uint64(max(e.WarmUp.Milliseconds(), 0))
+			entry.ColdMs = &cold
+		}
+		m.Entries = append(m.Entries, entry)
 	}
 	return m
 }
@@ -171,10 +176,14 @@
 	state := decodeRegistryState(m.Mark)
 	c := controller.RegistryChange{Age: state.Age, StoreTime: state.StoreTime, Hops: state.Hops, Change: registrar.Change{Base: m.Base, Digest: state.Digest, Moment: state.Moment, RemovedIDs: m.Gone}}
 	for _, e := range m.Entries {
-		c.Entries = append(c.Entries, registrar.Entry{
+		entry := registrar.Entry{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 			Incarnation: int64(e.Incarnation), Slots: int(min(e.Slots, math.MaxInt32)), Draining: e.Draining,
-		})
+		}
+		if e.ColdMs != nil {
+			entry.Cold, entry.WarmUp = true, decodeAge(*e.ColdMs)
+		}
+		c.Entries = append(c.Entries, entry)
 	}
 	return c
 }
--- a/gateway/registrar/change.go
+++ b/gateway/registrar/change.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,12 +20,25 @@
 	RemovedIDs []string
 }
 
+// WithWarmUp returns the change with the WarmUp of its entries, as of the given time.
+func (c Change) WithWarmUp(now time.Duration, coldUntil map[Departure]time.Duration) Change {
+	c.Entries = slices.Clone(c.Entries)
+	for i, e := range c.Entries {
+		c.Entries[i].WarmUp = max(coldUntil[departureOf(e)]-now, e.WarmUp)
+	}
+	return c
+}
+
 // Digest returns a hash of the entries that does not depend on their order. It does
 // not include WarmUp.
 func Digest(entries []Entry) uint64 {
 	sum := uint64(0)
 	for _, e := range entries {
-		sum += xxhash.Sum64String(fmt.Sprintf("%s %s %s %s %d %d %t", e.ID, e.Service, e.Address, e.DataCentre, e.Incarnation, e.Slots, e.Draining))
+		text := fmt.Sprintf("%s %s %s %s %d %d %t", e.ID, e.Service, e.Address, e.DataCentre, e.Incarnation, e.Slots, e.Draining)
+		if e.Cold { // daemons that do not know of cold targets have the same digest without any
+			text += " cold"
+		}
+		sum += xxhash.Sum64String(text)
 	}
 	return sum
 }
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -23,8 +23,12 @@
 	Slots int
 	// Draining is set if the target should get no new requests.
 	Draining bool
-	// WarmUp is how much longer the target is slow after its start.
+	// WarmUp is how much longer the target is cold, as of the read that returned the entry;
+	// 0 if it is warm, or if that is not known.
 	WarmUp time.Duration
+	// Cold is set by Registry while the target is cold by the latest state. Unlike WarmUp
+	// it is a part of the state on which daemons agree.
+	Cold bool
 }
 
 // Moment is a point in the history of the store.
@@ -76,6 +80,9 @@
 	eraSettled time.Duration
 }
 
+// unknownWarmUp is the WarmUp of the last own read of an entry that has not been read.
+const unknownWarmUp = -1
+
 // departureMemory is how long a departure is remembered: longer than any target takes to
 // end after it has announced that it leaves.
 const departureMemory = time.Hour
@@ -87,6 +94,9 @@
 	// need this long to write them again. It also is the time for which a store that came
 	// back with an older state may have entries that were removed.
 	Grace time.Duration
+	// Cold is set if the deployment limits the requests to cold targets. Otherwise no
+	// target counts as cold.
+	Cold bool
 }
 
 // record is an entry with its state over successive reads.
@@ -97,6 +107,9 @@
 	// hidden is set if the entry was removed and only came back with an older state of the
 	// store.
 	hidden bool
+	// warmUp is the WarmUp of the last own read, coldUntil the time until which the target
+	// is cold by it. An entry that is read again with the same WarmUp was not written again.
+	warmUp, coldUntil time.Duration
 }
 
 // New returns an empty Registry.
@@ -122,7 +135,7 @@
 		r.graceEnd = now + r.settings.Grace
 	}
 	r.moment, r.outage = read.Moment, false
-	r.setEntries(now, read.Entries)
+	r.setEntries(now, read.Entries, (*record).recordWarmUp)
 	return true
 }
 
@@ -145,7 +158,7 @@
 	}
 	r.startEra(now, read.Moment)
 	r.moment, r.outage, r.graceEnd = read.Moment, false, now
-	r.setEntries(now, read.Entries)
+	r.setEntries(now, read.Entries, (*record).recordPeerWarmUp)
 	return true
 }
 
@@ -158,16 +171,20 @@
 }
 
 // setEntries replaces the entries. Missing ones are kept until graceEnd unless they
-// are draining.
-func (r *Registry) setEntries(now time.Duration, entries []Entry) {
+// are draining. warmUp updates a record by the WarmUp of its entry.
+func (r *Registry) setEntries(now time.Duration, entries []Entry, warmUp func(rec *record, now time.Duration, e Entry)) {
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.ID] = true
 		old := r.entries[e.ID]
 		if old == nil || old.entry.Incarnation != e.Incarnation || old.entry.Address != e.Address {
-			old = &record{}
+			old = &record{warmUp: unknownWarmUp}
 			r.entries[e.ID] = old
 		}
+		if r.settings.Cold {
+			warmUp(old, now, e)
+		}
+		e.Cold = now < old.coldUntil
 		old.entry, old.missing = e, false
 		if e.Draining {
 			r.RecordDeparture(now, departureOf(e))
--- a/gateway/resolver/route.go
+++ b/gateway/resolver/route.go
@@ -66,6 +66,10 @@
 	// ConnectionLimit is the number of connections that each target accepts from all
 	// callers together; 0 means unknown.
 	ConnectionLimit int
+	// ColdPerSecond is the number of requests per second that a cold target takes; 0 means
+	// no limit. ColdStart is the time for which a target is cold after its start.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// Engine is set if the targets are model engines.
 	Engine *Engine
 }
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -47,6 +47,11 @@
 	// ShareWindow is the sliding window over which accounts are entitled to their fair
 	// share.
 	ShareWindow time.Duration
+	// ColdBounded is set if the requests to cold targets are limited: in any second, a cold
+	// target gets from all daemons at most ColdOvershoot times the rate of its service, plus
+	// ColdTolerance.
+	ColdBounded                  bool
+	ColdOvershoot, ColdTolerance float64
 }
 
 // Defaults of settings that are zero or negative.
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -342,6 +342,10 @@
 	// Address, IP:PORT.
 	Address string `json:"address" cbor:"3,keyasint,omitempty"`
 
+	// Time for which the target remains cold, in milliseconds, as of the sending;
+	// missing if it is warm.
+	ColdMs *uint64 `json:"coldMs,omitempty,omitzero" cbor:"8,keyasint,omitempty"`
+
 	// Data centre of the target.
 	DataCentre string `json:"dataCentre" cbor:"4,keyasint,omitempty"`
 
