quarantiner: crashes with a known reason are no evidence

Cause: each crash of a target counts against the prompts that ran there. A cold target that gets more requests than it takes crashes whatever they are, and ordinary prompts went into quarantine.

Change: Excuse names a crash, by target and incarnation, and the time up to which it is no evidence. Incidents that are known already are cleared like by a proof, and those of peers are answered with one, so that daemons without the knowledge reach the same verdict.

TestExcusedCrashesAreNoEvidence covers crashes that are excused before and after they are known and by a peer, crashes after the time, and those before the start of the daemon.

--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -68,6 +68,8 @@
 	// current and previous hold the time at which the last answered request with a part
 	// began its answer, in two generations of bounded size.
 	current, previous map[Part]time.Duration
+	// excused holds the crashes that are no evidence, with the time from which they are.
+	excused map[Crash]time.Duration
 	// own and learned hold the evidence of this daemon and of others that TakeNew has not
 	// returned yet.
 	own, learned news
@@ -75,7 +77,7 @@
 
 // New returns a Quarantine without evidence.
 func New() *Quarantine {
-	return &Quarantine{suspects: map[Part]*suspect{}, current: map[Part]time.Duration{}, previous: map[Part]time.Duration{}}
+	return &Quarantine{suspects: map[Part]*suspect{}, excused: map[Crash]time.Duration{}, current: map[Part]time.Duration{}, previous: map[Part]time.Duration{}}
 }
 
 // RecordAnswer records that the answer to a request with these parts began at the given
@@ -134,7 +136,7 @@
 
 // RecordIncident records an incident that this daemon has observed.
 func (q *Quarantine) RecordIncident(now time.Duration, i Incident) {
-	if added := i.incidentAt(now); q.addIncident(now, added) {
+	if added := i.incidentAt(now); !q.isExcused(added) && q.addIncident(now, added) {
 		q.own.incidents = append(q.own.incidents, added)
 	}
 }
@@ -145,7 +147,12 @@
 		if i.Age > MaxAge {
 			continue
 		}
-		if added := i.incidentAt(now); q.addIncident(now, added) {
+		added := i.incidentAt(now)
+		if q.isExcused(added) {
+			q.refute(added)
+			continue
+		}
+		if q.addIncident(now, added) {
 			q.learned.incidents = append(q.learned.incidents, added)
 		}
 	}
@@ -177,10 +184,7 @@
 		return false
 	}
 	if slices.Contains(s.cleared, i.Crash) {
-		// The sender has not heard of the proof.
-		if p := (Proof{Part: i.Part, Crash: i.Crash}); !slices.Contains(q.own.proofs, p) {
-			q.own.proofs = append(q.own.proofs, p)
-		}
+		q.refute(i) // the sender has not heard of the proof
 		return false
 	}
 	if n := len(s.incidents); n == maxIncidents && i.at >= s.incidents[0].at && i.at <= s.incidents[1].at {
@@ -226,6 +230,11 @@
 			delete(q.suspects, p)
 		}
 	}
+	for c, until := range q.excused {
+		if now-until > MaxAge {
+			delete(q.excused, c)
+		}
+	}
 }
 
 // TakeNew returns the evidence since the last call: that of this daemon, and that which
