placer, controller: limit the requests to cold targets

Cause: targets that take 17 requests per second for some seconds after a start got as many as warm ones from each daemon, and crashed again.

Ruled out: the shares of Server-Limit, see docs/design/coldtargets.md.

Change: a target that is cold by the registry, or whose host has just refused a connection, has slots from pacer.Turns, by the place of the daemon in the whole list of daemons and the store's clock. Without a slot it counts as full. A daemon whose list is not read yet, or that started less than 3 s ago, has none. Cold engines are no sources of copies. Crashes of targets that are cold by the registry, or were within 5 s, are excused.

Only with cold-per-s and both bounds. TestColdTargetsGetABoundedNumberOf- Requests: 6, 91 and 300 daemons, half of which restart, at most 18 in a second (bound 30.5) and 16.5 to 17 per second on average. Tests of the controller: cold and warm again known at all of 48 daemons; crashes of cold targets put nothing into quarantine, those of warm ones do.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -49,6 +49,10 @@
 	DataCentre string
 	Policy     placer.Policy
 	Queue      queuer.Settings
+	// Cold limits the requests to cold targets. FleetKnown reports whether Peers returns all
+	// daemons of the list in the store; nil means always.
+	Cold       placer.ColdBounds
+	FleetKnown func() bool
 	// ShareWindow is the sliding window over which accounts are entitled to their fair
 	// share.
 	ShareWindow time.Duration
@@ -132,6 +136,8 @@
 	held       []*permit
 	// limits holds the request limits that are in force, by target.
 	limits map[string]float64
+	// coldTargets holds the targets that are cold, by ID.
+	coldTargets map[string]placer.ColdTarget
 	// newDepartures holds the targets of whose leave this daemon learned after its last
 	// report.
 	newDepartures []registrar.Departure
@@ -188,6 +194,8 @@
 	Quarantined int
 	// Limited is the number of targets whose request limit is in force.
 	Limited int
+	// Cold is the number of targets to which the requests are limited because they are cold.
+	Cold int
 	// ShareLevel is the service, in tokens per window, up to which an account is within
 	// its fair share; 0 means no limit.
 	ShareLevel float64
@@ -241,8 +249,8 @@
 func New(o Options) *Controller {
 	c := &Controller{
 		options: o, events: make(chan event, eventBuffer),
-		registry: registrar.New(registrar.Settings{Grace: registryGrace}),
-		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host)}),
+		registry: registrar.New(registrar.Settings{Grace: registryGrace, Cold: o.Cold.Bounded}),
+		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host), Cold: o.Cold}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
 		quarantine: quarantiner.New(), suspicions: map[string]*suspicion{},
@@ -322,6 +330,7 @@
 // about to be sent.
 func (c *Controller) setTargets(usable []registrar.Entry) {
 	c.fleet.SetTargets(usable)
+	c.updateCold(c.options.Clock())
 	sendable := c.fleet.Sendable()
 	c.usableTargets.Store(&sendable)
 }
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -156,7 +156,7 @@
 	c.setTargets(newUsable)
 	c.logTargets(now, oldUsable, newUsable)
 	if e.fromStore && c.reader {
-		change := registrar.Difference(oldEntries, c.registryEntries, e.read.Moment)
+		change := registrar.Difference(oldEntries, c.registryEntries, e.read.Moment).WithWarmUp(now, c.registry.ColdUntil())
 		c.options.SendRegistryChange(RegistryChange{Change: change, Age: now - confirmed.at, StoreTime: confirmed.storeTime}, c.broadcastRecipients())
 	}
 }
@@ -175,6 +175,7 @@
 	registryEvent{confirmedAt: confirmed.at, read: read, hops: confirmed.hops}.apply(c, now)
 	if c.plan.Relay {
 		change.Age, change.Hops = now-confirmed.at, confirmed.hops
+		change.Change = change.WithWarmUp(now, c.registry.ColdUntil())
 		c.options.SendRegistryChange(change, c.plan.Members)
 	}
 }
@@ -261,6 +262,9 @@
 
 func (e probeFinishedEvent) apply(c *Controller, now time.Duration) {
 	c.fleet.RecordProbe(now, e.target, e.result == ProbeReached)
+	if e.result == ProbeRefused {
+		c.fleet.RecordRefusedConnection(now, e.target)
+	}
 	c.resolveSuspicion(now, e.target, e.result)
 }
 
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -34,6 +34,8 @@
 	delay time.Duration
 	// maxRegistryAge is Options.MaxRegistryAge of all daemons.
 	maxRegistryAge time.Duration
+	// options changes the options of all daemons; nil changes none.
+	options func(*controller.Options)
 }
 
 func newNetwork() *network {
@@ -176,6 +178,9 @@
 		o.SendRegistryChange = func(c controller.RegistryChange, to []string) { n.sendChange(self, c, to) }
 		o.ReportInterval = func(int) time.Duration { return interval }
 		o.Peers = func() []controller.Daemon { return otherDaemons(i, daemons) }
+		if n.options != nil {
+			n.options(o)
+		}
 	})
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -111,6 +111,7 @@
 	if c.registry.Settle(now) {
 		c.setTargets(c.registry.Usable())
 	}
+	c.updateCold(now)
 	c.checkSuspicions(now)
 	c.updateLimits(now)
 	r.Evidence = c.takeEvidence(now, whole)
@@ -139,7 +140,7 @@
 	if level > maxShareLevel {
 		level = 0
 	}
-	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), Quarantined: len(c.quarantined), Limited: len(c.limits), ShareLevel: level})
+	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), Quarantined: len(c.quarantined), Limited: len(c.limits), Cold: len(c.coldTargets), ShareLevel: level})
 }
 
 // reportInterval returns the time until the next report. Members of a large group
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,8 @@
 	hub atomic.Pointer[connector.Hub]
 	// stopAt is the time, by clock, at which the daemon ends; 0 unless it is stopping.
 	stopAt atomic.Int64
+	// fleetKnown is set once the list of daemons has been read.
+	fleetKnown atomic.Bool
 }
 
 // New opens the listeners and returns a Gateway and a function that closes the
@@ -166,6 +168,8 @@
 		Host: s.Host, SendReport: g.exchanger.Send, SendRegistryChange: g.exchanger.SendChange, RefetchConfig: func() { g.watcher.RestartLongPolls() }, NoticeEra: func(era uint64) { g.watcher.NoticeEra(era) }, RequestConfig: g.exchanger.RequestConfig, SendConfig: g.exchanger.SendConfig, Probe: g.probe, ReportInterval: exchanger.ReportInterval,
 		Peers: g.exchanger.Peers, Address: s.PeerAddress, AddPeers: g.exchanger.AddPeers, Clock: g.clock, Logger: g.logger,
 		MaxRegistryAge: time.Duration(registryAgeShare * float64(s.DrainBound)),
+		Cold:           placer.ColdBounds{Bounded: s.ColdBounded, Overshoot: s.ColdOvershoot, Tolerance: s.ColdTolerance},
+		FleetKnown:     func() bool { return s.PeerAddress == "" || g.fleetKnown.Load() },
 	})
 	g.courier, _ = courier.New() // the process ends without closing unused connections
 	g.watcher = watcher.New(watcher.Options{
@@ -283,6 +287,7 @@
 		}
 	}
 	g.exchanger.SetPeers(peers)
+	g.fleetKnown.Store(true)
 	return gone
 }
 
--- a/gateway/placer/admission.go
+++ b/gateway/placer/admission.go
@@ -42,7 +42,9 @@
 
 // slotWait returns the time until the target has a slot for a request of this daemon; 0
 // if it has one now. Without one, the target counts as full.
-func (f *Fleet) slotWait(now time.Duration, t *target) time.Duration { return f.paceWait(now, t) }
+func (f *Fleet) slotWait(now time.Duration, t *target) time.Duration {
+	return max(f.paceWait(now, t), f.coldWait(now, t))
+}
 
 // Sendable returns the incarnations of the targets without a lasting obstacle, by ID.
 func (f *Fleet) Sendable() map[string]int64 {
--- a/gateway/placer/facts.go
+++ b/gateway/placer/facts.go
@@ -31,6 +31,7 @@
 	ownLimit, limit observedLimit
 	limitedSince    time.Duration
 	pacer           *pacer.Pacer
+	coldFacts
 }
 
 func startOf(e registrar.Entry) start { return start{id: e.ID, incarnation: e.Incarnation} }
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"monsoondeck.example/gateway/pacer"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 )
@@ -56,6 +57,14 @@
 	peers  int
 	// limitedTargets is the number of targets with a pacer.
 	limitedTargets int
+	// coldRates holds the requests per second that a cold target takes, by service.
+	coldRates map[string]float64
+	// place is the place of this daemon in the fleet, clockOffset the difference of the
+	// common clock to that of this daemon. storeOutage is set while the store does not
+	// answer.
+	place       pacer.Place
+	clockOffset time.Duration
+	storeOutage bool
 }
 
 // Settings configures a Fleet.
@@ -66,6 +75,8 @@
 	Policy Policy
 	// Seed seeds the random choices, so that those of different daemons differ.
 	Seed uint64
+	// Cold limits the requests to cold targets.
+	Cold ColdBounds
 }
 
 // Policy is a rule by which targets are chosen.
@@ -94,8 +105,9 @@
 // SetConfig replaces the services and the total throughput by those of a
 // configuration.
 func (f *Fleet) SetConfig(c resolver.Config) {
-	f.engineSettings = map[string]resolver.Engine{}
+	f.engineSettings, f.coldRates = map[string]resolver.Engine{}, map[string]float64{}
 	for _, s := range c.Services() {
+		f.coldRates[s.Name] = s.ColdPerSecond
 		if s.Engine != nil {
 			f.engineSettings[s.Name] = *s.Engine
 		}
@@ -277,6 +289,7 @@
 	if t.pacer != nil {
 		t.pacer.Use()
 	}
+	f.useTurn(now, t)
 	t.addRequest(&placedRequest{request: r, started: now, uncachedTokens: c.UncachedTokens, prefillBacklog: c.PrefillBacklog})
 	f.targetOfRequest[r.ID] = t
 	if r.MaxMeanEventGap > 0 {
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -47,14 +47,15 @@
 // copySource returns the engine from which others can copy the shared parts of the
 // prompt: the highest-ranked healthy one that is known to have prefilled them, or
 // else the first one of the ranking if it is healthy. It returns nil if there is
-// none, or if copying is hardly faster than prefill.
+// none, if copying is hardly faster than prefill, or if it is cold: a copy loads its source
+// like a request.
 func (f *Fleet) copySource(now time.Duration, r Request, ranked *topRanked) *target {
 	if ranked == nil || f.settings.Policy == LeastRequests {
 		return nil
 	}
 	var first *target
 	for i, t := range ranked.targets {
-		if t == nil || t.engine == nil || t.engine.settings.CopySpeed < minCopySpeedup*t.engine.prefillSpeed || !t.health.healthy() || t.stalledRequests > 0 {
+		if t == nil || t.engine == nil || t.engine.settings.CopySpeed < minCopySpeedup*t.engine.prefillSpeed || !t.health.healthy() || t.stalledRequests > 0 || f.cold(now, t) {
 			continue
 		}
 		if t.engine.hasPrefilled(now, r.sharedPrefix()) {
--- a/logger/events.go
+++ b/logger/events.go
@@ -67,6 +67,9 @@
 	TargetAnnouncedLeave = Event{524, slog.LevelInfo, "target announced that it leaves", ""}
 	TargetClosed         = Event{525, slog.LevelInfo, "target wants no requests for some time", ""}
 
+	TargetCold = Event{530, slog.LevelInfo, "target is cold and gets a limited number of requests", ""}
+	TargetWarm = Event{531, slog.LevelInfo, "target is no longer cold", ""}
+
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
 	StoreRestored       = Event{603, slog.LevelWarn, "platform's store was restored from an older state", "Check that the operator's changes of the last seconds are in force again."}
@@ -82,7 +85,7 @@
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
-		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed,
+		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed, TargetCold, TargetWarm,
 		PlatformUnavailable, PlatformAvailable, StoreRestored,
 	}
 }
