--- a/logger/events.go
+++ b/logger/events.go
@@ -90,8 +90,8 @@
 		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
-		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed, TargetCold, TargetWarm,
-		MemoryShort, ConnectionEnded,
+		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed,
+		MemoryShort, ConnectionEnded, TargetCold, TargetWarm,
 		PlatformUnavailable, PlatformAvailable, StoreRestored,
 	}
 }
