Keep requests from the targets of evacuated data centres

Cause: an operator cannot keep requests from the targets of a data centre other than by draining each of them.

Change: registrar.Evacuations, pure, holds the newest set of evacuated data centres by the moment of the read, and keeps for 3 s what a store that came back from an older copy lacks. placer.Fleet.SetEvacuated leaves the targets out of the lists from which candidates, ranked targets and sources of copies are taken; their state and the load of their streams are kept.

Ruled out: removing the targets from the fleet, which forgets their closures, limits and health until they come back, as TestEvacuatedTargetsAreNotChosen guards against.

--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -12,7 +12,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"monsoondeck.example/gateway/registrar"
@@ -26,8 +25,11 @@
 	targets  map[string]*target
 	// targetsByKey holds the same targets by the keys of their IDs.
 	targetsByKey map[Key]*target
-	// targetsByService holds the targets of each service, sorted by ID.
+	// targetsByService holds the targets of each service that may get requests, sorted by
+	// ID.
 	targetsByService map[string][]*target
+	// evacuated holds the data centres whose targets get no requests.
+	evacuated []string
 	// engineSettings holds the engine settings of each service that has model engines.
 	engineSettings map[string]resolver.Engine
 	// gapLimits holds the mean event gap limit of each service.
@@ -105,7 +107,6 @@
 // incarnation, address or service has changed.
 func (f *Fleet) SetTargets(entries []registrar.Entry) {
 	next := make(map[string]*target, len(entries))
-	f.targetsByService = map[string][]*target{}
 	for _, e := range entries {
 		t := f.targets[e.ID]
 		if t == nil || t.entry.Incarnation != e.Incarnation || t.entry.Address != e.Address || t.entry.Service != e.Service {
@@ -113,9 +114,9 @@
 		}
 		t.entry = e
 		next[e.ID] = t
-		f.targetsByService[e.Service] = append(f.targetsByService[e.Service], t)
 	}
 	f.targets = next
+	f.listByService()
 	f.limitedTargets = 0
 	for _, t := range next {
 		if t.pacer != nil {
@@ -127,9 +128,6 @@
 		f.targetsByKey[KeyOf(id)] = t
 	}
 	f.updateEngines()
-	for _, ts := range f.targetsByService {
-		slices.SortFunc(ts, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
-	}
 }
 
 // updateEngines creates, updates or removes the engine state of each target
