Follow the evacuations of the operator's table

Cause: the row evacuate/ZONE of the table op must keep all requests from the targets of that data centre within bounds.evacuation-ms at every host.

Change: the watcher reads the rows with the configuration, by the same long poll, so that an evacuation costs no further call. Source.Config becomes Operations and returns an undecodable configuration apart from the rows, which it does not hide. The controller applies the state with the latest moment, reports it to the peers with its age, and sends nothing by a state that nobody has confirmed for 0.85 of the bound; permit.TargetUsable checks both just before a request is written. Settings without the bound behave as before. Events 405 and 406, metric monsoondeck_evacuated_centres.

Ruled out: the digest of the registry as the carrier. The registry is read from another table, so that a daemon that reads it itself would report a later moment with evacuations of its own past, and all others would read the registry (docs/design/evacuation.md).

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -80,6 +80,9 @@
 	// MaxRegistryAge is the age of the registry state above which requests wait for a
 	// newer one; 0 means no limit.
 	MaxRegistryAge time.Duration
+	// MaxEvacuationAge is the age of the state of the evacuated data centres above which
+	// requests wait for a newer one; 0 means that data centres are not evacuated.
+	MaxEvacuationAge time.Duration
 	// Clock returns the monotonic time since the start of the daemon. All times in this
 	// package are of this clock.
 	Clock  func() time.Duration
@@ -102,9 +105,10 @@
 	// quarantineState is the snapshot for the daemon's watcher of the store; never nil.
 	quarantineState atomic.Pointer[quarantineSnapshot]
 	// watching is set while a long poll for the next configuration is pending at the
-	// store, in the era watchingEra.
-	watching    atomic.Bool
-	watchingEra atomic.Uint64
+	// store, in the era watchingEra, since watchingSince.
+	watching      atomic.Bool
+	watchingEra   atomic.Uint64
+	watchingSince atomic.Int64
 	// lastHeard maps the name of each peer, including those that have gone silent, to
 	// the time of its last sign of life: a report, or a group sum that lists it.
 	lastHeard sync.Map
@@ -167,6 +171,8 @@
 	// registryBehindSince is the time at which a peer first reported a newer state of the
 	// registry; 0 if this daemon is not known to be behind.
 	registryBehindSince time.Duration
+	// evacuations is what is known about evacuated data centres.
+	evacuations evacuationKnowledge
 	// configConfirmed is the last confirmation that the configuration in force is the newest.
 	configConfirmed confirmation
 	// configBehindSince is the time at which a peer first reported a newer configuration;
@@ -184,6 +190,8 @@
 	Quarantined int
 	// Limited is the number of targets whose request limit is in force.
 	Limited int
+	// Evacuated is the number of evacuated data centres.
+	Evacuated int
 	// ShareLevel is the service, in tokens per window, up to which an account is within
 	// its fair share; 0 means no limit.
 	ShareLevel float64
@@ -198,6 +206,12 @@
 	// RegistryOutage is set while the registry is used whatever its age, because the store
 	// does not answer.
 	RegistryOutage bool
+	// EvacuationsConfirmedAt is the latest time at which the known state of the evacuated
+	// data centres is known to have been the newest; 0 before the first one.
+	EvacuationsConfirmedAt time.Duration
+	// EvacuationOutage is set while that state is used whatever its age, because the store
+	// does not answer.
+	EvacuationOutage bool
 	// Reader is set if this daemon reads the store on behalf of the fleet.
 	Reader bool
 	// Grouped is set if the fleet is large enough to be divided into groups.
@@ -245,6 +259,7 @@
 		sums: grouper.NewSums(), totals: grouper.NewSums(),
 		sources: map[string]time.Duration{}, groupSources: map[grouper.Group]string{}, failedRelays: map[string]time.Duration{}, dataCentres: map[string]string{},
 	}
+	c.evacuations.states = registrar.NewEvacuations()
 	c.queue = queuer.New(o.Queue, c.fleet, c.shares)
 	c.stats.Store(&Stats{})
 	c.usableTargets.Store(&map[string]int64{})
@@ -263,8 +278,12 @@
 	return *config, true
 }
 
-// Ready reports whether both the configuration and the registry are known.
-func (c *Controller) Ready() bool { return c.config.Load() != nil && c.registryLoaded.Load() }
+// Ready reports whether the configuration, the registry and the evacuated data centres are
+// known.
+func (c *Controller) Ready() bool {
+	evacuationsKnown := !c.followsEvacuations() || c.Freshness().EvacuationsConfirmedAt > 0
+	return c.config.Load() != nil && c.registryLoaded.Load() && evacuationsKnown
+}
 
 // Stats returns the figures as of the last report.
 func (c *Controller) Stats() Stats { return *c.stats.Load() }
@@ -287,7 +306,7 @@
 			c.sendReport()
 			report.Reset(c.reportInterval())
 		}
-		if now := c.options.Clock(); !c.registryFresh(now) {
+		if now := c.options.Clock(); !c.storeStateFresh(now) {
 			check.Reset(queueCheckInterval)
 		} else if len(c.waiting) < longQueue || now-c.lastDispatch >= longQueueInterval {
 			c.dispatch(now)
@@ -298,6 +317,12 @@
 	}
 }
 
+// storeStateFresh reports whether the known state of the store is recent enough to send
+// requests.
+func (c *Controller) storeStateFresh(now time.Duration) bool {
+	return c.registryFresh(now) && c.evacuationsFresh(now, c.evacuations.confirmed.at, c.evacuations.outage)
+}
+
 // registryFresh reports whether the state of the registry is recent enough to send
 // requests. A daemon that lacked the CPU time to read the registry must not use
 // targets that may have left. During an outage of the store, the last known state
@@ -317,7 +342,9 @@
 func (c *Controller) setTargets(usable []registrar.Entry) {
 	incarnations := make(map[string]int64, len(usable))
 	for _, t := range usable {
-		incarnations[t.ID] = t.Incarnation
+		if !c.evacuated(t) {
+			incarnations[t.ID] = t.Incarnation
+		}
 	}
 	c.usableTargets.Store(&incarnations)
 	c.fleet.SetTargets(usable)
@@ -360,6 +387,7 @@
 // configuration changes, is pending, and the era of the store since whose moment it is.
 func (c *Controller) SetWatching(on bool, era uint64) {
 	c.watchingEra.Store(era)
+	c.watchingSince.Store(int64(c.options.Clock()))
 	c.watching.Store(on)
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -148,6 +148,7 @@
 	oldEntries := c.registryEntries
 	c.registryEntries, c.registryConfirmed, c.registryBehindSince = c.registry.Entries(), confirmed, 0
 	c.registryDigest = registrar.Digest(c.registryEntries)
+	c.confirmEvacuationsWhileWatching()
 	c.publishFreshness()
 	if c.registryLoaded.Swap(true) && slices.Equal(oldEntries, c.registryEntries) {
 		return
@@ -234,8 +235,9 @@
 	// this host.
 	if now-c.registryConfirmed.at >= minOutageAge {
 		c.registry.RecordFailedRead()
-		c.publishFreshness()
 	}
+	c.recordEvacuationOutage(now)
+	c.publishFreshness()
 }
 
 // minOutageAge is the age of the registry state from which a failed read counts as
@@ -270,6 +272,7 @@
 func (e peerReportEvent) apply(c *Controller, now time.Duration) {
 	r := e.report
 	c.markAlive(now, r.Peer, r.Incarnation)
+	c.comparePeerEvacuations(now, r.Peer, r.Report.Evacuations)
 	c.comparePeerConfig(now, r.Peer, r.Report.Config)
 	c.comparePeerRegistry(now, r.Report.Registry)
 	c.learnEvidence(now, r.Report.Evidence)
--- a/gateway/controller/groups_test.go
+++ b/gateway/controller/groups_test.go
@@ -34,6 +34,8 @@
 	delay time.Duration
 	// maxRegistryAge is Options.MaxRegistryAge of all daemons.
 	maxRegistryAge time.Duration
+	// maxEvacuationAge is Options.MaxEvacuationAge of all daemons.
+	maxEvacuationAge time.Duration
 }
 
 func newNetwork() *network {
@@ -172,6 +174,7 @@
 			interval = 350 * time.Millisecond
 		}
 		o.Clock, o.MaxRegistryAge = func() time.Duration { return n.speed * time.Since(began) }, n.maxRegistryAge
+		o.MaxEvacuationAge = n.maxEvacuationAge
 		o.SendReport = func(r controller.Report, to []string) { n.send(self, r, to) }
 		o.SendRegistryChange = func(c controller.RegistryChange, to []string) { n.sendChange(self, c, to) }
 		o.ReportInterval = func(int) time.Duration { return interval }
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -46,7 +46,9 @@
 	c, t := p.controller, p.decision.Choice.Target
 	incarnation, ok := (*c.usableTargets.Load())[t.ID]
 	f := c.freshness.Load()
-	return ok && incarnation == t.Incarnation && (f.RegistryOutage || c.recentEnough(c.options.Clock(), f.RegistryConfirmedAt))
+	now := c.options.Clock()
+	return ok && incarnation == t.Incarnation && (f.RegistryOutage || c.recentEnough(now, f.RegistryConfirmedAt)) &&
+		c.evacuationsFresh(now, f.EvacuationsConfirmedAt, f.EvacuationOutage)
 }
 
 // FirstEvent implements receiver.Permit.
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -31,6 +31,8 @@
 	Registry RegistryState
 	// Config is the state of the configuration that the sender has in force.
 	Config ConfigState
+	// Evacuations is the state of the evacuated data centres that the sender knows.
+	Evacuations EvacuationReport
 	// Group is set if the report is the sum of the reports of a group of daemons.
 	Group grouper.Group
 	// Total is set if the report is the sum of the reports of all daemons but the
@@ -108,6 +110,9 @@
 	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills()}
 	r.Registry = c.registryState(now)
 	r.Config = c.configState(now)
+	c.confirmEvacuationsWhileWatching()
+	c.updateEvacuations(now, "end of the hold")
+	r.Evacuations = c.evacuationReport(now)
 	if c.registry.Settle(now) {
 		c.setTargets(c.registry.Usable())
 	}
@@ -128,8 +133,9 @@
 	}
 	// In a large fleet, the others learn only from the readers' reports how recent their
 	// state of the store is.
-	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || !r.Evidence.Empty() || len(r.Departures) > 0 || c.reader && !c.plan.Undivided() {
+	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || !r.Evidence.Empty() || len(r.Departures) > 0 || c.evacuations.news || c.reader && !c.plan.Undivided() {
 		c.options.SendReport(r, c.plan.ReportRecipients)
+		c.evacuations.news = false
 	}
 	if c.plan.Relay {
 		c.sendSum(now, r)
@@ -139,7 +145,7 @@
 	if level > maxShareLevel {
 		level = 0
 	}
-	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(c.registry.Usable()), Peers: len(c.peers), Quarantined: len(c.quarantined), Limited: len(c.limits), ShareLevel: level})
+	c.stats.Store(&Stats{Waiting: len(c.waiting), Placed: len(c.placed), Targets: len(*c.usableTargets.Load()), Peers: len(c.peers), Quarantined: len(c.quarantined), Limited: len(c.limits), Evacuated: len(c.evacuations.inForce), ShareLevel: level})
 }
 
 // reportInterval returns the time until the next report. Members of a large group
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -94,6 +94,10 @@
 		Evidence: quarantiner.Evidence{
 			Incidents: []quarantiner.Incident{{Part: math.MaxUint64, Crash: 2, Request: 3, Age: 2 * time.Hour}}, Proofs: []quarantiner.Proof{{Part: 4, Crash: 5}},
 		},
+		Evacuations: controller.EvacuationReport{
+			EvacuationState: registrar.NewEvacuationState(registrar.Moment{Era: 3, Revision: 1 << 50}, []string{"d", "e"}),
+			Known:           true, Age: 90 * time.Millisecond, StoreTime: 3 * time.Hour, Hops: 2,
+		},
 		Departures: []registrar.Departure{{ID: "t", Incarnation: 1 << 40}, {ID: "u"}},
 		Spills:     []placer.Spill{{Target: "t", PrefixHash: 1 << 62}},
 		Group:      grouper.Group("d"), Total: true, Daemons: []controller.Daemon{{ID: "a", Address: a.address, DataCentre: "d"}, {ID: "c"}},
--- a/gateway/exchanger/messages.go
+++ b/gateway/exchanger/messages.go
@@ -15,7 +15,7 @@
 
 func encodeReport(r controller.Report) messenger.WorkReport {
 	state := encodeRegistryState(r.Registry)
-	m := messenger.WorkReport{Whole: r.Whole, ConfigVersion: &r.Config.Version, Registry: &state}
+	m := messenger.WorkReport{Whole: r.Whole, ConfigVersion: &r.Config.Version, Registry: &state, Evacuations: encodeEvacuations(r.Evacuations)}
 	if r.Config.Confirmed {
 		age, hops := uint64(max(r.Config.Age.Milliseconds(), 0)), uint64(max(r.Config.Hops, 0))
 		m.ConfigAgeMs, m.ConfigHops, m.ConfigStoreMs = &age, &hops, encodeStoreTime(r.Config.StoreTime)
@@ -55,7 +55,7 @@
 }
 
 func decodeReport(m messenger.WorkReport) controller.Report {
-	r := controller.Report{Whole: m.Whole}
+	r := controller.Report{Whole: m.Whole, Evacuations: decodeEvacuations(m.Evacuations)}
 	if m.ConfigVersion != nil {
 		r.Config.Version = *m.ConfigVersion
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,14 @@
 	// the part that a newer configuration may take to arrive after a peer reported it.
 	// A read of the store takes some 100 ms.
 	configAgeShare, configBehindShare = 0.75, 0.3
+	// evacuationOwnReadShare is the part of the evacuation bound after which a daemon calls
+	// the store itself because no peer confirmed the evacuated data centres.
+	evacuationOwnReadShare = 0.4
+	// evacuationReadInterval is the minimum time between two such calls.
+	evacuationReadInterval = time.Second
+	// evacuationAgeShare is the part of the evacuation bound up to which their state is used
+	// to send requests.
+	evacuationAgeShare = 0.85
 	// registryAgeShare is the part of the drain bound up to which the state of the
 	// registry is used to send requests. The rest is for the transmission of a request
 	// to the target.
@@ -126,6 +134,9 @@
 	otherServers []*server
 	// hub is nil until the fleet secret is known.
 	hub atomic.Pointer[connector.Hub]
+	// evacuationReadAt is the time, by clock, of the last read of the registry because of
+	// the age of the evacuations. Only registryDue uses it.
+	evacuationReadAt time.Duration
 	// stopAt is the time, by clock, at which the daemon ends; 0 unless it is stopping.
 	stopAt atomic.Int64
 }
@@ -166,7 +177,8 @@
 		DataCentre: s.DataCentre, Policy: g.options.Policy, Queue: queuer.DefaultSettings(), ShareWindow: s.ShareWindow,
 		Host: s.Host, SendReport: g.exchanger.Send, SendRegistryChange: g.exchanger.SendChange, RefetchConfig: func() { g.watcher.RestartLongPolls() }, NoticeEra: func(era uint64) { g.watcher.NoticeEra(era) }, RequestConfig: g.exchanger.RequestConfig, SendConfig: g.exchanger.SendConfig, Probe: g.probe, ReportInterval: exchanger.ReportInterval,
 		Peers: g.exchanger.Peers, Address: s.PeerAddress, AddPeers: g.exchanger.AddPeers, Clock: g.clock, Logger: g.logger,
-		MaxRegistryAge: time.Duration(registryAgeShare * float64(s.DrainBound)),
+		MaxRegistryAge:   time.Duration(registryAgeShare * float64(s.DrainBound)),
+		MaxEvacuationAge: time.Duration(evacuationAgeShare * float64(s.EvacuationBound)),
 	})
 	g.courier, _ = courier.New() // the process ends without closing unused connections
 	g.watcher = watcher.New(watcher.Options{
@@ -306,9 +318,20 @@
 	if f.RegistryBehindSince > 0 {
 		due = min(due, f.RegistryBehindSince+registryChangeDelay-now)
 	}
+	if g.evacuationsStale(f, now) && now-g.evacuationReadAt >= evacuationReadInterval {
+		g.evacuationReadAt = now
+		due = 0 // with a pending long poll, the read confirms them
+	}
 	return due
 }
 
+// evacuationsStale reports whether this daemon should call the store because no peer has
+// confirmed the evacuated data centres for some time.
+func (g *Gateway) evacuationsStale(f controller.Freshness, now time.Duration) bool {
+	bound := g.settings.EvacuationBound
+	return bound > 0 && f.EvacuationsConfirmedAt > 0 && now-f.EvacuationsConfirmedAt > time.Duration(evacuationOwnReadShare*float64(bound))
+}
+
 // role returns to what extent this daemon relies on others to read the store.
 func (g *Gateway) role() watcher.Role {
 	f, now := g.controller.Freshness(), g.clock()
@@ -319,7 +342,7 @@
 	return watcher.Role{
 		Reader:          f.Reader,
 		Follower:        follower,
-		ConfigFromPeers: follower && f.ConfigConfirmedAt > 0 && within(f.ConfigConfirmedAt, configAgeShare) && (f.ConfigBehindSince == 0 || within(f.ConfigBehindSince, configBehindShare)),
+		ConfigFromPeers: follower && !g.evacuationsStale(f, now) && f.ConfigConfirmedAt > 0 && within(f.ConfigConfirmedAt, configAgeShare) && (f.ConfigBehindSince == 0 || within(f.ConfigBehindSince, configBehindShare)),
 	}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,6 +49,7 @@
 		"monsoondeck_peers":                {"Other daemons heard of recently.", func() float64 { return float64(g.controller.Stats().Peers) }},
 		"monsoondeck_quarantined_parts":    {"Prompt parts that are refused because they crash targets.", func() float64 { return float64(g.controller.Stats().Quarantined) }},
 		"monsoondeck_limited_targets":      {"Targets that limit the rate of their requests.", func() float64 { return float64(g.controller.Stats().Limited) }},
+		"monsoondeck_evacuated_centres":    {"Data centres whose targets get no requests because they are evacuated.", func() float64 { return float64(g.controller.Stats().Evacuated) }},
 		"monsoondeck_share_level_tokens":   {"Service in the window up to which an account is within its share; 0 is no bound.", func() float64 { return g.controller.Stats().ShareLevel }},
 		"monsoondeck_config_version":       {"Version of the configuration in force.", g.configVersion},
 		"monsoondeck_log_records_dropped":  {"Log records that were not written.", func() float64 { return float64(g.recorder.Dropped.Load()) }},
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -38,6 +38,9 @@
 	DrainBound time.Duration
 	// ConfigBound is the time within which a changed configuration must be in force.
 	ConfigBound time.Duration
+	// EvacuationBound is the time within which the evacuation of a data centre must be in
+	// force; 0 means that data centres are not evacuated.
+	EvacuationBound time.Duration
 	// RetryRatio, RetryWindow and RetrySlack limit the retries of a service over all
 	// daemons: within the window, at most RetryRatio times its requests plus
 	// RetrySlack.
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -40,15 +40,28 @@
 	Era uint64
 }
 
+// Operations is what the operator has written: in a whole read all of it, otherwise the
+// changes.
+type Operations struct {
+	// Config is the configuration, or nil if there is none or no new one. ConfigError is set
+	// if it cannot be decoded.
+	Config      *resolver.Config
+	ConfigError error
+	// Evacuated are data centres whose evacuation is requested, Reopened, among changes,
+	// those for which it no longer is.
+	Evacuated, Reopened []string
+	// StoreTime is the time of the store's clock at the response; 0 means unknown.
+	StoreTime time.Duration
+}
+
 // Source reads and writes the store.
 type Source interface {
-	// Config returns the configuration and the moment of the read; the configuration is
-	// nil before the first one is written.
-	Config(ctx context.Context) (*resolver.Config, registrar.Moment, error)
-	// ConfigAfter is a long poll: it waits for a configuration that was written after the
-	// moment, and returns nil if there was none in time. It returns ErrCompacted if the
+	// Operations returns what the operator has written and the moment of the read.
+	Operations(ctx context.Context) (Operations, registrar.Moment, error)
+	// OperationsAfter is a long poll: it waits for changes that were written after the
+	// moment, and returns none if there were none in time. It returns ErrCompacted if the
 	// store does not keep the changes since the moment, as in a new era.
-	ConfigAfter(ctx context.Context, after registrar.Moment, wait time.Duration) (*resolver.Config, registrar.Moment, error)
+	OperationsAfter(ctx context.Context, after registrar.Moment, wait time.Duration) (Operations, registrar.Moment, error)
 	// Decode decodes a configuration that a peer sent.
 	Decode(encoded []byte) (resolver.Config, error)
 	// Registry returns the readable entries of all targets and the keys of the
@@ -71,6 +84,11 @@
 	// SetWatching records whether a long poll for the next configuration is pending, and
 	// the era of the store since whose moment it is.
 	SetWatching(on bool, era uint64)
+	// SetEvacuated records the evacuated data centres as of a call that was sent at the
+	// given time and answered at storeTime by the store's clock; 0 means unknown.
+	// OperationsFailed records that such a call failed.
+	SetEvacuated(sent, storeTime time.Duration, s registrar.EvacuationState)
+	OperationsFailed(sent time.Duration)
 	SetRegistry(readStart time.Duration, read registrar.Read)
 	RegistryFailed()
 }
@@ -214,6 +232,7 @@
 	// historyKnown is set while the store can be asked for the changes since moment, applied
 	// once a configuration was read.
 	historyKnown, applied, moment, era := false, false, registrar.Moment{}, w.era.Load()
+	evacuated := evacuatedSet{}
 	b := w.newBackoff("configuration")
 	for ctx.Err() == nil {
 		if applied && w.options.Role().ConfigFromPeers {
@@ -229,15 +248,30 @@
 				w.options.Sink.SetWatching(false, moment.Era)
 			}
 		}
-		var config *resolver.Config
+		var found Operations
 		var err error
-		readStart := w.options.Clock()
+		readStart, last := w.options.Clock(), moment
 		if historyKnown {
-			config, moment, err = w.pollConfig(ctx, moment)
+			found, moment, err = w.pollOperations(ctx, moment)
 		} else {
-			config, moment, err = w.readConfig(ctx)
+			found, moment, err = w.readOperations(ctx)
+		}
+		if errors.Is(err, errRestarted) {
+			w.options.Sink.SetWatching(applied, moment.Era)
+			continue
+		}
+		if err == nil {
+			evacuated = evacuated.with(found, !historyKnown)
+			w.options.Sink.SetEvacuated(readStart, found.StoreTime, registrar.NewEvacuationState(moment, evacuated.names()))
+		}
+		if err == nil && found.ConfigError != nil {
+			// The evacuations are applied; the configuration is read again.
+			moment, err = last, found.ConfigError
 		}
 		if err != nil {
+			if !errors.Is(err, ErrCompacted) && found.ConfigError == nil {
+				w.options.Sink.OperationsFailed(readStart)
+			}
 			historyKnown = historyKnown && !errors.Is(err, ErrCompacted)
 			w.options.Sink.SetWatching(false, moment.Era)
 			b.failed(ctx, err)
@@ -248,8 +282,8 @@
 		if historyKnown {
 			readStart = w.options.Clock() // the answer to a long poll is the newest configuration when it is sent
 		}
-		if config != nil {
-			w.options.Sink.SetConfig(readStart, *config)
+		if found.Config != nil {
+			w.options.Sink.SetConfig(readStart, *found.Config)
 			applied = true
 			if w.options.Role().Follower {
 				// The role shows only after the configuration was applied that no further call is
@@ -263,25 +297,25 @@
 	}
 }
 
-func (w *Watcher) readConfig(ctx context.Context) (*resolver.Config, registrar.Moment, error) {
+func (w *Watcher) readOperations(ctx context.Context) (Operations, registrar.Moment, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	w.calls.Add(1)
-	return w.options.Source.Config(ctx)
+	return w.options.Source.Operations(ctx)
 }
 
-func (w *Watcher) pollConfig(ctx context.Context, after registrar.Moment) (*resolver.Config, registrar.Moment, error) {
+func (w *Watcher) pollOperations(ctx context.Context, after registrar.Moment) (Operations, registrar.Moment, error) {
 	ctx, done := w.longPollContext(ctx, longPollTimeout)
 	defer done()
 	w.calls.Add(1)
-	config, next, err := w.options.Source.ConfigAfter(ctx, after, longPollTimeout)
+	found, next, err := w.options.Source.OperationsAfter(ctx, after, longPollTimeout)
 	if err != nil && errors.Is(context.Cause(ctx), errRestarted) {
-		return nil, after, nil
+		return Operations{}, after, errRestarted
 	}
 	if err != nil {
-		return nil, after, err
+		return Operations{}, after, err
 	}
-	return config, next, nil
+	return found, next, nil
 }
 
 // WatchRegistry reads the registry whenever it is due, until the context ends.
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -60,20 +60,20 @@
 	return s.version, nil
 }
 
-func (s *store) Config(context.Context) (*resolver.Config, registrar.Moment, error) {
+func (s *store) Operations(context.Context) (watcher.Operations, registrar.Moment, error) {
 	v, err := s.state()
 	if err != nil {
-		return nil, registrar.Moment{}, err
+		return watcher.Operations{}, registrar.Moment{}, err
 	}
 	s.set(func() { s.reads++ }, false)
 	if v == 0 {
-		return nil, s.moment(0), nil
+		return watcher.Operations{}, s.moment(0), nil
 	}
 	c := resolver.New(resolver.Content{Version: v})
-	return &c, s.moment(v), nil
+	return watcher.Operations{Config: &c}, s.moment(v), nil
 }
 
-func (s *store) ConfigAfter(ctx context.Context, after registrar.Moment, _ time.Duration) (*resolver.Config, registrar.Moment, error) {
+func (s *store) OperationsAfter(ctx context.Context, after registrar.Moment, _ time.Duration) (watcher.Operations, registrar.Moment, error) {
 	s.mutex.Lock()
 	s.longPolls++
 	s.mutex.Unlock()
@@ -84,18 +84,18 @@
 		s.mutex.Unlock()
 		switch {
 		case compacted:
-			return nil, registrar.Moment{}, watcher.ErrCompacted
+			return watcher.Operations{}, registrar.Moment{}, watcher.ErrCompacted
 		case down:
 			<-ctx.Done() // an unavailable store never answers
 			s.set(func() { s.timedOut = s.timedOut || errors.Is(ctx.Err(), context.DeadlineExceeded) }, false)
-			return nil, registrar.Moment{}, ctx.Err()
+			return watcher.Operations{}, registrar.Moment{}, ctx.Err()
 		case v > after.Revision:
 			c := resolver.New(resolver.Content{Version: v})
-			return &c, s.moment(v), nil
+			return watcher.Operations{Config: &c}, s.moment(v), nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, registrar.Moment{}, ctx.Err()
+			return watcher.Operations{}, registrar.Moment{}, ctx.Err()
 		case <-changed:
 		}
 	}
@@ -140,6 +140,10 @@
 
 func (s *sink) SetWatching(on bool, _ uint64) { s.watching.Store(on) }
 
+func (s *sink) SetEvacuated(time.Duration, time.Duration, registrar.EvacuationState) {}
+
+func (s *sink) OperationsFailed(time.Duration) {}
+
 func (s *sink) SetRegistry(_ time.Duration, read registrar.Read) {
 	select {
 	case s.reads <- read.Revision:
--- a/logger/events.go
+++ b/logger/events.go
@@ -47,6 +47,9 @@
 	TargetEjected = Event{403, slog.LevelWarn, "target ejected after failures", "Check the target; it is probed and comes back by itself."}
 	TargetBack    = Event{404, slog.LevelInfo, "target is back in service", ""}
 
+	DataCentreEvacuated = Event{405, slog.LevelWarn, "data centre is evacuated and its targets get no requests", "None if an operator asked for it; see OPERATIONS.md."}
+	DataCentreReopened  = Event{406, slog.LevelInfo, "data centre is no longer evacuated", ""}
+
 	RequestFailed      = Event{501, slog.LevelWarn, "request failed", "Use monsoonctl request explain with the request id."}
 	ResponseMismatched = Event{502, slog.LevelError, "response for another request dropped", "Check the target's software; it answers with a wrong request id."}
 	StreamBroken       = Event{503, slog.LevelWarn, "stream broke before its end", ""}
@@ -80,7 +83,7 @@
 		ConfigApplied, ConfigRejected, ConfigLoadFailed, TargetLeaving, SnapshotUnreadable,
 		TargetJoined, EntryUnreadable, SettingsReloaded, SettingsUnreadable,
 		MemberJoined, MemberLeft, PeerConnected, PeerDisconnected, PeerRejected,
-		ShardAcquired, ShardReleased, TargetEjected, TargetBack,
+		ShardAcquired, ShardReleased, TargetEjected, TargetBack, DataCentreEvacuated, DataCentreReopened,
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
 		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed,
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -89,6 +89,28 @@
 	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint,omitempty"`
 }
 
+// EvacuationMark is the state of the evacuated data centres that the sender knows.
+type EvacuationMark struct {
+	// Time since the state was known to be the newest, in milliseconds.
+	AgeMs uint64 `json:"ageMs" cbor:"4,keyasint,omitempty"`
+
+	// Data centres whose targets get no requests.
+	DataCentres []string `json:"dataCentres,omitempty,omitzero" cbor:"3,keyasint,omitempty"`
+
+	// Era of the store of which the state is.
+	Era uint64 `json:"era" cbor:"2,keyasint,omitempty"`
+
+	// Number of daemons that forwarded the age.
+	Hops uint64 `json:"hops" cbor:"5,keyasint,omitempty"`
+
+	// Revision of the store of which the state is.
+	Revision uint64 `json:"revision" cbor:"1,keyasint,omitempty"`
+
+	// The time from which the age is counted by the store's clock, in milliseconds;
+	// missing if it is unknown.
+	StoreMs *uint64 `json:"storeMs,omitempty,omitzero" cbor:"6,keyasint,omitempty"`
+}
+
 // Frame is the unit of transmission between daemons: a header and the messages
 // batched for one peer.
 type Frame struct {
@@ -558,6 +580,9 @@
 	// Targets that leave.
 	Departures []Departure `json:"departures,omitempty,omitzero" cbor:"17,keyasint,omitempty"`
 
+	// Evacuated data centres that the sender knows; missing if it knows no state.
+	Evacuations *EvacuationMark `json:"evacuations,omitempty,omitzero" cbor:"19,keyasint,omitempty"`
+
 	// Unused, like groups.
 	Group *uint64 `json:"group,omitempty,omitzero" cbor:"8,keyasint,omitempty"`
 
