--- a/gateway/shedder/connections_test.go
+++ b/gateway/shedder/connections_test.go
@@ -14,8 +14,8 @@
 // two misses and adds it again after one success.
 type simulatedHost struct {
 	limit *shedder.ConnectionLimit
-	// active holds the ends of the requests in progress, idle the starts of the idle times
-	// in order.
+	// active holds the ends of the requests in progress, idle the starts of the idle times,
+	// both in order.
 	active, idle []time.Duration
 	// idleTime is the time for which connections stay idle.
 	idleTime time.Duration
@@ -36,14 +36,12 @@
 }
 
 func (h *simulatedHost) occupancy(now time.Duration) shedder.Occupancy {
-	h.active = slices.DeleteFunc(h.active, func(end time.Duration) bool {
-		if end <= now {
-			h.idle = append(h.idle, end)
-		}
-		return end <= now
-	})
-	slices.Sort(h.idle)
-	h.idle = slices.DeleteFunc(h.idle, func(since time.Duration) bool { return now-since > h.idleTime })
+	for len(h.active) > 0 && h.active[0] <= now {
+		h.idle, h.active = append(h.idle, h.active[0]), h.active[1:]
+	}
+	for len(h.idle) > 0 && now-h.idle[0] > h.idleTime {
+		h.idle = h.idle[1:]
+	}
 	o := shedder.Occupancy{Open: len(h.active) + len(h.idle), Idle: len(h.idle)}
 	if len(h.idle) > 0 {
 		o.LongestIdle = now - h.idle[0]
@@ -69,7 +67,8 @@
 	}
 	h.kept++
 	h.refusedSince = 0
-	h.active = append(h.active, now+duration)
+	i, _ := slices.BinarySearch(h.active, now+duration)
+	h.active = slices.Insert(h.active, i, now+duration)
 }
 
 func (h *simulatedHost) probe(now time.Duration) {
@@ -125,7 +124,7 @@
 // balancer has removed it.
 func TestFullHostIsUnreadyInTime(t *testing.T) {
 	for _, perSecond := range []int{40, 60, 150, 400, 1500} {
-		for phase := time.Duration(0); phase < time.Second; phase += 170 * time.Millisecond {
+		for phase := time.Duration(0); phase < time.Second; phase += 90 * time.Millisecond {
 			h := newSimulatedHost(shedder.Divide(siteDescriptors).Callers, 15*time.Second)
 			h.run(time.Second, 60*time.Second, perSecond, phase, time.Hour)
 			if h.longestRefusal > time.Second {
