--- a/gateway/placer/admission.go
+++ b/gateway/placer/admission.go
@@ -19,12 +19,14 @@
 	excluded
 	// outside: the target is in no region that the request may use.
 	outside
+	// evacuated: the operator wants no requests in the data centre of the target.
+	evacuated
 )
 
 // obstacle is the only place that decides whether a request may be sent to a target now.
 // Targets that leave are not in the fleet: registrar removes them for good.
 func (f *Fleet) obstacle(now time.Duration, r Request, t *target) obstacle {
-	switch o := t.lastingObstacle(); {
+	switch o := f.lastingObstacle(t); {
 	case o != noObstacle:
 		return o
 	case !f.inAllowedRegion(r, t):
@@ -42,7 +44,12 @@
 // lastingObstacle returns the obstacle that holds for every request and ends only by
 // news from the store or from a peer. It is checked once more just before a request is
 // written. Facts about the data centre of a target belong here.
-func (t *target) lastingObstacle() obstacle { return noObstacle }
+func (f *Fleet) lastingObstacle(t *target) obstacle {
+	if slices.Contains(f.evacuatedCentres, t.entry.DataCentre) {
+		return evacuated
+	}
+	return noObstacle
+}
 
 // slotWait returns the time until the target has a slot for a request of this daemon; 0
 // if it has one now. Without one, the target counts as full.
@@ -54,7 +61,7 @@
 func (f *Fleet) Sendable() map[string]int64 {
 	incarnations := make(map[string]int64, len(f.targets))
 	for id, t := range f.targets {
-		if t.lastingObstacle() == noObstacle {
+		if f.lastingObstacle(t) == noObstacle {
 			incarnations[id] = t.entry.Incarnation
 		}
 	}
