Limit the clients of health checks, metrics and peers

Ruled out: refusing new connections at the limit, with which a crowd that stays open keeps the balancer out; refusing requests with a body, as a health check with one was served before; 0.1 of the descriptors for peers, which the shares of the other connections do not leave.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -159,11 +159,12 @@
 	listeners := []struct {
 		address string
 		handler http.Handler
+		limits  internalListener
 	}{
-		{g.settings.CallerAddress, g.receiver},
-		{g.settings.HealthAddress, http.HandlerFunc(g.serveReady)},
-		{g.settings.PeerAddress, http.HandlerFunc(g.servePeer)},
-		{g.settings.MetricsAddress, metrics},
+		{g.settings.CallerAddress, g.receiver, internalListener{}},
+		{g.settings.HealthAddress, http.HandlerFunc(g.serveReady), healthListener},
+		{g.settings.PeerAddress, http.HandlerFunc(g.servePeer), peerListener},
+		{g.settings.MetricsAddress, metrics, metricsListener},
 	}
 	var all []*server
 	closeAll := func() {
@@ -187,6 +188,7 @@
 			s.listener = g.listener
 			g.callerServer = s
 		} else {
+			g.limitClients(s, l.limits)
 			g.otherServers = append(g.otherServers, s)
 		}
 	}
--- a/logger/events.go
+++ b/logger/events.go
@@ -24,6 +24,7 @@
 	DaemonStopped  = Event{104, slog.LevelInfo, "daemon stopped", ""}
 	DaemonAborted  = Event{105, slog.LevelWarn, "daemon stopped immediately and aborted its requests", "Send one stop signal and wait for event 104."}
 	ListenerFailed = Event{106, slog.LevelError, "listener failed", "Check the address settings and whether another process uses the port."}
+	ListenerFull   = Event{108, slog.LevelWarn, "listener closes connections because it has too many", "See OPERATIONS.md, Limits for clients; find out who connects to the listener."}
 
 	ConfigApplied      = Event{201, slog.LevelInfo, "configuration applied", ""}
 	ConfigRejected     = Event{202, slog.LevelWarn, "configuration change rejected", "Compare versions with monsoonctl fleet status."}
@@ -75,7 +76,7 @@
 // Catalogue returns every event, ordered by number.
 func Catalogue() []Event {
 	return []Event{
-		DaemonStarted, DaemonReady, DaemonStopping, DaemonStopped, DaemonAborted, ListenerFailed,
+		DaemonStarted, DaemonReady, DaemonStopping, DaemonStopped, DaemonAborted, ListenerFailed, ListenerFull,
 		ConfigApplied, ConfigRejected, ConfigLoadFailed, TargetLeaving, SnapshotUnreadable,
 		TargetJoined, EntryUnreadable, SettingsReloaded, SettingsUnreadable,
 		MemberJoined, MemberLeft, PeerConnected, PeerDisconnected, PeerRejected,
