quarantiner: find the parts of a crash without a look at all suspects

Cause: for each request with a part in quarantine, and for each evaluation, Companions and hasAlternative went through all suspects, up to 4,096. While many targets crash, that is done for most requests.

Change: an index of the parts by crash. A part that explains the crashes of another one has an incident of its first crash.

The verdicts are the same; the tests are unchanged.

--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -65,6 +66,9 @@
 // Quarantine holds the evidence of one daemon. It is not safe for concurrent use.
 type Quarantine struct {
 	suspects map[Part]*suspect
+	// byCrash holds the parts that had an incident of a crash, so that the parts that may
+	// explain the same crashes are found without a look at all suspects.
+	byCrash map[Crash]map[Part]bool
 	// current and previous hold the time at which the last answered request with a part
 	// began its answer, in two generations of bounded size.
 	current, previous map[Part]time.Duration
@@ -77,7 +81,7 @@
 
 // New returns a Quarantine without evidence.
 func New() *Quarantine {
-	return &Quarantine{suspects: map[Part]*suspect{}, excused: map[Crash]time.Duration{}, current: map[Part]time.Duration{}, previous: map[Part]time.Duration{}}
+	return &Quarantine{suspects: map[Part]*suspect{}, byCrash: map[Crash]map[Part]bool{}, excused: map[Crash]time.Duration{}, current: map[Part]time.Duration{}, previous: map[Part]time.Duration{}}
 }
 
 // RecordAnswer records that the answer to a request with these parts began at the given
@@ -191,6 +195,10 @@
 		return false // it would be dropped at once
 	}
 	s.incidents = append(s.incidents, i)
+	if q.byCrash[i.Crash] == nil {
+		q.byCrash[i.Crash] = map[Part]bool{}
+	}
+	q.byCrash[i.Crash][i.Part] = true
 	slices.SortFunc(s.incidents, func(a, b incident) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Crash, b.Crash)) })
 	if len(s.incidents) > maxIncidents {
 		s.incidents = slices.Delete(s.incidents, 1, 2) // the verdict depends on the number and on the last one
@@ -230,6 +238,12 @@
 			delete(q.suspects, p)
 		}
 	}
+	for c, parts := range q.byCrash {
+		maps.DeleteFunc(parts, func(p Part, _ bool) bool { return !q.suspects[p].hasIncident(c) })
+		if len(parts) == 0 {
+			delete(q.byCrash, c)
+		}
+	}
 	for c, until := range q.excused {
 		if now-until > MaxAge {
 			delete(q.excused, c)
--- a/gateway/quarantiner/verdict.go
+++ b/gateway/quarantiner/verdict.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -63,7 +64,7 @@
 		return nil
 	}
 	var companions []Part
-	for other, o := range q.suspects {
+	for other, o := range q.related(s) {
 		if other != p && (s.known || !o.known) && o.explains(s, samePrompt) {
 			companions = append(companions, other)
 		}
@@ -75,7 +76,7 @@
 // hasAlternative reports whether a part of other prompts, of which no answer is known
 // either, may have caused all crashes in which the part is a suspect.
 func (q *Quarantine) hasAlternative(p Part, s *suspect) bool {
-	for other, o := range q.suspects {
+	for other, o := range q.related(s) {
 		if other != p && !o.known && o.explains(s, sameCrash) && !o.explains(s, samePrompt) {
 			return true
 		}
@@ -83,6 +84,26 @@
 	return false
 }
 
+// related returns the suspects with an incident of the first crash of another one. All that
+// explain its crashes are among them.
+func (q *Quarantine) related(s *suspect) iter.Seq2[Part, *suspect] {
+	return func(yield func(Part, *suspect) bool) {
+		if len(s.incidents) == 0 {
+			return
+		}
+		for p := range q.byCrash[s.incidents[0].Crash] {
+			if o := q.suspects[p]; o != nil && !yield(p, o) {
+				return
+			}
+		}
+	}
+}
+
+// hasIncident reports whether the suspect, which may be nil, has an incident of a crash.
+func (s *suspect) hasIncident(c Crash) bool {
+	return s != nil && slices.ContainsFunc(s.incidents, func(i incident) bool { return i.Crash == c })
+}
+
 func sameCrash(i, j incident) bool { return i.Crash == j.Crash }
 
 func samePrompt(i, j incident) bool { return i.Crash == j.Crash && i.Request == j.Request }
