registrar: keep the last figure of an entry when a peer tells of it

Cause: a daemon forgot the WarmUp that it had read when a peer sent a change. An entry that its target no longer writes then made the target cold anew at the next read: two readers would tell each other in turn that it is warm and cold.

Change: only own reads change the figure.

--- a/gateway/registrar/cold.go
+++ b/gateway/registrar/cold.go
@@ -25,7 +25,6 @@
 	default:
 		rec.coldUntil = max(rec.coldUntil, now+1)
 	}
-	rec.warmUp = unknownWarmUp
 }
 
 // ColdUntil returns the targets that are cold by the latest state, with the time at which
--- a/gateway/registrar/cold_test.go
+++ b/gateway/registrar/cold_test.go
@@ -84,3 +84,26 @@
 		t.Error("still cold although a peer has read that it is warm")
 	}
 }
+
+// Guards against a target that two readers take for cold again and again, because its
+// entry is not written any more and each learns from the other that the target is warm.
+func TestUnchangedEntriesDoNotBecomeColdAgain(t *testing.T) {
+	readers := []*registrar.Registry{registrar.New(registrar.Settings{Cold: true}), registrar.New(registrar.Settings{Cold: true})}
+	for i := range 100 {
+		now := time.Duration(i) * 500 * time.Millisecond
+		self, other := readers[i%2], readers[(i+1)%2]
+		read := newRead(uint64(i+1), []registrar.Entry{coldEntry(1, 20*time.Second)})
+		before := self.Entries()
+		self.ApplyRead(now, read)
+		if change := registrar.Difference(before, self.Entries(), read.Moment).WithWarmUp(now, self.ColdUntil()); len(change.Entries) > 0 {
+			if entries, ok := change.Apply(other.Entries()); ok {
+				other.ApplyPeerRead(now, registrar.Read{Moment: read.Moment, Entries: entries})
+			}
+		}
+		// The readers have read the entry for the first time within a second of each other.
+		switch cold := self.Entries()[0].Cold; {
+		case now < 20*time.Second && !cold, now > 21*time.Second && cold:
+			t.Fatalf("at %v: cold is %t", now, cold)
+		}
+	}
+}
