pacer: no second slot soon after one when the place moves on

Cause: while daemons join, the place of each daemon moves on with every newcomer before it. One that had just used its slot got the next one as soon as its place had passed the present time.

Change: after a slot that it has used, a daemon has none for three quarters of a cycle, whatever its place.

--- a/gateway/pacer/turns.go
+++ b/gateway/pacer/turns.go
@@ -24,6 +24,10 @@
 	// not be spread evenly.
 	exactDaemons = 16
 	cycleStep    = 1.125
+	// restShare is the share of a cycle for which a daemon has no slot after one that it has
+	// used, also if its place changes: while daemons join, the place of each moves on again
+	// and again, and its next slot would come too soon.
+	restShare = 0.75
 	// unknownTurn is the wait for a slot that will never open by what is known now.
 	unknownTurn = time.Second
 )
@@ -70,6 +74,9 @@
 	lifetime     time.Duration
 	// next is the number of the first slot of this daemon that it may still use.
 	next int64
+	// restUntil is the time before which no slot opens that this daemon may use because of
+	// a change of its place.
+	restUntil time.Duration
 	// known is set once the other fields are.
 	known bool
 }
@@ -83,14 +90,15 @@
 		return
 	}
 	perSecond, lifetime := b.plan()
-	*t = Turns{bound: b, place: p, lifetime: lifetime, known: true}
+	rest := min(t.restUntil, now+time.Duration(t.cycle*float64(time.Second)))
+	*t = Turns{bound: b, place: p, lifetime: lifetime, restUntil: rest, known: true}
 	if perSecond <= 0 || p.Daemons <= 0 {
 		return
 	}
 	t.cycle = slotsPerCycle(p.Daemons) / perSecond
 	_, part := math.Modf(float64(p.Rank)/float64(p.Daemons) + float64(offset)/math.MaxUint64)
 	t.phase = part * t.cycle
-	t.next = t.firstFrom(now)
+	t.next = t.firstFrom(max(now, rest))
 }
 
 // slotsPerCycle returns the number of slots in a cycle of a fleet, which is at least that
@@ -119,6 +127,7 @@
 	}
 	if slot := t.slot(now); t.opens(slot) <= now {
 		t.next = slot + 1
+		t.restUntil = t.opens(slot) + time.Duration(restShare*t.cycle*float64(time.Second))
 	}
 }
 
--- a/gateway/pacer/turns_test.go
+++ b/gateway/pacer/turns_test.go
@@ -151,3 +151,71 @@
 		t.Error("a request may be sent although the size of the fleet is not known")
 	}
 }
+
+// grow sets what the daemons know of a fleet in which a third of the daemons join within
+// 10 s. Each learns of each of them after up to five seconds, which delay holds.
+func (f *turnsFleet) grow(since time.Duration, delay [][]time.Duration) (joined int) {
+	daemons := len(f.turns)
+	joins := func(i int) time.Duration {
+		if i%3 > 0 {
+			return -time.Hour
+		}
+		return time.Duration(i) * 10 * time.Second / time.Duration(daemons)
+	}
+	for i := range daemons {
+		f.places[i] = pacer.Place{}
+		if joins(i) > since {
+			continue
+		}
+		joined++
+		f.places[i].Daemons = 1
+		for j := range daemons {
+			// A daemon that joins reads the list of those that have joined before.
+			if j != i && joins(j) <= since && (joins(j) <= joins(i) || joins(j)+delay[i][j] <= since) {
+				f.places[i].Daemons++
+				if j < i {
+					f.places[i].Rank++
+				}
+			}
+		}
+	}
+	return joined
+}
+
+// Load: fleets that grow by half while a target is cold. Guards against daemons whose
+// places change again and again, at different times, and who together send more than the
+// bound because of that.
+func TestTurnsOfAGrowingFleet(t *testing.T) {
+	const step, end = 5 * time.Millisecond, 20 * time.Second
+	for _, daemons := range []int{6, 91, 300} {
+		for _, b := range []pacer.Bound{{PerSecond: 17, Overshoot: 1.5, Tolerance: 5}, {PerSecond: 7.8, Overshoot: 1.5, Tolerance: 5}} {
+			t.Run(fmt.Sprint(daemons, " daemons, ", b.PerSecond, " per second"), func(t *testing.T) {
+				f := newTurnsFleet(daemons, b, 50*time.Millisecond, 0)
+				delay := make([][]time.Duration, daemons)
+				for i := range delay {
+					delay[i] = make([]time.Duration, daemons)
+					for j := range delay[i] {
+						delay[i][j] = time.Duration(f.random.Int64N(int64(5 * time.Second)))
+					}
+				}
+				joined := 0
+				for since := time.Duration(0); since < end; since += step {
+					if since%(200*time.Millisecond) == 0 {
+						joined = f.grow(since, delay)
+					}
+					for i := range daemons {
+						f.send(100*time.Second+since, i, 100)
+					}
+				}
+				most := f.most()
+				t.Logf("%d daemons in the end, at most %d requests in a second, bound %.1f; %.1f per second", joined, most, b.Requests(), float64(len(f.sent))/end.Seconds())
+				if float64(most) > b.Requests() {
+					t.Errorf("%d requests in a second, want at most %.1f", most, b.Requests())
+				}
+				if least := b.PerSecond * end.Seconds() / 2; float64(len(f.sent)) < least {
+					t.Errorf("%d requests, want at least %.0f", len(f.sent), least)
+				}
+			})
+		}
+	}
+}
