End bodies of which nothing arrives when memory is short

Cause: the first read of a body was not watched, so that a client that announces a body and sends none of it held its first buffer (32 KiB) and the charge of the request until the read timeout of 10 s, whatever the shortage. These charges are small and also fill the reserve: with 134 MB, some 950 such connections hold the whole account.

Ruled out: watching only after a delay, which needs a timer for each body.

Change: a body is watched from its first read on, and unwatched once instead of twice.

TestStalledBodyIsEndedWhenMemoryIsShort has a body without any byte, which failed before.

--- a/gateway/receiver/body.go
+++ b/gateway/receiver/body.go
@@ -89,8 +89,8 @@
 		return err
 	}
 	buffer, n := make([]byte, size), int64(0)
-	defer p.charge.Unwatch()
-	for first := true; ; first = false {
+	defer p.unwatchRead()
+	for {
 		if n == size && size < end {
 			next := min(growth*size, end)
 			if err := p.charge.Grow(limiter.KindBody, next-size); err != nil {
@@ -104,9 +104,7 @@
 		if len(space) == 0 && r.ContentLength < 0 {
 			space = make([]byte, 1) // the body ends here or is over the limit
 		}
-		if !first {
-			p.watchRead(n)
-		}
+		p.watchRead(n)
 		read, err := reader.Read(space)
 		n += int64(read)
 		switch {
@@ -115,7 +113,7 @@
 				return io.ErrUnexpectedEOF
 			}
 			p.body = buffer[:n]
-			p.charge.Unwatch() // else the deadline of an eviction could come after this one
+			p.unwatchRead() // else the deadline of an eviction could come after this one
 			// The error is ignored: response writers of tests may not support deadlines.
 			_ = p.control.SetReadDeadline(time.Time{})
 			return nil
@@ -135,7 +133,16 @@
 	if !p.watched {
 		p.watched = true
 		p.charge.Watch(now, func() { _ = p.control.SetReadDeadline(longAgo) }) // fails only in tests
+		return
 	}
 	p.charge.Progress(now, n-p.reported)
 	p.reported = n
 }
+
+// unwatchRead ends what watchRead began.
+func (p *proxyRequest) unwatchRead() {
+	if p.watched {
+		p.watched = false
+		p.charge.Unwatch()
+	}
+}
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -64,7 +64,7 @@
 	body      []byte
 	// charge is the memory that the request holds.
 	charge limiter.Charge
-	// watched is set once the charge is watched while the body is read. reported is the
+	// watched is set while the charge is watched because of the body. reported is the
 	// number of bytes of the body that were reported to the charge.
 	watched  bool
 	reported int64
--- a/gateway/receiver/memory_test.go
+++ b/gateway/receiver/memory_test.go
@@ -143,16 +143,27 @@
 	}
 }
 
+// watchTimeout is far longer than a handler needs to begin to read a body.
+const watchTimeout = 5 * time.Second
+
 // Guards against ordinary callers that are refused for the whole read timeout because a
 // body that stopped just short of its end holds the memory.
 func TestStalledBodyIsEndedWhenMemoryIsShort(t *testing.T) {
+	// A body of which nothing arrives holds its first buffer, too.
+	for _, sent := range []int{899, 0} {
+		t.Run(fmt.Sprintf("%d of 900 bytes", sent), func(t *testing.T) { testStalledBody(t, sent) })
+	}
+}
+
+// testStalledBody stops a body of 900 bytes after the number of bytes sent.
+func testStalledBody(t *testing.T, sent int) {
 	f := newFixture(t, []reply{{status: 200, header: signed, body: "ok"}}, limitMemory(2*requestBytes+1000))
 	c, err := net.Dial("tcp", f.server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	if _, err := fmt.Fprintf(c, "POST /safe/1 HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nContent-Length: 900\r\n\r\n%s", strings.Repeat("x", 899)); err != nil {
+	if _, err := fmt.Fprintf(c, "POST /safe/1 HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nContent-Length: 900\r\n\r\n%s", strings.Repeat("x", sent)); err != nil {
 		t.Fatal(err)
 	}
 	memory := f.options.Memory
@@ -163,8 +174,10 @@
 		t.Errorf("status %d while the memory is held, want 503", r.status)
 	}
 	<-memory.Shortage()
-	for memory.EvictStalled(clock()+time.Second, time.Second, 1) == 0 {
-		runtime.Gosched() // the transfer is not watched yet
+	for end := time.Now().Add(watchTimeout); memory.EvictStalled(clock()+time.Second, time.Second, 1) == 0; runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("the stalled body is not watched")
+		}
 	}
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || response.StatusCode != http.StatusServiceUnavailable || !response.Close || response.Header.Get("Retry-After") == "" {
