Serve a request read just before its connection was told to close

Cause: a host at its connection limit ends the read of the connection that has been idle for longest by a read deadline in the past. If the HTTP server had just read a request and not yet reported it, the deadline stayed in force while the handler ran, ended the read that notices the end of the connection, and so cancelled the request.

Ruled out: clearing the deadline with each request, which costs all of them.

Change: the tracker clears the deadline when a connection that was told to close begins a request. TestRequestBeginsWithoutTheDeadlineOfAnIdleConnection failed before.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -56,7 +56,14 @@
 		t.open--
 	}
 	t.forget(c)
-	delete(t.closing, c)
+	if _, ok := t.closing[c]; ok {
+		delete(t.closing, c)
+		if state == http.StateActive {
+			// The server had read a request already. The deadline of endIdle would end the read
+			// that notices the end of the connection, and thereby cancel the request.
+			_ = c.SetReadDeadline(time.Time{}) // an error means that it is closed
+		}
+	}
 	if state == http.StateIdle {
 		t.elements[c] = t.idle.PushBack(idleConnection{connection: c, since: time.Now()})
 	}
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -105,6 +105,33 @@
 	}
 }
 
+// deadlineConn records the last read deadline.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// Guards against a request that is cancelled since its connection was told to close just
+// before the HTTP server reported that it had read the request.
+func TestRequestBeginsWithoutTheDeadlineOfAnIdleConnection(t *testing.T) {
+	connections := newConnectionTracker()
+	c := &deadlineConn{}
+	connections.track(c, http.StateNew)
+	connections.track(c, http.StateIdle)
+	if !connections.closeLongestIdle() || c.deadline.IsZero() {
+		t.Fatal("the idle connection was not told to close")
+	}
+	connections.track(c, http.StateActive)
+	if !c.deadline.IsZero() {
+		t.Errorf("the request begins with the read deadline %v", c.deadline)
+	}
+}
+
 // Guards against a process that runs out of file descriptors and can accept no
 // connection, and against closed connections that count.
 func TestCallerConnectionsAreLimited(t *testing.T) {
