Send no refusal of an earlier header on an idle connection

Cause: a charge stays marked as evicted until it is watched again. If the end of a large header arrived just as it was ordered to be ended, its request was served, and the next read without data, such as the end of the idle connection, was taken for the eviction: the connection got a 503, which a caller may take for the response to its next request.

Change: only a read of a header that is still watched is refused. This also saves a lock when a connection ends. TestIdleConnectionGetsNoRefusalOfAnEarlierHeader failed before.

--- a/gateway/meter/conn.go
+++ b/gateway/meter/conn.go
@@ -71,7 +71,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
-		if c.charge.Evicted() {
+		if c.watched && c.charge.Evicted() {
 			return c.refuse(HeaderMemory, http.StatusServiceUnavailable, p)
 		}
 		if c.scanner.size > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
