Give a request another target if its target reads slowly

Cause: a request that found no room for its body at a target for 250 ms was placed again without excluding that target, so that it could wait for the same one up to four times. docs/design/memory.md promises another one.

Change: the target is excluded for this request, like an unreachable one. TestTargetThatReadsSlowlyIsExcluded failed before.

--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -268,6 +268,9 @@
 	target := permit.Decision().Choice.Target.ID
 	if errors.Is(err, courier.ErrWithdrawn) {
 		permit.End(placer.Unsent)
+		if errors.Is(err, courier.ErrSendingFull) {
+			p.excluded = append(p.excluded, target)
+		}
 		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
 		return outcomeRetry
 	}
