Reset the connection of HTTP/1.0 callers when a response breaks off

Cause: a response without a length has no chunks for callers with HTTP/1.0 and ends with the connection. When a stream or a large response broke off, the HTTP server closed the connection as after a complete response, so that the caller took the part for the whole.

Ruled out: refusing HTTP/1.0, and holding whole responses for it.

Change: for these callers SO_LINGER of zero is set before the handler is aborted, so that the close resets the connection. Others are as before.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -124,6 +124,20 @@
 	return err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
 }
 
+// resetOnClose makes the connection of a request end with a reset when it is closed.
+func resetOnClose(r *http.Request) {
+	c, ok := r.Context().Value(connectionKey{}).(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := c.SyscallConn(); err == nil {
+		// Errors mean that the connection is closed already.
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		})
+	}
+}
+
 // hasUnread reports whether the caller has sent bytes that the server has not read yet.
 func hasUnread(c net.Conn) bool {
 	inner, ok := c.(syscall.Conn)
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,6 +131,26 @@
 	}
 }
 
+// Guards against an incomplete response without a length that ends like a complete one.
+func TestResetOnCloseShowsThatAResponseIsIncomplete(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		resetOnClose(r)
+		panic(http.ErrAbortHandler)
+	}))
+	server.Config.ConnContext = withConnection
+	server.Start()
+	defer server.Close()
+	c := dial(t, server.Listener)
+	if _, err := io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the response ends with %v, want a reset", err)
+	}
+}
+
 // Guards against a request that is lost because it waits unread on a busy host while its
 // connection counts as idle for too long, as after a shorter idle timeout is configured.
 func TestIdleConnectionWithAnUnreadRequestIsKept(t *testing.T) {
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		permit.End(p.failureResult(ctx, err))
 		p.recordEnd("answerBroken", response.Status)
-		panic(http.ErrAbortHandler)
+		p.breakOff()
 	}
 	permit.End(placer.Complete)
 	p.receiver.observeDuration(p.route.Name, time.Since(p.start))
@@ -76,6 +76,15 @@
 	return outcomeDone
 }
 
+// breakOff ends the caller's connection in the middle of a response. It does not return.
+func (p *proxyRequest) breakOff() {
+	if !p.request.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection would complete the response.
+		p.receiver.ResetOnClose(p.request)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // reasonTargetGone is the reason for which an attempt failed whose response ended with its
 // target.
 const reasonTargetGone = "response ended with its connection, and its target is gone"
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -343,7 +343,7 @@
 	case p.stream != nil && p.stream.started:
 		// Only an aborted connection shows the caller that the stream is incomplete.
 		p.recordEnd("streamBroken", p.stream.status)
-		panic(http.ErrAbortHandler)
+		p.breakOff()
 	case p.fallback != nil:
 		p.writeResponse(p.fallback)
 	case !p.mayHaveRun:
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -55,6 +55,8 @@
 	LoadShedder   LoadShedder
 	// CallerDisconnected reports whether the caller has closed its connection.
 	CallerDisconnected func(r *http.Request) bool
+	// ResetOnClose makes the connection of the request end with a reset when it is closed.
+	ResetOnClose func(r *http.Request)
 	// Memory is the account of the memory that callers and targets make the process hold.
 	Memory *limiter.Admission
 	// ChargeHeader charges the header of a request to its connection, or returns an error if
