Close connections that send nothing to make room for new ones

Cause: only connections that had had a request counted as idle. Callers that open connections and send nothing filled the host for 10 s at a time; all others were refused, and the host was unready.

Ruled out: counting every new connection as idle, which would end headers that arrive slowly and make a burst of new connections look like room.

Change: a new connection of which no byte has been read for 0.5 s, and none waits, counts as idle until its request begins. The cost is one comparison for each new connection and one system call for each silent one. TestSilentConnectionsMakeRoom and TestConnectionWithAPartOfAHeaderHasBegun guard it; before, no such connection was ever closed for a new one.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -17,6 +17,9 @@
 	// closingTimeout is the time after which a connection that should have closed by
 	// itself is closed. The server may have set its own deadline at the same moment.
 	closingTimeout = time.Second
+	// silentTime is the time after which a new connection without any byte counts as idle,
+	// so that callers that send nothing do not fill the host.
+	silentTime = 500 * time.Millisecond
 )
 
 // connectionTracker knows the open connections of a server. It is safe for concurrent use.
@@ -29,19 +32,27 @@
 	// longest idle first; elements has the same by connection.
 	idle     *list.List
 	elements map[net.Conn]*list.Element
+	// fresh holds the connections that have had no request yet and do not count as idle, the
+	// oldest first; freshElements has the same by connection.
+	fresh         *list.List
+	freshElements map[net.Conn]*list.Element
 	// closing maps each connection that closeLongestIdle has told to close to the time of
 	// that. It is in none of the above.
 	closing map[net.Conn]time.Time
 }
 
-// idleConnection is a connection and the time since which it has had no request.
+// idleConnection is a connection and the time since which it has had no request, or since
+// which it is open.
 type idleConnection struct {
 	connection net.Conn
 	since      time.Time
 }
 
 func newConnectionTracker() *connectionTracker {
-	return &connectionTracker{idle: list.New(), elements: map[net.Conn]*list.Element{}, closing: map[net.Conn]time.Time{}}
+	return &connectionTracker{
+		idle: list.New(), elements: map[net.Conn]*list.Element{}, fresh: list.New(), freshElements: map[net.Conn]*list.Element{},
+		closing: map[net.Conn]time.Time{},
+	}
 }
 
 // track counts the open connections and records since when each idle one has been
@@ -64,13 +75,45 @@
 			_ = c.SetReadDeadline(time.Time{}) // an error means that it is closed
 		}
 	}
-	if state == http.StateIdle {
-		t.elements[c] = t.idle.PushBack(idleConnection{connection: c, since: time.Now()})
+	switch state {
+	case http.StateNew:
+		t.freshElements[c] = t.fresh.PushBack(idleConnection{connection: c, since: time.Now()})
+	case http.StateIdle:
+		t.addIdle(c)
+	}
+}
+
+// addIdle adds a connection to the idle ones. The caller holds the mutex.
+func (t *connectionTracker) addIdle(c net.Conn) {
+	t.elements[c] = t.idle.PushBack(idleConnection{connection: c, since: time.Now()})
+}
+
+// addSilent adds the connections to the idle ones that have been open for silentTime
+// without any byte. The header timeout bounds those of which a part has arrived. The caller
+// holds the mutex.
+func (t *connectionTracker) addSilent() {
+	for e := t.fresh.Front(); e != nil && time.Since(idleOf(e).since) >= silentTime; e = t.fresh.Front() {
+		c := idleOf(e).connection
+		t.forget(c)
+		if !hasBegun(c) && !hasUnread(c) {
+			t.addIdle(c)
+		}
 	}
 }
 
-// forget removes a connection from the idle ones. The caller holds the mutex.
+// hasBegun reports whether a part of a request has been read from a connection, as far as
+// it knows.
+func hasBegun(c net.Conn) bool {
+	metered, ok := c.(interface{ HasBegun() bool })
+	return ok && metered.HasBegun()
+}
+
+// forget removes a connection from the idle and the new ones. The caller holds the mutex.
 func (t *connectionTracker) forget(c net.Conn) {
+	if e, ok := t.freshElements[c]; ok {
+		t.fresh.Remove(e)
+		delete(t.freshElements, c)
+	}
 	if e, ok := t.elements[c]; ok {
 		t.idle.Remove(e)
 		delete(t.elements, c)
@@ -81,6 +124,7 @@
 func (t *connectionTracker) occupancy() shedder.Occupancy {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.addSilent()
 	o := shedder.Occupancy{Open: t.open, Idle: t.idle.Len(), Closing: len(t.closing)}
 	if e := t.idle.Front(); e != nil {
 		o.LongestIdle = time.Since(idleOf(e).since)
@@ -88,9 +132,9 @@
 	return o
 }
 
-// idleOf returns the idle connection of an element of connectionTracker.idle.
+// idleOf returns the connection of an element of connectionTracker.idle or fresh.
 func idleOf(e *list.Element) idleConnection {
-	c, _ := e.Value.(idleConnection) // the list holds nothing else
+	c, _ := e.Value.(idleConnection) // the lists hold nothing else
 	return c
 }
 
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"monsoondeck.example/gateway/shedder"
 )
 
 // idleServer is an HTTP server whose connections are tracked.
@@ -132,6 +134,50 @@
 	}
 }
 
+// begunConn is a connection of which a part of a header may have been read.
+type begunConn struct {
+	deadlineConn
+	begun bool
+}
+
+func (c *begunConn) HasBegun() bool { return c.begun }
+
+// Guards against a host that refuses all new connections because callers that send nothing
+// fill it, and against ending a header that arrives slowly.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	const limit = 4
+	connections := newConnectionTracker()
+	gate := newConnectionGate(limit, connections, func() time.Duration { return time.Second }, slog.New(slog.DiscardHandler))
+	open := make([]*begunConn, limit)
+	for i := range open {
+		open[i] = &begunConn{begun: i == 0}
+		connections.track(open[i], http.StateNew)
+	}
+	if gate.admit() != refuseConnection {
+		t.Fatal("a connection was closed before its caller could send a request")
+	}
+	// All but the last one have been open for long enough to be taken for silent.
+	for e := connections.fresh.Front(); e != connections.fresh.Back(); e = e.Next() {
+		e.Value = idleConnection{connection: idleOf(e).connection, since: time.Now().Add(-silentTime)}
+	}
+	if o := connections.occupancy(); o.Open != limit || o.Idle != 2 {
+		t.Fatalf("%d of %d connections count as idle, want the 2 that sent nothing for a while", o.Idle, o.Open)
+	}
+	connections.track(open[1], http.StateActive)
+	if o := connections.occupancy(); o.Idle != 1 {
+		t.Fatalf("%d connections count as idle after one of them sent a request, want 1", o.Idle)
+	}
+	if !connections.closeLongestIdle() || open[2].deadline.IsZero() || connections.closeLongestIdle() {
+		t.Error("want exactly the silent connection to be closed")
+	}
+	for _, c := range open {
+		connections.track(c, http.StateClosed)
+	}
+	if o := connections.occupancy(); o != (shedder.Occupancy{}) || connections.fresh.Len() != 0 {
+		t.Errorf("%+v and %d new connections after all were closed", o, connections.fresh.Len())
+	}
+}
+
 // Guards against a process that runs out of file descriptors and can accept no
 // connection, and against closed connections that count.
 func TestCallerConnectionsAreLimited(t *testing.T) {
--- a/gateway/meter/conn.go
+++ b/gateway/meter/conn.go
@@ -38,6 +38,9 @@
 	// unread is set while unreadBytes are charged.
 	unread bool
 
+	// begun is set once a byte was read.
+	begun atomic.Bool
+
 	// written is the number of bytes that were written.
 	written atomic.Int64
 	// The fields below are only used by the sweep: whether the last one found bytes that the
@@ -82,6 +85,7 @@
 	}
 	limits := c.meter.Limits()
 	if c.scanner.size == 0 {
+		c.begun.Store(true)
 		timeout := limits.HeaderTimeout
 		if timeout <= 0 {
 			timeout = HeaderStartTimeout
@@ -229,6 +233,9 @@
 // SetReadDeadline, it may be called by any goroutine.
 func (c *Conn) EndIdle() error { return c.Conn.SetReadDeadline(time.Unix(0, 1)) }
 
+// HasBegun reports whether a byte was read from the connection.
+func (c *Conn) HasBegun() bool { return c.begun.Load() }
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if inner, ok := c.Conn.(syscall.Conn); ok {
--- a/gateway/meter/evicted_test.go
+++ b/gateway/meter/evicted_test.go
@@ -68,3 +68,16 @@
 		t.Errorf("the idle connection got %d bytes and %v, want its end only", inner.written, err)
 	}
 }
+
+// Guards against a header that arrives slowly and is taken for a connection that sends
+// nothing.
+func TestConnectionWithAPartOfAHeaderHasBegun(t *testing.T) {
+	m := New(Options{Memory: limiter.NewAdmission(limiter.AdmissionSettings{}), Clock: clock, Limits: func() resolver.Limits { return resolver.Limits{} }})
+	c := m.wrap(&scriptedConn{parts: []string{"G"}})
+	if c.HasBegun() {
+		t.Error("a new connection has begun a request")
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil || !c.HasBegun() {
+		t.Errorf("a connection with a byte has not begun a request, error %v", err)
+	}
+}
