Decide about connections only when there is one

Cause: while a host refuses connections, it decided about the next one before it knew that there was one. A single refused connection so counted as two arrivals and two refusals, up to doubling the rate by which the host becomes unready, and the second decision could close an idle connection for none.

Ruled out: accepting first, since a connection to be kept would have to be registered with the runtime by its descriptor.

Change: the accept queue is polled before each decision, one system call instead of an accept that finds nothing. TestEachConnectionIsDecidedOnce failed before.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -88,7 +88,7 @@
 		return false // the listener is closed, which the next Accept reports
 	}
 	_ = raw.Control(func(fd uintptr) { // an error means a closed listener, which the next Accept reports
-		for {
+		for hasPending(fd) {
 			if l.shed() == keepConnection {
 				keep = true
 				return
@@ -103,6 +103,13 @@
 	return keep
 }
 
+// hasPending reports whether a connection is in the accept queue of a listener, so that none
+// is decided about that does not exist.
+func hasPending(listener uintptr) bool {
+	n, err := unix.Poll([]unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}, 0)
+	return err == nil && n > 0 // after an error, the next Accept decides
+}
+
 // connectionKey is the context key of the connection of a request.
 type connectionKey struct{}
 
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -100,6 +101,44 @@
 	}
 }
 
+// Guards against a decision without a connection, which counts as the arrival of one and may
+// close an idle connection for it.
+func TestEachConnectionIsDecidedOnce(t *testing.T) {
+	const refused = 5
+	s := startShedding(t, slices.Repeat([]shedding{refuseConnection}, refused)...)
+	accepted := make(chan net.Conn, refused+1)
+	go func() {
+		for {
+			c, err := s.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for i := range refused {
+		c := dial(t, s)
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		answered := make(chan error, 1)
+		go func() {
+			_, err := http.ReadResponse(bufio.NewReader(c), nil)
+			answered <- err
+		}()
+		select {
+		case err := <-answered:
+			if err != nil {
+				t.Fatal(err)
+			}
+		case <-accepted:
+			t.Fatalf("connection %d was kept: its decision was used up without a connection", i)
+		}
+	}
+	dial(t, s)
+	_ = (<-accepted).Close()
+}
+
 // Guards against reporting waiting callers as gone, and against missing that a
 // caller closed its connection.
 func TestCallerLeftDetectsClosedConnection(t *testing.T) {
