--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -88,7 +88,7 @@
 		return false // the listener is closed, which the next Accept reports
 	}
 	_ = raw.Control(func(fd uintptr) { // an error means a closed listener, which the next Accept reports
-		for {
+		for hasPending(fd) {
 			if l.shed() == keepConnection {
 				keep = true
 				return
@@ -103,6 +103,13 @@
 	return keep
 }
 
+// hasPending reports whether a connection is in the accept queue of a listener, so that none
+// is decided about that does not exist.
+func hasPending(listener uintptr) bool {
+	n, err := unix.Poll([]unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}, 0)
+	return err == nil && n > 0 // after an error, the next Accept decides
+}
+
 // connectionKey is the context key of the connection of a request.
 type connectionKey struct{}
 
@@ -124,6 +131,20 @@
 	return err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
 }
 
+// resetOnClose makes the connection of a request end with a reset when it is closed.
+func resetOnClose(r *http.Request) {
+	c, ok := r.Context().Value(connectionKey{}).(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := c.SyscallConn(); err == nil {
+		// Errors mean that the connection is closed already.
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		})
+	}
+}
+
 // hasUnread reports whether the caller has sent bytes that the server has not read yet.
 func hasUnread(c net.Conn) bool {
 	inner, ok := c.(syscall.Conn)
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -64,7 +64,7 @@
 	body      []byte
 	// charge is the memory that the request holds.
 	charge limiter.Charge
-	// watched is set once the charge is watched while the body is read. reported is the
+	// watched is set while the charge is watched because of the body. reported is the
 	// number of bytes of the body that were reported to the charge.
 	watched  bool
 	reported int64
@@ -268,6 +268,9 @@
 	target := permit.Decision().Choice.Target.ID
 	if errors.Is(err, courier.ErrWithdrawn) {
 		permit.End(placer.Unsent)
+		if errors.Is(err, courier.ErrSendingFull) {
+			p.excluded = append(p.excluded, target)
+		}
 		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
 		return outcomeRetry
 	}
@@ -340,7 +343,7 @@
 	case p.stream != nil && p.stream.started:
 		// Only an aborted connection shows the caller that the stream is incomplete.
 		p.recordEnd("streamBroken", p.stream.status)
-		panic(http.ErrAbortHandler)
+		p.breakOff()
 	case p.fallback != nil:
 		p.writeResponse(p.fallback)
 	case !p.mayHaveRun:
