Split the engines of large services by prompt length

Cause: engines prefill in order of arrival. A long prompt takes up to a second, and other daemons learn of it 0.2 to 1 s later; until then they send short prompts behind it.

Ruled out with the event-driven model in prompts_test.go: penalties without a rendezvous order for each side (most prompts go to the engine that has cached their parts), short prompts first within a host (hardly any prompt waits there), a share of 1.0 or 1.3 of the token share for long prompts. Not built: rules that depend on reports of running long prefills, which arrive too late.

Change: each daemon observes the lengths of the prompts that arrive. Prompts of more than 2.5 times the geometric mean get the first engines in an order by ID, in steps of an eighth, others the rest. The rendezvous order of shared parts holds the engines of one side; engines of the other side get a penalty in the score. No split for prompts that are all alike, less than 50 recent prompts, or less than 48 engines. The constant splitPrompts in the controller switches it.

Not measured with real daemons.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -42,6 +42,9 @@
 	// registryGrace is how long targets need to register again after an outage of the
 	// registry.
 	registryGrace = 2 * time.Second
+	// splitPrompts sends long and short prompts to different engines in large services
+	// with both, so that a long prefill delays few short prompts.
+	splitPrompts = true
 )
 
 // Options are the dependencies of a Controller.
@@ -244,7 +247,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventBuffer),
 		registry: registrar.New(registrar.Settings{Grace: registryGrace}),
-		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Regions: o.Regions, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host)}),
+		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Regions: o.Regions, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host), SplitPrompts: splitPrompts}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
 		quarantine: quarantiner.New(), suspicions: map[string]*suspicion{},
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -32,6 +32,7 @@
 	d := p.demand
 	if d.FirstWait {
 		c.fleet.RecordDemand(now, d.Request.Service)
+		c.fleet.RecordPrompt(now, d.Request)
 	}
 	if d.CountsTowardsShare && d.FirstWait {
 		c.shares.RecordDemand(now, d.Account, d.Request.Cost())
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -42,6 +42,8 @@
 	targetOfRequest map[uint64]*target
 	// loadChecks caches the last result of lightlyLoaded for each service.
 	loadChecks map[string]loadCheck
+	// promptMixes holds the observed lengths of the prompts for each service.
+	promptMixes map[string]*promptMix
 	// unreportedSpills holds the spills that TakeSpills has not returned yet.
 	unreportedSpills []Spill
 	// preferredTargets, recoveringTargets and sampledTargets are the last results of
@@ -68,6 +70,8 @@
 	Policy Policy
 	// Seed seeds the random choices, so that those of different daemons differ.
 	Seed uint64
+	// SplitPrompts sends long and short prompts to different engines where both occur.
+	SplitPrompts bool
 }
 
 // Policy is a rule by which targets are chosen.
@@ -88,7 +92,7 @@
 	return &Fleet{
 		settings: s, targets: map[string]*target{}, facts: map[start]*facts{}, targetsByService: map[string][]*target{},
 		engineSettings: map[string]resolver.Engine{}, gapLimits: map[string]time.Duration{}, loadChecks: map[string]loadCheck{}, targetOfRequest: map[uint64]*target{},
-		demand: map[string]*decayingSum{},
+		demand: map[string]*decayingSum{}, promptMixes: map[string]*promptMix{},
 		random: rand.New(rand.NewPCG(s.Seed, s.Seed)),
 	}
 }
@@ -133,6 +137,7 @@
 		f.targetsByKey[KeyOf(id)] = t
 	}
 	f.updateEngines()
+	f.orderEngines()
 	for _, ts := range f.targetsByService {
 		slices.SortFunc(ts, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	}
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -30,19 +30,24 @@
 	light, valid bool
 }
 
-// rankTargets returns the top-ranked targets for the prompt in its allowed regions, on
-// which all daemons agree; nil if the prompt has no shared parts.
-func (f *Fleet) rankTargets(r Request) *topRanked {
+// rankTargets returns the top-ranked targets for the prompt in its allowed regions and
+// on its side of the split, on which all daemons agree; nil if the prompt has no shared
+// parts.
+func (f *Fleet) rankTargets(r Request, side splitSide, longShare float64) *topRanked {
 	prefix := r.sharedPrefix()
 	if prefix == 0 {
 		return nil
 	}
 	var p topRanked
 	for _, t := range f.targetsByService[r.Service] {
-		if f.inAllowedRegion(r, t) {
+		if f.inAllowedRegion(r, t) && t.suits(side, longShare) {
 			p.insert(t, rank(prefix, t.idHash))
 		}
 	}
+	if p.targets[0] == nil && side != unsplit {
+		// No allowed engine is on the side of the prompt.
+		return f.rankTargets(r, unsplit, 0)
+	}
 	return &p
 }
 
@@ -87,10 +92,15 @@
 	// maxEventGap is the longest mean gap between events that an engine may have; 0
 	// sets no limit.
 	maxEventGap time.Duration
+	// side is the side of the prompt in the split of the engines, longShare the share of
+	// the engines for long prompts.
+	side      splitSide
+	longShare float64
 }
 
 func (f *Fleet) search(now time.Duration, r Request, constraints Constraints) *search {
-	s := &search{now: now, request: r, constraints: constraints, ranked: f.rankTargets(r), maySpill: constraints.Waited >= spillWait, maxEventGap: f.gapLimit(r)}
+	side, longShare := f.splitSide(r)
+	s := &search{now: now, request: r, constraints: constraints, side: side, longShare: longShare, ranked: f.rankTargets(r, side, longShare), maySpill: constraints.Waited >= spillWait, maxEventGap: f.gapLimit(r)}
 	if constraints.SpareOnly {
 		s.maySpill = f.lightlyLoaded(now, r.Service)
 	}
@@ -133,6 +143,7 @@
 	if c.UncachedSharedTokens > negligibleTokens {
 		score += time.Duration(c.UncachedSharedTokens*float64(recomputePenalty)) + time.Duration(s.ranked.position(t))*rankPenalty
 	}
+	score += s.splitPenalty(t, c)
 	if t.stalledRequests > 0 {
 		score += stallPenalty
 	}
--- a/gateway/placer/target.go
+++ b/gateway/placer/target.go
@@ -15,6 +15,9 @@
 	entry registrar.Entry
 	// idHash is the hash of the ID, for rendezvous hashing.
 	idHash uint64
+	// splitPosition is the position of an engine in the split between long and short
+	// prompts, between 0 and 1.
+	splitPosition float64
 	// engine is set if the target is a model engine.
 	engine *engine
 	// running holds the requests of this daemon at the target by ID; ownLoad is their
