--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -50,7 +50,10 @@
 	// Regions holds the region of each data centre; those without a known one are absent.
 	Regions map[string]string
 	Policy  placer.Policy
-	Queue   queuer.Settings
+	// SplitPrompts sends long and short prompts to different engines in large services with
+	// both, so that a long prefill delays few short prompts.
+	SplitPrompts bool
+	Queue        queuer.Settings
 	// Cold limits the requests to cold targets. FleetKnown reports whether Peers returns all
 	// daemons of the list in the store; nil means always.
 	Cold       placer.ColdBounds
@@ -266,7 +269,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventBuffer),
 		registry: registrar.New(registrar.Settings{Grace: registryGrace, Cold: o.Cold.Bounded}),
-		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Regions: o.Regions, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host), Cold: o.Cold}),
+		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Regions: o.Regions, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host), Cold: o.Cold, SplitPrompts: o.SplitPrompts}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
 		quarantine: quarantiner.New(), suspicions: map[string]*suspicion{},
--- a/gateway/placer/evacuation.go
+++ b/gateway/placer/evacuation.go
@@ -23,4 +23,5 @@
 	for _, ts := range f.targetsByService {
 		slices.SortFunc(ts, func(a, b *target) int { return strings.Compare(a.entry.ID, b.entry.ID) })
 	}
+	f.orderEngines()
 }
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -44,6 +44,8 @@
 	targetOfRequest map[uint64]*target
 	// loadChecks caches the last result of lightlyLoaded for each service.
 	loadChecks map[string]loadCheck
+	// promptMixes holds the observed lengths of the prompts for each service.
+	promptMixes map[string]*promptMix
 	// unreportedSpills holds the spills that TakeSpills has not returned yet.
 	unreportedSpills []Spill
 	// preferredTargets, recoveringTargets and sampledTargets are the last results of
@@ -80,6 +82,8 @@
 	Seed uint64
 	// Cold limits the requests to cold targets.
 	Cold ColdBounds
+	// SplitPrompts sends long and short prompts to different engines where both occur.
+	SplitPrompts bool
 }
 
 // Policy is a rule by which targets are chosen.
@@ -100,7 +104,7 @@
 	return &Fleet{
 		settings: s, targets: map[string]*target{}, facts: map[start]*facts{}, targetsByService: map[string][]*target{},
 		engineSettings: map[string]resolver.Engine{}, gapLimits: map[string]time.Duration{}, loadChecks: map[string]loadCheck{}, targetOfRequest: map[uint64]*target{},
-		demand: map[string]*decayingSum{},
+		demand: map[string]*decayingSum{}, promptMixes: map[string]*promptMix{},
 		random: rand.New(rand.NewPCG(s.Seed, s.Seed)),
 	}
 }
