Do not cut a stream that has begun at half of its time

The attempt was cancelled for a second one, for which no engine had room while three times the capacity was asked for.

Ruled out: the change of the account's configuration, which only marks the time in which broken streams count; the stall time of 0.7 s, which only reports.

Change: the limit of half the time left holds only until the first event. A stream that has begun is cancelled after 0.6 of the time after which its caller gives up, 3.6 s here. TestStalledStreamThatHasBegunIsNotCutAtHalfOfItsTime failed before (1.5 s). Engines are slow and not dead in overload; a target that has died breaks the connection.

--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -33,19 +33,26 @@
 	// another target. It is not shorter because a busy engine may send nothing for a
 	// second, and the other target would have to process the prompt again.
 	resumeFraction = 0.6
-	// maxResumeFraction is the part of the time left for a request after which it continues
-	// at another target at the latest, so that this target can still respond.
+	// maxResumeFraction is the part of the time left for a request after which a stream that
+	// has not begun continues at another target at the latest, so that this target can still
+	// respond. It does not hold for a stream that has begun: its caller would lose the rest
+	// if no other target has room.
 	maxResumeFraction = 0.5
 	// retryCheckInterval is how often a stalled attempt tries to take a retry from an
 	// exhausted budget, whose window is several seconds long.
 	retryCheckInterval = 250 * time.Millisecond
 )
 
-// resumeAfter returns after which silence of its target a resumable stream continues at
-// another one.
+// resumeAfter returns after which silence of its target a resumable stream that has not
+// begun continues at another one.
 func resumeAfter(r resolver.Route, timeLeft time.Duration) time.Duration {
+	return min(resumeBegunAfter(r), time.Duration(maxResumeFraction*float64(timeLeft)))
+}
+
+// resumeBegunAfter returns the same for a stream that has begun.
+func resumeBegunAfter(r resolver.Route) time.Duration {
 	abandonAfter := max(callerMinSilence, callerObjectiveFactor*r.Objective, callerGapFactor*r.MaxEventGap)
-	return min(time.Duration(resumeFraction*float64(abandonAfter)), time.Duration(maxResumeFraction*float64(timeLeft)))
+	return time.Duration(resumeFraction * float64(abandonAfter))
 }
 
 // stallWatch detects a target that has stalled: it sent no data for longer than
@@ -64,8 +71,9 @@
 	stalled bool
 	stopped bool
 	// stallAfter is the pause after which the target counts as stalled. cancelAfter is the
-	// time from then until the attempt is cancelled; 0 means never.
-	stallAfter, cancelAfter time.Duration
+	// time from then until the attempt is cancelled; 0 means never. It becomes
+	// cancelBegunAfter with the first event.
+	stallAfter, cancelAfter, cancelBegunAfter time.Duration
 	// events is the number of events since lastReport, which is zero before the first
 	// event.
 	events     int
@@ -80,6 +88,7 @@
 	switch {
 	case mayRetry && p.route.Kind == resolver.Streaming:
 		w.cancelAfter = max(resumeAfter(p.route, timeLeft)-w.stallAfter, time.Millisecond)
+		w.cancelBegunAfter = max(resumeBegunAfter(p.route)-w.stallAfter, time.Millisecond)
 	case mayRetry:
 		objective := p.route.Objective
 		if objective <= 0 {
@@ -99,6 +108,7 @@
 	if w.stopped {
 		return
 	}
+	w.cancelAfter = w.cancelBegunAfter
 	w.timer.Reset(w.stallAfter)
 	w.reportProgress(n)
 	if w.stalled {
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// Load: three times what the engines begin; a stream with a deadline of 3 s has begun and its
+// busy engine is silent for 1.4 s. Guards against cutting it off for the sake of a second
+// attempt, for which no other engine has room.
+func TestStalledStreamThatHasBegunIsNotCutAtHalfOfItsTime(t *testing.T) {
+	const timeLeft = 3 * time.Second
+	route := resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, Objective: 1500 * time.Millisecond, MaxEventGap: 600 * time.Millisecond}
+	p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}}), route: route}
+	_, cancel := context.WithCancelCause(context.Background())
+	w := newStallWatch(p, &stallCounter{}, timeLeft, cancel)
+	defer w.stop()
+	if silence := w.stallAfter + w.cancelAfter; silence != timeLeft/2 {
+		t.Errorf("a stream that has not begun is cancelled after %v, want %v", silence, timeLeft/2)
+	}
+	w.recordEvents(1)
+	if silence := w.stallAfter + w.cancelAfter; silence != 3600*time.Millisecond {
+		t.Errorf("a stream that has begun is cancelled after %v, want 3.6s, before its caller gives up after 6s", silence)
+	}
+}
+
 // Guards against cancelling a stalled stream that no other target can continue.
 func TestStalledStreamWithoutIDsIsNotCancelled(t *testing.T) {
 	p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}}), route: resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2}}
