--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,60 +43,6 @@
 	registryGrace = 2 * time.Second
 )
 
-// Options are the dependencies of a Controller.
-type Options struct {
-	DataCentre string
-	// Regions holds the region of each data centre; those without a known one are absent.
-	Regions map[string]string
-	Policy  placer.Policy
-	// SplitPrompts sends long and short prompts to different engines in large services with
-	// both, so that a long prefill delays few short prompts.
-	SplitPrompts bool
-	Queue        queuer.Settings
-	// Cold limits the requests to cold targets. FleetKnown reports whether Peers returns all
-	// daemons of the list in the store; nil means always.
-	Cold       placer.ColdBounds
-	FleetKnown func() bool
-	// ShareWindow is the sliding window over which accounts are entitled to their fair
-	// share.
-	ShareWindow time.Duration
-	// Host is the name of this daemon.
-	Host string
-	// Address is the peer address of this daemon.
-	Address string
-	// SendReport, SendRegistryChange and SendConfig send a report, a change of the
-	// registry and a configuration to the named peers; the names are sorted. None blocks.
-	SendReport         func(r Report, to []string)
-	SendRegistryChange func(c RegistryChange, to []string)
-	SendConfig         func(c resolver.Config, to []string)
-	// Peers returns all other daemons. AddPeers adds daemons that a peer reported.
-	Peers    func() []Daemon
-	AddPeers func([]Daemon)
-	// Probe starts a connection attempt to a target, whose result is passed to
-	// ProbeFinished; it does not block.
-	Probe func(registrar.Entry)
-	// RefetchConfig reads the configuration from the store again, because a peer has a
-	// newer one. RequestConfig requests a configuration newer than the given version
-	// from the peer, because the store did not return it in time. Neither blocks.
-	RefetchConfig func()
-	// NoticeEra is called with the era of the store that a peer reports, if it is later than
-	// the one known here. It does not block.
-	NoticeEra     func(era uint64)
-	RequestConfig func(peer string, after uint64)
-	// ReportInterval returns the time between two reports to the given number of peers.
-	ReportInterval func(recipients int) time.Duration
-	// MaxRegistryAge is the age of the registry state above which requests wait for a
-	// newer one; 0 means no limit.
-	MaxRegistryAge time.Duration
-	// MaxEvacuationAge is the age of the state of the evacuated data centres above which
-	// requests wait for a newer one; 0 means that data centres are not evacuated.
-	MaxEvacuationAge time.Duration
-	// Clock returns the monotonic time since the start of the daemon. All times in this
-	// package are of this clock.
-	Clock  func() time.Duration
-	Logger *slog.Logger
-}
-
 // Controller owns the control state. Its methods are safe for concurrent use.
 type Controller struct {
 	options Options
@@ -196,69 +141,6 @@
 	configBehindSince, lastConfigRefetch time.Duration
 }
 
-// Stats holds figures of the control state for metrics.
-type Stats struct {
-	// Waiting is the number of queued requests, Placed that of requests at targets,
-	// Targets that of usable targets and Peers that of live peers.
-	Waiting, Placed, Targets, Peers int
-	// Quarantined is the number of prompt parts in quarantine.
-	Quarantined int
-	// Limited is the number of targets whose request limit is in force.
-	Limited int
-	// Cold is the number of targets to which the requests are limited because they are cold.
-	Cold int
-	// Evacuated is the number of evacuated data centres.
-	Evacuated int
-	// ShareLevel is the service, in tokens per window, up to which an account is within
-	// its fair share; 0 means no limit.
-	ShareLevel float64
-}
-
-// Freshness describes how recent the known states of the registry and of the
-// configuration are. Its times are of Options.Clock.
-type Freshness struct {
-	// RegistryConfirmedAt is the latest time at which the known state of the registry is
-	// known to have been the newest; 0 before the first one.
-	RegistryConfirmedAt time.Duration
-	// RegistryOutage is set while the registry is used whatever its age, because the store
-	// does not answer.
-	RegistryOutage bool
-	// EvacuationsConfirmedAt is the latest time at which the known state of the evacuated
-	// data centres is known to have been the newest; 0 before the first one.
-	EvacuationsConfirmedAt time.Duration
-	// EvacuationOutage is set while that state is used whatever its age, because the store
-	// does not answer.
-	EvacuationOutage bool
-	// Reader is set if this daemon reads the store on behalf of the fleet.
-	Reader bool
-	// Grouped is set if the fleet is large enough to be divided into groups.
-	Grouped bool
-	// RegistryBehindSince is the time at which a peer first reported a newer state of the
-	// registry; 0 if this daemon is not known to be behind.
-	RegistryBehindSince time.Duration
-	// ConfigConfirmedAt is the latest time at which the configuration in force is known to
-	// have been the newest; 0 if it never was.
-	ConfigConfirmedAt time.Duration
-	// ConfigBehindSince is the time at which a peer first reported a newer configuration;
-	// 0 if this daemon is not known to be behind.
-	ConfigBehindSince time.Duration
-}
-
-// LastHeard returns the time, by Options.Clock, of the last sign of life of a peer,
-// and whether there was one.
-func (c *Controller) LastHeard(peer string) (time.Duration, bool) {
-	heard, ok := c.lastHeard.Load(peer)
-	if !ok {
-		return 0, false
-	}
-	at, ok := heard.(time.Duration)
-	return at, ok
-}
-
-// Freshness returns how recent the known states of the registry and of the
-// configuration are.
-func (c *Controller) Freshness() Freshness { return *c.freshness.Load() }
-
 // event is a change of the control state that the goroutine of Run applies.
 type event interface {
 	apply(c *Controller, now time.Duration)
--- /dev/null
+++ b/gateway/controller/snapshots.go
@@ -0,0 +1,66 @@
+package controller
+
+import "time"
+
+// Stats holds figures of the control state for metrics.
+type Stats struct {
+	// Waiting is the number of queued requests, Placed that of requests at targets,
+	// Targets that of usable targets and Peers that of live peers.
+	Waiting, Placed, Targets, Peers int
+	// Quarantined is the number of prompt parts in quarantine.
+	Quarantined int
+	// Limited is the number of targets whose request limit is in force.
+	Limited int
+	// Cold is the number of targets to which the requests are limited because they are cold.
+	Cold int
+	// Evacuated is the number of evacuated data centres.
+	Evacuated int
+	// ShareLevel is the service, in tokens per window, up to which an account is within
+	// its fair share; 0 means no limit.
+	ShareLevel float64
+}
+
+// Freshness describes how recent the known states of the registry and of the
+// configuration are. Its times are of Options.Clock.
+type Freshness struct {
+	// RegistryConfirmedAt is the latest time at which the known state of the registry is
+	// known to have been the newest; 0 before the first one.
+	RegistryConfirmedAt time.Duration
+	// RegistryOutage is set while the registry is used whatever its age, because the store
+	// does not answer.
+	RegistryOutage bool
+	// EvacuationsConfirmedAt is the latest time at which the known state of the evacuated
+	// data centres is known to have been the newest; 0 before the first one.
+	EvacuationsConfirmedAt time.Duration
+	// EvacuationOutage is set while that state is used whatever its age, because the store
+	// does not answer.
+	EvacuationOutage bool
+	// Reader is set if this daemon reads the store on behalf of the fleet.
+	Reader bool
+	// Grouped is set if the fleet is large enough to be divided into groups.
+	Grouped bool
+	// RegistryBehindSince is the time at which a peer first reported a newer state of the
+	// registry; 0 if this daemon is not known to be behind.
+	RegistryBehindSince time.Duration
+	// ConfigConfirmedAt is the latest time at which the configuration in force is known to
+	// have been the newest; 0 if it never was.
+	ConfigConfirmedAt time.Duration
+	// ConfigBehindSince is the time at which a peer first reported a newer configuration;
+	// 0 if this daemon is not known to be behind.
+	ConfigBehindSince time.Duration
+}
+
+// LastHeard returns the time, by Options.Clock, of the last sign of life of a peer,
+// and whether there was one.
+func (c *Controller) LastHeard(peer string) (time.Duration, bool) {
+	heard, ok := c.lastHeard.Load(peer)
+	if !ok {
+		return 0, false
+	}
+	at, ok := heard.(time.Duration)
+	return at, ok
+}
+
+// Freshness returns how recent the known states of the registry and of the
+// configuration are.
+func (c *Controller) Freshness() Freshness { return *c.freshness.Load() }
