controller: an old failed read of the registry is no outage of the store

Cause: a host that was stopped while it read the registry sees the read fail when it goes on. The failure put the last known evacuations in force whatever their age, so that requests went to a data centre that was evacuated meanwhile, until the next confirmation. Failed calls for the operator's table were already checked for their age.

Ruled out: the same check for the age of the registry itself, which would change deployments without evacuations.

Change: RegistryFailed takes the start of the read; only a read that began less than maxFailedCallAge ago shows an outage for the evacuations.

TestOldEvacuationsAreNotUsed failed before (a request was sent) and passes now.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -420,8 +420,11 @@
 	c.events <- registryChangeEvent{change}
 }
 
-// RegistryFailed records that this daemon could not read the registry.
-func (c *Controller) RegistryFailed() { c.events <- registryFailedEvent{} }
+// RegistryFailed records that a read of the registry, which began at the given time,
+// failed.
+func (c *Controller) RegistryFailed(readStart time.Duration) {
+	c.events <- registryFailedEvent{readStart}
+}
 
 // ProbeFinished records the result of a probe.
 func (c *Controller) ProbeFinished(target string, result ProbeResult) {
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -165,7 +165,7 @@
 	default:
 	}
 	for len(granted) == 0 { // during an outage of the store the last known state is used
-		c.RegistryFailed()
+		c.RegistryFailed(0)
 		time.Sleep(10 * time.Millisecond)
 	}
 }
--- a/gateway/controller/evacuation_fleet_test.go
+++ b/gateway/controller/evacuation_fleet_test.go
@@ -64,7 +64,7 @@
 		for _, c := range nodes {
 			switch {
 			case f.down.Load():
-				c.RegistryFailed()
+				c.RegistryFailed(f.clock())
 				c.OperationsFailed(f.clock())
 			case c.Freshness().Reader:
 				f.read(c)
--- a/gateway/controller/evacuation_test.go
+++ b/gateway/controller/evacuation_test.go
@@ -115,7 +115,11 @@
 	if sends(c) {
 		t.Error("a request is sent although nobody has confirmed the evacuations for another minute")
 	}
-	c.RegistryFailed() // the store is down: the last known state stays in force
+	c.RegistryFailed(now - 30*time.Second) // a read from before the stop
+	if sends(c) {
+		t.Error("a request is sent because a read of the registry from before has failed")
+	}
+	c.RegistryFailed(now) // the store is down: the last known state stays in force
 	waitUntil(func() bool { return sends(c) })
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -230,15 +230,17 @@
 }
 
 // registryFailedEvent records a failed read of the registry.
-type registryFailedEvent struct{}
+type registryFailedEvent struct{ readStart time.Duration }
 
-func (registryFailedEvent) apply(c *Controller, now time.Duration) {
+func (e registryFailedEvent) apply(c *Controller, now time.Duration) {
 	// While peers confirm the state of the registry, the store is only unreachable from
 	// this host.
 	if now-c.registryConfirmed.at >= minOutageAge {
 		c.registry.RecordFailedRead()
 	}
-	c.recordEvacuationOutage(now)
+	if now-e.readStart <= maxFailedCallAge {
+		c.recordEvacuationOutage(now)
+	}
 	c.publishFreshness()
 }
 
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -90,7 +90,8 @@
 	SetEvacuated(sent, storeTime time.Duration, s registrar.EvacuationState)
 	OperationsFailed(sent time.Duration)
 	SetRegistry(readStart time.Duration, read registrar.Read)
-	RegistryFailed()
+	// RegistryFailed records that a read, which began at the given time, failed.
+	RegistryFailed(readStart time.Duration)
 }
 
 const (
@@ -330,7 +331,7 @@
 		readStart := w.options.Clock()
 		read, unreadable, err := w.readRegistry(ctx)
 		if err != nil {
-			w.options.Sink.RegistryFailed()
+			w.options.Sink.RegistryFailed(readStart)
 			b.failed(ctx, err)
 			continue
 		}
--- a/gateway/watcher/watcher_test.go
+++ b/gateway/watcher/watcher_test.go
@@ -151,7 +151,7 @@
 	}
 }
 
-func (s *sink) RegistryFailed() {
+func (s *sink) RegistryFailed(time.Duration) {
 	select {
 	case s.failures <- struct{}{}:
 	default:
