placer: a slot at a cold target ends also for a request that waits

Cause: a request counts in its slot when it is placed, and was written whenever its connection was there: up to 250 ms later, 500 ms with a large body that waits for others, or as late as its host is stopped. The bound has room for the time for which slots are open only, so that requests of several slots could arrive in one second.

Ruled out: room for these times in the bound.

Warm targets have none.

TestASlotEndsWhileItsRequestWaits and TestPermitEndsWithTheSlot failed before and pass now; the tests of cold fleets of 6 to 300 daemons pass unchanged.

--- a/gateway/controller/cold_test.go
+++ b/gateway/controller/cold_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"monsoondeck.example/gateway/controller"
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 )
@@ -139,3 +141,34 @@
 		}
 	}
 }
+
+// Guards against a request to a cold target that is written long after its slot, because it
+// waited for its connection or its host was stopped.
+func TestPermitEndsWithTheSlot(t *testing.T) {
+	clock := &atomic.Int64{}
+	clock.Store(int64(10 * time.Second))
+	now := func() time.Duration { return time.Duration(clock.Load()) }
+	c := start(t, boundCold, func(o *controller.Options) { o.Clock = now })
+	c.SetConfig(now(), coldConfig(2))
+	entries := targets(1, 1)
+	entries[0].WarmUp = 20 * time.Second
+	c.SetRegistry(now(), registrar.Read{Moment: registrar.Moment{Revision: 2}, Entries: entries})
+	granted := make(chan receiver.Permit, 1)
+	go func() { granted <- wait(context.Background(), t, c, 1) }()
+	var p receiver.Permit
+	for p == nil { // until the daemon has a slot
+		clock.Add(int64(time.Millisecond))
+		select {
+		case p = <-granted:
+		case <-time.After(time.Millisecond):
+		}
+	}
+	if !p.TargetUsable() {
+		t.Error("the request may not be written although its slot has just opened")
+	}
+	clock.Add(int64(3 * time.Second))
+	if p.TargetUsable() {
+		t.Error("the request may be written although its slot has ended")
+	}
+	p.End(placer.Unsent)
+}
--- a/gateway/pacer/turns.go
+++ b/gateway/pacer/turns.go
@@ -120,6 +120,14 @@
 	return max(t.opens(t.slot(now))-now, 0)
 }
 
+// OpenUntil returns the time at which the slot that is open, or else the next one, ends.
+func (t *Turns) OpenUntil(now time.Duration) time.Duration {
+	if t.cycle <= 0 {
+		return now
+	}
+	return t.opens(t.slot(now)) + t.lifetime
+}
+
 // Use uses the slot that is open.
 func (t *Turns) Use(now time.Duration) {
 	if t.cycle <= 0 {
--- a/gateway/placer/cold.go
+++ b/gateway/placer/cold.go
@@ -92,6 +92,16 @@
 	return t.turns.Wait(now + f.clockOffset)
 }
 
+// sendBy returns the time by which a request that is placed at a target now must be
+// written; 0 means no limit. One that waits for its connection for longer would arrive
+// together with those of later slots.
+func (f *Fleet) sendBy(now time.Duration, t *target) time.Duration {
+	if t.turns == nil || !f.cold(now, t) {
+		return 0
+	}
+	return t.turns.OpenUntil(now+f.clockOffset) - f.clockOffset
+}
+
 // useTurn uses the open slot at a target that is cold.
 func (f *Fleet) useTurn(now time.Duration, t *target) {
 	if t.turns != nil && f.cold(now, t) {
--- a/gateway/placer/cold_test.go
+++ b/gateway/placer/cold_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+// Guards against requests of several slots that arrive at a cold target together, because
+// each waited for its connection after its slot, and against a limit of that time for
+// warm targets.
+func TestASlotEndsWhileItsRequestWaits(t *testing.T) {
+	now := 10 * time.Second
+	choose := func(f *placer.Fleet, now time.Duration) placer.Choice {
+		c, _ := f.Choose(now, placer.Request{ID: 1, Service: "s"}, placer.Constraints{FirstEventBudget: time.Hour})
+		return c
+	}
+	f := newColdFleet(now, 0, 6, 1, true)
+	choose(f, now) // the slots begin
+	for !choose(f, now).Fits {
+		now += time.Millisecond
+	}
+	first := choose(f, now).SendBy
+	if first <= now || first > now+time.Second {
+		t.Errorf("a slot that opened at %v may be used until %v", now, first)
+	}
+	if later := choose(f, now+100*time.Millisecond).SendBy; later != first {
+		t.Errorf("the slot may be used until %v if it is taken later, want %v", later, first)
+	}
+	if c := choose(newColdFleet(now, 0, 6, 1, false), now); c.SendBy != 0 {
+		t.Errorf("a request to a warm target must be sent by %v", c.SendBy)
+	}
+}
+
 // Guards against requests to a cold target before the size of the fleet is known, to one
 // whose process has ended and may be back under the same entry, to one that a restarted
 // entry no longer covers, and against limits where the configuration has none.
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -213,7 +213,7 @@
 	if bestTarget == nil {
 		return Choice{}, false
 	}
-	best.Target, best.Limited = bestTarget.entry, bestTarget.limited(now)
+	best.Target, best.Limited, best.SendBy = bestTarget.entry, bestTarget.limited(now), f.sendBy(now, bestTarget)
 	if best.CopyTokens > 0 {
 		best.CopySource = s.copySource.entry.Address
 	}
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -111,6 +111,9 @@
 	Full bool
 	// Limited is set if a request limit of the target is in force.
 	Limited bool
+	// SendBy is the time by which the request must be written, because the slot of this
+	// daemon at the cold target ends then; 0 means no limit.
+	SendBy time.Duration
 	// FirstRanked is set if the target is the first one in the rendezvous order of
 	// the prompt.
 	FirstRanked bool
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -119,7 +119,7 @@
 	// Age returns the time since the decision.
 	Age() time.Duration
 	// TargetUsable reports whether the target may still get the request: it may have begun
-	// to leave since the decision.
+	// to leave since the decision, or the time by which a cold one takes it may have passed.
 	TargetUsable() bool
 	// ObserveLimit reports the request limit that the response names, or that it names none.
 	ObserveLimit(l placer.RequestLimit)
