placer: a refused connection of a request shows that the target has ended

Cause: only a refused probe made a target count as cold for the time in which its next process answers under the old entry. After a refused connection of a request, the first probe follows 300 ms later. If the next process answered it, the target was taken for warm, and it runs requests to the same ID.

Ruled out: a target that is unreachable for any other reason, which shows nothing.

Change: the result Absent of a request whose connection was refused. It counts as Unreachable does, and the target counts as cold for restartNotice.

TestWhenATargetCountsAsCold and TestRefusedConnectionsAreReported failed before and pass now. Without bounds for cold targets nothing changes.

--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -102,7 +102,7 @@
 }
 
 func (e endEvent) apply(c *Controller, now time.Duration) {
-	ran := e.result != placer.Refused && e.result != placer.Unreachable && e.result != placer.Misdirected && e.result != placer.Unsent
+	ran := e.result != placer.Refused && e.result != placer.Unreachable && e.result != placer.Absent && e.result != placer.Misdirected && e.result != placer.Unsent
 	c.end(now, e.permit, e.result, ran)
 }
 
--- a/gateway/placer/cold_test.go
+++ b/gateway/placer/cold_test.go
@@ -149,6 +149,16 @@
 	if !sendCold(f, now+5*time.Second, 3) {
 		t.Error("the target counts as cold although the registry has had time to say so")
 	}
+	f = newColdFleet(now, 0, 300, 1, false)
+	r := placer.Request{ID: 7, Service: "s"}
+	c, _ := f.Choose(now, r, placer.Constraints{FirstEventBudget: time.Hour})
+	f.RecordStart(now, r, c)
+	f.RecordEnd(now, r.ID, placer.Absent)
+	f.StartDueProbes(now + time.Second)
+	f.RecordProbe(now+time.Second, "t", true) // the next process answers
+	if sendCold(f, now+time.Second, 8) {
+		t.Error("the target counts as warm although its host refused the connection of a request")
+	}
 	f = newColdFleet(now, 0, 300, 1, true)
 	f.SetCold(map[registrar.Departure]time.Duration{{ID: "t", Incarnation: 1}: now}, false)
 	if sendCold(f, now+time.Second, 4) {
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -339,6 +339,9 @@
 	Refused
 	// Unreachable means that the target did not get the request.
 	Unreachable
+	// Absent means that the target did not get the request, since its host refused the
+	// connection: the process of the target has ended.
+	Absent
 	// Misdirected means that a different target answered at the address.
 	Misdirected
 	// Failed means that the request may have run but its whole answer did not arrive.
@@ -373,6 +376,9 @@
 		t.fullUntil = now + fullDuration
 	case Unreachable:
 		t.health.recordFailure(now, true)
+	case Absent:
+		t.health.recordFailure(now, true)
+		t.restartedUntil = now + restartNotice
 	case Misdirected:
 		t.health.recordMisdirection(now)
 	case Failed, Broken:
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -275,7 +275,11 @@
 		return outcomeRetry
 	}
 	if errors.Is(err, courier.ErrNotSent) {
-		permit.End(placer.Unreachable)
+		result := placer.Unreachable
+		if errors.Is(err, courier.ErrRefused) {
+			result = placer.Absent
+		}
+		permit.End(result)
 		p.excluded = append(p.excluded, target)
 		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
 		return outcomeRetry
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// Guards against a refused connection, which shows that the process of the target has
+// ended, that is reported like one without an answer, which shows nothing.
+func TestRefusedConnectionsAreReported(t *testing.T) {
+	f := newFixture(t, []reply{{err: courier.ErrRefused}, {err: courier.ErrNotSent}, {status: 200, header: signed, body: "ok"}}, nil)
+	f.postDefault(t, "/once/1")
+	f.wantResults(t, placer.Absent, placer.Unreachable, placer.Complete)
+}
+
 // Guards against more attempts than the retry budget allows.
 func TestRetriesNeedABudget(t *testing.T) {
 	f := newFixture(t, []reply{{err: errReset}}, func(o *receiver.Options) { o.RetryBudget = retryBudget{false} })
