--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -213,7 +213,7 @@
 	if bestTarget == nil {
 		return Choice{}, false
 	}
-	best.Target, best.Limited = bestTarget.entry, bestTarget.limited(now)
+	best.Target, best.Limited, best.SendBy = bestTarget.entry, bestTarget.limited(now), f.sendBy(now, bestTarget)
 	if best.CopyTokens > 0 {
 		best.CopySource = s.copySource.entry.Address
 	}
@@ -339,6 +339,9 @@
 	Refused
 	// Unreachable means that the target did not get the request.
 	Unreachable
+	// Absent means that the target did not get the request, since its host refused the
+	// connection: the process of the target has ended.
+	Absent
 	// Misdirected means that a different target answered at the address.
 	Misdirected
 	// Failed means that the request may have run but its whole answer did not arrive.
@@ -373,6 +376,9 @@
 		t.fullUntil = now + fullDuration
 	case Unreachable:
 		t.health.recordFailure(now, true)
+	case Absent:
+		t.health.recordFailure(now, true)
+		t.restartedUntil = now + restartNotice
 	case Misdirected:
 		t.health.recordMisdirection(now)
 	case Failed, Broken:
