--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -5,8 +5,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +12,6 @@
 
 	"monsoondeck.example/gateway/courier"
 	"monsoondeck.example/gateway/placer"
-	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/limiter"
@@ -362,42 +359,3 @@
 // noTargetRetryAfter is the time after which a target that was just found full or gone
 // is known to be so, and others are chosen.
 const noTargetRetryAfter = 200 * time.Millisecond
-
-// recordEnd reports the end of the request to metrics and log. Status 0 means that no
-// response was sent.
-func (p *proxyRequest) recordEnd(outcome string, status int) {
-	total := time.Since(p.start)
-	p.receiver.Observe(Observation{Route: p.route.Name, Outcome: outcome, FirstByte: p.firstByte, Total: total})
-	var longestPause time.Duration
-	if p.stream != nil {
-		longestPause = p.stream.longestPause
-	}
-	attrs := []slog.Attr{slog.String("outcome", outcome), slog.Int("status", status), slog.Int("attempts", p.attempts),
-		slog.Duration("firstByte", p.firstByte), slog.Duration("longestPause", longestPause), slog.Duration("total", total)}
-	if p.limit.Limited {
-		attrs = append(attrs, slog.Float64("targetLimit", p.limit.PerSecond))
-	}
-	p.log(logger.RequestEnded, attrs...)
-}
-
-// formatParts returns the parts of the prompt in order, as they are named in the records
-// of the quarantine, so that requests with a part in common can be found in the log.
-func (p *proxyRequest) formatParts() string {
-	var b strings.Builder
-	for i, part := range p.info.Parts {
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		b.WriteString(strconv.FormatUint(uint64(quarantiner.PartOf(p.service, part.ID)), 16))
-	}
-	return b.String()
-}
-
-// log logs an event of the request.
-func (p *proxyRequest) log(e logger.Event, attrs ...slog.Attr) {
-	attrs = append([]slog.Attr{
-		slog.String("request", p.info.ID), slog.String("route", p.route.Name), slog.String("account", p.account),
-		slog.Uint64("configVersion", p.version),
-	}, attrs...)
-	logger.Emit(p.receiver.Logger, e, attrs...)
-}
--- a/prover/attacker/ask_test.go
+++ b/prover/attacker/ask_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/platform/wire"
 )
 
 // ask sends one request on a connection of its own and returns an error unless the
@@ -40,7 +42,7 @@
 // askCallers sends an ordinary request of a caller.
 func (h *host) askCallers(timeout time.Duration) error {
 	body := strings.Repeat("x", ordinaryBody)
-	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: ordinary\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", plainPath, hostName, len(body), body)
+	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: ordinary\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", plainPath, hostName, wire.FieldAttempt, len(body), body)
 	return ask(h.addresses[callers], request, http.StatusOK, timeout)
 }
 
--- a/prover/attacker/client_test.go
+++ b/prover/attacker/client_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"monsoondeck.example/platform/wire"
 )
 
 const (
@@ -83,7 +85,7 @@
 
 // head returns the start of a request header, without the empty line at its end.
 func (c *client) head(method string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: c%d\r\n", method, c.path, hostName, c.number)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: c%d\r\n", method, c.path, hostName, wire.FieldAttempt, c.number)
 }
 
 // sendWithLength sends a body of n bytes, with a Content-Length of total.
