--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -20,7 +20,7 @@
 	permit.FirstEvent()
 	data, whole, err := p.readResponse(response)
 	if err != nil {
-		return p.failAttempt(permit, p.failureResult(ctx, err), "response body is incomplete", err)
+		return p.failAttempt(permit, p.failureResult(ctx, err), "response body is incomplete", failureCause(ctx, err))
 	}
 	if !whole {
 		return p.forwardLargeResponse(ctx, permit, response, data)
@@ -126,12 +126,18 @@
 // markForwarded updates the times of forwarding; events are being forwarded now.
 func (s *streamState) markForwarded() {
 	now := time.Now()
-	if !s.lastForwarded.IsZero() {
-		s.longestPause = max(s.longestPause, now.Sub(s.lastForwarded))
-	}
+	s.longestPause = s.pauseUntil(now)
 	s.lastForwarded = now
 }
 
+// pauseUntil returns the longest time without events until now.
+func (s *streamState) pauseUntil(now time.Time) time.Duration {
+	if s.lastForwarded.IsZero() {
+		return 0
+	}
+	return max(s.longestPause, now.Sub(s.lastForwarded))
+}
+
 // streamReadBytes is the size of the buffer for reading a stream.
 const streamReadBytes = 4 << 10
 
@@ -148,6 +154,7 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			p.lastData = time.Now()
 			ready, tooLong := events.add(buffer[:n])
 			if tooLong {
 				return p.failAttempt(permit, placer.Failed, "stream event exceeds the size limit", nil)
@@ -195,7 +202,7 @@
 			return p.endStream(permit, events.rest())
 		}
 		if err != nil {
-			return p.failAttempt(permit, p.failureResult(ctx, err), "stream broke before its end", err)
+			return p.failAttempt(permit, p.failureResult(ctx, err), "stream broke before its end", failureCause(ctx, err))
 		}
 	}
 }
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -88,6 +88,9 @@
 	stream *streamState
 	// firstByte is the time to the first byte of the response; 0 if there is none yet.
 	firstByte time.Duration
+	// lastData is the time at which the target of the current attempt last sent data, or at
+	// which the attempt began.
+	lastData time.Time
 }
 
 // attemptOutcome is how an attempt ended.
@@ -207,6 +210,7 @@
 	rc, target := p.receiver, permit.Decision().Choice.Target
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	p.lastData = time.Now()
 	watch := newStallWatch(p, permit, timeLeft, cancel)
 	defer watch.stop()
 	lastEventID := p.info.LastEventID
@@ -283,7 +287,7 @@
 	}
 	p.attempts++
 	p.mayHaveRun = true
-	return p.failAttempt(permit, p.failureResult(ctx, err), "no response", err)
+	return p.failAttempt(permit, p.failureResult(ctx, err), "no response", failureCause(ctx, err))
 }
 
 // failureResult returns the result of an incomplete attempt that ended with the error:
@@ -299,6 +303,15 @@
 	return placer.Failed
 }
 
+// failureCause adds to the error of an incomplete attempt why the daemon itself ended the
+// attempt, unless it did not.
+func failureCause(ctx context.Context, err error) error {
+	if ctx.Err() == nil || errors.Is(err, context.Cause(ctx)) {
+		return err
+	}
+	return errors.Wrap(context.Cause(ctx), err.Error())
+}
+
 // failAttempt ends an attempt that may have run but got no usable response. err may
 // be nil.
 func (p *proxyRequest) failAttempt(permit Permit, result placer.Result, reason string, err error) attemptOutcome {
@@ -306,7 +319,7 @@
 	target := permit.Decision().Choice.Target.ID
 	p.excluded = append(p.excluded, target)
 	attrs := []slog.Attr{slog.String("target", target), slog.Bool("sent", true), slog.String("what", reason),
-		slog.Bool("began", p.stream != nil && p.stream.started), slog.String("parts", p.formatParts())}
+		slog.Bool("began", p.stream != nil && p.stream.started), slog.Duration("silent", time.Since(p.lastData)), slog.String("parts", p.formatParts())}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", err.Error()))
 	}
--- a/gateway/receiver/record.go
+++ b/gateway/receiver/record.go
@@ -17,7 +17,7 @@
 	p.receiver.Observe(Observation{Route: p.route.Name, Outcome: outcome, FirstByte: p.firstByte, Total: total})
 	var longestPause time.Duration
 	if p.stream != nil {
-		longestPause = p.stream.longestPause
+		longestPause = p.stream.pauseUntil(time.Now())
 	}
 	attrs := []slog.Attr{slog.String("outcome", outcome), slog.Int("status", status), slog.Int("attempts", p.attempts),
 		slog.Duration("firstByte", p.firstByte), slog.Duration("longestPause", longestPause), slog.Duration("total", total)}
