Reproduce LOST: a silent target's request is cut before another has room

Five tests of the receiver, which fail on this code: the caller of a stream whose busy target sends nothing for 1.2 s (0.6 of the time for which this caller waits) gets a broken stream when no other target has room, also when one would have room a moment later; the repetition is demanded with 0 s for the first event, so that the queue refuses it at once whatever is free, and counts against the share of the account a second time. A request without a stream gets 502 as soon as its objective has passed.

--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -65,6 +65,10 @@
 	waits int
 	// refuse, unless empty, is the reason for which every request is refused.
 	refuse queuer.Reason
+	// fullFor is the number of next demands for a repetition that are refused because no
+	// target has room; -1 refuses all of them. Each sends a value to refused.
+	fullFor int
+	refused chan struct{}
 	// results holds the results of the ended permits, in the order in which they ended.
 	results []placer.Result
 	// limits are the request limits that were observed.
@@ -99,6 +103,15 @@
 		w.left--
 		p.left = true
 	}
+	if d.Request.Retry && w.fullFor != 0 {
+		w.fullFor--
+		p.decision = queuer.Decision{Reason: queuer.ReasonOverload, RetryAfter: 10 * time.Millisecond}
+		select {
+		case w.refused <- struct{}{}:
+		default:
+		}
+		return p, receiver.ErrRefused
+	}
 	if w.refuse != "" {
 		p.decision = queuer.Decision{Reason: w.refuse, RetryAfter: 250 * time.Millisecond}
 		return p, receiver.ErrRefused
@@ -161,6 +174,10 @@
 	endless string
 	// delimited is set if the response has a length or chunks.
 	delimited bool
+	// silent, unless nil, makes the target send nothing after the body until it is closed;
+	// then it sends rest.
+	silent <-chan struct{}
+	rest   string
 	// held withholds the response until the attempt is cancelled or release is closed.
 	held bool
 }
@@ -211,6 +228,9 @@
 	if r.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
+	if r.silent != nil {
+		body = io.MultiReader(body, silentReader{ctx, r.silent}, strings.NewReader(r.rest))
+	}
 	if r.endless != "" {
 		body = io.MultiReader(body, endlessReader(r.endless))
 	}
@@ -222,6 +242,22 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, courier.ErrBroken }
 
+// silentReader is the part of a body in which the target sends nothing until resumes is
+// closed. Its connection breaks when the attempt is cancelled.
+type silentReader struct {
+	attempt context.Context
+	resumes <-chan struct{}
+}
+
+func (r silentReader) Read([]byte) (int, error) {
+	select {
+	case <-r.resumes:
+		return 0, io.EOF
+	case <-r.attempt.Done():
+		return 0, courier.ErrBroken
+	}
+}
+
 // endlessReader is a body that repeats a text without end.
 type endlessReader string
 
@@ -308,7 +344,7 @@
 		Limits:   resolver.Limits{BodyBytes: 1000},
 	})
 	f := &fixture{
-		permitSource: &permitSource{ended: make(chan struct{}, 16)},
+		permitSource: &permitSource{ended: make(chan struct{}, 16), refused: make(chan struct{}, 16)},
 		checker:      &targetChecker{},
 		client:       &targetClient{replies: replies, started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})},
 	}
