Keep the request of a silent target until another target has room

Cause: after a silence of 0.6 of the time for which callers wait, the attempt was cancelled first and another target was sought then. In overload none had room, and the first refusal was final. None could have had room: the demand for the repetition had 0 s for the first event, since the objective had passed, and it counted against the share of the account a second time. Class of fault: giving up what one has before what replaces it is there.

Ruled out: the change of the configuration, idle connections (the answer had begun), memory.

Change: the search for another target runs while the attempt goes on, and the attempt is cancelled once a permit and a retry are there; the search ends when the target sends again. A request that can no longer be refused may use the time for which its caller waits, is not charged to the share again, and asks again when it is refused. A retry that was not used is kept for the next attempt.

TestStalledAttemptIsNotCancelledWithoutARetry gets a source of permits, as the attempt is no longer cancelled without one, and checks in addition that an unused permit is given back.

--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -22,6 +22,9 @@
 	// maxWaits bounds how often a request waits for a target, so that unreachable
 	// targets do not delay it for long.
 	maxWaits = 4
+	// roomCheckInterval is the time between two demands of a request that can no longer be
+	// refused and for which no target has room. Each demand costs processor time.
+	roomCheckInterval = 250 * time.Millisecond
 	// maxPermitAge is how long the decision of a permit may be used. Using it takes
 	// microseconds unless the host has no CPU time or was suspended.
 	maxPermitAge = 250 * time.Millisecond
@@ -75,6 +78,9 @@
 	excluded []string
 	// retryTaken is set while a retry is taken from the budget but not yet used.
 	retryTaken atomic.Bool
+	// replacement is a permit for another target that was given while the last attempt was
+	// going on; nil if there is none.
+	replacement Permit
 	// unresumable is set while events of the stream were forwarded and none of them has an
 	// ID after which another target could continue.
 	unresumable atomic.Bool
@@ -116,6 +122,11 @@
 	}
 	ctx, cancel := context.WithDeadline(parent, p.start.Add(p.timeout()))
 	defer cancel()
+	defer func() {
+		if p.replacement != nil {
+			p.replacement.End(placer.Unsent)
+		}
+	}()
 	p.receiver.RetryBudget.RecordRequest(p.service)
 	for {
 		switch p.attempt(ctx) {
@@ -136,13 +147,14 @@
 	}
 	permit, err := p.wait(ctx)
 	if err != nil {
-		return p.handleNoPermit(permit, err)
+		return p.handleNoPermit(ctx, permit, err)
 	}
 	d := permit.Decision()
 	timeLeft := p.timeLeft(ctx)
 	if permit.Age() > maxPermitAge {
 		// The process was suspended after the decision; the target may be gone by now.
 		permit.End(placer.Unsent)
+		p.keepRetry()
 		return outcomeRetry
 	}
 	if p.stream == nil && p.receiver.CallerDisconnected(p.request) {
@@ -160,10 +172,14 @@
 	return p.send(ctx, permit, timeLeft)
 }
 
-// wait waits for a permit.
+// wait returns the permit that was given during the last attempt, or waits for one.
 func (p *proxyRequest) wait(ctx context.Context) (Permit, error) {
-	demand := p.demand(ctx)
+	demand := p.demand(ctx, p.nextAttempt())
 	p.waits++
+	if permit := p.replacement; permit != nil {
+		p.replacement = nil
+		return permit, nil
+	}
 	return p.receiver.Permits.Wait(ctx, demand)
 }
 
@@ -191,13 +207,19 @@
 	return taken
 }
 
+// keepRetry keeps the retry that was taken for an attempt which was not sent.
+func (p *proxyRequest) keepRetry() { p.retryTaken.Store(p.attempts > 0) }
+
 // handleNoPermit handles a wait that ended without a permit. It rejects the request if
 // the permit was refused before any target may have run the request.
-func (p *proxyRequest) handleNoPermit(permit Permit, err error) attemptOutcome {
-	if !errors.Is(err, ErrRefused) || p.stream != nil || p.mayHaveRun || p.fallback != nil {
+func (p *proxyRequest) handleNoPermit(ctx context.Context, permit Permit, err error) attemptOutcome {
+	if !errors.Is(err, ErrRefused) || p.fallback != nil {
 		return outcomeFailed
 	}
 	d := permit.Decision()
+	if p.stream != nil || p.mayHaveRun {
+		return p.waitForRoom(ctx, d)
+	}
 	p.reject(rejection{
 		status: http.StatusServiceUnavailable, code: string(d.Reason), retryAfter: d.RetryAfter,
 		waited: d.Waited, expected: d.Choice.Expected, target: d.Choice.Target.ID, part: d.Part,
@@ -211,8 +233,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p.lastData = time.Now()
-	watch := newStallWatch(p, permit, timeLeft, cancel)
-	defer watch.stop()
+	watch := newStallWatch(ctx, p, permit, timeLeft, cancel)
+	defer func() { p.replacement = watch.stop() }()
 	lastEventID := p.info.LastEventID
 	if p.stream != nil && p.stream.lastEventID != "" {
 		lastEventID = p.stream.lastEventID
@@ -272,6 +294,7 @@
 		if errors.Is(err, courier.ErrSendingFull) {
 			p.excluded = append(p.excluded, target)
 		}
+		p.keepRetry()
 		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
 		return outcomeRetry
 	}
@@ -282,6 +305,7 @@
 		}
 		permit.End(result)
 		p.excluded = append(p.excluded, target)
+		p.keepRetry()
 		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
 		return outcomeRetry
 	}
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -237,8 +237,8 @@
 	return limit
 }
 
-// demand returns the demand with which the request waits for a permit.
-func (p *proxyRequest) demand(ctx context.Context) Demand {
+// demand returns the demand with which the request waits for a permit for its next attempt.
+func (p *proxyRequest) demand(ctx context.Context, next nextAttempt) Demand {
 	outputTokens := p.info.ExpectedOutputTokens
 	if outputTokens <= 0 {
 		outputTokens = p.info.MaxOutputTokens
@@ -249,19 +249,16 @@
 	if outputTokens <= 0 && p.engine != nil {
 		outputTokens = defaultOutputTokens
 	}
-	objective := p.route.Objective
-	if objective <= 0 {
-		objective = defaultObjective
-	}
-	deadline, _ := ctx.Deadline()
+	timeLeft := p.timeLeft(ctx)
 	return Demand{
 		Request: placer.Request{
 			ID: p.receiver.nextID.Add(1), Service: p.service, PromptTokens: p.info.PromptTokens, OutputTokens: outputTokens,
-			Parts: p.info.Parts, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, time.Until(deadline)),
-			Regions: p.regions, Retry: p.attempts > 0, Excluded: p.excluded,
+			Parts: p.info.Parts, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, timeLeft),
+			Regions: p.regions, Retry: next.repetition, Excluded: next.excluded,
 		},
-		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "", Priority: p.priority,
-		Objective: max(objective-time.Since(p.start), 0), TimeLeft: time.Until(deadline),
-		FirstWait: p.waits == 0,
+		// The share of the account was charged with the attempt that may have run.
+		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "" && !next.mayHaveRun, Priority: p.priority,
+		Objective: p.objectiveLeft(next, timeLeft), TimeLeft: timeLeft,
+		FirstWait: next.firstWait,
 	}
 }
--- /dev/null
+++ b/gateway/receiver/replacement.go
@@ -0,0 +1,120 @@
+package receiver
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/queuer"
+	"monsoondeck.example/gateway/resolver"
+	"monsoondeck.example/sleeper"
+)
+
+// lateFraction is the part of the time left within which a response without a stream should
+// begin once its objective has passed.
+const lateFraction = 0.5
+
+// nextAttempt describes the attempt for which a request needs a target.
+type nextAttempt struct {
+	// firstWait is set for the first attempt, repetition if the request was sent before.
+	firstWait, repetition bool
+	// mayHaveRun is set if a target may have run the request, which can then no longer be
+	// refused.
+	mayHaveRun bool
+	// excluded holds the IDs of the targets that must not get the request.
+	excluded []string
+	// silentSince is the time since which the caller has waited for an event.
+	silentSince time.Time
+}
+
+// nextAttempt returns the attempt that follows the attempts that have ended.
+func (p *proxyRequest) nextAttempt() nextAttempt {
+	return nextAttempt{firstWait: p.waits == 0, repetition: p.attempts > 0, mayHaveRun: p.mayHaveRun, excluded: p.excluded, silentSince: p.silentSince()}
+}
+
+// silentSince returns the time of the last event that reached the caller, or the start of
+// the request if there was none.
+func (p *proxyRequest) silentSince() time.Time {
+	if p.stream != nil && !p.stream.lastForwarded.IsZero() {
+		return p.stream.lastForwarded
+	}
+	return p.start
+}
+
+// objectiveLeft returns the time within which the next attempt should begin to respond. A
+// request that can no longer be refused has more than its objective: as long as its caller
+// waits.
+func (p *proxyRequest) objectiveLeft(next nextAttempt, timeLeft time.Duration) time.Duration {
+	objective := p.route.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	left := objective - time.Since(p.start)
+	if next.mayHaveRun {
+		left = max(left, p.patienceLeft(next.silentSince, timeLeft))
+	}
+	return max(left, 0)
+}
+
+// patienceLeft returns how much longer the caller is likely to wait for data.
+func (p *proxyRequest) patienceLeft(silentSince time.Time, timeLeft time.Duration) time.Duration {
+	if p.route.Kind == resolver.Streaming {
+		return min(callerPatience(p.route)-time.Since(silentSince), timeLeft)
+	}
+	return time.Duration(lateFraction * float64(timeLeft))
+}
+
+// waitForRoom waits until a request that can no longer be refused may ask for a target
+// again. It gives up if its caller will not wait for so long, and if the request must not
+// be repeated.
+func (p *proxyRequest) waitForRoom(ctx context.Context, d queuer.Decision) attemptOutcome {
+	if d.Reason == queuer.ReasonQuarantined || d.Reason == queuer.ReasonSuspected || p.patienceLeft(p.silentSince(), p.timeLeft(ctx)) <= roomCheckInterval {
+		return outcomeFailed
+	}
+	if !sleeper.Sleep(ctx, min(max(d.RetryAfter, 0), roomCheckInterval)) {
+		return outcomeFailed
+	}
+	p.keepRetry()
+	return outcomeRetry
+}
+
+// search seeks another target for a request while an attempt goes on.
+type search struct {
+	permits PermitSource
+	// demand returns the demand of the request, given the time since which its caller has
+	// waited for an event. It uses nothing that changes during the attempt.
+	demand func(ctx context.Context, silentSince time.Time) Demand
+}
+
+// newSearch returns the search for a target other than the one of the permit.
+func (p *proxyRequest) newSearch(permit Permit) *search {
+	next := nextAttempt{repetition: true, mayHaveRun: true, excluded: append(slices.Clone(p.excluded), permit.Decision().Choice.Target.ID)}
+	return &search{
+		permits: p.receiver.Permits,
+		demand: func(ctx context.Context, silentSince time.Time) Demand {
+			next.silentSince = silentSince
+			return p.demand(ctx, next)
+		},
+	}
+}
+
+// run asks for a permit until one is given and adopted, or the context ends.
+func (s *search) run(ctx context.Context, silentSince time.Time, adopt func(context.Context, Permit) bool) {
+	for {
+		permit, err := s.permits.Wait(ctx, s.demand(ctx, silentSince))
+		switch {
+		case err == nil && adopt(ctx, permit):
+			return
+		case err == nil:
+			permit.End(placer.Unsent)
+		case !errors.Is(err, ErrRefused):
+			return
+		}
+		if !sleeper.Sleep(ctx, roomCheckInterval) {
+			return
+		}
+	}
+}
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -10,8 +10,8 @@
 	"monsoondeck.example/gateway/resolver"
 )
 
-// errStalled is the cause with which a stalled attempt is cancelled so that the request
-// can be sent to another target.
+// errStalled is the cause with which a stalled attempt is cancelled because another target
+// has room for the request.
 var errStalled = errors.New("target sent no data in time")
 
 const (
@@ -29,49 +29,61 @@
 	callerMinSilence      = 2 * time.Second
 	callerObjectiveFactor = 4
 	callerGapFactor       = 8
-	// resumeFraction is the part of that time after which a resumable stream continues at
-	// another target. It is not shorter because a busy engine may send nothing for a
+	// resumeFraction is the part of that time after which another target is sought for a
+	// resumable stream. It is not shorter because a busy engine may send nothing for a
 	// second, and the other target would have to process the prompt again.
 	resumeFraction = 0.6
-	// maxResumeFraction is the part of the time left for a request after which a stream that
-	// has not begun continues at another target at the latest, so that this target can still
-	// respond. It does not hold for a stream that has begun: its caller would lose the rest
-	// if no other target has room.
+	// maxResumeFraction is the part of the time left for a request after which another
+	// target is sought at the latest for a stream that has not begun, so that this target
+	// can still respond.
 	maxResumeFraction = 0.5
-	// retryCheckInterval is how often a stalled attempt tries to take a retry from an
-	// exhausted budget, whose window is several seconds long.
-	retryCheckInterval = 250 * time.Millisecond
 )
 
-// resumeAfter returns after which silence of its target a resumable stream that has not
-// begun continues at another one.
+// callerPatience returns the time after which the caller of a stream is assumed to abandon
+// it if no event arrives.
+func callerPatience(r resolver.Route) time.Duration {
+	return max(callerMinSilence, callerObjectiveFactor*r.Objective, callerGapFactor*r.MaxEventGap)
+}
+
+// resumeAfter returns after which silence of its target another one is sought for a
+// resumable stream that has not begun.
 func resumeAfter(r resolver.Route, timeLeft time.Duration) time.Duration {
 	return min(resumeBegunAfter(r), time.Duration(maxResumeFraction*float64(timeLeft)))
 }
 
 // resumeBegunAfter returns the same for a stream that has begun.
 func resumeBegunAfter(r resolver.Route) time.Duration {
-	abandonAfter := max(callerMinSilence, callerObjectiveFactor*r.Objective, callerGapFactor*r.MaxEventGap)
-	return time.Duration(resumeFraction * float64(abandonAfter))
+	return time.Duration(resumeFraction * float64(callerPatience(r)))
 }
 
 // stallWatch detects a target that has stalled: it sent no data for longer than
-// expected. It reports that to the permit, and cancels the attempt if the request may be
-// sent to another target.
+// expected. It reports that to the permit, and seeks another target if the request may be
+// sent to one. The attempt is cancelled only once another target has room: a busy target
+// that goes on after a pause is better for the caller than a broken response.
 type stallWatch struct {
 	permit Permit
 	cancel context.CancelCauseFunc
 	// takeRetry takes a retry from the budget. While there is none, the attempt is not
 	// cancelled.
 	takeRetry func() bool
+	// startSearch starts to seek another target and returns a function that ends the
+	// search; nil if the request cannot be sent to another one.
+	startSearch func() context.CancelFunc
 
 	mutex sync.Mutex
-	timer *time.Timer
+	// stopSearch ends the search for another target; nil unless there is one.
+	stopSearch context.CancelFunc
+	// silentSince is the time of the last event that reached the caller, or of the start of
+	// the request.
+	silentSince time.Time
+	// replacement is the permit for another target that the search has found.
+	replacement Permit
+	timer       *time.Timer
 	// stalled is the state that was last reported to the permit.
 	stalled bool
 	stopped bool
 	// stallAfter is the pause after which the target counts as stalled. cancelAfter is the
-	// time from then until the attempt is cancelled; 0 means never. It becomes
+	// time from then until the attempt may be cancelled; 0 means never. It becomes
 	// cancelBegunAfter with the first event.
 	stallAfter, cancelAfter, cancelBegunAfter time.Duration
 	// events is the number of events since lastReport, which is zero before the first
@@ -80,11 +92,21 @@
 	lastReport time.Time
 }
 
-// newStallWatch starts to watch an attempt of the request. cancel ends the attempt.
-func newStallWatch(p *proxyRequest, permit Permit, timeLeft time.Duration, cancel context.CancelCauseFunc) *stallWatch {
-	w := &stallWatch{permit: permit, cancel: cancel, takeRetry: p.takeRetry, stallAfter: max(p.route.MaxEventGap, minStallGap)}
+// newStallWatch starts to watch an attempt of the request with the context. cancel ends the
+// attempt.
+func newStallWatch(ctx context.Context, p *proxyRequest, permit Permit, timeLeft time.Duration, cancel context.CancelCauseFunc) *stallWatch {
+	w := &stallWatch{permit: permit, cancel: cancel, takeRetry: p.takeRetry, silentSince: p.silentSince(), stallAfter: max(p.route.MaxEventGap, minStallGap)}
+	search := p.newSearch(permit)
+	w.startSearch = func() context.CancelFunc {
+		if p.unresumable.Load() {
+			return nil
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		go search.run(ctx, w.silentSince, w.adopt)
+		return cancel
+	}
 	firstEventTimeout := 2*permit.Decision().Choice.Expected + stallSlack
-	mayRetry := p.attempts+1 < p.route.MaxAttempts && p.route.Repeatable()
+	mayRetry := p.attempts+1 < p.route.MaxAttempts && p.waits < maxWaits && p.route.Repeatable()
 	switch {
 	case mayRetry && p.route.Kind == resolver.Streaming:
 		w.cancelAfter = max(resumeAfter(p.route, timeLeft)-w.stallAfter, time.Millisecond)
@@ -97,6 +119,8 @@
 		firstEventTimeout = objective
 		w.cancelAfter = time.Millisecond
 	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.timer = time.AfterFunc(firstEventTimeout, w.onTimer)
 	return w
 }
@@ -108,6 +132,8 @@
 	if w.stopped {
 		return
 	}
+	w.endSearch()
+	w.silentSince = time.Now()
 	w.cancelAfter = w.cancelBegunAfter
 	w.timer.Reset(w.stallAfter)
 	w.reportProgress(n)
@@ -140,7 +166,7 @@
 }
 
 // onTimer runs when the target has sent no data for too long. The first time it reports
-// the stall; later it cancels the attempt as soon as a retry is available.
+// the stall; the second time it begins to seek another target.
 func (w *stallWatch) onTimer() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -154,17 +180,40 @@
 		if w.cancelAfter > 0 {
 			w.timer.Reset(w.cancelAfter)
 		}
-	case w.takeRetry():
-		w.cancel(errStalled)
-	default:
-		w.timer.Reset(retryCheckInterval)
+	case w.stopSearch == nil:
+		w.stopSearch = w.startSearch()
+	}
+}
+
+// adopt takes the permit for another target in place of the one of the attempt, which it
+// cancels. It reports false if the target sends again, the attempt has ended, or there is no
+// retry in the budget.
+func (w *stallWatch) adopt(ctx context.Context, permit Permit) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.stopped || ctx.Err() != nil || !w.takeRetry() {
+		return false
+	}
+	w.replacement = permit
+	w.cancel(errStalled)
+	return true
+}
+
+// endSearch ends the search for another target. The caller holds the mutex.
+func (w *stallWatch) endSearch() {
+	if w.stopSearch != nil {
+		w.stopSearch()
+		w.stopSearch = nil
 	}
 }
 
-// stop ends the watch; later events and timers have no effect.
-func (w *stallWatch) stop() {
+// stop ends the watch; later events and timers have no effect. It returns the permit for
+// another target, if one was found.
+func (w *stallWatch) stop() Permit {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopped = true
 	w.timer.Stop()
+	w.endSearch()
+	return w.replacement
 }
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"monsoondeck.example/gateway/placer"
@@ -11,8 +13,11 @@
 	"monsoondeck.example/gateway/resolver"
 )
 
-// stallCounter is a Permit that counts the calls of SetStalled.
-type stallCounter struct{ calls int }
+// stallCounter is a Permit that counts the calls of SetStalled and records the results.
+type stallCounter struct {
+	calls int
+	ended []placer.Result
+}
 
 func (*stallCounter) Decision() queuer.Decision        { return queuer.Decision{} }
 func (*stallCounter) Age() time.Duration               { return 0 }
@@ -23,7 +28,12 @@
 func (*stallCounter) ObserveLeave()                    {}
 func (*stallCounter) Progress(int, time.Duration)      {}
 func (s *stallCounter) SetStalled(bool)                { s.calls++ }
-func (*stallCounter) End(placer.Result)                {}
+func (s *stallCounter) End(r placer.Result)            { s.ended = append(s.ended, r) }
+
+// freeTarget is a PermitSource that always gives the same permit.
+type freeTarget struct{ permit Permit }
+
+func (f *freeTarget) Wait(context.Context, Demand) (Permit, error) { return f.permit, nil }
 
 // budget is a RetryBudget that allows a fixed number of retries.
 type budget struct{ retries int }
@@ -40,24 +50,31 @@
 func TestStalledAttemptIsNotCancelledWithoutARetry(t *testing.T) {
 	for _, retries := range []int{0, 1} {
 		b := &budget{retries: retries}
-		p := &proxyRequest{
-			receiver: New(Options{RetryBudget: b}),
-			route:    resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, MaxEventGap: time.Hour},
-		}
-		ctx, cancel := context.WithCancelCause(context.Background())
-		permit := &stallCounter{}
-		w := newStallWatch(p, permit, time.Hour, cancel)
-		defer w.stop()
-		w.onTimer()
-		w.onTimer()
-		cancelled := errors.Is(context.Cause(ctx), errStalled)
-		if cancelled != (retries > 0) || permit.calls != 1 {
-			t.Errorf("%d retries: cancelled %v, %d calls of SetStalled", retries, cancelled, permit.calls)
-		}
-		p.attempts = 1
-		if mayRetry := p.mayTryAgain(context.Background()); mayRetry != cancelled {
-			t.Errorf("%d retries: may try again %v", retries, mayRetry)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			other := &stallCounter{}
+			p := &proxyRequest{
+				receiver: New(Options{RetryBudget: b, Permits: &freeTarget{other}}),
+				route:    resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, MaxEventGap: time.Hour},
+			}
+			ctx, cancel := context.WithCancelCause(t.Context())
+			permit := &stallCounter{}
+			w := newStallWatch(ctx, p, permit, time.Hour, cancel)
+			defer w.stop()
+			w.onTimer()
+			w.onTimer()
+			synctest.Wait()
+			cancelled := errors.Is(context.Cause(ctx), errStalled)
+			if cancelled != (retries > 0) || permit.calls != 1 {
+				t.Errorf("%d retries: cancelled %v, %d calls of SetStalled", retries, cancelled, permit.calls)
+			}
+			if returned := slices.Equal(other.ended, []placer.Result{placer.Unsent}); returned == cancelled {
+				t.Errorf("%d retries: the permit for the other target ended with %v", retries, other.ended)
+			}
+			p.attempts = 1
+			if mayRetry := p.mayTryAgain(t.Context()); mayRetry != cancelled {
+				t.Errorf("%d retries: may try again %v", retries, mayRetry)
+			}
+		})
 	}
 }
 
@@ -68,8 +85,8 @@
 	const timeLeft = 3 * time.Second
 	route := resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, Objective: 1500 * time.Millisecond, MaxEventGap: 600 * time.Millisecond}
 	p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}}), route: route}
-	_, cancel := context.WithCancelCause(context.Background())
-	w := newStallWatch(p, &stallCounter{}, timeLeft, cancel)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	w := newStallWatch(ctx, p, &stallCounter{}, timeLeft, cancel)
 	defer w.stop()
 	if silence := w.stallAfter + w.cancelAfter; silence != timeLeft/2 {
 		t.Errorf("a stream that has not begun is cancelled after %v, want %v", silence, timeLeft/2)
@@ -84,7 +101,7 @@
 func TestStalledStreamWithoutIDsIsNotCancelled(t *testing.T) {
 	p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}}), route: resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2}}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	w := newStallWatch(p, &stallCounter{}, time.Hour, cancel)
+	w := newStallWatch(ctx, p, &stallCounter{}, time.Hour, cancel)
 	defer w.stop()
 	p.unresumable.Store(true)
 	w.onTimer()
