Do not count refusals of a request that can no longer be refused

What callers see: a stream whose target broke off ends after three refusals, within a second, although its caller would wait for longer and the time of the request is not used up.

Cause: each demand counts towards the four waits by which unreachable targets are bounded, also one that the queue refused. Refusals such as closed, noTarget and overShare come at once, so that three of them take 0.5 to 0.75 s.

The demands stay bounded: one in roomCheckInterval or the time that the refusal asks for, until waitForRoom gives up.

--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -71,8 +71,8 @@
 	// streamCharged is the number of bytes that are charged for incomplete events.
 	streamCharged int
 
-	// waits counts the permits that were requested, attempts the targets to which the
-	// request was sent.
+	// waits counts the permits that were requested, without those that were refused once the
+	// request could no longer be; attempts counts the targets to which the request was sent.
 	waits, attempts int
 	// excluded holds the IDs of targets that failed or refused the request.
 	excluded []string
--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -74,10 +74,15 @@
 	if d.Reason == queuer.ReasonQuarantined || d.Reason == queuer.ReasonSuspected || p.patienceLeft(p.silentSince(), p.timeLeft(ctx)) <= roomCheckInterval {
 		return outcomeFailed
 	}
-	if !sleeper.Sleep(ctx, min(max(d.RetryAfter, 0), roomCheckInterval)) {
+	pause := roomCheckInterval
+	if d.RetryAfter > 0 {
+		pause = min(d.RetryAfter, pause)
+	}
+	if !sleeper.Sleep(ctx, pause) {
 		return outcomeFailed
 	}
 	p.keepRetry()
+	p.waits-- // the bound is for unreachable targets
 	return outcomeRetry
 }
 
