Seek another target as long as the request has time

What callers see: a stream ends, although the caller is connected and the time of its request is not used up, once the time for which callers are assumed to wait has passed. Until then, a silent target keeps the stream, but the search for another one can find nothing.

Cause: the demand of a repetition leaves the rest of callerPatience for the next event, which is 0 s from then on, so that the queue refuses it at once; and waitForRoom gives up at that time. A stream that has not begun is affected from the start of the search if its expected time is long: the search begins after 2 x expected + 0.4 s + 0.6 x patience, and patience is counted from the start of the request.

Change: as the caller is still there, the demand leaves what a new request of the route has, at most half of the time left, and waitForRoom gives up only when too little of the time of the request is left.

--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -13,8 +13,8 @@
 	"monsoondeck.example/sleeper"
 )
 
-// lateFraction is the part of the time left within which a response without a stream should
-// begin once its objective has passed.
+// lateFraction is the part of the time left within which a response should begin once its
+// objective has passed.
 const lateFraction = 0.5
 
 // nextAttempt describes the attempt for which a request needs a target.
@@ -46,7 +46,7 @@
 
 // objectiveLeft returns the time within which the next attempt should begin to respond. A
 // request that can no longer be refused has more than its objective: as long as its caller
-// waits.
+// is likely to wait, and then, as the caller is still there, as long as a new request.
 func (p *proxyRequest) objectiveLeft(next nextAttempt, timeLeft time.Duration) time.Duration {
 	objective := p.route.Objective
 	if objective <= 0 {
@@ -54,7 +54,7 @@
 	}
 	left := objective - time.Since(p.start)
 	if next.mayHaveRun {
-		left = max(left, p.patienceLeft(next.silentSince, timeLeft))
+		left = max(left, p.patienceLeft(next.silentSince, timeLeft), min(objective, lateLimit(timeLeft)))
 	}
 	return max(left, 0)
 }
@@ -64,14 +64,19 @@
 	if p.route.Kind == resolver.Streaming {
 		return min(callerPatience(p.route)-time.Since(silentSince), timeLeft)
 	}
+	return lateLimit(timeLeft)
+}
+
+// lateLimit returns the time within which a late response should begin.
+func lateLimit(timeLeft time.Duration) time.Duration {
 	return time.Duration(lateFraction * float64(timeLeft))
 }
 
 // waitForRoom waits until a request that can no longer be refused may ask for a target
-// again. It gives up if its caller will not wait for so long, and if the request must not
-// be repeated.
+// again. It gives up if too little of the time of the request is left, and if the request
+// must not be repeated.
 func (p *proxyRequest) waitForRoom(ctx context.Context, d queuer.Decision) attemptOutcome {
-	if d.Reason == queuer.ReasonQuarantined || d.Reason == queuer.ReasonSuspected || p.patienceLeft(p.silentSince(), p.timeLeft(ctx)) <= roomCheckInterval {
+	if d.Reason == queuer.ReasonQuarantined || d.Reason == queuer.ReasonSuspected || lateLimit(p.timeLeft(ctx)) <= roomCheckInterval {
 		return outcomeFailed
 	}
 	pause := roomCheckInterval
