Keep a silent target if the permit for another one is too old

What callers see: on a host that was suspended or has no CPU time, a stream or request is taken from its silent target for a permit that is older than maxPermitAge. The next attempt gives that permit back, and no target is at work on the request any more.

Evidence: TestSilentTargetIsNotCancelledForAnAgedPermit failed before (the attempt was cancelled, the permit not given back) and passes now.

--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -186,12 +186,12 @@
 }
 
 // adopt takes the permit for another target in place of the one of the attempt, which it
-// cancels. It reports false if the target sends again, the attempt has ended, or there is no
-// retry in the budget.
+// cancels. It reports false if the target sends again, the attempt has ended, the permit is
+// too old, or there is no retry in the budget.
 func (w *stallWatch) adopt(ctx context.Context, permit Permit) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.stopped || ctx.Err() != nil || !w.takeRetry() {
+	if w.stopped || ctx.Err() != nil || permit.Age() > maxPermitAge || !w.takeRetry() {
 		return false
 	}
 	w.replacement = permit
