Drop events without IDs that follow the adoption of another target

What callers see: a stream that has not begun is taken from its silent target for another one. Its first event arrives at that moment and has no ID, is forwarded, and makes the stream one that cannot be continued; then the cancelled connection breaks, and the caller gets a broken stream although the permit for the other target is there.

Change: such an event is dropped once another target has taken the place of this one, so that the other one begins the stream. Events with IDs are forwarded as before: the other target continues after them.

Evidence: TestEventsAfterTheAdoptionDoNotPreventTheContinuation failed before (the event was forwarded, no further attempt was allowed) and passes now; the tests of the package pass three times with the race detector.

--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -178,6 +178,10 @@
 					return p.failAttempt(permit, placer.Failed, "target sent only comments, and too many", nil)
 				}
 				if events.count > 0 && events.lastEventID == "" && p.stream.lastEventID == "" {
+					if watch.isReplaced() {
+						// Once this event is forwarded, the other target cannot continue.
+						return p.failAttempt(permit, placer.Failed, "target sent its first event too late", errStalled)
+					}
 					p.unresumable.Store(true)
 				} else if events.lastEventID != "" {
 					p.unresumable.Store(false)
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -165,6 +165,14 @@
 	return w.stalled
 }
 
+// isReplaced reports whether another target has taken the place of this one. That does not
+// change between recordEvents and the next stall.
+func (w *stallWatch) isReplaced() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.replacement != nil
+}
+
 // onTimer runs when the target has sent no data for too long. The first time it reports
 // the stall; the second time it begins to seek another target.
 func (w *stallWatch) onTimer() {
