Try again when an engine refuses to resume a stream

What callers see: monsoond ends a broken stream of a repeatable request with the first resume that the engine refuses or that does not reach it, although Options.Resumes permits three. A busy engine refuses with 429, and one that restarts refuses the connection.

Cause: copyEvents returned the first error of a resume; the number of resumes counted only those that had begun.

Evidence: the spec "tries again after the engine refused to resume" failed before (unexpected EOF) and passes now, with the other specs of router/receiver and router/dispatcher. Answers that show that the engine does not continue this stream stay final.

--- a/router/dispatcher/events.go
+++ b/router/dispatcher/events.go
@@ -35,22 +35,16 @@
 // repeatable.
 func (a *attempt) copyEvents(res *http.Response) error {
 	s := &eventSplitter{buffer: make([]byte, 0, initialEventBuffer)}
-	for resumes := 0; ; resumes++ {
+	for resumes := 0; ; {
 		done, err := a.copyUntilDone(res, s)
 		if done {
 			defer a.drain(res)
 			return a.finishEvents()
 		}
-		err = a.closeBody(res, err)
-		if !a.resumable(err, resumes) {
+		if res, resumes, err = a.resume(a.closeBody(res, err), resumes); err != nil {
 			return err
 		}
-		resumed, resumeErr := a.resume(resumes)
-		if resumeErr != nil {
-			return errors.WithSecondaryError(err, resumeErr)
-		}
 		s.reset()
-		res = resumed
 	}
 }
 
--- a/router/dispatcher/resume.go
+++ b/router/dispatcher/resume.go
@@ -21,8 +21,26 @@
 	return a.request.Repeatable && a.started && resumes < a.dispatcher.options.Resumes && errors.Is(err, ErrIncompleteResponse)
 }
 
-// resume asks the same engine for the rest of a broken stream.
-func (a *attempt) resume(resumes int) (*http.Response, error) {
+// resume resumes a stream that broke with err, after the given number of resumes. It tries
+// again while the engine is too busy or cannot be reached. It returns the new number of
+// resumes, and err if the stream cannot be resumed.
+func (a *attempt) resume(err error, resumes int) (*http.Response, int, error) {
+	for a.resumable(err, resumes) {
+		res, resumeErr := a.sendResume(resumes)
+		resumes++
+		if resumeErr == nil {
+			return res, resumes, nil
+		}
+		err = errors.WithSecondaryError(err, resumeErr)
+		if !errors.Is(resumeErr, ErrRefused) && !errors.Is(resumeErr, ErrIncompleteResponse) {
+			break
+		}
+	}
+	return nil, resumes, err
+}
+
+// sendResume asks the same engine for the rest of a broken stream.
+func (a *attempt) sendResume(resumes int) (*http.Response, error) {
 	time.Sleep(time.Duration(resumes) * resumeBackoff)
 	res, err := a.send(http.Header{
 		headerResumeRequest: {a.stream.request},
@@ -31,6 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if refused(res) {
+		return nil, a.closeBody(res, ErrRefused)
+	}
 	if res.StatusCode != http.StatusOK || !isEventStream(res.Header) {
 		return nil, a.closeBody(res, errNotResumed)
 	}
