Ask for another target for a silent one without waiting in the queue

A request at a silent target asked for another one as a first attempt does: it waited in the queue up to 0.4 of its objective. It could also be granted a target that would begin far too late, and asked without a retry in the budget.

Such a demand is now decided at once: a target that can begin on time, or a refusal. It is made only while the budget has a retry. TestStalledAttemptIsNotCancelledWithoutARetry checks that no target is asked for without a retry, in place of the permit that was given back.

--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -57,6 +57,8 @@
 	Objective time.Duration
 	// Deadline is the time at which the caller gives up.
 	Deadline time.Duration
+	// NoWait is set if the request is refused unless a target can begin it on time now.
+	NoWait bool
 }
 
 // Reason says why a request is refused.
@@ -209,6 +211,9 @@
 	if found && choice.Fits && !(w.overShare && blocked[w.Request.Service]) {
 		return q.send(now, w, choice), true
 	}
+	if w.NoWait {
+		return q.refuse(now, w, choice, found), true
+	}
 	maxWait := time.Duration(q.settings.MaxWaitShare * float64(w.Objective))
 	noTargets := !found && q.placer.TargetsInRegion(w.Request) == 0
 	if !found {
--- a/gateway/queuer/queuer_test.go
+++ b/gateway/queuer/queuer_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// Load: over capacity, streams at silent targets ask for another target several times a
+// second. Guards against requests over their share that are refused although targets are
+// free, because a request that has a target already waits in front of them.
+func TestRequestThatHasATargetDoesNotWait(t *testing.T) {
+	f := &fakePlacer{found: true, expected: objective}
+	q, _ := newQueue(f)
+	repetition := newItem(1, "a", 0)
+	repetition.NoWait = true
+	q.Add(repetition)
+	if d := q.Decide(0); len(d) != 1 || d[0].Reason != queuer.ReasonOverload {
+		t.Errorf("decisions %+v, want a refusal at once", d)
+	}
+	f.freeSlots = 1
+	q.Add(repetition)
+	if d := q.Decide(0); len(d) != 1 || d[0].Reason != "" {
+		t.Errorf("decisions %+v, want it sent to a target with room", d)
+	}
+}
+
 // Guards against requests that wait for a service without any target.
 func TestServiceWithoutTargetsRefusesAtOnce(t *testing.T) {
 	f := &fakePlacer{}
--- a/gateway/receiver/adopted_events_test.go
+++ b/gateway/receiver/adopted_events_test.go
@@ -28,7 +28,7 @@
 		answer := httptest.NewRecorder()
 		memory := limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20})
 		p := &proxyRequest{
-			receiver: New(Options{RetryBudget: &budget{retries: 1}, Protocol: plainProtocol{}, Memory: memory, Logger: slog.New(slog.DiscardHandler), Permits: &freeTarget{&stallCounter{}}, Clock: func() time.Duration { return 0 }}),
+			receiver: New(Options{RetryBudget: &budget{retries: 1}, Protocol: plainProtocol{}, Memory: memory, Logger: slog.New(slog.DiscardHandler), Permits: &freeTarget{permit: &stallCounter{}}, Clock: func() time.Duration { return 0 }}),
 			route:    patientRoute, start: time.Now(), request: r, writer: answer, control: http.NewResponseController(answer), attempts: 1,
 		}
 		ctx, cancel := context.WithCancelCause(t.Context())
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -109,6 +109,9 @@
 	TimeLeft time.Duration
 	// FirstWait is set the first time that the request waits.
 	FirstWait bool
+	// NoWait is set if the permit is refused unless a target can begin the request on time
+	// now, so that a request which has a target takes no place in the queue.
+	NoWait bool
 }
 
 // Permit allows sending a request to a target once. Its methods, except Decision, Age and
@@ -176,6 +179,8 @@
 	RecordRequest(service string)
 	// TakeRetry takes a retry from the budget of the service; false if there is none.
 	TakeRetry(service string) bool
+	// HasRetry reports whether TakeRetry would take one.
+	HasRetry(service string) bool
 }
 
 // LoadShedder protects the host from overload.
--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -28,6 +28,8 @@
 	excluded []string
 	// silentSince is the time since which the caller has waited for an event.
 	silentSince time.Time
+	// noWait is set while another attempt goes on.
+	noWait bool
 }
 
 // nextAttempt returns the attempt that follows the attempts that have ended.
@@ -97,13 +99,15 @@
 	// demand returns the demand of the request, given the time since which its caller has
 	// waited for an event. It uses nothing that changes during the attempt.
 	demand func(ctx context.Context, silentSince time.Time) Demand
+	// hasRetry reports whether there is a retry in the budget.
+	hasRetry func() bool
 }
 
 // newSearch returns the search for a target other than the one of the permit.
 func (p *proxyRequest) newSearch(permit Permit) *search {
-	next := nextAttempt{repetition: true, mayHaveRun: true, excluded: append(slices.Clone(p.excluded), permit.Decision().Choice.Target.ID)}
+	next := nextAttempt{repetition: true, mayHaveRun: true, noWait: true, excluded: append(slices.Clone(p.excluded), permit.Decision().Choice.Target.ID)}
 	return &search{
-		permits: p.receiver.Permits,
+		permits: p.receiver.Permits, hasRetry: func() bool { return p.receiver.RetryBudget.HasRetry(p.service) },
 		demand: func(ctx context.Context, silentSince time.Time) Demand {
 			next.silentSince = silentSince
 			return p.demand(ctx, next)
@@ -113,18 +117,23 @@
 
 // run asks for a permit until one is given and adopted, or the context ends.
 func (s *search) run(ctx context.Context, silentSince time.Time, adopt func(context.Context, Permit) bool) {
-	for {
-		permit, err := s.permits.Wait(ctx, s.demand(ctx, silentSince))
-		switch {
-		case err == nil && adopt(ctx, permit):
-			return
-		case err == nil:
-			permit.End(placer.Unsent)
-		case !errors.Is(err, ErrRefused):
-			return
-		}
-		if !sleeper.Sleep(ctx, roomCheckInterval) {
-			return
-		}
+	for goesOn := true; goesOn; {
+		goesOn = s.ask(ctx, silentSince, adopt) && sleeper.Sleep(ctx, roomCheckInterval)
 	}
 }
+
+// ask asks for a permit once. It reports whether the search goes on.
+func (s *search) ask(ctx context.Context, silentSince time.Time, adopt func(context.Context, Permit) bool) bool {
+	if !s.hasRetry() {
+		return true
+	}
+	permit, err := s.permits.Wait(ctx, s.demand(ctx, silentSince))
+	if err != nil {
+		return errors.Is(err, ErrRefused)
+	}
+	if adopt(ctx, permit) {
+		return false
+	}
+	permit.End(placer.Unsent)
+	return true
+}
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -298,6 +298,7 @@
 
 func (retryBudget) RecordRequest(string)    {}
 func (r retryBudget) TakeRetry(string) bool { return r.allow }
+func (r retryBudget) HasRetry(string) bool  { return r.allow }
 
 type loadShedder struct{ full, closeConnections bool }
 
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,15 +29,22 @@
 func (s *stallCounter) SetStalled(bool)                { s.calls++ }
 func (s *stallCounter) End(r placer.Result)            { s.ended = append(s.ended, r) }
 
-// freeTarget is a PermitSource that always gives the same permit.
-type freeTarget struct{ permit Permit }
+// freeTarget is a PermitSource that always gives the same permit, and counts the demands.
+type freeTarget struct {
+	permit Permit
+	waits  int
+}
 
-func (f *freeTarget) Wait(context.Context, Demand) (Permit, error) { return f.permit, nil }
+func (f *freeTarget) Wait(context.Context, Demand) (Permit, error) {
+	f.waits++
+	return f.permit, nil
+}
 
 // budget is a RetryBudget that allows a fixed number of retries.
 type budget struct{ retries int }
 
-func (*budget) RecordRequest(string) {}
+func (*budget) RecordRequest(string)   {}
+func (b *budget) HasRetry(string) bool { return b.retries > 0 }
 func (b *budget) TakeRetry(string) bool {
 	b.retries--
 	return b.retries >= 0
@@ -51,9 +57,9 @@
 	for _, retries := range []int{0, 1} {
 		b := &budget{retries: retries}
 		synctest.Test(t, func(t *testing.T) {
-			other := &stallCounter{}
+			other := &freeTarget{permit: &stallCounter{}}
 			p := &proxyRequest{
-				receiver: New(Options{RetryBudget: b, Permits: &freeTarget{other}}),
+				receiver: New(Options{RetryBudget: b, Permits: other}),
 				route:    resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, MaxEventGap: time.Hour},
 			}
 			ctx, cancel := context.WithCancelCause(t.Context())
@@ -67,8 +73,8 @@
 			if cancelled != (retries > 0) || permit.calls != 1 {
 				t.Errorf("%d retries: cancelled %v, %d calls of SetStalled", retries, cancelled, permit.calls)
 			}
-			if returned := slices.Equal(other.ended, []placer.Result{placer.Unsent}); returned == cancelled {
-				t.Errorf("%d retries: the permit for the other target ended with %v", retries, other.ended)
+			if asked := other.waits > 0; asked != cancelled {
+				t.Errorf("%d retries: asked for another target: %v", retries, asked)
 			}
 			p.attempts = 1
 			if mayRetry := p.mayTryAgain(t.Context()); mayRetry != cancelled {
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -46,8 +46,19 @@
 func (r *retryBudgets) TakeRetry(service string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	slack := r.settings.RetrySlack / float64(max(r.peers()+1, minFleetSize))
-	return r.budget(service).Retry(r.clock(), slack)
+	return r.budget(service).Retry(r.clock(), r.slack())
+}
+
+// HasRetry implements receiver.RetryBudget.
+func (r *retryBudgets) HasRetry(service string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.budget(service).Allows(r.clock(), r.slack())
+}
+
+// slack returns the part of this daemon in the slack.
+func (r *retryBudgets) slack() float64 {
+	return r.settings.RetrySlack / float64(max(r.peers()+1, minFleetSize))
 }
 
 // budget returns the budget of a service. The caller must hold the mutex.
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -31,6 +31,15 @@
 
 // Retry reports whether the budget and the slack allow one more retry, and counts it if so.
 func (b *WindowBudget) Retry(now time.Duration, slack float64) bool {
+	if !b.Allows(now, slack) {
+		return false
+	}
+	b.retries[b.currentStep%int64(len(b.retries))]++
+	return true
+}
+
+// Allows reports whether the budget and the slack allow one more retry.
+func (b *WindowBudget) Allows(now time.Duration, slack float64) bool {
 	b.advance(now)
 	requests, retries := 0, 0
 	for i := range b.requests {
@@ -39,11 +48,7 @@
 	}
 	// The oldest step is partly outside the window.
 	requests -= b.requests[(b.currentStep+1)%int64(len(b.requests))]
-	if float64(retries+1) > b.ratio*float64(requests)+slack {
-		return false
-	}
-	b.retries[b.currentStep%int64(len(b.retries))]++
-	return true
+	return float64(retries+1) <= b.ratio*float64(requests)+slack
 }
 
 // advance moves the window to the current time and clears the steps that it enters.
