Let only the reader close a connection once it has read a byte

Callers saw: a kept connection ends without an answer to a request that the daemon has read, when it is closed as idle at the same moment: after the idle timeout, within seconds of a shorter one in the configuration, after 1 s while memory is short, or for a new connection on a full host.

Cause: the HTTP server reports a request once it has parsed the whole header. Until then the connection counted as idle, and nothing waited unread any more once the server had read the bytes. closeIdle closed it, also if the server had the whole request but no processor yet, or if the request had been read together with an earlier one. closeLongestIdle ended the read between two segments of a header, and closeIdle closed the connection if the server had not reported the request within a second of that.

Ruled out: a lock around each read of the socket, which needs a system call of our own for every request; another check before the close, which leaves the time between the check and the close.

Change: a connection has one phase: waiting, ending, header, active. The tracker may only ask it to end while it waits (EndIdle). The goroutine that reads then closes it, unless it has got a byte: then it takes the connection back and lifts the deadline. Before it gives up it reads what has arrived, so that a request is lost only if it reaches the host after that. The tracker closes nothing itself, which makes closingTimeout unnecessary: the server can no longer replace the deadline of EndIdle.

Bounds: a connection with a part of a header leaves the idle ones when the tracker meets it, like a new one with a part of a header, and the header timeout ends it; it does not keep idle ones from being closed (TestBegunRequestsDoNotKeepIdleConnectionsOpen). Stalled headers are evicted while memory is short as before.

Tests that were changed: those of the tracker used plain connections, which it no longer closes, and use metered ones now.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -14,9 +14,6 @@
 	// maxSkippedIdle is the number of idle connections with an unread request that are
 	// passed over in the search for one to close.
 	maxSkippedIdle = 8
-	// closingTimeout is the time after which a connection that should have closed by
-	// itself is closed. The server may have set its own deadline at the same moment.
-	closingTimeout = time.Second
 	// silentTime is the time after which a new connection without any byte counts as idle,
 	// so that callers that send nothing do not fill the host.
 	silentTime = 500 * time.Millisecond
@@ -36,9 +33,9 @@
 	// oldest first; freshElements has the same by connection.
 	fresh         *list.List
 	freshElements map[net.Conn]*list.Element
-	// closing maps each connection that closeLongestIdle has told to close to the time of
-	// that. It is in none of the above.
-	closing map[net.Conn]time.Time
+	// closing holds the connections that closeLongestIdle has told to close. They are in none
+	// of the above.
+	closing map[net.Conn]struct{}
 }
 
 // idleConnection is a connection and the time since which it has had no request, or since
@@ -51,7 +48,7 @@
 func newConnectionTracker() *connectionTracker {
 	return &connectionTracker{
 		idle: list.New(), elements: map[net.Conn]*list.Element{}, fresh: list.New(), freshElements: map[net.Conn]*list.Element{},
-		closing: map[net.Conn]time.Time{},
+		closing: map[net.Conn]struct{}{},
 	}
 }
 
@@ -67,14 +64,7 @@
 		t.open--
 	}
 	t.forget(c)
-	if _, ok := t.closing[c]; ok {
-		delete(t.closing, c)
-		if state == http.StateActive {
-			// The server had read a request already. The deadline of endIdle would end the read
-			// that notices the end of the connection, and thereby cancel the request.
-			_ = c.SetReadDeadline(time.Time{}) // an error means that it is closed
-		}
-	}
+	delete(t.closing, c)
 	switch state {
 	case http.StateNew:
 		t.freshElements[c] = t.fresh.PushBack(idleConnection{connection: c, since: time.Now()})
@@ -101,11 +91,29 @@
 	}
 }
 
+// idleEnder is a connection whose server can be told to close it by another goroutine.
+// Only the goroutine that reads knows whether the connection is idle: the HTTP server
+// reports a request once it has read the whole header.
+type idleEnder interface {
+	// EndIdle makes the server close the connection, and returns false if a byte of a request
+	// was read. The server serves a request whose first byte it reads before it closes.
+	EndIdle() bool
+	// HasBegun reports whether a byte of a request was read that has no response yet.
+	HasBegun() bool
+}
+
 // hasBegun reports whether a part of a request has been read from a connection, as far as
 // it knows.
 func hasBegun(c net.Conn) bool {
-	metered, ok := c.(interface{ HasBegun() bool })
-	return ok && metered.HasBegun()
+	e, ok := c.(idleEnder)
+	return ok && e.HasBegun()
+}
+
+// endIdle tells the server to close a connection, and reports whether it will do so if no
+// request arrives meanwhile.
+func endIdle(c net.Conn) bool {
+	e, ok := c.(idleEnder)
+	return ok && e.EndIdle()
 }
 
 // forget removes a connection from the idle and the new ones. The caller holds the mutex.
@@ -139,43 +147,37 @@
 }
 
 // closeLongestIdle closes the connection that has been idle for longest, except those with
-// a request that has not been read yet, and reports whether there was one. It ends the
-// read in which the server waits for the next request. A server that has just read one
-// takes no notice and serves it.
+// a request of which a part has been read or waits, and reports whether there was one.
 func (t *connectionTracker) closeLongestIdle() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	skipped := 0
-	for e := t.idle.Front(); e != nil && skipped < maxSkippedIdle; e = e.Next() {
+	var next *list.Element
+	for e := t.idle.Front(); e != nil && skipped < maxSkippedIdle; e = next {
+		next = e.Next()
 		c := idleOf(e).connection
 		if hasUnread(c) {
 			skipped++
 			continue
 		}
-		t.forget(c)
-		t.closing[c] = time.Now()
-		_ = endIdle(c) // an error means that it is closed already
-		return true
+		t.forget(c) // the header timeout bounds those that have begun a request
+		if endIdle(c) {
+			t.closing[c] = struct{}{}
+			return true
+		}
 	}
 	return false
 }
 
-// endIdle ends the read in which the server waits for the next request on a connection.
-func endIdle(c net.Conn) error {
-	if metered, ok := c.(interface{ EndIdle() error }); ok {
-		return metered.EndIdle()
-	}
-	return c.SetReadDeadline(time.Unix(0, 1))
-}
-
 // closeIdle closes the connections that have been idle for longer than the timeout;
-// 0 closes none. It leaves those with a request that a busy host has not read yet.
+// 0 closes none. It leaves those with a request that a busy host has not read yet, or of
+// which it has read a part.
 func (t *connectionTracker) closeIdle(timeout time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for c, since := range t.closing {
-		if time.Since(since) > closingTimeout && !hasUnread(c) {
-			_ = c.Close() // an error changes nothing: the connection is gone either way
+	for c := range t.closing {
+		if hasBegun(c) {
+			delete(t.closing, c) // a request arrived before it closed
 		}
 	}
 	if timeout <= 0 {
@@ -186,7 +188,7 @@
 		next = e.Next()
 		if c := idleOf(e).connection; !hasUnread(c) {
 			t.forget(c)
-			_ = c.Close() // as above
+			endIdle(c) // it stays open if a request has begun, and track adds it again
 		}
 	}
 }
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -1,34 +1,16 @@
 package gateway
 
 import (
-	"bufio"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
 	"monsoondeck.example/gateway/shedder"
 )
 
-// idleServer is an HTTP server whose connections are tracked.
-type idleServer struct {
-	server      *httptest.Server
-	connections *connectionTracker
-}
-
-func startIdleServer(t *testing.T) *idleServer {
-	t.Helper()
-	s := &idleServer{connections: newConnectionTracker()}
-	s.server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	s.server.Config.ConnState = s.connections.track
-	s.server.Start()
-	t.Cleanup(s.server.Close)
-	return s
-}
-
 // waitFor waits until a condition holds.
 func waitFor(condition func() bool) {
 	for !condition() {
@@ -36,37 +18,12 @@
 	}
 }
 
-// connect opens a connection, sends one request on it and waits until it is idle.
-func (s *idleServer) connect(t *testing.T) net.Conn {
-	t.Helper()
-	idle := s.connections.occupancy().Idle
-	c, err := net.Dial("tcp4", s.server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Close() })
-	s.request(t, c)
-	waitFor(func() bool { return s.connections.occupancy().Idle == idle+1 })
-	return c
-}
-
-func (s *idleServer) request(t *testing.T, c net.Conn) {
-	t.Helper()
-	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil || response.StatusCode != http.StatusOK {
-		t.Fatal(response, err)
-	}
-}
-
 // Guards against closing a connection other than the longest idle one, and against
 // connections that are counted wrongly after that.
 func TestLongestIdleConnectionIsClosedFirst(t *testing.T) {
-	s := startIdleServer(t)
-	first, second, third := s.connect(t), s.connect(t), s.connect(t)
-	s.request(t, first) // now the second one has been idle for longest
+	s := startMeteredServer(t)
+	first, second, third := s.connect(t, true), s.connect(t, true), s.connect(t, true)
+	s.exchange(t, first) // now the second one has been idle for longest
 	waitFor(func() bool { return s.connections.occupancy().Idle == 3 })
 	if !s.connections.closeLongestIdle() {
 		t.Fatal("no connection was closed")
@@ -75,8 +32,8 @@
 		t.Errorf("read from the longest idle connection: %v, want its end", err)
 	}
 	waitFor(func() bool { o := s.connections.occupancy(); return o.Open == 2 && o.Idle == 2 && o.Closing == 0 })
-	s.request(t, first)
-	s.request(t, third)
+	s.exchange(t, first)
+	s.exchange(t, third)
 }
 
 // Guards against closing a connection whose request has arrived but has not been read.
@@ -90,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepted, err := l.Accept()
+	accepted, err := newTestMeter().Listener(l, l.(*net.TCPListener)).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,50 +64,28 @@
 	}
 }
 
-// deadlineConn records the last read deadline.
-type deadlineConn struct {
+// fakeConn is a connection of which a part of a request may have been read.
+type fakeConn struct {
 	net.Conn
-	deadline time.Time
-}
-
-func (c *deadlineConn) SetReadDeadline(t time.Time) error {
-	c.deadline = t
-	return nil
+	begun, ended bool
 }
 
-// Guards against a request that is cancelled since its connection was told to close just
-// before the HTTP server reported that it had read the request.
-func TestRequestBeginsWithoutTheDeadlineOfAnIdleConnection(t *testing.T) {
-	connections := newConnectionTracker()
-	c := &deadlineConn{}
-	connections.track(c, http.StateNew)
-	connections.track(c, http.StateIdle)
-	if !connections.closeLongestIdle() || c.deadline.IsZero() {
-		t.Fatal("the idle connection was not told to close")
-	}
-	connections.track(c, http.StateActive)
-	if !c.deadline.IsZero() {
-		t.Errorf("the request begins with the read deadline %v", c.deadline)
-	}
-}
+func (c *fakeConn) HasBegun() bool { return c.begun }
 
-// begunConn is a connection of which a part of a header may have been read.
-type begunConn struct {
-	deadlineConn
-	begun bool
+func (c *fakeConn) EndIdle() bool {
+	c.ended = c.ended || !c.begun
+	return !c.begun
 }
 
-func (c *begunConn) HasBegun() bool { return c.begun }
-
 // Guards against a host that refuses all new connections because callers that send nothing
 // fill it, and against ending a header that arrives slowly.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
 	const limit = 4
 	connections := newConnectionTracker()
 	gate := newConnectionGate(limit, connections, func() time.Duration { return time.Second }, slog.New(slog.DiscardHandler))
-	open := make([]*begunConn, limit)
+	open := make([]*fakeConn, limit)
 	for i := range open {
-		open[i] = &begunConn{begun: i == 0}
+		open[i] = &fakeConn{begun: i == 0}
 		connections.track(open[i], http.StateNew)
 	}
 	if gate.admit() != refuseConnection {
@@ -167,7 +102,7 @@
 	if o := connections.occupancy(); o.Idle != 1 {
 		t.Fatalf("%d connections count as idle after one of them sent a request, want 1", o.Idle)
 	}
-	if !connections.closeLongestIdle() || open[2].deadline.IsZero() || connections.closeLongestIdle() {
+	if !connections.closeLongestIdle() || !open[2].ended || connections.closeLongestIdle() {
 		t.Error("want exactly the silent connection to be closed")
 	}
 	for _, c := range open {
@@ -178,6 +113,35 @@
 	}
 }
 
+// Guards against a full host that refuses new connections because callers send a part of a
+// request on connections that count as idle.
+func TestBegunRequestsDoNotKeepIdleConnectionsOpen(t *testing.T) {
+	connections := newConnectionTracker()
+	open := make([]*fakeConn, 2*maxSkippedIdle+1)
+	for i := range open {
+		open[i] = &fakeConn{begun: i < 2*maxSkippedIdle}
+		connections.track(open[i], http.StateNew)
+		connections.track(open[i], http.StateIdle)
+	}
+	last := open[len(open)-1]
+	if !connections.closeLongestIdle() || !last.ended {
+		t.Fatal("the idle connection was not closed")
+	}
+	if o := connections.occupancy(); o.Idle != 0 || o.Closing != 1 {
+		t.Errorf("%+v, want no idle connection and one that closes", o)
+	}
+	last.begun = true // a byte arrived before it closed
+	connections.closeIdle(0)
+	if o := connections.occupancy(); o.Closing != 0 {
+		t.Errorf("%+v: a connection with a request counts as one that closes", o)
+	}
+	connections.track(last, http.StateActive)
+	connections.track(last, http.StateIdle)
+	if o := connections.occupancy(); o.Idle != 1 {
+		t.Errorf("%+v, want one idle connection after its response", o)
+	}
+}
+
 // Guards against a process that runs out of file descriptors and can accept no
 // connection, and against closed connections that count.
 func TestCallerConnectionsAreLimited(t *testing.T) {
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -198,12 +198,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
+	metered := newTestMeter().Listener(l, l.(*net.TCPListener))
 	connect := func() (caller, accepted net.Conn) {
 		caller, err := net.Dial("tcp4", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		accepted, err = l.Accept()
+		accepted, err = metered.Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -211,7 +212,7 @@
 		return caller, accepted
 	}
 	caller, waiting := connect()
-	other, unused := connect()
+	_, unused := connect()
 	if _, err := io.WriteString(caller, "GET"); err != nil {
 		t.Fatal(err)
 	}
@@ -226,7 +227,7 @@
 	if _, err := io.ReadFull(waiting, data); err != nil || string(data) != "GET" {
 		t.Errorf("read %q, error %v from the connection with an unread request", data, err)
 	}
-	if _, err := other.Read(data); err == nil {
-		t.Error("the unused connection is still open")
+	if _, err := unused.Read(data); err == nil {
+		t.Error("the server still waits for a request on the unused connection")
 	}
 }
--- a/gateway/meter/conn.go
+++ b/gateway/meter/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,10 +23,14 @@
 	// refused is set if there was no memory for the connection.
 	refused bool
 
-	// active is set from the end of the header of a request until its response is
-	// complete. The fields below describe the header while it is not set, and are only
-	// used by the goroutine that reads.
-	active   atomic.Bool
+	// phase says who may end the connection: any goroutine by EndIdle in waiting, else only
+	// the one that reads, so that no request is dropped of which a byte was read.
+	phase atomic.Int32
+	// mutex guards the read deadline while the phase is waiting or ending.
+	mutex sync.Mutex
+
+	// The fields below describe the header while the phase is not active, and are only used
+	// by the goroutine that reads.
 	scanner  headerScanner
 	charged  int64
 	deadline time.Time
@@ -37,9 +42,8 @@
 	watched bool
 	// unread is set while unreadBytes are charged.
 	unread bool
-
-	// begun is set once a byte was read.
-	begun atomic.Bool
+	// served is set once a request was read.
+	served bool
 
 	// written is the number of bytes that were written.
 	written atomic.Int64
@@ -60,37 +64,36 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.active.Load() {
+	phase := c.phase.Load()
+	if phase == active {
 		return c.readActive(p)
 	}
 	if c.ended {
 		return 0, errRefused
 	}
-	if c.scanner.size > 0 && !c.deadlineSet {
+	if phase == header && !c.deadlineSet {
 		c.deadlineSet = true
 		if err := c.Conn.SetReadDeadline(c.deadline); err != nil {
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && c.phase.Load() == ending {
+		n, err = c.readArrived(p, err)
+	}
 	if n == 0 {
 		if c.watched && c.charge.Evicted() {
 			return c.refuse(HeaderMemory, http.StatusServiceUnavailable, p)
 		}
-		if c.scanner.size > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if phase == header && errors.Is(err, os.ErrDeadlineExceeded) {
 			c.ended = true
 			c.meter.record(HeaderTimeout, c)
 		}
 		return n, err
 	}
 	limits := c.meter.Limits()
-	if c.scanner.size == 0 {
-		c.begun.Store(true)
-		timeout := limits.HeaderTimeout
-		if timeout <= 0 {
-			timeout = HeaderStartTimeout
-		}
-		c.deadline = time.Now().Add(timeout)
+	if phase != header {
+		c.begin(limits)
 	}
 	c.scanner.scan(p[:n])
 	maxSize, maxFields := HeaderLimits(limits)
@@ -218,24 +221,6 @@
 	return errors.ErrUnsupported
 }
 
-// SetReadDeadline implements net.Conn. The HTTP server sets a deadline when the first
-// bytes of a header have arrived; that of the configuration in force replaces it. The
-// first deadline of a connection also bounds the time without any byte.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	if !c.active.Load() && c.scanner.size > 0 && !t.IsZero() {
-		c.deadlineSet = true
-		t = c.deadline
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// EndIdle ends the read in which the server waits for the next request. Unlike
-// SetReadDeadline, it may be called by any goroutine.
-func (c *Conn) EndIdle() error { return c.Conn.SetReadDeadline(time.Unix(0, 1)) }
-
-// HasBegun reports whether a byte was read from the connection.
-func (c *Conn) HasBegun() bool { return c.begun.Load() }
-
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if inner, ok := c.Conn.(syscall.Conn); ok {
@@ -252,15 +237,20 @@
 		if c.watched {
 			c.charge.Unwatch() // the HTTP server may see the end of a header elsewhere
 		}
-		c.active.Store(true)
+		if c.phase.Load() < header {
+			c.begin(c.meter.Limits()) // all of the header was read together with an earlier request
+		}
+		c.served = true
+		c.phase.Store(active)
 	case http.StateIdle:
 		c.scanner, c.charged, c.deadlineSet, c.watched = headerScanner{}, 0, false, false
 		c.charge.Shrink(limiter.KindHeader)
+		c.phase.Store(waiting)
 		if c.unread {
 			c.unread = false
 			c.charge.Shrink(limiter.KindKernel)
+			c.begin(c.meter.Limits()) // readActive has read the first byte
 		}
-		c.active.Store(false)
 	case http.StateClosed, http.StateHijacked:
 		c.charge.Release()
 		c.meter.forget(c)
--- a/gateway/meter/meter.go
+++ b/gateway/meter/meter.go
@@ -149,7 +149,9 @@
 }
 
 // TrackState returns a hook for http.Server.ConnState that tells connections when headers
-// begin and end, and calls next.
+// begin and end, and calls next. The server must have a ReadHeaderTimeout, and neither a
+// ReadTimeout nor an IdleTimeout: a deadline on a connection that had a request means that
+// the next one has begun.
 func (m *Meter) TrackState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(inner net.Conn, state http.ConnState) {
 		if c, ok := inner.(*Conn); ok {
