Answer requests that are read just before the daemon ends

Callers saw: a connection that ends without an answer to a request that the daemon had read, at the end of a planned stop.

Cause: stop ends once no handler has run for idleTime, by samples of the number of requests in progress. A request counts from the start of its handler on. The servers were closed at once after the last sample, also under a request whose header the server had read, in whole or in part, or that had begun since the sample.

Ruled out: http.Server.Shutdown. It closes connections whose header the server is reading, and drops a request that it has read once the stop has begun.

Change: before it ends, the daemon closes its listener for callers, tells the connections without a request to close, and waits until those with one have closed. Their responses have "Connection: close" since the stop signal. The wait ends 400 ms before the kill signal as before, and after drainTime if no handler runs, so that headers that do not end delay the end by a second at most (TestEndOfTheDaemonDoesNotWaitForEndlessHeaders).

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -192,3 +192,18 @@
 		}
 	}
 }
+
+// endAll closes the connections without a request, and reports whether no connection is
+// left.
+func (t *connectionTracker) endAll() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, l := range []*list.List{t.fresh, t.idle} {
+		for e := l.Front(); e != nil; e = l.Front() {
+			c := idleOf(e).connection
+			t.forget(c)
+			endIdle(c) // it stays open until the response if a request has begun
+		}
+	}
+	return t.open == 0
+}
--- a/gateway/idle_requests_test.go
+++ b/gateway/idle_requests_test.go
@@ -77,6 +77,7 @@
 type meteredServer struct {
 	listener    *heldListener
 	connections *connectionTracker
+	server      *server
 	// handle, if any, is called for each request, and idle each time a connection has become
 	// idle.
 	handle, idle func()
@@ -91,7 +92,8 @@
 	socket := inner.(*net.TCPListener)
 	s := &meteredServer{listener: &heldListener{TCPListener: socket}, connections: newConnectionTracker(), handle: func() {}, idle: func() {}}
 	m := newTestMeter()
-	server := &http.Server{
+	s.server = &server{listener: m.Listener(s.listener, socket), connections: s.connections}
+	s.server.http = &http.Server{
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { s.handle() }),
 		ConnState: m.TrackState(func(c net.Conn, state http.ConnState) {
 			s.connections.track(c, state)
@@ -101,8 +103,8 @@
 		}),
 		ReadHeaderTimeout: meter.HeaderStartTimeout, MaxHeaderBytes: meter.MaxHeaderBytes,
 	}
-	go func() { _ = server.Serve(m.Listener(s.listener, socket)) }() // ends with Close
-	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = s.server.run() }() // ends with Close
+	t.Cleanup(func() { _ = s.server.http.Close() })
 	return s
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -20,6 +20,9 @@
 	idleTime = 700 * time.Millisecond
 	// stopCheckInterval is the time between two checks of the requests in progress.
 	stopCheckInterval = 50 * time.Millisecond
+	// drainTime bounds how long the end of the daemon waits for headers that have begun to
+	// arrive, so that callers that do not end them do not delay it.
+	drainTime = time.Second
 )
 
 // stop turns readiness off and serves until the balancer has removed the daemon and
@@ -41,9 +44,30 @@
 		}
 		<-t.C
 	}
+	g.drainCallers(end, drainTime)
 	if active := g.receiver.ActiveRequests.Load(); active > 0 {
 		logger.Emit(g.logger, logger.DaemonAborted, slog.Int64("cut", active))
 		return
 	}
 	logger.Emit(g.logger, logger.DaemonStopped)
 }
+
+// drainCallers accepts no more connections of callers and waits until all have ended. It
+// closes those without a request, and gives up at the end, or after the limit if only
+// parts of headers are left.
+func (g *Gateway) drainCallers(end, limit time.Duration) {
+	if g.clock() >= end {
+		return
+	}
+	_ = g.callerServer.listener.Close() // it may have failed, and is closed either way
+	headersEnd := g.clock() + limit
+	t := time.NewTicker(stopCheckInterval)
+	defer t.Stop()
+	for !g.callerServer.connections.endAll() {
+		<-t.C
+		now := g.clock()
+		if now >= end || now >= headersEnd && g.receiver.ActiveRequests.Load() == 0 {
+			return
+		}
+	}
+}
