Do not take time without a processor for the silence of a target

Cause: the stall watch counts with a timer that each event sets anew. On a host without processor time, callbacks of the timer that fired earlier are still waiting when the event is handled, and then run one after the other: the first marks the target as stalled, the second ends the attempt. And a timer that fires late says nothing about the target, whose data the host has not read yet. Class of fault: a deadline by the wall clock for what the host itself has to do first.

Change: a callback whose timer was set anew since then is ignored. One that fires over 0.1 s late is set anew once, so that the host can read first.

The tests of the watch fire its timer at the time for which it is set.

--- a/gateway/receiver/adopted_events_test.go
+++ b/gateway/receiver/adopted_events_test.go
@@ -34,8 +34,8 @@
 		ctx, cancel := context.WithCancelCause(t.Context())
 		permit := &stallCounter{}
 		w := newStallWatch(ctx, p, permit, p.route.Timeout, cancel)
-		w.onTimer()
-		w.onTimer()
+		w.timerFired(w.due)
+		w.timerFired(w.due)
 		synctest.Wait()
 		if ctx.Err() == nil {
 			t.Fatal("the attempt was not cancelled")
--- a/gateway/receiver/aged_permit_test.go
+++ b/gateway/receiver/aged_permit_test.go
@@ -22,8 +22,8 @@
 		p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: agedPermit{other}}}), route: patientRoute, start: time.Now()}
 		ctx, cancel := context.WithCancelCause(t.Context())
 		w := newStallWatch(ctx, p, &stallCounter{}, p.route.Timeout, cancel)
-		w.onTimer()
-		w.onTimer()
+		w.timerFired(w.due)
+		w.timerFired(w.due)
 		synctest.Wait()
 		if ctx.Err() != nil {
 			t.Error("the attempt was cancelled")
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -37,6 +37,11 @@
 	// target is sought at the latest for a stream that has not begun, so that this target
 	// can still respond.
 	maxResumeFraction = 0.5
+	// maxTimerDelay is how late a timer of a watch may fire. A host that fires it later has
+	// no processor time, and may not have read yet what the target has sent.
+	maxTimerDelay = 100 * time.Millisecond
+	// minReadTime is the least time that such a host gets to read it.
+	minReadTime = 250 * time.Millisecond
 )
 
 // callerPatience returns the time after which the caller of a stream is assumed to abandon
@@ -79,6 +84,10 @@
 	// replacement is the permit for another target that the search has found.
 	replacement Permit
 	timer       *time.Timer
+	// due is the time for which the timer is set. deferred is set if it was set anew because
+	// it fired too late, until it fires again or the target sends an event.
+	due      time.Time
+	deferred bool
 	// stalled is the state that was last reported to the permit.
 	stalled bool
 	stopped bool
@@ -121,7 +130,8 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.timer = time.AfterFunc(firstEventTimeout, w.onTimer)
+	w.due = time.Now().Add(firstEventTimeout)
+	w.timer = time.AfterFunc(firstEventTimeout, func() { w.timerFired(time.Now()) })
 	return w
 }
 
@@ -135,7 +145,8 @@
 	w.endSearch()
 	w.silentSince = time.Now()
 	w.cancelAfter = w.cancelBegunAfter
-	w.timer.Reset(w.stallAfter)
+	w.deferred = false
+	w.setTimer(w.stallAfter)
 	w.reportProgress(n)
 	if w.stalled {
 		w.stalled = false
@@ -173,11 +184,32 @@
 	return w.replacement != nil
 }
 
-// onTimer runs when the target has sent no data for too long. The first time it reports
-// the stall; the second time it begins to seek another target.
-func (w *stallWatch) onTimer() {
+// setTimer sets the timer anew. The caller holds the mutex.
+func (w *stallWatch) setTimer(d time.Duration) {
+	w.due = time.Now().Add(d)
+	w.timer.Reset(d)
+}
+
+// timerFired handles a timer that fired. It ignores one that was set anew before this call
+// got the mutex, and defers one that fired too late.
+func (w *stallWatch) timerFired(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	late := now.Sub(w.due)
+	switch {
+	case w.stopped, late < 0:
+	case late > maxTimerDelay && !w.deferred:
+		w.deferred = true
+		w.setTimer(max(late, minReadTime))
+	default:
+		w.deferred = false
+		w.onSilence()
+	}
+}
+
+// onSilence runs when the target has sent no data for too long. The first time it reports
+// the stall; the second time it begins to seek another target. The caller holds the mutex.
+func (w *stallWatch) onSilence() {
 	if w.stopped {
 		return
 	}
@@ -186,7 +218,7 @@
 		w.stalled = true
 		w.permit.SetStalled(true)
 		if w.cancelAfter > 0 {
-			w.timer.Reset(w.cancelAfter)
+			w.setTimer(w.cancelAfter)
 		}
 	case w.stopSearch == nil:
 		w.stopSearch = w.startSearch()
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -66,8 +66,8 @@
 			permit := &stallCounter{}
 			w := newStallWatch(ctx, p, permit, time.Hour, cancel)
 			defer w.stop()
-			w.onTimer()
-			w.onTimer()
+			w.timerFired(w.due)
+			w.timerFired(w.due)
 			synctest.Wait()
 			cancelled := errors.Is(context.Cause(ctx), errStalled)
 			if cancelled != (retries > 0) || permit.calls != 1 {
@@ -110,8 +110,8 @@
 	w := newStallWatch(ctx, p, &stallCounter{}, time.Hour, cancel)
 	defer w.stop()
 	p.unresumable.Store(true)
-	w.onTimer()
-	w.onTimer()
+	w.timerFired(w.due)
+	w.timerFired(w.due)
 	if ctx.Err() != nil || p.mayTryAgain(context.Background()) {
 		t.Errorf("the attempt was cancelled: %v", context.Cause(ctx))
 	}
