courier: a response cut inside a line of its header is broken, not invalid

Operators of similar systems reported that a server stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body. The new test cuts 14 kinds of responses at every byte, with FIN and with a reset, on new and on reused connections.

No cut response was returned as a whole one. But in 1976 of the cases the error was ErrInvalid: net/http hands out the bytes before the end of the connection as a line, which it then reports as malformed. The prober takes ErrInvalid for a target that runs. A target that is killed while it writes the header of its health check response thus counted as running, and the response that its end had cut before (one without a length) was forwarded as whole. The evidence of a crash was also lost for the prompt quarantine.

The connection now remembers that a read has failed; a header that needs more bytes after that is cut. A malformed line that is complete is still ErrInvalid.

Failed before: TestCutResponsesAreErrors (courier; 1976 of its cases), TestTargetThatEndsInsideItsHealthHeaderIsGone (prober; all cuts inside a line). Ruled out by the same tests: a cut Content-Length taken as a shorter length, a header without its empty line, a missing last CRLF after the last chunk, cut trailers, cut informational responses.

--- a/gateway/courier/connection.go
+++ b/gateway/courier/connection.go
@@ -20,6 +20,8 @@
 	// headBytesLeft is the number of bytes that may still be read for the header of the
 	// current response; negative while there is no limit.
 	headBytesLeft int
+	// ended is set once a read has failed, so that no more bytes arrive.
+	ended bool
 	// answered is set once a response has been read.
 	answered bool
 	// idleTimeout is how long the connection may be idle before it is closed.
@@ -47,6 +49,9 @@
 		p = p[:min(len(p), c.headBytesLeft)]
 	}
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.ended = true
+	}
 	if c.headBytesLeft > 0 {
 		c.headBytesLeft -= n
 	}
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -152,9 +152,10 @@
 }
 
 // classifyReadError returns ErrBroken if reading a response header failed because of
-// the connection, and ErrInvalid if the header could not be parsed.
+// the connection, and ErrInvalid if the header could not be parsed. A header that ends
+// inside a line is cut, although net/http reports that line as malformed.
 func (x *exchange) classifyReadError(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err) {
+	if x.connection.ended || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err) {
 		return errors.Wrapf(ErrBroken, "read the response header: %v", err)
 	}
 	return errors.Wrapf(ErrInvalid, "read the response header: %v", err)
