receiver: keep the length in the response to a HEAD request

Callers of a HEAD request got Content-Length: 0 with a 200 whatever the length was that the target named: an empty body, framed as whole. The forwarded response had the length of the bytes that were read, which are none. The target's length is kept now, and none is sent if the target sent none. Responses with status 204 and 304 have no length, as net/http writes them, which RFC 9110 permits.

Found by the search for responses that look whole and are not.

--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -28,7 +28,10 @@
 	if p.endedByCrash(ctx, permit, response) {
 		return p.failAttempt(permit, placer.Broken, reasonTargetGone, nil)
 	}
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: data}
+	buffered := &bufferedResponse{status: response.Status, header: response.Header, length: int64(len(data)), body: data}
+	if p.request.Method == http.MethodHead {
+		buffered.length = response.Length
+	}
 	if response.Status >= 500 {
 		permit.End(placer.Failed)
 		if p.route.Repeatable() && p.attempts < p.route.MaxAttempts {
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -109,6 +109,9 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
+	// length is the length of the body, for a HEAD request that of the body that a GET
+	// request would get; -1 is unknown.
+	length int64
 	body   []byte
 }
 
@@ -116,7 +119,9 @@
 func (p *proxyRequest) writeResponse(r *bufferedResponse) {
 	h := p.writer.Header()
 	p.receiver.Protocol.CopyResponseHeader(h, r.header)
-	h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	if r.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.length, 10))
+	}
 	p.setWriteDeadline()
 	p.firstByte = time.Since(p.start)
 	p.writer.WriteHeader(r.status)
