receiver: do not wait for the rest of a refusal without end

A target that refuses a request (not run, or meant for another target) and then sends no more of the body held the request until its time was over, although another target could have run it: the body was read so that the connection can be reused, with no limit but the time of the request. Such bodies are read for at most 100 ms now; then the connection is closed.

--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -30,6 +30,9 @@
 	// maxBufferedBytes is the largest response body that is read completely before it is
 	// forwarded, so that the response of another target can replace an incomplete one.
 	maxBufferedBytes = 256 << 10
+	// refusalReadTimeout bounds reading the body of a refusal, so that a target that does not
+	// send it does not delay the next attempt.
+	refusalReadTimeout = 100 * time.Millisecond
 	// writeTimeout bounds each write to a caller that does not read.
 	writeTimeout = 5 * time.Second
 )
@@ -237,7 +240,7 @@
 		permit.ObserveClosure(info.ClosedFor)
 	}
 	if info.NotRun || info.Misdirected {
-		return p.handleNotRun(permit, response, info)
+		return p.handleNotRun(permit, response, info, cancel)
 	}
 	p.mayHaveRun = true
 	if !p.chargeResponseHeader(response.Header) {
@@ -314,14 +317,17 @@
 	return outcomeRetry
 }
 
-// handleNotRun ends an attempt whose target did not run the request.
-func (p *proxyRequest) handleNotRun(permit Permit, response *courier.Response, info ResponseInfo) attemptOutcome {
+// handleNotRun ends an attempt whose target did not run the request. cancel cancels the
+// attempt.
+func (p *proxyRequest) handleNotRun(permit Permit, response *courier.Response, info ResponseInfo, cancel context.CancelCauseFunc) attemptOutcome {
 	result := placer.Refused
 	if info.Misdirected {
 		result = placer.Misdirected
 	}
 	// The body is not needed, but reading it makes the connection reusable.
+	timer := time.AfterFunc(refusalReadTimeout, func() { cancel(nil) })
 	_, _ = io.CopyN(io.Discard, response.Body, maxBufferedBytes)
+	timer.Stop()
 	target := permit.Decision().Choice.Target.ID
 	permit.End(result)
 	p.excluded = append(p.excluded, target)
