connector: bound the header of a peer's response to 64 KiB

A daemon accepted a header of up to 10 MB, the default of net/http, from whatever answers at the address of a peer, before that is authenticated, and tries all such addresses again and again.

TestEndlessResponsesOfAPeerEnd failed before for four kinds of headers (10,485,760 bytes read each).

--- a/connector/handshake.go
+++ b/connector/handshake.go
@@ -20,7 +20,10 @@
 const (
 	// maxHandshakeBytes limits the messages of peers that are not authenticated.
 	maxHandshakeBytes = 4 << 10
-	nonceBytes        = 16
+	// maxHeadBytes limits the header of the response of a peer, with which it is not
+	// authenticated either.
+	maxHeadBytes = 64 << 10
+	nonceBytes   = 16
 
 	// The labels prevent the proof of one side from being used as that of the other.
 	labelDialer   = "monsoondeck peer dialer 1"
--- a/connector/hub.go
+++ b/connector/hub.go
@@ -92,7 +92,7 @@
 		started:           time.Now(),
 	}
 	h.incarnation.Store(o.Incarnation)
-	h.client = &http.Client{Transport: &http.Transport{DialContext: o.Dialer.DialContext, DisableKeepAlives: true}}
+	h.client = &http.Client{Transport: &http.Transport{DialContext: o.Dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	return h, h.close, nil
 }
