attacker: more responses of targets without end

Sixteen rows for what operators of similar systems reported: bytes that are no response, without end, in a header or a body, until the caller closes. Crowds and bounds are those of the other rows.

--- a/prover/attacker/attacker_test.go
+++ b/prover/attacker/attacker_test.go
@@ -25,7 +25,8 @@
 	do             attack
 	// respond is how the faulty target responds; nil sends a short response.
 	respond respondFunc
-	// before is the result on the code before the first change for hostile clients.
+	// before is the result on the code before the first change for hostile clients; for rows
+	// that were added later, on the code before the changes for them.
 	before result
 }
 
@@ -117,6 +118,22 @@
 	{"responses of targets: long bodies", callers, bulkPath, manyReaders, readAll, respondLong, held},
 	{"responses of targets: endless events", callers, streamPath, manyReaders, readAll, respondLongEvent, variable},
 	{"responses of targets: endless comments", callers, streamPath, manyReaders, readAll, respondComments, failed},
+	{"responses of targets: bodies with a large length", callers, bulkPath, manyReaders, readAll, respondEndlessBodyWithLength, held},
+	{"responses of targets: endless chunks", callers, bulkPath, manyReaders, readAll, respondEndlessChunks, held},
+	{"responses of targets: endless chunk sizes", callers, bulkPath, manyReaders, readAll, respondEndlessChunkSize, held},
+	{"responses of targets: endless chunk extensions", callers, bulkPath, manyReaders, readAll, respondEndlessChunkExtension, held},
+	{"responses of targets: endless trailers", callers, bulkPath, manyReaders, readAll, respondEndlessTrailers, held},
+	{"responses of targets: endless trailers of streams", callers, streamPath, manyReaders, readAll, respondEndlessTrailers, held},
+	{"responses of targets: endless errors", callers, bulkPath, manyReaders, readAll, respondEndlessError, held},
+	{"responses of targets: endless refusals", callers, bulkPath, manyReaders, readAll, respondEndlessRefusal, held},
+	{"responses of targets: endless responses of another target", callers, bulkPath, manyReaders, readAll, respondEndlessMisdirection, held},
+	{"responses of targets: endless responses to another request", callers, bulkPath, manyReaders, readAll, respondEndlessForeign, held},
+	{"responses of targets: bytes after a complete response", callers, bulkPath, manyReaders, readAll, respondShortAndEndless, held},
+	{"responses of targets: bytes without a line", callers, bulkPath, manyReaders, readAll, respondEndlessBytes, held},
+	{"responses of targets: empty lines", callers, bulkPath, manyReaders, readAll, respondEndlessEmptyLines, held},
+	{"responses of targets: informational responses without end", callers, bulkPath, manyReaders, readAll, respondEndlessInformational, held},
+	{"responses of targets: very many header fields without end", callers, bulkPath, manyReaders, readAll, respondEndlessFields, held},
+	{"responses of targets: endless responses to health checks", callers, bulkPath, manyReaders, readAll, respondEndlessHealth, held},
 }
 
 var _ = ginkgo.Describe("a daemon", func() {
--- a/prover/attacker/target_test.go
+++ b/prover/attacker/target_test.go
@@ -88,9 +88,13 @@
 
 const (
 	withoutLength = "Content-Type: application/octet-stream\r\nConnection: close\r\n\r\n"
+	chunked       = "Transfer-Encoding: chunked\r\n\r\n"
 	eventStream   = "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 )
 
+// withStatus replaces the status of a response.
+func withStatus(head, status string) string { return strings.Replace(head, "200 OK", status, 1) }
+
 func respondShort(c net.Conn, head string) bool {
 	_, err := io.WriteString(c, head+"Content-Length: 2\r\n\r\nok")
 	return err == nil
@@ -106,6 +110,85 @@
 	return err == nil && writePieces(c, "x", endlessBytes, piecePause)
 }
 
+func respondEndlessBodyWithLength(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, head+"Content-Length: 1000000000000\r\n\r\n")
+	return err == nil && writePieces(c, "x", endlessBytes, piecePause)
+}
+
+func respondEndlessChunks(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, head+chunked)
+	return err == nil && writePieces(c, "10\r\n0123456789abcdef\r\n", endlessBytes, piecePause)
+}
+
+func respondEndlessChunkSize(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, head+chunked)
+	return err == nil && writePieces(c, "0", endlessBytes, 0)
+}
+
+func respondEndlessChunkExtension(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, head+chunked+"1;x=")
+	return err == nil && writePieces(c, "x", endlessBytes, 0)
+}
+
+func respondEndlessTrailers(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, head+chunked+"2\r\nok\r\n0\r\n")
+	return err == nil && writePieces(c, "F:\r\n", endlessBytes, 0)
+}
+
+// respondEndlessError sends a response of a request that has run and failed.
+func respondEndlessError(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, withStatus(head, "500 Internal Server Error")+withoutLength)
+	return err == nil && writePieces(c, "x", endlessBytes, piecePause)
+}
+
+// respondEndlessRefusal sends a response of a request that was not run.
+func respondEndlessRefusal(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, withStatus(head, "503 Service Unavailable")+wire.FieldNotRun+": 1\r\n"+withoutLength)
+	return err == nil && writePieces(c, "x", endlessBytes, piecePause)
+}
+
+// respondEndlessMisdirection sends the response of another target.
+func respondEndlessMisdirection(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, withStatus(head, "421 Misdirected Request")+withoutLength)
+	return err == nil && writePieces(c, "x", endlessBytes, piecePause)
+}
+
+// respondEndlessForeign sends a response to another request.
+func respondEndlessForeign(c net.Conn, _ string) bool {
+	_, err := io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\n%s: s\r\n%s", wire.FieldAttempt, wire.FieldSignature, chunked))
+	return err == nil && writePieces(c, "10\r\n0123456789abcdef\r\n", endlessBytes, piecePause)
+}
+
+// respondShortAndEndless sends bytes without end after a complete response.
+func respondShortAndEndless(c net.Conn, head string) bool {
+	return respondShort(c, head) && writePieces(c, "x", endlessBytes, piecePause)
+}
+
+func respondEndlessBytes(c net.Conn, _ string) bool { return writePieces(c, "x", endlessBytes, 0) }
+
+func respondEndlessEmptyLines(c net.Conn, _ string) bool {
+	return writePieces(c, "\r\n", endlessBytes, 0)
+}
+
+func respondEndlessInformational(c net.Conn, _ string) bool {
+	return writePieces(c, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", endlessBytes, 0)
+}
+
+func respondEndlessFields(c net.Conn, head string) bool {
+	_, err := io.WriteString(c, head)
+	return err == nil && writePieces(c, "F:\r\n", endlessBytes, 0)
+}
+
+// respondEndlessHealth ends its responses with the connection, so that the daemon checks the
+// health of the target, and responds to these checks without end.
+func respondEndlessHealth(c net.Conn, head string) bool {
+	if !strings.Contains(head, wire.FieldAttempt+": \r\n") {
+		_, _ = io.WriteString(c, head+withoutLength+"ok")
+		return false
+	}
+	return respondEndlessField(c, head)
+}
+
 func respondEndlessField(c net.Conn, head string) bool {
 	_, err := io.WriteString(c, head+"X-Endless: ")
 	return err == nil && writePieces(c, "x", endlessBytes, 0)
