courier: close idle connections on which bytes have arrived

A connection in the pool that its target went on writing to, or had closed, was only noticed when the next request took it. With a long Keep-Alive time of the target it stayed open for that time, with what the kernel had received and the descriptor; a target with few requests kept up to 16. CloseIdle, which the daemon calls each second, now closes such connections.

TestCloseIdleClosesUnusableConnections failed before (unsolicited data: open after 20 s).

--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -261,8 +261,9 @@
 	c.idle[t] = append(c.idle[t], conn)
 }
 
-// CloseIdle closes the idle connections that have expired, and those of targets for
-// which keep reports false.
+// CloseIdle closes the idle connections that have expired or cannot be used any more, and
+// those of targets for which keep reports false. A faulty target may go on sending after its
+// response.
 func (c *Client) CloseIdle(keep func(Target) bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -271,7 +272,7 @@
 		keepTarget := keep(t)
 		kept := list[:0]
 		for _, conn := range list {
-			if keepTarget && now.Before(conn.idleUntil) {
+			if keepTarget && now.Before(conn.idleUntil) && conn.usable() {
 				kept = append(kept, conn)
 			} else {
 				conn.abort()
--- a/gateway/courier/courier_test.go
+++ b/gateway/courier/courier_test.go
@@ -232,6 +232,41 @@
 	}
 }
 
+// Guards against connections in the pool that hold bytes without end of a faulty target, or
+// that their target has closed.
+func TestCloseIdleClosesUnusableConnections(t *testing.T) {
+	for name, after := range map[string]func(c net.Conn){
+		"unsolicited data": func(c net.Conn) { _, _ = io.WriteString(c, "x") },
+		"closed":           func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() },
+	} {
+		ended, idle := make(chan struct{}), make(chan struct{})
+		s := startTarget(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=3600\r\nContent-Length: 2\r\n\r\nok")
+			<-idle
+			after(c)
+			_, _ = c.Read(make([]byte, 1)) // any result means the end
+			close(ended)
+			return false
+		})
+		c := newClient(t)
+		if got, err := do(t, c, s, newRequest("1")); got != "ok" || err != nil {
+			t.Fatal(name, got, err)
+		}
+		close(idle)
+		give := time.After(20 * time.Second)
+		for closed := false; !closed; {
+			c.CloseIdle(func(courier.Target) bool { return true })
+			select {
+			case <-ended:
+				closed = true
+			case <-give:
+				t.Fatalf("%s: the connection is still open", name)
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+}
+
 // Guards against a target that is cut off and counts as crashed.
 func TestProbeTellsRefusedConnections(t *testing.T) {
 	s := startTarget(t, func(int64, net.Conn, *http.Request) bool { return false })
