--- a/gateway/receiver/endless_test.go
+++ b/gateway/receiver/endless_test.go
@@ -107,6 +107,20 @@
 		"body":                     {"/once/1", head + "\r\n", filler, true},
 		"body with a large length": {"/once/1", head + "Content-Length: 1000000000000\r\n\r\n", filler, true},
 		"chunk extension":          {"/safe/1", head + "Transfer-Encoding: chunked\r\n\r\n1;x=", filler, false},
+		"chunk extensions":         {"/safe/1", head + "Transfer-Encoding: chunked\r\n\r\n", "1;x=" + filler[:2<<10] + "\r\nx\r\n", false},
+		"chunk size":               {"/safe/1", head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 4<<10), false},
+		"trailer":                  {"/safe/1", head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nField: ", filler, false},
+		"trailers":                 {"/safe/1", head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "F: x\r\n", false},
+		"trailer of a stream":      {"/stream/1", head + "Transfer-Encoding: chunked\r\n\r\nb\r\nid: 1\ndata:\n\r\n0\r\nField: ", filler, false},
+		"no line":                  {"/once/1", "", filler, false},
+		"empty lines":              {"/once/1", "", "\r\n", false},
+		"no response":              {"/once/1", "", "\x00\xff\n", false},
+		"status line":              {"/once/1", "HTTP/1.1 200 ", filler, false},
+		"chunks":                   {"/once/1", head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + filler + "\r\n", true},
+		"error":                    {"/once/1", "HTTP/1.1 500 Failed\r\n\r\n", filler, true},
+		"refusal":                  {"/once/1", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n", filler, false},
+		"other target":             {"/once/1", "HTTP/1.1 421 Other\r\nMisdirected: 1\r\nContent-Length: 1000000000000\r\n\r\n", filler, false},
+		"after the response":       {"/once/1", head + "Content-Length: 1\r\n\r\nx", filler, false},
 		"events":                   {"/stream/1", head + "\r\n", "data: " + filler + "\n\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -134,7 +148,14 @@
 			if tc.leaves && err != nil {
 				t.Errorf("the response broke before the caller left: %v", err)
 			}
-			<-target.closed
+			for closed := false; !closed; { // as the daemon does, for idle connections
+				target.CloseIdle(func(courier.Target) bool { return true })
+				select {
+				case <-target.closed:
+					closed = true
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
 		})
 	}
 }
