gateway: do not end early while a request arrives

A daemon that stops ends early once no request has been in progress for 700 ms. Requests of which only a part had arrived were not counted, neither on a kept connection nor on a new one, and those that waited unread: their connections were closed with no answer. Before it ends early, the daemon now also looks for connections with a part of a request.

TestRequestsThatArriveSlowlyDuringAStopGetAResponse failed before: the daemon ended before the rest of the header had arrived, on both connections.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -101,6 +101,24 @@
 	}
 }
 
+// inUse reports whether a connection has a request in progress, or one of which a part has
+// arrived.
+func (t *connectionTracker) inUse() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.open > t.idle.Len()+t.fresh.Len()+len(t.closing) {
+		return true
+	}
+	for _, all := range []*list.List{t.idle, t.fresh} {
+		for e := all.Front(); e != nil; e = e.Next() {
+			if c := idleOf(e).connection; hasBegun(c) || hasUnread(c) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // hasBegun reports whether a part of a request has been read from a connection, as far as
 // it knows.
 func hasBegun(c net.Conn) bool {
--- a/gateway/meter/conn.go
+++ b/gateway/meter/conn.go
@@ -38,7 +38,7 @@
 	// unread is set while unreadBytes are charged.
 	unread bool
 
-	// begun is set once a byte was read.
+	// begun is set once a byte was read since the connection was last idle.
 	begun atomic.Bool
 
 	// written is the number of bytes that were written.
@@ -233,7 +233,7 @@
 // SetReadDeadline, it may be called by any goroutine.
 func (c *Conn) EndIdle() error { return c.Conn.SetReadDeadline(time.Unix(0, 1)) }
 
-// HasBegun reports whether a byte was read from the connection.
+// HasBegun reports whether a byte was read from the connection since it was last idle.
 func (c *Conn) HasBegun() bool { return c.begun.Load() }
 
 // SyscallConn implements syscall.Conn.
@@ -261,6 +261,7 @@
 			c.charge.Shrink(limiter.KindKernel)
 		}
 		c.active.Store(false)
+		c.begun.Store(false)
 	case http.StateClosed, http.StateHijacked:
 		c.charge.Release()
 		c.meter.forget(c)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -36,7 +36,7 @@
 		if g.receiver.ActiveRequests.Load() > 0 {
 			lastActive = now
 		}
-		if now-start >= lameDuckTime && now-lastActive >= idleTime {
+		if now-start >= lameDuckTime && now-lastActive >= idleTime && !g.callerServer.connections.inUse() {
 			break
 		}
 		<-t.C
