--- a/gateway/receiver/late_timer_test.go
+++ b/gateway/receiver/late_timer_test.go
@@ -43,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := &proxyRequest{
-					receiver: New(Options{RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: &stallCounter{}}}),
+					receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: &stallCounter{}}}),
 					route:    resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, MaxEventGap: time.Hour, Timeout: 24 * time.Hour},
 					start:    time.Now(),
 				}
--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -50,10 +50,7 @@
 // request that can no longer be refused has more than its objective: as long as its caller
 // is likely to wait, and then, as the caller is still there, as long as a new request.
 func (p *proxyRequest) objectiveLeft(next nextAttempt, timeLeft time.Duration) time.Duration {
-	objective := p.route.Objective
-	if objective <= 0 {
-		objective = defaultObjective
-	}
+	objective := p.objective()
 	left := objective - time.Since(p.start)
 	if next.mayHaveRun {
 		left = max(left, p.patienceLeft(next.silentSince, timeLeft), min(objective, lateLimit(timeLeft)))
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -121,11 +121,7 @@
 		w.cancelAfter = max(resumeAfter(p.route, timeLeft)-w.stallAfter, time.Millisecond)
 		w.cancelBegunAfter = max(resumeBegunAfter(p.route)-w.stallAfter, time.Millisecond)
 	case mayRetry:
-		objective := p.route.Objective
-		if objective <= 0 {
-			objective = defaultObjective
-		}
-		firstEventTimeout = objective
+		firstEventTimeout = p.objective()
 		w.cancelAfter = time.Millisecond
 	}
 	w.mutex.Lock()
--- a/gateway/receiver/watch_test.go
+++ b/gateway/receiver/watch_test.go
@@ -40,6 +40,12 @@
 	return f.permit, nil
 }
 
+// notStopping is the ShutdownState of a daemon that does not stop.
+type notStopping struct{}
+
+func (notStopping) Stopping() (since, left time.Duration, stopping bool) { return 0, 0, false }
+func (notStopping) Ending() context.Context                              { return context.Background() }
+
 // budget is a RetryBudget that allows a fixed number of retries.
 type budget struct{ retries int }
 
@@ -59,7 +65,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			other := &freeTarget{permit: &stallCounter{}}
 			p := &proxyRequest{
-				receiver: New(Options{RetryBudget: b, Permits: other}),
+				receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: b, Permits: other}),
 				route:    resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, MaxEventGap: time.Hour},
 			}
 			ctx, cancel := context.WithCancelCause(t.Context())
@@ -90,7 +96,7 @@
 func TestStalledStreamThatHasBegunIsNotCutAtHalfOfItsTime(t *testing.T) {
 	const timeLeft = 3 * time.Second
 	route := resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, Objective: 1500 * time.Millisecond, MaxEventGap: 600 * time.Millisecond}
-	p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}}), route: route}
+	p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}}), route: route}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	w := newStallWatch(ctx, p, &stallCounter{}, timeLeft, cancel)
 	defer w.stop()
@@ -105,7 +111,7 @@
 
 // Guards against cancelling a stalled stream that no other target can continue.
 func TestStalledStreamWithoutIDsIsNotCancelled(t *testing.T) {
-	p := &proxyRequest{receiver: New(Options{RetryBudget: &budget{retries: 1}}), route: resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2}}
+	p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}}), route: resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2}}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	w := newStallWatch(ctx, p, &stallCounter{}, time.Hour, cancel)
 	defer w.stop()
