gateway: refuse requests that cannot end in a stop, and answer the others

Operators of similar systems reported that in a planned stop of one machine, in calm, requests that came late in the grace were taken and passed on, and were cut with no answer at its end, among them some that may not be repeated.

Requests that arrive late were refused here unless their time limit fits. But this was checked once, with the time left on arrival: - A request whose body arrived slowly, or that waited for a target, or that its first target refused, was sent however little time was left; so was one that arrived before the stop signal and was sent long after it. - A route without an objective on which no request had ended yet was taken for one whose requests need no time. - Neither the wait for a target nor the time that the target was told was bounded by the end of the daemon. - "Late" was counted from the moment at which the daemon noticed the signal, so that a request sent just after the 3 s of the platform counted as early. - At the end all requests in progress were cut: the process ended with their handlers running.

The check is now repeated just before a request that has not run is sent (503, not run), the time left of a request is at most that of the daemon, and requests count as late 200 ms earlier. At the end the requests in progress are cancelled and the daemon waits up to half of the margin before the kill signal until their callers have a response: 504 if a target may have run the request, 503 if it was not sent, also while its body arrives. Streams that have begun are broken off, as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,9 @@
 	evacuationReadAt time.Duration
 	// stopAt is the time, by clock, at which the daemon ends; 0 unless it is stopping.
 	stopAt atomic.Int64
+	// ending ends when the requests in progress must end; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// fleetKnown is set once the list of daemons has been read.
 	fleetKnown atomic.Bool
 }
@@ -137,6 +140,7 @@
 	}
 	g := &Gateway{options: o, settings: s, start: time.Now(), jitter: mathrand.Float64()}
 	g.incarnation.Store(uint64(g.start.UnixMicro()))
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	record, closeRecorder := recorder.New(o.Out)
 	g.recorder = record
 	g.logger = slog.New(slog.NewJSONHandler(record, nil)).With(slog.String("host", s.Host))
@@ -191,6 +195,9 @@
 	return now - (at - g.stopTime()), at - now, at != 0
 }
 
+// Ending implements receiver.ShutdownState.
+func (g *Gateway) Ending() context.Context { return g.ending }
+
 // stopTime returns the time from the stop signal until the daemon ends.
 func (g *Gateway) stopTime() time.Duration { return g.settings.StopTimeout - stopMargin }
 
--- a/gateway/receiver/body.go
+++ b/gateway/receiver/body.go
@@ -64,6 +64,9 @@
 		p.charge.Release()
 		p.writer.Header().Set("Connection", "close")
 		p.reject(rejection{status: http.StatusServiceUnavailable, code: codeMemory, retryAfter: memoryRetryAfter})
+	case errors.Is(err, os.ErrDeadlineExceeded) && p.receiver.ShutdownState.Ending().Err() != nil:
+		p.charge.Release()
+		p.rejectStopping()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		p.charge.Release()
 		p.writer.Header().Set("Connection", "close")
--- a/gateway/receiver/closing_test.go
+++ b/gateway/receiver/closing_test.go
@@ -24,7 +24,9 @@
 // Connection field.
 func TestConnectionsAreClosedDuringAStop(t *testing.T) {
 	closing := map[string]func(*receiver.Options){
-		"stop":     func(o *receiver.Options) { o.ShutdownState = shutdownState{time.Second, 10 * time.Minute, true} },
+		"stop": func(o *receiver.Options) {
+			o.ShutdownState = shutdownState{since: time.Second, left: 10 * time.Minute, stopping: true}
+		},
 		"overload": func(o *receiver.Options) { o.LoadShedder = loadShedder{closeConnections: true} },
 		"neither":  func(*receiver.Options) {},
 	}
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -193,4 +193,7 @@
 	// Stopping returns the time since the stop signal and the time until the daemon ends;
 	// stopping is false if there was no stop signal.
 	Stopping() (since, left time.Duration, stopping bool)
+	// Ending returns a context that ends when the requests in progress must end, so that
+	// their callers still get a response.
+	Ending() context.Context
 }
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -45,6 +45,8 @@
 	request  *http.Request
 	start    time.Time
 	info     RequestInfo
+	// late is set if the request arrived when its caller could know that the daemon stops.
+	late bool
 	// version is that of the configuration by which the request was resolved.
 	version uint64
 	route   resolver.Route
@@ -105,6 +107,9 @@
 	outcomeFailed
 )
 
+// errEnding is the cause with which requests are cancelled because the daemon ends.
+var errEnding = errors.New("daemon ends")
+
 // serve sends the request to targets until the caller has a response or no further
 // attempt is allowed.
 func (p *proxyRequest) serve() {
@@ -114,8 +119,12 @@
 		// effect matters, and cancelling it could leave the work half done.
 		parent = context.WithoutCancel(parent)
 	}
-	ctx, cancel := context.WithDeadline(parent, p.start.Add(p.timeout()))
+	ctx, end := context.WithCancelCause(parent)
+	defer end(nil)
+	ctx, cancel := context.WithDeadline(ctx, p.start.Add(p.timeout()))
 	defer cancel()
+	stopWatch := context.AfterFunc(p.receiver.ShutdownState.Ending(), func() { end(errEnding) })
+	defer stopWatch()
 	p.receiver.RetryBudget.RecordRequest(p.service)
 	for {
 		switch p.attempt(ctx) {
@@ -149,6 +158,11 @@
 		permit.End(placer.Unsent)
 		return outcomeFailed
 	}
+	if !p.mayHaveRun && p.endsTooEarly() {
+		permit.End(placer.Unsent)
+		p.rejectStopping()
+		return outcomeDone
+	}
 	if p.request.Context().Err() != nil || timeLeft < minTimeLeft {
 		permit.End(placer.Unsent)
 		return outcomeFailed
@@ -335,10 +349,14 @@
 	return outcomeRetry
 }
 
-// timeLeft returns the time until the deadline of the request.
+// timeLeft returns the time until the deadline of the request, or until the daemon ends.
 func (p *proxyRequest) timeLeft(ctx context.Context) time.Duration {
 	deadline, _ := ctx.Deadline()
-	return time.Until(deadline)
+	timeLeft := time.Until(deadline)
+	if _, left, stopping := p.receiver.ShutdownState.Stopping(); stopping {
+		timeLeft = min(timeLeft, left)
+	}
+	return timeLeft
 }
 
 // fail ends a request for which there is no complete response and no further attempt.
@@ -353,8 +371,12 @@
 		p.breakOff()
 	case p.fallback != nil:
 		p.writeResponse(p.fallback)
+	case !p.mayHaveRun && errors.Is(context.Cause(ctx), errEnding):
+		p.rejectStopping()
 	case !p.mayHaveRun:
 		p.reject(rejection{status: http.StatusServiceUnavailable, code: "noTarget", retryAfter: min(noTargetRetryAfter, p.timeLeft(ctx)/3)})
+	case errors.Is(context.Cause(ctx), errEnding):
+		p.reject(rejection{status: http.StatusGatewayTimeout, code: codeStopping})
 	case ctx.Err() != nil:
 		p.reject(rejection{status: http.StatusGatewayTimeout, code: "timeout"})
 	default:
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -109,7 +109,8 @@
 		// The error is ignored: response writers of tests may not support deadlines.
 		_ = p.control.SetReadDeadline(p.start.Add(bodyReadTimeout))
 	}
-	since, left, stopping := rc.ShutdownState.Stopping()
+	since, _, stopping := rc.ShutdownState.Stopping()
+	p.late = stopping && since > stopNoticeTime
 	if stopping || rc.LoadShedder.ShouldCloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
@@ -123,11 +124,14 @@
 		return
 	}
 	defer p.charge.Release()
+	// The daemon may end, or begin to stop, while the body arrives.
+	stopWatch := context.AfterFunc(rc.ShutdownState.Ending(), func() { _ = p.control.SetReadDeadline(longAgo) })
 	if !p.readBody() {
+		stopWatch()
 		return
 	}
-	if stopping && p.requiredTime(since) > left {
-		p.reject(rejection{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stoppingRetryAfter})
+	if !stopWatch() || p.endsTooEarly() {
+		p.rejectStopping()
 		return
 	}
 	p.serve()
@@ -173,22 +177,43 @@
 }
 
 // stopNoticeTime is the time after the stop signal for which callers cannot know that
-// the daemon is stopping, because the balancer still sends it new connections.
-const stopNoticeTime = 3 * time.Second
+// the daemon is stopping, because the balancer still sends it new connections. The
+// platform counts 3 s from the signal until the caller sends; a busy host notices the
+// signal later than the request.
+const stopNoticeTime = 3*time.Second - 200*time.Millisecond
+
+// endsTooEarly reports whether the daemon stops and too little time is left before it
+// ends to send the request, which has not been sent yet.
+func (p *proxyRequest) endsTooEarly() bool {
+	_, left, stopping := p.receiver.ShutdownState.Stopping()
+	return stopping && p.requiredTime() > left
+}
 
 // requiredTime returns the time that must be left before the daemon ends for the
-// request to be accepted, given the time since the stop signal. Within stopNoticeTime,
-// it is the time that the request is likely to take. Later requests arrive on
-// connections that callers were told to close; they are accepted only if they cannot be
-// cut at all.
-func (p *proxyRequest) requiredTime(since time.Duration) time.Duration {
-	if since > stopNoticeTime {
-		return p.timeout()
+// request to be sent. For requests that arrived within stopNoticeTime, it is the time
+// that the request is likely to take. Later requests arrive on connections that callers
+// were told to close; they are sent only if they cannot be cut at all.
+func (p *proxyRequest) requiredTime() time.Duration {
+	if p.late {
+		return p.timeout() - time.Since(p.start)
 	}
 	rc := p.receiver
 	rc.mutex.Lock()
 	defer rc.mutex.Unlock()
-	return max(rc.durations[p.route.Name], 2*p.route.Objective)
+	return max(rc.durations[p.route.Name], 2*p.objective())
+}
+
+// objective returns the time to the first event that is aimed at.
+func (p *proxyRequest) objective() time.Duration {
+	if p.route.Objective <= 0 {
+		return defaultObjective
+	}
+	return p.route.Objective
+}
+
+// rejectStopping refuses the request, which was not sent, because the daemon stops.
+func (p *proxyRequest) rejectStopping() {
+	p.reject(rejection{status: http.StatusServiceUnavailable, code: codeStopping, retryAfter: stoppingRetryAfter})
 }
 
 // timeout returns the longest time that the request may take.
@@ -249,19 +274,15 @@
 	if outputTokens <= 0 && p.engine != nil {
 		outputTokens = defaultOutputTokens
 	}
-	objective := p.route.Objective
-	if objective <= 0 {
-		objective = defaultObjective
-	}
-	deadline, _ := ctx.Deadline()
+	timeLeft := p.timeLeft(ctx)
 	return Demand{
 		Request: placer.Request{
 			ID: p.receiver.nextID.Add(1), Service: p.service, PromptTokens: p.info.PromptTokens, OutputTokens: outputTokens,
-			Parts: p.info.Parts, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, time.Until(deadline)),
+			Parts: p.info.Parts, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, timeLeft),
 			Regions: p.regions, Retry: p.attempts > 0, Excluded: p.excluded,
 		},
 		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "", Priority: p.priority,
-		Objective: max(objective-time.Since(p.start), 0), TimeLeft: time.Until(deadline),
+		Objective: max(p.objective()-time.Since(p.start), 0), TimeLeft: timeLeft,
 		FirstWait: p.waits == 0,
 	}
 }
--- a/gateway/receiver/receiver_test.go
+++ b/gateway/receiver/receiver_test.go
@@ -349,10 +349,10 @@
 		shutdownState shutdownState
 		status        int
 	}{
-		"early, enough time":  {shutdownState{time.Second, 10 * time.Minute, true}, 200},
-		"early, little time":  {shutdownState{time.Second, time.Second, true}, 503},
-		"late, could be cut":  {shutdownState{5 * time.Second, 50 * time.Second, true}, 503},
-		"late, cannot be cut": {shutdownState{5 * time.Second, 61 * time.Second, true}, 200},
+		"early, enough time":  {shutdownState{since: time.Second, left: 10 * time.Minute, stopping: true}, 200},
+		"early, little time":  {shutdownState{since: time.Second, left: time.Second, stopping: true}, 503},
+		"late, could be cut":  {shutdownState{since: 5 * time.Second, left: 50 * time.Second, stopping: true}, 503},
+		"late, cannot be cut": {shutdownState{since: 5 * time.Second, left: 61 * time.Second, stopping: true}, 200},
 	} {
 		f := newFixture(t, []reply{{status: 200, header: signed, body: "ok"}}, func(o *receiver.Options) { o.ShutdownState = tc.shutdownState })
 		r := f.postDefault(t, "/once/1")
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -63,6 +63,9 @@
 	p.recordEnd(r.code, r.status)
 }
 
+// codeStopping is the code of rejections because the daemon stops.
+const codeStopping = "stopping"
+
 // codeBusy is the code of rejections because the host is busy.
 const codeBusy = "hostBusy"
 
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -38,6 +38,7 @@
 	to := h.Clone()
 	to.Set("Target", a.TargetID)
 	to.Set("After", a.LastEventID)
+	to.Set("Left", strconv.FormatInt(a.TimeLeft.Milliseconds(), 10))
 	return to
 }
 
@@ -82,6 +83,8 @@
 	// expected is the expected time to the first event; 0 stands for a time so long that no
 	// target counts as stalled before its first event.
 	expected time.Duration
+	// onWait, unless nil, is called in each call of Wait with its number from 1.
+	onWait func(n int)
 	// demands are those of all calls of Wait.
 	demands []receiver.Demand
 }
@@ -90,6 +93,9 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.demands = append(w.demands, d)
+	if w.onWait != nil {
+		w.onWait(len(w.demands))
+	}
 	p := &permit{permitSource: w}
 	if w.stale > 0 {
 		w.stale--
@@ -272,6 +278,15 @@
 	// since is the time since the stop began, left the time until its end.
 	since, left time.Duration
 	stopping    bool
+	// ending, unless nil, ends when the requests in progress must end.
+	ending context.Context
+}
+
+func (s shutdownState) Ending() context.Context {
+	if s.ending == nil {
+		return context.Background()
+	}
+	return s.ending
 }
 
 func (s shutdownState) Stopping() (time.Duration, time.Duration, bool) {
@@ -297,11 +312,13 @@
 			Destinations: []resolver.Destination{{Service: "s", Weight: 1}}, Timeout: time.Minute, Objective: time.Minute,
 		}
 	}
+	plain := route("new", resolver.NonIdempotent, 2, false)
+	plain.Objective = 0
 	config := resolver.New(resolver.Content{
 		Version: 1,
 		Routes: []resolver.Route{
 			route("safe", resolver.Idempotent, 2, false), route("once", resolver.NonIdempotent, 2, false),
-			route("stream", resolver.Streaming, 2, false), route("resume", resolver.Streaming, 2, true),
+			route("stream", resolver.Streaming, 2, false), route("resume", resolver.Streaming, 2, true), plain,
 		},
 		Services: []resolver.Service{{Name: "s", HealthPath: "/health"}},
 		Accounts: []resolver.Account{{Name: "forge", Keys: []string{"k"}}},
@@ -347,6 +364,11 @@
 	r.Host = "h.example"
 	r.Header.Set("Id", "r1")
 	r.Header.Set("Key", key)
+	return f.do(r)
+}
+
+// do sends a request of a caller on a connection of its own.
+func (f *fixture) do(r *http.Request) result {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	response, err := client.Do(r)
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -90,11 +90,7 @@
 		w.cancelAfter = max(resumeAfter(p.route, timeLeft)-w.stallAfter, time.Millisecond)
 		w.cancelBegunAfter = max(resumeBegunAfter(p.route)-w.stallAfter, time.Millisecond)
 	case mayRetry:
-		objective := p.route.Objective
-		if objective <= 0 {
-			objective = defaultObjective
-		}
-		firstEventTimeout = objective
+		firstEventTimeout = p.objective()
 		w.cancelAfter = time.Millisecond
 	}
 	w.timer = time.AfterFunc(firstEventTimeout, w.onTimer)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// stopMargin is the time before the kill signal at which the daemon ends by
-	// itself.
+	// stopMargin is the time before the kill signal at which the requests in progress
+	// end.
 	stopMargin = 400 * time.Millisecond
+	// answerTime is the part of stopMargin in which their callers get a response.
+	answerTime = 200 * time.Millisecond
 	// lameDuckTime is the minimum time for which new connections are accepted after
 	// the stop signal. The balancer checks readiness every second and removes a daemon
 	// after two failed checks.
@@ -23,7 +25,8 @@
 )
 
 // stop turns readiness off and serves until the balancer has removed the daemon and
-// all requests have ended. It returns before the kill signal in any case.
+// all requests have ended. It returns before the kill signal in any case; requests that
+// are still in progress get an error response.
 func (g *Gateway) stop() {
 	start := g.clock()
 	end := start + g.stopTime()
@@ -41,9 +44,14 @@
 		}
 		<-t.C
 	}
-	if active := g.receiver.ActiveRequests.Load(); active > 0 {
-		logger.Emit(g.logger, logger.DaemonAborted, slog.Int64("cut", active))
+	active := g.receiver.ActiveRequests.Load()
+	g.endRequests()
+	if active == 0 {
+		logger.Emit(g.logger, logger.DaemonStopped)
 		return
 	}
-	logger.Emit(g.logger, logger.DaemonStopped)
+	for g.clock() < end+answerTime && g.callerServer.connections.inUse() {
+		<-t.C
+	}
+	logger.Emit(g.logger, logger.DaemonAborted, slog.Int64("cut", active))
 }
