Receiver: name a fingerprint of each request in events 511 and 515

Requests without a prompt that crash one target after the other could not be found in the log: events 511 and 515 named prompt parts only, so that the records did not tell a request that comes again from others on its route.

Each request has a fingerprint now: a hash of method, path with query, client account and body, computed once after the body was read. Events 511 and 515 name it, together with the service, as a part of a prompt is named. The route of a caller's attempts does not matter, nor do other header fields. No decision depends on it yet.

--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -48,6 +48,9 @@
 	PromptTokens, OutputTokens int
 	// Parts are the parts of the prompt in order.
 	Parts []PromptPart
+	// Fingerprint is equal for requests with the same method, path, query, client account
+	// and body.
+	Fingerprint uint64
 	// MaxMeanEventGap is the longest mean gap between events with which the whole
 	// answer is on time; 0 sets no limit.
 	MaxMeanEventGap time.Duration
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -61,6 +61,8 @@
 	body      []byte
 	// charge is the memory that the request holds.
 	charge limiter.Charge
+	// fingerprint is equal for repetitions of the request by its caller.
+	fingerprint uint64
 	// watched is set while the charge is watched because of the body. reported is the
 	// number of bytes of the body that were reported to the charge.
 	watched  bool
@@ -153,7 +155,7 @@
 	p.log(logger.RequestPlaced, slog.String("target", d.Choice.Target.ID), slog.Int("attempt", p.attempts+1),
 		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits),
 		slog.Bool("home", d.Choice.FirstRanked), slog.Float64("unread", d.Choice.UncachedTokens), slog.Float64("shared", d.Choice.UncachedSharedTokens), slog.Float64("copied", d.Choice.CopyTokens),
-		slog.String("parts", p.formatParts()))
+		slog.String("parts", p.formatParts()), slog.String("fingerprint", p.formatFingerprint()))
 	return p.send(ctx, permit, timeLeft)
 }
 
@@ -306,7 +308,7 @@
 	target := permit.Decision().Choice.Target.ID
 	p.excluded = append(p.excluded, target)
 	attrs := []slog.Attr{slog.String("target", target), slog.Bool("sent", true), slog.String("what", reason),
-		slog.Bool("began", p.stream != nil && p.stream.started), slog.String("parts", p.formatParts())}
+		slog.Bool("began", p.stream != nil && p.stream.started), slog.String("parts", p.formatParts()), slog.String("fingerprint", p.formatFingerprint())}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", err.Error()))
 	}
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -130,6 +130,7 @@
 		p.reject(rejection{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: stoppingRetryAfter})
 		return
 	}
+	p.fingerprint = fingerprint(p.request.Method, p.request.RequestURI, p.account, p.body)
 	p.serve()
 }
 
@@ -257,7 +258,7 @@
 	return Demand{
 		Request: placer.Request{
 			ID: p.receiver.nextID.Add(1), Service: p.service, PromptTokens: p.info.PromptTokens, OutputTokens: outputTokens,
-			Parts: p.info.Parts, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, time.Until(deadline)),
+			Parts: p.info.Parts, Fingerprint: p.fingerprint, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, time.Until(deadline)),
 			Regions: p.regions, Retry: p.attempts > 0, Excluded: p.excluded,
 		},
 		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "", Priority: p.priority,
--- a/gateway/receiver/record.go
+++ b/gateway/receiver/record.go
@@ -40,6 +40,12 @@
 	return b.String()
 }
 
+// formatFingerprint returns the fingerprint of the request at its service, as it is named
+// in the records of the quarantine.
+func (p *proxyRequest) formatFingerprint() string {
+	return strconv.FormatUint(uint64(quarantiner.PartOf(p.service, p.fingerprint)), 16)
+}
+
 // log logs an event of the request.
 func (p *proxyRequest) log(e logger.Event, attrs ...slog.Attr) {
 	attrs = append([]slog.Attr{
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -304,7 +304,7 @@
 			route("stream", resolver.Streaming, 2, false), route("resume", resolver.Streaming, 2, true),
 		},
 		Services: []resolver.Service{{Name: "s", HealthPath: "/health"}},
-		Accounts: []resolver.Account{{Name: "forge", Keys: []string{"k"}}},
+		Accounts: []resolver.Account{{Name: "forge", Keys: []string{"k"}}, {Name: "other", Keys: []string{"k2"}}},
 		Limits:   resolver.Limits{BodyBytes: 1000},
 	})
 	f := &fixture{
