Requests that crash each target that runs them are put into quarantine

Cause: evidence was recorded for prompt parts only, so that no daemon recognised a request without a prompt, or with one whose last part differs.

The fingerprint of each request is one more suspect of the same evidence now. It takes the place of the last part of a prompt, which stood for the whole request before, so that each crash counts.

- A whole request is quarantined after three independent crashes. 100 ms make crashes independent, 300 ms for parts as before, and two further crashes within that time count as one: a service of four targets ends within 0.3 s, and its second end would come before daemons could tell.
- Five if an answer is known, or if another request without an answer was in all of the crashes.
A sound GET that is popular is at most targets that crash; its answers clear what came before them.
- Crashes do not count if a part in quarantine was in them, or a request in quarantine that is likelier to be the cause.
That order is strict and depends on the evidence alone, so that all daemons agree; a further crash without the sound one of two releases it.
- A request without an answer that may have been in two crashes is not sent to a second target; the caller gets 502.
- Suspects, reports and known answers of whole requests have bounds of their own, so that they push out none of parts.

Tests of the quarantiner pass the identity of the prompt to Incidents, since the last part is no longer that; requests of the controller tests have a fingerprint.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -76,8 +76,8 @@
 	// waiting holds the permits of queued requests and placed those of requests at
 	// targets, by request ID.
 	waiting, placed map[uint64]*permit
-	// quarantine holds what is known about prompt parts that crash targets, quarantined
-	// the parts that are in quarantine, sorted.
+	// quarantine holds what is known about prompt parts and whole requests that crash
+	// targets, quarantined those that are in quarantine, sorted.
 	quarantine  *quarantiner.Quarantine
 	quarantined []quarantiner.Part
 	// evidenceChanged is set while there is evidence that updateQuarantine has not seen;
--- a/gateway/controller/controller_test.go
+++ b/gateway/controller/controller_test.go
@@ -59,7 +59,7 @@
 
 func demand(id uint64) receiver.Demand {
 	return receiver.Demand{
-		Request: placer.Request{ID: id, Service: "s"}, Objective: time.Hour, TimeLeft: time.Hour, FirstWait: true,
+		Request: placer.Request{ID: id, Service: "s", Fingerprint: id}, Objective: time.Hour, TimeLeft: time.Hour, FirstWait: true,
 	}
 }
 
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -22,7 +22,7 @@
 	c.enqueue(now, e.permit)
 }
 
-// enqueue adds a request to the queue, or refuses it if a part of its prompt crashes
+// enqueue adds a request to the queue, or refuses it if it or a part of its prompt crashes
 // targets. The latter takes nothing from the share of its account.
 func (c *Controller) enqueue(now time.Duration, p *permit) {
 	if d, refused := c.quarantineDecision(now, p); refused {
--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -32,42 +32,61 @@
 	target registrar.Entry
 	// since is the time of the first broken connection.
 	since time.Duration
-	// prompts holds the prompts that the target may not have survived.
-	prompts [][]quarantiner.Part
+	// requests holds the requests that the target may not have survived.
+	requests []suspects
 	// probes is the number of finished probes; probing is set while one is under way.
 	probes  int
 	probing bool
 }
 
-// includes reports whether one of the prompts has one of the parts.
+// includes reports whether one of the requests has one of the parts.
 func (s *suspicion) includes(parts []quarantiner.Part) bool {
-	return slices.ContainsFunc(s.prompts, func(prompt []quarantiner.Part) bool {
-		return slices.ContainsFunc(prompt, func(p quarantiner.Part) bool { return slices.Contains(parts, p) })
+	return slices.ContainsFunc(s.requests, func(r suspects) bool {
+		return slices.ContainsFunc(r.parts, func(p quarantiner.Part) bool { return slices.Contains(parts, p) })
 	})
 }
 
-// partsOf returns the prompt parts of a request.
-func partsOf(r placer.Request) []quarantiner.Part {
-	parts := make([]quarantiner.Part, len(r.Parts))
-	for i, p := range r.Parts {
-		parts[i] = quarantiner.PartOf(r.Service, p.ID)
+// suspects is what may have crashed the target of a request.
+type suspects struct {
+	// parts holds the shared parts of the prompt and, last, the whole request.
+	parts []quarantiner.Part
+	// prompt identifies the prompt.
+	prompt uint64
+}
+
+// suspectsOf returns the suspects of a request. The last part of its prompt, which is not
+// shared, is covered by the whole request.
+func suspectsOf(r placer.Request) suspects {
+	shared := r.Parts[:max(len(r.Parts)-1, 0)]
+	s := suspects{parts: make([]quarantiner.Part, 0, len(shared)+1), prompt: r.Fingerprint}
+	for _, p := range shared {
+		s.parts = append(s.parts, quarantiner.PartOf(r.Service, p.ID))
 	}
-	return parts
+	if len(r.Parts) > 0 {
+		s.prompt = r.Parts[len(r.Parts)-1].ID
+	}
+	s.parts = append(s.parts, quarantiner.PartOf(r.Service, r.Fingerprint))
+	return s
 }
 
-// recordProof records that the answer to a request proves its prompt sound.
+func (s suspects) shared() []quarantiner.Part { return s.parts[:len(s.parts)-1] }
+
+func (s suspects) whole() quarantiner.Part { return s.parts[len(s.parts)-1] }
+
+// recordProof records that the answer to a request proves it sound.
 func (c *Controller) recordProof(now time.Duration, p *permit) {
 	if p.proven || !p.began {
 		return
 	}
 	p.proven = true
-	c.quarantine.RecordAnswer(now, partsOf(p.demand.Request), p.beganAt)
+	s := suspectsOf(p.demand.Request)
+	c.quarantine.RecordAnswer(now, s.shared(), p.beganAt)
+	c.quarantine.RecordRequestAnswer(now, s.whole(), p.beganAt)
 }
 
-// recordEvidence records what the end of a request says about the parts of its prompt.
+// recordEvidence records what the end of a request says about it.
 func (c *Controller) recordEvidence(now time.Duration, p *permit, result placer.Result) {
 	switch {
-	case len(p.demand.Request.Parts) == 0:
 	case result == placer.Complete || p.began && now-p.beganAt >= quarantiner.ProofTime:
 		c.recordProof(now, p)
 	case result == placer.Broken:
@@ -76,7 +95,7 @@
 }
 
 // suspect records that the connection on which a request was sent broke before its
-// answer proved the prompt sound, and probes the target.
+// answer proved it sound, and probes the target.
 func (c *Controller) suspect(now time.Duration, p *permit) {
 	target := p.target
 	s := c.suspicions[target.ID]
@@ -84,7 +103,7 @@
 		s = &suspicion{target: target, since: now}
 		c.suspicions[target.ID] = s
 	}
-	s.prompts = append(s.prompts, partsOf(p.demand.Request))
+	s.requests = append(s.requests, suspectsOf(p.demand.Request))
 	c.probeSuspect(s)
 }
 
@@ -116,13 +135,13 @@
 // recordCrash records the crash of a target and the parts that may have caused it.
 func (c *Controller) recordCrash(now time.Duration, s *suspicion) {
 	crash := quarantiner.CrashOf(s.target.ID, s.target.Incarnation)
-	for _, prompt := range s.prompts {
-		for _, i := range quarantiner.Incidents(prompt, crash, now-s.since) {
+	for _, r := range s.requests {
+		for _, i := range quarantiner.Incidents(r.parts, r.prompt, crash, now-s.since) {
 			c.quarantine.RecordIncident(now, i)
 		}
 	}
 	logger.Emit(c.options.Logger, logger.TargetCrashed, slog.String("target", s.target.ID), slog.Int64("incarnation", s.target.Incarnation),
-		slog.Int("prompts", len(s.prompts)), slog.Duration("age", now-s.since))
+		slog.Int("requests", len(s.requests)), slog.Duration("age", now-s.since))
 	c.evidenceChanged = true
 }
 
@@ -210,35 +229,44 @@
 // formatPart returns the name of a part in the log.
 func formatPart(p quarantiner.Part) string { return strconv.FormatUint(uint64(p), 16) }
 
-// quarantineDecision returns the refusal of a request that has a part in quarantine, or
-// that must not be repeated because it may have crashed its target.
+// quarantineDecision returns the refusal of a request that is in quarantine or has a part
+// in it, or that must not be repeated because it may have crashed its target.
 func (c *Controller) quarantineDecision(now time.Duration, p *permit) (queuer.Decision, bool) {
 	r := p.demand.Request
-	parts := partsOf(r)
-	if part, until, blocked := c.quarantine.Blocked(now, parts); blocked {
+	s := suspectsOf(r)
+	if part, until, blocked := c.quarantine.Blocked(now, s.parts); blocked {
 		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonQuarantined, Part: part, RetryAfter: until - now}, true
 	}
-	// The last part is that of the request itself, which nothing can have proved.
-	shared := parts[:max(len(parts)-1, 0)]
-	if i := slices.IndexFunc(shared, c.quarantine.Suspected); r.Retry && i >= 0 {
-		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonSuspected, Part: parts[i]}, true
+	if !r.Retry {
+		return queuer.Decision{}, false
+	}
+	if i := slices.IndexFunc(s.shared(), c.quarantine.Suspected); i >= 0 {
+		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonSuspected, Part: s.parts[i]}, true
+	}
+	if c.quarantine.SuspectedRequest(s.whole(), 0) {
+		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonSuspected, Part: s.whole()}, true
 	}
 	return queuer.Decision{}, false
 }
 
 // hold keeps a request that is to be repeated until it is known whether it crashed its
-// target. It reports whether that is open.
+// target, if that decides on the repetition. It reports whether that is open.
 func (c *Controller) hold(p *permit) bool {
 	if !p.demand.Request.Retry || len(c.suspicions) == 0 {
 		return false
 	}
-	parts := partsOf(p.demand.Request)
+	r := suspectsOf(p.demand.Request)
+	unconfirmed, shared := 0, false
 	for _, s := range c.suspicions {
-		if s.includes(parts) {
-			c.held = append(c.held, p)
-			return true
+		shared = shared || s.includes(r.shared())
+		if s.includes(r.parts[len(r.parts)-1:]) {
+			unconfirmed++
 		}
 	}
+	if shared || unconfirmed > 0 && c.quarantine.SuspectedRequest(r.whole(), unconfirmed) {
+		c.held = append(c.held, p)
+		return true
+	}
 	return false
 }
 
--- a/gateway/controller/evidence_test.go
+++ b/gateway/controller/evidence_test.go
@@ -148,3 +148,47 @@
 		})
 	}
 }
+
+// Guards against a request without a prompt that crashes a second target in each attempt of
+// its caller, and against sound requests that are not repeated after a crash.
+func TestWholeRequestIsNotRepeatedAfterTwoCrashes(t *testing.T) {
+	var c *testController
+	c = start(t, crashing(&c), func(o *controller.Options) {
+		o.ReportInterval = func(int) time.Duration { return 10 * time.Millisecond }
+	})
+	c.SetRegistry(0, registrar.Read{Moment: registrar.Moment{Revision: 2}, Entries: targets(8, 1)})
+	id := uint64(0)
+	var excluded []string
+	send := func(fingerprint uint64, retry bool, result placer.Result) queuer.Reason {
+		id++
+		d := demand(id)
+		d.Request.Fingerprint, d.Request.Retry, d.Request.Excluded = fingerprint, retry, excluded
+		p, err := c.Wait(context.Background(), d)
+		if errors.Is(err, receiver.ErrRefused) {
+			return p.Decision().Reason
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		excluded = append(excluded, p.Decision().Choice.Target.ID)
+		if result == placer.Complete {
+			p.FirstEvent()
+		}
+		p.End(result)
+		return ""
+	}
+	const unknown, known = 1, 2
+	if r := send(known, false, placer.Complete); r != "" {
+		t.Fatal(r)
+	}
+	for _, fingerprint := range []uint64{unknown, known} {
+		for attempt, want := range []queuer.Reason{"", "", queuer.ReasonSuspected} {
+			if fingerprint == known {
+				want = ""
+			}
+			if r := send(fingerprint, attempt > 0, placer.Broken); r != want {
+				t.Errorf("request %d, attempt %d: %q, want %q; targets %q", fingerprint, attempt+1, r, want, excluded)
+			}
+		}
+	}
+}
--- a/gateway/controller/snapshots.go
+++ b/gateway/controller/snapshots.go
@@ -7,7 +7,7 @@
 	// Waiting is the number of queued requests, Placed that of requests at targets,
 	// Targets that of usable targets and Peers that of live peers.
 	Waiting, Placed, Targets, Peers int
-	// Quarantined is the number of prompt parts in quarantine.
+	// Quarantined is the number of prompt parts and whole requests in quarantine.
 	Quarantined int
 	// Limited is the number of targets whose request limit is in force.
 	Limited int
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -47,7 +47,7 @@
 		"monsoondeck_placed_requests":      {"Requests at targets.", func() float64 { return float64(g.controller.Stats().Placed) }},
 		"monsoondeck_targets":              {"Targets that may get requests.", func() float64 { return float64(g.controller.Stats().Targets) }},
 		"monsoondeck_peers":                {"Other daemons heard of recently.", func() float64 { return float64(g.controller.Stats().Peers) }},
-		"monsoondeck_quarantined_parts":    {"Prompt parts that are refused because they crash targets.", func() float64 { return float64(g.controller.Stats().Quarantined) }},
+		"monsoondeck_quarantined_parts":    {"Prompt parts and whole requests that are refused because they crash targets.", func() float64 { return float64(g.controller.Stats().Quarantined) }},
 		"monsoondeck_limited_targets":      {"Targets that limit the rate of their requests.", func() float64 { return float64(g.controller.Stats().Limited) }},
 		"monsoondeck_cold_targets":         {"Targets that get a limited number of requests because they are cold.", func() float64 { return float64(g.controller.Stats().Cold) }},
 		"monsoondeck_evacuated_centres":    {"Data centres whose targets get no requests because they are evacuated.", func() float64 { return float64(g.controller.Stats().Evacuated) }},
--- a/gateway/quarantiner/evidence.go
+++ b/gateway/quarantiner/evidence.go
@@ -1,15 +1,18 @@
 package quarantiner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Part identifies a prompt part at a service.
+// Part identifies a prompt part at a service, or a whole request by its fingerprint.
 type Part uint64
 
-// PartOf returns the Part for the ID of a prompt part at a service.
+// PartOf returns the Part for the ID of a prompt part or the fingerprint of a request at a
+// service.
 func PartOf(service string, id uint64) Part {
 	return Part(xxhash.Sum64String(service) ^ id*0x9e3779b97f4a7c15)
 }
@@ -28,28 +31,30 @@
 	Part  Part
 	Crash Crash
 	// Request identifies the prompt. The crashes of one prompt that is sent repeatedly
-	// count once, except for its last part, for which Request repeats Crash.
+	// count once against its parts. Each crash counts against the whole request, for which
+	// Request repeats Crash.
 	Request uint64
 	// Age is the time since the crash. Daemons have no common clock, so that the age omits
 	// the transmission time.
 	Age time.Duration
 }
 
-// Incidents returns the incidents of the parts of a prompt at a crash of the given age.
-// Each crash counts against the last part, which stands for the prompt itself.
-func Incidents(prompt []Part, c Crash, age time.Duration) []Incident {
-	incidents := make([]Incident, len(prompt))
-	for i, part := range prompt {
-		incidents[i] = Incident{Part: part, Crash: c, Request: uint64(prompt[len(prompt)-1]), Age: age}
-		if i == len(prompt)-1 {
+// Incidents returns the incidents of a request at a crash of the given age: of the shared
+// parts of its prompt and, last among the parts, of the whole request. prompt identifies
+// the prompt.
+func Incidents(parts []Part, prompt uint64, c Crash, age time.Duration) []Incident {
+	incidents := make([]Incident, len(parts))
+	for i, part := range parts {
+		incidents[i] = Incident{Part: part, Crash: c, Request: prompt, Age: age}
+		if i == len(parts)-1 {
 			incidents[i].Request = uint64(c)
 		}
 	}
 	return incidents
 }
 
-// ofWholePrompt reports whether the part is the last one of its prompt.
-func (i Incident) ofWholePrompt() bool { return i.Request == uint64(i.Crash) }
+// ofWholeRequest reports whether the part stands for a whole request.
+func (i Incident) ofWholeRequest() bool { return i.Request == uint64(i.Crash) }
 
 // incident is an Incident with the time of the crash by the clock of this daemon.
 type incident struct {
@@ -106,3 +111,49 @@
 	}
 	return nil
 }
+
+// TakeNew returns the evidence since the last call: that of this daemon, and that which
+// others have sent.
+func (q *Quarantine) TakeNew(now time.Duration) (own, learned Evidence) {
+	own, learned = q.own.evidence(now), q.learned.evidence(now)
+	q.own, q.learned = news{}, news{}
+	return own, learned
+}
+
+// All returns all evidence, for daemons that lack some of it. Evidence on parts in
+// quarantine comes first, as does that on whole requests in quarantine; the rest is
+// bounded.
+func (q *Quarantine) All(now time.Duration) Evidence {
+	var all news
+	q.addAll(&all, false, maxReported)
+	q.addAll(&all, true, maxReportedRequests)
+	return all.evidence(now)
+}
+
+// addAll adds the evidence on the suspects of a kind, with at most the given number of
+// incidents and proofs.
+func (q *Quarantine) addAll(all *news, whole bool, most int) {
+	parts := make([]Part, 0, len(q.suspects))
+	for p, s := range q.suspects {
+		if s.whole == whole {
+			parts = append(parts, p)
+		}
+	}
+	slices.SortFunc(parts, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(len(q.suspects[b].incidents), len(q.suspects[a].incidents)), cmp.Compare(q.suspects[b].lastChange, q.suspects[a].lastChange), cmp.Compare(a, b))
+	})
+	incidentLimit, proofLimit := len(all.incidents)+most, len(all.proofs)+most
+	for _, p := range parts {
+		s := q.suspects[p]
+		if len(s.incidents) == 0 || len(all.incidents)+len(s.incidents) > incidentLimit || len(all.proofs)+len(s.cleared)+1 > proofLimit {
+			break // the parts without incidents come last
+		}
+		all.incidents = append(all.incidents, s.incidents...)
+		if s.known {
+			all.proofs = append(all.proofs, Proof{Part: p})
+		}
+		for _, c := range s.cleared {
+			all.proofs = append(all.proofs, Proof{Part: p, Crash: c})
+		}
+	}
+}
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -1,6 +1,6 @@
-// Package quarantiner finds prompt parts that crash the targets which answer them, and
-// keeps requests with such a part away from the targets. It does no I/O; callers pass
-// the time.
+// Package quarantiner finds prompt parts and whole requests that crash the targets which
+// answer them, and keeps such requests away from the targets. It does no I/O; callers
+// pass the time.
 //
 // When a target crashes, each part of a request whose answer had not begun, or had only
 // just begun, is a suspect: that is an Incident. An answer that goes on for ProofTime
@@ -9,6 +9,11 @@
 // suspects were in all of the same prompts, any of them can be the cause: then only
 // requests with all of them are refused, so that sound requests with one can prove it.
 //
+// The fingerprint of a request takes part in the evidence like a prompt part, so that a
+// request which its callers repeat is found, also without a prompt. A sound one that is
+// repeated often is at most of the targets that crash for another reason: crashes that
+// another suspect in quarantine explains do not count against it.
+//
 // Daemons exchange incidents and proofs. The verdict on a part depends on these alone,
 // so that all daemons reach the same one, in whatever order they learn of them.
 package quarantiner
@@ -26,33 +31,51 @@
 	ProofTime = time.Second
 	// newPartCrashes is the number of independent crashes from which a part is
 	// quarantined of which no answer is known. provenPartCrashes is that for a part with an
-	// earlier answer, for one whose crashes a part of other prompts explains as well, and
-	// for the last part of a prompt: a sound prompt that its caller repeats can be a
-	// bystander twice.
+	// earlier answer, and for one whose crashes a suspect of other prompts explains as well.
 	newPartCrashes    = 2
 	provenPartCrashes = 3
+	// newRequestCrashes and provenRequestCrashes are the same for whole requests: a sound
+	// one that is repeated can be a bystander twice, and oftener if it is popular.
+	newRequestCrashes    = 3
+	provenRequestCrashes = 5
+	// repeatedRequestCrashes is the number of crashes from which a request of which no
+	// answer is known is not sent to a second target.
+	repeatedRequestCrashes = 2
 	// minCrashInterval separates independent crashes: targets that fail together, such as
 	// those of one rack, tell as much about their requests as one target does.
 	minCrashInterval = 300 * time.Millisecond
+	// minRequestCrashInterval is the same for whole requests, which come again within it and
+	// would end a small service before two crashes count. It is above the differences of
+	// the ages that daemons report for one moment.
+	minRequestCrashInterval = 100 * time.Millisecond
+	// nearRequestCrashes is the number of crashes within the interval that count as one
+	// more, if there are independent ones. A request that ends a small service within
+	// 300 ms is so found before the targets are back.
+	nearRequestCrashes = 2
 	// baseDuration is how long a part stays in quarantine after its last crash. It doubles
 	// with each crash after the quarantine, which costs a target and the streams on it.
 	baseDuration = 10 * time.Minute
 	maxDuration  = 24 * time.Hour
 	// MaxAge is the age from which evidence is forgotten.
 	MaxAge = maxDuration
-	// maxIncidents bounds the incidents that are kept for a part, maxParts the parts with
-	// incidents.
+	// maxIncidents bounds the incidents that are kept for a part, maxSuspects the parts with
+	// incidents, and the whole requests with incidents.
 	maxIncidents = 16
-	maxParts     = 4096
-	// maxKnownParts bounds each of the two generations of parts that are known to be
-	// sound.
-	maxKnownParts = 4096
-	// maxReported bounds the incidents in a report, and the proofs.
-	maxReported = 512
+	maxSuspects  = 4096
+	// maxKnownParts and maxKnownRequests bound each of the two generations of parts and of
+	// requests that are known to be sound. Requests are far more numerous.
+	maxKnownParts    = 4096
+	maxKnownRequests = 16384
+	// maxReported bounds the incidents of parts in a report, and the proofs;
+	// maxReportedRequests bounds those of whole requests.
+	maxReported         = 512
+	maxReportedRequests = 256
 )
 
 // suspect is what is known about a part with an incident.
 type suspect struct {
+	// whole is set if the part stands for a whole request.
+	whole bool
 	// incidents are those that no proof has cleared, in the order of their times.
 	incidents []incident
 	// cleared holds the crashes of which a proof cleared the part.
@@ -66,12 +89,14 @@
 // Quarantine holds the evidence of one daemon. It is not safe for concurrent use.
 type Quarantine struct {
 	suspects map[Part]*suspect
+	// wholeRequests is the number of suspects that are whole requests.
+	wholeRequests int
 	// byCrash holds the parts that had an incident of a crash, so that the parts that may
 	// explain the same crashes are found without a look at all suspects.
 	byCrash map[Crash]map[Part]bool
-	// current and previous hold the time at which the last answered request with a part
-	// began its answer, in two generations of bounded size.
-	current, previous map[Part]time.Duration
+	// parts and requests hold the time at which the last answer to a request with a part
+	// began, and to a whole request.
+	parts, requests *generations
 	// excused holds the crashes that are no evidence, with the time from which they are.
 	excused map[Crash]time.Duration
 	// own and learned hold the evidence of this daemon and of others that TakeNew has not
@@ -81,30 +106,36 @@
 
 // New returns a Quarantine without evidence.
 func New() *Quarantine {
-	return &Quarantine{suspects: map[Part]*suspect{}, byCrash: map[Crash]map[Part]bool{}, excused: map[Crash]time.Duration{}, current: map[Part]time.Duration{}, previous: map[Part]time.Duration{}}
+	return &Quarantine{suspects: map[Part]*suspect{}, byCrash: map[Crash]map[Part]bool{}, excused: map[Crash]time.Duration{}, parts: newGenerations(maxKnownParts), requests: newGenerations(maxKnownRequests)}
 }
 
-// RecordAnswer records that the answer to a request with these parts began at the given
-// time and proved them sound.
+// RecordAnswer records that the answer to a request with these shared parts began at the
+// given time and proved them sound.
 func (q *Quarantine) RecordAnswer(now time.Duration, parts []Part, began time.Duration) {
 	for _, p := range parts {
-		if len(q.current) >= maxKnownParts {
-			q.current, q.previous = make(map[Part]time.Duration, maxKnownParts), q.current
-		}
-		q.current[p] = max(q.current[p], began)
+		q.parts.record(p, began)
 		if s := q.suspects[p]; s != nil {
 			q.testify(now, p, s)
 		}
 	}
 }
 
-// answered returns the time at which the last answer to a request with the part began.
+// RecordRequestAnswer records that the answer to a whole request began at the given time
+// and proved it sound.
+func (q *Quarantine) RecordRequestAnswer(now time.Duration, whole Part, began time.Duration) {
+	q.requests.record(whole, began)
+	if s := q.suspects[whole]; s != nil {
+		q.testify(now, whole, s)
+	}
+}
+
+// answered returns the time at which the last answer to a request with the part, or to the
+// whole request, began.
 func (q *Quarantine) answered(p Part) (time.Duration, bool) {
-	if at, ok := q.current[p]; ok {
+	if at, ok := q.parts.began(p); ok {
 		return at, true
 	}
-	at, ok := q.previous[p]
-	return at, ok
+	return q.requests.began(p)
 }
 
 // testify tells the other daemons what the answers of this one say about a suspect.
@@ -178,11 +209,12 @@
 func (q *Quarantine) addIncident(now time.Duration, i incident) bool {
 	s := q.suspects[i.Part]
 	if s == nil {
-		if len(q.suspects) >= maxParts {
-			q.removeOldest()
-		}
-		s = &suspect{lastChange: now}
+		s = &suspect{whole: i.ofWholeRequest(), lastChange: now}
+		q.makeRoom(s.whole)
 		q.suspects[i.Part] = s
+		if s.whole {
+			q.wholeRequests++
+		}
 	}
 	if slices.ContainsFunc(s.incidents, func(o incident) bool { return o.Crash == i.Crash && o.Request == i.Request }) {
 		return false
@@ -208,17 +240,32 @@
 	return true
 }
 
-// removeOldest forgets the suspect without news for the longest time. Those of a single
-// crash go before the others, which may be in quarantine.
-func (q *Quarantine) removeOldest() {
+// makeRoom forgets the suspect of a kind without news for the longest time if there are
+// too many. Those of a single crash go before the others, which may be in quarantine.
+func (q *Quarantine) makeRoom(whole bool) {
+	count := q.wholeRequests
+	if !whole {
+		count = len(q.suspects) - q.wholeRequests
+	}
+	if count < maxSuspects {
+		return
+	}
 	var oldest Part
 	var found *suspect
 	for p, s := range q.suspects {
-		if found == nil || s.removedBefore(found) {
+		if s.whole == whole && (found == nil || s.removedBefore(found)) {
 			oldest, found = p, s
 		}
 	}
-	delete(q.suspects, oldest)
+	q.remove(oldest)
+}
+
+// remove forgets a suspect.
+func (q *Quarantine) remove(p Part) {
+	if q.suspects[p].whole {
+		q.wholeRequests--
+	}
+	delete(q.suspects, p)
 }
 
 // removedBefore reports whether the suspect is forgotten before another one.
@@ -235,7 +282,7 @@
 	for p, s := range q.suspects {
 		age := now - s.lastChange
 		if age > MaxAge || len(s.incidents) < newPartCrashes && age > baseDuration {
-			delete(q.suspects, p)
+			q.remove(p)
 		}
 	}
 	for c, parts := range q.byCrash {
@@ -250,38 +297,3 @@
 		}
 	}
 }
-
-// TakeNew returns the evidence since the last call: that of this daemon, and that which
-// others have sent.
-func (q *Quarantine) TakeNew(now time.Duration) (own, learned Evidence) {
-	own, learned = q.own.evidence(now), q.learned.evidence(now)
-	q.own, q.learned = news{}, news{}
-	return own, learned
-}
-
-// All returns all evidence, for daemons that lack some of it. Evidence on parts in
-// quarantine comes first; the rest is bounded.
-func (q *Quarantine) All(now time.Duration) Evidence {
-	parts := make([]Part, 0, len(q.suspects))
-	for p := range q.suspects {
-		parts = append(parts, p)
-	}
-	slices.SortFunc(parts, func(a, b Part) int {
-		return cmp.Or(cmp.Compare(len(q.suspects[b].incidents), len(q.suspects[a].incidents)), cmp.Compare(q.suspects[b].lastChange, q.suspects[a].lastChange), cmp.Compare(a, b))
-	})
-	var all news
-	for _, p := range parts {
-		s := q.suspects[p]
-		if len(s.incidents) == 0 || len(all.incidents)+len(s.incidents) > maxReported || len(all.proofs)+len(s.cleared)+1 > maxReported {
-			break // the parts without incidents come last
-		}
-		all.incidents = append(all.incidents, s.incidents...)
-		if s.known {
-			all.proofs = append(all.proofs, Proof{Part: p})
-		}
-		for _, c := range s.cleared {
-			all.proofs = append(all.proofs, Proof{Part: p, Crash: c})
-		}
-	}
-	return all.evidence(now)
-}
--- a/gateway/quarantiner/quarantiner_test.go
+++ b/gateway/quarantiner/quarantiner_test.go
@@ -30,7 +30,7 @@
 
 // crashPrompt records that a target crashed under a whole prompt.
 func crashPrompt(q *quarantiner.Quarantine, now time.Duration, id quarantiner.Crash, prompt ...quarantiner.Part) {
-	for _, i := range quarantiner.Incidents(prompt, id, 0) {
+	for _, i := range quarantiner.Incidents(prompt, uint64(prompt[len(prompt)-1]), id, 0) {
 		q.RecordIncident(now, i)
 	}
 }
--- a/gateway/quarantiner/storm_test.go
+++ b/gateway/quarantiner/storm_test.go
@@ -15,7 +15,7 @@
 		now := time.Duration(c) * 100 * time.Millisecond
 		for p := range prompts {
 			parts := []quarantiner.Part{1, quarantiner.Part(10 + p%20), quarantiner.Part(1000 + c*prompts + p)}
-			for _, i := range quarantiner.Incidents(parts, quarantiner.Crash(c+1), 0) {
+			for _, i := range quarantiner.Incidents(parts, uint64(parts[2]), quarantiner.Crash(c+1), 0) {
 				q.RecordIncident(now, i)
 			}
 		}
@@ -62,7 +62,7 @@
 func TestCompanionsAreFoundAmongManySuspects(t *testing.T) {
 	q := storm(8, 1)
 	for i := range 1000 {
-		for _, incident := range quarantiner.Incidents([]quarantiner.Part{quarantiner.Part(1e6 + i), quarantiner.Part(1e7 + i)}, quarantiner.Crash(1e6+i), 0) {
+		for _, incident := range quarantiner.Incidents([]quarantiner.Part{quarantiner.Part(1e6 + i), quarantiner.Part(1e7 + i)}, uint64(1e7+i), quarantiner.Crash(1e6+i), 0) {
 			q.RecordIncident(time.Duration(i)*time.Millisecond, incident)
 		}
 	}
--- a/gateway/quarantiner/verdict.go
+++ b/gateway/quarantiner/verdict.go
@@ -8,17 +8,33 @@
 )
 
 // independent returns the number of crashes that tell independently of each other that
-// the part crashes targets, and the last of them.
-func (s *suspect) independent() (count int, last incident) {
+// the part crashes targets, and the last of them. Explained incidents do not count;
+// explained may be nil.
+func (s *suspect) independent(explained func(incident) bool) (count int, last incident) {
+	interval := minCrashInterval
+	if s.whole {
+		interval = minRequestCrashInterval
+	}
 	var requests []uint64
 	var crashes []Crash
+	near := 0
 	for _, i := range s.incidents {
-		if count > 0 && (i.at-last.at < minCrashInterval || slices.Contains(requests, i.Request) || slices.Contains(crashes, i.Crash)) {
+		if explained != nil && explained(i) {
+			continue
+		}
+		if count > 0 && i.at-last.at < interval {
+			near++
+			continue
+		}
+		if count > 0 && (slices.Contains(requests, i.Request) || slices.Contains(crashes, i.Crash)) {
 			continue
 		}
 		count, last = count+1, i
 		requests, crashes = append(requests, i.Request), append(crashes, i.Crash)
 	}
+	if s.whole && count > 1 && near >= nearRequestCrashes {
+		count++
+	}
 	return count, last
 }
 
@@ -40,32 +56,82 @@
 
 // Until returns the time until which a part is or was in quarantine; 0 if it never was.
 func (q *Quarantine) Until(p Part) time.Duration {
-	s := q.suspects[p]
-	if s == nil {
-		return 0
+	if s := q.suspects[p]; s != nil {
+		return q.until(p, s, nil)
 	}
-	count, last := s.independent()
-	threshold := newPartCrashes
-	if s.known || last.ofWholePrompt() || count == newPartCrashes && q.hasAlternative(p, s) {
-		threshold = provenPartCrashes
+	return 0
+}
+
+// until returns the Until of a suspect. found holds the results for whole requests that
+// were found already; nil stands for none.
+func (q *Quarantine) until(p Part, s *suspect, found map[Part]time.Duration) time.Duration {
+	threshold, proven := newPartCrashes, provenPartCrashes
+	if s.whole {
+		threshold, proven = newRequestCrashes, provenRequestCrashes
 	}
-	if count < threshold {
+	if len(s.incidents) < threshold {
 		return 0
 	}
-	return last.at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
+	var explained func(incident) bool
+	if s.whole {
+		if until, ok := found[p]; ok {
+			return until
+		}
+		if found == nil {
+			found = map[Part]time.Duration{}
+		}
+		explained = func(i incident) bool { return q.explained(p, s, i, found) }
+	}
+	count, last := s.independent(explained)
+	if s.known || count >= threshold && count < proven && q.hasAlternative(p, s) {
+		threshold = proven
+	}
+	until := time.Duration(0)
+	if count >= threshold {
+		until = last.at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
+	}
+	if s.whole {
+		found[p] = until
+	}
+	return until
+}
+
+// explained reports whether a crash does not count against a whole request because a part
+// that is or was in quarantine, or such a request that is likelier to crash targets, was
+// in it.
+func (q *Quarantine) explained(p Part, s *suspect, i incident, found map[Part]time.Duration) bool {
+	for other := range q.byCrash[i.Crash] {
+		o := q.suspects[other]
+		if other != p && o.hasIncident(i.Crash) && (!o.whole || o.likelier(s)) && q.until(other, o, found) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// likelier reports whether one whole request is likelier to crash targets than another
+// one: because no answer to it is known, or else because it was in more crashes. Of any
+// two, at most one is.
+func (s *suspect) likelier(than *suspect) bool {
+	if s.known != than.known {
+		return than.known
+	}
+	count, _ := s.independent(nil)
+	other, _ := than.independent(nil)
+	return count > other
 }
 
 // Companions returns the other parts that may have caused all crashes in which the part
 // is a suspect, since they were in the same prompts, in ascending order. A part that was
-// answered before is not one of a part that never was.
+// answered before is not one of a part that never was. A whole request has none.
 func (q *Quarantine) Companions(p Part) []Part {
 	s := q.suspects[p]
-	if s == nil {
+	if s == nil || s.whole {
 		return nil
 	}
 	var companions []Part
 	for other, o := range q.related(s) {
-		if other != p && (s.known || !o.known) && o.explains(s, samePrompt) {
+		if other != p && !o.whole && (s.known || !o.known) && o.explains(s, samePrompt) {
 			companions = append(companions, other)
 		}
 	}
@@ -73,11 +139,15 @@
 	return companions
 }
 
-// hasAlternative reports whether a part of other prompts, of which no answer is known
-// either, may have caused all crashes in which the part is a suspect.
+// hasAlternative reports whether a part of other prompts or another whole request, of
+// which no answer is known either, may have caused all crashes in which the part is a
+// suspect. Parts are no alternative to a whole request, which may contain them.
 func (q *Quarantine) hasAlternative(p Part, s *suspect) bool {
 	for other, o := range q.related(s) {
-		if other != p && !o.known && o.explains(s, sameCrash) && !o.explains(s, samePrompt) {
+		if other == p || o.known || s.whole && !o.whole || !o.explains(s, sameCrash) {
+			continue
+		}
+		if s.whole || !o.explains(s, samePrompt) {
 			return true
 		}
 	}
@@ -146,6 +216,17 @@
 	return s != nil && !s.known && len(s.incidents) > 0
 }
 
+// SuspectedRequest reports whether a whole request has been in several crashes, or may
+// have been in view of others that are not confirmed yet, and no answer to it is known, so
+// that it should not be repeated.
+func (q *Quarantine) SuspectedRequest(whole Part, unconfirmed int) bool {
+	if s := q.suspects[whole]; s != nil {
+		return !s.known && len(s.incidents)+unconfirmed >= repeatedRequestCrashes
+	}
+	_, known := q.answered(whole)
+	return !known && unconfirmed >= repeatedRequestCrashes
+}
+
 // Quarantined returns the parts in quarantine in ascending order.
 func (q *Quarantine) Quarantined(now time.Duration) []Part {
 	var parts []Part
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -75,10 +75,10 @@
 	ReasonNoTarget Reason = "noTarget"
 	// ReasonRegion means that no target of the service is in an allowed region.
 	ReasonRegion Reason = "noTargetInRegion"
-	// ReasonQuarantined means that a part of the prompt crashes targets.
+	// ReasonQuarantined means that the request, or a part of its prompt, crashes targets.
 	ReasonQuarantined Reason = "partQuarantined"
 	// ReasonSuspected means that the request is not repeated because its last target
-	// crashed and a part of its prompt is not known to be sound.
+	// crashed, and the request or a part of its prompt is not known to be sound.
 	ReasonSuspected Reason = "partSuspected"
 )
 
@@ -92,7 +92,8 @@
 	Reason Reason
 	// RetryAfter is the time after which a refused caller should try again.
 	RetryAfter time.Duration
-	// Part is the prompt part for which a request is refused; 0 if there is another reason.
+	// Part is the prompt part or whole request because of which a request is refused; 0 if
+	// there is another reason.
 	Part quarantiner.Part
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -23,8 +23,8 @@
 	// the expected time to the first event, and the ID of the best target.
 	waited, expected time.Duration
 	target           string
-	// part is the prompt part for which the request is refused; 0 if there is another
-	// reason.
+	// part is the prompt part or whole request because of which the request is refused; 0 if
+	// there is another reason.
 	part quarantiner.Part
 }
 
--- a/gateway/watcher/quarantine.go
+++ b/gateway/watcher/quarantine.go
@@ -11,8 +11,8 @@
 	"monsoondeck.example/sleeper"
 )
 
-// QuarantineStore keeps the evidence on prompt parts in quarantine, so that it outlives
-// the daemons.
+// QuarantineStore keeps the evidence on prompt parts and whole requests in quarantine, so
+// that it outlives the daemons.
 type QuarantineStore interface {
 	// Quarantine returns the stored evidence and the moment of the read.
 	Quarantine(ctx context.Context) (quarantiner.Evidence, registrar.Moment, error)
--- a/logger/events.go
+++ b/logger/events.go
@@ -65,8 +65,8 @@
 	RecordsDropped   = Event{517, slog.LevelWarn, "request log records dropped to limit the log rate", "Sum the metrics instead; the rate of records is bounded."}
 	HostBusy         = Event{518, slog.LevelWarn, "host is busy and refuses a part of its requests", "Give the host more processor time, or the balancer its weight."}
 	TargetCrashed    = Event{519, slog.LevelWarn, "target crashed while requests waited for its answer", "Look at the target's own log."}
-	PartQuarantined  = Event{520, slog.LevelWarn, "prompt part crashes targets and is refused", "Find the requests with the part in events 511 and 515 and tell the owners of the account and of the model."}
-	PartReleased     = Event{521, slog.LevelInfo, "prompt part is no longer refused", ""}
+	PartQuarantined  = Event{520, slog.LevelWarn, "prompt part or request crashes targets and is refused", "Find the requests with the part, or with it as fingerprint, in events 511 and 515 and tell the owners of the account and of the service."}
+	PartReleased     = Event{521, slog.LevelInfo, "prompt part or request is no longer refused", ""}
 	TargetLimited    = Event{522, slog.LevelWarn, "target limits the rate of its requests", "Look at the target: it says that it is in trouble. The daemons share its limit."}
 	TargetUnlimited  = Event{523, slog.LevelInfo, "target no longer limits the rate of its requests", ""}
 
