Controller: keep a held request until all suspicions that concern it end

A request that may have crashed two targets was released when the probe of the first one ended, and sent to a third target before the second crash was confirmed. Found by TestWholeRequestIsNotRepeatedAfterTwoCrashes, which failed in about one of 2000 runs (request without an answer sent a third time; the attempts had reached different targets). It passes 20000 runs with the change, in which a held request is held again while another open suspicion concerns it.

--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -270,12 +270,14 @@
 	return false
 }
 
-// releaseHeld enqueues the held requests again.
+// releaseHeld enqueues the held requests again, unless another suspicion decides on them.
 func (c *Controller) releaseHeld(now time.Duration) {
 	held := c.held
 	c.held = nil
 	for _, p := range held {
-		c.enqueue(now, p)
+		if !c.hold(p) {
+			c.enqueue(now, p)
+		}
 	}
 }
 
