--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -134,6 +134,7 @@
 		p.rejectStopping()
 		return
 	}
+	p.fingerprint = fingerprint(p.request.Method, p.request.RequestURI, p.account, p.body)
 	p.serve()
 }
 
@@ -278,7 +279,7 @@
 	return Demand{
 		Request: placer.Request{
 			ID: p.receiver.nextID.Add(1), Service: p.service, PromptTokens: p.info.PromptTokens, OutputTokens: outputTokens,
-			Parts: p.info.Parts, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, timeLeft),
+			Parts: p.info.Parts, Fingerprint: p.fingerprint, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, timeLeft),
 			Regions: p.regions, Retry: next.repetition, Excluded: next.excluded,
 		},
 		// The share of the account was charged with the attempt that may have run.
