--- a/emulator/server/fault.go
+++ b/emulator/server/fault.go
@@ -5,6 +5,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
+	"time"
 
 	"monsoondeck.example/platform/wire"
 )
@@ -38,9 +40,17 @@
 	FaultEarly Kind = "early"
 	// FaultSlow multiplies the times of a response by Factor.
 	FaultSlow Kind = "slow"
+	// FaultTornHead closes the connection in the middle of the head of the response.
+	FaultTornHead Kind = "tornHead"
+	// FaultCrash crashes the server.
+	FaultCrash Kind = "crash"
+	// FaultSilent sends nothing for Pause in the middle of a response, and multiplies the
+	// other times by Factor.
+	FaultSilent Kind = "silent"
 )
 
-// FaultKinds returns all kinds of faults, without FaultNone.
+// FaultKinds returns the kinds of faults that schedules draw from. FaultNone and those
+// that only options of the soak inject are not among them.
 func FaultKinds() []Kind {
 	return []Kind{
 		FaultBusy, FaultError, FaultHang, FaultReset, FaultTruncate, FaultForeign, FaultGarbage, FaultExtra, FaultUnframed, FaultEarly, FaultSlow,
@@ -54,6 +64,8 @@
 	Share float64
 	// Factor multiplies the times of a response; 0 is 1.
 	Factor float64
+	// Pause is the silence of FaultSilent.
+	Pause time.Duration
 }
 
 // drawForRequest decides at random whether the fault affects one request and returns
@@ -65,6 +77,30 @@
 	return f
 }
 
+// drawFault returns the fault of one request: the one that the options give it, or else
+// the one that is drawn. The caller holds s.mutex.
+func (s *Server) drawFault(r *http.Request) Fault {
+	// The rest of a resumed stream has no fault of its own, so that it can end.
+	if s.options.FaultFor != nil && r.Header.Get(wire.FieldLastEvent) == "" {
+		if f := s.options.FaultFor(r.URL.Path); f.Kind != FaultNone {
+			return f
+		}
+	}
+	return s.fault.drawForRequest()
+}
+
+// crashBy crashes the server because of a run, unless it has crashed since the run began.
+func (s *Server) crashBy(run *Run) {
+	s.mutex.Lock()
+	lost := run.Lost
+	s.mutex.Unlock()
+	if lost {
+		return
+	}
+	s.options.Crashing()
+	s.Crash()
+}
+
 // refuseEarly refuses a request before its body is read, if FaultEarly affects it,
 // and reports whether it did.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request) bool {
@@ -102,6 +138,9 @@
 	signedHeader := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", wire.FieldAttempt, run.Attempt, wire.FieldSignature, run.Instance+"."+run.Attempt)
 	framedResponse := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signedHeader, len(body), body)
 	switch kind {
+	case FaultTornHead:
+		head, _, _ := strings.Cut(framedResponse, "\r\n\r\n")
+		_, _ = buffer.WriteString(head[:1+rand.IntN(len(head))])
 	case FaultGarbage:
 		_, _ = buffer.WriteString("\x00\x01 no answer\r\n\r\n")
 	case FaultExtra:
--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -45,6 +45,11 @@
 	FirstByteDelay, EventInterval time.Duration
 	// Registry is where the server registers.
 	Registry Registry
+	// FaultFor, if not nil, returns the fault of requests with a path, FaultNone if they
+	// have none.
+	FaultFor func(path string) Fault
+	// Crashing is called before a request with FaultCrash crashes the server.
+	Crashing func()
 }
 
 // Run records one execution of a request, or of the rest of a resumed stream.
@@ -61,6 +66,8 @@
 	// Complete is set if the whole response was written, Lost if the server crashed
 	// before the run ended.
 	Complete, Lost bool
+	// Fault is the kind of fault of the run.
+	Fault Kind
 }
 
 // Server is a target that can stop and start again at the same address.
@@ -261,7 +268,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	id := r.Header.Get(wire.FieldAttempt)
-	f := s.fault.drawForRequest()
+	f := s.drawFault(r)
 	switch {
 	case r.Header.Get(wire.FieldExpectTarget) != s.instance:
 		return nil, f, reasonOtherInstance
@@ -271,7 +278,7 @@
 	s.active++
 	run := &Run{
 		Attempt: id, Server: s.options.Name, Instance: s.instance, Service: s.options.Service, Path: r.URL.Path,
-		Account: r.Header.Get(wire.FieldTenant), Key: r.Header.Get(wire.FieldKey), After: r.Header.Get(wire.FieldLastEvent), Started: time.Now(),
+		Account: r.Header.Get(wire.FieldTenant), Key: r.Header.Get(wire.FieldKey), After: r.Header.Get(wire.FieldLastEvent), Started: time.Now(), Fault: f.Kind,
 	}
 	s.runs = append(s.runs, run)
 	return run, f, ""
@@ -331,7 +338,10 @@
 		panic(http.ErrAbortHandler)
 	case FaultForeign:
 		w.Header().Set(wire.FieldAttempt, "another-"+run.Attempt)
-	case FaultGarbage, FaultExtra, FaultUnframed:
+	case FaultCrash:
+		s.crashBy(run)
+		panic(http.ErrAbortHandler)
+	case FaultGarbage, FaultExtra, FaultUnframed, FaultTornHead:
 		return s.writeRaw(w, run, fault.Kind)
 	}
 	parts := s.responseParts(run)
@@ -344,6 +354,9 @@
 			// A return from the handler would end the response as if it were complete.
 			panic(http.ErrAbortHandler)
 		}
+		if fault.Kind == FaultSilent && i == len(parts)/2 && !sleeper.Sleep(r.Context(), fault.Pause) {
+			panic(http.ErrAbortHandler)
+		}
 		if fault.Kind == FaultTruncate && i == len(parts)/2 {
 			_, _ = io.WriteString(w, part[:len(part)/2]) // the response is truncated in any case
 			_ = control.Flush()
--- a/emulator/server/server_test.go
+++ b/emulator/server/server_test.go
@@ -108,7 +108,7 @@
 func TestFaultsTakeEffect(t *testing.T) {
 	s, _, address := startServer(t, 4)
 	whole := strings.Join(server.ResponseParts("1", 4), "")
-	for _, kind := range server.FaultKinds() {
+	for _, kind := range append(server.FaultKinds(), server.FaultTornHead, server.FaultSilent) {
 		if kind == server.FaultHang {
 			continue // ends only when the caller disconnects
 		}
@@ -117,9 +117,12 @@
 		}
 		s.SetFault(server.Fault{Kind: kind, Share: 1, Factor: 2})
 		status, header, body, err := sendAttempt(t, address, s.InstanceID(), "")
+		if kind == server.FaultTornHead && err == nil {
+			t.Errorf("%s: whole head %d %v", kind, status, header)
+		}
 		intact := err == nil && status == 200 && body == whole && header.Get(wire.FieldAttempt) == "1"
-		// A slow response is intact, and a second one is visible only on the connection.
-		if intact != (kind == server.FaultSlow || kind == server.FaultExtra) {
+		// Slow responses are intact, and a second one is visible only on the connection.
+		if intact != (kind == server.FaultSlow || kind == server.FaultSilent || kind == server.FaultExtra) {
 			t.Errorf("%s: %d %v %q %v", kind, status, header, body, err)
 		}
 	}
@@ -128,6 +131,33 @@
 	}
 }
 
+// Guards against a request that was meant to crash its target and does not, or that
+// crashes it again when the stream resumes elsewhere.
+func TestFaultOfPath(t *testing.T) {
+	s, _, address := startServer(t, 4)
+	s.Crash()
+	crashing := 0
+	s = server.New(server.Options{
+		Name: "t", Service: "s", Address: address, Advertised: address, Slots: 1, Events: 4, Registry: storer.New(),
+		FaultFor: func(string) server.Fault { return server.Fault{Kind: server.FaultCrash} }, Crashing: func() { crashing++ },
+	})
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Crash)
+	if status, _, _, err := sendAttempt(t, address, s.InstanceID(), "1"); err != nil || status != 200 || crashing != 0 {
+		t.Fatalf("resumed: %d %v, %d crashes", status, err, crashing)
+	}
+	status, _, _, err := sendAttempt(t, address, s.InstanceID(), "")
+	if runs := s.Runs(); err == nil || s.Running() || crashing != 1 || !runs[1].Lost || runs[1].Fault != server.FaultCrash {
+		t.Errorf("%d %v, %d crashes, running %t, runs %+v", status, err, crashing, s.Running(), runs)
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		_ = c.Close()
+		t.Error("the crashed server accepts connections")
+	}
+}
+
 // Guards against a server that cannot start again at its address, because a child
 // process between fork and exec still holds a copy of the closed listener.
 func TestRestartWhileProcessesAreStarted(t *testing.T) {
