Add torn heads, deadly requests, late stops and silences to the soak

Torn heads and deadly requests occur among the other faults; late stops and silences follow when the daemons have settled, since they are judged in calm.

New guarantees: tornHead, deadly, starved, stopBroken and cut. Whether a daemon had read a request that it dropped is told by the state of the connection: the kernel resets one that is closed with unread bytes.

Targets of runs with deadly requests register their own addresses: the links of the fault proxy accept connections for a target that is down, so that a crash would not show by a refused connection.

--- a/generator/soaker/callers.go
+++ b/generator/soaker/callers.go
@@ -63,12 +63,24 @@
 	}
 }
 
+// request is one request of a caller. Requests with the same name have the same path.
+type request struct {
+	route route
+	// id is the ID of the attempt, name the last part of the path.
+	id, name string
+	// account is the number of the client account.
+	account int
+	// size is the length of the body; a chunked body has no Content-Length.
+	size    int
+	chunked bool
+}
+
+func (q request) path() string { return "/" + q.route.name + "/" + q.name }
+
 // result is what a caller observed of one request.
 type result struct {
-	id         string
-	route      route
+	request
 	daemon     *daemon
-	account    string
 	start, end time.Time
 	// status is 0 without a response.
 	status int
@@ -76,6 +88,9 @@
 	body   []byte
 	// err is set if the response was not received completely.
 	err error
+	// read is set if the daemon is known to have read the whole request, although it closed
+	// the connection without a response.
+	read bool
 	// cancelled is set if the caller cancelled the request.
 	cancelled bool
 }
@@ -90,12 +105,12 @@
 	results []result
 }
 
-// run runs n callers until the context ends and returns when all their requests
-// have ended.
-func (c *callers) run(ctx context.Context, n int) {
+// run runs n callers, numbered from first, until the context ends and returns when all
+// their requests have ended.
+func (c *callers) run(ctx context.Context, first, n int) {
 	var group sync.WaitGroup
 	for i := range n {
-		group.Go(func() { c.runCaller(ctx, i) })
+		group.Go(func() { c.runCaller(ctx, first+i) })
 	}
 	group.Wait()
 }
@@ -133,10 +148,20 @@
 	if r.IntN(10) == 0 {
 		size = largeBodyBytes
 	}
-	x := result{id: id, route: to, daemon: d, account: accountName(accountNumber), start: time.Now()}
-	x.status, x.header, x.body, x.err = post(ctx, client, d.callerAddress, to, id, accountNumber, size, r.IntN(2) == 0)
+	c.do(ctx, client, d, request{route: to, id: id, name: id, account: accountNumber, size: size, chunked: r.IntN(2) == 0})
+}
+
+// do sends a request, records the result and returns it.
+func (c *callers) do(ctx context.Context, client *http.Client, d *daemon, q request) result {
+	x := result{request: q, daemon: d, start: time.Now()}
+	x.status, x.header, x.body, x.err = post(ctx, client, d.callerAddress, q)
 	x.end = time.Now()
 	x.cancelled = errors.Is(context.Cause(ctx), errCancelled)
+	c.record(x)
+	return x
+}
+
+func (c *callers) record(x result) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.results = append(c.results, x)
@@ -145,30 +170,13 @@
 // errCancelled is the cancellation cause of a request that its caller cancelled.
 var errCancelled = errors.New("the caller cancelled the request")
 
-// post sends a request and reads the whole response. A chunked body has no
-// Content-Length.
-func post(ctx context.Context, client *http.Client, address string, to route, id string, accountNumber, size int, chunked bool) (int, http.Header, []byte, error) {
-	var body io.Reader = bytes.NewReader(bytes.Repeat([]byte("x"), size))
-	if chunked {
-		body = io.MultiReader(body) // hides the length from net/http
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+to.name+"/"+id, body)
+// post sends a request and reads the whole response.
+func post(ctx context.Context, client *http.Client, address string, q request) (int, http.Header, []byte, error) {
+	r, err := newRequest(ctx, address, q)
 	if err != nil {
-		return 0, nil, nil, errors.Wrap(err, "create a request")
-	}
-	request.GetBody = nil // the transport must not retry the request
-	request.Host = hostName
-	for name, value := range map[string]string{
-		wire.FieldAttempt: id, wire.FieldKey: accountKey(accountNumber), wire.FieldDeadline: fmt.Sprint(routeTimeout.Milliseconds()),
-	} {
-		request.Header.Set(name, value)
+		return 0, nil, nil, err
 	}
-	if to.service == engineService {
-		request.Header.Set(wire.FieldModel, "m")
-		request.Header.Set(wire.FieldTokenCounts, "400,32")
-		request.Header.Set(wire.FieldPrefix, fmt.Sprintf("a%d:200,%x:200", accountNumber, id))
-	}
-	response, err := client.Do(request)
+	response, err := client.Do(r)
 	if err != nil {
 		return 0, nil, nil, errors.Wrap(err, "send a request")
 	}
@@ -177,6 +185,31 @@
 	return response.StatusCode, response.Header, b, errors.Wrap(err, "read a response")
 }
 
+// newRequest returns the HTTP request for q.
+func newRequest(ctx context.Context, address string, q request) (*http.Request, error) {
+	var body io.Reader = bytes.NewReader(bytes.Repeat([]byte("x"), q.size))
+	if q.chunked {
+		body = io.MultiReader(body) // hides the length from net/http
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+q.path(), body)
+	if err != nil {
+		return nil, errors.Wrap(err, "create a request")
+	}
+	r.GetBody = nil // the transport must not retry the request
+	r.Host = hostName
+	for name, value := range map[string]string{
+		wire.FieldAttempt: q.id, wire.FieldKey: accountKey(q.account), wire.FieldDeadline: fmt.Sprint(routeTimeout.Milliseconds()),
+	} {
+		r.Header.Set(name, value)
+	}
+	if q.route.service == engineService {
+		r.Header.Set(wire.FieldModel, "m")
+		r.Header.Set(wire.FieldTokenCounts, "400,32")
+		r.Header.Set(wire.FieldPrefix, fmt.Sprintf("a%d:200,%x:200", q.account, q.name))
+	}
+	return r, nil
+}
+
 // complete reports whether a successful response was received completely.
 func (x result) complete() bool { return x.status == http.StatusOK && x.err == nil }
 
--- a/generator/soaker/daemon.go
+++ b/generator/soaker/daemon.go
@@ -40,6 +40,10 @@
 	unexpectedExits int
 }
 
+// contactSubject is the subject of the times at which the daemon may not hear from the
+// others although its process has no fault.
+func (d *daemon) contactSubject() string { return "contact of " + d.name }
+
 // start writes the settings and starts the process unless it is running.
 func (d *daemon) start() error {
 	d.mutex.Lock()
--- a/generator/soaker/events.go
+++ b/generator/soaker/events.go
@@ -43,6 +43,7 @@
 		if d.peerLink == nil {
 			return nil
 		}
+		defer r.beginFault(d.contactSubject())()
 		return r.injectLinkFault(ctx, d.peerLink, e)
 	case KindTargetLink:
 		defer r.beginFault(t.Name())()
@@ -65,12 +66,19 @@
 	case KindRelease:
 		return r.replaceHalf(ctx, e)
 	case KindTargetFault:
-		defer r.beginFault(t.Name())()
 		all := server.FaultKinds()
-		share := []float64{0.1, 0.4, 1}[e.Choice/len(all)%3]
-		t.SetFault(server.Fault{Kind: all[e.Choice%len(all)], Share: share, Factor: 8})
-		sleeper.Sleep(ctx, e.Length)
-		t.SetFault(server.Fault{})
+		r.setTargetFault(ctx, t, all[e.Choice%len(all)], e.Choice/len(all), e.Length)
+		return nil
+	case KindTornHead:
+		r.setTargetFault(ctx, t, server.FaultTornHead, e.Choice, e.Length)
+		return nil
+	case KindDeadly:
+		r.sendDeadly(ctx, e)
+		return nil
+	case KindLateStop:
+		return r.stopInCalm(ctx, d, e)
+	case KindSilence:
+		r.silence(ctx, e)
 		return nil
 	case KindForeignEntries:
 		return r.putForeignEntries(ctx, e.Length)
@@ -155,6 +163,7 @@
 // connections until the process has exited.
 func (r *run) restart(ctx context.Context, d *daemon, down time.Duration) error {
 	return r.exclusively(d.name, func() error {
+		defer r.beginFault(d.contactSubject())()
 		d.requestStop().Stop(stopTimeout) // kills the process after stopTimeout, as the platform does
 		sleeper.Sleep(ctx, down)
 		return d.start()
@@ -256,52 +265,6 @@
 	return l.SetFault(injector.Fault{Kind: injector.KindNone})
 }
 
-// crashTarget ends a target abruptly and starts it again. One time in three its
-// clock is then an hour behind, so that the new instance seems older than the last.
-func (r *run) crashTarget(ctx context.Context, t *server.Server, e Event) error {
-	return r.exclusively(t.Name(), func() error {
-		defer r.beginFault(t.Name())()
-		t.Crash()
-		sleeper.Sleep(ctx, e.Length)
-		if e.Choice%2 == 0 {
-			t.Deregister() // the registry has removed the entry already
-		} else {
-			gone := t.InstanceID()
-			time.AfterFunc(registryEntryLifetime, func() { r.fleet.store.Delete(wire.TargetsTable, gone) })
-		}
-		t.SetClockOffset(time.Duration(e.Choice%3-1) * time.Hour)
-		return t.Start()
-	})
-}
-
-// registryEntryLifetime is how long the registry keeps the entry of a target that
-// has ended: three heartbeats and some delay.
-const registryEntryLifetime = 4 * time.Second
-
-// replaceTarget drains a target for at least drainTimeout, removes it and starts
-// another instance at its address.
-func (r *run) replaceTarget(ctx context.Context, t *server.Server, length time.Duration) error {
-	return r.exclusively(t.Name(), func() error {
-		r.recordDrain(t.Drain())
-		sleeper.Sleep(ctx, max(length, drainTimeout))
-		defer r.beginFault(t.Name())()
-		t.DeregisterAndStop()
-		return t.Start()
-	})
-}
-
-// replaceHalf replaces half of the targets one after the other, as a release does.
-func (r *run) replaceHalf(ctx context.Context, e Event) error {
-	n := len(r.fleet.targets) / 2
-	done := make(chan error, n)
-	for i := range n {
-		t := r.fleet.targets[(e.Subject+2*i)%len(r.fleet.targets)]
-		go func() { done <- r.replaceTarget(ctx, t, e.Length) }()
-		sleeper.Sleep(ctx, e.Length/2)
-	}
-	return firstError(done, n)
-}
-
 // putForeignEntries adds rows to the registry that do not describe a valid target,
 // and removes them again.
 func (r *run) putForeignEntries(ctx context.Context, length time.Duration) error {
--- a/generator/soaker/fleet.go
+++ b/generator/soaker/fleet.go
@@ -52,6 +52,8 @@
 	version     uint64
 	// addressReleases release the reserved addresses of daemons and targets.
 	addressReleases []func()
+	// onCrash is called before a deadly request crashes a target.
+	onCrash func(*server.Server)
 	// mutex guards version.
 	mutex sync.Mutex
 }
@@ -178,48 +180,6 @@
 	return f.proxy.Add(name, "127.0.0.1:0", address)
 }
 
-// startTargets starts the targets: the first half are engines, the others servers
-// of the plain service.
-func (f *fleet) startTargets() error {
-	n := f.options.Targets
-	addresses, err := f.reserve(n)
-	if err != nil {
-		return err
-	}
-	for i, a := range addresses {
-		l, err := f.link("target>"+a, a)
-		if err != nil {
-			return err
-		}
-		o := server.Options{
-			Name: fmt.Sprintf("t-%d", i), DataCentre: dataCentre(i), Address: a, Advertised: l.Address(), Registry: f.store,
-			Service: plainService, Slots: plainSlots, FirstByteDelay: plainWork,
-		}
-		if i < (n+1)/2 {
-			o.Service, o.Slots, o.FirstByteDelay, o.Events, o.EventInterval = engineService, engineSlots, engineWork, engineEvents, enginePause
-		}
-		s := server.New(o)
-		if err := s.Start(); err != nil {
-			return err
-		}
-		f.targets, f.targetLinks = append(f.targets, s), append(f.targetLinks, l)
-	}
-	return nil
-}
-
-// The services of a fleet: an inference engine that streams events, and a plain
-// service that responds with one body.
-const (
-	engineService = "engine"
-	engineSlots   = 32
-	engineWork    = 30 * time.Millisecond
-	engineEvents  = 8
-	enginePause   = 40 * time.Millisecond
-	plainService  = "desk"
-	plainSlots    = 8
-	plainWork     = 15 * time.Millisecond
-)
-
 // putNextVersion stores the next version of the configuration and returns its
 // number. Each version has a route of its own, by which callers can tell which
 // version a daemon uses.
@@ -230,16 +190,19 @@
 	c := wire.Configuration{Version: f.version, Limits: wire.Limits{
 		HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000, TokensPerSecond: 1e6,
 	}}
-	add := func(name, kind, service string, resumable bool) {
+	add := func(r route, objectiveMs, gapMs float64) {
 		c.Routes = append(c.Routes, wire.Route{
-			Name: name, Hostname: hostName, Prefix: "/" + name + "/", Kind: kind, Service: service, Resumable: resumable,
-			TimeoutMs: float64(routeTimeout.Milliseconds()), ObjectiveMs: 2000, EventGapMs: 2000, MaxAttempts: maxAttempts,
+			Name: r.name, Hostname: hostName, Prefix: "/" + r.name + "/", Kind: r.kind, Service: r.service, Resumable: r.resumable,
+			TimeoutMs: float64(routeTimeout.Milliseconds()), ObjectiveMs: objectiveMs, EventGapMs: gapMs, MaxAttempts: maxAttempts,
 		})
 	}
 	for _, r := range routes() {
-		add(r.name, r.kind, r.service, r.resumable)
+		add(r, 2000, 2000)
+	}
+	if f.options.Silences > 0 {
+		add(quickRoute, 1000, 600)
 	}
-	add(versionRoute(f.version), wire.KindIdempotent, plainService, false)
+	add(route{name: versionRoute(f.version), kind: wire.KindIdempotent, service: plainService}, 2000, 2000)
 	c.Services = []wire.Service{
 		{Name: engineService, HealthPath: "/health", ConnectionLimit: 500, Engine: &wire.Engine{Slots: engineSlots, MemoryTokens: 400000, EventTokens: 4}},
 		{Name: plainService, HealthPath: "/health", ConnectionLimit: 500},
--- a/generator/soaker/judge.go
+++ b/generator/soaker/judge.go
@@ -32,10 +32,16 @@
 		known[x.id] = true
 		v.checkResponse(x)
 		v.checkRuns(x, runs[x.id])
+		v.checkTornHeads(x, runs[x.id])
+		v.checkSilence(x, runs[x.id], r.excused(x, runs[x.id]))
+		for _, s := range r.stops {
+			v.checkStop(x, s, runs[x.id])
+		}
 		if x.err != nil && !x.cancelled && len(runs[x.id]) > 0 && !r.excused(x, runs[x.id]) {
 			v.add("lost", "request %s of route %s to %s failed after %v: status %d, %v", x.id, x.route.name, x.daemon.name, x.end.Sub(x.start), x.status, x.err)
 		}
 	}
+	r.checkDeadly(v, results, runs)
 	for id := range runs {
 		if !known[id] && !probes[id] && !strings.HasPrefix(id, "settle-") {
 			v.add("unasked", "request %s ran but no caller sent it", id)
@@ -85,11 +91,11 @@
 		if !run.Lost {
 			servers[run.Instance] = true
 		}
-		if run.Service != x.route.service || run.Path != "/"+x.route.name+"/"+x.id {
+		if run.Service != x.route.service || run.Path != x.path() {
 			v.add("misrouted", "request %s ran at service %s with path %s", x.id, run.Service, run.Path)
 		}
-		if run.Account != x.account || run.Key != "" {
-			v.add("misrouted", "request %s of %s ran for account %q with key %q", x.id, x.account, run.Account, run.Key)
+		if run.Account != accountName(x.account) || run.Key != "" {
+			v.add("misrouted", "request %s of %s ran for account %q with key %q", x.id, accountName(x.account), run.Account, run.Key)
 		}
 	}
 	if len(servers) > maxAttempts {
--- a/generator/soaker/judge_test.go
+++ b/generator/soaker/judge_test.go
@@ -14,7 +14,7 @@
 // success returns a complete response to a request of a route.
 func success(r route) result {
 	x := result{
-		id: "1", route: r, daemon: &daemon{name: "h"}, account: "account-0", status: http.StatusOK,
+		request: request{id: "1", name: "1", route: r}, daemon: &daemon{name: "h"}, status: http.StatusOK,
 		header: http.Header{wire.FieldAttempt: {"1"}, wire.FieldSignature: {"s"}},
 	}
 	x.body = []byte(x.wantBody())
--- a/generator/soaker/measurements.go
+++ b/generator/soaker/measurements.go
@@ -29,6 +29,7 @@
 // speed of the machine. Their names are those of the measures that count violations.
 var guaranteeNames = []string{
 	"wrong", "duplicated", "falseNotRun", "lost", "denied", "misrouted", "unasked", "tooOften", "hung", "ended", "reverted", "unsettled",
+	"tornHead", "deadly", "starved", "stopBroken", "cut",
 }
 
 // measurements returns the checked measures first, then the others by name.
@@ -58,9 +59,15 @@
 	} else {
 		unbounded = append(unbounded, maxDrainDelay, maxOverrun)
 	}
+	for _, share := range r.fullShares {
+		unbounded = append(unbounded, newMeasurement("silence full", 100*share, "percent"))
+	}
 	outcomeCounts := map[string]int{}
 	for _, x := range results {
 		outcomeCounts[x.outcome()]++
+		if slices.ContainsFunc(r.stops, x.sentLate) {
+			outcomeCounts["late "+x.outcome()]++
+		}
 	}
 	for name, n := range outcomeCounts {
 		unbounded = append(unbounded, newMeasurement(name, float64(n), "requests"))
--- a/generator/soaker/options.go
+++ b/generator/soaker/options.go
@@ -24,6 +24,10 @@
 	Targets   int           `arg:"--targets" default:"8" help:"number of targets, which this process emulates"`
 	Gap       time.Duration `arg:"--gap" default:"700ms" help:"mean time between two events of the schedule"`
 	Restores  int           `arg:"--restores" default:"0" help:"number of times that the store is restored from an older copy"`
+	TornHeads int           `arg:"--torn-heads" default:"0" help:"number of times that a target closes connections in the middle of the heads of its responses"`
+	Deadly    int           `arg:"--deadly" default:"0" help:"number of requests that crash each target that runs them, and that come again"`
+	LateStops int           `arg:"--late-stops" default:"0" help:"number of planned stops without other faults, after the load, with requests until the end"`
+	Silences  int           `arg:"--silences" default:"0" help:"number of times that all engines are full, after the load, while streams are silent"`
 	Timed     bool          `arg:"--timed" help:"also check time limits; needs an otherwise idle machine"`
 	Logs      string        `arg:"--logs" placeholder:"DIR" help:"directory for the logs of the daemons [default: none]"`
 	Program   string        `arg:"--monsoongate" placeholder:"PATH" help:"path of monsoongate [default: built]"`
--- a/generator/soaker/prober.go
+++ b/generator/soaker/prober.go
@@ -72,7 +72,7 @@
 	p.mutex.Lock()
 	p.ids[id] = true
 	p.mutex.Unlock()
-	status, _, _, err := post(context.Background(), client, d.callerAddress, route{name: versionRoute(version), service: plainService}, id, 0, 10, false)
+	status, _, _, err := post(context.Background(), client, d.callerAddress, request{route: route{name: versionRoute(version), service: plainService}, id: id, name: id, size: 10})
 	if err != nil {
 		return 0
 	}
--- a/generator/soaker/schedule.go
+++ b/generator/soaker/schedule.go
@@ -40,6 +40,10 @@
 	KindForeignEntries Kind = "foreignEntries" // the registry holds rows that do not describe a valid target
 	KindChange         Kind = "change"         // the configuration changes
 	KindChanges        Kind = "changes"        // the configuration changes several times in a row
+	KindTornHead       Kind = "tornHead"       // a target closes connections in the middle of the heads of its responses
+	KindDeadly         Kind = "deadly"         // a request crashes each target that runs it, and comes again
+	KindLateStop       Kind = "lateStop"       // a daemon is stopped gracefully while callers send until it has exited
+	KindSilence        Kind = "silence"        // all engines are full, and some streams are silent for Length
 )
 
 // Event is one entry of the schedule.
@@ -99,6 +103,44 @@
 	return out
 }
 
+// tornHeadSchedule returns events of KindTornHead, drawn apart like those of restoreSchedule.
+func tornHeadSchedule(seed uint64, duration time.Duration, count int) []Event {
+	r := rand.New(rand.NewPCG(seed, 12))
+	var out []Event
+	for range count {
+		at := quietStart + time.Duration(r.Float64()*float64(duration-quietStart-quietEnd))
+		out = append(out, Event{At: at, Length: seconds(1 + 2*r.Float64()), Kind: KindTornHead, Subject: r.IntN(1 << 20), Choice: r.IntN(1 << 20)})
+	}
+	return out
+}
+
+// deadlySchedule returns events of KindDeadly. Each lasts from the second quarter of the
+// load to its end. Choice is the number of the request.
+func deadlySchedule(seed uint64, duration time.Duration, count int) []Event {
+	r := rand.New(rand.NewPCG(seed, 13))
+	var out []Event
+	for i := range count {
+		at := duration/4 + time.Duration(r.Float64()*float64(duration/8))
+		out = append(out, Event{At: at, Length: duration - at, Kind: KindDeadly, Subject: r.IntN(1 << 20), Choice: i})
+	}
+	return out
+}
+
+// calmSchedule returns the events that take place one after the other, after all others.
+func calmSchedule(seed uint64, lateStops, silences int) []Event {
+	r := rand.New(rand.NewPCG(seed, 14))
+	var out []Event
+	for range lateStops {
+		out = append(out, Event{Kind: KindLateStop, Subject: r.IntN(1 << 20), Choice: r.IntN(1 << 20)})
+	}
+	for range silences {
+		out = append(out, Event{Kind: KindSilence, Length: seconds(3 + 2*r.Float64()), Choice: r.IntN(1 << 20)})
+	}
+	return out
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
 // Schedule returns the events of a run in order of time. The result depends only on
 // the arguments.
 func Schedule(seed uint64, duration, gap time.Duration) []Event {
--- a/generator/soaker/schedule_test.go
+++ b/generator/soaker/schedule_test.go
@@ -40,6 +40,16 @@
 			t.Errorf("%+v is no restoration of the store during the load", e)
 		}
 	}
+	for _, e := range tornHeadSchedule(5, duration, 3) {
+		if e.Kind != KindTornHead || e.At < quietStart || e.At+e.Length > duration+quietEnd {
+			t.Errorf("%+v does not tear heads during the load", e)
+		}
+	}
+	for i, e := range deadlySchedule(5, duration, 3) {
+		if e.Kind != KindDeadly || e.Choice != i || e.At < duration/4 || e.At+e.Length != duration {
+			t.Errorf("%+v is no deadly request during the load", e)
+		}
+	}
 	if overlaps == 0 {
 		t.Error("no events overlap")
 	}
--- a/generator/soaker/soaker.go
+++ b/generator/soaker/soaker.go
@@ -37,8 +37,11 @@
 type run struct {
 	options Options
 	fleet   *fleet
+	callers *callers
 	log     io.Writer
 	start   time.Time
+	// restarts counts the targets that are started again after a deadly request.
+	restarts sync.WaitGroup
 
 	mutex sync.Mutex
 	// lockedSubjects holds the names of the daemons and targets on which an event
@@ -49,6 +52,12 @@
 	drainStarts map[string]time.Time
 	faults      []interval
 	eventCounts map[Kind]int
+	// stops holds the planned stops in calm, fullShares the shares of time for which all
+	// engines were full in the events of KindSilence.
+	stops      []plannedStop
+	fullShares []float64
+	// restartError is why targets could not be started after deadly requests.
+	restartError error
 }
 
 // interval is the time during which a subject has a fault; to is zero until the
@@ -91,20 +100,27 @@
 	defer cleanup()
 	r := &run{options: o, fleet: f, log: log, lockedSubjects: map[string]bool{}, drainStarts: map[string]time.Time{}, eventCounts: map[Kind]int{}, start: time.Now()}
 	c := &callers{fleet: f, seed: o.Seed}
+	r.callers, f.onCrash = c, r.restartCrashed
 	p := newProber(r)
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Duration)
 	defer stopLoad()
 	var group sync.WaitGroup
-	group.Go(func() { c.run(loadCtx, min(callersPerDaemon*o.Processes, maxCallers)) })
+	group.Go(func() { c.run(loadCtx, 0, r.callerCount()) })
 	group.Go(func() { p.probeAll(loadCtx) })
 	err = r.runSchedule(ctx)
 	group.Wait()
-	if err := errors.CombineErrors(err, ctx.Err()); err != nil {
+	r.restarts.Wait()
+	if err := errors.CombineErrors(errors.CombineErrors(err, r.restartError), ctx.Err()); err != nil {
 		return nil, err
 	}
 	r.progress("the load and the faults have ended")
 	r.clearFaults()
 	unsettled := r.awaitSettled(ctx)
+	if len(unsettled) == 0 {
+		if unsettled, err = r.runCalmEvents(ctx); err != nil {
+			return nil, err
+		}
+	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -115,7 +131,8 @@
 // runSchedule runs the events of the schedule, which may overlap, and returns when
 // all have ended.
 func (r *run) runSchedule(ctx context.Context) error {
-	events := append(Schedule(r.options.Seed, r.options.Duration, r.options.Gap), restoreSchedule(r.options.Seed, r.options.Duration, r.options.Restores)...)
+	o := r.options
+	events := slices.Concat(Schedule(o.Seed, o.Duration, o.Gap), restoreSchedule(o.Seed, o.Duration, o.Restores), tornHeadSchedule(o.Seed, o.Duration, o.TornHeads), deadlySchedule(o.Seed, o.Duration, o.Deadly))
 	failed := make(chan error, len(events))
 	for _, e := range events {
 		go func() {
@@ -123,18 +140,26 @@
 				failed <- nil
 				return
 			}
-			if r.options.Verbose {
-				r.progress("%s %d %d for %v", e.Kind, e.Subject, e.Choice, e.Length.Round(time.Millisecond))
-			}
-			r.mutex.Lock()
-			r.eventCounts[e.Kind]++
-			r.mutex.Unlock()
+			r.countEvent(e)
 			failed <- errors.Wrapf(r.runEvent(ctx, e), "%s", e.Kind)
 		}()
 	}
 	return firstError(failed, len(events))
 }
 
+// callerCount returns the number of callers that send at the same time.
+func (r *run) callerCount() int { return min(callersPerDaemon*r.options.Processes, maxCallers) }
+
+// countEvent counts an event that begins.
+func (r *run) countEvent(e Event) {
+	if r.options.Verbose {
+		r.progress("%s %d %d for %v", e.Kind, e.Subject, e.Choice, e.Length.Round(time.Millisecond))
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.eventCounts[e.Kind]++
+}
+
 // clearFaults ends the faults of the store, the links and the targets, and
 // registers all targets again.
 func (r *run) clearFaults() {
@@ -182,8 +207,9 @@
 	for _, d := range r.fleet.daemons {
 		for _, to := range all {
 			id := fmt.Sprintf("settle-%d-%s-%s", attempt, d.name, to.name)
-			status, _, body, err := post(ctx, client, d.callerAddress, to, id, 0, 100, false)
-			if x := (result{id: id, route: to}); status != 200 || err != nil || string(body) != x.wantBody() {
+			q := request{route: to, id: id, name: id, size: 100}
+			status, _, body, err := post(ctx, client, d.callerAddress, q)
+			if x := (result{request: q}); status != 200 || err != nil || string(body) != x.wantBody() {
 				wrong = append(wrong, fmt.Sprintf("%s responded with status %d to %s: %v", d.name, status, to.name, err))
 			}
 		}
--- a/generator/soaker/soaker_test.go
+++ b/generator/soaker/soaker_test.go
@@ -36,6 +36,27 @@
 	soak(t, soaker.Options{Seed: 2, Duration: 10 * time.Second, Processes: 4, Targets: 6, Gap: soaker.DefaultGap, Restores: 2})
 }
 
+// optionRuns are runs with kinds of events that the seeds above do not have.
+var optionRuns = []struct {
+	name    string
+	options soaker.Options
+}{
+	{"torn heads of responses", soaker.Options{Seed: 3, Duration: 8 * time.Second, TornHeads: 4}},
+	{"planned stops in calm", soaker.Options{Seed: 4, Duration: 5 * time.Second, LateStops: 1}},
+}
+
+// Guards against guarantees that real daemons violate under the kinds of events of the
+// options.
+func TestSoakWithOptionsKeepsGuarantees(t *testing.T) {
+	for _, r := range optionRuns {
+		t.Run(r.name, func(t *testing.T) {
+			t.Parallel()
+			r.options.Processes, r.options.Targets, r.options.Gap = 4, 6, time.Hour // no other events
+			soak(t, r.options)
+		})
+	}
+}
+
 // Guards against the faults that the listed seeds have revealed.
 func TestSeedsThatFailedOnce(t *testing.T) {
 	for _, r := range regressions {
