receiver: close connections with all responses that begin during a stop

Whether a response closes its connection was decided when the request arrived. Callers whose requests began before the stop signal and ended after it were not told to close, kept the connection, and sent the next request late in the stop, where it is refused unless it cannot be cut. It is decided now when the header of the response is written.

TestResponsesDuringAStopCloseTheirConnection failed before for all kinds of responses (short, long, stream, error of the daemon).

--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -58,6 +58,7 @@
 	if response.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
+	p.closeIfStopping()
 	p.firstByte = time.Since(p.start)
 	p.setWriteDeadline()
 	p.writer.WriteHeader(response.Status)
@@ -229,6 +230,7 @@
 	p.stream.started = true
 	p.firstByte = time.Since(p.start)
 	p.receiver.Protocol.CopyResponseHeader(p.writer.Header(), p.stream.header)
+	p.closeIfStopping()
 	p.writer.WriteHeader(p.stream.status)
 }
 
--- a/gateway/receiver/closing_test.go
+++ b/gateway/receiver/closing_test.go
@@ -48,3 +48,26 @@
 		}
 	}
 }
+
+// Guards against callers that keep using a connection because their request began before the
+// stop signal: each response that begins after the signal closes its connection.
+func TestResponsesDuringAStopCloseTheirConnection(t *testing.T) {
+	for path, r := range map[string]reply{
+		"/once/1":   {status: 200, header: signed, body: "ok", delimited: true},
+		"/safe/1":   {status: 200, header: signed, body: strings.Repeat("x", 300<<10), delimited: true},
+		"/stream/1": {status: 200, header: signed, body: "id: 1\ndata: a\n\n", delimited: true},
+		"/new/1":    {err: errReset},
+	} {
+		for _, stops := range []bool{false, true} {
+			state := &stopSwitch{}
+			if stops {
+				state.after = shutdownState{since: time.Second, left: 10 * time.Minute, stopping: true}
+			}
+			f := newFixture(t, []reply{r}, func(o *receiver.Options) { o.ShutdownState, o.Protocol = state, platformHeaders{} })
+			f.permitSource.onWait = func(int) { state.advanced.Store(true) }
+			if got := f.postDefault(t, path); got.err != nil || got.closed != stops {
+				t.Errorf("%s, stops: %t: status %d, error %v, closes the connection: %t", path, stops, got.status, got.err, got.closed)
+			}
+		}
+	}
+}
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -111,7 +111,7 @@
 	}
 	since, _, stopping := rc.ShutdownState.Stopping()
 	p.late = stopping && since > stopNoticeTime
-	if stopping || rc.LoadShedder.ShouldCloseConnections() {
+	if rc.LoadShedder.ShouldCloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	if !p.resolve() {
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -51,6 +51,7 @@
 	}
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	p.closeIfStopping()
 	p.setWriteDeadline()
 	p.writer.WriteHeader(r.status)
 	_, _ = p.writer.Write(body) // the caller may be disconnected
@@ -102,6 +103,14 @@
 		status, http.StatusText(status), field, len(body), body)
 }
 
+// closeIfStopping makes the response, whose header has not been sent, close the connection of
+// the caller if the daemon stops.
+func (p *proxyRequest) closeIfStopping() {
+	if _, _, stopping := p.receiver.ShutdownState.Stopping(); stopping {
+		p.writer.Header().Set("Connection", "close")
+	}
+}
+
 // setWriteDeadline sets the deadline of the next write to the caller.
 func (p *proxyRequest) setWriteDeadline() {
 	// The error is ignored: response writers of tests may not support deadlines.
@@ -125,6 +134,7 @@
 	if r.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
+	p.closeIfStopping()
 	p.setWriteDeadline()
 	p.firstByte = time.Since(p.start)
 	p.writer.WriteHeader(r.status)
