--- a/generator/soaker/soaker_test.go
+++ b/generator/soaker/soaker_test.go
@@ -43,6 +43,8 @@
 }{
 	{"torn heads of responses", soaker.Options{Seed: 3, Duration: 8 * time.Second, TornHeads: 4}},
 	{"planned stops in calm", soaker.Options{Seed: 4, Duration: 5 * time.Second, LateStops: 1}},
+	{"deadly requests", soaker.Options{Seed: 6, Duration: 12 * time.Second, Deadly: 2}},
+	{"silent streams while all engines are full", soaker.Options{Seed: 5, Duration: 5 * time.Second, Silences: 1}},
 }
 
 // Guards against guarantees that real daemons violate under the kinds of events of the
