Count crashes of one moment against a whole request that crashed others

Its first three crashes came within 0.4 s, two of them 17 ms apart, and counted as two: the request was sent again at once after each failure. All targets were then away for 3 s, and the requests that waited for them went out together.

Two crashes at different moments and one more within 0.1 s of either now count as three. Targets that end together still count once, as a further crash counts only beside two independent ones; the tests with targets that end for other reasons pass unchanged.

--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -46,12 +46,10 @@
 	minCrashInterval = 300 * time.Millisecond
 	// minRequestCrashInterval is the same for whole requests, which come again within it and
 	// would end a small service before two crashes count. It is above the differences of
-	// the ages that daemons report for one moment.
+	// the ages that daemons report for one moment. If there are independent crashes, those
+	// within the interval count as one more, so that a request which ends a small service at
+	// once is found before its targets are back.
 	minRequestCrashInterval = 100 * time.Millisecond
-	// nearRequestCrashes is the number of crashes within the interval that count as one
-	// more, if there are independent ones. A request that ends a small service within
-	// 300 ms is so found before the targets are back.
-	nearRequestCrashes = 2
 	// baseDuration is how long a part stays in quarantine after its last crash. It doubles
 	// with each crash after the quarantine, which costs a target and the streams on it.
 	baseDuration = 10 * time.Minute
--- a/gateway/quarantiner/verdict.go
+++ b/gateway/quarantiner/verdict.go
@@ -32,7 +32,7 @@
 		count, last = count+1, i
 		requests, crashes = append(requests, i.Request), append(crashes, i.Crash)
 	}
-	if s.whole && count > 1 && near >= nearRequestCrashes {
+	if s.whole && count > 1 && near > 0 {
 		count++
 	}
 	return count, last
