Do not break off requests whose target reads the body slowly

What callers see: a request with a large body to a target that is alive but does not read for about 1.7 s is broken off. If it must not run twice, the caller gets 502 while the target may still run it.

Cause: TCP_USER_TIMEOUT (1.5 s) is there to notice hosts that are cut off. Linux applies it also to a closed receive window, although the peer acknowledges every probe. It counts from the first probe after the window was closed, and resets this only if the whole first segment of the queue fits into the window again: a target that reads a little at a time is broken off in spite of its progress.

Change: while a body of more than 2 KB is unacknowledged, the state of the connection (TCP_INFO) is read four times a second. As long as the peer answers, by progress or by acknowledgements of probes, the user timeout is extended beyond the time since the body was begun. Once it has been extended, the connection is closed when data or a probe goes unanswered for the former user timeout. When all data is acknowledged, the user timeout is the former one, so that waiting for the response is as before. The kernel doubles the time between probes; TCP_RTO_MAX_MS (Linux 6.15) bounds it to a second. A connection that was extended is not used again, as the kernel may still count from its first closed window.

Nothing depends on TCP_INFO alone: without it, or if it says nothing, the user timeout is never extended.

Open: on Linux before 6.15, a path that falls silent after a target has read a little at a time and then stopped is noticed only after the next probe, seconds late. A target whose process hangs no longer breaks requests with large bodies after 1.7 s; as with small ones, the deadlines of the request decide.

--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -170,7 +170,7 @@
 		sent()
 		return nil, ErrWithdrawn
 	}
-	x := &exchange{courier: c, target: t, connection: conn, request: r, sent: sent}
+	x := &exchange{courier: c, target: t, connection: conn, request: r, sent: sent, stopSlow: func() bool { return false }}
 	x.stopWatch = context.AfterFunc(ctx, conn.abort)
 	response, err := x.run()
 	if err != nil {
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/gateway/dialer"
 )
 
 // exchange is one request and its response on one connection.
@@ -24,6 +26,9 @@
 	stopWatch func() bool
 	// sent is called once no more of the body will be written.
 	sent func()
+	// stopSlow ends the permission for the target to read the body slowly. It returns true
+	// if the connection must not be used again.
+	stopSlow func() bool
 	// written is set once the whole request has been written.
 	written atomic.Bool
 }
@@ -47,6 +52,7 @@
 		x.sent()
 		return nil, errors.Wrapf(ErrNotSent, "write: %v", err)
 	}
+	x.stopSlow = dialer.AllowSlowPeer(x.connection.Conn, x.written.Load)
 	go x.writeBody()
 	return x.receive()
 }
@@ -180,6 +186,7 @@
 func (x *exchange) closeConnection() {
 	x.stopWatch()
 	x.connection.abort()
+	x.stopSlow()
 }
 
 // body is the body of a response.
@@ -216,7 +223,8 @@
 	b.closed = true
 	x := b.exchange
 	contextActive := x.stopWatch()
-	if b.ended && b.reusable && contextActive && x.written.Load() && x.connection.reader.Buffered() == 0 {
+	wasSlow := x.stopSlow()
+	if b.ended && b.reusable && contextActive && !wasSlow && x.written.Load() && x.connection.reader.Buffered() == 0 {
 		x.courier.putIdle(x.target, x.connection)
 		return nil
 	}
--- a/gateway/dialer/dialer.go
+++ b/gateway/dialer/dialer.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// userTimeout is the TCP_USER_TIMEOUT: how long sent data may stay unacknowledged
-	// before the kernel closes the connection.
+	// userTimeout is the TCP_USER_TIMEOUT: how long sent data may stay unacknowledged, or
+	// the receive window of the peer closed, before the kernel closes the connection.
 	userTimeout = 1500 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveProbes detect an unreachable peer
 	// while no data is sent.
@@ -30,16 +30,19 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
-		ControlContext: setUserTimeout,
+		ControlContext: func(_ context.Context, _, _ string, raw syscall.RawConn) error {
+			return setOption(raw, unix.TCP_USER_TIMEOUT, userTimeout)
+		},
 	}
 	d.SetMultipathTCP(false)
 	return d
 }
 
-func setUserTimeout(_ context.Context, _, _ string, raw syscall.RawConn) error {
+// setOption sets a TCP option that is a time in milliseconds.
+func setOption(raw syscall.RawConn, option int, d time.Duration) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, int(d/time.Millisecond))
 	})
 	return errors.CombineErrors(err, sockoptErr)
 }
