Do not share the demand of a search with the one before

A search for another target that has been ended may still ask while the next one starts, after an event of the target and another silence. Both wrote the time of the silence to one demand. Found by reading. TestSearchesOfAnAttemptShareNoState failed before under the race detector.

--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -32,6 +32,12 @@
 	noWait bool
 }
 
+// withSilentSince returns the attempt with the time since which the caller has waited.
+func (n nextAttempt) withSilentSince(t time.Time) nextAttempt {
+	n.silentSince = t
+	return n
+}
+
 // nextAttempt returns the attempt that follows the attempts that have ended.
 func (p *proxyRequest) nextAttempt() nextAttempt {
 	return nextAttempt{firstWait: p.waits == 0, repetition: p.attempts > 0, mayHaveRun: p.mayHaveRun, excluded: p.excluded, silentSince: p.silentSince()}
@@ -106,8 +112,7 @@
 	return &search{
 		permits: p.receiver.Permits, hasRetry: func() bool { return p.receiver.RetryBudget.HasRetry(p.service) },
 		demand: func(ctx context.Context, silentSince time.Time) Demand {
-			next.silentSince = silentSince
-			return p.demand(ctx, next)
+			return p.demand(ctx, next.withSilentSince(silentSince))
 		},
 	}
 }
