Seek another target only for requests that may be repeated

Two timers of the stall watch that fired while the host had no processor time can be handled one after the other. The second one began to seek another target whether the request may be repeated or not, and its permit cancelled the attempt: a request that must not be repeated, or one without attempts left, was cut while its target was at work. The code before the search cancelled it in the same case. Found by reading.

TestLateTimersDoNotCancelRequestsThatMustNotBeRepeated failed before. The test of events after an adoption created its watch with one of two attempts already counted, so that no repetition was allowed, and passed because of this fault; it now counts the attempt after the header of the response, as the receiver does. Its checks are unchanged.

--- a/gateway/receiver/adopted_events_test.go
+++ b/gateway/receiver/adopted_events_test.go
@@ -29,11 +29,12 @@
 		memory := limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20})
 		p := &proxyRequest{
 			receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Protocol: plainProtocol{}, Memory: memory, Logger: slog.New(slog.DiscardHandler), Permits: &freeTarget{permit: &stallCounter{}}, Clock: func() time.Duration { return 0 }}),
-			route:    patientRoute, start: time.Now(), request: r, writer: answer, control: http.NewResponseController(answer), attempts: 1,
+			route:    patientRoute, start: time.Now(), request: r, writer: answer, control: http.NewResponseController(answer),
 		}
 		ctx, cancel := context.WithCancelCause(t.Context())
 		permit := &stallCounter{}
 		w := newStallWatch(ctx, p, permit, p.route.Timeout, cancel)
+		p.attempts = 1 // as once the header of the response was read
 		w.timerFired(w.due)
 		w.timerFired(w.due)
 		synctest.Wait()
--- a/gateway/receiver/late_timer_test.go
+++ b/gateway/receiver/late_timer_test.go
@@ -59,3 +59,24 @@
 		})
 	}
 }
+
+// Guards against a request that must not be repeated and is cancelled, because two timers
+// that fired while the host had no processor time are handled one after the other.
+func TestLateTimersDoNotCancelRequestsThatMustNotBeRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &proxyRequest{
+			receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: &stallCounter{}}}),
+			route:    resolver.Route{Kind: resolver.NonIdempotent, MaxAttempts: 2, Timeout: time.Minute},
+			start:    time.Now(),
+		}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		w := newStallWatch(ctx, p, &stallCounter{}, time.Minute, cancel)
+		defer w.stop()
+		w.timerFired(w.due)
+		w.timerFired(w.due)
+		synctest.Wait()
+		if ctx.Err() != nil {
+			t.Errorf("the attempt was cancelled: %v", context.Cause(ctx))
+		}
+	})
+}
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -216,7 +216,7 @@
 		if w.cancelAfter > 0 {
 			w.setTimer(w.cancelAfter)
 		}
-	case w.stopSearch == nil:
+	case w.cancelAfter > 0 && w.stopSearch == nil:
 		w.stopSearch = w.startSearch()
 	}
 }
