--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -35,6 +35,8 @@
 	// OverShare reports whether a further request of the given cost would exceed the
 	// share of the account.
 	OverShare(now time.Duration, account string, cost float64) bool
+	// FairShare returns the service up to which an account is within its share.
+	FairShare(now time.Duration) float64
 	// SpareWeight returns the weight of an account over its share in the division of
 	// spare capacity.
 	SpareWeight(now time.Duration, account string) float64
@@ -99,6 +101,21 @@
 	Part quarantiner.Part
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
+	// Standing is that of the account at the decision.
+	Standing Standing
+}
+
+// Standing is the service of a client account compared with its fair share, as the daemon
+// knows them. It is zero for requests that do not count towards a share.
+type Standing struct {
+	// OverShare is set if the request would exceed the share of its account.
+	OverShare bool
+	// Served is the recent service of the account, Share the service up to which it is
+	// within its share; +Inf means that there is no limit.
+	Served, Share float64
+	// SpareWeight is the weight of an account over its share in the division of spare
+	// capacity; 0 for one within its share.
+	SpareWeight float64
 }
 
 // Queue holds the waiting requests of one daemon. It is not safe for concurrent use.
@@ -158,7 +175,7 @@
 			decisions = append(decisions, d)
 			continue
 		}
-		if !w.overShare {
+		if !w.standing.OverShare {
 			blockedServices[w.Request.Service] = true
 		}
 		remaining = append(remaining, w.Item)
@@ -167,12 +184,10 @@
 	return decisions
 }
 
-// candidate is a waiting request with the state of its account: whether the request
-// would exceed the account's share, and the account's recent service.
+// candidate is a waiting request with the standing of its account.
 type candidate struct {
 	*Item
-	overShare bool
-	served    float64
+	standing Standing
 }
 
 // order returns the requests in the order in which they are decided: those within
@@ -183,19 +198,21 @@
 	for _, i := range q.items {
 		c := candidate{Item: i}
 		if i.CountsTowardsShare {
-			c.overShare = q.shares.OverShare(now, i.Account, i.Request.Cost())
-			c.served = q.shares.Served(now, i.Account)
+			c.standing = Standing{
+				OverShare: q.shares.OverShare(now, i.Account, i.Request.Cost()),
+				Served:    q.shares.Served(now, i.Account), Share: q.shares.FairShare(now),
+			}
 		}
 		candidates = append(candidates, c)
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		if a.overShare != b.overShare {
-			if a.overShare {
+		if a.standing.OverShare != b.standing.OverShare {
+			if a.standing.OverShare {
 				return 1
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.served, b.served), cmp.Compare(a.Arrived, b.Arrived))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.standing.Served, b.standing.Served), cmp.Compare(a.Arrived, b.Arrived))
 	})
 	return candidates
 }
@@ -204,12 +221,13 @@
 func (q *Queue) decideItem(now time.Duration, w candidate, blocked map[string]bool) (Decision, bool) {
 	waited := now - w.Arrived
 	budget := time.Duration(q.settings.MaxExpectedShare * float64(w.Objective-waited))
-	constraints := placer.Constraints{FirstEventBudget: budget, SpareOnly: w.overShare, Waited: waited}
-	if w.overShare {
-		constraints.SpareWeight = q.shares.SpareWeight(now, w.Account)
+	constraints := placer.Constraints{FirstEventBudget: budget, SpareOnly: w.standing.OverShare, Waited: waited}
+	if w.standing.OverShare {
+		w.standing.SpareWeight = q.shares.SpareWeight(now, w.Account)
+		constraints.SpareWeight = w.standing.SpareWeight
 	}
 	choice, found := q.placer.Choose(now, w.Request, constraints)
-	if found && choice.Fits && !(w.overShare && blocked[w.Request.Service]) {
+	if found && choice.Fits && !(w.standing.OverShare && blocked[w.Request.Service]) {
 		return q.send(now, w, choice), true
 	}
 	if w.NoWait {
@@ -222,11 +240,11 @@
 			return q.refuseClosed(now, w, reopensIn), true
 		}
 	}
-	if !w.overShare && !noTargets && waited < maxWait && now < w.Deadline {
+	if !w.standing.OverShare && !noTargets && waited < maxWait && now < w.Deadline {
 		return Decision{}, false
 	}
 	lateLimit := time.Duration(q.settings.LateMaxExpectedShare * float64(w.Objective))
-	if found && !w.overShare && !choice.Full && choice.Expected <= lateLimit {
+	if found && !w.standing.OverShare && !choice.Full && choice.Expected <= lateLimit {
 		return q.send(now, w, choice), true
 	}
 	return q.refuse(now, w, choice, found), true
@@ -237,17 +255,17 @@
 	if w.CountsTowardsShare {
 		q.shares.RecordService(now, w.Account, w.Request.Cost())
 	}
-	return Decision{ID: w.Request.ID, Choice: c, Waited: now - w.Arrived}
+	return Decision{ID: w.Request.ID, Choice: c, Waited: now - w.Arrived, Standing: w.standing}
 }
 
 func (q *Queue) refuse(now time.Duration, w candidate, c placer.Choice, found bool) Decision {
-	d := Decision{ID: w.Request.ID, Choice: c, Reason: ReasonOverload, Waited: now - w.Arrived}
+	d := Decision{ID: w.Request.ID, Choice: c, Reason: ReasonOverload, Waited: now - w.Arrived, Standing: w.standing}
 	switch {
 	case !found && q.placer.Targets(w.Request.Service) > 0 && q.placer.TargetsInRegion(w.Request) == 0:
 		d.Reason, d.RetryAfter = ReasonRegion, noTargetRetryAfter
 	case !found:
 		d.Reason, d.RetryAfter = ReasonNoTarget, noTargetRetryAfter
-	case w.overShare:
+	case w.standing.OverShare:
 		d.Reason, d.RetryAfter = ReasonOverShare, overShareRetryAfter
 	default:
 		d.RetryAfter = max(c.Expected-w.Objective/2, minOverloadRetryAfter)
@@ -257,7 +275,7 @@
 
 // refuseClosed refuses a request for which no target will be there in time.
 func (q *Queue) refuseClosed(now time.Duration, w candidate, reopensIn time.Duration) Decision {
-	return withRetryAfter(now, w, Decision{ID: w.Request.ID, Reason: ReasonClosed, Waited: now - w.Arrived, RetryAfter: reopensIn})
+	return withRetryAfter(now, w, Decision{ID: w.Request.ID, Reason: ReasonClosed, Waited: now - w.Arrived, RetryAfter: reopensIn, Standing: w.standing})
 }
 
 // withRetryAfter bounds and varies the time after which a refused caller should try again.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -183,10 +183,11 @@
 		permit.End(placer.Unsent)
 		return outcomeFailed
 	}
-	p.log(logger.RequestPlaced, slog.String("target", d.Choice.Target.ID), slog.Int("attempt", p.attempts+1),
+	attrs := []slog.Attr{slog.String("target", d.Choice.Target.ID), slog.Int("attempt", p.attempts+1),
 		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits),
 		slog.Bool("home", d.Choice.FirstRanked), slog.Float64("unread", d.Choice.UncachedTokens), slog.Float64("shared", d.Choice.UncachedSharedTokens), slog.Float64("copied", d.Choice.CopyTokens),
-		slog.String("parts", p.formatParts()), slog.String("fingerprint", p.formatFingerprint()))
+		slog.String("parts", p.formatParts()), slog.String("fingerprint", p.formatFingerprint())}
+	p.log(logger.RequestPlaced, append(attrs, p.standingAttrs(d.Standing)...)...)
 	return p.send(ctx, permit, timeLeft)
 }
 
@@ -240,7 +241,7 @@
 	}
 	p.reject(rejection{
 		status: http.StatusServiceUnavailable, code: string(d.Reason), retryAfter: d.RetryAfter,
-		waited: d.Waited, expected: d.Choice.Expected, target: d.Choice.Target.ID, part: d.Part,
+		waited: d.Waited, expected: d.Choice.Expected, target: d.Choice.Target.ID, part: d.Part, standing: d.Standing,
 	})
 	return outcomeDone
 }
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -263,8 +263,8 @@
 	return limit
 }
 
-// demand returns the demand with which the request waits for a permit for its next attempt.
-func (p *proxyRequest) demand(ctx context.Context, next nextAttempt) Demand {
+// outputTokens returns the expected number of output tokens.
+func (p *proxyRequest) outputTokens() int {
 	outputTokens := p.info.ExpectedOutputTokens
 	if outputTokens <= 0 {
 		outputTokens = p.info.MaxOutputTokens
@@ -275,7 +275,12 @@
 	if outputTokens <= 0 && p.engine != nil {
 		outputTokens = defaultOutputTokens
 	}
-	timeLeft := p.timeLeft(ctx)
+	return outputTokens
+}
+
+// demand returns the demand with which the request waits for a permit for its next attempt.
+func (p *proxyRequest) demand(ctx context.Context, next nextAttempt) Demand {
+	outputTokens, timeLeft := p.outputTokens(), p.timeLeft(ctx)
 	return Demand{
 		Request: placer.Request{
 			ID: p.receiver.nextID.Add(1), Service: p.service, PromptTokens: p.info.PromptTokens, OutputTokens: outputTokens,
--- a/gateway/receiver/record.go
+++ b/gateway/receiver/record.go
@@ -2,11 +2,14 @@
 
 import (
 	"log/slog"
+	"math"
 	"strconv"
 	"strings"
 	"time"
 
+	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/quarantiner"
+	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/logger"
 )
 
@@ -27,6 +30,20 @@
 	p.log(logger.RequestEnded, attrs...)
 }
 
+// standingAttrs returns the cost of the request at a model engine and the standing of its
+// account at the decision, so that what accounts asked for and got can be added up from the
+// log.
+func (p *proxyRequest) standingAttrs(s queuer.Standing) []slog.Attr {
+	if p.engine == nil {
+		return nil
+	}
+	attrs := []slog.Attr{slog.Float64("cost", placer.Request{PromptTokens: p.info.PromptTokens, OutputTokens: p.outputTokens()}.Cost())}
+	if s.Share > 0 && !math.IsInf(s.Share, 1) {
+		attrs = append(attrs, slog.Float64("served", s.Served), slog.Float64("share", s.Share), slog.Bool("overShare", s.OverShare), slog.Float64("spareWeight", s.SpareWeight))
+	}
+	return attrs
+}
+
 // formatParts returns the parts of the prompt in order, as they are named in the records
 // of the quarantine, so that requests with a part in common can be found in the log.
 func (p *proxyRequest) formatParts() string {
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"monsoondeck.example/gateway/quarantiner"
+	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/logger"
 )
 
@@ -26,6 +27,8 @@
 	// part is the prompt part or whole request because of which the request is refused; 0 if
 	// there is another reason.
 	part quarantiner.Part
+	// standing is that of the account if the request waited for a permit.
+	standing queuer.Standing
 }
 
 // rejectionBody is the JSON body of a rejection.
@@ -60,7 +63,7 @@
 	if r.part != 0 {
 		attrs = append(attrs, slog.String("part", strconv.FormatUint(uint64(r.part), 16)))
 	}
-	p.log(logger.RequestRejected, attrs...)
+	p.log(logger.RequestRejected, append(attrs, p.standingAttrs(r.standing)...)...)
 	p.recordEnd(r.code, r.status)
 }
 
