Share what the fleet really serves, not the configured throughput

Callers of an account within its fair share were refused as over the share (503 overShare) while the largest account got more than twice as much (FAIR).

The share level was the max-min share of the configured throughput and a quarter more. All beyond the level is spare capacity, for which requests compete by the load that an engine may have; the account with the most attempts finds most of the gaps. The weights of accounts over their share change this load, not the service. So most of a third of the service was divided by attempts.

The level is now the max-min share of the service of the last window if that is more than the configured one. Accounts below it wait and go first, those above it compete for what is left. If the fleet serves less, the level follows within a window.

Ruled out for this fault: that the starved account needs engines without its parts (396 of its 480 placed requests went to others than its first one).

--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -31,8 +31,8 @@
 type Shares struct {
 	// bucketDuration is the length of one bucket.
 	bucketDuration time.Duration
-	// capacity is the service of all engines in one window, including capacityMargin; 0
-	// means unknown.
+	// capacity is the configured service of all engines in one window, including
+	// capacityMargin; 0 means unknown.
 	capacity float64
 	// currentBucket is the number of the newest bucket since time 0.
 	currentBucket int64
@@ -189,13 +189,19 @@
 	if s.fairShareValid && now < s.fairShareTime+fairShareTTL {
 		return s.fairShare
 	}
-	demands := make([]float64, 0, len(s.accounts))
+	demands, served := make([]float64, 0, len(s.accounts)), 0.0
 	for _, a := range s.accounts {
 		if a.demandSum > 0 {
 			demands = append(demands, a.demandSum)
 		}
+		served += a.servedSum
 	}
-	s.fairShare, s.fairShareTime, s.fairShareValid = maxMinShare(demands, s.capacity), now, true
+	capacity := s.capacity
+	if capacity > 0 {
+		// Cached prompt parts count as service, so that engines give more than is configured.
+		capacity = max(capacity, served)
+	}
+	s.fairShare, s.fairShareTime, s.fairShareValid = maxMinShare(demands, capacity), now, true
 	return s.fairShare
 }
 
