Count service only from totals that belong together

Daemons of a large fleet knew very different service of the same account, so that some treated the best-served account as within its share while others refused an account with a quarter of its service as over the share (FAIR).

Daemons learn service as the difference of cumulative totals. Two of these differences were wrong:

- A daemon whose role in the fleet changes begins to add up from zero without a new incarnation.
The difference was negative and took service of the window back, also in the sums of other relays.
- The last total of a relay was kept when another relay took its place.
When the first one came back, or a peer after a silence, the service of all the time between counted as service of one moment.

Totals whose demand decreases, the first totals after a change of the relay and those after a silence now only set the baseline.

Failed before: TestServiceOfALongTimeIsNotCountedAtOnce (served 8e+06, want 1000), TestSumsTakeNothingBack (-999870, want 530), TestTotalsThatBeginAnewTakeNothingBack (-999800, want 500).

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -106,6 +106,8 @@
 	// the last one; groupSources maps each other group to the source of its sums.
 	sources      map[string]time.Duration
 	groupSources map[grouper.Group]string
+	// totalRelay is the relay whose total was counted last.
+	totalRelay string
 	// dataCentres maps the peers to their data centres.
 	dataCentres map[string]string
 	// failedRelays maps relays from which no total came to the time until which others
--- a/gateway/controller/membership.go
+++ b/gateway/controller/membership.go
@@ -104,6 +104,7 @@
 func (c *Controller) dropSource(name string) {
 	delete(c.sources, name)
 	c.fleet.RemovePeerLoads(name)
+	c.shares.RemovePeer(name)
 	c.totals.Remove(name)
 }
 
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -203,6 +203,11 @@
 		if key = totalKey; c.plan.Relay || c.plan.Undivided() || !c.acceptTotal(now, r.Peer) {
 			return
 		}
+		if c.totalRelay != r.Peer {
+			// Relays count the service of the fleet from different times on.
+			c.shares.RemovePeer(totalKey)
+			c.totalRelay = r.Peer
+		}
 	case r.Report.Group != "":
 		if key = groupKey(r.Report.Group, r.Peer); !c.plan.Relay || r.Report.Group == c.plan.OwnGroup {
 			return
@@ -217,7 +222,7 @@
 	c.sources[key] = now
 	c.fleet.AddPeerSpills(now, r.Report.Spills)
 	c.fleet.SetPeerLoads(now, key, r.Report.Loads, r.Report.Whole)
-	c.shares.SetPeer(now, key+" by "+r.Peer, r.Incarnation, r.Report.Accounts)
+	c.shares.SetPeer(now, key, r.Incarnation, r.Report.Accounts)
 	if c.plan.Relay {
 		c.totals.Set(now, key, r.Incarnation, r.Report.summable())
 		if r.Report.Group == "" {
--- /dev/null
+++ b/gateway/controller/shares_test.go
@@ -0,0 +1,72 @@
+package controller_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"monsoondeck.example/gateway/controller"
+	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/receiver"
+	"monsoondeck.example/gateway/sharer"
+)
+
+// accountReport returns a report of a peer with the cumulative service of one account.
+func accountReport(peer string, total bool, served float64) controller.PeerReport {
+	return controller.PeerReport{Peer: peer, Incarnation: 1, Report: controller.Report{Total: total, Accounts: []sharer.Total{{Account: "a", Demand: served, Served: served}}}}
+}
+
+// knownService returns the service of the account that a daemon knows.
+func knownService(t *testing.T, c *testController, id uint64) float64 {
+	t.Helper()
+	d := demand(id)
+	d.Account, d.CountsTowardsShare = "a", true
+	p, err := c.Wait(context.Background(), d)
+	if err != nil && !errors.Is(err, receiver.ErrRefused) {
+		t.Fatal(err)
+	}
+	if err == nil {
+		p.End(placer.Unsent)
+	}
+	return p.Decision().Standing.Served
+}
+
+// Guards against FAIR: service of a long time that counts as service of one moment, once
+// because a peer was silent, once because another relay sent the totals meanwhile. Accounts
+// that got their share count as over it then.
+func TestServiceOfALongTimeIsNotCountedAtOnce(t *testing.T) {
+	var clock atomic.Int64
+	clock.Store(int64(3 * time.Second))
+	small := start(t, func(o *controller.Options) {
+		o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
+		o.Peers = func() []controller.Daemon { return []controller.Daemon{{ID: "p"}} }
+	})
+	small.Received(accountReport("p", false, 1e6))
+	small.Received(accountReport("p", false, 1e6+1000))
+	if got := knownService(t, small, 1); got != 1000 {
+		t.Fatalf("served %v, want 1000", got)
+	}
+	waitUntil(func() bool { return small.Stats().Peers == 1 })
+	clock.Add(int64(3 * time.Second))
+	waitUntil(func() bool { return small.Stats().Peers == 0 })
+	small.Received(accountReport("p", false, 9e6))
+	if got := knownService(t, small, 2); got != 1000 {
+		t.Errorf("served %v after a silence of the peer, want 1000", got)
+	}
+
+	large := start(t, func(o *controller.Options) {
+		o.Host, o.DataCentre = daemonName(0), dataCentreName(0)
+		o.Clock = func() time.Duration { return 3 * time.Second }
+		o.Peers = func() []controller.Daemon { return otherDaemons(0, 48) }
+	})
+	for i, r := range []controller.PeerReport{
+		accountReport("x", true, 1e6), accountReport("x", true, 1e6+1000), accountReport("y", true, 5e6), accountReport("x", true, 9e6), accountReport("x", true, 9e6+500),
+	} {
+		large.Received(r)
+		if got, want := knownService(t, large, uint64(i+1)), []float64{0, 1000, 1000, 1000, 1500}[i]; got != want {
+			t.Errorf("served %v after total %d, want %v", got, i, want)
+		}
+	}
+}
--- a/gateway/grouper/grouper_test.go
+++ b/gateway/grouper/grouper_test.go
@@ -150,6 +150,21 @@
 	}
 }
 
+// Guards against FAIR: a relay that begins to count anew, without a restart, takes service
+// back from the sums of all others.
+func TestSumsTakeNothingBack(t *testing.T) {
+	s := grouper.NewSums()
+	report := func(served float64) grouper.Report {
+		return grouper.Report{Accounts: []sharer.Total{{Account: "x", Demand: served, Served: served}}}
+	}
+	for _, served := range []float64{1e6, 1e6 + 500, 100, 130} {
+		s.Set(0, "relay", 1, report(served))
+	}
+	if r := s.TakeSum(0, true); len(r.Accounts) != 1 || r.Accounts[0].Served != 530 {
+		t.Errorf("sum %+v, want 530 served", r.Accounts)
+	}
+}
+
 // Guards against a daemon that counts its own work twice, as a part of the total that
 // it gets back, also after it was silent for a while.
 func TestTotalLeavesOutTheRecipient(t *testing.T) {
--- a/gateway/grouper/sums.go
+++ b/gateway/grouper/sums.go
@@ -92,7 +92,7 @@
 			sum = &accountTotal{Total: sharer.Total{Account: t.Account}}
 			s.totals[t.Account] = sum
 		}
-		demand, served := max(t.Demand-old.Demand, 0), t.Served-old.Served
+		demand, served := t.Since(old)
 		sum.Demand += demand
 		sum.Served += served
 		sum.unreported = true
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -72,6 +72,16 @@
 	Demand, Served float64
 }
 
+// Since returns the service asked for and given after an older total. It is zero if the
+// demand has decreased: then the sender has begun to count anew, since demand is never
+// taken back.
+func (t Total) Since(old Total) (demand, served float64) {
+	if t.Demand < old.Demand {
+		return 0, 0
+	}
+	return t.Demand - old.Demand, t.Served - old.Served
+}
+
 // New returns Shares with a sliding window of the given length.
 func New(window time.Duration) *Shares {
 	return &Shares{bucketDuration: max(window/bucketCount, time.Millisecond), accounts: map[string]*account{}, peers: map[string]*peer{}}
@@ -132,12 +142,13 @@
 	for _, t := range totals {
 		old := p.totals[t.Account]
 		p.totals[t.Account] = t
-		s.addToWindow(s.account(now, t.Account), max(t.Demand-old.Demand, 0), t.Served-old.Served)
+		demand, served := t.Since(old)
+		s.addToWindow(s.account(now, t.Account), demand, served)
 	}
 }
 
-// RemovePeer drops the last totals of a peer. Its service stays counted until it
-// leaves the window.
+// RemovePeer drops the last totals of a peer, so that its next ones set the baseline. Its
+// service stays counted until it leaves the window.
 func (s *Shares) RemovePeer(name string) { delete(s.peers, name) }
 
 // Served returns the service that an account got in the window.
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -72,6 +72,33 @@
 	}
 }
 
+// Guards against FAIR: a relay that begins to count anew, without a restart, takes back
+// service of the window, so that the best-served account counts as within its share.
+func TestTotalsThatBeginAnewTakeNothingBack(t *testing.T) {
+	s := sharer.New(window)
+	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}})
+	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6 + 900, Served: 1e6 + 500}})
+	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 300, Served: 200}})
+	if got := s.Served(time.Second, "a"); got != 500 {
+		t.Errorf("served %v after the totals began anew, want 500", got)
+	}
+	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 400, Served: 250}})
+	if got := s.Served(time.Second, "a"); got != 550 {
+		t.Errorf("served %v after the next totals, want 550", got)
+	}
+}
+
+// Guards against service of a long silence that counts as service of one moment.
+func TestServiceDuringASilenceIsNotCounted(t *testing.T) {
+	s := sharer.New(window)
+	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}})
+	s.RemovePeer("p")
+	s.SetPeer(10*time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 5e6, Served: 5e6}})
+	if got := s.Served(10*time.Second, "a"); got != 0 {
+		t.Errorf("served %v after a silence, want 0", got)
+	}
+}
+
 // Guards against levels that exceed the capacity in total, and against levels that
 // leave capacity unused while an account asks for more.
 func TestLevelIsMaxMinFair(t *testing.T) {
