Tell the recent service of accounts to daemons that do not know it

Hosts that had just started, and hosts whose relay had changed, treated the best-served accounts as within their share for up to a window of four seconds and served them before others, while other hosts refused starved accounts (FAIR).

The first totals of a source only set the baseline, since it is unknown when their service was given. A daemon that has started knew no service at all, one whose relay had died missed the 2.5 s until it noticed. Complete reports now also have the service of the window that their sender knows, and a recipient takes it over once from each new source.

TestFirstReportOfAPeerTellsTheRecentService and TestStartedDaemonLearnsTheRecentService need the new field and cannot run on the code before, which drops what they send.

--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -19,6 +19,9 @@
 	Whole    bool
 	Loads    []placer.Load
 	Accounts []sharer.Total
+	// Recent is the service of the accounts in the whole fleet within the window of the
+	// shares, as the sender knows it; only in full reports.
+	Recent []sharer.Total
 	// Spills are the spills since the last report.
 	Spills []placer.Spill
 	// Evidence is that on prompt parts that crash targets: all of it in a full report, else
@@ -131,6 +134,7 @@
 	c.updateReader()
 	if whole {
 		r.Daemons = c.describe(func(string) bool { return false })
+		r.Recent = c.shares.Recent(now)
 	}
 	// In a large fleet, the others learn only from the readers' reports how recent their
 	// state of the store is.
@@ -223,6 +227,7 @@
 	c.fleet.AddPeerSpills(now, r.Report.Spills)
 	c.fleet.SetPeerLoads(now, key, r.Report.Loads, r.Report.Whole)
 	c.shares.SetPeer(now, key, r.Incarnation, r.Report.Accounts)
+	c.shares.LearnRecent(now, key, r.Incarnation, r.Report.Recent)
 	if c.plan.Relay {
 		c.totals.Set(now, key, r.Incarnation, r.Report.summable())
 		if r.Report.Group == "" {
--- a/gateway/controller/shares_test.go
+++ b/gateway/controller/shares_test.go
@@ -70,3 +70,22 @@
 		}
 	}
 }
+
+// Guards against FAIR: hosts that have just started, or lost their relay, know too little of
+// the service of the largest accounts and serve them before others.
+func TestStartedDaemonLearnsTheRecentService(t *testing.T) {
+	c := start(t, func(o *controller.Options) {
+		o.Host, o.DataCentre = daemonName(0), dataCentreName(0)
+		o.Clock = func() time.Duration { return 3 * time.Second }
+		o.Peers = func() []controller.Daemon { return otherDaemons(0, 48) }
+	})
+	r := accountReport("x", true, 1e6)
+	c.Received(r) // a report that is not complete
+	r.Report.Whole, r.Report.Recent = true, []sharer.Total{{Account: "a", Demand: 7e5, Served: 4e5}}
+	for i := range 3 {
+		c.Received(r)
+		if got := knownService(t, c, uint64(i+1)); got != 4e5 {
+			t.Errorf("served %v after complete report %d, want 4e5", got, i)
+		}
+	}
+}
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -90,7 +90,7 @@
 		}, {
 			Target: placer.KeyOf("unlimited again"), LimitKnown: true,
 		}},
-		Accounts: []sharer.Total{{Account: "forge", Demand: 10, Served: 7}},
+		Accounts: []sharer.Total{{Account: "forge", Demand: 10, Served: 7}}, Recent: []sharer.Total{{Account: "forge", Demand: 5, Served: 3}},
 		Evidence: quarantiner.Evidence{
 			Incidents: []quarantiner.Incident{{Part: math.MaxUint64, Crash: 2, Request: 3, Age: 2 * time.Hour}}, Proofs: []quarantiner.Proof{{Part: 4, Crash: 5}},
 		},
--- a/gateway/exchanger/messages.go
+++ b/gateway/exchanger/messages.go
@@ -23,9 +23,7 @@
 	if len(r.Loads) > 0 {
 		m.Work = encodeLoads(r.Loads)
 	}
-	for _, t := range r.Accounts {
-		m.Accounts = append(m.Accounts, messenger.AccountService{Account: t.Account, Asked: roundToUint(t.Demand), Served: roundToUint(t.Served)})
-	}
+	m.Accounts, m.Recent = encodeTotals(r.Accounts), encodeTotals(r.Recent)
 	if r.Group != "" {
 		m.DataCentre = (*string)(&r.Group)
 	}
@@ -80,9 +78,7 @@
 	if m.Work != nil {
 		r.Loads = decodeLoads(*m.Work)
 	}
-	for _, a := range m.Accounts {
-		r.Accounts = append(r.Accounts, sharer.Total{Account: a.Account, Demand: float64(a.Asked), Served: float64(a.Served)})
-	}
+	r.Accounts, r.Recent = decodeTotals(m.Accounts), decodeTotals(m.Recent)
 	for _, i := range m.Incidents {
 		r.Evidence.Incidents = append(r.Evidence.Incidents, quarantiner.Incident{Part: quarantiner.Part(i.Part), Crash: quarantiner.Crash(i.Crash), Request: i.Request, Age: decodeLongAge(i.AgeMs)})
 	}
@@ -190,3 +186,19 @@
 
 // roundToUint rounds to the nearest integer; negative values become 0.
 func roundToUint(v float64) uint64 { return uint64(max(math.Round(v), 0)) }
+
+func encodeTotals(totals []sharer.Total) []messenger.AccountService {
+	var services []messenger.AccountService
+	for _, t := range totals {
+		services = append(services, messenger.AccountService{Account: t.Account, Asked: roundToUint(t.Demand), Served: roundToUint(t.Served)})
+	}
+	return services
+}
+
+func decodeTotals(services []messenger.AccountService) []sharer.Total {
+	var totals []sharer.Total
+	for _, a := range services {
+		totals = append(totals, sharer.Total{Account: a.Account, Demand: float64(a.Asked), Served: float64(a.Served)})
+	}
+	return totals
+}
--- a/gateway/exchanger/size_test.go
+++ b/gateway/exchanger/size_test.go
@@ -23,6 +23,7 @@
 		}
 		for i := range 30 {
 			r.Accounts = append(r.Accounts, sharer.Total{Account: fmt.Sprintf("hule%03d", i), Demand: 1e8, Served: 9e7})
+			r.Recent = append(r.Recent, sharer.Total{Account: fmt.Sprintf("hule%03d", i), Demand: 1e6, Served: 9e5})
 		}
 		for i := range 18 {
 			r.Daemons = append(r.Daemons, controller.Daemon{ID: fmt.Sprintf("frontend-sapporo-a-%d", i)})
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -62,6 +62,8 @@
 type peer struct {
 	incarnation uint64
 	totals      map[string]Total
+	// learned is set once the recent service that the peer knows is known here.
+	learned bool
 }
 
 // Total is the cumulative service of one account at one daemon since its start.
@@ -147,6 +149,40 @@
 	}
 }
 
+// Recent returns the service of the accounts within the window, as it is known here.
+func (s *Shares) Recent(now time.Duration) []Total {
+	s.advanceWindow(now)
+	var recent []Total
+	for name, a := range s.accounts {
+		if a.demandSum > 0 || a.servedSum > 0 {
+			recent = append(recent, Total{Account: name, Demand: a.demandSum, Served: max(a.servedSum, 0)})
+		}
+	}
+	return recent
+}
+
+// LearnRecent takes over the recent service that a peer knows, where it is more than is known
+// here. It does so once after the first totals of the peer, which only set the baseline: a
+// daemon that has started, or whose peers have changed, has missed a part of the service.
+func (s *Shares) LearnRecent(now time.Duration, name string, incarnation uint64, recent []Total) {
+	p := s.peers[name]
+	if p == nil || p.incarnation != incarnation || p.learned || len(recent) == 0 {
+		return
+	}
+	p.learned = true
+	for _, t := range recent {
+		a := s.account(now, t.Account)
+		demand, served := max(t.Demand-a.demandSum, 0), max(t.Served-a.servedSum, 0)
+		for i := range bucketCount {
+			a.demand[i] += demand / bucketCount
+			a.served[i] += served / bucketCount
+		}
+		a.demandSum += demand
+		a.servedSum += served
+	}
+	s.fairShareValid = false
+}
+
 // RemovePeer drops the last totals of a peer, so that its next ones set the baseline. Its
 // service stays counted until it leaves the window.
 func (s *Shares) RemovePeer(name string) { delete(s.peers, name) }
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// Guards against FAIR: a daemon that has started, or has a new relay, knows no service and
+// treats the best-served account as within its share.
+func TestFirstReportOfAPeerTellsTheRecentService(t *testing.T) {
+	s := sharer.New(window)
+	s.RecordService(0, "a", 300)
+	recent := []sharer.Total{{Account: "a", Demand: 1600, Served: 800}, {Account: "b", Demand: 160, Served: 160}}
+	for range 2 { // repeated reports change nothing
+		s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}})
+		s.LearnRecent(0, "p", 1, recent)
+	}
+	if a, b := s.Served(0, "a"), s.Served(0, "b"); a != 800 || b != 160 {
+		t.Errorf("served %v and %v, want 800 and 160 as the peer knows", a, b)
+	}
+	if a := s.Served(window/2, "a"); a < 350 || a > 650 {
+		t.Errorf("served %v after half of the window, want about half of 800", a)
+	}
+	if a := s.Served(window+time.Second, "a"); a != 0 {
+		t.Errorf("served %v after the window, want 0", a)
+	}
+}
+
 // Guards against service of a long silence that counts as service of one moment.
 func TestServiceDuringASilenceIsNotCounted(t *testing.T) {
 	s := sharer.New(window)
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -602,6 +602,10 @@
 	// Prompt parts that were answered.
 	Proofs []PartProof `json:"proofs,omitempty,omitzero" cbor:"16,keyasint,omitempty"`
 
+	// Service of client accounts in the whole fleet within the window of the shares,
+	// as the sender knows it; only in complete reports.
+	Recent []AccountService `json:"recent,omitempty,omitzero" cbor:"20,keyasint,omitempty"`
+
 	// State of the registry that the sender knows.
 	Registry *RegistryMark `json:"registry,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
