Continue a stream only at the software version that began it

Nothing in the daemon knew the version of a target: the registry entry has one, but it was not read. Another attempt after a broken or silent target, and a replacement while the attempt went on, went to any target.

Entries have their version now, peers exchange it, and a stream that has sent an event limits its next attempts to the version of the target that sent it. placer has the limit as one more obstacle, so that it holds for every choice; a permit for another version, given while the first event arrived, is given back. If the version changes between choice and send, the permit is void. KV cache is only copied between engines of one version. A stream whose version has no target any more ends at once instead of waiting.

The digest of the registry includes versions. Daemons of older software have another digest then and read the registry themselves, as they do whenever they are not confirmed by a reader.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -53,9 +53,9 @@
 	// freshness and stats are snapshots for other goroutines; they are never nil.
 	freshness atomic.Pointer[Freshness]
 	stats     atomic.Pointer[Stats]
-	// usableTargets holds the incarnations of the targets that may get requests, by ID; it
-	// is never nil.
-	usableTargets atomic.Pointer[map[string]int64]
+	// usableTargets holds the starts of the targets that may get requests, by ID; it is
+	// never nil.
+	usableTargets atomic.Pointer[map[string]placer.Start]
 	// quarantineState is the snapshot for the daemon's watcher of the store; never nil.
 	quarantineState atomic.Pointer[quarantineSnapshot]
 	// watching is set while a long poll for the next configuration is pending at the
@@ -163,7 +163,7 @@
 	c.evacuations.states = registrar.NewEvacuations()
 	c.queue = queuer.New(o.Queue, c.fleet, c.shares)
 	c.stats.Store(&Stats{})
-	c.usableTargets.Store(&map[string]int64{})
+	c.usableTargets.Store(&map[string]placer.Start{})
 	c.quarantineState.Store(&quarantineSnapshot{})
 	c.updatePlan(0)
 	c.updateReader()
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -44,10 +44,10 @@
 // TargetUsable implements receiver.Permit.
 func (p *permit) TargetUsable() bool {
 	c, t, sendBy := p.controller, p.decision.Choice.Target, p.decision.Choice.SendBy
-	incarnation, ok := (*c.usableTargets.Load())[t.ID]
+	start, ok := (*c.usableTargets.Load())[t.ID]
 	f := c.freshness.Load()
 	now := c.options.Clock()
-	return ok && (sendBy == 0 || now <= sendBy) && incarnation == t.Incarnation && (f.RegistryOutage || c.recentEnough(now, f.RegistryConfirmedAt)) &&
+	return ok && (sendBy == 0 || now <= sendBy) && start == placer.StartOf(t) && (f.RegistryOutage || c.recentEnough(now, f.RegistryConfirmedAt)) &&
 		c.evacuationsFresh(now, f.EvacuationsConfirmedAt, f.EvacuationOutage)
 }
 
--- a/gateway/exchanger/messages.go
+++ b/gateway/exchanger/messages.go
@@ -159,6 +159,9 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 			Incarnation: uint64(e.Incarnation), Slots: uint64(max(e.Slots, 0)), Draining: e.Draining,
 		}
+		if e.Version != "" {
+			entry.Version = &e.Version
+		}
 		if e.Cold {
 			cold := uint64(max(e.WarmUp.Milliseconds(), 0))
 			entry.ColdMs = &cold
@@ -176,6 +179,9 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 			Incarnation: int64(e.Incarnation), Slots: int(min(e.Slots, math.MaxInt32)), Draining: e.Draining,
 		}
+		if e.Version != nil {
+			entry.Version = *e.Version
+		}
 		if e.ColdMs != nil {
 			entry.Cold, entry.WarmUp = true, decodeAge(*e.ColdMs)
 		}
--- a/gateway/exchanger/odd_entries_test.go
+++ b/gateway/exchanger/odd_entries_test.go
@@ -19,7 +19,7 @@
 		entry := rapid.Custom(func(t *rapid.T) registrar.Entry {
 			return registrar.Entry{
 				ID: rapid.String().Draw(t, "id"), Service: rapid.String().Draw(t, "service"), Address: rapid.String().Draw(t, "address"), DataCentre: rapid.String().Draw(t, "dataCentre"),
-				Incarnation: rapid.Int64().Draw(t, "incarnation"), Slots: rapid.IntRange(0, math.MaxInt32).Draw(t, "slots"), Draining: rapid.Bool().Draw(t, "draining"),
+				Incarnation: rapid.Int64().Draw(t, "incarnation"), Slots: rapid.IntRange(0, math.MaxInt32).Draw(t, "slots"), Draining: rapid.Bool().Draw(t, "draining"), Version: rapid.String().Draw(t, "version"),
 			}
 		})
 		change := controller.RegistryChange{Change: registrar.Change{Entries: rapid.SliceOfN(entry, 1, 5).Draw(t, "entries")}}
--- a/gateway/placer/admission.go
+++ b/gateway/placer/admission.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"monsoondeck.example/gateway/registrar"
 )
 
 // obstacle is a reason for which a target must not get a request now, however much room
@@ -19,6 +21,8 @@
 	excluded
 	// outside: the target is in no region that the request may use.
 	outside
+	// otherVersion: the target has another software version than the request needs.
+	otherVersion
 	// evacuated: the operator wants no requests in the data centre of the target.
 	evacuated
 )
@@ -31,6 +35,8 @@
 		return o
 	case !f.inAllowedRegion(r, t):
 		return outside
+	case !r.Version.Allows(t.entry.Version):
+		return otherVersion
 	case !t.health.usable(now):
 		return failing
 	case now < t.closedUntil:
@@ -57,13 +63,23 @@
 	return max(f.paceWait(now, t), f.coldWait(now, t))
 }
 
-// Sendable returns the incarnations of the targets without a lasting obstacle, by ID.
-func (f *Fleet) Sendable() map[string]int64 {
-	incarnations := make(map[string]int64, len(f.targets))
+// Start is one start of a target.
+type Start struct {
+	Incarnation int64
+	// Version is that of the software of the target.
+	Version string
+}
+
+// StartOf returns the start of the target with the entry.
+func StartOf(e registrar.Entry) Start { return Start{e.Incarnation, e.Version} }
+
+// Sendable returns the starts of the targets without a lasting obstacle, by ID.
+func (f *Fleet) Sendable() map[string]Start {
+	starts := make(map[string]Start, len(f.targets))
 	for id, t := range f.targets {
 		if f.lastingObstacle(t) == noObstacle {
-			incarnations[id] = t.entry.Incarnation
+			starts[id] = StartOf(t.entry)
 		}
 	}
-	return incarnations
+	return starts
 }
--- a/gateway/placer/placer.go
+++ b/gateway/placer/placer.go
@@ -123,14 +123,14 @@
 	f.updateEngines()
 }
 
-// SetTargets replaces the usable targets. The state of a target is kept unless its
-// incarnation, address or service has changed; the facts about its start are kept even
+// SetTargets replaces the usable targets. The state of a target is kept unless its start,
+// address or service has changed; the facts about its start are kept even
 // if it was not listed for a while.
 func (f *Fleet) SetTargets(entries []registrar.Entry) {
 	next := make(map[string]*target, len(entries))
 	for _, e := range entries {
 		t := f.targets[e.ID]
-		if t == nil || t.entry.Incarnation != e.Incarnation || t.entry.Address != e.Address || t.entry.Service != e.Service {
+		if t == nil || StartOf(t.entry) != StartOf(e) || t.entry.Address != e.Address || t.entry.Service != e.Service {
 			t = newTarget(e, f.factsOf(e))
 		}
 		t.entry = e
@@ -263,11 +263,11 @@
 
 // sample returns the targets of a service that are assessed for one request: all of
 // them, or in a large service the top-ranked ones for the prompt and some others in
-// turn. A request with allowed regions is assessed for all, since a sample may have no
-// target in them.
+// turn. A request with allowed regions or a software version is assessed for all, since a
+// sample may have no target that it may use.
 func (f *Fleet) sample(r Request, ranked *topRanked) []*target {
 	all := f.targetsByService[r.Service]
-	if len(all) <= samplingThreshold || r.Regions.Limited() {
+	if len(all) <= samplingThreshold || r.Regions.Limited() || r.Version.Limited() {
 		return all
 	}
 	f.sampledTargets = f.sampledTargets[:0]
--- a/gateway/placer/regions_test.go
+++ b/gateway/placer/regions_test.go
@@ -80,7 +80,7 @@
 			}
 			r := newPrompt("subject", 4000, 500)
 			r.Regions = tc.allowed
-			if n := f.TargetsInRegion(r); n != len(tc.want)*perDataCentre {
+			if n := f.TargetsAllowed(r); n != len(tc.want)*perDataCentre {
 				t.Errorf("%s: %d targets in an allowed region", name, n)
 			}
 		}
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -56,6 +56,8 @@
 	MaxMeanEventGap time.Duration
 	// Regions limits the regions whose targets may get the request.
 	Regions resolver.Regions
+	// Version limits the software versions of the targets that may get the request.
+	Version VersionLimit
 	// Retry is set if the request was sent to a target before.
 	Retry bool
 	// Excluded holds the IDs of the targets that have failed or refused the request.
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -30,8 +30,8 @@
 	light, valid bool
 }
 
-// rankTargets returns the top-ranked targets for the prompt in its allowed regions and
-// on its side of the split, on which all daemons agree; nil if the prompt has no shared
+// rankTargets returns the top-ranked targets for the prompt that it may use, on its side of
+// the split, on which all daemons agree; nil if the prompt has no shared
 // parts.
 func (f *Fleet) rankTargets(r Request, side splitSide, longShare float64) *topRanked {
 	prefix := r.sharedPrefix()
@@ -40,7 +40,7 @@
 	}
 	var p topRanked
 	for _, t := range f.targetsByService[r.Service] {
-		if f.inAllowedRegion(r, t) && t.suits(side, longShare) {
+		if f.allowed(r, t) && t.suits(side, longShare) {
 			p.insert(t, rank(prefix, t.idHash))
 		}
 	}
@@ -160,7 +160,7 @@
 	c.FirstRanked = s.ranked != nil && s.ranked.targets[0] == t
 	c.UncachedTokens, c.UncachedSharedTokens = e.uncachedTokens(s.now, r, c.FirstRanked)
 	switch {
-	case s.copySource == nil || s.copySource == t:
+	case s.copySource == nil || s.copySource == t || s.copySource.entry.Version != t.entry.Version:
 	case c.UncachedSharedTokens > negligibleTokens:
 		c.CopyTokens = c.UncachedSharedTokens
 	case c.FirstRanked && s.sourceHasPrefix && !e.hasCached(s.now, r.sharedPrefix()):
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -21,9 +21,9 @@
 	RecordStart(now time.Duration, r placer.Request, c placer.Choice)
 	// Targets returns the number of targets of a service, whether usable now or not.
 	Targets(service string) int
-	// TargetsInRegion returns the number of those that are in a region that the request may
-	// use.
-	TargetsInRegion(r placer.Request) int
+	// TargetsAllowed returns the number of those that the request may use by their regions
+	// and software versions.
+	TargetsAllowed(r placer.Request) int
 	// ReopensIn returns the time for which all targets of a service want no requests.
 	ReopensIn(now time.Duration, service string) time.Duration
 }
@@ -79,6 +79,9 @@
 	ReasonNoTarget Reason = "noTarget"
 	// ReasonRegion means that no target of the service is in an allowed region.
 	ReasonRegion Reason = "noTargetInRegion"
+	// ReasonVersion means that a stream cannot go on because no target of the software
+	// version that began it is left.
+	ReasonVersion Reason = "streamVersionGone"
 	// ReasonQuarantined means that the request, or a part of its prompt, crashes targets.
 	ReasonQuarantined Reason = "partQuarantined"
 	// ReasonSuspected means that the request is not repeated because its last target
@@ -234,7 +237,7 @@
 		return q.refuse(now, w, choice, found), true
 	}
 	maxWait := time.Duration(q.settings.MaxWaitShare * float64(w.Objective))
-	noTargets := !found && q.placer.TargetsInRegion(w.Request) == 0
+	noTargets := !found && q.placer.TargetsAllowed(w.Request) == 0
 	if !found {
 		if reopensIn := q.placer.ReopensIn(now, w.Request.Service); reopensIn > max(maxWait-waited, 0) {
 			return q.refuseClosed(now, w, reopensIn), true
@@ -261,7 +264,9 @@
 func (q *Queue) refuse(now time.Duration, w candidate, c placer.Choice, found bool) Decision {
 	d := Decision{ID: w.Request.ID, Choice: c, Reason: ReasonOverload, Waited: now - w.Arrived, Standing: w.standing}
 	switch {
-	case !found && q.placer.Targets(w.Request.Service) > 0 && q.placer.TargetsInRegion(w.Request) == 0:
+	case !found && w.Request.Version.Limited() && q.placer.TargetsAllowed(w.Request) == 0:
+		d.Reason = ReasonVersion
+	case !found && q.placer.Targets(w.Request.Service) > 0 && q.placer.TargetsAllowed(w.Request) == 0:
 		d.Reason, d.RetryAfter = ReasonRegion, noTargetRetryAfter
 	case !found:
 		d.Reason, d.RetryAfter = ReasonNoTarget, noTargetRetryAfter
--- a/gateway/queuer/queuer_test.go
+++ b/gateway/queuer/queuer_test.go
@@ -52,7 +52,7 @@
 
 func (t *fakePlacer) Targets(string) int { return t.registered }
 
-func (t *fakePlacer) TargetsInRegion(placer.Request) int { return t.registered - t.outside }
+func (t *fakePlacer) TargetsAllowed(placer.Request) int { return t.registered - t.outside }
 
 func (t *fakePlacer) ReopensIn(time.Duration, string) time.Duration { return t.reopensIn }
 
@@ -179,6 +179,23 @@
 	}
 }
 
+// Guards against streams that wait for a software version that has no target any more.
+func TestStreamWithoutATargetOfItsVersionIsRefusedAtOnce(t *testing.T) {
+	f := &fakePlacer{registered: 3, outside: 3}
+	q, _ := newQueue(f)
+	i := newItem(1, "a", 0)
+	i.Request.Version = placer.OnlyVersion("v1")
+	q.Add(i)
+	if d := q.Decide(0); len(d) != 1 || d[0].Reason != queuer.ReasonVersion {
+		t.Errorf("decisions %+v, want one refusal because of the version", d)
+	}
+	f.outside = 2 // one may be used again soon
+	q.Add(i)
+	if d := q.Decide(0); len(d) != 0 {
+		t.Errorf("decisions %+v, want none while there is a target of the version", d)
+	}
+}
+
 // Guards against callers that all return at the same time, and against a Retry-After
 // that is longer than callers wait.
 func TestRetryAfterIsJitteredAndBounded(t *testing.T) {
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -98,6 +98,9 @@
 	limit placer.RequestLimit
 	// stream is set once a target has started to respond with a stream.
 	stream *streamState
+	// streamVersion is the software version that began the stream; nil until a target has
+	// sent the first event.
+	streamVersion atomic.Pointer[string]
 	// firstByte is the time to the first byte of the response; 0 if there is none yet.
 	firstByte time.Duration
 	// lastData is the time at which the target of the current attempt last sent data, or at
@@ -197,7 +200,11 @@
 	p.waits++
 	if permit := p.replacement; permit != nil {
 		p.replacement = nil
-		return permit, nil
+		if demand.Request.Version.Allows(permit.Decision().Choice.Target.Version) {
+			return permit, nil
+		}
+		// The stream began at another version while the permit was being given.
+		permit.End(placer.Unsent)
 	}
 	return p.receiver.Permits.Wait(ctx, demand)
 }
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -285,7 +285,7 @@
 		Request: placer.Request{
 			ID: p.receiver.nextID.Add(1), Service: p.service, PromptTokens: p.info.PromptTokens, OutputTokens: outputTokens,
 			Parts: p.info.Parts, Fingerprint: p.fingerprint, MaxMeanEventGap: p.maxMeanEventGap(outputTokens, timeLeft),
-			Regions: p.regions, Retry: next.repetition, Excluded: next.excluded,
+			Regions: p.regions, Version: p.versionLimit(), Retry: next.repetition, Excluded: next.excluded,
 		},
 		// The share of the account was charged with the attempt that may have run.
 		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "" && !next.mayHaveRun, Priority: p.priority,
--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -100,7 +100,8 @@
 type search struct {
 	permits PermitSource
 	// demand returns the demand of the request, given the time since which its caller has
-	// waited for an event. It uses nothing that changes during the attempt.
+	// waited for an event. It uses nothing that changes during the attempt but the version
+	// of the stream.
 	demand func(ctx context.Context, silentSince time.Time) Demand
 	// hasRetry reports whether there is a retry in the budget.
 	hasRetry func() bool
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -91,6 +91,8 @@
 	onWait func(n int)
 	// demands are those of all calls of Wait.
 	demands []receiver.Demand
+	// versions are the software versions of the targets; those beyond have none.
+	versions []string
 }
 
 func (w *permitSource) Wait(_ context.Context, d receiver.Demand) (receiver.Permit, error) {
@@ -123,6 +125,9 @@
 		return p, receiver.ErrRefused
 	}
 	p.decision.Choice.Target = registrar.Entry{ID: fmt.Sprint("t", w.waits), Address: "127.0.0.1:1"}
+	if w.waits < len(w.versions) {
+		p.decision.Choice.Target.Version = w.versions[w.waits]
+	}
 	p.decision.Choice.Expected = cmp.Or(w.expected, time.Minute)
 	w.waits++
 	return p, nil
--- a/gateway/registrar/change.go
+++ b/gateway/registrar/change.go
@@ -35,6 +35,9 @@
 	sum := uint64(0)
 	for _, e := range entries {
 		text := fmt.Sprintf("%s %s %s %s %d %d %t", e.ID, e.Service, e.Address, e.DataCentre, e.Incarnation, e.Slots, e.Draining)
+		if e.Version != "" {
+			text += " version " + e.Version
+		}
 		if e.Cold { // daemons that do not know of cold targets have the same digest without any
 			text += " cold"
 		}
--- a/gateway/registrar/registrar.go
+++ b/gateway/registrar/registrar.go
@@ -19,6 +19,9 @@
 	DataCentre string
 	// Incarnation distinguishes the starts of a target under the same ID.
 	Incarnation int64
+	// Version is that of the software of the target. Versions have no order, and what two of
+	// them write does not fit together; empty stands for a version of its own.
+	Version string
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	// Draining is set if the target should get no new requests.
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -385,6 +385,9 @@
 
 	// Number of requests that the target runs concurrently.
 	Slots uint64 `json:"slots" cbor:"6,keyasint,omitempty"`
+
+	// Version of the software of the target; missing if it has none.
+	Version *string `json:"version,omitempty,omitzero" cbor:"9,keyasint,omitempty"`
 }
 
 // RegistryMark identifies the state of the registry that the sender knows.
