Continue taken-up streams at the software version that began them

Cause: a take-up was an ordinary new request, and no daemon knew which version had begun the stream that it names in Resumes.

Daemons remember now at which version a stream sent its first event (gateway/versioner), under a hash of account and attempt, until the deadline of its caller. While a service has several versions, or had within two minutes, reports carry the streams that began; when a second version appears, each daemon reports all that it remembers. While there has been one version only, its streams need no memory. A take-up whose version is neither remembered nor certain is refused at once (503 streamVersionUnknown), one whose version has no target any more too (streamVersionGone).

The store has the history of the versions, written when their set changes, and while there are several the streams, written four times a second by its two readers, in rows of the table that daemons read at their start.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -21,6 +21,7 @@
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/gateway/sharer"
 	"monsoondeck.example/gateway/timekeeper"
+	"monsoondeck.example/gateway/versioner"
 )
 
 const (
@@ -58,6 +59,9 @@
 	usableTargets atomic.Pointer[map[string]placer.Start]
 	// quarantineState is the snapshot for the daemon's watcher of the store; never nil.
 	quarantineState atomic.Pointer[quarantineSnapshot]
+	// versionState is the snapshot of the versions in service for the daemon's watcher of the
+	// store; it is never nil.
+	versionState atomic.Pointer[versionSnapshot]
 	// watching is set while a long poll for the next configuration is pending at the
 	// store, in the era watchingEra, since watchingSince.
 	watching      atomic.Bool
@@ -133,6 +137,8 @@
 	// registryBehindSince is the time at which a peer first reported a newer state of the
 	// registry; 0 if this daemon is not known to be behind.
 	registryBehindSince time.Duration
+	// versions knows which software version began each stream.
+	versions *versioner.Versioner
 	// evacuations is what is known about evacuated data centres.
 	evacuations evacuationKnowledge
 	// configConfirmed is the last confirmation that the configuration in force is the newest.
@@ -156,6 +162,7 @@
 		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Regions: o.Regions, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host), Cold: o.Cold, SplitPrompts: o.SplitPrompts}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
+		versions:   versioner.New(),
 		quarantine: quarantiner.New(), suspicions: map[string]*suspicion{},
 		sums: grouper.NewSums(), totals: grouper.NewSums(),
 		sources: map[string]time.Duration{}, groupSources: map[grouper.Group]string{}, failedRelays: map[string]time.Duration{}, dataCentres: map[string]string{},
@@ -165,6 +172,7 @@
 	c.stats.Store(&Stats{})
 	c.usableTargets.Store(&map[string]placer.Start{})
 	c.quarantineState.Store(&quarantineSnapshot{})
+	c.versionState.Store(&versionSnapshot{})
 	c.updatePlan(0)
 	c.updateReader()
 	return c
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -149,6 +149,7 @@
 	oldEntries := c.registryEntries
 	c.registryEntries, c.registryConfirmed, c.registryBehindSince = c.registry.Entries(), confirmed, 0
 	c.registryDigest = registrar.Digest(c.registryEntries)
+	c.observeVersions(now)
 	c.confirmEvacuationsWhileWatching()
 	c.publishFreshness()
 	if c.registryLoaded.Swap(true) && slices.Equal(oldEntries, c.registryEntries) {
@@ -284,5 +285,6 @@
 	c.comparePeerRegistry(now, r.Report.Registry)
 	c.learnEvidence(now, r.Report.Evidence)
 	c.learnDepartures(now, r.Peer, r.Report.Departures)
+	c.versions.LearnHistory(now, r.Report.Versions)
 	c.applyReport(now, r)
 }
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -9,6 +9,7 @@
 	"monsoondeck.example/gateway/quarantiner"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/sharer"
+	"monsoondeck.example/gateway/versioner"
 )
 
 // Report is the regular message of a daemon to its peers: its work at targets, the
@@ -24,6 +25,11 @@
 	Recent []sharer.Total
 	// Spills are the spills since the last report.
 	Spills []placer.Spill
+	// Streams are those that have begun since the last report while their service had
+	// several software versions.
+	Streams []versioner.Batch
+	// Versions is what the sender knows of the versions in service; only in full reports.
+	Versions versioner.History
 	// Evidence is that on prompt parts that crash targets: all of it in a full report, else
 	// that since the last one. The ages are as of the time of sending.
 	Evidence quarantiner.Evidence
@@ -48,7 +54,7 @@
 
 // summable returns the part of the report that is added up over a group.
 func (r Report) summable() grouper.Report {
-	return grouper.Report{Complete: r.Whole, Loads: r.Loads, Accounts: r.Accounts, Spills: r.Spills}
+	return grouper.Report{Complete: r.Whole, Loads: r.Loads, Accounts: r.Accounts, Spills: r.Spills, Streams: r.Streams}
 }
 
 // Daemon is the name of a daemon, its peer address and its data centre; the latter two
@@ -110,7 +116,7 @@
 		c.options.Probe(t)
 	}
 	whole := c.fullReports == 0 || now-c.lastFullReport >= fullReportInterval
-	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills()}
+	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills(), Streams: c.versions.TakeNews(now)}
 	r.Registry = c.registryState(now)
 	r.Config = c.configState(now)
 	c.confirmEvacuationsWhileWatching()
@@ -129,16 +135,21 @@
 		c.fullReports++
 		c.updatePlan(now)
 		c.quarantine.Expire(now)
+		c.versions.Expire(now)
 		c.updateQuarantine(now)
 	}
 	c.updateReader()
 	if whole {
 		r.Daemons = c.describe(func(string) bool { return false })
-		r.Recent = c.shares.Recent(now)
+		c.publishVersions(now)
+		r.Recent, r.Versions = c.shares.Recent(now), c.versions.History(now)
+		if c.plan.Undivided() {
+			r.Streams = c.versions.RepeatNews(now)
+		}
 	}
 	// In a large fleet, the others learn only from the readers' reports how recent their
 	// state of the store is.
-	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || !r.Evidence.Empty() || len(r.Departures) > 0 || c.evacuations.news || c.reader && !c.plan.Undivided() {
+	if whole || len(r.Loads) > 0 || len(r.Accounts) > 0 || len(r.Spills) > 0 || len(r.Streams) > 0 || !r.Evidence.Empty() || len(r.Departures) > 0 || c.evacuations.news || c.reader && !c.plan.Undivided() {
 		c.options.SendReport(r, c.plan.ReportRecipients)
 		c.evacuations.news = false
 	}
@@ -170,7 +181,7 @@
 	c.sums.Set(now, c.options.Host, 0, own.summable())
 	sum := c.sums.TakeSum(now, own.Whole)
 	r := own
-	r.Group, r.Whole, r.Loads, r.Accounts, r.Spills = c.plan.OwnGroup, sum.Complete, sum.Loads, sum.Accounts, sum.Spills
+	r.Group, r.Whole, r.Loads, r.Accounts, r.Spills, r.Streams = c.plan.OwnGroup, sum.Complete, sum.Loads, sum.Accounts, sum.Spills, sum.Streams
 	if own.Whole {
 		r.Daemons = c.describe(c.plan.Member)
 	}
@@ -191,7 +202,7 @@
 	}
 	for _, m := range c.plan.TotalRecipients {
 		sum := c.totals.Without(m, total)
-		r.Whole, r.Loads, r.Accounts, r.Spills = sum.Complete, sum.Loads, sum.Accounts, sum.Spills
+		r.Whole, r.Loads, r.Accounts, r.Spills, r.Streams = sum.Complete, sum.Loads, sum.Accounts, sum.Spills, sum.Streams
 		c.options.SendReport(r, []string{m})
 	}
 }
@@ -225,6 +236,7 @@
 	}
 	c.sources[key] = now
 	c.fleet.AddPeerSpills(now, r.Report.Spills)
+	c.versions.Learn(now, r.Report.Streams)
 	c.fleet.SetPeerLoads(now, key, r.Report.Loads, r.Report.Whole)
 	c.shares.SetPeer(now, key, r.Incarnation, r.Report.Accounts)
 	c.shares.LearnRecent(now, key, r.Incarnation, r.Report.Recent)
--- a/gateway/exchanger/exchanger_test.go
+++ b/gateway/exchanger/exchanger_test.go
@@ -20,6 +20,7 @@
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/gateway/sharer"
+	"monsoondeck.example/gateway/versioner"
 )
 
 // decoder decodes a configuration whose version is the length of its encoding.
@@ -91,6 +92,8 @@
 			Target: placer.KeyOf("unlimited again"), LimitKnown: true,
 		}},
 		Accounts: []sharer.Total{{Account: "forge", Demand: 10, Served: 7}}, Recent: []sharer.Total{{Account: "forge", Demand: 5, Served: 3}},
+		Streams:  []versioner.Batch{{Origin: versioner.Origin{Service: "s", Version: "v1"}, Left: 12 * time.Second, Streams: []versioner.Stream{1, 1 << 63}}},
+		Versions: versioner.History{Age: time.Minute, Sightings: []versioner.Sighting{{Origin: versioner.Origin{Service: "s", Version: "v1"}}, {Origin: versioner.Origin{Service: "s"}, Age: 3 * time.Second}}},
 		Evidence: quarantiner.Evidence{
 			Incidents: []quarantiner.Incident{{Part: math.MaxUint64, Crash: 2, Request: 3, Age: 2 * time.Hour}}, Proofs: []quarantiner.Proof{{Part: 4, Crash: 5}},
 		},
--- a/gateway/exchanger/messages.go
+++ b/gateway/exchanger/messages.go
@@ -24,6 +24,7 @@
 		m.Work = encodeLoads(r.Loads)
 	}
 	m.Accounts, m.Recent = encodeTotals(r.Accounts), encodeTotals(r.Recent)
+	m.Streams, m.Versions = encodeStreams(r.Streams), encodeHistory(r.Versions)
 	if r.Group != "" {
 		m.DataCentre = (*string)(&r.Group)
 	}
@@ -79,6 +80,7 @@
 		r.Loads = decodeLoads(*m.Work)
 	}
 	r.Accounts, r.Recent = decodeTotals(m.Accounts), decodeTotals(m.Recent)
+	r.Streams, r.Versions = decodeStreams(m.Streams), decodeHistory(m.Versions)
 	for _, i := range m.Incidents {
 		r.Evidence.Incidents = append(r.Evidence.Incidents, quarantiner.Incident{Part: quarantiner.Part(i.Part), Crash: quarantiner.Crash(i.Crash), Request: i.Request, Age: decodeLongAge(i.AgeMs)})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 type Source interface {
 	watcher.Source
 	watcher.QuarantineStore
+	watcher.VersionStore
 }
 
 // Options are the dependencies of a Gateway.
@@ -172,7 +173,7 @@
 	g.prober = prober.New(prober.Options{Client: g.courier, Protocol: g.options.Protocol})
 	g.watcher = watcher.New(watcher.Options{
 		Source: g.options.Source, Sink: g.controller, Logger: g.logger,
-		QuarantineStore: g.options.Source, QuarantineSink: g.controller,
+		QuarantineStore: g.options.Source, QuarantineSink: g.controller, VersionStore: g.options.Source, VersionSink: g.controller,
 		RegistryDue: g.registryDue, Role: g.role, Clock: g.clock,
 	})
 	g.overload = newOverloadMonitor(s.MemoryBytes, s.Descriptors, g.clock, g.logger)
@@ -180,7 +181,7 @@
 	g.meter = g.newMeter()
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
-		Protocol: g.options.Protocol, Permits: g.controller, Configs: g.controller, TargetClient: g.courier, TargetChecker: g.prober,
+		Protocol: g.options.Protocol, Permits: g.controller, StreamOrigins: g.controller, Configs: g.controller, TargetClient: g.courier, TargetChecker: g.prober,
 		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, CallerDisconnected: callerLeft, ResetOnClose: resetOnClose,
 		Memory: g.memory, ChargeHeader: chargeHeader,
 		Clock:   g.clock,
@@ -217,6 +218,7 @@
 	go g.watcher.WatchRegistry(ctx)
 	go g.watcher.WatchQuarantine(ctx)
 	go g.watcher.SaveQuarantine(ctx)
+	go g.watcher.SaveVersions(ctx)
 	go g.watchDaemons(ctx)
 	go g.closeUnusedConnections(ctx)
 	go g.overload.run(ctx)
--- a/gateway/grouper/sums.go
+++ b/gateway/grouper/sums.go
@@ -7,12 +7,17 @@
 
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/sharer"
+	"monsoondeck.example/gateway/versioner"
 )
 
 // maxPendingSpills limits the spills that wait for the next sum: as many as the
 // engines of a large fleet cause in one second.
 const maxPendingSpills = 4096
 
+// maxPendingStreams limits the streams that wait for the next sum: as many as a large fleet
+// begins in a second, after a second version of its service has appeared.
+const maxPendingStreams = 1 << 15
+
 // Sums adds up the reports of the daemons of a group. It is not safe for concurrent
 // use.
 type Sums struct {
@@ -26,6 +31,9 @@
 	contributions map[string]map[string]sharer.Total
 	// spills holds the spills since the last sum.
 	spills []placer.Spill
+	// streams holds the streams since the last sum, pendingStreams their number.
+	streams        []versioner.Batch
+	pendingStreams int
 }
 
 // member holds what one daemon last reported.
@@ -55,6 +63,8 @@
 	Accounts []sharer.Total
 	// Spills are those since the last report.
 	Spills []placer.Spill
+	// Streams are those that have begun since the last report.
+	Streams []versioner.Batch
 }
 
 // NewSums returns empty sums.
@@ -101,6 +111,12 @@
 	if room := maxPendingSpills - len(s.spills); room > 0 {
 		s.spills = append(s.spills, r.Spills[:min(len(r.Spills), room)]...)
 	}
+	for _, b := range r.Streams {
+		if s.pendingStreams < maxPendingStreams {
+			s.streams = append(s.streams, b)
+			s.pendingStreams += len(b.Streams)
+		}
+	}
 }
 
 func (s *Sums) contribute(name, account string, demand, served float64) {
@@ -118,7 +134,7 @@
 	if m := s.members[name]; m != nil {
 		own = m.loads
 	}
-	r := Report{Complete: sum.Complete, Spills: sum.Spills}
+	r := Report{Complete: sum.Complete, Spills: sum.Spills, Streams: sum.Streams}
 	for _, l := range sum.Loads {
 		if l = l.Sub(own[l.Target]); !l.Empty() {
 			r.Loads = append(r.Loads, l)
@@ -155,8 +171,8 @@
 			loads[id] = sum.Add(l)
 		}
 	}
-	r := Report{Complete: true, Spills: s.spills}
-	s.spills = nil
+	r := Report{Complete: true, Spills: s.spills, Streams: versioner.Merge(s.streams)}
+	s.spills, s.streams, s.pendingStreams = nil, nil, 0
 	for _, l := range loads {
 		if !l.Empty() {
 			r.Loads = append(r.Loads, l)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,8 @@
 	requests  *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
 	total     *prometheus.HistogramVec
+	// resumptions counts the streams that callers took up again.
+	resumptions *prometheus.CounterVec
 }
 
 func newMetrics(g *Gateway) *metrics {
@@ -37,8 +39,11 @@
 		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "monsoondeck_request_seconds", Help: "Time to the end of the answer.", Buckets: totalBuckets,
 		}, []string{"route"}),
+		resumptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "monsoondeck_stream_resumptions_total", Help: "Streams that callers took up again, by what became of them.",
+		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByte, m.total, newMemoryCollector(g))
+	m.registry.MustRegister(m.requests, m.firstByte, m.total, m.resumptions, newMemoryCollector(g))
 	gauges := map[string]struct {
 		help  string
 		value func() float64
@@ -89,6 +94,9 @@
 		m.firstByte.WithLabelValues(o.Route).Observe(o.FirstByte.Seconds())
 	}
 	m.total.WithLabelValues(o.Route).Observe(o.Total.Seconds())
+	if o.Resumption != "" {
+		m.resumptions.WithLabelValues(string(o.Resumption)).Inc()
+	}
 }
 
 func (m *metrics) handler() http.Handler {
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -190,9 +190,8 @@
 				} else if events.lastEventID != "" {
 					p.unresumable.Store(false)
 				}
-				if events.count > 0 && p.streamVersion.Load() == nil {
-					version := permit.Decision().Choice.Target.Version
-					p.streamVersion.Store(&version)
+				if events.count > 0 {
+					p.recordStream(permit.Decision().Choice.Target)
 				}
 				if len(ready) > 0 && !p.writeEvents(ready, events.lastEventID) {
 					permit.End(placer.Cancelled)
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -14,6 +14,7 @@
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/resolver"
+	"monsoondeck.example/gateway/versioner"
 )
 
 // RequestInfo holds what the header of a request says about it.
@@ -30,8 +31,9 @@
 	PromptTokens, MaxOutputTokens, ExpectedOutputTokens int
 	// Parts are the parts of the prompt in order.
 	Parts []placer.PromptPart
-	// LastEventID is the ID of the last event of a stream that the caller has received.
-	LastEventID string
+	// LastEventID is the ID of the last event of a stream that the caller has received, and
+	// Resumes the ID of its attempt that brought the first one.
+	LastEventID, Resumes string
 }
 
 // ForwardInfo holds what the gateway adds to the header of a request to a target.
@@ -152,6 +154,24 @@
 	Wait(ctx context.Context, d Demand) (Permit, error)
 }
 
+// StreamOrigin is the service and the software version that began a stream.
+type StreamOrigin struct {
+	versioner.Origin
+	// Known is set if there is no doubt about the origin, Remembered if a daemon has seen the
+	// stream. Otherwise the origin follows from the versions that were in service.
+	Known, Remembered bool
+}
+
+// StreamOrigins knows at which software versions streams have begun.
+type StreamOrigins interface {
+	// FindStream returns the origin of a stream of the service. It waits a short time for
+	// reports of other daemons, but not longer than until the context ends.
+	FindStream(ctx context.Context, service string, s versioner.Stream) StreamOrigin
+	// BeganStream records that this daemon has begun or continued a stream, which its caller
+	// may take up again within a time.
+	BeganStream(s versioner.Stream, o versioner.Origin, left time.Duration)
+}
+
 // Configs provides the configuration.
 type Configs interface {
 	// Current returns the configuration in force; false if none is known yet.
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -101,6 +101,11 @@
 	// streamVersion is the software version that began the stream; nil until a target has
 	// sent the first event.
 	streamVersion atomic.Pointer[string]
+	// takesUp is set if the caller takes up a stream that has begun in an earlier attempt,
+	// remembered if a daemon has seen that stream.
+	takesUp, remembered bool
+	// streamRecorded is set once an event of the stream has been forwarded.
+	streamRecorded bool
 	// firstByte is the time to the first byte of the response; 0 if there is none yet.
 	firstByte time.Duration
 	// lastData is the time at which the target of the current attempt last sent data, or at
@@ -143,6 +148,9 @@
 	}()
 	stopWatch := context.AfterFunc(p.receiver.ShutdownState.Ending(), func() { end(errEnding) })
 	defer stopWatch()
+	if !p.findStream(ctx) {
+		return
+	}
 	p.receiver.RetryBudget.RecordRequest(p.service)
 	for {
 		switch p.attempt(ctx) {
@@ -186,7 +194,7 @@
 		permit.End(placer.Unsent)
 		return outcomeFailed
 	}
-	attrs := []slog.Attr{slog.String("target", d.Choice.Target.ID), slog.Int("attempt", p.attempts+1),
+	attrs := []slog.Attr{slog.String("target", d.Choice.Target.ID), slog.String("softwareVersion", d.Choice.Target.Version), slog.Int("attempt", p.attempts+1),
 		slog.Duration("waited", d.Waited), slog.Duration("expected", d.Choice.Expected), slog.Bool("fits", d.Choice.Fits),
 		slog.Bool("home", d.Choice.FirstRanked), slog.Float64("unread", d.Choice.UncachedTokens), slog.Float64("shared", d.Choice.UncachedSharedTokens), slog.Float64("copied", d.Choice.CopyTokens),
 		slog.String("parts", p.formatParts()), slog.String("fingerprint", p.formatFingerprint())}
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -47,6 +47,7 @@
 type Options struct {
 	Protocol      Protocol
 	Permits       PermitSource
+	StreamOrigins StreamOrigins
 	Configs       Configs
 	TargetClient  TargetClient
 	TargetChecker TargetChecker
@@ -78,6 +79,9 @@
 	// FirstByte is the time from the start of the request to the first byte of the
 	// response, or 0 if a target sent none. Total is the time to the end of the request.
 	FirstByte, Total time.Duration
+	// Resumption says what became of a stream that the caller took up again; empty for other
+	// requests.
+	Resumption Resumption
 }
 
 // Handler is the http.Handler for requests of callers.
@@ -170,13 +174,17 @@
 			p.priority = account.Priority
 		}
 	}
-	p.service = p.route.Destination(rand.Uint64())
-	service, _ := config.Service(p.service)
-	p.engine, p.healthPath = service.Engine, service.HealthPath
+	p.setService(config, p.route.Destination(rand.Uint64()))
 	p.bodyLimit = config.Limits().BodyBytes
 	return true
 }
 
+// setService sets the service whose targets get the request.
+func (p *proxyRequest) setService(config resolver.Config, name string) {
+	service, _ := config.Service(name)
+	p.service, p.engine, p.healthPath = name, service.Engine, service.HealthPath
+}
+
 // stopNoticeTime is the time after the stop signal for which callers cannot know that
 // the daemon is stopping, because the balancer still sends it new connections. The
 // platform counts 3 s from the signal until the caller sends; a busy host notices the
@@ -217,12 +225,17 @@
 	p.reject(rejection{status: http.StatusServiceUnavailable, code: codeStopping, retryAfter: stoppingRetryAfter})
 }
 
+// callerTimeout returns how long the caller waits.
+func (p *proxyRequest) callerTimeout() time.Duration {
+	if p.info.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return p.info.Timeout
+}
+
 // timeout returns the longest time that the request may take.
 func (p *proxyRequest) timeout() time.Duration {
-	timeout := p.info.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
+	timeout := p.callerTimeout()
 	if p.route.Timeout > 0 {
 		timeout = min(timeout, p.route.Timeout)
 	}
--- a/gateway/receiver/record.go
+++ b/gateway/receiver/record.go
@@ -17,7 +17,8 @@
 // response was sent.
 func (p *proxyRequest) recordEnd(outcome string, status int) {
 	total := time.Since(p.start)
-	p.receiver.Observe(Observation{Route: p.route.Name, Outcome: outcome, FirstByte: p.firstByte, Total: total})
+	resumption := p.resumption(outcome)
+	p.receiver.Observe(Observation{Route: p.route.Name, Outcome: outcome, FirstByte: p.firstByte, Total: total, Resumption: resumption})
 	var longestPause time.Duration
 	if p.stream != nil {
 		longestPause = p.stream.pauseUntil(time.Now())
@@ -27,6 +28,9 @@
 	if p.limit.Limited {
 		attrs = append(attrs, slog.Float64("targetLimit", p.limit.PerSecond))
 	}
+	if resumption != "" {
+		attrs = append(attrs, slog.String("resumption", string(resumption)), slog.String("resumes", p.info.Resumes), slog.Bool("remembered", p.remembered), slog.String("softwareVersion", p.versionLimit().Version()))
+	}
 	p.log(logger.RequestEnded, attrs...)
 }
 
--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -78,10 +78,10 @@
 }
 
 // waitForRoom waits until a request that can no longer be refused may ask for a target
-// again. It gives up if too little of the time of the request is left, and if the request
-// must not be repeated.
+// again. It gives up if too little of the time of the request is left, if the request must
+// not be repeated, and if no target can continue its stream.
 func (p *proxyRequest) waitForRoom(ctx context.Context, d queuer.Decision) attemptOutcome {
-	if d.Reason == queuer.ReasonQuarantined || d.Reason == queuer.ReasonSuspected || lateLimit(p.timeLeft(ctx)) <= roomCheckInterval {
+	if d.Reason == queuer.ReasonQuarantined || d.Reason == queuer.ReasonSuspected || d.Reason == queuer.ReasonVersion || lateLimit(p.timeLeft(ctx)) <= roomCheckInterval {
 		return outcomeFailed
 	}
 	pause := roomCheckInterval
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -23,6 +23,7 @@
 	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
+	"monsoondeck.example/gateway/versioner"
 	"monsoondeck.example/limiter"
 )
 
@@ -31,7 +32,7 @@
 type protocol struct{}
 
 func (protocol) ParseRequest(r *http.Request) receiver.RequestInfo {
-	return receiver.RequestInfo{ID: r.Header.Get("Id"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), Timeout: time.Minute}
+	return receiver.RequestInfo{ID: r.Header.Get("Id"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Resumes"), Timeout: time.Minute}
 }
 
 func (protocol) TargetHeader(h http.Header, a receiver.ForwardInfo) http.Header {
@@ -95,6 +96,30 @@
 	versions []string
 }
 
+// streamOrigins is a receiver.StreamOrigins.
+type streamOrigins struct {
+	mutex sync.Mutex
+	// origins are those of the streams that are found; nil finds all at an unnamed version.
+	origins map[versioner.Stream]receiver.StreamOrigin
+	// began holds the streams that were recorded.
+	began map[versioner.Stream]versioner.Origin
+}
+
+func (o *streamOrigins) FindStream(_ context.Context, _ string, s versioner.Stream) receiver.StreamOrigin {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.origins == nil {
+		return receiver.StreamOrigin{Known: true}
+	}
+	return o.origins[s]
+}
+
+func (o *streamOrigins) BeganStream(s versioner.Stream, origin versioner.Origin, _ time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.began[s] = origin
+}
+
 func (w *permitSource) Wait(_ context.Context, d receiver.Demand) (receiver.Permit, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -338,6 +363,7 @@
 // fixture is a receiver behind an HTTP server, with fakes of its dependencies.
 type fixture struct {
 	permitSource *permitSource
+	origins      *streamOrigins
 	client       *targetClient
 	checker      *targetChecker
 	server       *httptest.Server
@@ -369,10 +395,11 @@
 	f := &fixture{
 		permitSource: &permitSource{ended: make(chan struct{}, 16), refused: make(chan struct{}, 16)},
 		checker:      &targetChecker{},
+		origins:      &streamOrigins{began: map[versioner.Stream]versioner.Origin{}},
 		client:       &targetClient{replies: replies, started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})},
 	}
 	f.options = receiver.Options{
-		Protocol: protocol{}, Permits: f.permitSource, Configs: configs{&config}, TargetClient: f.client, TargetChecker: f.checker, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, CallerDisconnected: func(*http.Request) bool { return false }, ResetOnClose: func(*http.Request) {},
+		Protocol: protocol{}, Permits: f.permitSource, StreamOrigins: f.origins, Configs: configs{&config}, TargetClient: f.client, TargetChecker: f.checker, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, CallerDisconnected: func(*http.Request) bool { return false }, ResetOnClose: func(*http.Request) {},
 		Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Clock: clock, ChargeHeader: func(*http.Request, int, int) error { return nil }, Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
@@ -409,6 +436,20 @@
 	return f.do(r)
 }
 
+// postWith sends a request with the given fields of the header.
+func (f *fixture) postWith(t *testing.T, path string, header map[string]string) result {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, f.server.URL+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	return f.do(r)
+}
+
 // do sends a request of a caller on a connection of its own.
 func (f *fixture) do(r *http.Request) result {
 	client := &http.Client{Transport: &http.Transport{}}
--- a/gateway/watcher/daemons.go
+++ b/gateway/watcher/daemons.go
@@ -56,6 +56,9 @@
 		}
 		b.succeeded()
 		w.NoticeEra(fleet.Era)
+		if w.options.VersionSink != nil {
+			w.learnVersions(fleet)
+		}
 		changed(fleet.Daemons)
 		return fleet
 	}
--- a/gateway/watcher/watcher.go
+++ b/gateway/watcher/watcher.go
@@ -38,6 +38,10 @@
 	Secret []byte
 	// Era is that of the store at the read.
 	Era uint64
+	// Versions is what the store keeps of software versions.
+	Versions StoredVersions
+	// Founded is set if the daemon that was added is the first one of the fleet.
+	Founded bool
 }
 
 // Operations is what the operator has written: in a whole read all of it, otherwise the
@@ -127,6 +131,9 @@
 	// QuarantineStore and QuarantineSink are nil if the quarantine is not stored.
 	QuarantineStore QuarantineStore
 	QuarantineSink  QuarantineSink
+	// VersionStore and VersionSink are nil if nothing of software versions is stored.
+	VersionStore VersionStore
+	VersionSink  VersionSink
 	// RegistryDue returns the time until the registry should be read; it is due if
 	// that is not positive.
 	RegistryDue func() time.Duration
@@ -159,6 +166,9 @@
 	// quarantine.
 	quarantineRead chan struct{}
 	quarantineOnce sync.Once
+	// storedVersions is what the store kept of software versions when this daemon joined the
+	// fleet; nil before.
+	storedVersions atomic.Pointer[StoredVersions]
 	// era is the latest era of the store that is known.
 	era atomic.Uint64
 
--- a/messenger/frame.gen.go
+++ b/messenger/frame.gen.go
@@ -501,6 +501,22 @@
 	Shard string `json:"shard" cbor:"1,keyasint,omitempty"`
 }
 
+// StreamBatch holds streams that began at the same software version and are to be
+// remembered for the same time.
+type StreamBatch struct {
+	// Time for which the streams are to be remembered, in milliseconds.
+	LeftMs uint64 `json:"leftMs" cbor:"3,keyasint,omitempty"`
+
+	// Service of the streams.
+	Service string `json:"service" cbor:"1,keyasint,omitempty"`
+
+	// Hashes of account and attempt ID.
+	Streams []uint64 `json:"streams" cbor:"4,keyasint,omitempty"`
+
+	// Software version that began the streams.
+	Version string `json:"version" cbor:"2,keyasint,omitempty"`
+}
+
 // TargetWork is the work of the sender at some targets and what it measured there,
 // by column: values at the same index belong to the same target, and missing
 // values are 0.
@@ -556,6 +572,27 @@
 	Total float64 `json:"total" cbor:"2,keyasint,omitempty"`
 }
 
+// VersionHistory lists the software versions that were in service.
+type VersionHistory struct {
+	// Time for which the list is complete, in milliseconds.
+	AgeMs uint64 `json:"ageMs" cbor:"1,keyasint,omitempty"`
+
+	// Versions in service during that time.
+	Versions []VersionSighting `json:"versions,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
+}
+
+// VersionSighting says when a software version was last in service.
+type VersionSighting struct {
+	// Time since the version was last in service, in milliseconds; 0 if it still is.
+	AgeMs uint64 `json:"ageMs" cbor:"3,keyasint,omitempty"`
+
+	// Service.
+	Service string `json:"service" cbor:"1,keyasint,omitempty"`
+
+	// Software version.
+	Version string `json:"version" cbor:"2,keyasint,omitempty"`
+}
+
 // WorkReport replaces the sender's earlier reports of the listed targets and
 // client accounts.
 type WorkReport struct {
@@ -612,12 +649,19 @@
 	// State of the registry that the sender knows.
 	Registry *RegistryMark `json:"registry,omitempty,omitzero" cbor:"5,keyasint,omitempty"`
 
+	// Streams that have begun while their service had several software versions.
+	Streams []StreamBatch `json:"streams,omitempty,omitzero" cbor:"21,keyasint,omitempty"`
+
 	// Unused; the property stays because keys follow from positions.
 	Targets []string `json:"targets,omitempty,omitzero" cbor:"2,keyasint,omitempty"`
 
 	// Whether the report sums up all daemons of the fleet but the recipient.
 	Total *bool `json:"total,omitempty,omitzero" cbor:"14,keyasint,omitempty"`
 
+	// What the sender knows of the software versions in service; only in complete
+	// reports.
+	Versions *VersionHistory `json:"versions,omitempty,omitzero" cbor:"22,keyasint,omitempty"`
+
 	// Whether the report is complete: the sender has no work at targets that are not
 	// listed.
 	Whole bool `json:"whole" cbor:"1,keyasint,omitempty"`
