Let taken-up streams wait for a target of their version

Since it may use only the targets of its version, a small and busy version refused nearly all of them.

A take-up of a stream that a daemon remembers goes before new requests now, is charged to its account but not refused as over its share, waits for its whole objective, and is kept from an engine only by the lack of a slot, of memory, or of time. Others are treated as before, so that naming a stream that nobody has begun gains nothing.

TestStreamThatContinuesWaitsForItsTarget and TestStreamContinuesAtABusyEngine failed without the change.

--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -40,7 +40,7 @@
 	c.waiting[d.Request.ID] = p
 	c.queue.Add(queuer.Item{
 		Request: d.Request, Account: d.Account, CountsTowardsShare: d.CountsTowardsShare, Priority: d.Priority,
-		Arrived: now, Objective: d.Objective, Deadline: now + d.TimeLeft, NoWait: d.NoWait,
+		Arrived: now, Objective: d.Objective, Deadline: now + d.TimeLeft, Continues: d.Continues, NoWait: d.NoWait,
 	})
 }
 
--- a/gateway/placer/request.go
+++ b/gateway/placer/request.go
@@ -99,6 +99,9 @@
 	// SpareWeight is the weight of the account in the division of the spare capacity; 1
 	// is the mean. It is set for requests with SpareOnly.
 	SpareWeight float64
+	// Continues is set for a stream that has begun, which the long event gaps or missing
+	// shared parts of an engine do not keep from going on there.
+	Continues bool
 	// Waited is the time in the queue so far. The request may spill only after some
 	// time, since the engines that have its shared parts cached may soon have room.
 	Waited time.Duration
--- a/gateway/placer/score.go
+++ b/gateway/placer/score.go
@@ -105,6 +105,9 @@
 	if constraints.SpareOnly {
 		s.maySpill = f.lightlyLoaded(now, r.Service)
 	}
+	if constraints.Continues {
+		s.maySpill, s.maxEventGap = true, 0
+	}
 	s.copySource = f.copySource(now, r, s.ranked)
 	s.sourceHasPrefix = s.copySource != nil && s.copySource.engine.hasPrefilled(now, r.sharedPrefix())
 	return s
--- a/gateway/placer/versions_test.go
+++ b/gateway/placer/versions_test.go
@@ -102,3 +102,26 @@
 		t.Errorf("start %+v after the change, %+v before", after, before)
 	}
 }
+
+// Guards against LOST: the engines of a small version are busy, and streams that began there
+// are kept from them by the limits that spread new requests.
+func TestStreamContinuesAtABusyEngine(t *testing.T) {
+	f := newVersionedFleet(10, 10, 0)
+	request := func() placer.Request {
+		r := newPrompt("subject", 3000, 100)
+		r.Version, r.MaxMeanEventGap = placer.OnlyVersion("v2"), 20*time.Millisecond
+		return r
+	}
+	running := request()
+	c, _ := f.Choose(0, running, placer.Constraints{FirstEventBudget: time.Second})
+	f.RecordStart(0, running, c)
+	f.RecordFirstEvent(100*time.Millisecond, running.ID)
+	f.RecordEvents(400*time.Millisecond, running.ID, 5, 300*time.Millisecond) // 60 ms between events
+	now := 410 * time.Millisecond
+	if c, ok := f.Choose(now, request(), placer.Constraints{FirstEventBudget: time.Second}); !ok || c.Fits {
+		t.Fatalf("a new request gets %+v, found %v, want an engine that it does not fit", c, ok)
+	}
+	if c, ok := f.Choose(now, request(), placer.Constraints{FirstEventBudget: time.Second, Continues: true}); !ok || !c.Fits || c.Target.Version != "v2" {
+		t.Errorf("a stream that continues gets %+v, found %v, want the engine of its version", c, ok)
+	}
+}
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -59,6 +59,9 @@
 	Objective time.Duration
 	// Deadline is the time at which the caller gives up.
 	Deadline time.Duration
+	// Continues is set if the request takes up a stream that has begun. It goes before new
+	// requests, is not refused as over the share of its account, and waits for its objective.
+	Continues bool
 	// NoWait is set if the request is refused unless a target can begin it on time now.
 	NoWait bool
 }
@@ -193,8 +196,8 @@
 	standing Standing
 }
 
-// order returns the requests in the order in which they are decided: those within
-// the share of their account first, then by priority, by the recent service of the
+// order returns the requests in the order in which they are decided: those that continue a
+// stream first, then those within the share of their account, then by priority, by the recent service of the
 // account, and by arrival.
 func (q *Queue) order(now time.Duration) []candidate {
 	candidates := make([]candidate, 0, len(q.items))
@@ -202,13 +205,19 @@
 		c := candidate{Item: i}
 		if i.CountsTowardsShare {
 			c.standing = Standing{
-				OverShare: q.shares.OverShare(now, i.Account, i.Request.Cost()),
+				OverShare: !i.Continues && q.shares.OverShare(now, i.Account, i.Request.Cost()),
 				Served:    q.shares.Served(now, i.Account), Share: q.shares.FairShare(now),
 			}
 		}
 		candidates = append(candidates, c)
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		if a.Continues != b.Continues {
+			if a.Continues {
+				return -1
+			}
+			return 1
+		}
 		if a.standing.OverShare != b.standing.OverShare {
 			if a.standing.OverShare {
 				return 1
@@ -223,8 +232,12 @@
 // decideItem sends or refuses a request; false means that it keeps waiting.
 func (q *Queue) decideItem(now time.Duration, w candidate, blocked map[string]bool) (Decision, bool) {
 	waited := now - w.Arrived
-	budget := time.Duration(q.settings.MaxExpectedShare * float64(w.Objective-waited))
-	constraints := placer.Constraints{FirstEventBudget: budget, SpareOnly: w.standing.OverShare, Waited: waited}
+	budget, maxWait := w.Objective-waited, w.Objective
+	if !w.Continues {
+		budget = time.Duration(q.settings.MaxExpectedShare * float64(budget))
+		maxWait = time.Duration(q.settings.MaxWaitShare * float64(maxWait))
+	}
+	constraints := placer.Constraints{FirstEventBudget: budget, SpareOnly: w.standing.OverShare, Continues: w.Continues, Waited: waited}
 	if w.standing.OverShare {
 		w.standing.SpareWeight = q.shares.SpareWeight(now, w.Account)
 		constraints.SpareWeight = w.standing.SpareWeight
@@ -236,7 +249,6 @@
 	if w.NoWait {
 		return q.refuse(now, w, choice, found), true
 	}
-	maxWait := time.Duration(q.settings.MaxWaitShare * float64(w.Objective))
 	noTargets := !found && q.placer.TargetsAllowed(w.Request) == 0
 	if !found {
 		if reopensIn := q.placer.ReopensIn(now, w.Request.Service); reopensIn > max(maxWait-waited, 0) {
--- a/gateway/queuer/queuer_test.go
+++ b/gateway/queuer/queuer_test.go
@@ -196,6 +196,38 @@
 	}
 }
 
+// Load: an account over its share, and more requests than slots. Guards against LOST: callers
+// take up streams that have begun, and are refused for the overload of the fleet first.
+func TestStreamThatContinuesWaitsForItsTarget(t *testing.T) {
+	f := &fakePlacer{found: true, full: true, registered: 1, expected: objective / 2}
+	q, shares := newQueue(f)
+	shares.SetCapacity(100)
+	shares.RecordDemand(0, "flood", 30000)
+	shares.RecordService(0, "flood", 10000)
+	q.Add(newItem(1, "small", 0))
+	continued := newItem(2, "flood", time.Millisecond)
+	continued.Continues = true
+	q.Add(continued)
+	if d := q.Decide(objective * 3 / 10); len(d) != 0 {
+		t.Fatalf("decisions %+v, want both requests to wait", d)
+	}
+	f.freeSlots = 1
+	if d := q.Decide(objective * 3 / 10); len(d) != 1 || d[0].ID != 2 || d[0].Reason != "" || d[0].Standing.OverShare {
+		t.Errorf("decisions %+v, want the stream that continues to go first", d)
+	}
+	q.Remove(1)
+	q.Add(continued)
+	if d := q.Decide(objective * 9 / 10); len(d) != 0 {
+		t.Errorf("decisions %+v, want the stream to wait for its objective", d)
+	}
+	if d := q.Decide(objective + time.Millisecond); len(d) != 1 || d[0].Reason == "" {
+		t.Errorf("decisions %+v, want a refusal after the objective", d)
+	}
+	if got := shares.Served(objective, "flood"); got <= 10000 {
+		t.Errorf("served %v, want the stream to be charged", got)
+	}
+}
+
 // Guards against callers that all return at the same time, and against a Retry-After
 // that is longer than callers wait.
 func TestRetryAfterIsJitteredAndBounded(t *testing.T) {
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -111,6 +111,8 @@
 	TimeLeft time.Duration
 	// FirstWait is set the first time that the request waits.
 	FirstWait bool
+	// Continues is set if the request takes up a stream that a daemon remembers.
+	Continues bool
 	// NoWait is set if the permit is refused unless a target can begin the request on time
 	// now, so that a request which has a target takes no place in the queue.
 	NoWait bool
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -302,7 +302,7 @@
 		},
 		// The share of the account was charged with the attempt that may have run.
 		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "" && !next.mayHaveRun, Priority: p.priority,
-		Objective: p.objectiveLeft(next, timeLeft), TimeLeft: timeLeft,
+		Objective: p.objectiveLeft(next, timeLeft), TimeLeft: timeLeft, Continues: p.remembered,
 		FirstWait: next.firstWait, NoWait: next.noWait,
 	}
 }
--- a/gateway/receiver/versions_test.go
+++ b/gateway/receiver/versions_test.go
@@ -53,15 +53,16 @@
 		return map[versioner.Stream]receiver.StreamOrigin{stream: {Origin: versioner.Origin{Service: service, Version: version}, Known: true, Remembered: remembered}}
 	}
 	for name, tc := range map[string]struct {
-		origins map[versioner.Stream]receiver.StreamOrigin
-		attempt string
-		refusal string
+		origins   map[versioner.Stream]receiver.StreamOrigin
+		attempt   string
+		refusal   string
+		continues bool
 	}{
-		"remembered":             {found("v1", "s", true), "first", ""},
-		"certain":                {found("v1", "s", false), "first", ""},
-		"another stream":         {found("v1", "s", true), "other", "streamVersionUnknown"},
-		"no stream named":        {found("v1", "s", true), "", "streamVersionUnknown"},
-		"at a service of before": {found("v1", "old", true), "first", "streamVersionGone"},
+		"remembered":             {found("v1", "s", true), "first", "", true},
+		"certain":                {found("v1", "s", false), "first", "", false},
+		"another stream":         {found("v1", "s", true), "other", "streamVersionUnknown", false},
+		"no stream named":        {found("v1", "s", true), "", "streamVersionUnknown", false},
+		"at a service of before": {found("v1", "old", true), "first", "streamVersionGone", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, []reply{{status: 200, header: signed, body: "id: 2\ndata: b\n\n"}}, nil)
@@ -77,8 +78,8 @@
 				t.Fatalf("status %d, error %v, want the rest of the stream", r.status, r.err)
 			}
 			d := f.permitSource.demands[0]
-			if d.Request.Version != placer.OnlyVersion("v1") {
-				t.Errorf("demand limited to %+v, want v1", d.Request.Version)
+			if d.Request.Version != placer.OnlyVersion("v1") || d.Continues != tc.continues {
+				t.Errorf("demand limited to %+v, continues %v; want v1 and %v", d.Request.Version, d.Continues, tc.continues)
 			}
 			if got := f.origins.began[stream]; got != (versioner.Origin{Service: "s", Version: "v1"}) {
 				t.Errorf("the stream is remembered at %+v, want v1", got)
