--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -11,7 +11,6 @@
 
 	"monsoondeck.example/gateway/courier"
 	"monsoondeck.example/gateway/placer"
-	"monsoondeck.example/sleeper"
 )
 
 // forwardResponse forwards a response that is not a stream. Small responses are read
@@ -146,10 +145,6 @@
 // streamReadBytes is the size of the buffer for reading a stream.
 const streamReadBytes = 4 << 10
 
-// eventBatchTime is the time for which a busy host lets events of a stream arrive before it
-// forwards them together. It bounds the delay of an event, which is late after some 100 ms.
-const eventBatchTime = 50 * time.Millisecond
-
 // forwardStream forwards the events of a stream as they arrive. It forwards only whole
 // events, so that another target can continue the stream.
 func (p *proxyRequest) forwardStream(ctx context.Context, permit Permit, watch *stallWatch, response *courier.Response) attemptOutcome {
@@ -202,11 +197,8 @@
 					permit.End(placer.Cancelled)
 					return outcomeFailed
 				}
-				switch {
-				case excess:
+				if excess {
 					pauseReading(ctx)
-				case events.count > 0 && p.receiver.LoadShedder.ShouldBatch():
-					sleeper.Sleep(ctx, eventBatchTime)
 				}
 			}
 		}
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -210,9 +210,6 @@
 	// Admit reports whether the host can serve a new request. active is the number of
 	// requests in progress, including the new one.
 	Admit(active int64) bool
-	// ShouldBatch reports whether events of streams are to be forwarded in batches, which takes
-	// less processor time.
-	ShouldBatch() bool
 	// ShouldCloseConnections reports whether connections are to be closed after the
 	// next response, so that callers connect to other hosts.
 	ShouldCloseConnections() bool
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -336,10 +336,9 @@
 func (r retryBudget) TakeRetry(string) bool { return r.allow }
 func (r retryBudget) HasRetry(string) bool  { return r.allow }
 
-type loadShedder struct{ full, closeConnections, batch bool }
+type loadShedder struct{ full, closeConnections bool }
 
 func (s loadShedder) Admit(int64) bool             { return !s.full }
-func (s loadShedder) ShouldBatch() bool            { return s.batch }
 func (s loadShedder) ShouldCloseConnections() bool { return s.closeConnections }
 
 type shutdownState struct {
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -26,8 +26,6 @@
 	// unready is set while readiness is off, so that the balancer sends new callers to
 	// other hosts.
 	unready atomic.Bool
-	// batch is set while events of streams are forwarded in batches.
-	batch atomic.Bool
 	// closeAfterAnswer is set while connections of callers are closed after their
 	// answers, so that the callers connect to other hosts.
 	closeAfterAnswer atomic.Bool
@@ -52,9 +50,6 @@
 	return active <= m.maxActive && (share == 0 || rand.Float64() >= share)
 }
 
-// ShouldBatch implements receiver.LoadShedder.
-func (m *overloadMonitor) ShouldBatch() bool { return m.batch.Load() }
-
 // ShouldCloseConnections implements receiver.LoadShedder.
 func (m *overloadMonitor) ShouldCloseConnections() bool { return m.closeAfterAnswer.Load() }
 
@@ -83,7 +78,6 @@
 		now := m.clock()
 		m.shedder.RecordTimerDelay(now, now-start-lagInterval)
 		m.shareBits.Store(math.Float64bits(m.shedder.RefusedShare()))
-		m.batch.Store(m.shedder.ShouldBatch())
 		m.closeAfterAnswer.Store(m.shedder.ShouldCloseConnections(now))
 		if unready := m.shedder.Unready(now); m.unready.Swap(unready) != unready {
 			logger.Emit(m.logger, logger.HostBusy, slog.Bool("resting", unready), slog.Float64("refusedShare", m.refusedShare()))
--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -28,9 +28,6 @@
 	// rises from 0 to 1. On a host with idle processor time, timers are late by a few
 	// milliseconds.
 	lowLag, highLag = 25 * time.Millisecond, 120 * time.Millisecond
-	// batchLag is the timer delay from which events of streams are forwarded in batches. It is
-	// below lowLag, since batches cost no caller its response.
-	batchLag = 10 * time.Millisecond
 	// busyRefusalShare is the refused share of the requests from which the host is
 	// busy. It becomes unready after being busy for minBusyTime.
 	busyRefusalShare = 0.1
@@ -115,10 +112,6 @@
 // Unready reports whether the balancer should send new callers elsewhere.
 func (s *Shedder) Unready(now time.Duration) bool { return now < s.unreadyUntil }
 
-// ShouldBatch reports whether events of streams should be forwarded in batches, because the
-// processor is busy.
-func (s *Shedder) ShouldBatch() bool { return s.meanLag >= float64(batchLag) }
-
 // RefusedShare returns the share of the requests to refuse because the processor is
 // busy, between 0 and 1.
 func (s *Shedder) RefusedShare() float64 {
