Soak: software versions side by side, take-ups and mass restarts

--versions N replaces every second engine, or all of them, by a new software version N times, and kills all daemons some seconds later. Callers take up broken streams at any daemon, with Resumes and the last event that they have. The emulated targets record the version and the number of events of each run; mixedVersions counts runs that went on at another version than the one that sent the first event.

--- a/emulator/server/response.go
+++ b/emulator/server/response.go
@@ -51,6 +51,7 @@
 			return false
 		}
 		_ = control.Flush() // a broken connection shows at the next write
+		s.countEvent(run)
 	}
 	return r.Context().Err() == nil
 }
--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -67,6 +67,10 @@
 	Complete, Lost bool
 	// Fault is the kind of fault of the run.
 	Fault Kind
+	// Version is that of the software that ran the request, Events the number of events that
+	// were written.
+	Version string
+	Events  int
 }
 
 // Server is a target that can stop and start again at the same address.
@@ -81,10 +85,12 @@
 	// clockAhead is how far the clock of the server is ahead of the real time.
 	clockAhead time.Duration
 	fault      Fault
-	active     int // number of running requests
-	runs       []*Run
-	http       *http.Server // nil while the server does not run
-	listener   net.Listener // of http
+	// version is that of the software since the last start, nextVersion from the next one on.
+	version, nextVersion string
+	active               int // number of running requests
+	runs                 []*Run
+	http                 *http.Server // nil while the server does not run
+	listener             net.Listener // of http
 	// openConnections are reset by a crash; nil while the server does not run.
 	openConnections map[net.Conn]bool
 }
@@ -104,7 +110,7 @@
 	s.mutex.Lock()
 	s.starts++
 	s.instance = fmt.Sprintf("%s-%d", s.options.Name, s.starts)
-	s.draining, s.started = false, time.Now().Add(s.clockAhead)
+	s.draining, s.started, s.version = false, time.Now().Add(s.clockAhead), s.nextVersion
 	s.openConnections = map[net.Conn]bool{}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ConnState: s.trackConnection, ErrorLog: log.New(io.Discard, "", 0)}
 	httpServer := s.http
@@ -155,14 +161,14 @@
 	if s.draining {
 		state = wire.StateDraining
 	}
-	id, running, started := s.instance, s.http != nil, s.started
+	id, running, started, version := s.instance, s.http != nil, s.started, s.version
 	s.mutex.Unlock()
 	if !running {
 		return
 	}
 	payload, err := json.Marshal(wire.Target{
 		Service: &s.options.Service, Address: &s.options.Advertised, DataCentre: s.options.DataCentre, Slots: s.options.Slots,
-		State: &state, Born: started.UnixMilli(),
+		State: &state, Born: started.UnixMilli(), Version: &version,
 	})
 	if err != nil {
 		panic(err) // strings and numbers can always be encoded
@@ -170,6 +176,13 @@
 	s.options.Registry.Put(wire.TargetsTable, id, payload)
 }
 
+// SetVersion sets the version of the software from the next start on.
+func (s *Server) SetVersion(version string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.nextVersion = version
+}
+
 // Drain registers the server as draining and returns its instance ID.
 func (s *Server) Drain() string {
 	s.mutex.Lock()
@@ -277,12 +290,19 @@
 	s.active++
 	run := &Run{
 		Attempt: id, Server: s.options.Name, Instance: s.instance, Service: s.options.Service, Path: r.URL.Path,
-		Account: r.Header.Get(wire.FieldTenant), Key: r.Header.Get(wire.FieldKey), After: r.Header.Get(wire.FieldLastEvent), Started: time.Now(), Fault: f.Kind,
+		Account: r.Header.Get(wire.FieldTenant), Key: r.Header.Get(wire.FieldKey), After: r.Header.Get(wire.FieldLastEvent), Started: time.Now(), Fault: f.Kind, Version: s.version,
 	}
 	s.runs = append(s.runs, run)
 	return run, f, ""
 }
 
+// countEvent records that a run has written one more event.
+func (s *Server) countEvent(run *Run) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	run.Events++
+}
+
 // endRun records the end of a run.
 func (s *Server) endRun(run *Run, complete bool) {
 	s.mutex.Lock()
--- a/generator/soaker/callers.go
+++ b/generator/soaker/callers.go
@@ -73,6 +73,10 @@
 	// size is the length of the body; a chunked body has no Content-Length.
 	size    int
 	chunked bool
+	// resumes is the ID of the attempt whose stream the caller takes up, after the event with
+	// the number after; empty for a new request.
+	resumes string
+	after   int
 }
 
 func (q request) path() string { return "/" + q.route.name + "/" + q.name }
@@ -99,6 +103,8 @@
 type callers struct {
 	fleet *fleet
 	seed  uint64
+	// takeUps is set if callers take up broken streams.
+	takeUps bool
 
 	// mutex guards results.
 	mutex   sync.Mutex
@@ -148,7 +154,10 @@
 	if r.IntN(10) == 0 {
 		size = largeBodyBytes
 	}
-	c.do(ctx, client, d, request{route: to, id: id, name: id, account: accountNumber, size: size, chunked: r.IntN(2) == 0})
+	x := c.do(ctx, client, d, request{route: to, id: id, name: id, account: accountNumber, size: size, chunked: r.IntN(2) == 0})
+	if c.takeUps {
+		c.takeUp(r, client, x)
+	}
 }
 
 // do sends a request, records the result and returns it.
@@ -202,6 +211,10 @@
 	} {
 		r.Header.Set(name, value)
 	}
+	if q.resumes != "" {
+		r.Header.Set(wire.FieldResumes, q.resumes)
+		r.Header.Set(wire.FieldLastEvent, fmt.Sprint(q.after))
+	}
 	if q.route.service == engineService {
 		r.Header.Set(wire.FieldModel, "m")
 		r.Header.Set(wire.FieldTokenCounts, "400,32")
@@ -215,5 +228,9 @@
 
 // wantBody returns the body of a complete, successful response.
 func (x result) wantBody() string {
-	return strings.Join(server.ResponseParts(x.id, x.route.eventCount()), "")
+	parts := server.ResponseParts(x.id, x.route.eventCount())
+	if x.resumes != "" {
+		parts = parts[x.after+1:]
+	}
+	return strings.Join(parts, "")
 }
--- a/generator/soaker/events.go
+++ b/generator/soaker/events.go
@@ -63,6 +63,10 @@
 		return nil
 	case KindTargetLeave:
 		return r.replaceTarget(ctx, t, e.Length)
+	case KindNewVersion:
+		return r.replaceEngines(ctx, e)
+	case KindMassKill:
+		return r.killAll(ctx, e)
 	case KindRelease:
 		return r.replaceHalf(ctx, e)
 	case KindTargetFault:
--- a/generator/soaker/judge.go
+++ b/generator/soaker/judge.go
@@ -42,6 +42,7 @@
 		}
 	}
 	r.checkDeadly(v, results, runs)
+	v.checkVersions(results, runs)
 	for id := range runs {
 		if !known[id] && !probes[id] && !strings.HasPrefix(id, "settle-") {
 			v.add("unasked", "request %s ran but no caller sent it", id)
--- a/generator/soaker/measurements.go
+++ b/generator/soaker/measurements.go
@@ -29,7 +29,7 @@
 // speed of the machine. Their names are those of the measures that count violations.
 var guaranteeNames = []string{
 	"wrong", "duplicated", "falseNotRun", "lost", "denied", "misrouted", "unasked", "tooOften", "hung", "ended", "reverted", "unsettled",
-	"tornHead", "deadly", "starved", "stopBroken", "cut",
+	"tornHead", "deadly", "starved", "stopBroken", "cut", "mixedVersions",
 }
 
 // measurements returns the checked measures first, then the others by name.
@@ -59,6 +59,9 @@
 	} else {
 		unbounded = append(unbounded, maxDrainDelay, maxOverrun)
 	}
+	if share, n := resumedShare(results); n > 0 {
+		unbounded = append(unbounded, newMeasurement("taken up", float64(n), "streams"), newMeasurement("taken up went on", 100*share, "percent"))
+	}
 	for _, share := range r.fullShares {
 		unbounded = append(unbounded, newMeasurement("silence full", 100*share, "percent"))
 	}
--- a/generator/soaker/options.go
+++ b/generator/soaker/options.go
@@ -28,6 +28,7 @@
 	Deadly    int           `arg:"--deadly" default:"0" help:"number of requests that crash each target that runs them, and that come again"`
 	LateStops int           `arg:"--late-stops" default:"0" help:"number of planned stops without other faults, after the load, with requests until the end"`
 	Silences  int           `arg:"--silences" default:"0" help:"number of times that all engines are full, after the load, while streams are silent"`
+	Versions  int           `arg:"--versions" default:"0" help:"number of times that engines change to a new software version; callers take up broken streams"`
 	Timed     bool          `arg:"--timed" help:"also check time limits; needs an otherwise idle machine"`
 	Logs      string        `arg:"--logs" placeholder:"DIR" help:"directory for the logs of the daemons [default: none]"`
 	Program   string        `arg:"--monsoongate" placeholder:"PATH" help:"path of monsoongate [default: built]"`
--- a/generator/soaker/schedule.go
+++ b/generator/soaker/schedule.go
@@ -43,6 +43,8 @@
 	KindTornHead       Kind = "tornHead"       // a target closes connections in the middle of the heads of its responses
 	KindDeadly         Kind = "deadly"         // a request crashes each target that runs it, and comes again
 	KindLateStop       Kind = "lateStop"       // a daemon is stopped gracefully while callers send until it has exited
+	KindNewVersion     Kind = "newVersion"     // half or all of the engines are replaced by a new software version
+	KindMassKill       Kind = "massKill"       // all daemons are killed at the same time
 	KindSilence        Kind = "silence"        // all engines are full, and some streams are silent for Length
 )
 
@@ -126,6 +128,20 @@
 	return out
 }
 
+// versionSchedule returns events of KindNewVersion, each followed by one of KindMassKill while
+// two versions are in service or when one has just left, drawn apart like those of
+// restoreSchedule. Choice is the number of the version.
+func versionSchedule(seed uint64, duration time.Duration, count int) []Event {
+	r := rand.New(rand.NewPCG(seed, 15))
+	var out []Event
+	for i := range count {
+		at := quietStart + time.Duration((float64(i)+r.Float64()/2)/float64(count)*float64(duration-quietStart-quietEnd))
+		out = append(out, Event{At: at, Length: seconds(0.2 + r.Float64()), Kind: KindNewVersion, Subject: r.IntN(1 << 20), Choice: i + 1})
+		out = append(out, Event{At: at + seconds(0.5+4*r.Float64()), Length: seconds(0.5 + r.Float64()), Kind: KindMassKill})
+	}
+	return out
+}
+
 // calmSchedule returns the events that take place one after the other, after all others.
 func calmSchedule(seed uint64, lateStops, silences int) []Event {
 	r := rand.New(rand.NewPCG(seed, 14))
--- a/generator/soaker/soaker.go
+++ b/generator/soaker/soaker.go
@@ -99,7 +99,7 @@
 	}
 	defer cleanup()
 	r := &run{options: o, fleet: f, log: log, lockedSubjects: map[string]bool{}, drainStarts: map[string]time.Time{}, eventCounts: map[Kind]int{}, start: time.Now()}
-	c := &callers{fleet: f, seed: o.Seed}
+	c := &callers{fleet: f, seed: o.Seed, takeUps: o.Versions > 0}
 	r.callers, f.onCrash = c, r.restartCrashed
 	p := newProber(r)
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Duration)
@@ -132,7 +132,7 @@
 // all have ended.
 func (r *run) runSchedule(ctx context.Context) error {
 	o := r.options
-	events := slices.Concat(Schedule(o.Seed, o.Duration, o.Gap), restoreSchedule(o.Seed, o.Duration, o.Restores), tornHeadSchedule(o.Seed, o.Duration, o.TornHeads), deadlySchedule(o.Seed, o.Duration, o.Deadly))
+	events := slices.Concat(Schedule(o.Seed, o.Duration, o.Gap), restoreSchedule(o.Seed, o.Duration, o.Restores), tornHeadSchedule(o.Seed, o.Duration, o.TornHeads), deadlySchedule(o.Seed, o.Duration, o.Deadly), versionSchedule(o.Seed, o.Duration, o.Versions))
 	failed := make(chan error, len(events))
 	for _, e := range events {
 		go func() {
--- a/generator/soaker/soaker_test.go
+++ b/generator/soaker/soaker_test.go
@@ -43,6 +43,7 @@
 }{
 	{"torn heads of responses", soaker.Options{Seed: 3, Duration: 8 * time.Second, TornHeads: 4}},
 	{"planned stops in calm", soaker.Options{Seed: 4, Duration: 5 * time.Second, LateStops: 1}},
+	{"software versions side by side, take-ups and mass restarts", soaker.Options{Seed: 8, Duration: 14 * time.Second, Versions: 2}},
 	{"silent streams while all engines are full", soaker.Options{Seed: 5, Duration: 5 * time.Second, Silences: 1}},
 }
 
