monsoonload shares: find the accounts that got the least of their share

Prints, for each account, the six seconds in which it was refused in each second and got the smallest part of what the users' rule gives it, from the logs of all daemons.

The log rate is limited, so that busy hosts count too little.

--- /dev/null
+++ b/generator/auditor/auditor.go
@@ -0,0 +1,243 @@
+// Package auditor finds, in the logs of daemons, the client accounts that were nearest to
+// getting less than half of their share while their requests were refused.
+package auditor
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"monsoondeck.example/commander"
+	"monsoondeck.example/logger"
+)
+
+// ErrInput marks logs that cannot be read.
+var ErrInput = errors.New("log cannot be read")
+
+const (
+	// windowSeconds is the length of the windows of the users' rule on shares.
+	windowSeconds = 6
+	// maxRecordBytes bounds one record of a log.
+	maxRecordBytes = 1 << 20
+)
+
+// Options are the flags of the shares command.
+type Options struct {
+	Files []string `arg:"positional" placeholder:"FILE" help:"logs of daemons [default: standard input]"`
+	Top   int      `arg:"--top" default:"10" help:"number of accounts to print"`
+}
+
+// Description is the first line of the usage text.
+func (Options) Description() string {
+	return "shares prints the accounts that got the smallest part of their share in six seconds in which they were refused each second, from the logs of all daemons (events 511 to 513), as JSON lines."
+}
+
+// Run runs the shares command and returns the exit code.
+func Run(args, _ []string, streams logger.Streams) int {
+	c := commander.Command{Name: "monsoonload shares", Streams: streams}
+	var o Options
+	if code, ok := c.Parse(args, &o); !ok {
+		return code
+	}
+	l := newLedger()
+	if len(o.Files) == 0 {
+		if err := l.read(streams.In); err != nil {
+			return c.Fail(commander.ExitFailed, err)
+		}
+	}
+	for _, name := range o.Files {
+		if err := l.readFile(name); err != nil {
+			return c.Fail(commander.ExitFailed, err)
+		}
+	}
+	shortfalls := l.shortfalls()
+	return commander.Print(c, shortfalls[:min(len(shortfalls), max(o.Top, 0))])
+}
+
+// Shortfall is what one account got in the window in which it was worst off.
+type Shortfall struct {
+	From    time.Time `json:"from"`
+	Account string    `json:"account"`
+	// Quotient is that of Began and Due; below 0.5 the users' rule may be broken.
+	Quotient float64 `json:"quotient"`
+	// Asked and Began are the cost of the requests that arrived, and of those whose responses
+	// began, in tokens. Due is the smaller one, second by second, of what was asked and of what
+	// the best-served account Best got.
+	Asked float64 `json:"asked"`
+	Began float64 `json:"began"`
+	Due   float64 `json:"due"`
+	Best  string  `json:"best"`
+	// Hosts is the number of hosts that got its requests, Refused the number of those that
+	// were refused, by code.
+	Hosts   int            `json:"hosts"`
+	Refused map[string]int `json:"refused"`
+}
+
+// record holds the fields of a log record that matter here.
+type record struct {
+	Time      time.Time
+	Event     int
+	Host      string
+	Request   string
+	Account   string
+	Code      string
+	Cost      float64
+	FirstByte time.Duration
+	Total     time.Duration
+}
+
+// second holds what happened to the requests of one account in one second.
+type second struct {
+	asked, began float64
+	refused      map[string]int
+	hosts        map[string]bool
+}
+
+// ledger adds up the records by account and second of Unix time.
+type ledger struct {
+	accounts map[string]map[int64]*second
+	// costs holds the cost of each request, arrived those that were counted as asked.
+	costs   map[string]float64
+	arrived map[string]bool
+}
+
+func newLedger() *ledger {
+	return &ledger{accounts: map[string]map[int64]*second{}, costs: map[string]float64{}, arrived: map[string]bool{}}
+}
+
+func (l *ledger) readFile(name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return errors.Mark(err, ErrInput)
+	}
+	defer func() { _ = f.Close() }() // nothing was written, so an error does not matter
+	return l.read(f)
+}
+
+// read adds the records of a log. What precedes a record in its line is skipped, and so are
+// lines without a record.
+func (l *ledger) read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxRecordBytes)
+	for lines.Scan() {
+		start := bytes.IndexByte(lines.Bytes(), '{')
+		var x record
+		if start >= 0 && json.Unmarshal(lines.Bytes()[start:], &x) == nil {
+			l.add(x)
+		}
+	}
+	return errors.Mark(errors.Wrap(lines.Err(), "read a log"), ErrInput)
+}
+
+func (l *ledger) add(x record) {
+	if x.Account == "" {
+		return
+	}
+	switch x.Event {
+	case logger.RequestPlaced.Number, logger.RequestRejected.Number:
+		if x.Cost == 0 {
+			return // it takes no part in the shares
+		}
+		s := l.second(x.Account, x.Time)
+		s.hosts[x.Host] = true
+		if l.costs[x.Request] = x.Cost; !l.arrived[x.Request] {
+			l.arrived[x.Request] = true
+			s.asked += x.Cost
+		}
+		if x.Event == logger.RequestRejected.Number {
+			s.refused[x.Code]++
+		}
+	case logger.RequestEnded.Number:
+		if x.FirstByte > 0 {
+			l.second(x.Account, x.Time.Add(x.FirstByte-x.Total)).began += l.costs[x.Request]
+		}
+	}
+}
+
+func (l *ledger) second(account string, at time.Time) *second {
+	if l.accounts[account] == nil {
+		l.accounts[account] = map[int64]*second{}
+	}
+	s := l.accounts[account][at.Unix()]
+	if s == nil {
+		s = &second{refused: map[string]int{}, hosts: map[string]bool{}}
+		l.accounts[account][at.Unix()] = s
+	}
+	return s
+}
+
+// shortfalls returns the worst window of each account that was refused in each of its
+// seconds, the smallest quotient first.
+func (l *ledger) shortfalls() []Shortfall {
+	worst := map[string]Shortfall{}
+	for from := range l.starts() {
+		best, most := "", -1.0
+		for _, account := range slices.Sorted(maps.Keys(l.accounts)) {
+			if began := l.window(account, from, nil).Began; began > most {
+				best, most = account, began
+			}
+		}
+		for account := range l.accounts {
+			s := l.window(account, from, l.accounts[best])
+			s.Best = best
+			if old, ok := worst[account]; s.Due > 0 && (!ok || s.Quotient < old.Quotient) {
+				worst[account] = s
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(worst), func(a, b Shortfall) int {
+		return cmp.Or(cmp.Compare(a.Quotient, b.Quotient), cmp.Compare(a.Account, b.Account))
+	})
+}
+
+// starts returns the seconds at which a request arrived or began.
+func (l *ledger) starts() map[int64]bool {
+	starts := map[int64]bool{}
+	for _, seconds := range l.accounts {
+		for at := range seconds {
+			starts[at] = true
+		}
+	}
+	return starts
+}
+
+// window returns what an account got in the window from a second on. It has no due, and so
+// is no shortfall, if the account was not refused in each second. best holds the seconds of
+// the best-served account.
+func (l *ledger) window(account string, from int64, best map[int64]*second) Shortfall {
+	w := Shortfall{From: time.Unix(from, 0).UTC(), Account: account, Refused: map[string]int{}}
+	hosts, refusedEachSecond := map[string]bool{}, true
+	for at := from; at < from+windowSeconds; at++ {
+		s := l.accounts[account][at]
+		if s == nil {
+			refusedEachSecond = false
+			continue
+		}
+		w.Asked += s.asked
+		w.Began += s.began
+		if b := best[at]; b != nil {
+			w.Due += min(s.asked, b.began)
+		}
+		refusedEachSecond = refusedEachSecond && len(s.refused) > 0
+		maps.Copy(hosts, s.hosts)
+		for code, n := range s.refused {
+			w.Refused[code] += n
+		}
+	}
+	w.Hosts = len(hosts)
+	if !refusedEachSecond {
+		w.Due = 0
+	}
+	if w.Due > 0 {
+		w.Quotient = w.Began / w.Due
+	}
+	return w
+}
--- /dev/null
+++ b/generator/auditor/auditor_test.go
@@ -0,0 +1,69 @@
+package auditor_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoondeck.example/commander"
+	"monsoondeck.example/generator/auditor"
+	"monsoondeck.example/logger"
+)
+
+// Guards against an audit that misses a starved account, or names one that was not refused
+// all the time or only asked for little.
+func TestStarvedAccountIsFound(t *testing.T) {
+	start := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
+	var log strings.Builder
+	id := 0
+	request := func(second int, account, host, code string, cost int) {
+		id++
+		at := start.Add(time.Duration(second)*time.Second + 100*time.Millisecond)
+		event := 511
+		if code != "" {
+			event = 512
+		}
+		_, _ = fmt.Fprintf(&log, "%7.4f %s {\"time\":%q,\"event\":%d,\"host\":%q,\"request\":\"%d\",\"account\":%q,\"code\":%q,\"cost\":%d}\n", float64(second), host, at.Format(time.RFC3339Nano), event, host, id, account, code, cost)
+		if code == "" {
+			_, _ = fmt.Fprintf(&log, "{\"time\":%q,\"event\":513,\"host\":%q,\"request\":\"%d\",\"account\":%q,\"firstByte\":50000000,\"total\":900000000}\n", at.Add(time.Second).Format(time.RFC3339Nano), host, id, account)
+		}
+	}
+	for second := range 8 {
+		for i := range 10 {
+			request(second, "largest", fmt.Sprint("h", i), "", 1000)
+		}
+		request(second, "largest", "h0", "overShare", 1000)
+		request(second, "starved", "h1", "", 1000)
+		for range 4 {
+			request(second, "starved", "h1", "hostBusy", 1000)
+		}
+		request(second, "small", "h2", "", 500)
+		request(second, "small", "h2", "overload", 500)
+		if second != 4 { // it waits, but not in each second
+			request(second, "lucky", "h3", "hostBusy", 1000)
+		}
+	}
+	log.WriteString("a line without a record\n{not a record\n")
+	var out, errOut bytes.Buffer
+	if code := auditor.Run([]string{"--top", "2"}, nil, logger.Streams{In: strings.NewReader(log.String()), Out: &out, Err: &errOut}); code != commander.ExitDone {
+		t.Fatalf("exit code %d: %s", code, errOut.String())
+	}
+	var got []auditor.Shortfall
+	for line := range strings.Lines(out.String()) {
+		var s auditor.Shortfall
+		if err := json.Unmarshal([]byte(line), &s); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, s)
+	}
+	if len(got) != 2 || got[0].Account != "starved" || got[1].Account != "small" {
+		t.Fatalf("found %+v, want the starved account before the small one", got)
+	}
+	s := got[0]
+	if s.Quotient != 0.2 || s.Asked != 30000 || s.Began != 6000 || s.Due != 30000 || s.Best != "largest" || s.Hosts != 1 || s.Refused["hostBusy"] != 24 {
+		t.Errorf("found %+v, want 6000 of 30000 tokens, and 24 refusals by a busy host", s)
+	}
+}
--- a/generator/run.go
+++ b/generator/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"monsoondeck.example/commander"
+	"monsoondeck.example/generator/auditor"
 	"monsoondeck.example/generator/bench"
 	"monsoondeck.example/generator/chaos"
 	"monsoondeck.example/generator/demo"
@@ -22,6 +23,7 @@
   load    send load to a running fleet and check the answers
   bench   measure a fleet of processes under a scenario
   chaos   check a fleet of processes under random faults
+  shares  find the accounts that got the least of their share in the logs of daemons
   soak    check the daemons of the users' platform under random faults
   restart measure how daemons get their configuration after a mass restart
   report  make a page with plots from the lines of bench
@@ -37,6 +39,7 @@
 		"chaos":   chaos.Run,
 		"report":  report.Run,
 		"restart": restarter.Run,
+		"shares":  auditor.Run,
 		"soak":    soaker.Run,
 		"demo":    demo.Run,
 	}
