Do not take the versions of an old registry for the only ones

A daemon that is cut off from the store and its peers knows only the versions from before the cut.

A version is certain only while the state of the registry is recent enough to send requests by it. When it grows older, as while the store is away, daemons report their streams to each other, as they do with two versions.

TestVersionsOfAnOldRegistryAreUncertain needs the new parameter; it fails if the age is not compared.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -162,7 +162,7 @@
 		fleet:    placer.New(placer.Settings{DataCentre: o.DataCentre, Regions: o.Regions, Policy: o.Policy, Seed: xxhash.Sum64String(o.Host), Cold: o.Cold, SplitPrompts: o.SplitPrompts}),
 		shares:   sharer.New(o.ShareWindow),
 		waiting:  map[uint64]*permit{}, placed: map[uint64]*permit{}, peers: map[string]time.Duration{},
-		versions:   versioner.New(),
+		versions:   versioner.New(o.MaxRegistryAge),
 		quarantine: quarantiner.New(), suspicions: map[string]*suspicion{},
 		sums: grouper.NewSums(), totals: grouper.NewSums(),
 		sources: map[string]time.Duration{}, groupSources: map[grouper.Group]string{}, failedRelays: map[string]time.Duration{}, dataCentres: map[string]string{},
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -116,6 +116,7 @@
 		c.options.Probe(t)
 	}
 	whole := c.fullReports == 0 || now-c.lastFullReport >= fullReportInterval
+	c.versions.Confirm(now, c.registryConfirmed.at)
 	r := Report{Whole: whole, Loads: c.fleet.TakeLoads(now, whole), Accounts: c.shares.TakeTotals(whole), Spills: c.fleet.TakeSpills(), Streams: c.versions.TakeNews(now)}
 	r.Registry = c.registryState(now)
 	r.Config = c.configState(now)
--- a/gateway/controller/versions.go
+++ b/gateway/controller/versions.go
@@ -27,6 +27,7 @@
 			origins = append(origins, o)
 		}
 	}
+	c.versions.Confirm(now, c.registryConfirmed.at)
 	if c.versions.Observe(now, origins) {
 		c.publishVersions(now)
 	}
@@ -116,6 +117,7 @@
 }
 
 func (e findStreamEvent) apply(c *Controller, now time.Duration) {
+	c.versions.Confirm(now, c.registryConfirmed.at)
 	o, remembered, ok := c.versions.Find(now, e.service, e.stream)
 	e.reply <- receiver.StreamOrigin{Origin: o, Known: ok, Remembered: remembered}
 }
--- a/gateway/versioner/versioner.go
+++ b/gateway/versioner/versioner.go
@@ -95,8 +95,14 @@
 	// completeSince is the time since which all versions in service are known; math.MaxInt64
 	// if there is none.
 	completeSince time.Duration
-	// observed is set once the registry has been read.
-	observed bool
+	// observed is set once the registry has been read, confirmed the latest time at which its
+	// known state was the newest, and maxAge the age of that state above which another version
+	// may be in service; 0 sets no limit.
+	observed  bool
+	confirmed time.Duration
+	maxAge    time.Duration
+	// uncertain holds the services whose versions were not certain in the last call of update.
+	uncertain map[string]bool
 }
 
 // record is what is known about one stream.
@@ -110,14 +116,14 @@
 }
 
 // New returns a Versioner that knows nothing of the time before the registry is first
-// observed.
-func New() *Versioner {
-	return &Versioner{streams: map[Stream]record{}, lastSeen: map[Origin]time.Duration{}, present: map[Origin]bool{}, completeSince: math.MaxInt64}
+// observed. maxAge is the age of the state of the registry up to which its versions are taken
+// for the only ones; 0 sets no limit.
+func New(maxAge time.Duration) *Versioner {
+	return &Versioner{maxAge: maxAge, streams: map[Stream]record{}, lastSeen: map[Origin]time.Duration{}, present: map[Origin]bool{}, completeSince: math.MaxInt64}
 }
 
 // Observe records the versions that are in service. It reports whether they have changed.
 func (v *Versioner) Observe(now time.Duration, inService []Origin) bool {
-	uncertain := v.uncertainServices(now)
 	v.observed, v.completeSince = true, min(v.completeSince, now)
 	next := map[Origin]bool{}
 	for _, o := range inService {
@@ -132,13 +138,19 @@
 	}
 	v.present = next
 	v.forgetVersions(now)
-	v.reportNewlyUncertain(now, uncertain)
+	v.update(now)
 	return changed
 }
 
+// Confirm records the latest time at which the observed state of the registry was the newest.
+// It is to be called regularly, since versions become uncertain with time.
+func (v *Versioner) Confirm(now, at time.Duration) {
+	v.confirmed = at
+	v.update(now)
+}
+
 // LearnHistory records what others know of the versions in service.
 func (v *Versioner) LearnHistory(now time.Duration, h History) {
-	uncertain := v.uncertainServices(now)
 	if h.Age > 0 {
 		v.completeSince = min(v.completeSince, now-h.Age)
 	}
@@ -149,7 +161,7 @@
 			}
 		}
 	}
-	v.reportNewlyUncertain(now, uncertain)
+	v.update(now)
 }
 
 // History returns what this daemon knows of the versions in service. Its age is not positive
@@ -178,7 +190,7 @@
 // onlyVersion returns the only version at which a stream of the service can have begun;
 // false if there may be several.
 func (v *Versioner) onlyVersion(now time.Duration, service string) (string, bool) {
-	if !v.observed || now-v.completeSince < MaxStreamAge {
+	if !v.observed || now-v.completeSince < MaxStreamAge || v.maxAge > 0 && now-v.confirmed > v.maxAge {
 		return "", false
 	}
 	version, versions := "", 0
@@ -335,16 +347,18 @@
 	return uncertain
 }
 
-// reportNewlyUncertain tells the others of all streams of this daemon whose services have
-// become uncertain. before is the result of uncertainServices before the change.
-func (v *Versioner) reportNewlyUncertain(now time.Duration, before map[string]bool) {
-	after := v.uncertainServices(now)
-	maps.DeleteFunc(after, func(service string, _ bool) bool { return before[service] })
-	if len(after) == 0 {
+// update tells the others of all streams of this daemon whose services have become uncertain
+// since its last call.
+func (v *Versioner) update(now time.Duration) {
+	uncertain := v.uncertainServices(now)
+	added := maps.Clone(uncertain)
+	maps.DeleteFunc(added, func(service string, _ bool) bool { return v.uncertain[service] })
+	v.uncertain = uncertain
+	if len(added) == 0 {
 		return
 	}
 	for s, r := range v.streams {
-		if r.own && after[r.origin.Service] {
+		if r.own && added[r.origin.Service] {
 			r.recorded = now
 			v.streams[s] = r
 			v.unreported = append(v.unreported, s)
--- a/gateway/versioner/versioner_test.go
+++ b/gateway/versioner/versioner_test.go
@@ -17,7 +17,7 @@
 // newCertain returns a Versioner that knows of one version, which has always been the only
 // one.
 func newCertain() *versioner.Versioner {
-	v := versioner.New()
+	v := versioner.New(0)
 	v.LearnHistory(0, versioner.History{Age: versioner.MaxStreamAge})
 	v.Observe(0, []versioner.Origin{v1})
 	return v
@@ -53,7 +53,7 @@
 		"no target, but one not long ago": {func(v *versioner.Versioner) { *v = *newCertain(); v.Observe(time.Second, nil) }, time.Minute, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			v := versioner.New()
+			v := versioner.New(0)
 			tc.prepare(v)
 			o, remembered, ok := v.Find(tc.at, "model", 1)
 			if ok != tc.certain || remembered || ok && o.Service != "model" {
@@ -99,6 +99,30 @@
 	}
 }
 
+// Guards against ORDER: a daemon that is cut off takes the versions that it knows for the only
+// ones, and against LOST: streams that it began meanwhile and of which nobody else knows.
+func TestVersionsOfAnOldRegistryAreUncertain(t *testing.T) {
+	v := versioner.New(2 * time.Second)
+	v.LearnHistory(0, versioner.History{Age: versioner.MaxStreamAge})
+	v.Observe(0, []versioner.Origin{v1})
+	v.Began(0, 1, v1, time.Minute)
+	v.Confirm(2*time.Second, 0)
+	if _, _, ok := v.Find(2*time.Second, "model", 2); !ok || len(v.TakeNews(2*time.Second)) != 0 {
+		t.Error("the version is uncertain although the registry is recent")
+	}
+	v.Confirm(3*time.Second, 0)
+	if _, _, ok := v.Find(3*time.Second, "model", 2); ok {
+		t.Error("the version is certain although another one may be in service")
+	}
+	if news := v.TakeNews(3 * time.Second); len(news) != 1 || len(news[0].Streams) != 1 {
+		t.Errorf("reported %+v, want the stream that nobody else knows", news)
+	}
+	v.Confirm(4*time.Second, 4*time.Second)
+	if _, _, ok := v.Find(4*time.Second, "model", 2); !ok {
+		t.Error("the version is uncertain although the registry is recent again")
+	}
+}
+
 // Guards against one client account that changes what is known of the streams of another one.
 func TestStreamsOfAccountsDiffer(t *testing.T) {
 	if versioner.StreamOf("a", "bc") == versioner.StreamOf("ab", "c") {
@@ -147,7 +171,7 @@
 					}
 					aged.Sightings = append(aged.Sightings, s)
 				}
-				daemons[i] = versioner.New()
+				daemons[i] = versioner.New(0)
 				daemons[i].LearnHistory(now, aged)
 				daemons[i].Observe(now, inService)
 			}
