Give versions that have just left an age in the history

An age of 0 says that a version is in service, so that the others, and a daemon that reads the row after a mass restart, would take one that has just left for present. Found by reading; it only made take-ups be refused for longer. TestVersionThatLeftHasAnAge failed before.

--- a/gateway/receiver/versions.go
+++ b/gateway/receiver/versions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoondeck.example/gateway/placer"
+	"monsoondeck.example/gateway/queuer"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/resolver"
 	"monsoondeck.example/gateway/versioner"
@@ -17,7 +18,7 @@
 // may begin the stream anew.
 const (
 	codeVersionUnknown = "streamVersionUnknown"
-	codeVersionGone    = "streamVersionGone"
+	codeVersionGone    = string(queuer.ReasonVersion)
 )
 
 // Resumption says what became of a stream that its caller took up again.
--- a/gateway/versioner/versioner.go
+++ b/gateway/versioner/versioner.go
@@ -26,6 +26,9 @@
 	// repeatTime is how long after its last record a stream is reported again, for daemons that
 	// an earlier report has not reached.
 	repeatTime = 5 * time.Second
+	// minAge is the age of a version that has just left, since an age of 0 says that it is in
+	// service. Ages are exchanged in milliseconds.
+	minAge = time.Millisecond
 	// leftStep is the step to which the remaining time of streams is rounded up in batches.
 	leftStep = time.Second
 )
@@ -171,7 +174,7 @@
 	for o, at := range v.lastSeen {
 		s := Sighting{Origin: o}
 		if !v.present[o] {
-			s.Age = now - at
+			s.Age = max(now-at, minAge)
 		}
 		if s.Age < MaxStreamAge {
 			h.Sightings = append(h.Sightings, s)
--- a/gateway/versioner/versioner_test.go
+++ b/gateway/versioner/versioner_test.go
@@ -123,6 +123,17 @@
 	}
 }
 
+// Guards against a version that has just left and that others take for one in service.
+func TestVersionThatLeftHasAnAge(t *testing.T) {
+	v := newCertain()
+	v.Observe(time.Second, []versioner.Origin{v2})
+	for _, s := range v.History(time.Second).Sightings {
+		if inService := s.Age == 0; inService != (s.Origin == v2) {
+			t.Errorf("history has %+v, want only v2 in service", s)
+		}
+	}
+}
+
 // Guards against one client account that changes what is known of the streams of another one.
 func TestStreamsOfAccountsDiffer(t *testing.T) {
 	if versioner.StreamOf("a", "bc") == versioner.StreamOf("ab", "c") {
