--- a/gateway/controller/versions.go
+++ b/gateway/controller/versions.go
@@ -33,8 +33,7 @@
 	}
 }
 
-// publishVersions updates the snapshot for the watcher of the store after a change of the
-// versions in service.
+// publishVersions updates the snapshot for the watcher of the store.
 func (c *Controller) publishVersions(now time.Duration) {
 	c.versionState.Store(&versionSnapshot{history: c.versions.History(now), at: now})
 }
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -197,8 +197,8 @@
 }
 
 // order returns the requests in the order in which they are decided: those that continue a
-// stream first, then those within the share of their account, then by priority, by the recent service of the
-// account, and by arrival.
+// stream first, then those within the share of their account, then by priority, by the
+// recent service of the account, and by arrival.
 func (q *Queue) order(now time.Duration) []candidate {
 	candidates := make([]candidate, 0, len(q.items))
 	for _, i := range q.items {
--- a/gateway/watcher/versions.go
+++ b/gateway/watcher/versions.go
@@ -67,50 +67,101 @@
 // while this daemon reads the store on behalf of the fleet, and after it has read what is
 // stored.
 func (w *Watcher) SaveVersions(ctx context.Context) {
-	b := w.newBackoff("software versions")
-	started := w.options.Clock()
-	var saved savedHistory
-	learned, savedStreams, nextStreams := false, false, started
+	s := &versionSaver{watcher: w, backoff: w.newBackoff("software versions"), started: w.options.Clock()}
 	for ; ctx.Err() == nil; sleeper.Sleep(ctx, historyCheckInterval) {
 		stored := w.storedVersions.Load()
 		if stored == nil || !w.options.Role().Reader {
 			continue
 		}
-		if !learned {
-			learned = true
-			saved = savedHistory{era: w.era.Load()}
-			if stored.Stored && stored.History.Age > 0 {
-				saved = newSavedHistory(saved.era, stored.History)
-			}
+		s.begin(*stored)
+		if err := s.save(ctx); err != nil {
+			s.backoff.failed(ctx, err)
 		}
-		history := w.options.VersionSink.VersionHistory()
-		current := newSavedHistory(w.era.Load(), history)
-		heard := current.complete || w.options.Clock()-started > peerHistoryTime
-		if history.Age > 0 && heard && current.replaces(saved) {
-			if err := w.saveHistory(ctx, current.era, history); err != nil {
-				b.failed(ctx, err)
-				continue
-			}
-			b.succeeded()
-			saved = current
-		}
-		if w.options.Clock() < nextStreams {
-			continue
-		}
-		nextStreams = w.options.Clock() + saveStreamsInterval
-		streams := w.options.VersionSink.UncertainStreams(ctx)
-		if len(streams) == 0 && !savedStreams {
-			continue
-		}
-		if err := w.saveStreams(ctx, streams); err != nil {
-			b.failed(ctx, err)
-			continue
-		}
-		b.succeeded()
-		savedStreams = len(streams) > 0
 	}
 }
 
+// versionSaver is the state of SaveVersions.
+type versionSaver struct {
+	watcher *Watcher
+	backoff *backoff
+	// started is the time at which the daemon started.
+	started time.Duration
+	// begun is set once history is that of the store.
+	begun bool
+	// history is what the store has, as far as this daemon knows.
+	history savedHistory
+	// hasStreams is set while the store may have streams that this daemon has saved, nextStreams
+	// the time of the next save.
+	hasStreams  bool
+	nextStreams time.Duration
+}
+
+// begin takes over what was stored when the daemon joined the fleet, the first time that it
+// is called.
+func (s *versionSaver) begin(stored StoredVersions) {
+	if s.begun {
+		return
+	}
+	s.begun, s.history = true, savedHistory{era: s.watcher.era.Load()}
+	if stored.Stored && stored.History.Age > 0 {
+		s.history = newSavedHistory(s.history.era, stored.History)
+	}
+}
+
+// save saves what has changed.
+func (s *versionSaver) save(ctx context.Context) error {
+	if err := s.saveHistory(ctx); err != nil {
+		return err
+	}
+	return s.saveStreams(ctx)
+}
+
+// saveHistory saves the history of the versions if it has to replace the stored one. A daemon
+// that does not know the whole history first waits for that of its peers.
+func (s *versionSaver) saveHistory(ctx context.Context) error {
+	w := s.watcher
+	history := w.options.VersionSink.VersionHistory()
+	current := newSavedHistory(w.era.Load(), history)
+	heard := current.complete || w.options.Clock()-s.started > peerHistoryTime
+	if history.Age <= 0 || !heard || !current.replaces(s.history) {
+		return nil
+	}
+	err := w.call(ctx, func(ctx context.Context) error { return w.options.VersionStore.SaveHistory(ctx, current.era, history) })
+	if err == nil {
+		s.backoff.succeeded()
+		s.history = current
+	}
+	return err
+}
+
+// saveStreams saves the streams whose versions are not certain, and once more when there are
+// none any more.
+func (s *versionSaver) saveStreams(ctx context.Context) error {
+	w := s.watcher
+	if w.options.Clock() < s.nextStreams {
+		return nil
+	}
+	s.nextStreams = w.options.Clock() + saveStreamsInterval
+	streams := w.options.VersionSink.UncertainStreams(ctx)
+	if len(streams) == 0 && !s.hasStreams {
+		return nil
+	}
+	err := w.call(ctx, func(ctx context.Context) error { return w.options.VersionStore.SaveStreams(ctx, streams) })
+	if err == nil {
+		s.backoff.succeeded()
+		s.hasStreams = len(streams) > 0
+	}
+	return err
+}
+
+// call makes a call to the store.
+func (w *Watcher) call(ctx context.Context, call func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	w.calls.Add(1)
+	return call(ctx)
+}
+
 // savedHistory is what matters of a history that was saved.
 type savedHistory struct {
 	era       uint64
@@ -136,17 +187,3 @@
 	})
 	return present
 }
-
-func (w *Watcher) saveHistory(ctx context.Context, era uint64, h versioner.History) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	w.calls.Add(1)
-	return w.options.VersionStore.SaveHistory(ctx, era, h)
-}
-
-func (w *Watcher) saveStreams(ctx context.Context, batches []versioner.Batch) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	w.calls.Add(1)
-	return w.options.VersionStore.SaveStreams(ctx, batches)
-}
