Count the events of broken answers in the emulated target

Traced: all streams went on at the instance that had begun them, whose answers lacked a frame or came twice at that time. The emulated target did not count the events of such answers, so that the check found no run that had begun the stream and compared with an empty version. The check was wrong; it counts these events now, and judges a stream only if it knows the run that began it. TestEventsOfRunsAreCounted failed before for answers that come twice or lack a frame.

--- a/emulator/server/fault.go
+++ b/emulator/server/fault.go
@@ -135,6 +135,7 @@
 	for _, p := range s.responseParts(run) {
 		body += p
 	}
+	sent := ""
 	signedHeader := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", wire.FieldAttempt, run.Attempt, wire.FieldSignature, run.Instance+"."+run.Attempt)
 	framedResponse := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", signedHeader, len(body), body)
 	switch kind {
@@ -144,10 +145,13 @@
 	case FaultGarbage:
 		_, _ = buffer.WriteString("\x00\x01 no answer\r\n\r\n")
 	case FaultExtra:
+		sent = body
 		_, _ = buffer.WriteString(framedResponse + framedResponse)
 	case FaultUnframed:
-		_, _ = buffer.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", signedHeader, body[:len(body)/2]))
+		sent = body[:len(body)/2]
+		_, _ = buffer.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", signedHeader, sent))
 	}
+	s.countEvents(run, strings.Count(sent, "\n\n"))
 	_ = buffer.Flush() // the caller may have disconnected
 	if l, ok := c.(interface{ SetLinger(int) error }); ok && kind == FaultUnframed {
 		_ = l.SetLinger(0)
--- a/emulator/server/response.go
+++ b/emulator/server/response.go
@@ -51,7 +51,7 @@
 			return false
 		}
 		_ = control.Flush() // a broken connection shows at the next write
-		s.countEvent(run)
+		s.countEvents(run, 1)
 	}
 	return r.Context().Err() == nil
 }
--- a/emulator/server/server.go
+++ b/emulator/server/server.go
@@ -296,11 +296,11 @@
 	return run, f, ""
 }
 
-// countEvent records that a run has written one more event.
-func (s *Server) countEvent(run *Run) {
+// countEvents records that a run has written n more events.
+func (s *Server) countEvents(run *Run, n int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	run.Events++
+	run.Events += n
 }
 
 // endRun records the end of a run.
--- a/emulator/server/server_test.go
+++ b/emulator/server/server_test.go
@@ -182,3 +182,18 @@
 		}
 	}
 }
+
+// Guards against runs whose events are not counted, so that a check of the versions of a
+// stream does not find the run that began it.
+func TestEventsOfRunsAreCounted(t *testing.T) {
+	for kind, want := range map[server.Kind]int{server.FaultNone: 4, server.FaultExtra: 4, server.FaultUnframed: 2, server.FaultTruncate: 2, server.FaultGarbage: 0, server.FaultError: 0} {
+		t.Run("fault "+string(kind), func(t *testing.T) {
+			s, _, address := startServer(t, 4)
+			s.SetFault(server.Fault{Kind: kind, Share: 1})
+			_, _, _, _ = sendAttempt(t, address, s.InstanceID(), "") // faults end it in many ways
+			if runs := s.Runs(); len(runs) != 1 || runs[0].Events != want {
+				t.Errorf("runs %+v, want one with %d events", runs, want)
+			}
+		})
+	}
+}
--- a/generator/soaker/versions.go
+++ b/generator/soaker/versions.go
@@ -95,21 +95,22 @@
 		if x.resumes != "" {
 			first = x.resumes
 		}
-		began := ""
+		began, known := "", false
+		check := func(attempt string, run server.Run) {
+			if run.Events > 0 && known && run.Version != began {
+				v.add("mixedVersions", "attempt %s began at version %q, and attempt %s went on at %s with version %q", first, began, attempt, run.Instance, run.Version)
+			}
+		}
 		for _, run := range runs[first] {
 			if run.After == "" && run.Events > 0 {
-				began = run.Version
-			}
-			if run.After != "" && run.Events > 0 && run.Version != began {
-				v.add("mixedVersions", "attempt %s began at version %q and went on at %s with version %q", first, began, run.Instance, run.Version)
+				began, known = run.Version, true
+			} else if run.After != "" {
+				check(first, run)
 			}
 		}
-		if x.resumes == "" {
-			continue
-		}
-		for _, run := range runs[x.id] {
-			if run.Events > 0 && run.Version != began {
-				v.add("mixedVersions", "attempt %s began at version %q, and attempt %s went on at %s with version %q", first, began, x.id, run.Instance, run.Version)
+		if x.resumes != "" {
+			for _, run := range runs[x.id] {
+				check(x.id, run)
 			}
 		}
 	}
