--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -142,8 +142,7 @@
 	c.updateReader()
 	if whole {
 		r.Daemons = c.describe(func(string) bool { return false })
-		c.publishVersions(now)
-		r.Recent, r.Versions = c.shares.Recent(now), c.versions.History(now)
+		r.Recent, r.Versions = c.shares.Recent(now), c.publishVersions(now)
 		if c.plan.Undivided() {
 			r.Streams = c.versions.RepeatNews(now)
 		}
--- a/gateway/controller/versions.go
+++ b/gateway/controller/versions.go
@@ -33,9 +33,11 @@
 	}
 }
 
-// publishVersions updates the snapshot for the watcher of the store.
-func (c *Controller) publishVersions(now time.Duration) {
-	c.versionState.Store(&versionSnapshot{history: c.versions.History(now), at: now})
+// publishVersions updates the snapshot for the watcher of the store and returns its history.
+func (c *Controller) publishVersions(now time.Duration) versioner.History {
+	history := c.versions.History(now)
+	c.versionState.Store(&versionSnapshot{history: history, at: now})
+	return history
 }
 
 // versionSnapshot is what the store should keep of the versions in service.
--- a/gateway/receiver/versions.go
+++ b/gateway/receiver/versions.go
@@ -63,7 +63,7 @@
 
 // resumable reports whether the response is a stream that may go on at another target.
 func (p *proxyRequest) resumable() bool {
-	return p.route.Kind == resolver.Streaming && p.route.Resumable
+	return p.route.Kind == resolver.Streaming && p.route.Repeatable()
 }
 
 // streamKey returns the key under which daemons remember the stream.
--- a/gateway/versioner/versioner.go
+++ b/gateway/versioner/versioner.go
@@ -154,6 +154,9 @@
 
 // LearnHistory records what others know of the versions in service.
 func (v *Versioner) LearnHistory(now time.Duration, h History) {
+	if h.Age <= 0 && len(h.Sightings) == 0 {
+		return // most reports have none
+	}
 	if h.Age > 0 {
 		v.completeSince = min(v.completeSince, now-h.Age)
 	}
--- a/gateway/watcher/quarantine.go
+++ b/gateway/watcher/quarantine.go
@@ -150,8 +150,7 @@
 }
 
 func (w *Watcher) saveQuarantine(ctx context.Context, s QuarantineState) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	w.calls.Add(1)
-	return w.options.QuarantineStore.SaveQuarantine(ctx, s.Evidence, s.Released)
+	return w.call(ctx, func(ctx context.Context) error {
+		return w.options.QuarantineStore.SaveQuarantine(ctx, s.Evidence, s.Released)
+	})
 }
--- a/generator/auditor/auditor.go
+++ b/generator/auditor/auditor.go
@@ -104,13 +104,12 @@
 // ledger adds up the records by account and second of Unix time.
 type ledger struct {
 	accounts map[string]map[int64]*second
-	// costs holds the cost of each request, arrived those that were counted as asked.
-	costs   map[string]float64
-	arrived map[string]bool
+	// costs holds the cost of each request that was counted as asked.
+	costs map[string]float64
 }
 
 func newLedger() *ledger {
-	return &ledger{accounts: map[string]map[int64]*second{}, costs: map[string]float64{}, arrived: map[string]bool{}}
+	return &ledger{accounts: map[string]map[int64]*second{}, costs: map[string]float64{}}
 }
 
 func (l *ledger) readFile(name string) error {
@@ -148,10 +147,10 @@
 		}
 		s := l.second(x.Account, x.Time)
 		s.hosts[x.Host] = true
-		if l.costs[x.Request] = x.Cost; !l.arrived[x.Request] {
-			l.arrived[x.Request] = true
+		if _, counted := l.costs[x.Request]; !counted {
 			s.asked += x.Cost
 		}
+		l.costs[x.Request] = x.Cost
 		if x.Event == logger.RequestRejected.Number {
 			s.refused[x.Code]++
 		}
--- a/generator/soaker/events.go
+++ b/generator/soaker/events.go
@@ -66,7 +66,7 @@
 	case KindNewVersion:
 		return r.replaceEngines(ctx, e)
 	case KindMassKill:
-		return r.killAll(ctx, e)
+		return r.killTogether(ctx, r.fleet.daemons, e.Length)
 	case KindRelease:
 		return r.replaceHalf(ctx, e)
 	case KindTargetFault:
@@ -129,15 +129,22 @@
 
 // killHalf kills every second daemon at the same time.
 func (r *run) killHalf(ctx context.Context, e Event) error {
-	done := make(chan error, len(r.fleet.daemons))
-	n := 0
+	var half []*daemon
 	for i, d := range r.fleet.daemons {
 		if (i+e.Subject)%2 == 0 {
-			n++
-			go func() { done <- r.kill(ctx, d, e.Length) }()
+			half = append(half, d)
 		}
 	}
-	return firstError(done, n)
+	return r.killTogether(ctx, half, e.Length)
+}
+
+// killTogether kills daemons at the same time and starts them again.
+func (r *run) killTogether(ctx context.Context, daemons []*daemon, down time.Duration) error {
+	done := make(chan error, len(daemons))
+	for _, d := range daemons {
+		go func() { done <- r.kill(ctx, d, down) }()
+	}
+	return firstError(done, len(daemons))
 }
 
 // firstError waits for n results and returns the first error among them.
--- a/generator/soaker/targets.go
+++ b/generator/soaker/targets.go
@@ -150,12 +150,23 @@
 
 // replaceHalf replaces half of the targets one after the other, as a release does.
 func (r *run) replaceHalf(ctx context.Context, e Event) error {
-	n := len(r.fleet.targets) / 2
-	done := make(chan error, n)
-	for i := range n {
-		t := r.fleet.targets[(e.Subject+2*i)%len(r.fleet.targets)]
-		go func() { done <- r.replaceTarget(ctx, t, e.Length) }()
-		sleeper.Sleep(ctx, e.Length/2)
+	var half []*server.Server
+	for i := range len(r.fleet.targets) / 2 {
+		half = append(half, r.fleet.targets[(e.Subject+2*i)%len(r.fleet.targets)])
 	}
-	return firstError(done, n)
+	return r.replaceInTurn(ctx, half, e.Length, e.Length/2, nil)
+}
+
+// replaceInTurn replaces targets, the next one each time that a pause has passed. before,
+// unless nil, is called with each one when its turn comes.
+func (r *run) replaceInTurn(ctx context.Context, targets []*server.Server, length, pause time.Duration, before func(*server.Server)) error {
+	done := make(chan error, len(targets))
+	for _, t := range targets {
+		if before != nil {
+			before(t)
+		}
+		go func() { done <- r.replaceTarget(ctx, t, length) }()
+		sleeper.Sleep(ctx, pause)
+	}
+	return firstError(done, len(targets))
 }
--- a/generator/soaker/versions.go
+++ b/generator/soaker/versions.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"monsoondeck.example/emulator/server"
-	"monsoondeck.example/sleeper"
 )
 
 const (
@@ -29,22 +28,7 @@
 			engines = append(engines, t)
 		}
 	}
-	done := make(chan error, len(engines))
-	for _, t := range engines {
-		t.SetVersion(fmt.Sprint("v", e.Choice))
-		go func() { done <- r.replaceTarget(ctx, t, e.Length) }()
-		sleeper.Sleep(ctx, e.Length/4)
-	}
-	return firstError(done, len(engines))
-}
-
-// killAll kills all daemons at the same time.
-func (r *run) killAll(ctx context.Context, e Event) error {
-	done := make(chan error, len(r.fleet.daemons))
-	for _, d := range r.fleet.daemons {
-		go func() { done <- r.kill(ctx, d, e.Length) }()
-	}
-	return firstError(done, len(r.fleet.daemons))
+	return r.replaceInTurn(ctx, engines, e.Length, e.Length/4, func(t *server.Server) { t.SetVersion(fmt.Sprint("v", e.Choice)) })
 }
 
 // takeUp takes up the stream of a result that is not complete, at any daemon, until it has
