Log complete sums of each second by client account

Which account got how much of its share was worked out from records of single requests, whose rate is limited.

Event 528 has the sums of a second, an account each, bounded in number and not limited in rate; event 529 the connections that a busy host refused unread, and event 101 the size of the host. monsoonload shares reads event 528 only. The test of the audit has the same accounts and expects the same quotients from the new records.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"monsoondeck.example/gateway/recorder"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/settings"
+	"monsoondeck.example/gateway/tallier"
 	"monsoondeck.example/gateway/watcher"
 	"monsoondeck.example/limiter"
 	"monsoondeck.example/logger"
@@ -102,6 +103,7 @@
 	watcher      *watcher.Watcher
 	receiver     *receiver.Handler
 	overload     *overloadMonitor
+	tally        *tallier.Tallier
 	metrics      *metrics
 	callerServer *server
 	gate         *connectionGate
@@ -178,11 +180,12 @@
 	})
 	g.overload = newOverloadMonitor(s.MemoryBytes, s.Descriptors, g.clock, g.logger)
 	g.memory = newMemory(s)
+	g.tally = tallier.New(maxTalliedAccounts)
 	g.meter = g.newMeter()
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Permits: g.controller, StreamOrigins: g.controller, Configs: g.controller, TargetClient: g.courier, TargetChecker: g.prober,
-		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, CallerDisconnected: callerLeft, ResetOnClose: resetOnClose,
+		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, Tally: g.tally, CallerDisconnected: callerLeft, ResetOnClose: resetOnClose,
 		Memory: g.memory, ChargeHeader: chargeHeader,
 		Clock:   g.clock,
 		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
@@ -208,6 +211,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	logger.Emit(g.logger, logger.DaemonStarted, slog.String("dataCentre", g.settings.DataCentre), slog.Uint64("incarnation", g.incarnation.Load()),
+		slog.Float64("cores", g.settings.Cores), slog.Int64("memoryBytes", g.settings.MemoryBytes), slog.Int("descriptors", g.settings.Descriptors),
 		slog.String("caller", g.settings.CallerAddress), slog.String("store", g.settings.StoreAddress))
 	failed := make(chan error, len(g.otherServers)+1)
 	for _, s := range append(g.otherServers, g.callerServer) {
@@ -222,6 +226,7 @@
 	go g.watchDaemons(ctx)
 	go g.closeUnusedConnections(ctx)
 	go g.overload.run(ctx)
+	go g.logTally(ctx)
 	go g.relieveMemory(ctx)
 	go g.sweepMemory(ctx)
 	select {
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -59,7 +59,7 @@
 		h.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	p.closeIfStopping()
-	p.firstByte = time.Since(p.start)
+	p.recordFirstByte(response.Status)
 	p.setWriteDeadline()
 	p.writer.WriteHeader(response.Status)
 	_, err := p.write(beginning)
@@ -242,7 +242,7 @@
 		return
 	}
 	p.stream.started = true
-	p.firstByte = time.Since(p.start)
+	p.recordFirstByte(p.stream.status)
 	p.receiver.Protocol.CopyResponseHeader(p.writer.Header(), p.stream.header)
 	p.closeIfStopping()
 	p.writer.WriteHeader(p.stream.status)
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -215,6 +215,17 @@
 	ShouldCloseConnections() bool
 }
 
+// Tally adds up the requests by client account, which is empty for those that count towards
+// no share. The cost is that of a request at a model engine in tokens, 0 at a plain service.
+type Tally interface {
+	// Asked adds a request that arrived.
+	Asked(account string, cost float64)
+	// Began adds a request whose successful response begins.
+	Began(account string, cost float64)
+	// Refused adds a request that the daemon refuses with a code.
+	Refused(account, code string)
+}
+
 // ShutdownState reports the progress of a graceful stop of the daemon.
 type ShutdownState interface {
 	// Stopping returns the time since the stop signal and the time until the daemon ends;
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -54,6 +54,7 @@
 	RetryBudget   RetryBudget
 	ShutdownState ShutdownState
 	LoadShedder   LoadShedder
+	Tally         Tally
 	// CallerDisconnected reports whether the caller has closed its connection.
 	CallerDisconnected func(r *http.Request) bool
 	// ResetOnClose makes the connection of the request end with a reset when it is closed.
@@ -121,6 +122,7 @@
 	if !p.resolve() {
 		return
 	}
+	rc.Tally.Asked(p.sharingAccount(), p.cost())
 	if !rc.LoadShedder.Admit(rc.ActiveRequests.Load()) {
 		// The body is not read: that would cost more than the rejection saves.
 		w.Header().Set("Connection", "close")
@@ -301,7 +303,7 @@
 			Regions: p.regions, Version: p.versionLimit(), Retry: next.repetition, Excluded: next.excluded,
 		},
 		// The share of the account was charged with the attempt that may have run.
-		Account: p.account, CountsTowardsShare: p.engine != nil && p.account != "" && !next.mayHaveRun, Priority: p.priority,
+		Account: p.account, CountsTowardsShare: p.sharingAccount() != "" && !next.mayHaveRun, Priority: p.priority,
 		Objective: p.objectiveLeft(next, timeLeft), TimeLeft: timeLeft, Continues: p.remembered,
 		FirstWait: next.firstWait, NoWait: next.noWait,
 	}
--- a/gateway/receiver/record.go
+++ b/gateway/receiver/record.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +35,31 @@
 	p.log(logger.RequestEnded, attrs...)
 }
 
+// recordFirstByte records that a response of a target begins.
+func (p *proxyRequest) recordFirstByte(status int) {
+	p.firstByte = time.Since(p.start)
+	if status < http.StatusMultipleChoices {
+		p.receiver.Tally.Began(p.sharingAccount(), p.cost())
+	}
+}
+
+// sharingAccount returns the account whose share the request counts towards; empty if it
+// counts towards none.
+func (p *proxyRequest) sharingAccount() string {
+	if p.engine == nil {
+		return ""
+	}
+	return p.account
+}
+
+// cost returns the cost of the request at a model engine in tokens; 0 at a plain service.
+func (p *proxyRequest) cost() float64 {
+	if p.engine == nil {
+		return 0
+	}
+	return placer.Request{PromptTokens: p.info.PromptTokens, OutputTokens: p.outputTokens()}.Cost()
+}
+
 // standingAttrs returns the cost of the request at a model engine and the standing of its
 // account at the decision, so that what accounts asked for and got can be added up from the
 // log.
@@ -41,7 +67,7 @@
 	if p.engine == nil {
 		return nil
 	}
-	attrs := []slog.Attr{slog.Float64("cost", placer.Request{PromptTokens: p.info.PromptTokens, OutputTokens: p.outputTokens()}.Cost())}
+	attrs := []slog.Attr{slog.Float64("cost", p.cost())}
 	if s.Share > 0 && !math.IsInf(s.Share, 1) {
 		attrs = append(attrs, slog.Float64("served", s.Served), slog.Float64("share", s.Share), slog.Bool("overShare", s.OverShare), slog.Float64("spareWeight", s.SpareWeight))
 	}
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -63,6 +63,7 @@
 	if r.part != 0 {
 		attrs = append(attrs, slog.String("part", strconv.FormatUint(uint64(r.part), 16)))
 	}
+	p.receiver.Tally.Refused(p.sharingAccount(), r.code)
 	p.log(logger.RequestRejected, append(attrs, p.standingAttrs(r.standing)...)...)
 	p.recordEnd(r.code, r.status)
 }
@@ -139,7 +140,7 @@
 	}
 	p.closeIfStopping()
 	p.setWriteDeadline()
-	p.firstByte = time.Since(p.start)
+	p.recordFirstByte(r.status)
 	p.writer.WriteHeader(r.status)
 	_, _ = p.write(r.body) // the caller may be disconnected
 	p.receiver.observeDuration(p.route.Name, p.firstByte)
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -33,6 +33,8 @@
 	// open file descriptors; 0 if unknown.
 	MemoryBytes int64
 	Descriptors int
+	// Cores is the processor time that the process may use, in cores; 0 if unknown.
+	Cores float64
 	// StopTimeout is the time between the stop signal and the kill signal.
 	StopTimeout time.Duration
 	// DrainBound is the time after which a leaving target must not receive any more
--- a/generator/auditor/auditor.go
+++ b/generator/auditor/auditor.go
@@ -37,7 +37,7 @@
 
 // Description is the first line of the usage text.
 func (Options) Description() string {
-	return "shares prints the accounts that got the smallest part of their share in six seconds in which they were refused each second, from the logs of all daemons (events 511 to 513), as JSON lines."
+	return "shares prints the accounts that got the smallest part of their share in six seconds in which they were refused each second, from the logs of all daemons (event 528), as JSON lines."
 }
 
 // Run runs the shares command and returns the exit code.
@@ -68,8 +68,8 @@
 	Account string    `json:"account"`
 	// Quotient is that of Began and Due; below 0.5 the users' rule may be broken.
 	Quotient float64 `json:"quotient"`
-	// Asked and Began are the cost of the requests that arrived, and of those whose responses
-	// began, in tokens. Due is the smaller one, second by second, of what was asked and of what
+	// Asked and Began are the cost of the requests that arrived, counting again those that came
+	// back after a refusal, and of those whose responses began, in tokens. Due is the smaller one, second by second, of what was asked and of what
 	// the best-served account Best got.
 	Asked float64 `json:"asked"`
 	Began float64 `json:"began"`
@@ -83,15 +83,12 @@
 
 // record holds the fields of a log record that matter here.
 type record struct {
-	Time      time.Time
-	Event     int
-	Host      string
-	Request   string
-	Account   string
-	Code      string
-	Cost      float64
-	FirstByte time.Duration
-	Total     time.Duration
+	Event        int
+	Host         string
+	Account      string
+	Second       int64
+	Asked, Began float64
+	Refused      map[string]int
 }
 
 // second holds what happened to the requests of one account in one second.
@@ -104,12 +101,10 @@
 // ledger adds up the records by account and second of Unix time.
 type ledger struct {
 	accounts map[string]map[int64]*second
-	// costs holds the cost of each request that was counted as asked.
-	costs map[string]float64
 }
 
 func newLedger() *ledger {
-	return &ledger{accounts: map[string]map[int64]*second{}, costs: map[string]float64{}}
+	return &ledger{accounts: map[string]map[int64]*second{}}
 }
 
 func (l *ledger) readFile(name string) error {
@@ -137,38 +132,26 @@
 }
 
 func (l *ledger) add(x record) {
-	if x.Account == "" {
-		return
+	if x.Event != logger.AccountServed.Number || x.Account == "" {
+		return // it takes no part in the shares
 	}
-	switch x.Event {
-	case logger.RequestPlaced.Number, logger.RequestRejected.Number:
-		if x.Cost == 0 {
-			return // it takes no part in the shares
-		}
-		s := l.second(x.Account, x.Time)
-		s.hosts[x.Host] = true
-		if _, counted := l.costs[x.Request]; !counted {
-			s.asked += x.Cost
-		}
-		l.costs[x.Request] = x.Cost
-		if x.Event == logger.RequestRejected.Number {
-			s.refused[x.Code]++
-		}
-	case logger.RequestEnded.Number:
-		if x.FirstByte > 0 {
-			l.second(x.Account, x.Time.Add(x.FirstByte-x.Total)).began += l.costs[x.Request]
-		}
+	s := l.second(x.Account, x.Second)
+	s.asked += x.Asked
+	s.began += x.Began
+	s.hosts[x.Host] = true
+	for code, n := range x.Refused {
+		s.refused[code] += n
 	}
 }
 
-func (l *ledger) second(account string, at time.Time) *second {
+func (l *ledger) second(account string, at int64) *second {
 	if l.accounts[account] == nil {
 		l.accounts[account] = map[int64]*second{}
 	}
-	s := l.accounts[account][at.Unix()]
+	s := l.accounts[account][at]
 	if s == nil {
 		s = &second{refused: map[string]int{}, hosts: map[string]bool{}}
-		l.accounts[account][at.Unix()] = s
+		l.accounts[account][at] = s
 	}
 	return s
 }
--- a/generator/auditor/auditor_test.go
+++ b/generator/auditor/auditor_test.go
@@ -18,18 +18,13 @@
 func TestStarvedAccountIsFound(t *testing.T) {
 	start := time.Date(2026, 12, 6, 12, 0, 0, 0, time.UTC)
 	var log strings.Builder
-	id := 0
 	request := func(second int, account, host, code string, cost int) {
-		id++
-		at := start.Add(time.Duration(second)*time.Second + 100*time.Millisecond)
-		event := 511
+		at, began, refused := start.Add(time.Duration(second)*time.Second), cost, ""
 		if code != "" {
-			event = 512
-		}
-		_, _ = fmt.Fprintf(&log, "%7.4f %s {\"time\":%q,\"event\":%d,\"host\":%q,\"request\":\"%d\",\"account\":%q,\"code\":%q,\"cost\":%d}\n", float64(second), host, at.Format(time.RFC3339Nano), event, host, id, account, code, cost)
-		if code == "" {
-			_, _ = fmt.Fprintf(&log, "{\"time\":%q,\"event\":513,\"host\":%q,\"request\":\"%d\",\"account\":%q,\"firstByte\":50000000,\"total\":900000000}\n", at.Add(time.Second).Format(time.RFC3339Nano), host, id, account)
+			began, refused = 0, fmt.Sprintf(",\"refused\":{%q:1}", code)
 		}
+		_, _ = fmt.Fprintf(&log, "%7.4f %s {\"time\":%q,\"event\":528,\"host\":%q,\"account\":%q,\"second\":%d,\"asked\":%d,\"began\":%d%s}\n",
+			float64(second), host, at.Add(time.Second).Format(time.RFC3339Nano), host, account, at.Unix(), cost, began, refused)
 	}
 	for second := range 8 {
 		for i := range 10 {
@@ -40,8 +35,9 @@
 		for range 4 {
 			request(second, "starved", "h1", "hostBusy", 1000)
 		}
-		request(second, "small", "h2", "", 500)
-		request(second, "small", "h2", "overload", 500)
+		// The refused request has arrived in the second before, at another host.
+		_, _ = fmt.Fprintf(&log, "{\"event\":528,\"host\":\"h2\",\"account\":\"small\",\"second\":%d,\"asked\":1000,\"began\":500}\n", start.Unix()+int64(second))
+		_, _ = fmt.Fprintf(&log, "{\"event\":528,\"host\":\"h3\",\"account\":\"small\",\"second\":%d,\"refused\":{\"overload\":1}}\n", start.Unix()+int64(second))
 		if second != 4 { // it waits, but not in each second
 			request(second, "lucky", "h3", "hostBusy", 1000)
 		}
--- a/logger/events.go
+++ b/logger/events.go
@@ -76,6 +76,9 @@
 	MemoryShort     = Event{526, slog.LevelWarn, "memory is short and requests are refused", "Look at the kinds in monsoondeck_memory_bytes; give the host more memory if they come from ordinary callers."}
 	ConnectionEnded = Event{527, slog.LevelInfo, "connection of a caller refused or closed to protect the memory", "The reason says which limit the caller has reached."}
 
+	AccountServed = Event{528, slog.LevelInfo, "requests of a client account in one second", ""}
+	HostOverload  = Event{529, slog.LevelInfo, "requests that the busy host refused in one second", ""}
+
 	TargetCold = Event{530, slog.LevelInfo, "target is cold and gets a limited number of requests", ""}
 	TargetWarm = Event{531, slog.LevelInfo, "target is no longer cold", ""}
 
@@ -95,7 +98,7 @@
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
 		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed,
-		MemoryShort, ConnectionEnded, TargetCold, TargetWarm,
+		MemoryShort, ConnectionEnded, AccountServed, HostOverload, TargetCold, TargetWarm,
 		PlatformUnavailable, PlatformAvailable, StoreRestored,
 	}
 }
