Refuse on a busy host what keeps its run queue short

Callers whose requests came to a busy host got late responses, or "overload" after their request had been read. The refused share was proportional to the mean delay of timers, 0 at 25 ms and 1 at 120 ms, so that a host which has to refuse most of its load stayed near 100 ms for as long as that lasted; a request passes the run queue some five times before its response begins, and lost its objective there. Class of fault: a controller with a steady-state error.

Now the delays above and below 10 ms are added up in the admitted share, damped by the last delay, and requests are admitted at even distances instead of by chance. A single late timer (garbage collection) refuses nothing.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -4,8 +4,8 @@
 	"context"
 	"log/slog"
 	"math"
-	"math/rand/v2"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,9 +13,6 @@
 	"monsoondeck.example/logger"
 )
 
-// lagInterval is the time between two measurements of the timer lag.
-const lagInterval = 50 * time.Millisecond
-
 // overloadMonitor measures how late the timers of the process fire and decides from
 // that whether the host can serve one more request. It implements receiver.LoadShedder.
 type overloadMonitor struct {
@@ -29,6 +26,9 @@
 	// closeAfterAnswer is set while connections of callers are closed after their
 	// answers, so that the callers connect to other hosts.
 	closeAfterAnswer atomic.Bool
+	// mutex guards spreader.
+	mutex    sync.Mutex
+	spreader shedder.Spreader
 	// shedder is only accessed by the goroutine of run.
 	shedder *shedder.Shedder
 	clock   func() time.Duration
@@ -46,21 +46,26 @@
 
 // Admit implements receiver.LoadShedder.
 func (m *overloadMonitor) Admit(active int64) bool {
-	share := m.refusedShare()
-	return active <= m.maxActive && (share == 0 || rand.Float64() >= share)
+	return active <= m.maxActive && m.admitNext()
 }
 
 // ShouldCloseConnections implements receiver.LoadShedder.
 func (m *overloadMonitor) ShouldCloseConnections() bool { return m.closeAfterAnswer.Load() }
 
-// shedConnection decides at random, with the refused share as the probability,
-// whether a new connection should be refused.
+// shedConnection decides, in view of the refused share, whether a new connection should be
+// refused.
 func (m *overloadMonitor) shedConnection() shedding {
-	share := m.refusedShare()
-	if share >= shedder.MinConnectionShare && rand.Float64() < share {
-		return refuseConnection
+	if m.admitNext() {
+		return keepConnection
 	}
-	return keepConnection
+	return refuseConnection
+}
+
+// admitNext decides about the next connection or request.
+func (m *overloadMonitor) admitNext() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.spreader.Admit(m.refusedShare())
 }
 
 // refusedShare returns the share of requests that is refused, between 0 and 1.
@@ -71,12 +76,12 @@
 func (m *overloadMonitor) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		start := m.clock()
-		time.Sleep(lagInterval)
+		time.Sleep(shedder.TimerInterval)
 		// A goroutine whose timer fires runs ahead of those that wait for a processor.
 		// After yielding it waits behind them, so that their waiting time is measured.
 		runtime.Gosched()
 		now := m.clock()
-		m.shedder.RecordTimerDelay(now, now-start-lagInterval)
+		m.shedder.RecordTimerDelay(now, now-start-shedder.TimerInterval)
 		m.shareBits.Store(math.Float64bits(m.shedder.RefusedShare()))
 		m.closeAfterAnswer.Store(m.shedder.ShouldCloseConnections(now))
 		if unready := m.shedder.Unready(now); m.unready.Swap(unready) != unready {
