Admit the first request of a connection together with it

A busy host decided twice about a request on a new connection: when it accepted the connection, and again when it had read the request. Class of fault: admission control after the cost.

TestRequestIsAdmittedWithItsConnection: without the change 22 of 200 connections were kept and 0 of their requests served; now all of them.

--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -95,6 +95,7 @@
 func (g *Gateway) meterCallers(s *server, socket net.Listener) {
 	s.http.MaxHeaderBytes = meter.MaxHeaderBytes // the Meter applies the limits in force
 	s.http.ReadHeaderTimeout = meter.HeaderStartTimeout
+	s.http.ConnContext = withAdmission
 	s.http.ConnState = g.meter.TrackState(s.connections.track)
 	if tcp, ok := socket.(*net.TCPListener); ok {
 		s.listener = g.meter.Listener(s.listener, tcp)
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -209,7 +209,7 @@
 type LoadShedder interface {
 	// Admit reports whether the host can serve a new request. active is the number of
 	// requests in progress, including the new one.
-	Admit(active int64) bool
+	Admit(r *http.Request, active int64) bool
 	// ShouldCloseConnections reports whether connections are to be closed after the
 	// next response, so that callers connect to other hosts.
 	ShouldCloseConnections() bool
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"net/http"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -44,9 +45,16 @@
 	return &overloadMonitor{maxActive: maxActive, shedder: s, clock: clock, logger: l}
 }
 
-// Admit implements receiver.LoadShedder.
-func (m *overloadMonitor) Admit(active int64) bool {
-	return active <= m.maxActive && m.admitNext()
+// Admit implements receiver.LoadShedder. The first request on a new connection was admitted
+// with it.
+func (m *overloadMonitor) Admit(r *http.Request, active int64) bool {
+	if active > m.maxActive {
+		return false
+	}
+	if a, ok := r.Context().Value(admissionKey{}).(*connectionAdmission); ok && a.take() {
+		return true
+	}
+	return m.admitNext()
 }
 
 // ShouldCloseConnections implements receiver.LoadShedder.
