Keep the connections that an unready host can serve

A host that had been unready for two seconds closed every connection after its response, whether it could serve it or not, and idled for as long as it was unready. Class of fault: load that is handed on as a whole instead of its excess.

An unready host now closes connections only while it has to refuse requests. TestUnreadyHostKeepsTheConnectionsThatItCanServe failed before. TestHostStaysUnreadyLongerWhenCallersComeBack expected connections to be closed on a host without any load; that a host closes them while it is busy, and not before the balancer has noticed, is checked by the new test.

--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -112,7 +112,7 @@
 	}
 	s.admittedShare = min(max(s.admittedShare, minAdmittedShare), 1)
 	switch {
-	case s.RefusedShare() == 0 || now-s.lastLate > lateMemory:
+	case !s.busy(now):
 		s.busySince = 0
 	case s.busySince == 0:
 		s.busySince = now
@@ -121,6 +121,11 @@
 	}
 }
 
+// busy reports whether the host refuses requests and needs to.
+func (s *Shedder) busy(now time.Duration) bool {
+	return s.RefusedShare() > 0 && now-s.lastLate <= lateMemory
+}
+
 // setUnready makes the host unready, or prolongs the time for which it is.
 func (s *Shedder) setUnready(now time.Duration) {
 	if !s.Unready(now) {
@@ -135,9 +140,10 @@
 }
 
 // ShouldCloseConnections reports whether the connections of callers should be closed
-// after their answers, so that the callers connect to other hosts.
+// after their answers, so that the callers connect to other hosts. Those that the host can
+// serve stay, so that an account whose callers move on is served by more and more hosts.
 func (s *Shedder) ShouldCloseConnections(now time.Duration) bool {
-	return s.Unready(now) && now-s.unreadySince >= balancerNoticeTime
+	return s.Unready(now) && now-s.unreadySince >= balancerNoticeTime && s.busy(now)
 }
 
 // Unready reports whether the balancer should send new callers elsewhere.
