Become unready only if most callers cannot be served

The callers of one account all come to one host and move to the next one when it is unready. A host became unready after refusing a tenth of its requests for 0.6 s. ain-33 (0.48 cores) served 470 to 650 requests a second of the account and gave it up to hosts of 0.144 cores, which serve 200; it idled while these refused 500 to 1,000. Class of fault: a health signal that tells that a host is loaded, where the question is whether another one would do better.

A host is unready now when the mean refused share is above three quarters, which is less than half of the callers served, since they come back once. The admitted share is cut for the time that a late timer stands for, so that a flood is recognised in one second instead of two.

TestOnlyAHostThatServesFewOfItsCallersIsUnready: before, a host that can serve most callers was unready after 1.3 to 1.5 s; now never in 20 s, and one that can serve a tenth within 2 s.

--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -31,9 +31,9 @@
 	// far below the objectives of requests. On a host with idle processor time, timers are
 	// late by a few milliseconds.
 	targetLag = 10 * time.Millisecond
-	// cutPerTarget is the part of the admitted share that is taken back after one late timer
-	// for each targetLag beyond the first, maxCut the largest part.
-	cutPerTarget, maxCut = 0.005, 0.2
+	// cutPerTarget is the part of the admitted share that is taken back in one TimerInterval
+	// for each targetLag beyond the first, maxCut the largest part after one timer.
+	cutPerTarget, maxCut = 0.005, 0.4
 	// relativeRise and absoluteRise are by how much the admitted share grows after a timer
 	// that was not late. It grows fastRise times as much once none has been late for
 	// fastRiseDelay, since the load has gone.
@@ -46,13 +46,18 @@
 	// dampingRange is the delay of the last timer beyond targetLag at which nothing is
 	// admitted, so that the share does not swing around its mean.
 	dampingRange = 40 * time.Millisecond
+	// maxRefusedShare is the mean refused share above which a host is flooded, meanWeight the
+	// weight of the newest value in the mean. It becomes unready after being flooded for
+	// minFloodTime. Refused callers come back once, mostly to the same host, so that it serves
+	// less than half of its callers from there on; above, another host would hardly do better.
+	maxRefusedShare = 0.75
+	meanWeight      = 0.12
+	minFloodTime    = 200 * time.Millisecond
 	// busyRefusalShare is the refused share from which the host refuses requests at all, so
 	// that a single late timer refuses none. The host is busy while it refuses requests and
-	// a timer was late within lateMemory. It becomes unready after being busy for
-	// minBusyTime.
+	// a timer was late within lateMemory.
 	busyRefusalShare = 0.1
 	lateMemory       = 300 * time.Millisecond
-	minBusyTime      = 600 * time.Millisecond
 	// minUnreadyTime is the shortest time for which a host is unready: the balancer
 	// needs two seconds to notice it. The duration doubles up to maxUnreadyTime if
 	// the host is busy again within repeatedUnreadyWindow after it was last unready,
@@ -75,8 +80,10 @@
 	// was later than targetLag.
 	admittedShare       float64
 	lastDelay, lastLate time.Duration
-	// busySince is the time since which the host has been busy; 0 means that it is not.
-	busySince time.Duration
+	// meanRefused is the moving mean of the refused share. floodedSince is the time since which
+	// the host has been flooded; 0 means that it is not.
+	meanRefused  float64
+	floodedSince time.Duration
 	// unreadySince and unreadyUntil are the start and the end of the current or last
 	// time for which the host is unready; unreadyTime is its shortest duration.
 	unreadySince, unreadyUntil, unreadyTime time.Duration
@@ -103,7 +110,9 @@
 	s.lastDelay = delay
 	switch excess := float64(delay-targetLag) / float64(targetLag); {
 	case excess > 0:
-		s.admittedShare *= 1 - min(cutPerTarget*excess, maxCut)
+		// A late timer stands for those that were due since the last one.
+		timers := max(float64(delay+TimerInterval)/float64(TimerInterval), 1)
+		s.admittedShare *= 1 - min(cutPerTarget*excess*timers, maxCut)
 		s.lastLate = now
 	case now-s.lastLate > fastRiseDelay:
 		s.admittedShare += fastRise * (relativeRise*s.admittedShare + absoluteRise)
@@ -111,12 +120,13 @@
 		s.admittedShare += relativeRise*s.admittedShare + absoluteRise
 	}
 	s.admittedShare = min(max(s.admittedShare, minAdmittedShare), 1)
+	s.meanRefused += meanWeight * (s.RefusedShare() - s.meanRefused)
 	switch {
-	case !s.busy(now):
-		s.busySince = 0
-	case s.busySince == 0:
-		s.busySince = now
-	case now-s.busySince >= minBusyTime:
+	case !s.busy(now) || s.meanRefused <= maxRefusedShare:
+		s.floodedSince = 0
+	case s.floodedSince == 0:
+		s.floodedSince = now
+	case now-s.floodedSince >= minFloodTime:
 		s.setUnready(now)
 	}
 }
