Divide what a busy host admits by the service of the accounts

A host without processor time refused by chance, so that an account that floods the host takes it from all others there. Class of fault: a resource that is shared without the shares.

While a host refuses requests, the controller publishes the recent service of the accounts in the fleet. On open connections that is decided once the header has been read. Of new connections, a part is kept unseen as before; the refuser, which waits for the header of the others anyway, offers them to the server with what it has read.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -54,6 +54,8 @@
 	// freshness and stats are snapshots for other goroutines; they are never nil.
 	freshness atomic.Pointer[Freshness]
 	stats     atomic.Pointer[Stats]
+	// service holds the recent service of the accounts in the fleet; nil while it is not wanted.
+	service atomic.Pointer[map[string]float64]
 	// usableTargets holds the starts of the targets that may get requests, by ID; it is
 	// never nil.
 	usableTargets atomic.Pointer[map[string]placer.Start]
--- a/gateway/controller/options.go
+++ b/gateway/controller/options.go
@@ -52,6 +52,8 @@
 	RequestConfig func(peer string, after uint64)
 	// ReportInterval returns the time between two reports to the given number of peers.
 	ReportInterval func(recipients int) time.Duration
+	// ServiceWanted reports whether Served is in use; nil means never.
+	ServiceWanted func() bool
 	// MaxRegistryAge is the age of the registry state above which requests wait for a
 	// newer one; 0 means no limit.
 	MaxRegistryAge time.Duration
--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -157,6 +157,7 @@
 		c.sendSum(now, r)
 		c.sendTotals(now, r)
 	}
+	c.publishService(now)
 	level := c.shares.FairShare(now)
 	if level > maxShareLevel {
 		level = 0
--- a/gateway/controller/snapshots.go
+++ b/gateway/controller/snapshots.go
@@ -61,6 +61,29 @@
 	return at, ok
 }
 
+// Served returns the recent service of an account in the whole fleet as of the last report, in
+// the unit of package sharer; false while it is not wanted.
+func (c *Controller) Served(account string) (float64, bool) {
+	service := c.service.Load()
+	if service == nil {
+		return 0, false
+	}
+	return (*service)[account], true
+}
+
+// publishService publishes the recent service of the accounts if it is wanted.
+func (c *Controller) publishService(now time.Duration) {
+	if c.options.ServiceWanted == nil || !c.options.ServiceWanted() {
+		c.service.Store(nil)
+		return
+	}
+	service := map[string]float64{}
+	for _, t := range c.shares.Recent(now) {
+		service[t.Account] = t.Served
+	}
+	c.service.Store(&service)
+}
+
 // Freshness returns how recent the known states of the registry and of the
 // configuration are.
 func (c *Controller) Freshness() Freshness { return *c.freshness.Load() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,10 +69,18 @@
 	watcher.VersionStore
 }
 
+// Protocol translates between the header fields of the platform and the types of the gateway.
+type Protocol interface {
+	receiver.Protocol
+	// FindKey returns the key that authenticates the client account in the header of a
+	// request as it was received; empty if there is none.
+	FindKey(header []byte) string
+}
+
 // Options are the dependencies of a Gateway.
 type Options struct {
 	Settings settings.Settings
-	Protocol receiver.Protocol
+	Protocol Protocol
 	Source   Source
 	Policy   placer.Policy
 	// SplitPrompts sends long and short prompts to different engines in large services.
@@ -108,6 +116,8 @@
 	callerServer *server
 	gate         *connectionGate
 	listener     *sheddingListener
+	// readmitted has the connections of callers that were refused first.
+	readmitted *readmittedListener
 	// memory is the account of the memory that callers and targets make the process hold,
 	// meter charges it with the connections of callers.
 	memory *limiter.Admission
@@ -169,6 +179,7 @@
 		MaxRegistryAge:   time.Duration(registryAgeShare * float64(s.DrainBound)),
 		MaxEvacuationAge: time.Duration(evacuationAgeShare * float64(s.EvacuationBound)),
 		Cold:             placer.ColdBounds{Bounded: s.ColdBounded, Overshoot: s.ColdOvershoot, Tolerance: s.ColdTolerance},
+		ServiceWanted:    func() bool { return g.overload.refusedShare() > 0 },
 		FleetKnown:       func() bool { return s.PeerAddress == "" || g.fleetKnown.Load() },
 	})
 	g.courier, _ = courier.New() // the process ends without closing unused connections
@@ -178,7 +189,7 @@
 		QuarantineStore: g.options.Source, QuarantineSink: g.controller, VersionStore: g.options.Source, VersionSink: g.controller,
 		RegistryDue: g.registryDue, Role: g.role, Clock: g.clock,
 	})
-	g.overload = newOverloadMonitor(s.MemoryBytes, s.Descriptors, g.clock, g.logger)
+	g.overload = newOverloadMonitor(s.MemoryBytes, s.Descriptors, g.controller.Served, g.clock, g.logger)
 	g.memory = newMemory(s)
 	g.tally = tallier.New(maxTalliedAccounts)
 	g.meter = g.newMeter()
@@ -213,10 +224,11 @@
 	logger.Emit(g.logger, logger.DaemonStarted, slog.String("dataCentre", g.settings.DataCentre), slog.Uint64("incarnation", g.incarnation.Load()),
 		slog.Float64("cores", g.settings.Cores), slog.Int64("memoryBytes", g.settings.MemoryBytes), slog.Int("descriptors", g.settings.Descriptors),
 		slog.String("caller", g.settings.CallerAddress), slog.String("store", g.settings.StoreAddress))
-	failed := make(chan error, len(g.otherServers)+1)
+	failed := make(chan error, len(g.otherServers)+2)
 	for _, s := range append(g.otherServers, g.callerServer) {
 		go func() { failed <- s.run() }()
 	}
+	go func() { failed <- g.callerServer.serve(g.readmitted) }()
 	go g.controller.Run(ctx)
 	go g.watcher.WatchConfig(ctx)
 	go g.watcher.WatchRegistry(ctx)
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -27,7 +27,7 @@
 	start := time.Now()
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	s := &sheddingListener{
-		Listener: l, refuser: refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }),
+		Listener: l, refuser: refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }, nil),
 		shed: func() shedding {
 			if len(decisions) == 0 {
 				return keepConnection
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -99,6 +99,7 @@
 	s.http.ConnState = g.meter.TrackState(s.connections.track)
 	if tcp, ok := socket.(*net.TCPListener); ok {
 		s.listener = g.meter.Listener(s.listener, tcp)
+		g.readmitted.Listener = g.meter.Listener(g.readmitted.Listener, tcp)
 	}
 }
 
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -208,8 +208,8 @@
 // LoadShedder protects the host from overload.
 type LoadShedder interface {
 	// Admit reports whether the host can serve a new request. active is the number of
-	// requests in progress, including the new one.
-	Admit(r *http.Request, active int64) bool
+	// requests in progress, including the new one; account is empty for anonymous requests.
+	Admit(r *http.Request, account string, active int64) bool
 	// ShouldCloseConnections reports whether connections are to be closed after the
 	// next response, so that callers connect to other hosts.
 	ShouldCloseConnections() bool
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -339,8 +339,8 @@
 
 type loadShedder struct{ full, closeConnections bool }
 
-func (s loadShedder) Admit(*http.Request, int64) bool { return !s.full }
-func (s loadShedder) ShouldCloseConnections() bool    { return s.closeConnections }
+func (s loadShedder) Admit(*http.Request, string, int64) bool { return !s.full }
+func (s loadShedder) ShouldCloseConnections() bool            { return s.closeConnections }
 
 type shutdownState struct {
 	// since is the time since the stop began, left the time until its end.
--- a/gateway/refuser/exchange.go
+++ b/gateway/refuser/exchange.go
@@ -41,6 +41,9 @@
 	read int
 }
 
+// headEnded reports whether the whole header has arrived.
+func (e *exchange) headEnded() bool { return e.matched == len(headEnd) }
+
 // receive takes what was read at a time and returns the next action. closed is set if
 // the caller has closed its side or the connection is broken.
 func (e *exchange) receive(now time.Duration, data []byte, closed bool) action {
--- a/gateway/refuser/refuser.go
+++ b/gateway/refuser/refuser.go
@@ -3,7 +3,8 @@
 // that they can serve: a caller whose connection is closed without an answer does not
 // know whether its request was read, and many give up.
 //
-// A refused request is not parsed. The connection is kept until the caller has closed
+// A refused request is not parsed, but the server may look at its header and take the
+// connection back. The connection is kept until the caller has closed
 // it, since the kernel resets a connection that is closed with unread data, and the
 // caller may then lose the response.
 package refuser
@@ -31,6 +32,7 @@
 	responses [][]byte
 	limit     int
 	clock     func() time.Duration
+	takeBack  func(received []byte, descriptor int) bool
 	// unanswered is the number of connections that were closed without an answer.
 	unanswered atomic.Int64
 
@@ -47,12 +49,16 @@
 type connection struct {
 	descriptor int
 	exchange   exchange
+	// received holds what was read before the header had ended; it is at most readBytes long.
+	received []byte
 }
 
 // New returns a Refuser that answers with one of the responses, chosen at random, and
-// keeps at most limit connections open, which must be positive.
-func New(responses [][]byte, limit int, clock func() time.Duration) *Refuser {
-	return &Refuser{responses: responses, limit: limit, clock: clock, buffer: make([]byte, readBytes)}
+// keeps at most limit connections open, which must be positive. takeBack, unless nil, is called
+// with what was received once the header of a request has arrived; if it returns true, it has
+// taken over the connection. It must neither block nor keep the slice.
+func New(responses [][]byte, limit int, clock func() time.Duration, takeBack func(received []byte, descriptor int) bool) *Refuser {
+	return &Refuser{responses: responses, limit: limit, clock: clock, takeBack: takeBack, buffer: make([]byte, readBytes)}
 }
 
 // Unanswered returns the number of connections that were closed without an answer.
@@ -142,14 +148,19 @@
 }
 
 // advance reads what has arrived, answers if it is time, and reports whether the
-// connection was closed. The caller holds the mutex.
+// connection was closed or taken back. The caller holds the mutex.
 func (r *Refuser) advance(c *connection) bool {
 	n, _, err := unix.Recvfrom(c.descriptor, r.buffer, unix.MSG_DONTWAIT)
 	closed := err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
-	switch c.exchange.receive(r.clock(), r.buffer[:max(n, 0)], closed) {
+	data := r.buffer[:max(n, 0)]
+	switch c.exchange.receive(r.clock(), data, closed) {
 	case wait:
+		r.keepReceived(c, data)
 		return false
 	case answer:
+		if r.offer(c, data) {
+			return true
+		}
 		if r.answer(c) {
 			return false
 		}
@@ -162,6 +173,26 @@
 	return true
 }
 
+// keepReceived keeps the beginning of a header that has not ended.
+func (r *Refuser) keepReceived(c *connection, data []byte) {
+	if r.takeBack != nil && c.exchange.answered == 0 && len(c.received)+len(data) <= readBytes {
+		c.received = append(c.received, data...)
+	}
+}
+
+// offer offers a connection whose header has ended to the server, and reports whether it was
+// taken back.
+func (r *Refuser) offer(c *connection, data []byte) bool {
+	if r.takeBack == nil || !c.exchange.headEnded() || len(c.received)+len(data) != c.exchange.read {
+		return false
+	}
+	if len(c.received) > 0 {
+		data = append(c.received, data...)
+	}
+	c.received = nil
+	return r.takeBack(data, c.descriptor)
+}
+
 // closeDescriptor closes a connection. An error changes nothing: the descriptor is gone
 // either way.
 func closeDescriptor(descriptor int) { _ = unix.Close(descriptor) }
--- a/gateway/refuser/refuser_test.go
+++ b/gateway/refuser/refuser_test.go
@@ -47,7 +47,7 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	start := time.Now()
-	r := New([][]byte{[]byte(testResponse)}, limit, func() time.Duration { return time.Since(start) + time.Second })
+	r := New([][]byte{[]byte(testResponse)}, limit, func() time.Duration { return time.Since(start) + time.Second }, nil)
 	var all []net.Conn
 	for i := range callers {
 		caller, descriptor := connect(t, listener)
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -27,34 +27,47 @@
 	// closeAfterAnswer is set while connections of callers are closed after their
 	// answers, so that the callers connect to other hosts.
 	closeAfterAnswer atomic.Bool
-	// mutex guards spreader.
-	mutex    sync.Mutex
-	spreader shedder.Spreader
+	// served returns the recent service of an account in the whole fleet; false if it is not
+	// known.
+	served func(account string) (float64, bool)
+
+	// mutex guards the fields below. spreader spreads the admitted connections and requests,
+	// readmissions the connections that are taken back from the refuser.
+	mutex                  sync.Mutex
+	spreader, readmissions shedder.Spreader
+	divider                shedder.Divider
+
 	// shedder is only accessed by the goroutine of run.
 	shedder *shedder.Shedder
 	clock   func() time.Duration
 	logger  *slog.Logger
 }
 
-func newOverloadMonitor(memory int64, descriptors int, clock func() time.Duration, l *slog.Logger) *overloadMonitor {
+func newOverloadMonitor(memory int64, descriptors int, served func(account string) (float64, bool), clock func() time.Duration, l *slog.Logger) *overloadMonitor {
 	s := shedder.New(memory)
 	maxActive := s.Limit()
 	if targets := shedder.Divide(descriptors).Targets; targets > 0 {
 		maxActive = min(maxActive, int64(targets)) // each needs a connection to a target
 	}
-	return &overloadMonitor{maxActive: maxActive, shedder: s, clock: clock, logger: l}
+	return &overloadMonitor{maxActive: maxActive, shedder: s, served: served, clock: clock, logger: l}
 }
 
 // Admit implements receiver.LoadShedder. The first request on a new connection was admitted
 // with it.
-func (m *overloadMonitor) Admit(r *http.Request, active int64) bool {
+func (m *overloadMonitor) Admit(r *http.Request, account string, active int64) bool {
 	if active > m.maxActive {
 		return false
 	}
 	if a, ok := r.Context().Value(admissionKey{}).(*connectionAdmission); ok && a.take() {
 		return true
 	}
-	return m.admitNext()
+	share := m.refusedShare()
+	if share == 0 {
+		return true
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.spreader.Admit(m.refusedShareOf(account, share))
 }
 
 // ShouldCloseConnections implements receiver.LoadShedder.
@@ -63,17 +76,36 @@
 // shedConnection decides, in view of the refused share, whether a new connection should be
 // refused.
 func (m *overloadMonitor) shedConnection() shedding {
-	if m.admitNext() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.spreader.Admit(m.refusedShare()) {
 		return keepConnection
 	}
 	return refuseConnection
 }
 
-// admitNext decides about the next connection or request.
-func (m *overloadMonitor) admitNext() bool {
+// readmit decides whether a connection that was refused unread is served nevertheless, because
+// its request is of an account that has had less service than the others at this host.
+func (m *overloadMonitor) readmit(account string) bool {
+	share := m.refusedShare()
+	if share == 0 {
+		return true
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.spreader.Admit(m.refusedShare())
+	// The others of its connections were kept.
+	return m.readmissions.Admit(min(m.refusedShareOf(account, share)/share, 1))
+}
+
+// refusedShareOf returns the share to refuse of the requests of an account, if the given share
+// of all requests is refused. The caller holds the mutex.
+func (m *overloadMonitor) refusedShareOf(account string, share float64) float64 {
+	service, known := m.served(account)
+	if !known || account == "" {
+		return share
+	}
+	m.divider.Record(service)
+	return m.divider.RefusedShare(share, service)
 }
 
 // refusedShare returns the share of requests that is refused, between 0 and 1.
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"monsoondeck.example/gateway/refuser"
 )
 
 // newBusyMonitor returns a monitor of a host that refuses a share of its requests.
 func newBusyMonitor(refusedShare float64) *overloadMonitor {
-	m := newOverloadMonitor(0, 0, func() time.Duration { return 0 }, slog.New(slog.DiscardHandler))
+	m := newOverloadMonitor(0, 0, func(string) (float64, bool) { return 0, false }, func() time.Duration { return 0 }, slog.New(slog.DiscardHandler))
 	m.shareBits.Store(math.Float64bits(refusedShare))
 	return m
 }
@@ -27,7 +32,7 @@
 	kept := 0
 	var served atomic.Int64
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		if m.Admit(r, 1) {
+		if m.Admit(r, "", 1) {
 			served.Add(1)
 		}
 	}))
@@ -59,18 +64,83 @@
 		return httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil)
 	}
 	ctx := withAdmission(t.Context(), &net.TCPConn{})
-	if !m.Admit(request(ctx), 1) {
+	if !m.Admit(request(ctx), "", 1) {
 		t.Error("the first request was refused")
 	}
-	if m.Admit(request(ctx), 1) {
+	if m.Admit(request(ctx), "", 1) {
 		t.Error("the second request was admitted")
 	}
 	old := context.WithValue(t.Context(), admissionKey{}, &connectionAdmission{accepted: time.Now().Add(-2 * admissionTime)})
-	if m.Admit(request(old), 1) {
+	if m.Admit(request(old), "", 1) {
 		t.Error("the first request of an old connection was admitted")
 	}
 	m.maxActive = 4
-	if m.Admit(request(withAdmission(t.Context(), &net.TCPConn{})), 5) {
+	if m.Admit(request(withAdmission(t.Context(), &net.TCPConn{})), "", 5) {
 		t.Error("a request beyond the limit was admitted")
 	}
 }
+
+// Load: an account floods a host that can serve a seventh of its requests, and one request in
+// twenty is of a small account that has had little service anywhere. Guards against FAIR: the
+// host refuses both by chance, so that the small account gets a seventh of what it asks for
+// while it is far below its share.
+func TestSmallAccountIsServedByAFloodedHost(t *testing.T) {
+	const refusedShare, requests = 0.85, 800
+	m := newBusyMonitor(refusedShare)
+	m.served = func(account string) (float64, bool) {
+		return map[string]float64{"flood": 8e6, "small": 3e5}[account], true
+	}
+	socket, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	readmitted := newReadmittedListener(socket.Addr())
+	takeBack := func(received []byte, descriptor int) bool {
+		_, rest, _ := strings.Cut(string(received), "Account: ")
+		account, _, _ := strings.Cut(rest, "\r\n")
+		return m.readmit(account) && readmitted.offer(received, descriptor)
+	}
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	listener := &sheddingListener{Listener: socket, shed: m.shedConnection, refuser: refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }, takeBack)}
+	server := &http.Server{ConnContext: withAdmission, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if !m.Admit(r, r.Header.Get("Account"), 1) || string(body) != "body" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	var group sync.WaitGroup
+	for _, l := range []net.Listener{listener, readmitted} {
+		group.Go(func() { _ = server.Serve(l) })
+	}
+	defer group.Wait()
+	defer func() { _ = server.Close() }()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	served, asked := map[string]int{}, map[string]int{}
+	for i := range requests {
+		account := "flood"
+		if i%20 == 0 {
+			account = "small"
+		}
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+socket.Addr().String(), strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Account", account)
+		response, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		asked[account]++
+		if response.StatusCode == http.StatusOK {
+			served[account]++
+		}
+	}
+	if q := float64(served["small"]) / float64(asked["small"]); q < 0.9 {
+		t.Errorf("%.2f of the requests of the small account were served, want at least 0.9", q)
+	}
+	if q := float64(served["flood"]) / float64(asked["flood"]); q < 0.9*(1-refusedShare) || q > 1.2*(1-refusedShare) {
+		t.Errorf("%.2f of the requests of the flooding account were served, want about %.2f", q, 1-refusedShare)
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -49,8 +49,11 @@
 }
 
 // run serves until the server is closed.
-func (s *server) run() error {
-	err := s.http.Serve(s.listener)
+func (s *server) run() error { return s.serve(s.listener) }
+
+// serve serves the connections of a listener until the server is closed.
+func (s *server) serve(l net.Listener) error {
+	err := s.http.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -81,7 +84,7 @@
 		after := minRefusalRetryAfter + (maxRefusalRetryAfter-minRefusalRetryAfter)*time.Duration(i)/(refusalVariants-1)
 		responses = append(responses, receiver.BusyResponse(g.options.Protocol, after))
 	}
-	return refuser.New(responses, shedder.Divide(g.settings.Descriptors).Refused, g.clock)
+	return refuser.New(responses, shedder.Divide(g.settings.Descriptors).Refused, g.clock, g.readmit)
 }
 
 // listen opens all listeners and returns a function that closes them.
@@ -117,6 +120,7 @@
 		all = append(all, s)
 		if i == 0 {
 			socket := s.listener
+			g.readmitted = newReadmittedListener(socket.Addr())
 			g.listener = &sheddingListener{Listener: s.listener, shed: g.shedConnection, refuser: g.newRefuser()}
 			s.listener = g.listener
 			g.meterCallers(s, socket)
