Close a refused connection with the answer to a whole request

A refused connection was kept after its answer, and read once more every 20 ms until its caller had closed it. Class of fault: work for requests that are not served, which grows with what is offered.

A connection whose whole request has been read has no unread data, so that it can be closed without a reset: the answer and the close follow the read, without a shutdown, a place among the open connections and further reads. TestConnectionIsClosedWithTheAnswerToAWholeRequest failed before for requests without a body and with a whole one; a part of a body is still waited for.

--- a/gateway/refuser/refuser.go
+++ b/gateway/refuser/refuser.go
@@ -4,9 +4,9 @@
 // know whether its request was read, and many give up.
 //
 // A refused request is not parsed, but the server may look at its header and take the
-// connection back. The connection is kept until the caller has closed
-// it, since the kernel resets a connection that is closed with unread data, and the
-// caller may then lose the response.
+// connection back. Unless the whole request has been read, the connection is kept until the
+// caller has closed it, since the kernel resets a connection that is closed with unread data,
+// and the caller may then lose the response.
 package refuser
 
 import (
@@ -49,7 +49,7 @@
 type connection struct {
 	descriptor int
 	exchange   exchange
-	// received holds what was read before the header had ended; it is at most readBytes long.
+	// received holds what was read before the header had ended, up to readBytes.
 	received []byte
 }
 
@@ -109,8 +109,7 @@
 	return best
 }
 
-// answer sends the response and ends the sending direction. It reports whether the
-// response was sent.
+// answer sends the response and reports whether it was sent.
 func (r *Refuser) answer(c *connection) bool {
 	response := r.responses[rand.IntN(len(r.responses))]
 	// The send buffer of a new connection takes the whole response.
@@ -118,10 +117,14 @@
 		r.unanswered.Add(1)
 		return false
 	}
-	_ = unix.Shutdown(c.descriptor, unix.SHUT_WR) // fails only if the caller is gone
 	return true
 }
 
+// endSending tells the caller that the response has ended.
+func (r *Refuser) endSending(c *connection) {
+	_ = unix.Shutdown(c.descriptor, unix.SHUT_WR) // fails only if the caller is gone
+}
+
 // sweep looks after the open connections until there is none.
 func (r *Refuser) sweep() {
 	for {
@@ -155,13 +158,17 @@
 	data := r.buffer[:max(n, 0)]
 	switch c.exchange.receive(r.clock(), data, closed) {
 	case wait:
-		r.keepReceived(c, data)
+		if c.exchange.answered == 0 && len(c.received)+len(data) <= readBytes {
+			c.received = append(c.received, data...)
+		}
 		return false
 	case answer:
-		if r.offer(c, data) {
+		received := r.receivedUntil(c, data)
+		if received != nil && r.takeBack != nil && r.takeBack(received, c.descriptor) {
 			return true
 		}
-		if r.answer(c) {
+		if r.answer(c) && !wholeRequest(received) {
+			r.endSending(c)
 			return false
 		}
 	case finish:
@@ -173,24 +180,17 @@
 	return true
 }
 
-// keepReceived keeps the beginning of a header that has not ended.
-func (r *Refuser) keepReceived(c *connection, data []byte) {
-	if r.takeBack != nil && c.exchange.answered == 0 && len(c.received)+len(data) <= readBytes {
-		c.received = append(c.received, data...)
-	}
-}
-
-// offer offers a connection whose header has ended to the server, and reports whether it was
-// taken back.
-func (r *Refuser) offer(c *connection, data []byte) bool {
-	if r.takeBack == nil || !c.exchange.headEnded() || len(c.received)+len(data) != c.exchange.read {
-		return false
+// receivedUntil returns all that was received up to the newest data; nil if no whole header
+// has arrived, or if a part of it was not kept.
+func (r *Refuser) receivedUntil(c *connection, data []byte) []byte {
+	if !c.exchange.headEnded() || len(c.received)+len(data) != c.exchange.read || len(data) == len(r.buffer) {
+		return nil
 	}
 	if len(c.received) > 0 {
 		data = append(c.received, data...)
 	}
 	c.received = nil
-	return r.takeBack(data, c.descriptor)
+	return data
 }
 
 // closeDescriptor closes a connection. An error changes nothing: the descriptor is gone
--- a/gateway/refuser/refuser_test.go
+++ b/gateway/refuser/refuser_test.go
@@ -73,3 +73,59 @@
 		t.Errorf("%d connections were closed without an answer", n)
 	}
 }
+
+// Load: many more refused callers than the host can serve, each with a whole request. Guards
+// against refusals that take the processor time of the requests that could be served: a
+// connection whose request has been read is not looked at again until its caller has closed
+// it. Also guards against responses that get lost because the rest of the request is unread.
+func TestConnectionIsClosedWithTheAnswerToAWholeRequest(t *testing.T) {
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	start := time.Now()
+	for name, c := range map[string]struct {
+		request  string
+		wantOpen int
+	}{
+		"without a body":        {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 0},
+		"whole body":            {"POST / HTTP/1.1\r\ncontent-length:  4\r\n\r\nbody", 0},
+		"part of the body":      {"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nbody", 1},
+		"chunked body":          {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 1},
+		"odd length":            {"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 1},
+		"length of a long body": {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 1},
+	} {
+		r := New([][]byte{[]byte(testResponse)}, 5, func() time.Duration { return time.Since(start) }, nil)
+		caller, descriptor := connect(t, listener)
+		if _, err := io.WriteString(caller, c.request); err != nil {
+			t.Fatal(err)
+		}
+		waitForData(t, descriptor, len(c.request))
+		r.Refuse(descriptor)
+		r.mutex.Lock()
+		open := len(r.open)
+		r.mutex.Unlock()
+		if open != c.wantOpen {
+			t.Errorf("%s: %d connections are open, want %d", name, open, c.wantOpen)
+		}
+		if text, err := io.ReadAll(caller); err != nil || string(text) != testResponse {
+			t.Errorf("%s: caller read %q, %v", name, text, err)
+		}
+		_ = caller.Close()
+	}
+}
+
+// waitForData waits until a number of bytes can be read from a descriptor.
+func waitForData(t *testing.T, descriptor, size int) {
+	t.Helper()
+	buffer := make([]byte, size)
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if n, _, err := unix.Recvfrom(descriptor, buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT); err == nil && n == size {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes did not arrive", size)
+		}
+	}
+}
