Be certain of a stream's version only by a read after its take-up

It could happen here: after two minutes with one version, a daemon took that for the only one until its state of the registry was 1.7 s old, and a version may join meanwhile. Class of fault: a fact that was true some time ago is taken for true now.

A take-up that nobody remembers now waits for a read of the registry that this daemon sends after the take-up has arrived, and asks for one. What began the stream had read the new entry before. Confirmations by peers do not count: their ages lack the time on the way.

The three new tests failed before (found Known:true by a read that was sent before the take-up arrived); the last one on an age without a time of the store's clock. Existing tests of Find pass the time of the take-up; their expectations are unchanged.

--- a/gateway/controller/controller.go
+++ b/gateway/controller/controller.go
@@ -139,6 +139,9 @@
 	// registryBehindSince is the time at which a peer first reported a newer state of the
 	// registry; 0 if this daemon is not known to be behind.
 	registryBehindSince time.Duration
+	// registryReadAt is the time at which the last read of the registry by this daemon was
+	// sent, registryWantedAt the time after which one is to be sent.
+	registryReadAt, registryWantedAt time.Duration
 	// versions knows which software version began each stream.
 	versions *versioner.Versioner
 	// evacuations is what is known about evacuated data centres.
--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -144,6 +144,7 @@
 			c.storeClock.RecordCall(e.confirmedAt, e.read.StoreTime)
 		}
 		update, confirmed = c.registry.ApplyRead, c.confirmedByStore(e.confirmedAt)
+		c.registryReadAt = max(c.registryReadAt, e.confirmedAt)
 	}
 	update(now, e.read)
 	oldEntries := c.registryEntries
--- a/gateway/controller/membership.go
+++ b/gateway/controller/membership.go
@@ -166,6 +166,7 @@
 func (c *Controller) publishFreshness() {
 	c.freshness.Store(&Freshness{
 		RegistryConfirmedAt: c.registryConfirmed.at, RegistryOutage: c.registry.Outage(), Reader: c.reader, Grouped: !c.plan.Undivided(), RegistryBehindSince: c.registryBehindSince,
+		RegistryReadAt: c.registryReadAt, RegistryWantedAt: c.registryWantedAt,
 		EvacuationsConfirmedAt: c.evacuations.confirmed.at, EvacuationOutage: c.evacuations.outage,
 		ConfigConfirmedAt: c.configConfirmed.at, ConfigBehindSince: c.configBehindSince,
 	})
--- a/gateway/controller/snapshots.go
+++ b/gateway/controller/snapshots.go
@@ -42,6 +42,9 @@
 	// RegistryBehindSince is the time at which a peer first reported a newer state of the
 	// registry; 0 if this daemon is not known to be behind.
 	RegistryBehindSince time.Duration
+	// RegistryReadAt is the time at which the last read of the registry by this daemon was
+	// sent. One is wanted that is sent at RegistryWantedAt or later, unless that is 0.
+	RegistryReadAt, RegistryWantedAt time.Duration
 	// ConfigConfirmedAt is the latest time at which the configuration in force is known to
 	// have been the newest; 0 if it never was.
 	ConfigConfirmedAt time.Duration
--- a/gateway/controller/versions.go
+++ b/gateway/controller/versions.go
@@ -16,6 +16,9 @@
 	streamLookupTime = 300 * time.Millisecond
 	// streamLookupInterval is the time between two looks for it.
 	streamLookupInterval = 20 * time.Millisecond
+	// streamReadTime is how long a read of the registry is awaited that makes the only version
+	// in service certain: the time between two reads of one daemon, twice, and a call.
+	streamReadTime = 800 * time.Millisecond
 )
 
 // observeVersions records the software versions of the targets in the registry, including
@@ -31,6 +34,7 @@
 	if c.versions.Observe(now, origins) {
 		c.publishVersions(now)
 	}
+	c.versions.ConfirmRead(c.registryReadAt)
 }
 
 // publishVersions updates the snapshot for the watcher of the store and returns its history.
@@ -88,16 +92,20 @@
 
 // FindStream implements receiver.StreamOrigins.
 func (c *Controller) FindStream(ctx context.Context, service string, s versioner.Stream) receiver.StreamOrigin {
-	end := c.options.Clock() + streamLookupTime
+	takenUp := c.options.Clock()
 	ticker := time.NewTicker(streamLookupInterval)
 	defer ticker.Stop()
 	for {
-		reply := make(chan receiver.StreamOrigin, 1)
-		c.events <- findStreamEvent{service, s, reply}
+		reply := make(chan foundStream, 1)
+		c.events <- findStreamEvent{service, s, takenUp, reply}
 		select {
-		case o := <-reply:
-			if o.Known || c.options.Clock() >= end {
-				return o
+		case f := <-reply:
+			limit := streamLookupTime
+			if f.readWanted {
+				limit = streamReadTime
+			}
+			if f.origin.Known || c.options.Clock()-takenUp >= limit {
+				return f.origin
 			}
 		case <-ctx.Done():
 			return receiver.StreamOrigin{}
@@ -114,13 +122,28 @@
 type findStreamEvent struct {
 	service string
 	stream  versioner.Stream
-	reply   chan<- receiver.StreamOrigin
+	// takenUp is the time at which the caller took the stream up.
+	takenUp time.Duration
+	reply   chan<- foundStream
+}
+
+// foundStream is the answer to a findStreamEvent.
+type foundStream struct {
+	origin receiver.StreamOrigin
+	// readWanted is set if a read of the registry may make the origin certain.
+	readWanted bool
 }
 
 func (e findStreamEvent) apply(c *Controller, now time.Duration) {
 	c.versions.Confirm(now, c.registryConfirmed.at)
-	o, remembered, ok := c.versions.Find(now, e.service, e.stream)
-	e.reply <- receiver.StreamOrigin{Origin: o, Known: ok, Remembered: remembered}
+	o, remembered, ok := c.versions.Find(now, e.service, e.stream, e.takenUp)
+	f := foundStream{origin: receiver.StreamOrigin{Origin: o, Known: ok, Remembered: remembered}}
+	if !ok && !c.versions.Uncertain(now, e.service) {
+		f.readWanted = true
+		c.registryWantedAt = max(c.registryWantedAt, e.takenUp)
+		c.publishFreshness()
+	}
+	e.reply <- f
 }
 
 // BeganStream implements receiver.StreamOrigins.
--- a/gateway/controller/versions_test.go
+++ b/gateway/controller/versions_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"monsoondeck.example/gateway/controller"
+	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/registrar"
 	"monsoondeck.example/gateway/versioner"
 	"monsoondeck.example/gateway/watcher"
@@ -78,3 +80,78 @@
 		})
 	}
 }
+
+// Load: a release. A daemon that has known one version for more than two minutes does not hear
+// of the registry while targets of another version join. A stream that began at one of these
+// through another daemon breaks and is taken up at this one. Guards against ORDER: the stream
+// goes on at the version that the daemon knows.
+func TestDaemonOutOfStepDoesNotGuessTheVersion(t *testing.T) {
+	old := versioner.Origin{Service: "s"}
+	for name, tc := range map[string]struct {
+		// read is the state of the registry that the daemon reads once it is back in step.
+		read  registrar.Read
+		known bool
+	}{
+		"another version has joined": {twoVersions(2), false},
+		"none has joined":            {registrar.Read{Moment: registrar.Moment{Revision: 2}, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			began := time.Now()
+			clock := func() time.Duration { return 10*time.Minute + time.Since(began) }
+			c := start(t, func(o *controller.Options) { o.Clock, o.MaxRegistryAge = clock, time.Minute })
+			c.LearnVersions(watcher.StoredVersions{Stored: true, History: versioner.History{Age: versioner.MaxStreamAge, Sightings: []versioner.Sighting{{Origin: old}}}})
+			one := registrar.Read{Moment: registrar.Moment{Revision: 1}, Entries: []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}}
+			c.SetRegistry(clock(), one)
+			// A read that is sent before the take-up arrives and answered after it.
+			sent := clock()
+			found := make(chan receiver.StreamOrigin, 1)
+			go func() { found <- c.FindStream(context.Background(), "s", 1) }()
+			waitUntil(func() bool { return c.Freshness().RegistryWantedAt > 0 || len(found) > 0 })
+			c.SetRegistry(sent, one)
+			time.Sleep(50 * time.Millisecond)
+			if len(found) > 0 {
+				t.Fatalf("found %+v by a read that was sent before the take-up arrived", <-found)
+			}
+			c.SetRegistry(clock(), tc.read)
+			if o := <-found; o.Known != tc.known || o.Known && o.Origin != old {
+				t.Errorf("found %+v after a read, want known %v", o, tc.known)
+			}
+			if f := c.Freshness(); f.RegistryReadAt < f.RegistryWantedAt {
+				t.Errorf("a read is still wanted: %+v", f)
+			}
+		})
+	}
+}
+
+// Guards against ORDER: a peer that passes on an age without the time of the store's clock, or
+// whose message waited while this daemon stood still, confirms the version of a stream.
+func TestVersionIsNotConfirmedByAnAgeAlone(t *testing.T) {
+	began := time.Now()
+	clock := func() time.Duration { return 10*time.Minute + time.Since(began) }
+	c := start(t, func(o *controller.Options) { o.Clock, o.MaxRegistryAge = clock, time.Minute })
+	c.LearnVersions(watcher.StoredVersions{Stored: true, History: versioner.History{Age: versioner.MaxStreamAge, Sightings: []versioner.Sighting{{Origin: versioner.Origin{Service: "s"}}}}})
+	entries := []registrar.Entry{{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "d", Slots: 2}}
+	c.SetRegistry(clock(), registrar.Read{Moment: registrar.Moment{Revision: 2}, StoreTime: time.Hour, Entries: entries})
+	state := controller.RegistryState{Moment: registrar.Moment{Revision: 2}, Digest: registrar.Digest(entries)}
+	report := func() {
+		c.Received(controller.PeerReport{Peer: "p", Incarnation: 1, Report: controller.Report{Whole: true, Registry: state}})
+	}
+	found := make(chan receiver.StreamOrigin, 1)
+	go func() { found <- c.FindStream(context.Background(), "s", 1) }()
+	waitUntil(func() bool { return c.Freshness().RegistryWantedAt > 0 || len(found) > 0 })
+	report() // just now, by its age
+	time.Sleep(50 * time.Millisecond)
+	if len(found) > 0 {
+		t.Fatalf("found %+v by an age without a time of the store's clock", <-found)
+	}
+	state.StoreTime = time.Hour + time.Minute // of a call long after the take-up
+	report()
+	time.Sleep(50 * time.Millisecond)
+	if len(found) > 0 {
+		t.Fatalf("found %+v although the clock of this daemon stood still", <-found)
+	}
+	c.SetRegistry(clock(), registrar.Read{Moment: registrar.Moment{Revision: 2}, StoreTime: time.Hour + 2*time.Minute, Entries: entries})
+	if o := <-found; !o.Known {
+		t.Errorf("found %+v after an own read", o)
+	}
+}
--- a/gateway/store_reads.go
+++ b/gateway/store_reads.go
@@ -55,6 +55,9 @@
 	if f.RegistryConfirmedAt == 0 {
 		due = 0
 	}
+	if f.RegistryWantedAt > f.RegistryReadAt {
+		due = 0
+	}
 	if f.RegistryBehindSince > 0 {
 		due = min(due, f.RegistryBehindSince+registryChangeDelay-now)
 	}
--- a/gateway/versioner/versioner.go
+++ b/gateway/versioner/versioner.go
@@ -104,6 +104,8 @@
 	observed  bool
 	confirmed time.Duration
 	maxAge    time.Duration
+	// read is the time at which the last read of the registry by this daemon was sent.
+	read time.Duration
 	// uncertain holds the services whose versions were not certain in the last call of update.
 	uncertain map[string]bool
 }
@@ -152,6 +154,10 @@
 	v.update(now)
 }
 
+// ConfirmRead records that a read of the registry by this daemon, which was sent at the given
+// time, found the observed state to be the newest.
+func (v *Versioner) ConfirmRead(sent time.Duration) { v.read = max(v.read, sent) }
+
 // LearnHistory records what others know of the versions in service.
 func (v *Versioner) LearnHistory(now time.Duration, h History) {
 	if h.Age <= 0 && len(h.Sightings) == 0 {
@@ -209,15 +215,18 @@
 	return version, versions == 1
 }
 
-// Find returns the origin of a stream of the service; false if it is neither remembered nor
-// certain. A remembered stream may be of another service. remembered is false if the origin
-// only follows from the versions in service.
-func (v *Versioner) Find(now time.Duration, service string, s Stream) (o Origin, remembered, ok bool) {
+// Find returns the origin of a stream of the service that its caller took up at the given
+// time; false if it is neither remembered nor certain. A remembered stream may be of another
+// service. remembered is false if the origin only follows from the versions in service. That
+// takes a read of the registry that was sent after the stream was taken up: whatever began it
+// had read the entry of its target before, while a state that was the newest some time earlier
+// may lack it.
+func (v *Versioner) Find(now time.Duration, service string, s Stream, takenUp time.Duration) (o Origin, remembered, ok bool) {
 	if r, found := v.streams[s]; found && now < r.expires {
 		return r.origin, true, true
 	}
 	version, certain := v.onlyVersion(now, service)
-	return Origin{service, version}, false, certain
+	return Origin{service, version}, false, certain && (v.maxAge <= 0 || v.read >= takenUp)
 }
 
 // Began records a stream that this daemon has begun or continued, and which is to be
--- a/gateway/versioner/versioner_test.go
+++ b/gateway/versioner/versioner_test.go
@@ -55,7 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			v := versioner.New(0)
 			tc.prepare(v)
-			o, remembered, ok := v.Find(tc.at, "model", 1)
+			o, remembered, ok := v.Find(tc.at, "model", 1, tc.at)
 			if ok != tc.certain || remembered || ok && o.Service != "model" {
 				t.Errorf("found %+v, remembered %v, certain %v, want certain %v", o, remembered, ok, tc.certain)
 			}
@@ -80,17 +80,17 @@
 		t.Errorf("reported %+v twice", again)
 	}
 	for s, want := range map[versioner.Stream]versioner.Origin{1: v1, 2: v2} {
-		if o, remembered, ok := peer.Find(2*time.Second, "model", s); !ok || !remembered || o != want {
+		if o, remembered, ok := peer.Find(2*time.Second, "model", s, 2*time.Second); !ok || !remembered || o != want {
 			t.Errorf("peer finds %+v, %v for stream %d, want %+v", o, ok, s, want)
 		}
 	}
-	if _, _, ok := peer.Find(2*time.Second, "model", 3); ok {
+	if _, _, ok := peer.Find(2*time.Second, "model", 3, 2*time.Second); ok {
 		t.Error("peer finds a stream that nobody has begun")
 	}
 	if news := peer.TakeNews(2 * time.Second); len(news) != 0 {
 		t.Errorf("peer passes on %+v, which the relays do", news)
 	}
-	if _, _, ok := peer.Find(12*time.Second, "model", 1); ok {
+	if _, _, ok := peer.Find(12*time.Second, "model", 1, 12*time.Second); ok {
 		t.Error("peer still finds a stream whose caller has left")
 	}
 	peer.Expire(12 * time.Second)
@@ -107,18 +107,18 @@
 	v.Observe(0, []versioner.Origin{v1})
 	v.Began(0, 1, v1, time.Minute)
 	v.Confirm(2*time.Second, 0)
-	if _, _, ok := v.Find(2*time.Second, "model", 2); !ok || len(v.TakeNews(2*time.Second)) != 0 {
+	if _, _, ok := v.Find(2*time.Second, "model", 2, 0); !ok || len(v.TakeNews(2*time.Second)) != 0 {
 		t.Error("the version is uncertain although the registry is recent")
 	}
 	v.Confirm(3*time.Second, 0)
-	if _, _, ok := v.Find(3*time.Second, "model", 2); ok {
+	if _, _, ok := v.Find(3*time.Second, "model", 2, 0); ok {
 		t.Error("the version is certain although another one may be in service")
 	}
 	if news := v.TakeNews(3 * time.Second); len(news) != 1 || len(news[0].Streams) != 1 {
 		t.Errorf("reported %+v, want the stream that nobody else knows", news)
 	}
 	v.Confirm(4*time.Second, 4*time.Second)
-	if _, _, ok := v.Find(4*time.Second, "model", 2); !ok {
+	if _, _, ok := v.Find(4*time.Second, "model", 2, 0); !ok {
 		t.Error("the version is uncertain although the registry is recent again")
 	}
 }
@@ -191,7 +191,7 @@
 					continue // its caller has left
 				}
 				for i, d := range daemons {
-					if got, _, ok := d.Find(now, "model", s); ok && got != want {
+					if got, _, ok := d.Find(now, "model", s, now); ok && got != want {
 						t.Fatalf("daemon %d finds %+v for a stream of %+v", i, got, want)
 					}
 				}
@@ -199,3 +199,27 @@
 		}
 	})
 }
+
+// Load: a release. A daemon has known one version for more than two minutes and is cut off, or
+// stands still, for less than a second while targets of another version join. Guards against
+// ORDER: it takes the version that it knows for the one of a stream that began meanwhile.
+func TestVersionIsCertainOnlyByAReadAfterTheTakeUp(t *testing.T) {
+	const joined, arrived = 10*time.Minute + 200*time.Millisecond, 10*time.Minute + 500*time.Millisecond
+	find := func(read time.Duration) bool {
+		v := versioner.New(1700 * time.Millisecond)
+		v.Observe(0, []versioner.Origin{v1})
+		v.Confirm(read, read)
+		v.ConfirmRead(read)
+		_, _, ok := v.Find(arrived+300*time.Millisecond, "model", 1, arrived)
+		return ok
+	}
+	if find(joined - 100*time.Millisecond) {
+		t.Error("the version is certain by a read from before the other one joined")
+	}
+	if find(arrived - time.Millisecond) {
+		t.Error("the version is certain by a read from before the take-up arrived")
+	}
+	if !find(arrived) {
+		t.Error("the version is uncertain although no other one was there when the take-up arrived")
+	}
+}
