Let admitted requests run during a burst of refusals

The accept loop refused all pending connections in one go, without giving up the processor, so that admitted requests and the timers waited for the end of each burst, and the late timers refused still more. Class of fault: work for requests that are not served goes before those that are.

It gives up the processor after 16 refusals. TestBurstOfRefusalsLetsOthersRun failed before: 398 to 400 connections refused in a row.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 
@@ -74,6 +75,10 @@
 	return descriptor, errors.Join(err, duplicated)
 }
 
+// maxRefusalsInARow is the number of connections that are refused before other goroutines get
+// their turn, so that a burst does not delay the requests that were admitted.
+const maxRefusalsInARow = 16
+
 // refusePending refuses connections from the accept queue of the kernel until shed decides
 // to keep one, and reports whether it did. Accepting them with net.Listener would
 // register and set up each one in the runtime, which costs several times as much as
@@ -88,7 +93,10 @@
 		return false // the listener is closed, which the next Accept reports
 	}
 	_ = raw.Control(func(fd uintptr) { // an error means a closed listener, which the next Accept reports
-		for hasPending(fd) {
+		for refused := 1; hasPending(fd); refused++ {
+			if refused%maxRefusalsInARow == 0 {
+				runtime.Gosched()
+			}
 			if l.shed() == keepConnection {
 				keep = true
 				return
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -139,6 +141,41 @@
 	_ = (<-accepted).Close()
 }
 
+// Load: a burst of connections that are all refused, on a host with one processor. Guards
+// against requests in progress that wait until the whole burst has been refused.
+func TestBurstOfRefusalsLetsOthersRun(t *testing.T) {
+	const burst = 400
+	s := startShedding(t, slices.Repeat([]shedding{refuseConnection}, burst)...)
+	for range burst {
+		dial(t, s)
+	}
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var longest, last int64
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			refused := s.refusedCount.Load()
+			longest, last = max(longest, refused-last), refused
+			runtime.Gosched()
+		}
+	})
+	go func() { _, _ = s.Accept() }()
+	for s.refusedCount.Load() < burst {
+		runtime.Gosched()
+	}
+	close(done)
+	group.Wait()
+	if longest > 2*maxRefusalsInARow {
+		t.Errorf("%d connections were refused in a row, want at most %d", longest, maxRefusalsInARow)
+	}
+}
+
 // Guards against reporting waiting callers as gone, and against missing that a
 // caller closed its connection.
 func TestCallerLeftDetectsClosedConnection(t *testing.T) {
