Count the requests that a busy host refuses as demand

An account whose requests were refused by a busy host looked served: the demand that the shares divide by was counted when a request came to the queue, and what the host had refused before was in no sum. Class of fault: a measurement that stops where the overload begins.

Refused requests are counted by account, on open connections and by the refuser, which has their header, and added to the demand of their accounts at the mean cost of an account's requests. The test of small accounts checks the counts.

--- a/gateway/controller/snapshots.go
+++ b/gateway/controller/snapshots.go
@@ -74,6 +74,26 @@
 	return (*service)[account], true
 }
 
+// RecordRefused adds the requests that this host has refused unread to the demand of their
+// accounts. It returns false, without an effect, if the controller has too much to do.
+func (c *Controller) RecordRefused(requests map[string]int) bool {
+	select {
+	case c.events <- refusedEvent{requests}:
+		return true
+	default:
+		return false
+	}
+}
+
+// refusedEvent adds refused requests, by account.
+type refusedEvent struct{ requests map[string]int }
+
+func (e refusedEvent) apply(c *Controller, now time.Duration) {
+	for account, n := range e.requests {
+		c.shares.RecordRefused(now, account, n)
+	}
+}
+
 // publishService publishes the recent service of the accounts if it is wanted.
 func (c *Controller) publishService(now time.Duration) {
 	if c.options.ServiceWanted == nil || !c.options.ServiceWanted() {
--- a/gateway/receiver/interfaces.go
+++ b/gateway/receiver/interfaces.go
@@ -208,7 +208,8 @@
 // LoadShedder protects the host from overload.
 type LoadShedder interface {
 	// Admit reports whether the host can serve a new request. active is the number of
-	// requests in progress, including the new one; account is empty for anonymous requests.
+	// requests in progress, including the new one; account is empty for requests that count
+	// towards no share.
 	Admit(r *http.Request, account string, active int64) bool
 	// ShouldCloseConnections reports whether connections are to be closed after the
 	// next response, so that callers connect to other hosts.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -123,7 +123,7 @@
 		return
 	}
 	rc.Tally.Asked(p.sharingAccount(), p.cost())
-	if !rc.LoadShedder.Admit(r, p.account, rc.ActiveRequests.Load()) {
+	if !rc.LoadShedder.Admit(r, p.sharingAccount(), rc.ActiveRequests.Load()) {
 		// The body is not read: that would cost more than the rejection saves.
 		w.Header().Set("Connection", "close")
 		p.reject(rejection{status: http.StatusServiceUnavailable, code: codeBusy, retryAfter: hostBusyRetryAfter})
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -27,15 +27,15 @@
 	// closeAfterAnswer is set while connections of callers are closed after their
 	// answers, so that the callers connect to other hosts.
 	closeAfterAnswer atomic.Bool
-	// served returns the recent service of an account in the whole fleet; false if it is not
-	// known.
-	served func(account string) (float64, bool)
+	accounts         accountService
 
 	// mutex guards the fields below. spreader spreads the admitted connections and requests,
 	// readmissions the connections that are taken back from the refuser.
 	mutex                  sync.Mutex
 	spreader, readmissions shedder.Spreader
 	divider                shedder.Divider
+	// refused is the number of requests that were refused since the last report, by account.
+	refused map[string]int
 
 	// shedder is only accessed by the goroutine of run.
 	shedder *shedder.Shedder
@@ -43,13 +43,22 @@
 	logger  *slog.Logger
 }
 
-func newOverloadMonitor(memory int64, descriptors int, served func(account string) (float64, bool), clock func() time.Duration, l *slog.Logger) *overloadMonitor {
+// accountService knows the recent service of the accounts and adds to their demand.
+type accountService interface {
+	// Served returns the recent service of an account in the whole fleet; false if it is not
+	// known.
+	Served(account string) (float64, bool)
+	// RecordRefused adds requests that were refused unread, by account; false if it could not.
+	RecordRefused(requests map[string]int) bool
+}
+
+func newOverloadMonitor(memory int64, descriptors int, accounts accountService, clock func() time.Duration, l *slog.Logger) *overloadMonitor {
 	s := shedder.New(memory)
 	maxActive := s.Limit()
 	if targets := shedder.Divide(descriptors).Targets; targets > 0 {
 		maxActive = min(maxActive, int64(targets)) // each needs a connection to a target
 	}
-	return &overloadMonitor{maxActive: maxActive, shedder: s, served: served, clock: clock, logger: l}
+	return &overloadMonitor{maxActive: maxActive, shedder: s, accounts: accounts, refused: map[string]int{}, clock: clock, logger: l}
 }
 
 // Admit implements receiver.LoadShedder. The first request on a new connection was admitted
@@ -67,7 +76,7 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.spreader.Admit(m.refusedShareOf(account, share))
+	return m.spreader.Admit(m.refusedShareOf(account, share)) || m.countRefused(account)
 }
 
 // ShouldCloseConnections implements receiver.LoadShedder.
@@ -94,13 +103,30 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	// The others of its connections were kept.
-	return m.readmissions.Admit(min(m.refusedShareOf(account, share)/share, 1))
+	return m.readmissions.Admit(min(m.refusedShareOf(account, share)/share, 1)) || m.countRefused(account)
+}
+
+// countRefused counts a refused request and returns false. The caller holds the mutex.
+func (m *overloadMonitor) countRefused(account string) bool {
+	if account != "" {
+		m.refused[account]++
+	}
+	return false
+}
+
+// reportRefused reports the refused requests that were counted since the last report.
+func (m *overloadMonitor) reportRefused() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if len(m.refused) > 0 && m.accounts.RecordRefused(m.refused) {
+		m.refused = map[string]int{}
+	}
 }
 
 // refusedShareOf returns the share to refuse of the requests of an account, if the given share
 // of all requests is refused. The caller holds the mutex.
 func (m *overloadMonitor) refusedShareOf(account string, share float64) float64 {
-	service, known := m.served(account)
+	service, known := m.accounts.Served(account)
 	if !known || account == "" {
 		return share
 	}
@@ -124,6 +150,7 @@
 		m.shedder.RecordTimerDelay(now, now-start-shedder.TimerInterval)
 		m.shareBits.Store(math.Float64bits(m.shedder.RefusedShare()))
 		m.closeAfterAnswer.Store(m.shedder.ShouldCloseConnections(now))
+		m.reportRefused()
 		if unready := m.shedder.Unready(now); m.unready.Swap(unready) != unready {
 			logger.Emit(m.logger, logger.HostBusy, slog.Bool("resting", unready), slog.Float64("refusedShare", m.refusedShare()))
 		}
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -17,9 +17,31 @@
 	"monsoondeck.example/gateway/refuser"
 )
 
+// fakeAccounts implements accountService.
+type fakeAccounts struct {
+	service map[string]float64
+	refused map[string]int
+	// full is set while no refused requests are taken.
+	full bool
+}
+
+func (a *fakeAccounts) Served(account string) (float64, bool) {
+	service, ok := a.service[account]
+	return service, ok
+}
+
+func (a *fakeAccounts) RecordRefused(requests map[string]int) bool {
+	for account, n := range requests {
+		if !a.full {
+			a.refused[account] += n
+		}
+	}
+	return !a.full
+}
+
 // newBusyMonitor returns a monitor of a host that refuses a share of its requests.
 func newBusyMonitor(refusedShare float64) *overloadMonitor {
-	m := newOverloadMonitor(0, 0, func(string) (float64, bool) { return 0, false }, func() time.Duration { return 0 }, slog.New(slog.DiscardHandler))
+	m := newOverloadMonitor(0, 0, &fakeAccounts{refused: map[string]int{}}, func() time.Duration { return 0 }, slog.New(slog.DiscardHandler))
 	m.shareBits.Store(math.Float64bits(refusedShare))
 	return m
 }
@@ -83,13 +105,13 @@
 // Load: an account floods a host that can serve a seventh of its requests, and one request in
 // twenty is of a small account that has had little service anywhere. Guards against FAIR: the
 // host refuses both by chance, so that the small account gets a seventh of what it asks for
-// while it is far below its share.
+// while it is far below its share. Also guards against refused requests that are missing in the
+// demand of their accounts.
 func TestSmallAccountIsServedByAFloodedHost(t *testing.T) {
 	const refusedShare, requests = 0.85, 800
 	m := newBusyMonitor(refusedShare)
-	m.served = func(account string) (float64, bool) {
-		return map[string]float64{"flood": 8e6, "small": 3e5}[account], true
-	}
+	accounts := &fakeAccounts{service: map[string]float64{"flood": 8e6, "small": 3e5}, refused: map[string]int{}}
+	m.accounts = accounts
 	socket, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -143,4 +165,15 @@
 	if q := float64(served["flood"]) / float64(asked["flood"]); q < 0.9*(1-refusedShare) || q > 1.2*(1-refusedShare) {
 		t.Errorf("%.2f of the requests of the flooding account were served, want about %.2f", q, 1-refusedShare)
 	}
+	accounts.full = true
+	m.reportRefused()
+	accounts.full = false
+	for range 2 {
+		m.reportRefused()
+	}
+	for account, n := range asked {
+		if accounts.refused[account] != n-served[account] {
+			t.Errorf("%d requests of %s were reported as refused, want %d", accounts.refused[account], account, n-served[account])
+		}
+	}
 }
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -20,6 +20,8 @@
 	// capacityMargin is the factor by which the capacity is raised, so that requests
 	// that fail or end late do not leave part of it unused.
 	capacityMargin = 1.25
+	// costWeight is the weight of the newest request in the mean cost of an account.
+	costWeight = 0.02
 	// minSpareWeight and maxSpareWeight bound the weights of accounts that ask for more
 	// than their fair share, and thereby how differently these are treated.
 	minSpareWeight, maxSpareWeight = 0.1, 3.0
@@ -56,6 +58,8 @@
 	ownTotal Total
 	// unreported is set if ownTotal has changed since the last report.
 	unreported bool
+	// meanCost is the moving mean cost of the requests at this daemon; 0 before the first one.
+	meanCost float64
 }
 
 // peer holds the last totals of a peer by account.
@@ -98,6 +102,21 @@
 // RecordDemand records a request of an account by its expected service.
 func (s *Shares) RecordDemand(now time.Duration, name string, cost float64) {
 	a := s.account(now, name)
+	if a.meanCost == 0 {
+		a.meanCost = cost
+	}
+	a.meanCost += costWeight * (cost - a.meanCost)
+	s.addDemand(a, cost)
+}
+
+// RecordRefused records a number of requests of an account that were refused unread, which are
+// demand like others. Their cost is unknown and taken for the mean of the account.
+func (s *Shares) RecordRefused(now time.Duration, name string, requests int) {
+	a := s.account(now, name)
+	s.addDemand(a, float64(requests)*a.meanCost)
+}
+
+func (s *Shares) addDemand(a *account, cost float64) {
 	a.ownTotal.Demand += cost
 	a.unreported = true
 	s.addToWindow(a, cost, 0)
