Bound the gap between accounts that ask for more than their share

Callers of dacu530 waited in each second while fiye241 got more than twice as much: an account over its share used all spare capacity, also what another one was entitled to and could not use because its hosts were busy. Spare capacity was divided by weights that only change how loaded an engine may be. Class of fault: work conservation that breaks a promise (the gap between two backlogged accounts stays bounded).

An account over its share gets no spare capacity beyond 1.6 times the service of any other account that asks for more than its share and gets at least a quarter of it. Its share is never cut.

--- a/gateway/queuer/fleet_test.go
+++ b/gateway/queuer/fleet_test.go
@@ -25,6 +25,8 @@
 	queueInterval = 20 * time.Millisecond
 	// reportInterval is the time after which daemons know the work of the others.
 	reportInterval = 500 * time.Millisecond
+	// busyRetryAfter is the time after which callers come back that a busy host has refused.
+	busyRetryAfter = 200 * time.Millisecond
 	// fairWindow is the length of the windows of the users' rule on fair shares, in seconds.
 	fairWindow = 6
 )
@@ -62,6 +64,11 @@
 	// waiting holds the requests in the queue by ID.
 	waiting map[uint64]*modelRequest
 	checked bool
+	// perSecond is the number of requests that the processor of the host can serve in a second,
+	// 0 for any number; servedUntil is the time until which it is busy with those that it has
+	// admitted.
+	perSecond   float64
+	servedUntil time.Duration
 }
 
 type modelEngine struct {
@@ -192,6 +199,11 @@
 	slices.SortFunc(a.largest, func(x, y float64) int { return int(y - x) })
 	a.largest = a.largest[:3]
 	d := r.daemon
+	if d.busy(f.now) {
+		d.shares.RecordRefused(f.now, a.name, 1)
+		f.comeBack(r, busyRetryAfter)
+		return
+	}
 	d.shares.RecordDemand(f.now, a.name, cost)
 	d.fleet.RecordDemand(f.now, "model")
 	d.waiting[r.placed.ID] = r
@@ -210,11 +222,7 @@
 			f.serve(r, f.engines[decision.Choice.Target.ID])
 			continue
 		}
-		r.account.refused[f.second()]++
-		if !r.retried {
-			r.retried = true
-			f.after(decision.RetryAfter, func() { f.arrive(r) })
-		}
+		f.comeBack(r, decision.RetryAfter)
 	}
 	if len(d.waiting) > 0 && !d.checked {
 		d.checked = true
@@ -222,6 +230,28 @@
 	}
 }
 
+// busy reports whether the processor of the host is busy with admitted requests. If it is not,
+// it admits one more.
+func (d *modelDaemon) busy(now time.Duration) bool {
+	if d.perSecond == 0 {
+		return false
+	}
+	if now < d.servedUntil {
+		return true
+	}
+	d.servedUntil = now + time.Duration(float64(time.Second)/d.perSecond)
+	return false
+}
+
+// comeBack lets a refused request come back once.
+func (f *modelFleet) comeBack(r *modelRequest, after time.Duration) {
+	r.account.refused[f.second()]++
+	if !r.retried {
+		r.retried = true
+		f.after(after, func() { f.arrive(r) })
+	}
+}
+
 // serve lets a request run at an engine.
 func (f *modelFleet) serve(r *modelRequest, e *modelEngine) {
 	d, id := r.daemon, r.placed.ID
@@ -328,3 +358,28 @@
 		}
 	}
 }
+
+// Load: an account asks for more than its share through one host that has the processor time
+// for two thirds of the share, and another one asks for several times its share at all hosts.
+// Guards against FAIR: the requests that the busy host refuses are not known to the shares, so
+// that the account looks served and the other one gets the rest of its share.
+func TestAccountAtABusyHostKeepsItsPartOfTheShares(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newModelFleet(seed, 30, 30)
+		f.daemons[0].perSecond = 140
+		f.addAccount("busy", 400, 0)
+		f.addAccount("largest", 600)
+		for i := range 12 {
+			f.addAccount(fmt.Sprint("small", i), 8, 1+i, 1+i+12)
+		}
+		f.run(14)
+		q, account, at := f.worst(4, 14)
+		t.Logf("seed %d: quotient %.2f of %s at %d s", seed, q, account, at)
+		for _, a := range f.accounts[:2] {
+			t.Logf("%s asked %.0f began %.0f refused %v", a.name, sum(a.asked[4:])/1000, sum(a.began[4:])/1000, a.refused)
+		}
+		if q < 0.5 {
+			t.Errorf("seed %d: %s got %.2f of its due from %d s on", seed, account, q, at)
+		}
+	}
+}
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -37,6 +37,9 @@
 	OverShare(now time.Duration, account string, cost float64) bool
 	// FairShare returns the service up to which an account is within its share.
 	FairShare(now time.Duration) float64
+	// SpareAllowed reports whether an account over its share may use spare capacity for a
+	// further request of the given cost.
+	SpareAllowed(now time.Duration, account string, cost float64) bool
 	// SpareWeight returns the weight of an account over its share in the division of
 	// spare capacity.
 	SpareWeight(now time.Duration, account string) float64
@@ -238,6 +241,9 @@
 		maxWait = time.Duration(q.settings.MaxWaitShare * float64(maxWait))
 	}
 	constraints := placer.Constraints{FirstEventBudget: budget, SpareOnly: w.standing.OverShare, Continues: w.Continues, Waited: waited}
+	if w.standing.OverShare && !q.shares.SpareAllowed(now, w.Account, w.Request.Cost()) {
+		return q.refuseOverShare(now, w), true
+	}
 	if w.standing.OverShare {
 		w.standing.SpareWeight = q.shares.SpareWeight(now, w.Account)
 		constraints.SpareWeight = w.standing.SpareWeight
@@ -290,6 +296,11 @@
 	return withRetryAfter(now, w, d)
 }
 
+// refuseOverShare refuses a request whose account must not use spare capacity.
+func (q *Queue) refuseOverShare(now time.Duration, w candidate) Decision {
+	return withRetryAfter(now, w, Decision{ID: w.Request.ID, Reason: ReasonOverShare, Waited: now - w.Arrived, RetryAfter: overShareRetryAfter, Standing: w.standing})
+}
+
 // refuseClosed refuses a request for which no target will be there in time.
 func (q *Queue) refuseClosed(now time.Duration, w candidate, reopensIn time.Duration) Decision {
 	return withRetryAfter(now, w, Decision{ID: w.Request.ID, Reason: ReasonClosed, Waited: now - w.Arrived, RetryAfter: reopensIn, Standing: w.standing})
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -20,6 +20,14 @@
 	// capacityMargin is the factor by which the capacity is raised, so that requests
 	// that fail or end late do not leave part of it unused.
 	capacityMargin = 1.25
+	// maxServiceRatio bounds the service of an account over its share, as a multiple of that
+	// of any other account that asks for more than its share. The gap between them is to stay
+	// below two, and the counts of the daemons are some hundred milliseconds old.
+	maxServiceRatio = 1.6
+	// minBoundingShare is the part of the fair share that an account must get to bound the
+	// others: one that hardly any request gets through of would leave capacity idle and gain
+	// nothing from it.
+	minBoundingShare = 0.25
 	// costWeight is the weight of the newest request in the mean cost of an account.
 	costWeight = 0.02
 	// minSpareWeight and maxSpareWeight bound the weights of accounts that ask for more
@@ -40,8 +48,11 @@
 	currentBucket int64
 	accounts      map[string]*account
 	peers         map[string]*peer
-	// fairShare is the last result of FairShare, computed at fairShareTime.
+	// fairShare is the last result of FairShare, computed at fairShareTime together with
+	// leastServed: the least service of an account that asks for more than its share and
+	// bounds the others; +Inf if there is none.
 	fairShare      float64
+	leastServed    float64
 	fairShareTime  time.Duration
 	fairShareValid bool
 }
@@ -268,9 +279,31 @@
 		capacity = max(capacity, served)
 	}
 	s.fairShare, s.fairShareTime, s.fairShareValid = maxMinShare(demands, capacity), now, true
+	s.leastServed = s.leastBacklogged()
 	return s.fairShare
 }
 
+// leastBacklogged returns the least service of an account that asks for more than the fair
+// share and bounds the others; +Inf if there is none.
+func (s *Shares) leastBacklogged() float64 {
+	least := math.Inf(1)
+	for _, a := range s.accounts {
+		if a.demandSum > s.fairShare && a.servedSum >= minBoundingShare*s.fairShare {
+			least = min(least, a.servedSum)
+		}
+	}
+	return least
+}
+
+// SpareAllowed reports whether an account over its share may use spare capacity: not if it
+// has had so much more service than another one that asks for more than its share, but does
+// not get it, that the gap between them would grow out of bounds. Capacity then stays idle,
+// since the gap is a promise and utilisation an aim.
+func (s *Shares) SpareAllowed(now time.Duration, name string, cost float64) bool {
+	s.FairShare(now) // updates leastServed
+	return s.Served(now, name)+cost <= maxServiceRatio*s.leastServed
+}
+
 // maxMinShare returns the largest share at which the sum of min(demand, share) over
 // all accounts is within the capacity. It is infinite if all demands fit or if the
 // capacity is unknown. It sorts demands.
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -224,3 +224,56 @@
 		t.Errorf("spare weight %v of an account without service, want at most 3", none)
 	}
 }
+
+// Guards against a gap between two accounts that both ask for more than their share: one that
+// cannot use its share, and one that takes the rest of it as spare capacity.
+func TestSpareCapacityKeepsTheGapBounded(t *testing.T) {
+	const second = time.Second
+	for name, tc := range map[string]struct {
+		// others is the service of the other account, which asks for otherDemand.
+		others, otherDemand float64
+		served              float64
+		want                bool
+	}{
+		"no gap":                        {1000, 5000, 1000, true},
+		"gap within the bound":          {1000, 5000, 1500, true},
+		"gap beyond the bound":          {1000, 5000, 1700, false},
+		"the other one has all it asks": {300, 300, 1700, true},
+		"the other one gets nothing":    {10, 5000, 1700, true},
+	} {
+		s := sharer.New(4 * second)
+		s.SetCapacity(500)
+		s.RecordDemand(second, "a", 5000)
+		s.RecordDemand(second, "b", tc.otherDemand)
+		s.RecordService(second, "a", tc.served)
+		s.RecordService(second, "b", tc.others)
+		if got := s.SpareAllowed(second, "a", 10); got != tc.want {
+			t.Errorf("%s: spare capacity allowed %v, want %v", name, got, tc.want)
+		}
+	}
+}
+
+// Guards against FAIR: requests that were refused unread are missing in the demand, so that
+// their account seems to have all that it asks for.
+func TestRefusedRequestsAreDemand(t *testing.T) {
+	s := sharer.New(4 * time.Second)
+	s.SetCapacity(1000) // 5000 in the window
+	for range 30 {
+		s.RecordDemand(time.Second, "busy", 50)
+	}
+	s.RecordDemand(time.Second, "other", 10_000)
+	if got := s.FairShare(time.Second); got != 3500 {
+		t.Errorf("share %v while busy asks for 1,500, want 3,500", got)
+	}
+	s.RecordRefused(time.Second, "busy", 60)
+	s.RecordRefused(time.Second, "unknown", 60)
+	s.RecordDemand(time.Second+50*time.Millisecond, "other", 0)
+	if got := s.FairShare(time.Second + 50*time.Millisecond); got != 2500 {
+		t.Errorf("share %v while busy asks for 4,500, want 2,500", got)
+	}
+	for _, total := range s.TakeTotals(false) {
+		if total.Account == "busy" && total.Demand != 4500 {
+			t.Errorf("reported demand %v, want 4,500", total.Demand)
+		}
+	}
+}
