--- a/gateway/readmission.go
+++ b/gateway/readmission.go
@@ -4,6 +4,8 @@
 	"net"
 	"os"
 	"sync"
+
+	"monsoondeck.example/gateway/receiver"
 )
 
 // maxReadmissions bounds the connections that wait for the server after they were taken back
@@ -18,10 +20,14 @@
 		return false
 	}
 	account, ok := config.AccountByKey(g.options.Protocol.FindKey(received))
-	if !ok || !g.overload.readmit(account.Name) || g.gate.admit() != keepConnection {
+	if !ok {
 		return false
 	}
-	return g.readmitted.offer(received, descriptor)
+	if g.overload.readmit(account.Name) && g.gate.admit() == keepConnection && g.readmitted.offer(received, descriptor) {
+		return true
+	}
+	g.tally.RefusedUnread(account.Name, receiver.CodeBusy)
+	return false
 }
 
 // readmittedListener is a net.Listener whose connections were taken back from the refuser.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -126,7 +126,7 @@
 	if !rc.LoadShedder.Admit(r, p.sharingAccount(), rc.ActiveRequests.Load()) {
 		// The body is not read: that would cost more than the rejection saves.
 		w.Header().Set("Connection", "close")
-		p.reject(rejection{status: http.StatusServiceUnavailable, code: codeBusy, retryAfter: hostBusyRetryAfter})
+		p.reject(rejection{status: http.StatusServiceUnavailable, code: CodeBusy, retryAfter: hostBusyRetryAfter})
 		return
 	}
 	defer p.charge.Release()
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -71,8 +71,8 @@
 // codeStopping is the code of rejections because the daemon stops.
 const codeStopping = "stopping"
 
-// codeBusy is the code of rejections because the host is busy.
-const codeBusy = "hostBusy"
+// CodeBusy is the code of rejections because the host is busy.
+const CodeBusy = "hostBusy"
 
 // codeMemory is the code of rejections because memory is short, codeHeaderTooLarge of those
 // because the header exceeds its limits.
@@ -84,7 +84,7 @@
 // BusyResponse returns a whole response that rejects a request which was not read,
 // because the host is busy, and closes the connection. It names no request.
 func BusyResponse(p Protocol, retryAfter time.Duration) []byte {
-	return unreadResponse(http.StatusServiceUnavailable, codeBusy, "Retry-After: "+p.FormatRetryAfter(retryAfter)+"\r\n", retryAfter)
+	return unreadResponse(http.StatusServiceUnavailable, CodeBusy, "Retry-After: "+p.FormatRetryAfter(retryAfter)+"\r\n", retryAfter)
 }
 
 // MemoryResponse is like BusyResponse, because memory is short.
--- a/gateway/tallier/tallier.go
+++ b/gateway/tallier/tallier.go
@@ -33,12 +33,16 @@
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
-	// sums has at most limit accounts, and Other.
-	sums map[string]*Sum
+	// sums has at most limit accounts, and Other. costs has the mean cost of the requests of
+	// these accounts, and of those of the sums before.
+	sums  map[string]*Sum
+	costs map[string]float64
 }
 
 // New returns a Tallier that tells at most limit accounts apart between two calls of Take.
-func New(limit int) *Tallier { return &Tallier{limit: limit, sums: map[string]*Sum{}} }
+func New(limit int) *Tallier {
+	return &Tallier{limit: limit, sums: map[string]*Sum{}, costs: map[string]float64{}}
+}
 
 // Asked adds a request that arrived.
 func (t *Tallier) Asked(account string, cost float64) {
@@ -55,6 +59,16 @@
 	t.add(account, func(s *Sum) { s.Refused[code]++ })
 }
 
+// RefusedUnread adds a request that arrived and is refused with a code before its cost is known,
+// which is taken for the mean of its account.
+func (t *Tallier) RefusedUnread(account, code string) {
+	t.add(account, func(s *Sum) {
+		s.Asked += t.costs[s.Account]
+		s.AskedRequests++
+		s.Refused[code]++
+	})
+}
+
 func (t *Tallier) add(account string, change func(s *Sum)) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -73,8 +87,14 @@
 // Take returns the sums since the last call, by account.
 func (t *Tallier) Take() []Sum {
 	t.mutex.Lock()
-	sums := t.sums
-	t.sums = map[string]*Sum{}
+	sums, costs := t.sums, map[string]float64{}
+	for account, s := range sums {
+		costs[account] = t.costs[account]
+		if s.AskedRequests > 0 {
+			costs[account] = s.Asked / float64(s.AskedRequests)
+		}
+	}
+	t.sums, t.costs = map[string]*Sum{}, costs
 	t.mutex.Unlock()
 	all := make([]Sum, 0, len(sums))
 	for s := range maps.Values(sums) {
--- a/gateway/tallier/tallier_test.go
+++ b/gateway/tallier/tallier_test.go
@@ -49,3 +49,27 @@
 		t.Errorf("%d sums of %v tokens, want 4 of 100: %+v", len(sums), asked, sums)
 	}
 }
+
+// Guards against sums that miss the requests which a busy host refuses unread: their account
+// seems to ask for little, and not to be refused.
+func TestUnreadRequestsCountAtTheMeanCost(t *testing.T) {
+	tally := tallier.New(4)
+	tally.RefusedUnread("a", "hostBusy")
+	tally.Asked("a", 100)
+	tally.Asked("a", 300)
+	if s := tally.Take(); len(s) != 1 || s[0].Asked != 400 || s[0].AskedRequests != 3 || s[0].Refused["hostBusy"] != 1 {
+		t.Fatalf("sums %+v, want 400 tokens of three requests, one of them of unknown cost", s)
+	}
+	tally = tallier.New(4)
+	tally.Asked("a", 100)
+	tally.Asked("a", 300)
+	tally.Take()
+	for range 3 { // the mean lasts while requests are refused only
+		for range 10 {
+			tally.RefusedUnread("a", "hostBusy")
+		}
+		if s := tally.Take(); len(s) != 1 || s[0].Asked != 2000 || s[0].Began != 0 || s[0].Refused["hostBusy"] != 10 {
+			t.Fatalf("sums %+v, want ten refused requests of 200 tokens", s)
+		}
+	}
+}
