--- a/gateway/readmission.go
+++ b/gateway/readmission.go
@@ -56,7 +56,7 @@
 	}
 	inner, ok := c.(*net.TCPConn)
 	if !ok || !l.queue.push(&resumedConn{TCPConn: inner, received: append([]byte(nil), received...)}) {
-		_ = c.Close() // the daemon ends, or others have filled the queue meanwhile
+		_ = c.Close() // cannot happen: the listener is TCP, and the refuser offers one at a time
 	}
 	return true
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -102,7 +102,8 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	// The others of its connections were kept.
+	// Of the connections of the account, a part was kept unseen. The shares are such that the
+	// refused part of all of them is that of the account.
 	return m.readmissions.Admit(min(m.refusedShareOf(account, share)/share, 1)) || m.countRefused(account)
 }
 
