--- a/gateway/room.go
+++ b/gateway/room.go
@@ -85,9 +85,13 @@
 // shedConnection decides, in view of the refused share, whether a new connection should be
 // refused.
 func (m *overloadMonitor) shedConnection() shedding {
+	share := m.refusedShare()
+	if share < shedder.MinConnectionShare {
+		return keepConnection
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.spreader.Admit(m.refusedShare()) {
+	if m.spreader.Admit(share) {
 		return keepConnection
 	}
 	return refuseConnection
--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -25,39 +25,15 @@
 	minLimit = 32
 
 	// TimerInterval is the time between two timers whose delays are recorded.
-	TimerInterval = 25 * time.Millisecond
-	// targetLag is the delay of timers that the admitted share is adjusted to: a request
-	// passes the run queue some five times before its response begins, so that it must be
-	// far below the objectives of requests. On a host with idle processor time, timers are
-	// late by a few milliseconds.
-	targetLag = 10 * time.Millisecond
-	// cutPerTarget is the part of the admitted share that is taken back in one TimerInterval
-	// for each targetLag beyond the first, maxCut the largest part after one timer.
-	cutPerTarget, maxCut = 0.005, 0.4
-	// relativeRise and absoluteRise are by how much the admitted share grows after a timer
-	// that was not late. It grows fastRise times as much once none has been late for
-	// fastRiseDelay, since the load has gone.
-	relativeRise, absoluteRise = 0.003, 0.0003
-	fastRise                   = 10
-	fastRiseDelay              = 600 * time.Millisecond
-	// minAdmittedShare is the smallest admitted share, with which a host notices that it can
-	// serve more.
-	minAdmittedShare = 0.01
-	// dampingRange is the delay of the last timer beyond targetLag at which nothing is
-	// admitted, so that the share does not swing around its mean.
-	dampingRange = 40 * time.Millisecond
-	// maxRefusedShare is the mean refused share above which a host is flooded, meanWeight the
-	// weight of the newest value in the mean. It becomes unready after being flooded for
-	// minFloodTime. Refused callers come back once, mostly to the same host, so that it serves
-	// less than half of its callers from there on; above, another host would hardly do better.
-	maxRefusedShare = 0.75
-	meanWeight      = 0.12
-	minFloodTime    = 200 * time.Millisecond
-	// busyRefusalShare is the refused share from which the host refuses requests at all, so
-	// that a single late timer refuses none. The host is busy while it refuses requests and
-	// a timer was late within lateMemory.
+	TimerInterval = 50 * time.Millisecond
+	// lowLag and highLag bound the range of timer delays in which the refused share
+	// rises from 0 to 1. On a host with idle processor time, timers are late by a few
+	// milliseconds.
+	lowLag, highLag = 25 * time.Millisecond, 120 * time.Millisecond
+	// busyRefusalShare is the refused share of the requests from which the host is
+	// busy. It becomes unready after being busy for minBusyTime.
 	busyRefusalShare = 0.1
-	lateMemory       = 300 * time.Millisecond
+	minBusyTime      = 600 * time.Millisecond
 	// minUnreadyTime is the shortest time for which a host is unready: the balancer
 	// needs two seconds to notice it. The duration doubles up to maxUnreadyTime if
 	// the host is busy again within repeatedUnreadyWindow after it was last unready,
@@ -68,6 +44,12 @@
 	// balancerNoticeTime is how long the balancer needs to take the host out. Callers
 	// whose connections are closed earlier connect to the same host again.
 	balancerNoticeTime = 2 * time.Second
+	// MinConnectionShare is the refused share of requests from which new connections are
+	// refused without reading their requests. Below it, the host has enough processor time
+	// to read them, and callers of unknown routes or keys get their proper answers.
+	MinConnectionShare = 0.1
+	// lagWeight is the weight of the newest delay in the mean.
+	lagWeight = 0.3
 )
 
 // Shedder decides which part of its load a host refuses or sends elsewhere. It is
@@ -75,15 +57,10 @@
 type Shedder struct {
 	// limit is the largest number of requests in progress.
 	limit int64
-	// admittedShare is the share of the requests that is admitted, between minAdmittedShare
-	// and 1; lastDelay is the delay of the last timer, lastLate the time of the last one that
-	// was later than targetLag.
-	admittedShare       float64
-	lastDelay, lastLate time.Duration
-	// meanRefused is the moving mean of the refused share. floodedSince is the time since which
-	// the host has been flooded; 0 means that it is not.
-	meanRefused  float64
-	floodedSince time.Duration
+	// meanLag is the moving mean delay of timers in nanoseconds.
+	meanLag float64
+	// busySince is the time since which the host has been busy; 0 means that it is not.
+	busySince time.Duration
 	// unreadySince and unreadyUntil are the start and the end of the current or last
 	// time for which the host is unready; unreadyTime is its shortest duration.
 	unreadySince, unreadyUntil, unreadyTime time.Duration
@@ -93,49 +70,28 @@
 // unknown and sets no limit.
 func New(memory int64) *Shedder {
 	if memory <= 0 {
-		return &Shedder{limit: math.MaxInt64, admittedShare: 1}
+		return &Shedder{limit: math.MaxInt64}
 	}
 	limit := int64(requestMemoryShare * float64(memory-idleBytes) / requestBytes)
-	return &Shedder{limit: max(limit, minLimit), admittedShare: 1}
+	return &Shedder{limit: max(limit, minLimit)}
 }
 
 // Limit returns the largest number of requests in progress.
 func (s *Shedder) Limit() int64 { return s.limit }
 
-// RecordTimerDelay records the delay of a timer. It adds up what is above and below targetLag
-// in the admitted share, which so settles where timers are about as late as that, however
-// much is offered. A share in proportion to the delay alone would need a long delay for as
-// long as much has to be refused.
+// RecordTimerDelay records the delay of a timer.
 func (s *Shedder) RecordTimerDelay(now, delay time.Duration) {
-	s.lastDelay = delay
-	switch excess := float64(delay-targetLag) / float64(targetLag); {
-	case excess > 0:
-		// A late timer stands for those that were due since the last one.
-		timers := max(float64(delay+TimerInterval)/float64(TimerInterval), 1)
-		s.admittedShare *= 1 - min(cutPerTarget*excess*timers, maxCut)
-		s.lastLate = now
-	case now-s.lastLate > fastRiseDelay:
-		s.admittedShare += fastRise * (relativeRise*s.admittedShare + absoluteRise)
-	default:
-		s.admittedShare += relativeRise*s.admittedShare + absoluteRise
-	}
-	s.admittedShare = min(max(s.admittedShare, minAdmittedShare), 1)
-	s.meanRefused += meanWeight * (s.RefusedShare() - s.meanRefused)
+	s.meanLag += lagWeight * (float64(max(delay, 0)) - s.meanLag)
 	switch {
-	case !s.busy(now) || s.meanRefused <= maxRefusedShare:
-		s.floodedSince = 0
-	case s.floodedSince == 0:
-		s.floodedSince = now
-	case now-s.floodedSince >= minFloodTime:
+	case s.RefusedShare() < busyRefusalShare:
+		s.busySince = 0
+	case s.busySince == 0:
+		s.busySince = now
+	case now-s.busySince >= minBusyTime:
 		s.setUnready(now)
 	}
 }
 
-// busy reports whether the host refuses requests and needs to.
-func (s *Shedder) busy(now time.Duration) bool {
-	return s.RefusedShare() > 0 && now-s.lastLate <= lateMemory
-}
-
 // setUnready makes the host unready, or prolongs the time for which it is.
 func (s *Shedder) setUnready(now time.Duration) {
 	if !s.Unready(now) {
@@ -150,10 +106,9 @@
 }
 
 // ShouldCloseConnections reports whether the connections of callers should be closed
-// after their answers, so that the callers connect to other hosts. Those that the host can
-// serve stay, so that an account whose callers move on is served by more and more hosts.
+// after their answers, so that the callers connect to other hosts.
 func (s *Shedder) ShouldCloseConnections(now time.Duration) bool {
-	return s.Unready(now) && now-s.unreadySince >= balancerNoticeTime && s.busy(now)
+	return s.Unready(now) && now-s.unreadySince >= balancerNoticeTime
 }
 
 // Unready reports whether the balancer should send new callers elsewhere.
@@ -162,9 +117,5 @@
 // RefusedShare returns the share of the requests to refuse because the processor is
 // busy, between 0 and 1.
 func (s *Shedder) RefusedShare() float64 {
-	if 1-s.admittedShare < busyRefusalShare {
-		return 0
-	}
-	damping := 1 - float64(s.lastDelay-targetLag)/float64(dampingRange)
-	return 1 - s.admittedShare*min(max(damping, 0), 1)
+	return min(max((s.meanLag-float64(lowLag))/float64(highLag-lowLag), 0), 1)
 }
