--- a/generator/auditor/auditor.go
+++ b/generator/auditor/auditor.go
@@ -27,12 +27,20 @@
 	windowSeconds = 6
 	// maxRecordBytes bounds one record of a log.
 	maxRecordBytes = 1 << 20
+	// belowShare is the part of what the best-served account got below which what an account
+	// asks for is far below every share, so that nothing that compares accounts may refuse it.
+	belowShare = 0.5
+	// minAskedBelowShare is the smallest demand of such an account in a window, in tokens;
+	// below it a single request decides.
+	minAskedBelowShare = 200_000
 )
 
 // Options are the flags of the shares command.
 type Options struct {
 	Files []string `arg:"positional" placeholder:"FILE" help:"logs of daemons [default: standard input]"`
 	Top   int      `arg:"--top" default:"10" help:"number of accounts to print"`
+	Below bool     `arg:"--below" help:"print accounts that asked for less than half of what the best-served one got, whether refused each second or not"`
+	Codes bool     `arg:"--codes" help:"print the number of refused requests of all accounts by code instead"`
 }
 
 // Description is the first line of the usage text.
@@ -58,7 +66,14 @@
 			return c.Fail(commander.ExitFailed, err)
 		}
 	}
-	shortfalls := l.shortfalls()
+	if o.Codes {
+		return commander.Print(c, []Refusals{l.refusals()})
+	}
+	pick := waiting
+	if o.Below {
+		pick = below
+	}
+	shortfalls := l.shortfalls(pick)
 	return commander.Print(c, shortfalls[:min(len(shortfalls), max(o.Top, 0))])
 }
 
@@ -81,14 +96,28 @@
 	Refused map[string]int `json:"refused"`
 }
 
+// Refusals is what was refused in all of the logs.
+type Refusals struct {
+	// Asked is the number of requests, counting again those that came back after a refusal.
+	Asked   int            `json:"asked"`
+	Refused map[string]int `json:"refused"`
+}
+
+// worse reports whether an account was worse off than in another window, also by the tokens
+// if the quotients are equal.
+func (s Shortfall) worse(than Shortfall) bool {
+	return cmp.Or(cmp.Compare(s.Quotient, than.Quotient), cmp.Compare(than.Due, s.Due), s.From.Compare(than.From)) < 0
+}
+
 // record holds the fields of a log record that matter here.
 type record struct {
-	Event        int
-	Host         string
-	Account      string
-	Second       int64
-	Asked, Began float64
-	Refused      map[string]int
+	Event         int
+	Host          string
+	Account       string
+	Second        int64
+	Asked, Began  float64
+	AskedRequests int
+	Refused       map[string]int
 }
 
 // second holds what happened to the requests of one account in one second.
@@ -101,12 +130,16 @@
 // ledger adds up the records by account and second of Unix time.
 type ledger struct {
 	accounts map[string]map[int64]*second
+	// total counts the requests of all accounts, and of none.
+	total Refusals
 }
 
 func newLedger() *ledger {
-	return &ledger{accounts: map[string]map[int64]*second{}}
+	return &ledger{accounts: map[string]map[int64]*second{}, total: Refusals{Refused: map[string]int{}}}
 }
 
+func (l *ledger) refusals() Refusals { return l.total }
+
 func (l *ledger) readFile(name string) error {
 	f, err := os.Open(name)
 	if err != nil {
@@ -132,7 +165,14 @@
 }
 
 func (l *ledger) add(x record) {
-	if x.Event != logger.AccountServed.Number || x.Account == "" {
+	if x.Event != logger.AccountServed.Number {
+		return
+	}
+	l.total.Asked += x.AskedRequests
+	for code, n := range x.Refused {
+		l.total.Refused[code] += n
+	}
+	if x.Account == "" {
 		return // it takes no part in the shares
 	}
 	s := l.second(x.Account, x.Second)
@@ -156,9 +196,29 @@
 	return s
 }
 
-// shortfalls returns the worst window of each account that was refused in each of its
-// seconds, the smallest quotient first.
-func (l *ledger) shortfalls() []Shortfall {
+// picker returns what was due to an account in a window; 0 if the window does not count.
+type picker func(w window) float64
+
+// waiting picks the windows in which an account was refused in each second.
+func waiting(w window) float64 {
+	if !w.refusedEachSecond {
+		return 0
+	}
+	return w.Due
+}
+
+// below picks the windows in which an account asked for so little that its whole demand was
+// due.
+func below(w window) float64 {
+	if w.Asked < minAskedBelowShare || w.Asked >= belowShare*w.bestBegan {
+		return 0
+	}
+	return w.Asked
+}
+
+// shortfalls returns the worst of the picked windows of each account, the smallest quotient
+// first.
+func (l *ledger) shortfalls(pick picker) []Shortfall {
 	worst := map[string]Shortfall{}
 	for from := range l.starts() {
 		best, most := "", -1.0
@@ -168,9 +228,14 @@
 			}
 		}
 		for account := range l.accounts {
-			s := l.window(account, from, l.accounts[best])
-			s.Best = best
-			if old, ok := worst[account]; s.Due > 0 && (!ok || s.Quotient < old.Quotient) {
+			w := l.window(account, from, l.accounts[best])
+			s := w.Shortfall
+			s.Due, s.Best = pick(w), best
+			if s.Due <= 0 {
+				continue
+			}
+			s.Quotient = s.Began / s.Due
+			if old, ok := worst[account]; !ok || s.worse(old) {
 				worst[account] = s
 			}
 		}
@@ -191,16 +256,28 @@
 	return starts
 }
 
-// window returns what an account got in the window from a second on. It has no due, and so
-// is no shortfall, if the account was not refused in each second. best holds the seconds of
-// the best-served account.
-func (l *ledger) window(account string, from int64, best map[int64]*second) Shortfall {
-	w := Shortfall{From: time.Unix(from, 0).UTC(), Account: account, Refused: map[string]int{}}
-	hosts, refusedEachSecond := map[string]bool{}, true
+// window is what one account got in the window from a second on. Its Due holds whatever the
+// window is picked for, and Quotient is not set.
+type window struct {
+	Shortfall
+	// refusedEachSecond is set if the account was refused in each second.
+	refusedEachSecond bool
+	// bestBegan is the cost of what the best-served account got.
+	bestBegan float64
+}
+
+// window returns what an account got in the window from a second on. best holds the seconds
+// of the best-served account.
+func (l *ledger) window(account string, from int64, best map[int64]*second) window {
+	w := window{Shortfall: Shortfall{From: time.Unix(from, 0).UTC(), Account: account, Refused: map[string]int{}}, refusedEachSecond: true}
+	hosts := map[string]bool{}
 	for at := from; at < from+windowSeconds; at++ {
+		if b := best[at]; b != nil {
+			w.bestBegan += b.began
+		}
 		s := l.accounts[account][at]
 		if s == nil {
-			refusedEachSecond = false
+			w.refusedEachSecond = false
 			continue
 		}
 		w.Asked += s.asked
@@ -208,18 +285,12 @@
 		if b := best[at]; b != nil {
 			w.Due += min(s.asked, b.began)
 		}
-		refusedEachSecond = refusedEachSecond && len(s.refused) > 0
+		w.refusedEachSecond = w.refusedEachSecond && len(s.refused) > 0
 		maps.Copy(hosts, s.hosts)
 		for code, n := range s.refused {
 			w.Refused[code] += n
 		}
 	}
 	w.Hosts = len(hosts)
-	if !refusedEachSecond {
-		w.Due = 0
-	}
-	if w.Due > 0 {
-		w.Quotient = w.Began / w.Due
-	}
 	return w
 }
--- a/generator/auditor/auditor_test.go
+++ b/generator/auditor/auditor_test.go
@@ -63,3 +63,41 @@
 		t.Errorf("found %+v, want 6000 of 30000 tokens, and 24 refusals by a busy host", s)
 	}
 }
+
+// run returns the output of the shares command for a log.
+func run(t *testing.T, log string, args ...string) string {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	if code := auditor.Run(args, nil, logger.Streams{In: strings.NewReader(log), Out: &out, Err: &errOut}); code != commander.ExitDone {
+		t.Fatalf("exit code %d: %s", code, errOut.String())
+	}
+	return out.String()
+}
+
+// Guards against an account far below every share that is refused now and then and in no
+// list, against one that asked for its share and is in that list, and against refusals that
+// are not counted.
+func TestAccountsBelowTheirShareAreToldApart(t *testing.T) {
+	var log strings.Builder
+	for second := range 6 {
+		_, _ = fmt.Fprintf(&log, "{\"event\":528,\"host\":\"h1\",\"account\":\"largest\",\"second\":%d,\"asked\":500000,\"began\":500000,\"askedRequests\":100}\n", second)
+		_, _ = fmt.Fprintf(&log, "{\"event\":528,\"host\":\"h1\",\"account\":\"waiting\",\"second\":%d,\"asked\":500000,\"began\":100000,\"askedRequests\":100,\"refused\":{\"overShare\":80}}\n", second)
+		refused := ""
+		if second == 2 {
+			refused = ",\"refused\":{\"partQuarantined\":7}"
+		}
+		_, _ = fmt.Fprintf(&log, "{\"event\":528,\"host\":\"h2\",\"account\":\"small\",\"second\":%d,\"asked\":100000,\"began\":40000,\"askedRequests\":10%s}\n", second, refused)
+		_, _ = fmt.Fprintf(&log, "{\"event\":528,\"host\":\"h2\",\"account\":\"tiny\",\"second\":%d,\"asked\":1000,\"began\":0,\"askedRequests\":1}\n", second)
+	}
+	var s auditor.Shortfall
+	if out := run(t, log.String(), "--below"); strings.Count(out, "\n") != 1 || json.Unmarshal([]byte(out), &s) != nil {
+		t.Fatalf("found %q, want the small account only", out)
+	}
+	if s.Account != "small" || s.Quotient != 0.4 || s.Due != 600_000 || s.Refused["partQuarantined"] != 7 {
+		t.Errorf("found %+v, want 0.4 of the 600000 tokens of the small account", s)
+	}
+	var r auditor.Refusals
+	if out := run(t, log.String(), "--codes"); json.Unmarshal([]byte(out), &r) != nil || r.Asked != 6*211 || r.Refused["overShare"] != 480 || r.Refused["partQuarantined"] != 7 {
+		t.Errorf("counted %q, want 1266 requests, 480 refused as overShare and 7 as partQuarantined", out)
+	}
+}
