Quarantine no part that is at many crashes only because it is in many prompts

Callers saw 503 partQuarantined, with Retry-After of 600 s, for sound prompts of whole routes or accounts after a data centre was cut off or its targets had restarted.

Cause: evidence by presence without a base rate. A part that is in most prompts is at most targets that are lost, and the threshold of three crashes was met within 0.7 s. After that no request with the part was sent, so that no answer could prove it sound.

- A crash is timed by the first daemon that noticed it.
Those that are cut off are noticed over seconds, and looked like independent crashes of different times.
- It does not count against a part if four other targets or more, and three times as many as with it, crashed without the part within a second.
- A part with an earlier answer is quarantined 1.5 s after the deciding crash, so that answers that other targets begin after it have cleared the part before.
Waiting is enough to tell a sound part from a deadly one, since the latter has no such answer.

Parts and requests of which no answer is known are quarantined as fast as before, outside the loss of many targets.

--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -24,6 +24,9 @@
 	// which cost up to a millisecond each and would follow each report of each peer while
 	// many targets crash. New requests are checked against the latest evidence anyway.
 	quarantineUpdateInterval = 50 * time.Millisecond
+	// quarantineReviewInterval is the longest time between two evaluations while there is
+	// evidence: the quarantine of a part begins some time after its last crash, and ends.
+	quarantineReviewInterval = time.Second
 )
 
 // suspicion is a target whose connections broke, until a probe tells whether it
@@ -154,9 +157,14 @@
 	c.evidenceChanged = true
 }
 
-// updateQuarantineIfDue evaluates the evidence if it has changed, but not too often.
+// updateQuarantineIfDue evaluates the evidence if it has changed, but not too often, and now
+// and then without a change.
 func (c *Controller) updateQuarantineIfDue(now time.Duration) {
-	if c.evidenceChanged && (c.quarantineUpdated == 0 || now-c.quarantineUpdated >= quarantineUpdateInterval) {
+	interval := quarantineUpdateInterval
+	if !c.evidenceChanged {
+		interval = quarantineReviewInterval
+	}
+	if c.quarantineUpdated == 0 || now-c.quarantineUpdated >= interval {
 		c.updateQuarantine(now)
 	}
 }
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -14,13 +14,17 @@
 // repeated often is at most of the targets that crash for another reason: crashes that
 // another suspect in quarantine explains do not count against it.
 //
+// A part that is in many requests is at many crashes, whatever their cause. Therefore a crash
+// does not count against a part if most of the targets that crashed at the same time did so
+// without it, and one that was answered before is quarantined only after other targets have
+// had the time to answer it again.
+//
 // Daemons exchange incidents and proofs. The verdict on a part depends on these alone,
 // so that all daemons reach the same one, in whatever order they learn of them.
 package quarantiner
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -50,6 +54,10 @@
 	// within the interval count as one more, so that a request which ends a small service at
 	// once is found before its targets are back.
 	minRequestCrashInterval = 100 * time.Millisecond
+	// settleTime is the time from the crash that would put a part with an earlier answer into
+	// quarantine until it does. Answers that begin after the crash, at other targets, have then
+	// cleared the part at all daemons.
+	settleTime = ProofTime + 500*time.Millisecond
 	// baseDuration is how long a part stays in quarantine after its last crash. It doubles
 	// with each crash after the quarantine, which costs a target and the streams on it.
 	baseDuration = 10 * time.Minute
@@ -89,9 +97,10 @@
 	suspects map[Part]*suspect
 	// wholeRequests is the number of suspects that are whole requests.
 	wholeRequests int
-	// byCrash holds the parts that had an incident of a crash, so that the parts that may
-	// explain the same crashes are found without a look at all suspects.
-	byCrash map[Crash]map[Part]bool
+	// crashes holds the crashes with an incident, crashTimes their times in ascending order;
+	// nil if these are not known.
+	crashes    map[Crash]*crashRecord
+	crashTimes []crashTime
 	// parts and requests hold the time at which the last answer to a request with a part
 	// began, and to a whole request.
 	parts, requests *generations
@@ -104,7 +113,7 @@
 
 // New returns a Quarantine without evidence.
 func New() *Quarantine {
-	return &Quarantine{suspects: map[Part]*suspect{}, byCrash: map[Crash]map[Part]bool{}, excused: map[Crash]time.Duration{}, parts: newGenerations(maxKnownParts), requests: newGenerations(maxKnownRequests)}
+	return &Quarantine{suspects: map[Part]*suspect{}, crashes: map[Crash]*crashRecord{}, excused: map[Crash]time.Duration{}, parts: newGenerations(maxKnownParts), requests: newGenerations(maxKnownRequests)}
 }
 
 // RecordAnswer records that the answer to a request with these shared parts began at the
@@ -225,10 +234,7 @@
 		return false // it would be dropped at once
 	}
 	s.incidents = append(s.incidents, i)
-	if q.byCrash[i.Crash] == nil {
-		q.byCrash[i.Crash] = map[Part]bool{}
-	}
-	q.byCrash[i.Crash][i.Part] = true
+	q.addCrash(i)
 	slices.SortFunc(s.incidents, func(a, b incident) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Crash, b.Crash)) })
 	if len(s.incidents) > maxIncidents {
 		s.incidents = slices.Delete(s.incidents, 1, 2) // the verdict depends on the number and on the last one
@@ -283,12 +289,7 @@
 			q.remove(p)
 		}
 	}
-	for c, parts := range q.byCrash {
-		maps.DeleteFunc(parts, func(p Part, _ bool) bool { return !q.suspects[p].hasIncident(c) })
-		if len(parts) == 0 {
-			delete(q.byCrash, c)
-		}
-	}
+	q.expireCrashes()
 	for c, until := range q.excused {
 		if now-until > MaxAge {
 			delete(q.excused, c)
--- a/gateway/quarantiner/verdict.go
+++ b/gateway/quarantiner/verdict.go
@@ -7,102 +7,118 @@
 	"time"
 )
 
-// independent returns the number of crashes that tell independently of each other that
-// the part crashes targets, and the last of them. Explained incidents do not count;
-// explained may be nil.
-func (s *suspect) independent(explained func(incident) bool) (count int, last incident) {
+// verdict says from when until when a part is or was in quarantine; until is 0 if it never
+// was.
+type verdict struct{ from, until time.Duration }
+
+// includes reports whether the part is in quarantine.
+func (v verdict) includes(now time.Duration) bool { return now >= v.from && now < v.until }
+
+// independent returns the incidents of crashes that tell independently of each other that the
+// part crashes targets, and whether others followed them too closely to count. Explained
+// incidents do not count; explained may be nil.
+func (q *Quarantine) independent(s *suspect, explained func(incident) bool) (counted []incident, near bool) {
 	interval := minCrashInterval
 	if s.whole {
 		interval = minRequestCrashInterval
 	}
-	var requests []uint64
-	var crashes []Crash
-	near := 0
+	var last time.Duration
 	for _, i := range s.incidents {
-		if explained != nil && explained(i) {
+		if explained != nil && explained(i) || q.duringOutage(i) {
 			continue
 		}
-		if count > 0 && i.at-last.at < interval {
-			near++
-			continue
-		}
-		if count > 0 && (slices.Contains(requests, i.Request) || slices.Contains(crashes, i.Crash)) {
-			continue
+		at := q.crashedAt(i)
+		same := func(o incident) bool { return o.Request == i.Request || o.Crash == i.Crash }
+		switch {
+		case len(counted) > 0 && at-last < interval:
+			near = true
+		case !slices.ContainsFunc(counted, same):
+			counted, last = append(counted, i), at
 		}
-		count, last = count+1, i
-		requests, crashes = append(requests, i.Request), append(crashes, i.Crash)
 	}
-	if s.whole && count > 1 && near > 0 {
+	return counted, near
+}
+
+// count returns the number of crashes that count against the part.
+func (q *Quarantine) count(s *suspect, explained func(incident) bool) (int, []incident) {
+	counted, near := q.independent(s, explained)
+	count := len(counted)
+	if s.whole && count > 1 && near {
 		count++
 	}
-	return count, last
+	return count, counted
 }
 
 // Blocked returns the first part in quarantine because of which a request with the given
 // parts is refused, and the time until then; false if the request may be sent.
 func (q *Quarantine) Blocked(now time.Duration, parts []Part) (p Part, until time.Duration, blocked bool) {
 	for _, p := range parts {
-		until := q.Until(p)
-		if now >= until {
+		v := q.verdict(p)
+		if !v.includes(now) {
 			continue
 		}
 		missing := func(companion Part) bool { return !slices.Contains(parts, companion) }
 		if !slices.ContainsFunc(q.Companions(p), missing) {
-			return p, until, true
+			return p, v.until, true
 		}
 	}
 	return 0, 0, false
 }
 
 // Until returns the time until which a part is or was in quarantine; 0 if it never was.
-func (q *Quarantine) Until(p Part) time.Duration {
+func (q *Quarantine) Until(p Part) time.Duration { return q.verdict(p).until }
+
+func (q *Quarantine) verdict(p Part) verdict {
 	if s := q.suspects[p]; s != nil {
-		return q.until(p, s, nil)
+		return q.judge(p, s, nil)
 	}
-	return 0
+	return verdict{}
 }
 
-// until returns the Until of a suspect. found holds the results for whole requests that
-// were found already; nil stands for none.
-func (q *Quarantine) until(p Part, s *suspect, found map[Part]time.Duration) time.Duration {
+// judge returns the verdict on a suspect. found holds the verdicts on whole requests that were
+// found already; nil stands for none.
+func (q *Quarantine) judge(p Part, s *suspect, found map[Part]verdict) verdict {
 	threshold, proven := newPartCrashes, provenPartCrashes
 	if s.whole {
 		threshold, proven = newRequestCrashes, provenRequestCrashes
 	}
 	if len(s.incidents) < threshold {
-		return 0
+		return verdict{}
 	}
 	var explained func(incident) bool
 	if s.whole {
-		if until, ok := found[p]; ok {
-			return until
+		if v, ok := found[p]; ok {
+			return v
 		}
 		if found == nil {
-			found = map[Part]time.Duration{}
+			found = map[Part]verdict{}
 		}
 		explained = func(i incident) bool { return q.explained(p, s, i, found) }
 	}
-	count, last := s.independent(explained)
+	count, counted := q.count(s, explained)
 	if s.known || count >= threshold && count < proven && q.hasAlternative(p, s) {
 		threshold = proven
 	}
-	until := time.Duration(0)
+	var v verdict
 	if count >= threshold {
-		until = last.at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
+		v.until = counted[len(counted)-1].at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
+		if s.known {
+			v.from = counted[min(threshold, len(counted))-1].at + settleTime
+		}
 	}
 	if s.whole {
-		found[p] = until
+		found[p] = v
 	}
-	return until
+	return v
 }
 
 // explained reports whether a crash does not count against a whole request because a part
 // that is or was in quarantine, or such a request that is likelier to crash targets, was
 // in it.
-func (q *Quarantine) explained(p Part, s *suspect, i incident, found map[Part]time.Duration) bool {
-	for other := range q.byCrash[i.Crash] {
+func (q *Quarantine) explained(p Part, s *suspect, i incident, found map[Part]verdict) bool {
+	for other := range q.partsOf(i.Crash) {
 		o := q.suspects[other]
-		if other != p && o.hasIncident(i.Crash) && (!o.whole || o.likelier(s)) && q.until(other, o, found) > 0 {
+		if other != p && o.hasIncident(i.Crash) && (!o.whole || q.likelier(o, s)) && q.judge(other, o, found).until > 0 {
 			return true
 		}
 	}
@@ -112,12 +128,12 @@
 // likelier reports whether one whole request is likelier to crash targets than another
 // one: because no answer to it is known, or else because it was in more crashes. Of any
 // two, at most one is.
-func (s *suspect) likelier(than *suspect) bool {
+func (q *Quarantine) likelier(s, than *suspect) bool {
 	if s.known != than.known {
 		return than.known
 	}
-	count, _ := s.independent(nil)
-	other, _ := than.independent(nil)
+	count, _ := q.count(s, nil)
+	other, _ := q.count(than, nil)
 	return count > other
 }
 
@@ -161,7 +177,7 @@
 		if len(s.incidents) == 0 {
 			return
 		}
-		for p := range q.byCrash[s.incidents[0].Crash] {
+		for p := range q.partsOf(s.incidents[0].Crash) {
 			if o := q.suspects[p]; o != nil && !yield(p, o) {
 				return
 			}
@@ -197,7 +213,7 @@
 func (q *Quarantine) Durable(now time.Duration) (e Evidence, released []Part) {
 	for _, p := range slices.Sorted(maps.Keys(q.suspects)) {
 		s := q.suspects[p]
-		if q.Until(p) > 0 {
+		if v := q.verdict(p); v.until > 0 && now >= v.from {
 			e.Incidents = append(e.Incidents, q.Incidents(now, p)...)
 			if s.known {
 				e.Proofs = append(e.Proofs, Proof{Part: p})
@@ -231,7 +247,7 @@
 func (q *Quarantine) Quarantined(now time.Duration) []Part {
 	var parts []Part
 	for p := range q.suspects {
-		if now < q.Until(p) {
+		if q.verdict(p).includes(now) {
 			parts = append(parts, p)
 		}
 	}
