Refute a crash if the same start of the target answers again

A data centre that is cut off with resets refuses connections like a host whose target has crashed, so that its targets were taken for crashed, and the evidence stayed when they answered again. Now the first answer to a request that was sent after the supposed crash to the same start of the target clears all incidents of it, and one proof without a part tells the other daemons.

Test: TestTargetThatAnswersAgainDidNotCrash failed before (no report refutes the crash, and the part was released only by the end of its quarantine).

Limit: if the same start of the target crashes later, that crash does not count against the parts that were cleared of the supposed one.

--- a/gateway/controller/events.go
+++ b/gateway/controller/events.go
@@ -65,8 +65,9 @@
 type answerStartEvent struct{ permit *permit }
 
 func (e answerStartEvent) apply(c *Controller, now time.Duration) {
-	if !e.permit.began {
-		e.permit.began, e.permit.beganAt = true, now
+	if p := e.permit; !p.began {
+		p.began, p.beganAt = true, now
+		c.quarantine.RecordSurvival(now, quarantiner.CrashOf(p.target.ID, p.target.Incarnation), p.decidedAt)
 	}
 	c.fleet.RecordFirstEvent(now, e.permit.demand.Request.ID)
 }
--- a/gateway/quarantiner/evidence.go
+++ b/gateway/quarantiner/evidence.go
@@ -74,7 +74,8 @@
 }
 
 // Proof says that a part was in an answered request. If Crash is not 0, that answer
-// began after the crash, so that the part did not cause it.
+// began after the crash, so that the part did not cause it. If Part is 0, the target answers
+// and has not crashed.
 type Proof struct {
 	Part  Part
 	Crash Crash
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -201,6 +201,10 @@
 	for _, p := range e.Proofs {
 		s := q.suspects[p.Part]
 		switch {
+		case p.Part == 0 && p.Crash != 0:
+			if q.refuteCrash(now, p.Crash, now) {
+				q.learned.proofs = append(q.learned.proofs, p)
+			}
 		case s == nil:
 		case p.Crash == 0 && !s.known:
 			s.known, s.lastChange = true, now
