Send single requests with a part in doubt as trials

Callers of a part that was sound for long, and then in three crashes, were refused for ten minutes: once in quarantine, nothing could prove it sound. Class of fault: a circuit breaker without a half-open state. Now such a part is in doubt until its fifth crash: callers are told to come back after 5 s, and from 5 s after the last crash on the daemons send single requests with it, in turns that spread 0.5 s for each daemon. The first answer releases the part; a crash doubles the time, and from the fifth one on there are no trials, inside what BUDGET allows. Parts that no answer ever proved sound get none.

Incidents that follow another too closely to count are dropped first now.

--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -238,12 +238,17 @@
 func formatPart(p quarantiner.Part) string { return strconv.FormatUint(uint64(p), 16) }
 
 // quarantineDecision returns the refusal of a request that is in quarantine or has a part
-// in it, or that must not be repeated because it may have crashed its target.
+// in it, unless it is sent as a trial, or that must not be repeated because it may have
+// crashed its target.
 func (c *Controller) quarantineDecision(now time.Duration, p *permit) (queuer.Decision, bool) {
 	r := p.demand.Request
 	s := suspectsOf(r)
-	if part, until, blocked := c.quarantine.Blocked(now, s.parts); blocked {
-		return queuer.Decision{ID: r.ID, Reason: queuer.ReasonQuarantined, Part: part, RetryAfter: until - now}, true
+	if part, retryAt, blocked := c.quarantine.Blocked(now, s.parts); blocked && !p.trial {
+		if r.Retry || !c.quarantine.TakeTrial(now, s.parts, quarantiner.Fleet{Host: c.options.Host, Daemons: c.place(now).Daemons}) {
+			return queuer.Decision{ID: r.ID, Reason: queuer.ReasonQuarantined, Part: part, RetryAfter: retryAt - now}, true
+		}
+		p.trial = true
+		logger.Emit(c.options.Logger, logger.QuarantineTrial, slog.String("part", formatPart(part)), slog.Uint64("placement", r.ID))
 	}
 	if !r.Retry {
 		return queuer.Decision{}, false
--- a/gateway/controller/permit.go
+++ b/gateway/controller/permit.go
@@ -27,6 +27,9 @@
 	// has proved that the prompt does not crash its target.
 	began, proven bool
 	beganAt       time.Duration
+	// trial is set if the request is let through although a part of its prompt is in
+	// quarantine.
+	trial bool
 }
 
 // decide passes a decision to the waiting request.
--- a/gateway/quarantiner/outage_test.go
+++ b/gateway/quarantiner/outage_test.go
@@ -21,10 +21,12 @@
 	pending []outageEvent
 	now     time.Duration
 	nextID  uint64
-	// deadly is a part that ends each target which begins to answer it; 0 stands for none.
-	deadly quarantiner.Part
+	// special is a part of some requests; 0 stands for none. deadly is set while it ends each
+	// target which begins to answer it, trials if daemons let some refused requests through.
+	special        quarantiner.Part
+	deadly, trials bool
 	// arrivals are the times at which deadly requests reached targets, crashes those at which
-	// they ended one. refused counts the refused sound requests.
+	// they ended one. sent and refused count the sound requests.
 	arrivals, crashes []time.Duration
 	sent, refused     int
 }
@@ -79,7 +81,7 @@
 		for range outageRate * int(outageStep) / int(time.Second) {
 			f.send(false)
 		}
-		if f.deadly != 0 && f.now%(50*time.Millisecond) == 0 {
+		if f.special != 0 && f.now%(50*time.Millisecond) == 0 {
 			f.send(true)
 		}
 		if f.now%outageReport == 0 {
@@ -110,16 +112,18 @@
 
 // send sends a request of a random account to a target that the daemon takes for usable. Each
 // account has two daemons.
-func (f *outageFleet) send(deadly bool) {
+func (f *outageFleet) send(special bool) {
 	account := f.random.IntN(40)
-	daemon := f.daemons[(account*7+f.random.IntN(2)*5)%outageDaemons]
+	host := (account*7 + f.random.IntN(2)*5) % outageDaemons
+	daemon := f.daemons[host]
+	deadly := special && f.deadly
 	f.nextID++
 	route, own := account%3, 10+f.random.IntN(8)
 	parts := []quarantiner.Part{quarantiner.Part(1 + route), quarantiner.Part(1000*(account+1) + own), quarantiner.Part(f.nextID)}
-	if deadly {
-		parts = slices.Insert(parts, 2, f.deadly)
+	if special {
+		parts = slices.Insert(parts, 2, f.special)
 	}
-	if _, _, blocked := daemon.Blocked(f.now, parts); blocked {
+	if _, _, blocked := daemon.Blocked(f.now, parts); blocked && !(f.trials && daemon.TakeTrial(f.now, parts, fleet(host, outageDaemons))) {
 		if !deadly {
 			f.refused++
 		}
@@ -202,6 +206,21 @@
 	}
 }
 
+// late returns the number of deadly requests that reached a target later than 3 s after the
+// fifth crash.
+func (f *outageFleet) late() int {
+	if len(f.crashes) < 5 {
+		return 0
+	}
+	limit, count := f.crashes[4]+3*time.Second, 0
+	for _, at := range f.arrivals {
+		if at > limit {
+			count++
+		}
+	}
+	return count
+}
+
 // Guards against FAIR of 2026-12-06, report 2: a part that was in most prompts of a route was
 // at most targets of a data centre that was cut off, or restarted, and was refused for ten
 // minutes, although thousands of answers had proved it sound.
@@ -235,21 +254,12 @@
 	for seed := range uint64(4) {
 		f := newOutageFleet(seed)
 		f.run(4 * time.Second)
-		f.deadly = 5
+		f.special, f.deadly = 5, true
 		f.lose(6*time.Second, 0, false)
 		f.run(20 * time.Second)
-		limit, late := time.Duration(0), 0
-		if len(f.crashes) >= 5 {
-			limit = f.crashes[4] + 3*time.Second
-		}
-		for _, at := range f.arrivals {
-			if limit > 0 && at > limit {
-				late++
-			}
-		}
-		if late > 3 {
+		if late := f.late(); late > 3 {
 			t.Errorf("seed %d: %d requests with the deadly part reached targets later than 3 s after the fifth crash, %d crashes", seed, late, len(f.crashes))
 		}
-		t.Logf("seed %d: %d crashes, %d late arrivals, %d of %d sound requests refused", seed, len(f.crashes), late, f.refused, f.sent)
+		t.Logf("seed %d: %d crashes, %d late arrivals, %d of %d sound requests refused", seed, len(f.crashes), f.late(), f.refused, f.sent)
 	}
 }
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -88,8 +88,8 @@
 	cleared []Crash
 	// known is set if the part is known to have been answered.
 	known bool
-	// lastChange is the time of the last new evidence.
-	lastChange time.Duration
+	// lastChange is the time of the last new evidence, triedAt that of the last trial.
+	lastChange, triedAt time.Duration
 }
 
 // Quarantine holds the evidence of one daemon. It is not safe for concurrent use.
@@ -234,20 +234,51 @@
 		q.refute(i) // the sender has not heard of the proof
 		return false
 	}
-	if n := len(s.incidents); n == maxIncidents && i.at >= s.incidents[0].at && i.at <= s.incidents[1].at {
-		return false // it would be dropped at once
-	}
-	s.incidents = append(s.incidents, i)
 	q.addCrash(i)
-	slices.SortFunc(s.incidents, func(a, b incident) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Crash, b.Crash)) })
-	if len(s.incidents) > maxIncidents {
-		s.incidents = slices.Delete(s.incidents, 1, 2) // the verdict depends on the number and on the last one
+	if !s.add(i) {
+		return false
 	}
 	s.lastChange = now
 	q.testify(now, i.Part, s)
 	return true
 }
 
+// add adds an incident, and drops one beyond the bound. It returns false if that is the added
+// one.
+func (s *suspect) add(i incident) bool {
+	s.incidents = append(s.incidents, i)
+	slices.SortFunc(s.incidents, func(a, b incident) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Crash, b.Crash)) })
+	if len(s.incidents) <= maxIncidents {
+		return true
+	}
+	n := s.dispensable()
+	dropped := s.incidents[n]
+	s.incidents = slices.Delete(s.incidents, n, n+1)
+	return dropped != i
+}
+
+// dispensable returns the index of the incident that tells least: the first one that follows
+// another too closely to count. Otherwise it is the second one, since the verdict depends on
+// the first ones, on the last one and on the number.
+func (s *suspect) dispensable() int {
+	last := s.incidents[0].at
+	for n, i := range s.incidents[:len(s.incidents)-1] {
+		if n > 0 && i.at-last < s.interval() {
+			return n
+		}
+		last = i.at
+	}
+	return 1
+}
+
+// interval returns the time that separates independent crashes.
+func (s *suspect) interval() time.Duration {
+	if s.whole {
+		return minRequestCrashInterval
+	}
+	return minCrashInterval
+}
+
 // makeRoom forgets the suspect of a kind without news for the longest time if there are
 // too many. Those of a single crash go before the others, which may be in quarantine.
 func (q *Quarantine) makeRoom(whole bool) {
--- a/gateway/quarantiner/verdict.go
+++ b/gateway/quarantiner/verdict.go
@@ -9,7 +9,13 @@
 
 // verdict says from when until when a part is or was in quarantine; until is 0 if it never
 // was.
-type verdict struct{ from, until time.Duration }
+type verdict struct {
+	from, until time.Duration
+	// crashes is the number of crashes that count against the part, last the time of the last
+	// one.
+	crashes int
+	last    time.Duration
+}
 
 // includes reports whether the part is in quarantine.
 func (v verdict) includes(now time.Duration) bool { return now >= v.from && now < v.until }
@@ -18,10 +24,6 @@
 // part crashes targets, and whether others followed them too closely to count. Explained
 // incidents do not count; explained may be nil.
 func (q *Quarantine) independent(s *suspect, explained func(incident) bool) (counted []incident, near bool) {
-	interval := minCrashInterval
-	if s.whole {
-		interval = minRequestCrashInterval
-	}
 	var last time.Duration
 	for _, i := range s.incidents {
 		if explained != nil && explained(i) || q.duringOutage(i) {
@@ -30,7 +32,7 @@
 		at := q.crashedAt(i)
 		same := func(o incident) bool { return o.Request == i.Request || o.Crash == i.Crash }
 		switch {
-		case len(counted) > 0 && at-last < interval:
+		case len(counted) > 0 && at-last < s.interval():
 			near = true
 		case !slices.ContainsFunc(counted, same):
 			counted, last = append(counted, i), at
@@ -50,21 +52,35 @@
 }
 
 // Blocked returns the first part in quarantine because of which a request with the given
-// parts is refused, and the time until then; false if the request may be sent.
-func (q *Quarantine) Blocked(now time.Duration, parts []Part) (p Part, until time.Duration, blocked bool) {
-	for _, p := range parts {
-		v := q.verdict(p)
-		if !v.includes(now) {
-			continue
-		}
-		missing := func(companion Part) bool { return !slices.Contains(parts, companion) }
-		if !slices.ContainsFunc(q.Companions(p), missing) {
-			return p, v.until, true
+// parts is refused, and the time at which the caller may try again; false if the request may
+// be sent.
+func (q *Quarantine) Blocked(now time.Duration, parts []Part) (p Part, retryAt time.Duration, blocked bool) {
+	for p, v := range q.blocking(now, parts) {
+		if v.inDoubt(q.suspects[p]) {
+			return p, min(v.until, now+trialDelay), true
 		}
+		return p, v.until, true
 	}
 	return 0, 0, false
 }
 
+// blocking returns the parts in quarantine because of which a request with the given parts is
+// refused.
+func (q *Quarantine) blocking(now time.Duration, parts []Part) iter.Seq2[Part, verdict] {
+	return func(yield func(Part, verdict) bool) {
+		for _, p := range parts {
+			v := q.verdict(p)
+			if !v.includes(now) {
+				continue
+			}
+			missing := func(companion Part) bool { return !slices.Contains(parts, companion) }
+			if !slices.ContainsFunc(q.Companions(p), missing) && !yield(p, v) {
+				return
+			}
+		}
+	}
+}
+
 // Until returns the time until which a part is or was in quarantine; 0 if it never was.
 func (q *Quarantine) Until(p Part) time.Duration { return q.verdict(p).until }
 
@@ -101,7 +117,8 @@
 	}
 	var v verdict
 	if count >= threshold {
-		v.until = counted[len(counted)-1].at + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
+		v.crashes, v.last = count, counted[len(counted)-1].at
+		v.until = v.last + min(baseDuration<<min(count-threshold, maxIncidents), maxDuration)
 		if s.known {
 			v.from = counted[min(threshold, len(counted))-1].at + settleTime
 		}
--- a/logger/events.go
+++ b/logger/events.go
@@ -82,6 +82,8 @@
 	TargetCold = Event{530, slog.LevelInfo, "target is cold and gets a limited number of requests", ""}
 	TargetWarm = Event{531, slog.LevelInfo, "target is no longer cold", ""}
 
+	QuarantineTrial = Event{532, slog.LevelInfo, "request with a part in quarantine is sent as a trial", ""}
+
 	PlatformUnavailable = Event{601, slog.LevelWarn, "platform service is unavailable", "Serving goes on; changes and claims wait until it is back."}
 	PlatformAvailable   = Event{602, slog.LevelInfo, "platform service is available", ""}
 	StoreRestored       = Event{603, slog.LevelWarn, "platform's store was restored from an older state", "Check that the operator's changes of the last seconds are in force again."}
@@ -98,7 +100,7 @@
 		RequestFailed, ResponseMismatched, StreamBroken,
 		RequestPlaced, RequestRejected, RequestEnded, RequestAbandoned, AttemptFailed, AttemptRefused, RecordsDropped, HostBusy,
 		TargetCrashed, PartQuarantined, PartReleased, TargetLimited, TargetUnlimited, TargetAnnouncedLeave, TargetClosed,
-		MemoryShort, ConnectionEnded, AccountServed, HostOverload, TargetCold, TargetWarm,
+		MemoryShort, ConnectionEnded, AccountServed, HostOverload, TargetCold, TargetWarm, QuarantineTrial,
 		PlatformUnavailable, PlatformAvailable, StoreRestored,
 	}
 }
