Remember as many cleared crashes of a part as a data centre has targets

Daemons that had been cut off with their data centre reported its crashes, and the others remembered only the last 16 crashes of which a part is cleared, so that evidence that had been refuted counted again. Now 128 are remembered; full reports have the last 16, as before.

--- a/gateway/quarantiner/evidence.go
+++ b/gateway/quarantiner/evidence.go
@@ -146,14 +146,15 @@
 	incidentLimit, proofLimit := len(all.incidents)+most, len(all.proofs)+most
 	for _, p := range parts {
 		s := q.suspects[p]
-		if len(s.incidents) == 0 || len(all.incidents)+len(s.incidents) > incidentLimit || len(all.proofs)+len(s.cleared)+1 > proofLimit {
+		cleared := s.cleared[max(len(s.cleared)-maxIncidents, 0):]
+		if len(s.incidents) == 0 || len(all.incidents)+len(s.incidents) > incidentLimit || len(all.proofs)+len(cleared)+1 > proofLimit {
 			break // the parts without incidents come last
 		}
 		all.incidents = append(all.incidents, s.incidents...)
 		if s.known {
 			all.proofs = append(all.proofs, Proof{Part: p})
 		}
-		for _, c := range s.cleared {
+		for _, c := range cleared {
 			all.proofs = append(all.proofs, Proof{Part: p, Crash: c})
 		}
 	}
--- a/gateway/quarantiner/outage_test.go
+++ b/gateway/quarantiner/outage_test.go
@@ -263,3 +263,22 @@
 		t.Logf("seed %d: %d crashes, %d late arrivals, %d of %d sound requests refused", seed, len(f.crashes), f.late(), f.refused, f.sent)
 	}
 }
+
+// Guards against a part that is cleared of many crashes and comes back into quarantine with
+// the reports of daemons that were cut off meanwhile and have not heard of the proofs.
+func TestProofsOfManyCrashesAreRemembered(t *testing.T) {
+	const crashes = 60
+	q := quarantiner.New()
+	var late quarantiner.Evidence
+	now := 10 * time.Second
+	q.Learn(now, quarantiner.Evidence{Proofs: []quarantiner.Proof{{Part: shared}}})
+	for c := range crashes {
+		i := quarantiner.Incident{Part: shared, Crash: quarantiner.Crash(c + 1), Request: uint64(c), Age: time.Duration(crashes-c) * 100 * time.Millisecond}
+		late.Incidents = append(late.Incidents, i)
+		q.Learn(now, quarantiner.Evidence{Incidents: []quarantiner.Incident{i}, Proofs: []quarantiner.Proof{{Part: shared}, {Part: shared, Crash: i.Crash}}})
+	}
+	q.Learn(now, late)
+	if n := len(q.Incidents(now, shared)); n > 0 || blocked(q, now+5*time.Second, shared) {
+		t.Errorf("%d incidents of crashes that were cleared count again", n)
+	}
+}
--- a/gateway/quarantiner/quarantiner.go
+++ b/gateway/quarantiner/quarantiner.go
@@ -57,7 +57,7 @@
 	// settleTime is the time from the crash that would put a part with an earlier answer into
 	// quarantine until it does. Answers that begin after the crash, at other targets, have then
 	// cleared the part at all daemons.
-	settleTime = ProofTime + 500*time.Millisecond
+	settleTime = ProofTime + time.Second
 	// baseDuration is how long a part stays in quarantine after its last crash. It doubles
 	// with each crash after the quarantine, which costs a target and the streams on it.
 	baseDuration = 10 * time.Minute
@@ -68,6 +68,10 @@
 	// incidents, and the whole requests with incidents.
 	maxIncidents = 16
 	maxSuspects  = 4096
+	// maxCleared bounds the crashes of which a part is known to be cleared. It is above the
+	// number of targets that are lost with a data centre: daemons that were cut off with it
+	// report all of their crashes again.
+	maxCleared = 128
 	// maxKnownParts and maxKnownRequests bound each of the two generations of parts and of
 	// requests that are known to be sound. Requests are far more numerous.
 	maxKnownParts    = 4096
@@ -170,7 +174,7 @@
 	}
 	s.incidents = slices.DeleteFunc(s.incidents, func(i incident) bool { return i.Crash == c })
 	s.cleared = append(s.cleared, c)
-	if len(s.cleared) > maxIncidents {
+	if len(s.cleared) > maxCleared {
 		s.cleared = slices.Delete(s.cleared, 0, 1)
 	}
 	s.lastChange = now
