Tell callers of a busy host that their key is unknown

What callers saw: an account that has lost all of its keys got 401 from the hosts that read its requests, and 503 with Retry-After of 50 to 400 ms from those that refuse connections unread, as if it could be served a moment later.

Cause: the refuser looks at the key, but only to find accounts that go first; an unknown key was refused like a known one. Now such a request gets 401 with the code unknownKey, unless its route is anonymous or unknown. It costs one parsed header, and the caller has no reason to come back.

--- a/gateway/readmission.go
+++ b/gateway/readmission.go
@@ -1,33 +1,58 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"net"
+	"net/http"
 	"os"
+	"strings"
 	"sync"
 
 	"monsoondeck.example/gateway/receiver"
+	"monsoondeck.example/gateway/resolver"
 )
 
 // maxReadmissions bounds the connections that wait for the server after they were taken back
 // from the refuser.
 const maxReadmissions = 64
 
-// readmit takes a refused connection back from the refuser if its request goes before those of
-// the other accounts at this host. received is what was read from it.
-func (g *Gateway) readmit(received []byte, descriptor int) bool {
+// unknownKeyResponse is the response to a refused request whose key no account holds.
+var unknownKeyResponse = receiver.UnknownKeyResponse()
+
+// readmit decides on a refused connection: it takes it back from the refuser if its request
+// goes before those of the other accounts at this host. received is what was read from it. A
+// request with an unknown key is told so, since it would be refused anywhere.
+func (g *Gateway) readmit(received []byte, descriptor int) (response []byte, taken bool) {
 	config, ok := g.controller.Current()
 	if !ok || g.stopAt.Load() != 0 || !config.HasAccounts() {
-		return false
+		return nil, false
 	}
 	account, ok := config.AccountByKey(g.options.Protocol.FindKey(received))
 	if !ok {
-		return false
+		if !needsKey(config, received) {
+			return nil, false
+		}
+		g.tally.Refused("", receiver.CodeUnknownKey)
+		return unknownKeyResponse, false
 	}
 	if g.overload.readmit(account.Name) && g.gate.admit() == keepConnection && g.readmitted.offer(received, descriptor) {
-		return true
+		return nil, true
 	}
 	g.tally.RefusedUnread(account.Name, receiver.CodeBusy)
-	return false
+	return nil, false
+}
+
+// needsKey reports whether what was received is the header of a request to a route that serves
+// only requests with a known key.
+func needsKey(config resolver.Config, received []byte) bool {
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(received)))
+	if err != nil {
+		return false
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := config.Resolve(r.Host, path)
+	return ok && !route.Anonymous
 }
 
 // readmittedListener is a net.Listener whose connections were taken back from the refuser.
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -167,7 +167,7 @@
 	if config.HasAccounts() && !p.route.Anonymous {
 		account, ok := config.AccountByKey(p.info.APIKey)
 		if !ok {
-			p.reject(rejection{status: http.StatusUnauthorized, code: "unknownKey"})
+			p.reject(rejection{status: http.StatusUnauthorized, code: CodeUnknownKey})
 			return false
 		}
 		p.account = account.Name
--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -74,6 +74,9 @@
 // CodeBusy is the code of rejections because the host is busy.
 const CodeBusy = "hostBusy"
 
+// CodeUnknownKey is the code of rejections because no client account holds the key.
+const CodeUnknownKey = "unknownKey"
+
 // codeMemory is the code of rejections because memory is short, codeHeaderTooLarge of those
 // because the header exceeds its limits.
 const (
@@ -97,6 +100,11 @@
 	return unreadResponse(http.StatusRequestHeaderFieldsTooLarge, codeHeaderTooLarge, "", 0)
 }
 
+// UnknownKeyResponse is like BusyResponse, because no client account holds the key.
+func UnknownKeyResponse() []byte {
+	return unreadResponse(http.StatusUnauthorized, CodeUnknownKey, "", 0)
+}
+
 // unreadResponse returns a whole response that rejects a request which was not read.
 func unreadResponse(status int, code, field string, retryAfter time.Duration) []byte {
 	body, err := json.Marshal(rejectionBody{rejectionError{Code: code, RetryAfterSeconds: retryAfter.Seconds()}})
--- a/gateway/refuser/refuser.go
+++ b/gateway/refuser/refuser.go
@@ -3,8 +3,8 @@
 // that they can serve: a caller whose connection is closed without an answer does not
 // know whether its request was read, and many give up.
 //
-// A refused request is not parsed, but the server may look at its header and take the
-// connection back. Unless the whole request has been read, the connection is kept until the
+// A refused request is not parsed, but the server may look at its header, take the connection
+// back or choose the response. Unless the whole request has been read, the connection is kept until the
 // caller has closed it, since the kernel resets a connection that is closed with unread data,
 // and the caller may then lose the response.
 package refuser
@@ -27,12 +27,17 @@
 	readBytes = 16 << 10
 )
 
+// Decide decides on a refused connection once the header of a request has arrived: it takes
+// the connection over, or returns the response; nil stands for one of the usual ones. It must
+// neither block nor keep the slice.
+type Decide func(received []byte, descriptor int) (response []byte, taken bool)
+
 // Refuser answers connections. It is safe for concurrent use.
 type Refuser struct {
 	responses [][]byte
 	limit     int
 	clock     func() time.Duration
-	takeBack  func(received []byte, descriptor int) bool
+	decide    Decide
 	// unanswered is the number of connections that were closed without an answer.
 	unanswered atomic.Int64
 
@@ -54,11 +59,9 @@
 }
 
 // New returns a Refuser that answers with one of the responses, chosen at random, and
-// keeps at most limit connections open, which must be positive. takeBack, unless nil, is called
-// with what was received once the header of a request has arrived; if it returns true, it has
-// taken over the connection. It must neither block nor keep the slice.
-func New(responses [][]byte, limit int, clock func() time.Duration, takeBack func(received []byte, descriptor int) bool) *Refuser {
-	return &Refuser{responses: responses, limit: limit, clock: clock, takeBack: takeBack, buffer: make([]byte, readBytes)}
+// keeps at most limit connections open, which must be positive. decide may be nil.
+func New(responses [][]byte, limit int, clock func() time.Duration, decide Decide) *Refuser {
+	return &Refuser{responses: responses, limit: limit, clock: clock, decide: decide, buffer: make([]byte, readBytes)}
 }
 
 // Unanswered returns the number of connections that were closed without an answer.
@@ -89,7 +92,7 @@
 	i := dispensable(r.open)
 	c := &r.open[i]
 	if c.exchange.answered == 0 {
-		r.answer(c)
+		r.answer(c, r.usualResponse())
 	}
 	closeDescriptor(c.descriptor)
 	r.open = slices.Delete(r.open, i, i+1)
@@ -109,9 +112,10 @@
 	return best
 }
 
+func (r *Refuser) usualResponse() []byte { return r.responses[rand.IntN(len(r.responses))] }
+
 // answer sends the response and reports whether it was sent.
-func (r *Refuser) answer(c *connection) bool {
-	response := r.responses[rand.IntN(len(r.responses))]
+func (r *Refuser) answer(c *connection, response []byte) bool {
 	// The send buffer of a new connection takes the whole response.
 	if err := unix.Sendto(c.descriptor, response, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, nil); err != nil {
 		r.unanswered.Add(1)
@@ -164,10 +168,17 @@
 		return false
 	case answer:
 		received := r.receivedUntil(c, data)
-		if received != nil && r.takeBack != nil && r.takeBack(received, c.descriptor) {
-			return true
+		response := r.usualResponse()
+		if received != nil && r.decide != nil {
+			decided, taken := r.decide(received, c.descriptor)
+			if taken {
+				return true
+			}
+			if decided != nil {
+				response = decided
+			}
 		}
-		if r.answer(c) && !wholeRequest(received) {
+		if r.answer(c, response) && !wholeRequest(received) {
 			r.endSending(c)
 			return false
 		}
--- a/gateway/refuser/refuser_test.go
+++ b/gateway/refuser/refuser_test.go
@@ -129,3 +129,30 @@
 		}
 	}
 }
+
+// Guards against a response that was chosen for a request and is replaced by the usual one.
+func TestChosenResponseIsSent(t *testing.T) {
+	const chosen = "HTTP/1.1 401 Unauthorized\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	start := time.Now()
+	r := New([][]byte{[]byte(testResponse)}, 5, func() time.Duration { return time.Since(start) + time.Second }, func(received []byte, _ int) ([]byte, bool) {
+		if strings.Contains(string(received), "/lost") {
+			return []byte(chosen), false
+		}
+		return nil, false
+	})
+	for path, want := range map[string]string{"/lost": chosen, "/": testResponse} {
+		caller, descriptor := connect(t, listener)
+		if _, err := io.WriteString(caller, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		r.Refuse(descriptor)
+		if got, err := io.ReadAll(caller); err != nil || string(got) != want {
+			t.Errorf("%s: %q, %v, want %q", path, got, err, want)
+		}
+	}
+}
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -118,10 +118,10 @@
 	}
 	start := time.Now()
 	readmitted := newReadmittedListener(socket.Addr())
-	takeBack := func(received []byte, descriptor int) bool {
+	takeBack := func(received []byte, descriptor int) ([]byte, bool) {
 		_, rest, _ := strings.Cut(string(received), "Account: ")
 		account, _, _ := strings.Cut(rest, "\r\n")
-		return m.readmit(account) && readmitted.offer(received, descriptor)
+		return nil, m.readmit(account) && readmitted.offer(received, descriptor)
 	}
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	listener := &sheddingListener{Listener: socket, shed: m.shedConnection, refuser: refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }, takeBack)}
