Take a response that is reset during the upload for broken

What callers saw (MIXED): a target answered a long upload at once with 200 and without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as the whole response.

Cause: the kernel reports a reset once. If the goroutine that writes the body gets it, the reader sees an ordinary end, which completes a body without a length. The check whether the target still runs does not help: it does.

Change: such an end counts only if the whole request was written, since a reset is then the reader's to see, or if the state of the connection shows that only the target has closed it. So an early response whose target closes its side in order and reads on stays whole, as one with a length or chunks.

Limit: a target that closes in order and resets right after, or a network stack without the state of connections, makes an early response broken although it was whole.

--- a/gateway/courier/connection.go
+++ b/gateway/courier/connection.go
@@ -68,21 +68,42 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
 	noData := false
-	err = raw.Control(func(fd uintptr) {
+	isSocket, err := c.control(func(fd int) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		_, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		noData = errors.Is(err, unix.EAGAIN)
 	})
-	return err == nil && noData
+	return !isSocket || err == nil && noData
+}
+
+// tcpCloseWait is the state of a connection that only the peer has closed (Linux,
+// net/tcp_states.h).
+const tcpCloseWait = 8
+
+// closedByPeer reports whether the peer has closed its side of the connection and there was
+// no reset since.
+func (c *connection) closedByPeer() bool {
+	closed := false
+	_, err := c.control(func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == tcpCloseWait
+	})
+	return err == nil && closed
+}
+
+// control calls a function with the socket of the connection. It returns false if the
+// connection has none.
+func (c *connection) control(f func(fd int)) (isSocket bool, err error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false, nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true, err
+	}
+	return true, raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // setIdleTimeout sets the idle timeout from the Keep-Alive field of a response
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -122,7 +122,7 @@
 		if countFields(response.Header) > maxHeadFields {
 			return nil, errors.Wrap(ErrInvalid, "the header of the response has too many fields")
 		}
-		if response.StatusCode < 200 {
+		if response.StatusCode < http.StatusOK {
 			continue // informational; the final response follows
 		}
 		match, answered := x.request.Match(response.StatusCode, response.Header), x.connection.answered
@@ -176,13 +176,18 @@
 
 func (x *exchange) newResponse(r *http.Response) *Response {
 	x.connection.setIdleTimeout(r.Header)
+	endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 	return &Response{
-		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength,
-		EndsWithConnection: r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody,
-		Body:               &body{exchange: x, reader: r.Body, reusable: !r.Close},
+		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, EndsWithConnection: endsWithConnection,
+		Body: &body{exchange: x, reader: r.Body, reusable: !r.Close, endsWithConnection: endsWithConnection},
 	}
 }
 
+// endedInOrder reports whether a connection that has ended for its reader was closed by the
+// target and not reset. The kernel reports a reset once: if the goroutine that writes the body
+// gets it, the reader sees an ordinary end.
+func (x *exchange) endedInOrder() bool { return x.written.Load() || x.connection.closedByPeer() }
+
 // closeConnection closes the connection, which must not be used again.
 func (x *exchange) closeConnection() {
 	x.stopWatch()
@@ -194,6 +199,8 @@
 type body struct {
 	exchange *exchange
 	reader   io.ReadCloser
+	// endsWithConnection is set if only the end of the connection shows the end of the body.
+	endsWithConnection bool
 	// reusable is set if the target keeps the connection open after the response.
 	reusable bool
 	// ended is set once the whole body has been read.
@@ -206,6 +213,8 @@
 	n, err := b.reader.Read(p)
 	switch {
 	case err == nil:
+	case errors.Is(err, io.EOF) && b.endsWithConnection && !b.exchange.endedInOrder():
+		err = errors.Wrap(ErrBroken, "the connection was reset while the request was being written")
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
 		b.ended = true
 		err = io.EOF
