Refuse responses with a status out of range

The client of monsoongate took each status under 200 for an informational one: what followed it on the connection was taken for the response, or the request waited until its deadline. 600 and 999 went to the caller. monsoond handed out the status 0, on which the HTTP server panics. The client of monsoond's store took such a status for a call that was certainly rejected, while its outcome is unknown.

Change: a status below 100 or above 599 is no response, and is refused at once: ErrInvalid in gateway/courier, ErrInvalidResponse in router/dispatcher, an unknown outcome in provider. Ruled out by reading: platform/store and operator/fleetclient fail on each status that they do not expect; health checks use gateway/courier.

--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -70,6 +70,9 @@
 	// maxHeadFields bounds the fields of the header of a response. Very many short fields
 	// hold far more memory than their bytes.
 	maxHeadFields = 1000
+	// minStatus and maxStatus bound the status codes of HTTP (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
 	// maxForeignBodyBytes bounds the body of a response to another request that is read in
 	// order to reach the next response.
 	maxForeignBodyBytes = 256 << 10
--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -122,6 +122,9 @@
 		if countFields(response.Header) > maxHeadFields {
 			return nil, errors.Wrap(ErrInvalid, "the header of the response has too many fields")
 		}
+		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+			return nil, errors.Wrapf(ErrInvalid, "status %03d is out of range", response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue // informational; the final response follows
 		}
--- a/provider/client.go
+++ b/provider/client.go
@@ -107,10 +107,12 @@
 		kind = ErrNotFound
 	case code == http.StatusServiceUnavailable, code == http.StatusTooManyRequests:
 		kind = ErrUnavailable
-	case code < 500:
+	case code >= 300 && code < 500:
 		kind = ErrRejected
 	default:
-		kind = lostResponseErr // a gateway may respond 500, 502 or 504 although the service executed the request
+		// A gateway may respond 500, 502 or 504 although the service executed the request. A
+		// status out of range says nothing.
+		kind = lostResponseErr
 	}
 	message, _ := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
 	return errors.Wrap(kind, strings.TrimSpace(fmt.Sprintf("status %d %s", code, message)))
--- a/provider/client_test.go
+++ b/provider/client_test.go
@@ -36,6 +36,8 @@
 		"rate limited":  {status(429), provider.ErrUnavailable, provider.ErrUnavailable, provider.ErrUnavailable},
 		"bad request":   {status(400), provider.ErrRejected, provider.ErrRejected, provider.ErrRejected},
 		"gateway":       {status(502), provider.ErrUnknown, provider.ErrUnavailable, provider.ErrUnavailable},
+		"status 000":    {rawStatus("000"), provider.ErrUnknown, provider.ErrUnavailable, provider.ErrUnavailable},
+		"status 999":    {rawStatus("999"), provider.ErrUnknown, provider.ErrUnavailable, provider.ErrUnavailable},
 		"response lost": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, provider.ErrUnknown, provider.ErrUnavailable, provider.ErrUnavailable},
 		"no response":   {func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body); <-r.Context().Done() }, provider.ErrUnknown, provider.ErrUnavailable, provider.ErrUnavailable},
 	} {
@@ -68,6 +70,19 @@
 	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
 }
 
+// rawStatus responds with a status line that http.ResponseWriter does not send.
+func rawStatus(code string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 "+code+" X\r\nContent-Length: 0\r\n\r\n")
+		_ = c.Close()
+	}
+}
+
 // Guards against requests that differ from the platform's protocol.
 func TestWire(t *testing.T) {
 	var requests []string
--- a/router/dispatcher/attempt.go
+++ b/router/dispatcher/attempt.go
@@ -97,6 +97,12 @@
 	return reason
 }
 
+// minStatus and maxStatus bound the status codes of HTTP (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // refused reports whether the target refused the request without running it.
 func refused(res *http.Response) bool {
 	return (res.StatusCode == http.StatusTooManyRequests || res.StatusCode == http.StatusServiceUnavailable) &&
@@ -126,12 +132,19 @@
 		return nil, a.classifyError(err)
 	}
 	a.meter.recordActivity()
-	if res.Header.Get(HeaderRequestID) != id || res.StatusCode == http.StatusSwitchingProtocols {
+	var invalid error
+	switch {
+	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
+		invalid = errors.Wrapf(ErrInvalidResponse, "status %03d", res.StatusCode)
+	case res.Header.Get(HeaderRequestID) != id || res.StatusCode == http.StatusSwitchingProtocols:
 		a.dispatcher.stats.mismatched.Add(1)
+		invalid = ErrMismatchedResponse
+	}
+	if invalid != nil {
 		// The responses on this connection no longer match their requests. Without
 		// Close, it could return to the pool.
 		closing := a.conn.Close()
-		return nil, errors.WithSecondaryError(a.closeBody(res, ErrMismatchedResponse), closing)
+		return nil, errors.WithSecondaryError(a.closeBody(res, invalid), closing)
 	}
 	if a.stream.request == "" {
 		a.stream.request = id
--- a/router/dispatcher/cut_test.go
+++ b/router/dispatcher/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -96,3 +97,25 @@
 		}
 	}
 }
+
+// Guards against MIXED of 2026-12-06: a response with the status 000 is none. Written to a
+// caller, it makes the HTTP server panic.
+func TestStatusOutOfRangeIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		for _, repeatable := range []bool{false, true} {
+			requests := make(chan cutTarget, 1)
+			address := startCutTarget(t, requests)
+			d, closeIdle := New(Options{Resumes: -1})
+			raw := "HTTP/1.1 " + status + " X\r\nX-Request-Id: ID\r\nContent-Length: 2\r\n\r\nno"
+			requests <- cutTarget{raw, len(raw), false}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			w := httptest.NewRecorder()
+			report := d.Do(ctx, w, &Request{Target: Target{ID: "t", Address: address}, ID: "r", Method: http.MethodPost, URI: "/p", Header: http.Header{}, Repeatable: repeatable})
+			cancel()
+			closeIdle()
+			if !errors.Is(report.Err, ErrInvalidResponse) || w.Body.Len() > 0 {
+				t.Errorf("status %s, repeatable %t: error %v, body %q, want ErrInvalidResponse", status, repeatable, report.Err, w.Body)
+			}
+		}
+	}
+}
--- a/router/dispatcher/errors.go
+++ b/router/dispatcher/errors.go
@@ -13,6 +13,8 @@
 	ErrIncompleteResponse = errors.New("connection to the target failed or its response is incomplete")
 	// ErrMismatchedResponse: the response carried the id of another request.
 	ErrMismatchedResponse = errors.New("response belongs to another request")
+	// ErrInvalidResponse: the target sent something that is not a response of HTTP.
+	ErrInvalidResponse = errors.New("target sent an invalid response")
 	// ErrStalled: the target sent nothing within the time limit.
 	ErrStalled = errors.New("target sent nothing within the time limit")
 	// ErrCallerGone: the caller disconnected or stopped reading.
