--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -248,7 +248,7 @@
 			return queuer.Decision{ID: r.ID, Reason: queuer.ReasonQuarantined, Part: part, RetryAfter: retryAt - now}, true
 		}
 		p.trial = true
-		logger.Emit(c.options.Logger, logger.QuarantineTrial, slog.String("part", formatPart(part)), slog.Uint64("placement", r.ID))
+		logger.Emit(c.options.Logger, logger.QuarantineTrial, slog.String("part", formatPart(part)))
 	}
 	if !r.Retry {
 		return queuer.Decision{}, false
--- a/gateway/quarantiner/crashes.go
+++ b/gateway/quarantiner/crashes.go
@@ -60,8 +60,13 @@
 	}
 }
 
-// crashedAt returns the time of the crash of an incident, which is known.
-func (q *Quarantine) crashedAt(i incident) time.Duration { return q.crashes[i.Crash].at }
+// crashedAt returns the time of the crash of an incident.
+func (q *Quarantine) crashedAt(i incident) time.Duration {
+	if r := q.crashes[i.Crash]; r != nil {
+		return r.at
+	}
+	return i.at
+}
 
 // partsOf returns the parts with an incident of a crash.
 func (q *Quarantine) partsOf(c Crash) map[Part]bool {
