Wait for the end of the request before a response counts as broken

On a busy host the goroutine that has written the request may not have run since, and an emulated network stack does not report the state: a whole response would count as broken. The reader now waits up to 100 ms for that goroutine, which has its result once the connection has ended.

Found by reading. TestEndOfResponseWaitsForTheEndOfTheRequest failed before.

--- a/gateway/courier/exchange.go
+++ b/gateway/courier/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -31,6 +32,9 @@
 	stopSlow func() bool
 	// written is set once the whole request has been written.
 	written atomic.Bool
+	// writeEnded is closed once no more of the request will be written; nil if that was before
+	// the response is read.
+	writeEnded chan struct{}
 }
 
 // run writes the request and reads the header of the response.
@@ -53,12 +57,14 @@
 		return nil, errors.Wrapf(ErrNotSent, "write: %v", err)
 	}
 	x.stopSlow = dialer.AllowSlowPeer(x.connection.Conn, x.written.Load)
+	x.writeEnded = make(chan struct{})
 	go x.writeBody()
 	return x.receive()
 }
 
 func (x *exchange) writeBody() {
 	defer x.sent()
+	defer close(x.writeEnded)
 	// The error of a failed write is ignored: reading the response fails as well.
 	if _, err := x.connection.Write(x.request.Body); err == nil {
 		x.written.Store(true)
@@ -186,10 +192,27 @@
 	}
 }
 
+// writeEndTimeout bounds the wait for the goroutine that writes a body after the connection has
+// ended: it has its result by then, but may lack processor time.
+const writeEndTimeout = 100 * time.Millisecond
+
 // endedInOrder reports whether a connection that has ended for its reader was closed by the
 // target and not reset. The kernel reports a reset once: if the goroutine that writes the body
 // gets it, the reader sees an ordinary end.
-func (x *exchange) endedInOrder() bool { return x.written.Load() || x.connection.closedByPeer() }
+func (x *exchange) endedInOrder() bool {
+	if x.written.Load() || x.connection.closedByPeer() {
+		return true
+	}
+	if x.writeEnded != nil {
+		timer := time.NewTimer(writeEndTimeout)
+		defer timer.Stop()
+		select {
+		case <-x.writeEnded:
+		case <-timer.C:
+		}
+	}
+	return x.written.Load()
+}
 
 // closeConnection closes the connection, which must not be used again.
 func (x *exchange) closeConnection() {
