--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -22,8 +22,9 @@
 	// connection.
 	shed    func() shedding
 	refuser *refuser.Refuser
-	// refusedCount is the number of connections that were refused.
-	refusedCount atomic.Int64
+	// refusedCount is the number of connections that were refused, leftCount that of those
+	// whose caller had closed them before they were accepted.
+	refusedCount, leftCount atomic.Int64
 }
 
 // shedding says what happens to a new connection.
@@ -39,6 +40,9 @@
 	keepNext := false // shed has already decided to keep the next connection
 	for {
 		c, err := l.Listener.Accept()
+		if err == nil && callerClosed(c) {
+			l.leftCount.Add(1)
+		}
 		if err != nil || keepNext {
 			return c, err
 		}
@@ -105,6 +109,9 @@
 			if err != nil {
 				return // the accept queue is empty, or the next Accept gets the same error
 			}
+			if closedByPeer(uintptr(c)) {
+				l.leftCount.Add(1)
+			}
 			l.refuse(c)
 		}
 	})
@@ -118,6 +125,29 @@
 	return err == nil && n > 0 // after an error, the next Accept decides
 }
 
+// callerClosed reports whether the caller has closed its side of a connection, also if there
+// is a request that was not read.
+func callerClosed(c net.Conn) bool {
+	inner, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) { closed = closedByPeer(fd) })
+	return closed || err != nil
+}
+
+// closedByPeer reports whether the other side has closed or reset a connection.
+func closedByPeer(fd uintptr) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n > 0 // POLLHUP and POLLERR are always reported
+}
+
 // connectionKey is the context key of the connection of a request.
 type connectionKey struct{}
 
