Drop connections whose callers left before they were accepted

Callers wait one second for a host to read their request. The state of a connection is looked at when it is accepted, which one system call tells. The test failed before.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -15,7 +15,8 @@
 )
 
 // sheddingListener is a net.Listener that refuses new connections with an answer while the
-// host is overloaded or has no room for them.
+// host is overloaded or has no room for them, and drops those that their callers have closed
+// while they waited to be accepted.
 type sheddingListener struct {
 	net.Listener
 	// shed decides what happens to the next connection. It is called once for each
@@ -38,13 +39,22 @@
 // Accept implements net.Listener.
 func (l *sheddingListener) Accept() (net.Conn, error) {
 	keepNext := false // shed has already decided to keep the next connection
+	dropped := 0
 	for {
 		c, err := l.Listener.Accept()
-		if err == nil && callerClosed(c) {
+		if err != nil {
+			return nil, err
+		}
+		if callerClosed(c) {
+			_ = c.Close()
 			l.leftCount.Add(1)
+			if dropped++; dropped%maxRefusalsInARow == 0 {
+				runtime.Gosched()
+			}
+			continue
 		}
-		if err != nil || keepNext {
-			return c, err
+		if keepNext {
+			return c, nil
 		}
 		if l.shed() == keepConnection {
 			return c, nil
@@ -110,7 +120,9 @@
 				return // the accept queue is empty, or the next Accept gets the same error
 			}
 			if closedByPeer(uintptr(c)) {
+				_ = unix.Close(c)
 				l.leftCount.Add(1)
+				continue
 			}
 			l.refuse(c)
 		}
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -268,3 +268,35 @@
 		t.Error("the server still waits for a request on the unused connection")
 	}
 }
+
+// Load: callers that give up while they wait for a host that is behind. Guards against FAIR: the
+// host reads and serves the requests of those that left, oldest first, while the callers that
+// still wait leave one after the other.
+func TestListenerDropsConnectionsOfCallersThatLeft(t *testing.T) {
+	const left = 50
+	s := startShedding(t)
+	for i := range left {
+		c := dial(t, s)
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if i%2 == 0 {
+			if err := c.(*net.TCPConn).SetLinger(0); err != nil { // closes with a reset
+				t.Fatal(err)
+			}
+		}
+		_ = c.Close()
+	}
+	waiting := dial(t, s)
+	c, err := s.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if c.RemoteAddr().String() != waiting.LocalAddr().String() {
+		t.Error("the first connection that is accepted is one whose caller has left")
+	}
+	if n := s.leftCount.Load(); n != left {
+		t.Errorf("%d connections count as left, want %d", n, left)
+	}
+}
