Log parts and fingerprint of refused requests

Event 512 did not tell a first request from its caller's repetition, nor whether a sound request shares a prompt part with one that crashes targets. Both are in the event now if the body was read.

--- a/gateway/receiver/reject.go
+++ b/gateway/receiver/reject.go
@@ -64,6 +64,9 @@
 	if r.part != 0 {
 		attrs = append(attrs, slog.String("part", strconv.FormatUint(uint64(r.part), 16)))
 	}
+	if p.fingerprint != 0 { // the body was read
+		attrs = append(attrs, slog.String("parts", p.formatParts()), slog.String("fingerprint", p.formatFingerprint()))
+	}
 	p.receiver.Tally.Refused(p.sharingAccount(), r.code)
 	p.log(logger.RequestRejected, append(attrs, p.standingAttrs(r.standing)...)...)
 	p.recordEnd(r.code, r.status)
