Admit by processor time, and hold what cannot be refused, the newest first

A host refused in proportion to the delay of its timers, so that a burst was accepted as a whole before the delay had moved, and new connections waited in the kernel for longer than their callers do, where nothing measured them. Now a host admits as many requests as its processor time allows by what requests have cost (getrusage), spends at most 0.3 of it on refusals, and accepts the rest as well, but holds it, to serve the newest first or refuse it once there is time. The delay of the timers only withholds a part. Hosts of unknown size refuse as before. The tests need the new types; with the order of arrival TestListenerServesTheNewestCallerFirst fails.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,7 +189,7 @@
 		QuarantineStore: g.options.Source, QuarantineSink: g.controller, VersionStore: g.options.Source, VersionSink: g.controller,
 		RegistryDue: g.registryDue, Role: g.role, Clock: g.clock,
 	})
-	g.overload = newOverloadMonitor(s.MemoryBytes, s.Descriptors, g.controller, g.clock, g.logger)
+	g.overload = newOverloadMonitor(hostSize{memoryBytes: s.MemoryBytes, descriptors: s.Descriptors, cores: s.Cores}, g.controller, g.clock, g.logger)
 	g.memory = newMemory(s)
 	g.tally = tallier.New(maxTalliedAccounts)
 	g.meter = g.newMeter()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -16,33 +17,56 @@
 
 // sheddingListener is a net.Listener that refuses new connections with an answer while the
 // host is overloaded or has no room for them, and drops those that their callers have closed
-// while they waited to be accepted.
+// while they waited to be accepted. A host that cannot even refuse all accepts them nevertheless
+// and holds them: in the queue of the kernel the oldest would be served first, as their callers
+// leave.
 type sheddingListener struct {
 	net.Listener
 	// shed decides what happens to the next connection. It is called once for each
-	// connection.
+	// connection, and again for those that are held.
 	shed    func() shedding
 	refuser *refuser.Refuser
+	held    heldConnections
 	// refusedCount is the number of connections that were refused, leftCount that of those
-	// whose caller had closed them before they were accepted.
+	// whose caller had closed them before they were decided.
 	refusedCount, leftCount atomic.Int64
 }
 
-// shedding says what happens to a new connection.
+// newSheddingListener returns a listener that holds at most maxHeld connections.
+func newSheddingListener(l net.Listener, shed func() shedding, r *refuser.Refuser, maxHeld int) *sheddingListener {
+	s := &sheddingListener{Listener: l, shed: shed, refuser: r}
+	s.held = heldConnections{limit: maxHeld, left: func() { s.leftCount.Add(1) }}
+	return s
+}
+
+// shedding says what happens to a connection.
 type shedding int
 
 const (
 	keepConnection shedding = iota
 	refuseConnection
+	// holdConnection decides about the connection later.
+	holdConnection
 )
 
+// holdInterval is the time between two looks at the connections that are held.
+const holdInterval = 5 * time.Millisecond
+
 // Accept implements net.Listener.
 func (l *sheddingListener) Accept() (net.Conn, error) {
 	keepNext := false // shed has already decided to keep the next connection
 	dropped := 0
 	for {
+		if !keepNext && len(l.held.descriptors) > 0 {
+			if c := l.decideHeld(); c != nil {
+				return c, nil
+			}
+			keepNext = l.decidePending()
+			continue
+		}
 		c, err := l.Listener.Accept()
 		if err != nil {
+			l.held.close()
 			return nil, err
 		}
 		if callerClosed(c) {
@@ -53,26 +77,72 @@
 			}
 			continue
 		}
-		if keepNext {
-			return c, nil
+		decision := keepConnection
+		if !keepNext {
+			decision = l.shed()
 		}
-		if l.shed() == keepConnection {
+		if decision == keepConnection {
 			return c, nil
 		}
 		if descriptor, err := duplicate(c); err == nil {
-			l.refuse(descriptor)
+			l.reject(descriptor, decision)
 		}
 		_ = c.Close() // the duplicate, if any, keeps the connection open
-		keepNext = l.refusePending()
+		keepNext = l.decidePending()
 	}
 }
 
-// refuse answers a connection.
-func (l *sheddingListener) refuse(descriptor int) {
+// reject refuses or holds a connection.
+func (l *sheddingListener) reject(descriptor int, decision shedding) {
+	if decision == holdConnection && !l.held.full() {
+		l.held.push(descriptor)
+		return
+	}
 	l.refusedCount.Add(1)
 	l.refuser.Refuse(descriptor)
 }
 
+// decideHeld decides about held connections while there is no newer one. It returns the one
+// to serve, or nil once a connection waits to be accepted or after holdInterval.
+func (l *sheddingListener) decideHeld() net.Conn {
+	for !l.hasPending() {
+		l.held.dropLeft()
+		descriptor := l.held.newest()
+		if descriptor < 0 {
+			return nil
+		}
+		switch l.shed() {
+		case keepConnection:
+			if c, err := fileConnection(descriptor); err == nil {
+				return c
+			}
+		case refuseConnection:
+			l.reject(descriptor, refuseConnection)
+		case holdConnection:
+			l.held.push(descriptor)
+			time.Sleep(holdInterval)
+			return nil
+		}
+	}
+	return nil
+}
+
+// hasPending reports whether a connection waits to be accepted.
+func (l *sheddingListener) hasPending() (pending bool) {
+	l.control(func(fd uintptr) { pending = hasPending(fd) })
+	return pending
+}
+
+// control calls f with the file descriptor of the listener, unless it is closed, which the
+// next Accept reports.
+func (l *sheddingListener) control(f func(fd uintptr)) {
+	if inner, ok := l.Listener.(syscall.Conn); ok {
+		if raw, err := inner.SyscallConn(); err == nil {
+			_ = raw.Control(f)
+		}
+	}
+}
+
 // duplicate returns another file descriptor of a connection.
 func duplicate(c net.Conn) (int, error) {
 	inner, ok := c.(syscall.Conn)
@@ -93,28 +163,25 @@
 // their turn, so that a burst does not delay the requests that were admitted.
 const maxRefusalsInARow = 16
 
-// refusePending refuses connections from the accept queue of the kernel until shed decides
-// to keep one, and reports whether it did. Accepting them with net.Listener would
+// decidePending refuses or holds connections from the accept queue of the kernel until shed
+// decides to keep one, and reports whether it did. Accepting them with net.Listener would
 // register and set up each one in the runtime, which costs several times as much as
 // the system calls made here.
-func (l *sheddingListener) refusePending() (keep bool) {
-	inner, ok := l.Listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
-		return false // the listener is closed, which the next Accept reports
-	}
-	_ = raw.Control(func(fd uintptr) { // an error means a closed listener, which the next Accept reports
-		for refused := 1; hasPending(fd); refused++ {
-			if refused%maxRefusalsInARow == 0 {
+func (l *sheddingListener) decidePending() (keep bool) {
+	l.control(func(fd uintptr) {
+		for rejected := 1; hasPending(fd); rejected++ {
+			if rejected%maxRefusalsInARow == 0 {
 				runtime.Gosched()
 			}
-			if l.shed() == keepConnection {
+			decision := l.shed()
+			if decision == keepConnection {
 				keep = true
 				return
 			}
+			if decision == holdConnection && l.held.full() {
+				time.Sleep(holdInterval)
+				return
+			}
 			c, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if err != nil {
 				return // the accept queue is empty, or the next Accept gets the same error
@@ -124,7 +191,7 @@
 				l.leftCount.Add(1)
 				continue
 			}
-			l.refuse(c)
+			l.reject(c, decision)
 		}
 	})
 	return keep
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -18,6 +18,9 @@
 	"monsoondeck.example/gateway/refuser"
 )
 
+// maxHeldInTest is the largest number of connections that a listener holds in tests.
+const maxHeldInTest = 8
+
 // startShedding returns a listener that treats its connections as decided, and keeps
 // the later ones.
 func startShedding(t *testing.T, decisions ...shedding) *sheddingListener {
@@ -28,17 +31,15 @@
 	}
 	start := time.Now()
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	s := &sheddingListener{
-		Listener: l, refuser: refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }, nil),
-		shed: func() shedding {
-			if len(decisions) == 0 {
-				return keepConnection
-			}
-			next := decisions[0]
-			decisions = decisions[1:]
-			return next
-		},
+	shed := func() shedding {
+		if len(decisions) == 0 {
+			return keepConnection
+		}
+		next := decisions[0]
+		decisions = decisions[1:]
+		return next
 	}
+	s := newSheddingListener(l, shed, refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }, nil), maxHeldInTest)
 	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
@@ -300,3 +301,46 @@
 		t.Errorf("%d connections count as left, want %d", n, left)
 	}
 }
+
+// Load: more callers than a host can serve or refuse. Guards against FAIR: in the order of arrival
+// each caller waits until it is about to leave, so that the host serves none in time.
+func TestListenerServesTheNewestCallerFirst(t *testing.T) {
+	s := startShedding(t, holdConnection, holdConnection, holdConnection)
+	first, second, newest := dial(t, s), dial(t, s), dial(t, s)
+	_ = second.Close()
+	for _, caller := range []net.Conn{newest, first} {
+		c, err := s.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		if c.RemoteAddr().String() != caller.LocalAddr().String() {
+			t.Errorf("got the connection of %v, want that of %v", c.RemoteAddr(), caller.LocalAddr())
+		}
+	}
+	if n := s.leftCount.Load(); n != 1 {
+		t.Errorf("%d connections count as left, want 1", n)
+	}
+}
+
+// Load: more callers than a host may hold. Guards against callers that are lost: those beyond
+// the limit wait in the kernel until the host gets to them.
+func TestListenerLosesNoHeldConnection(t *testing.T) {
+	const callers = 3 * maxHeldInTest
+	s := startShedding(t, slices.Repeat([]shedding{holdConnection}, 2*callers)...)
+	for range callers {
+		dial(t, s)
+	}
+	served := map[string]bool{}
+	for range callers {
+		c, err := s.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		served[c.RemoteAddr().String()] = true
+	}
+	if len(served) != callers {
+		t.Errorf("%d of %d callers were served", len(served), callers)
+	}
+}
--- a/gateway/readmission.go
+++ b/gateway/readmission.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 
@@ -73,9 +72,7 @@
 	if len(l.queue.connections) == cap(l.queue.connections) {
 		return false
 	}
-	f := os.NewFile(uintptr(descriptor), "")
-	c, err := net.FileConn(f) // of a duplicate
-	_ = f.Close()             // the duplicate keeps the connection open
+	c, err := fileConnection(descriptor)
 	if err != nil {
 		return true // the connection is gone with its descriptor
 	}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -10,12 +10,15 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"monsoondeck.example/gateway/shedder"
 	"monsoondeck.example/logger"
 )
 
-// overloadMonitor measures how late the timers of the process fire and decides from
-// that whether the host can serve one more request. It implements receiver.LoadShedder.
+// overloadMonitor decides whether the host can serve one more request: by the processor time
+// that requests take, and by how late the timers of the process fire. It implements
+// receiver.LoadShedder.
 type overloadMonitor struct {
 	// maxActive is the maximum number of requests in progress.
 	maxActive int64
@@ -32,6 +35,7 @@
 	// mutex guards the fields below. spreader spreads the admitted connections and requests,
 	// readmissions the connections that are taken back from the refuser.
 	mutex                  sync.Mutex
+	budget                 *shedder.ProcessorBudget
 	spreader, readmissions shedder.Spreader
 	divider                shedder.Divider
 	// refused is the number of requests that were refused since the last report, by account.
@@ -39,8 +43,11 @@
 
 	// shedder is only accessed by the goroutine of run.
 	shedder *shedder.Shedder
-	clock   func() time.Duration
-	logger  *slog.Logger
+	// processorTime returns the processor time that the process has used; false if it is not
+	// known.
+	processorTime func() (time.Duration, bool)
+	clock         func() time.Duration
+	logger        *slog.Logger
 }
 
 // accountService knows the recent service of the accounts and adds to their demand.
@@ -52,13 +59,33 @@
 	RecordRefused(requests map[string]int) bool
 }
 
-func newOverloadMonitor(memory int64, descriptors int, accounts accountService, clock func() time.Duration, l *slog.Logger) *overloadMonitor {
-	s := shedder.New(memory)
+// hostSize is what a host can use; 0 means unknown.
+type hostSize struct {
+	memoryBytes int64
+	descriptors int
+	// cores is the processor time in seconds per second.
+	cores float64
+}
+
+func newOverloadMonitor(h hostSize, accounts accountService, clock func() time.Duration, l *slog.Logger) *overloadMonitor {
+	s := shedder.New(h.memoryBytes)
 	maxActive := s.Limit()
-	if targets := shedder.Divide(descriptors).Targets; targets > 0 {
+	if targets := shedder.Divide(h.descriptors).Targets; targets > 0 {
 		maxActive = min(maxActive, int64(targets)) // each needs a connection to a target
 	}
-	return &overloadMonitor{maxActive: maxActive, shedder: s, accounts: accounts, refused: map[string]int{}, clock: clock, logger: l}
+	return &overloadMonitor{
+		maxActive: maxActive, shedder: s, budget: shedder.NewProcessorBudget(h.cores), processorTime: processorTime,
+		accounts: accounts, refused: map[string]int{}, clock: clock, logger: l,
+	}
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() (time.Duration, bool) {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0, false // cannot happen: the arguments are valid
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), true
 }
 
 // Admit implements receiver.LoadShedder. The first request on a new connection was admitted
@@ -70,13 +97,32 @@
 	if a, ok := r.Context().Value(admissionKey{}).(*connectionAdmission); ok && a.take() {
 		return true
 	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.budget.Known() {
+		return m.admitByBudget(account, &m.spreader) || m.refuse(account)
+	}
 	share := m.refusedShare()
-	if share == 0 {
+	return share == 0 || m.spreader.Admit(m.refusedShareOf(account, share)) || m.refuse(account)
+}
+
+// admitByBudget takes the processor time of a request of an account. One that has had less
+// service than the others at this host may take what later requests would. The caller holds
+// the mutex.
+func (m *overloadMonitor) admitByBudget(account string, spread *shedder.Spreader) bool {
+	now := m.clock()
+	share := m.budget.RefusedShare(now)
+	refused := m.refusedShareOf(account, share)
+	if m.budget.Admit(now) {
 		return true
 	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.spreader.Admit(m.refusedShareOf(account, share)) || m.countRefused(account)
+	return refused < share && spread.Admit(refused) && m.budget.AdmitPreferred(now)
+}
+
+// refuse counts a refused request and returns false. The caller holds the mutex.
+func (m *overloadMonitor) refuse(account string) bool {
+	m.budget.Refuse(m.clock())
+	return m.countRefused(account)
 }
 
 // ShouldCloseConnections implements receiver.LoadShedder.
@@ -85,13 +131,21 @@
 // shedConnection decides, in view of the refused share, whether a new connection should be
 // refused.
 func (m *overloadMonitor) shedConnection() shedding {
-	share := m.refusedShare()
-	if share < shedder.MinConnectionShare {
-		return keepConnection
-	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.spreader.Admit(share) {
+	if m.budget.Known() {
+		now := m.clock()
+		if m.budget.Admit(now) {
+			return keepConnection
+		}
+		if !m.budget.MayRefuse(now) {
+			return holdConnection
+		}
+		m.budget.Refuse(now)
+		return refuseConnection
+	}
+	share := m.refusedShare()
+	if share < shedder.MinConnectionShare || m.spreader.Admit(share) {
 		return keepConnection
 	}
 	return refuseConnection
@@ -100,12 +154,15 @@
 // readmit decides whether a connection that was refused unread is served nevertheless, because
 // its request is of an account that has had less service than the others at this host.
 func (m *overloadMonitor) readmit(account string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.budget.Known() {
+		return m.admitByBudget(account, &m.readmissions) || m.countRefused(account)
+	}
 	share := m.refusedShare()
 	if share == 0 {
 		return true
 	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
 	// Of the connections of the account, a part was kept unseen. The shares are such that the
 	// refused part of all of them is that of the account.
 	return m.readmissions.Admit(min(m.refusedShareOf(account, share)/share, 1)) || m.countRefused(account)
@@ -139,6 +196,16 @@
 	return m.divider.RefusedShare(share, service)
 }
 
+// recordUse brings the budget and the readiness of the host up to date.
+func (m *overloadMonitor) recordUse(now time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if used, ok := m.processorTime(); ok && m.budget.Known() {
+		m.budget.RecordUse(now, used, m.shedder.DelayShare())
+		m.shedder.RecordRefused(m.budget.RefusedShare(now))
+	}
+}
+
 // refusedShare returns the share of requests that is refused, between 0 and 1.
 func (m *overloadMonitor) refusedShare() float64 { return math.Float64frombits(m.shareBits.Load()) }
 
@@ -153,6 +220,7 @@
 		runtime.Gosched()
 		now := m.clock()
 		m.shedder.RecordTimerDelay(now, now-start-shedder.TimerInterval)
+		m.recordUse(now)
 		m.shareBits.Store(math.Float64bits(m.shedder.RefusedShare()))
 		m.closeAfterAnswer.Store(m.shedder.ShouldCloseConnections(now))
 		m.reportRefused()
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -41,7 +41,7 @@
 
 // newBusyMonitor returns a monitor of a host that refuses a share of its requests.
 func newBusyMonitor(refusedShare float64) *overloadMonitor {
-	m := newOverloadMonitor(0, 0, &fakeAccounts{refused: map[string]int{}}, func() time.Duration { return 0 }, slog.New(slog.DiscardHandler))
+	m := newOverloadMonitor(hostSize{}, &fakeAccounts{refused: map[string]int{}}, func() time.Duration { return 0 }, slog.New(slog.DiscardHandler))
 	m.shareBits.Store(math.Float64bits(refusedShare))
 	return m
 }
@@ -124,7 +124,7 @@
 		return nil, m.readmit(account) && readmitted.offer(received, descriptor)
 	}
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	listener := &sheddingListener{Listener: socket, shed: m.shedConnection, refuser: refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }, takeBack)}
+	listener := newSheddingListener(socket, m.shedConnection, refuser.New([][]byte{[]byte(refusal)}, 100, func() time.Duration { return time.Since(start) }, takeBack), 0)
 	server := &http.Server{ConnContext: withAdmission, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		if !m.Admit(r, r.Header.Get("Account"), 1) || string(body) != "body" {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -121,7 +121,7 @@
 		if i == 0 {
 			socket := s.listener
 			g.readmitted = newReadmittedListener(socket.Addr())
-			g.listener = &sheddingListener{Listener: s.listener, shed: g.shedConnection, refuser: g.newRefuser()}
+			g.listener = newSheddingListener(s.listener, g.shedConnection, g.newRefuser(), shedder.Divide(g.settings.Descriptors).Held)
 			s.listener = g.listener
 			g.meterCallers(s, socket)
 			g.callerServer = s
--- a/gateway/shedder/connections.go
+++ b/gateway/shedder/connections.go
@@ -9,6 +9,9 @@
 	// refusedDescriptorShare is the part that refused connections may use until their
 	// callers have closed them. Connections to targets use the rest.
 	refusedDescriptorShare = 0.1
+	// heldDescriptorShare is the part for connections that a host without processor time has
+	// neither served nor refused yet.
+	heldDescriptorShare = 0.05
 	// reservedDescriptors is the number of descriptors for files, peers, the store, health
 	// checks and metrics.
 	reservedDescriptors = 320
@@ -41,10 +44,10 @@
 
 // Budget is the division of the file descriptors of a process.
 type Budget struct {
-	// Callers and Refused bound the connections of callers that are served and that are
-	// refused; Targets bounds the requests in progress, each of which needs a connection
-	// to a target. 0 means no limit.
-	Callers, Refused, Targets int
+	// Callers, Refused and Held bound the connections of callers that are served, that are
+	// refused, and that are held; Targets bounds the requests in progress, each of which
+	// needs a connection to a target. 0 means no limit, for Held that none is held.
+	Callers, Refused, Held, Targets int
 }
 
 // Divide returns the division of a number of file descriptors; 0 means unknown.
@@ -55,8 +58,9 @@
 	b := Budget{
 		Callers: max(int(callerDescriptorShare*float64(descriptors)), 1),
 		Refused: max(int(refusedDescriptorShare*float64(descriptors)), 1),
+		Held:    int(heldDescriptorShare * float64(descriptors)),
 	}
-	b.Targets = max(descriptors-b.Callers-maxClosing(b.Callers)-b.Refused-reservedDescriptors, minTargetConnections)
+	b.Targets = max(descriptors-b.Callers-maxClosing(b.Callers)-b.Refused-b.Held-reservedDescriptors, minTargetConnections)
 	return b
 }
 
--- /dev/null
+++ b/gateway/shedder/processor_budget.go
@@ -0,0 +1,176 @@
+package shedder
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxUse is the part of the processor time of the host that is planned for requests. The
+	// rest is for the exchange with other daemons, garbage collection and logs.
+	maxUse = 0.9
+	// burstTime is the time that the host may need for what it has admitted at once. It is
+	// below the shortest objective that callers use.
+	burstTime = 200 * time.Millisecond
+	// preferredDebt is the part of a burst by which requests of accounts that have had less
+	// than others may exceed the budget.
+	preferredDebt = 0.5
+	// refusalUse is the part of the processor time that refusals may take, so that a flood
+	// cannot take all of it.
+	refusalUse = 0.3
+	// refusalCost is the processor time of a refusal, in seconds of a core.
+	refusalCost = 80e-6
+	// initialCost is the processor time of a request before any was measured, minCost and
+	// maxCost bound what is measured, in seconds of a core.
+	initialCost, minCost, maxCost = 500e-6, 100e-6, 3e-3
+	// costTimeConstant is the time over which the processor time of requests is averaged. It
+	// is longer than most responses, which take processor time until their end.
+	costTimeConstant = 2 * time.Second
+	// minMeasuredUse is the used part of the processor time from which the cost of a request
+	// is measured unless requests were refused: on an idle host, other work prevails.
+	minMeasuredUse = 0.5
+	// shareTimeConstant is the time over which the refused share is averaged.
+	shareTimeConstant = 300 * time.Millisecond
+)
+
+// ProcessorBudget admits requests by the processor time that they will take, so that a host takes in no
+// more than it finishes in time. A control that waits for the delay comes too late: a burst has
+// been accepted as a whole before its requests take their time. What a request costs is measured.
+// It is not safe for concurrent use.
+type ProcessorBudget struct {
+	// cores is the processor time of the host in seconds per second; 0 means that it is
+	// unknown and everything is admitted.
+	cores float64
+	// balance and refusals are the processor time that is left for requests and, as a part
+	// of it, for refusals, in seconds, at the time updated.
+	balance, refusals float64
+	updated           time.Duration
+	// withheld is the share of the processor time that is not given out, because the host is
+	// behind with what it has admitted.
+	withheld float64
+	// used is the processor time of the process, at the time measured; usedSum and
+	// admittedSum are the decaying sums of what was used while the host was busy and of the
+	// requests that were admitted in that time.
+	used, measured       time.Duration
+	usedSum, admittedSum float64
+	// admitted and rejected count the requests since the last measurement; limited is set if
+	// the budget has admitted less than was offered in that time.
+	admitted, rejected int
+	limited            bool
+	// offeredRate and refusedRate are decaying counts of the requests and of those refused.
+	offeredRate, refusedRate float64
+	rated                    time.Duration
+}
+
+// NewProcessorBudget returns a ProcessorBudget for a host with the given processor time in cores; 0 means unknown.
+func NewProcessorBudget(cores float64) *ProcessorBudget {
+	b := &ProcessorBudget{cores: max(cores, 0)}
+	b.balance, b.refusals = b.burst(), refusalUse*b.burst()
+	b.usedSum, b.admittedSum = b.burst(), b.burst()/initialCost
+	return b
+}
+
+// Known reports whether the processor time of the host is known.
+func (b *ProcessorBudget) Known() bool { return b.cores > 0 }
+
+// Admit reports whether the host has processor time for a request, and takes it.
+func (b *ProcessorBudget) Admit(now time.Duration) bool { return b.take(now, 0) }
+
+// AdmitPreferred is like Admit, for a request that is admitted at the cost of those that come
+// later.
+func (b *ProcessorBudget) AdmitPreferred(now time.Duration) bool {
+	return b.take(now, -preferredDebt*b.burst())
+}
+
+func (b *ProcessorBudget) take(now time.Duration, least float64) bool {
+	if !b.Known() {
+		return true
+	}
+	b.refill(now)
+	if b.balance <= least {
+		b.limited = true
+		return false
+	}
+	b.balance -= b.cost()
+	b.admitted++
+	b.rate(now, 0)
+	return true
+}
+
+// Return gives back the processor time of a request that was admitted and did not come.
+func (b *ProcessorBudget) Return() {
+	b.balance += b.cost()
+	b.admitted--
+}
+
+// Refuse takes the processor time of a refusal.
+func (b *ProcessorBudget) Refuse(now time.Duration) {
+	if !b.Known() {
+		return
+	}
+	b.refill(now)
+	b.balance -= refusalCost
+	b.refusals -= refusalCost
+	b.rejected++
+	b.rate(now, 1)
+}
+
+// MayRefuse reports whether the host has processor time to refuse a request.
+func (b *ProcessorBudget) MayRefuse(now time.Duration) bool {
+	b.refill(now)
+	return !b.Known() || b.refusals > 0
+}
+
+// RefusedShare returns the recent share of the requests that were refused, between 0 and 1.
+func (b *ProcessorBudget) RefusedShare(now time.Duration) float64 {
+	b.rate(now, -1)
+	if b.offeredRate < 1 {
+		return 0
+	}
+	return b.refusedRate / b.offeredRate
+}
+
+// RecordUse records the processor time that the process has used since its start, and the share
+// of it that is withheld because the host is behind.
+func (b *ProcessorBudget) RecordUse(now, used time.Duration, withheld float64) {
+	if !b.Known() {
+		return
+	}
+	b.refill(now)
+	b.withheld = withheld
+	interval, spent := now-b.measured, (used - b.used).Seconds()
+	if busy := spent >= minMeasuredUse*b.cores*interval.Seconds(); b.measured > 0 && (busy || b.limited) {
+		decay := math.Exp(-float64(interval) / float64(costTimeConstant))
+		b.usedSum = decay*b.usedSum + max(spent-float64(b.rejected)*refusalCost, 0)
+		b.admittedSum = decay*b.admittedSum + float64(b.admitted)
+	}
+	b.admitted, b.rejected, b.limited = 0, 0, false
+	b.used, b.measured = used, now
+}
+
+// cost returns the processor time of a request in seconds.
+func (b *ProcessorBudget) cost() float64 {
+	return min(max(b.usedSum/max(b.admittedSum, 1), minCost), maxCost)
+}
+
+// burst returns the processor time of burstTime in seconds.
+func (b *ProcessorBudget) burst() float64 { return maxUse * b.cores * burstTime.Seconds() }
+
+// refill adds the processor time since the last call.
+func (b *ProcessorBudget) refill(now time.Duration) {
+	elapsed := max(now-b.updated, 0).Seconds()
+	b.updated = max(now, b.updated)
+	b.balance = min(b.balance+elapsed*maxUse*b.cores*(1-b.withheld), b.burst())
+	b.refusals = min(b.refusals+elapsed*refusalUse*b.cores, refusalUse*b.burst())
+}
+
+// rate counts a request, of which the given part was refused; a negative part counts none.
+func (b *ProcessorBudget) rate(now time.Duration, refused float64) {
+	decay := math.Exp(-float64(max(now-b.rated, 0)) / float64(shareTimeConstant))
+	b.rated = max(now, b.rated)
+	b.offeredRate, b.refusedRate = decay*b.offeredRate, decay*b.refusedRate
+	if refused >= 0 {
+		b.offeredRate++
+		b.refusedRate += refused
+	}
+}
--- /dev/null
+++ b/gateway/shedder/processor_budget_test.go
@@ -0,0 +1,110 @@
+package shedder_test
+
+import (
+	"testing"
+	"time"
+
+	"monsoondeck.example/gateway/shedder"
+)
+
+// budgetHost is a host whose requests take a part of their processor time later, as streams do.
+type budgetHost struct {
+	budget  *shedder.ProcessorBudget
+	shedder *shedder.Shedder
+	cores   float64
+	// backlog is the processor time of what was admitted and is not done, in seconds.
+	backlog  float64
+	now      time.Duration
+	used     time.Duration
+	admitted int
+	// longest is the longest time that the host needed for its backlog.
+	longest time.Duration
+}
+
+func newBudgetHost(cores float64) *budgetHost {
+	return &budgetHost{budget: shedder.NewProcessorBudget(cores), shedder: shedder.New(0), cores: cores}
+}
+
+// offer lets a number of requests arrive in each tick, of which each costs the given processor
+// time.
+func (h *budgetHost) offer(duration time.Duration, perTick int, cost time.Duration) {
+	for end := h.now + duration; h.now < end; h.now += shedder.TimerInterval {
+		for range perTick {
+			if h.budget.Admit(h.now) {
+				h.admitted++
+				h.backlog += cost.Seconds()
+			}
+		}
+		spent := min(h.backlog, h.cores*shedder.TimerInterval.Seconds())
+		h.backlog -= spent
+		h.used += time.Duration(spent * float64(time.Second))
+		behind := time.Duration(h.backlog / h.cores * float64(time.Second))
+		h.longest = max(h.longest, behind)
+		h.shedder.RecordTimerDelay(h.now, behind)
+		h.budget.RecordUse(h.now+shedder.TimerInterval, h.used, h.shedder.DelayShare())
+	}
+}
+
+// Load: a thousand requests at once at a small host that has been idle. Guards against FAIR: a
+// burst that is accepted as a whole keeps the host behind until all of its callers have left.
+func TestBurstIsAdmittedUpToWhatTheHostFinishesInTime(t *testing.T) {
+	const limit = 300 * time.Millisecond // the shortest objective
+	for _, cores := range []float64{0.144, 0.48, 0.8} {
+		h := newBudgetHost(cores)
+		h.offer(shedder.TimerInterval, 1000, 500*time.Microsecond)
+		if h.longest > limit || h.admitted == 0 {
+			t.Errorf("%.3f cores: %d of 1000 requests were admitted, which take %v, want some and at most %v", cores, h.admitted, h.longest, limit)
+		}
+	}
+}
+
+// Load: ten times what a host can serve, with requests that cost more or less than expected.
+// Guards against a host that idles while callers wait, and against one that falls behind.
+func TestBudgetFollowsTheMeasuredCost(t *testing.T) {
+	const settled, measured = 10 * time.Second, 10 * time.Second
+	for _, cost := range []time.Duration{200 * time.Microsecond, 500 * time.Microsecond, 2 * time.Millisecond} {
+		h := newBudgetHost(0.144)
+		h.offer(settled, 100, cost)
+		h.admitted, h.longest = 0, 0
+		h.offer(measured, 100, cost)
+		use := float64(h.admitted) * cost.Seconds() / measured.Seconds() / h.cores
+		if use < 0.8 || use > 1 {
+			t.Errorf("requests of %v take %.2f of the processor time, want 0.8 to 1", cost, use)
+		}
+		if h.longest > 300*time.Millisecond {
+			t.Errorf("requests of %v: the host was %v behind", cost, h.longest)
+		}
+	}
+}
+
+// Guards against a refusal on hosts whose size is not known.
+func TestUnknownProcessorTimeIsNotLimited(t *testing.T) {
+	b := shedder.NewProcessorBudget(0)
+	for range 10_000 {
+		if !b.Admit(time.Second) || !b.MayRefuse(time.Second) {
+			t.Fatal("a request was refused")
+		}
+	}
+	if share := b.RefusedShare(time.Second); share != 0 {
+		t.Errorf("the refused share is %v, want 0", share)
+	}
+}
+
+// Guards against a flood that leaves no processor time for the accounts that had less.
+func TestPreferredRequestsMayExceedTheBudget(t *testing.T) {
+	b := shedder.NewProcessorBudget(0.144)
+	for b.Admit(0) {
+	}
+	if !b.AdmitPreferred(0) {
+		t.Error("the request of an account that had less than the others was refused")
+	}
+	for range 1000 {
+		b.AdmitPreferred(0)
+	}
+	if b.AdmitPreferred(0) {
+		t.Error("preferred requests have no limit")
+	}
+	if b.Admit(50 * time.Millisecond) {
+		t.Error("what preferred requests took is not taken from later ones")
+	}
+}
--- a/gateway/shedder/shedder.go
+++ b/gateway/shedder/shedder.go
@@ -59,6 +59,9 @@
 	limit int64
 	// meanLag is the moving mean delay of timers in nanoseconds.
 	meanLag float64
+	// budgeted is set once RecordRefused was called; refused is the share that it told.
+	budgeted bool
+	refused  float64
 	// busySince is the time since which the host has been busy; 0 means that it is not.
 	busySince time.Duration
 	// unreadySince and unreadyUntil are the start and the end of the current or last
@@ -114,8 +117,20 @@
 // Unready reports whether the balancer should send new callers elsewhere.
 func (s *Shedder) Unready(now time.Duration) bool { return now < s.unreadyUntil }
 
-// RefusedShare returns the share of the requests to refuse because the processor is
+// RecordRefused records the share of the requests that a ProcessorBudget has refused, which
+// decides from then on instead of the delay of the timers.
+func (s *Shedder) RecordRefused(share float64) { s.budgeted, s.refused = true, share }
+
+// RefusedShare returns the share of the requests that is refused because the processor is
 // busy, between 0 and 1.
 func (s *Shedder) RefusedShare() float64 {
+	if s.budgeted {
+		return s.refused
+	}
+	return s.DelayShare()
+}
+
+// DelayShare returns the share of the requests to refuse in view of the delay of the timers.
+func (s *Shedder) DelayShare() float64 {
 	return min(max((s.meanLag-float64(lowLag))/float64(highLag-lowLag), 0), 1)
 }
