Bound the gap to an account that is held back by its hosts, at a steady rate

The best served one had its max-min share, which counts on what the first one asks for and cannot use; the bound on the gap held for spare capacity only, and left out accounts with less than a quarter of their share.

Now the bound holds within the share, too, for accounts that ask for more than their share throughout the window, an account with hardly any service counts as a quarter of the share, and each daemon gives its part at a steady rate.

The case "the other one gets nothing" of TestSpareCapacityKeepsTheGapBounded said that such an account bounds nobody. It left out the accounts that the rule protects; it is as strict now for the other answer.

--- a/gateway/placer/prompts_test.go
+++ b/gateway/placer/prompts_test.go
@@ -96,7 +96,7 @@
 
 func (noShares) Served(time.Duration, string) float64             { return 0 }
 func (noShares) OverShare(time.Duration, string, float64) bool    { return false }
-func (noShares) SpareAllowed(time.Duration, string, float64) bool { return true }
+func (noShares) WithinGap(time.Duration, string, float64) bool { return true }
 func (noShares) FairShare(time.Duration) float64                  { return math.Inf(1) }
 func (noShares) SpareWeight(time.Duration, string) float64        { return 1 }
 func (noShares) RecordService(time.Duration, string, float64)     {}
--- a/gateway/queuer/fleet_test.go
+++ b/gateway/queuer/fleet_test.go
@@ -383,3 +383,30 @@
 		}
 	}
 }
+
+// Load: an account asks for more than its share through one host that has the processor time
+// for less than half of the share, and another one asks for several times its share at all
+// hosts. Guards against FAIR: the other one gets its whole share, more than twice as much, since
+// the share counts on what the first one cannot use.
+func TestAccountHeldBackByItsHostGetsHalfOfTheBestServedOne(t *testing.T) {
+	for _, perSecond := range []float64{60, 80, 100} {
+		for seed := range uint64(3) {
+			f := newModelFleet(seed, 30, 30)
+			f.daemons[0].perSecond = perSecond
+			f.addAccount("heldBack", 400, 0)
+			f.addAccount("largest", 600)
+			for i := range 12 {
+				f.addAccount(fmt.Sprint("small", i), 8, 1+i, 1+i+12)
+			}
+			f.run(14)
+			q, account, at := f.worst(4, 14)
+			t.Logf("%.0f a second, seed %d: quotient %.2f of %s at %d s", perSecond, seed, q, account, at)
+			for _, a := range f.accounts[:2] {
+				t.Logf("%s asked %.0f began %.0f", a.name, sum(a.asked[4:])/1000, sum(a.began[4:])/1000)
+			}
+			if q < 0.5 {
+				t.Errorf("%.0f a second, seed %d: %s got %.2f of its due from %d s on", perSecond, seed, account, q, at)
+			}
+		}
+	}
+}
--- a/gateway/queuer/queuer.go
+++ b/gateway/queuer/queuer.go
@@ -37,9 +37,9 @@
 	OverShare(now time.Duration, account string, cost float64) bool
 	// FairShare returns the service up to which an account is within its share.
 	FairShare(now time.Duration) float64
-	// SpareAllowed reports whether an account over its share may use spare capacity for a
+	// WithinGap reports whether an account may have the service of a
 	// further request of the given cost.
-	SpareAllowed(now time.Duration, account string, cost float64) bool
+	WithinGap(now time.Duration, account string, cost float64) bool
 	// SpareWeight returns the weight of an account over its share in the division of
 	// spare capacity.
 	SpareWeight(now time.Duration, account string) float64
@@ -242,7 +242,7 @@
 		maxWait = time.Duration(q.settings.MaxWaitShare * float64(maxWait))
 	}
 	constraints := placer.Constraints{FirstEventBudget: budget, SpareOnly: w.standing.OverShare, Continues: w.Continues, Waited: waited}
-	if w.standing.OverShare && !q.shares.SpareAllowed(now, w.Account, w.Request.Cost()) {
+	if w.CountsTowardsShare && !w.Continues && !q.shares.WithinGap(now, w.Account, w.Request.Cost()) {
 		return q.refuseOverShare(now, w), true
 	}
 	if w.standing.OverShare {
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -20,14 +20,16 @@
 	// capacityMargin is the factor by which the capacity is raised, so that requests
 	// that fail or end late do not leave part of it unused.
 	capacityMargin = 1.25
-	// maxServiceRatio bounds the service of an account over its share, as a multiple of that
-	// of any other account that asks for more than its share. The gap between them is to stay
-	// below two, and the counts of the daemons are some hundred milliseconds old.
+	// maxServiceRatio bounds the service of an account, as a multiple of that of any other
+	// account that asks for more than its share. The gap between them is to stay below two,
+	// and the counts of the daemons are some hundred milliseconds old.
 	maxServiceRatio = 1.6
-	// minBoundingShare is the part of the fair share that an account must get to bound the
-	// others: one that hardly any request gets through of would leave capacity idle and gain
-	// nothing from it.
+	// minBoundingShare is the part of the fair share below which the service of an account
+	// does not bound the others further: one that hardly any request gets through of would
+	// leave capacity idle and gain nothing from it.
 	minBoundingShare = 0.25
+	// paceBurst is the time whose service a daemon may give to a paced account at once.
+	paceBurst = 250 * time.Millisecond
 	// costWeight is the weight of the newest request in the mean cost of an account.
 	costWeight = 0.02
 	// minSpareWeight and maxSpareWeight bound the weights of accounts that ask for more
@@ -48,11 +50,12 @@
 	currentBucket int64
 	accounts      map[string]*account
 	peers         map[string]*peer
-	// fairShare is the last result of FairShare, computed at fairShareTime together with
-	// leastServed: the least service of an account that asks for more than its share and
-	// bounds the others; +Inf if there is none.
+	// fairShare is the last result of FairShare, computed at fairShareTime together with the
+	// bounds on the service of any account: spareBound holds for spare capacity, heldBackBound
+	// also within the share. +Inf means that there is none.
 	fairShare      float64
-	leastServed    float64
+	spareBound     float64
+	heldBackBound  float64
 	fairShareTime  time.Duration
 	fairShareValid bool
 }
@@ -64,6 +67,14 @@
 	demand, served [bucketCount]float64
 	// demandSum and servedSum are the sums over the buckets.
 	demandSum, servedSum float64
+	// ownDemand is the part of demand that was asked for at this daemon, ownDemandSum its sum.
+	ownDemand    [bucketCount]float64
+	ownDemandSum float64
+	// paced is set while a bound paces the account. allowance is the service that this daemon
+	// may give to it then, at the time pacedAt; a request may use more than is left.
+	paced     bool
+	allowance float64
+	pacedAt   time.Duration
 	// ownTotal is the service counted at this daemon, cumulative since New, for the
 	// reports to peers.
 	ownTotal Total
@@ -130,6 +141,8 @@
 func (s *Shares) addDemand(a *account, cost float64) {
 	a.ownTotal.Demand += cost
 	a.unreported = true
+	a.ownDemand[s.currentBucket%bucketCount] += cost
+	a.ownDemandSum += cost
 	s.addToWindow(a, cost, 0)
 }
 
@@ -138,6 +151,7 @@
 func (s *Shares) RecordService(now time.Duration, name string, cost float64) {
 	a := s.account(now, name)
 	a.ownTotal.Served += cost
+	a.allowance -= cost
 	a.unreported = true
 	s.addToWindow(a, 0, cost)
 }
@@ -279,29 +293,67 @@
 		capacity = max(capacity, served)
 	}
 	s.fairShare, s.fairShareTime, s.fairShareValid = maxMinShare(demands, capacity), now, true
-	s.leastServed = s.leastBacklogged()
+	s.updateBounds()
 	return s.fairShare
 }
 
-// leastBacklogged returns the least service of an account that asks for more than the fair
-// share and bounds the others; +Inf if there is none.
-func (s *Shares) leastBacklogged() float64 {
-	least := math.Inf(1)
+// updateBounds computes the bounds from the accounts that ask for more than the fair share. One
+// that has done so throughout the window is held back by something else than the shares, such as
+// the processor time of its hosts, and bounds the others within their share, too.
+func (s *Shares) updateBounds() {
+	s.spareBound, s.heldBackBound = math.Inf(1), math.Inf(1)
 	for _, a := range s.accounts {
-		if a.demandSum > s.fairShare && a.servedSum >= minBoundingShare*s.fairShare {
-			least = min(least, a.servedSum)
+		if a.demandSum <= s.fairShare {
+			continue
+		}
+		bound := maxServiceRatio * max(a.servedSum, minBoundingShare*s.fairShare)
+		s.spareBound = min(s.spareBound, bound)
+		if s.askedThroughout(a) {
+			s.heldBackBound = min(s.heldBackBound, bound)
 		}
 	}
-	return least
 }
 
-// SpareAllowed reports whether an account over its share may use spare capacity: not if it
-// has had so much more service than another one that asks for more than its share, but does
-// not get it, that the gap between them would grow out of bounds. Capacity then stays idle,
+// askedThroughout reports whether an account has asked for more than the fair share in both
+// halves of the window.
+func (s *Shares) askedThroughout(a *account) bool {
+	newer := 0.0
+	for b := range int64(bucketCount / 2) {
+		newer += a.demand[(s.currentBucket-b+bucketCount)%bucketCount]
+	}
+	return min(newer, a.demandSum-newer) > s.fairShare/2
+}
+
+// WithinGap reports whether an account may have the service of a further request of the given
+// cost: not if it has had so much more than another one that asks for more than its share, but
+// does not get it, that the gap between them would grow out of bounds. Capacity then stays idle,
 // since the gap is a promise and utilisation an aim.
-func (s *Shares) SpareAllowed(now time.Duration, name string, cost float64) bool {
-	s.FairShare(now) // updates leastServed
-	return s.Served(now, name)+cost <= maxServiceRatio*s.leastServed
+func (s *Shares) WithinGap(now time.Duration, name string, cost float64) bool {
+	fairShare := s.FairShare(now) // updates the bounds
+	a := s.account(now, name)
+	served, bound := a.servedSum+cost, s.heldBackBound
+	if served > fairShare {
+		bound = min(bound, s.spareBound)
+	}
+	if a.demandSum <= bound {
+		a.paced = false
+		return true
+	}
+	return served <= bound && s.takesTurn(now, a, bound)
+}
+
+// takesTurn reports whether this daemon may give service to an account now whose service in the
+// window is bounded. Each daemon gives the part that is asked for there, at a steady rate: what
+// the others give is known too late to decide by it alone.
+func (s *Shares) takesTurn(now time.Duration, a *account, bound float64) bool {
+	perSecond := bound / (s.bucketDuration * bucketCount).Seconds() * a.ownDemandSum / a.demandSum
+	burst := perSecond * paceBurst.Seconds()
+	if !a.paced {
+		a.paced, a.allowance, a.pacedAt = true, burst, now
+	}
+	a.allowance = min(a.allowance+perSecond*(now-a.pacedAt).Seconds(), burst)
+	a.pacedAt = now
+	return a.allowance > 0
 }
 
 // maxMinShare returns the largest share at which the sum of min(demand, share) over
@@ -350,13 +402,14 @@
 	for _, a := range s.accounts {
 		if bucket-s.currentBucket >= bucketCount {
 			a.demand, a.served = [bucketCount]float64{}, [bucketCount]float64{}
-			a.demandSum, a.servedSum = 0, 0
+			a.ownDemand = [bucketCount]float64{}
+			a.demandSum, a.servedSum, a.ownDemandSum = 0, 0, 0
 			continue
 		}
 		for b := s.currentBucket + 1; b <= bucket; b++ {
-			a.demand[b%bucketCount], a.served[b%bucketCount] = 0, 0
+			a.demand[b%bucketCount], a.served[b%bucketCount], a.ownDemand[b%bucketCount] = 0, 0, 0
 		}
-		a.demandSum, a.servedSum = sum(a.demand), sum(a.served)
+		a.demandSum, a.servedSum, a.ownDemandSum = sum(a.demand), sum(a.served), sum(a.ownDemand)
 	}
 	s.currentBucket = bucket
 	s.fairShareValid = false
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -239,7 +240,7 @@
 		"gap within the bound":          {1000, 5000, 1500, true},
 		"gap beyond the bound":          {1000, 5000, 1700, false},
 		"the other one has all it asks": {300, 300, 1700, true},
-		"the other one gets nothing":    {10, 5000, 1700, true},
+		"the other one gets nothing":    {10, 5000, 1300, false},
 	} {
 		s := sharer.New(4 * second)
 		s.SetCapacity(500)
@@ -247,12 +248,80 @@
 		s.RecordDemand(second, "b", tc.otherDemand)
 		s.RecordService(second, "a", tc.served)
 		s.RecordService(second, "b", tc.others)
-		if got := s.SpareAllowed(second, "a", 10); got != tc.want {
-			t.Errorf("%s: spare capacity allowed %v, want %v", name, got, tc.want)
+		if got := s.WithinGap(second, "a", 10); got != tc.want {
+			t.Errorf("%s: service allowed %v, want %v", name, got, tc.want)
 		}
 	}
 }
 
+// Guards against FAIR: an account within its share gets more than twice as much as one that is
+// held back by something else than the shares and cannot use its own.
+func TestAccountHeldBackBoundsTheOthersWithinTheirShare(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// since is the time from which the other account has asked for more than its share.
+		since time.Duration
+		want  bool
+	}{
+		"held back throughout the window": {0, false},
+		"demand that has just come":       {3500 * time.Millisecond, true},
+	} {
+		s := sharer.New(4 * time.Second)
+		s.SetCapacity(1000) // 5000 in the window
+		for now := time.Duration(0); now < 3900*time.Millisecond; now += 100 * time.Millisecond {
+			s.RecordDemand(now, "a", 300)
+			s.RecordService(now, "a", 50)
+			if now >= tc.since {
+				s.RecordDemand(now, "b", 4000/(3900*time.Millisecond-tc.since).Seconds())
+				s.RecordService(now, "b", 10)
+			}
+		}
+		if got := s.WithinGap(3900*time.Millisecond, "a", 10); got != tc.want {
+			t.Errorf("%s: an account with 1950 of a share of 2500 may have more: %v, want %v", name, got, tc.want)
+		}
+	}
+}
+
+// Load: thirty daemons whose news of each other is half a second old, and an account that asks
+// for ten times what its bound allows. Guards against FAIR: all daemons serve it at once as soon
+// as there is room and then none for seconds.
+func TestBoundedServiceIsSteady(t *testing.T) {
+	const daemons, capacity, window = 30, 1000.0, 4 * time.Second
+	var all []*sharer.Shares
+	for range daemons {
+		s := sharer.New(window)
+		s.SetCapacity(capacity)
+		all = append(all, s)
+	}
+	began := make([]float64, 20)
+	for now := time.Duration(0); now < 20*time.Second; now += 20 * time.Millisecond {
+		for i, s := range all {
+			s.RecordDemand(now, "a", 10)
+			s.RecordDemand(now, "b", 10)
+			if s.WithinGap(now, "a", 10) {
+				s.RecordService(now, "a", 10)
+				began[now/time.Second] += 10
+			}
+			if i == 0 && now%(50*time.Millisecond) == 0 {
+				s.RecordService(now, "b", 20)
+			}
+		}
+		if now%(500*time.Millisecond) != 0 {
+			continue
+		}
+		for i, s := range all {
+			for j, other := range all {
+				if i != j {
+					s.SetPeer(now, string(rune('A'+j)), 1, other.TakeTotals(true))
+				}
+			}
+		}
+	}
+	least, most := slices.Min(began[10:]), slices.Max(began[10:])
+	if least < 0.5*most {
+		t.Errorf("between %.0f and %.0f a second were served: %.0f", least, most, began)
+	}
+}
+
 // Guards against FAIR: requests that were refused unread are missing in the demand, so that
 // their account seems to have all that it asks for.
 func TestRefusedRequestsAreDemand(t *testing.T) {
