Let an account that is held back make up for it, and its service follow its callers

The account with the least service was bounded by its own, and a daemon gave it the part of the last four seconds' demand, while its callers move from one host to the next within seconds.

An account is bounded by the others only, and the demand of the last second divides its service. TestAccountDoesNotBoundItself and TestServiceFollowsTheCallers failed before.

--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -30,6 +30,9 @@
 	minBoundingShare = 0.25
 	// paceBurst is the time whose service a daemon may give to a paced account at once.
 	paceBurst = 250 * time.Millisecond
+	// paceBuckets is the number of the newest buckets whose demand divides the service among
+	// the daemons: callers move from one host to another within seconds.
+	paceBuckets = bucketCount / 4
 	// costWeight is the weight of the newest request in the mean cost of an account.
 	costWeight = 0.02
 	// minSpareWeight and maxSpareWeight bound the weights of accounts that ask for more
@@ -51,13 +54,12 @@
 	accounts      map[string]*account
 	peers         map[string]*peer
 	// fairShare is the last result of FairShare, computed at fairShareTime together with the
-	// bounds on the service of any account: spareBound holds for spare capacity, heldBackBound
-	// also within the share. +Inf means that there is none.
-	fairShare      float64
-	spareBound     float64
-	heldBackBound  float64
-	fairShareTime  time.Duration
-	fairShareValid bool
+	// bounds on the service of accounts: spareBound holds for spare capacity, heldBackBound
+	// also within the share.
+	fairShare                 float64
+	spareBound, heldBackBound gapBound
+	fairShareTime             time.Duration
+	fairShareValid            bool
 }
 
 // account holds the counts of one client account.
@@ -67,9 +69,8 @@
 	demand, served [bucketCount]float64
 	// demandSum and servedSum are the sums over the buckets.
 	demandSum, servedSum float64
-	// ownDemand is the part of demand that was asked for at this daemon, ownDemandSum its sum.
-	ownDemand    [bucketCount]float64
-	ownDemandSum float64
+	// ownDemand is the part of demand that was asked for at this daemon.
+	ownDemand [bucketCount]float64
 	// paced is set while a bound paces the account. allowance is the service that this daemon
 	// may give to it then, at the time pacedAt; a request may use more than is left.
 	paced     bool
@@ -142,7 +143,6 @@
 	a.ownTotal.Demand += cost
 	a.unreported = true
 	a.ownDemand[s.currentBucket%bucketCount] += cost
-	a.ownDemandSum += cost
 	s.addToWindow(a, cost, 0)
 }
 
@@ -301,27 +301,52 @@
 // that has done so throughout the window is held back by something else than the shares, such as
 // the processor time of its hosts, and bounds the others within their share, too.
 func (s *Shares) updateBounds() {
-	s.spareBound, s.heldBackBound = math.Inf(1), math.Inf(1)
+	s.spareBound, s.heldBackBound = newGapBound(), newGapBound()
 	for _, a := range s.accounts {
 		if a.demandSum <= s.fairShare {
 			continue
 		}
 		bound := maxServiceRatio * max(a.servedSum, minBoundingShare*s.fairShare)
-		s.spareBound = min(s.spareBound, bound)
-		if s.askedThroughout(a) {
-			s.heldBackBound = min(s.heldBackBound, bound)
+		s.spareBound.add(a, bound)
+		if newer := s.recent(a.demand, bucketCount/2); min(newer, a.demandSum-newer) > s.fairShare/2 {
+			s.heldBackBound.add(a, bound)
 		}
 	}
 }
 
-// askedThroughout reports whether an account has asked for more than the fair share in both
-// halves of the window.
-func (s *Shares) askedThroughout(a *account) bool {
-	newer := 0.0
-	for b := range int64(bucketCount / 2) {
-		newer += a.demand[(s.currentBucket-b+bucketCount)%bucketCount]
+// recent returns the sum of the newest buckets.
+func (s *Shares) recent(values [bucketCount]float64, buckets int64) float64 {
+	total := 0.0
+	for b := range buckets {
+		total += values[(s.currentBucket-b+bucketCount)%bucketCount]
 	}
-	return min(newer, a.demandSum-newer) > s.fairShare/2
+	return total
+}
+
+// gapBound is the bound on the service of an account that the service of the others sets: the
+// least one, and for the account that sets it the next one. +Inf means that there is none.
+type gapBound struct {
+	least, next float64
+	setBy       *account
+}
+
+func newGapBound() gapBound { return gapBound{least: math.Inf(1), next: math.Inf(1)} }
+
+// add adds the bound that an account sets for the others.
+func (g *gapBound) add(a *account, bound float64) {
+	if bound >= g.least {
+		g.next = min(g.next, bound)
+		return
+	}
+	g.least, g.next, g.setBy = bound, g.least, a
+}
+
+// of returns the bound for an account.
+func (g *gapBound) of(a *account) float64 {
+	if a == g.setBy {
+		return g.next
+	}
+	return g.least
 }
 
 // WithinGap reports whether an account may have the service of a further request of the given
@@ -331,9 +356,9 @@
 func (s *Shares) WithinGap(now time.Duration, name string, cost float64) bool {
 	fairShare := s.FairShare(now) // updates the bounds
 	a := s.account(now, name)
-	served, bound := a.servedSum+cost, s.heldBackBound
+	served, bound := a.servedSum+cost, s.heldBackBound.of(a)
 	if served > fairShare {
-		bound = min(bound, s.spareBound)
+		bound = min(bound, s.spareBound.of(a))
 	}
 	if a.demandSum <= bound {
 		a.paced = false
@@ -346,7 +371,11 @@
 // window is bounded. Each daemon gives the part that is asked for there, at a steady rate: what
 // the others give is known too late to decide by it alone.
 func (s *Shares) takesTurn(now time.Duration, a *account, bound float64) bool {
-	perSecond := bound / (s.bucketDuration * bucketCount).Seconds() * a.ownDemandSum / a.demandSum
+	own, all := s.recent(a.ownDemand, paceBuckets), s.recent(a.demand, paceBuckets)
+	perSecond := bound / (s.bucketDuration * bucketCount).Seconds()
+	if all > 0 {
+		perSecond *= own / all
+	}
 	burst := perSecond * paceBurst.Seconds()
 	if !a.paced {
 		a.paced, a.allowance, a.pacedAt = true, burst, now
@@ -403,13 +432,13 @@
 		if bucket-s.currentBucket >= bucketCount {
 			a.demand, a.served = [bucketCount]float64{}, [bucketCount]float64{}
 			a.ownDemand = [bucketCount]float64{}
-			a.demandSum, a.servedSum, a.ownDemandSum = 0, 0, 0
+			a.demandSum, a.servedSum = 0, 0
 			continue
 		}
 		for b := s.currentBucket + 1; b <= bucket; b++ {
 			a.demand[b%bucketCount], a.served[b%bucketCount], a.ownDemand[b%bucketCount] = 0, 0, 0
 		}
-		a.demandSum, a.servedSum, a.ownDemandSum = sum(a.demand), sum(a.served), sum(a.ownDemand)
+		a.demandSum, a.servedSum = sum(a.demand), sum(a.served)
 	}
 	s.currentBucket = bucket
 	s.fairShareValid = false
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -281,6 +281,63 @@
 	}
 }
 
+// Guards against accounts that hold each other down: one that gets little would bound its own
+// service, so that it could not make up for it.
+func TestAccountDoesNotBoundItself(t *testing.T) {
+	s := sharer.New(4 * time.Second)
+	s.SetCapacity(1000) // 5000 in the window
+	const now = 3900 * time.Millisecond
+	for at := time.Duration(0); at < now; at += 100 * time.Millisecond {
+		s.RecordDemand(at, "a", 300)
+		s.RecordService(at, "a", 60)
+		s.RecordDemand(at, "b", 300)
+		s.RecordService(at, "b", 15)
+	}
+	if s.WithinGap(now, "a", 10) {
+		t.Error("an account may have more than 1.6 times the service of another one that is held back")
+	}
+	for at := time.Duration(0); at < 20*time.Millisecond; at += 10 * time.Millisecond {
+		if !s.WithinGap(now+at, "b", 100) {
+			t.Error("the account that is held back is bounded by itself")
+		}
+		s.RecordService(now+at, "b", 100)
+	}
+}
+
+// Load: all callers of an account move from one daemon to another one. Guards against a daemon that
+// gives them the part of the service that was due there before.
+func TestServiceFollowsTheCallers(t *testing.T) {
+	const window, step = 4 * time.Second, 20 * time.Millisecond
+	before, after := sharer.New(window), sharer.New(window)
+	began := 0.0
+	for now := time.Duration(0); now < 14*time.Second; now += step {
+		moved := now >= 10*time.Second
+		for _, s := range []*sharer.Shares{before, after} {
+			s.SetCapacity(1000)
+			s.RecordDemand(now, "other", 20)
+			s.RecordService(now, "other", 4) // 800 in the window of both
+			if (s == after) != moved {
+				continue
+			}
+			s.RecordDemand(now, "moving", 100)
+			if s.WithinGap(now, "moving", 10) {
+				s.RecordService(now, "moving", 10)
+				if now >= 11*time.Second {
+					began += 10
+				}
+			}
+		}
+		if now%(500*time.Millisecond) == 0 {
+			before.SetPeer(now, "after", 1, after.TakeTotals(true))
+			after.SetPeer(now, "before", 1, before.TakeTotals(true))
+		}
+	}
+	// The other account gets 400 a second and bounds this one to 640.
+	if perSecond := began / 3; perSecond < 0.7*640 || perSecond > 1.1*640 {
+		t.Errorf("%.0f a second were served after the move, want about 640", perSecond)
+	}
+}
+
 // Load: thirty daemons whose news of each other is half a second old, and an account that asks
 // for ten times what its bound allows. Guards against FAIR: all daemons serve it at once as soon
 // as there is room and then none for seconds.
