--- a/gateway/queuer/fleet_test.go
+++ b/gateway/queuer/fleet_test.go
@@ -410,3 +410,32 @@
 		}
 	}
 }
+
+// Load: three accounts ask for more than their share, two of them through hosts without
+// processor time that get it back after some seconds. Guards against accounts that hold each
+// other down by the little that they had.
+func TestAccountsThatWereHeldBackRecover(t *testing.T) {
+	const heldBack, recovered = 8, 12
+	for seed := range uint64(3) {
+		f := newModelFleet(seed, 30, 30)
+		f.daemons[0].perSecond, f.daemons[1].perSecond = 15, 15
+		f.addAccount("first", 400, 0)
+		f.addAccount("second", 400, 1)
+		f.addAccount("largest", 600)
+		f.after(heldBack*time.Second, func() { f.daemons[0].perSecond, f.daemons[1].perSecond = 0, 0 })
+		f.run(recovered + 6)
+		all := 0.0
+		for _, a := range f.accounts {
+			all += sum(a.began[recovered:])
+		}
+		for _, a := range f.accounts {
+			t.Logf("seed %d: %s began %.0f", seed, a.name, a.began)
+			if got := sum(a.began[recovered:]); got < all/5 {
+				t.Errorf("seed %d: %s began %.0f of %.0f from %d s on, want a fifth", seed, a.name, got, all, recovered)
+			}
+		}
+		if served := all / 6; served < 1.0e6 {
+			t.Errorf("seed %d: %.0f tokens a second were served after the accounts had recovered", seed, served)
+		}
+	}
+}
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -28,6 +28,10 @@
 	// does not bound the others further: one that hardly any request gets through of would
 	// leave capacity idle and gain nothing from it.
 	minBoundingShare = 0.25
+	// minHeldBackShare is the same for the bound within the share. It is such that accounts
+	// which bound each other get their share again: maxServiceRatio times as much, and so
+	// once more, is above the share.
+	minHeldBackShare = 0.4
 	// paceBurst is the time whose service a daemon may give to a paced account at once.
 	paceBurst = 250 * time.Millisecond
 	// paceBuckets is the number of the newest buckets whose demand divides the service among
@@ -306,10 +310,9 @@
 		if a.demandSum <= s.fairShare {
 			continue
 		}
-		bound := maxServiceRatio * max(a.servedSum, minBoundingShare*s.fairShare)
-		s.spareBound.add(a, bound)
+		s.spareBound.add(a, maxServiceRatio*max(a.servedSum, minBoundingShare*s.fairShare))
 		if newer := s.recent(a.demand, bucketCount/2); min(newer, a.demandSum-newer) > s.fairShare/2 {
-			s.heldBackBound.add(a, bound)
+			s.heldBackBound.add(a, maxServiceRatio*max(a.servedSum, minHeldBackShare*s.fairShare))
 		}
 	}
 }
