End the rest of a host when its load has gone

What callers saw: hosts that were flooded stay unready for seconds after their callers have left, so that those of the account are at smaller ones.

Cause: the counts of requests and of refused requests decay alike, so that their quotient stays as it was until less than one request is left in the first: 1.4 to 1.9 s after the last request of a flood of 400 to 1,900 a second. In all that time the host counts as busy and sets the end of its rest anew.

Now the share falls when no request has come for longer than a tick, and the host is no longer busy some 0.6 s after the last one. While requests come, it is what it was (second test). The rest itself, 5 s and more after the host was last busy, stays.

--- a/gateway/shedder/processor_budget.go
+++ b/gateway/shedder/processor_budget.go
@@ -57,8 +57,10 @@
 	// the budget has admitted less than was offered in that time.
 	admitted, rejected int
 	limited            bool
-	// offeredRate and refusedRate are decaying counts of the requests and of those refused.
+	// offeredRate and refusedRate are decaying counts of the requests and of those refused,
+	// offered is the time of the last request.
 	offeredRate, refusedRate float64
+	offered                  time.Duration
 	rated                    time.Duration
 }
 
@@ -132,13 +134,16 @@
 	return !b.Known() || b.refusals > 0
 }
 
-// RefusedShare returns the recent share of the requests that were refused, between 0 and 1.
+// RefusedShare returns the recent share of the requests that were refused, between 0 and 1. It
+// falls once requests no longer come: both counts then decay alike, and their quotient says for
+// seconds that the host is as busy as it was.
 func (b *ProcessorBudget) RefusedShare(now time.Duration) float64 {
 	b.rate(now, -1)
 	if b.offeredRate < 1 {
 		return 0
 	}
-	return min(b.refusedRate/b.offeredRate, 1)
+	silence := max(now-b.offered-TimerInterval, 0)
+	return min(b.refusedRate/b.offeredRate, 1) * math.Exp(-float64(silence)/float64(shareTimeConstant))
 }
 
 // RecordUse records the processor time that the process has used since its start, and the share
@@ -181,6 +186,7 @@
 	b.rated = max(now, b.rated)
 	b.offeredRate, b.refusedRate = decay*b.offeredRate, decay*b.refusedRate
 	if refused >= 0 {
+		b.offered = b.rated
 		b.offeredRate++
 		b.refusedRate += refused
 	}
--- a/gateway/shedder/processor_budget_test.go
+++ b/gateway/shedder/processor_budget_test.go
@@ -77,6 +77,47 @@
 	}
 }
 
+// Load: a flood of four times what a host serves, which ends when the balancer has taken the
+// host out. Guards against a host that counts as busy, and prolongs its rest, for seconds after
+// its callers have left.
+func TestRestEndsWithTheLoad(t *testing.T) {
+	const flood, rest, grace = 3 * time.Second, 5 * time.Second, 800 * time.Millisecond
+	for _, perTick := range []int{20, 95} {
+		b, s := shedder.NewProcessorBudget(0.36), shedder.New(0)
+		readyAt := time.Duration(0)
+		for now := shedder.TimerInterval; now < 2*flood+2*rest; now += shedder.TimerInterval {
+			for i := 0; i < perTick && now < flood; i++ {
+				if at := now + time.Duration(i)*shedder.TimerInterval/time.Duration(perTick); i%4 > 0 || !b.Admit(at) {
+					b.Refuse(at)
+				}
+			}
+			s.RecordRefused(b.RefusedShare(now + shedder.TimerInterval))
+			s.RecordTimerDelay(now, 0)
+			if now < flood && now > 2*time.Second && !s.Unready(now) {
+				t.Fatalf("%d requests a tick: the host is ready at %v, under load", perTick, now)
+			}
+			if s.Unready(now) {
+				readyAt = now + shedder.TimerInterval
+			}
+		}
+		if readyAt > flood+rest+grace {
+			t.Errorf("%d requests a tick: the host is ready %v after the load, want at most %v", perTick, readyAt-flood, rest+grace)
+		}
+	}
+}
+
+// Guards against a host that counts as less busy because its callers come at some distance.
+func TestRefusedShareHoldsWhileRequestsCome(t *testing.T) {
+	b, now := shedder.NewProcessorBudget(0.144), time.Second
+	for range 100 {
+		now += shedder.TimerInterval
+		b.Refuse(now)
+		if share := b.RefusedShare(now + shedder.TimerInterval); share != 1 && now > 2*time.Second {
+			t.Fatalf("the refused share is %v, want 1", share)
+		}
+	}
+}
+
 // Guards against a refusal on hosts whose size is not known.
 func TestUnknownProcessorTimeIsNotLimited(t *testing.T) {
 	b := shedder.NewProcessorBudget(0)
