Tests: service of an incomplete first report counts as new

After a silence of 2.5 s, a start or a change of the relay, the first report of a peer sets the baseline of its accounts. If it is not complete, an account that it leaves out has no baseline, and its next total counts as service of one moment: all that the peer has given it since its start. The sums of relays have the same fault.

--- a/gateway/controller/shares_test.go
+++ b/gateway/controller/shares_test.go
@@ -89,3 +89,46 @@
 		}
 	}
 }
+
+// Guards against FAIR and LOST: an account that is refused as over its share because all the
+// service that a peer has given it since its start counts as service of one moment. The first
+// report after a silence, a start, or a change of the relay sets the baseline; one that is not
+// complete lists only some of the accounts.
+func TestIncompleteFirstReportDoesNotCountOldService(t *testing.T) {
+	const lifetime, recent = 1e6, 500
+	report := func(total, whole bool, accounts ...sharer.Total) controller.PeerReport {
+		return controller.PeerReport{Peer: "p", Incarnation: 1, Report: controller.Report{Total: total, Whole: whole, Accounts: accounts}}
+	}
+	served := func(account string, n float64) sharer.Total {
+		return sharer.Total{Account: account, Demand: n, Served: n}
+	}
+	for name, c := range map[string]struct{ total, silent bool }{
+		"peer after a silence":     {silent: true},
+		"peer of a started daemon": {},
+		"new relay":                {total: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var clock atomic.Int64
+			clock.Store(int64(3 * time.Second))
+			d := start(t, func(o *controller.Options) {
+				o.Clock = func() time.Duration { return time.Duration(clock.Load()) }
+				o.Peers = func() []controller.Daemon { return []controller.Daemon{{ID: "p"}} }
+				if c.total {
+					o.Host, o.DataCentre = daemonName(0), dataCentreName(0)
+					o.Peers = func() []controller.Daemon { return otherDaemons(0, 48) }
+				}
+			})
+			if c.silent {
+				d.Received(report(false, true, served("a", lifetime), served("b", lifetime)))
+				waitUntil(func() bool { return d.Stats().Peers == 1 })
+				clock.Add(int64(3 * time.Second))
+				waitUntil(func() bool { return d.Stats().Peers == 0 })
+			}
+			d.Received(report(c.total, false, served("b", lifetime)))        // "a" had no request since the last report
+			d.Received(report(c.total, false, served("a", lifetime+recent))) // now it had one
+			if got := knownService(t, d, 1); got > recent {
+				t.Errorf("served %v in the window, want at most %v", got, recent)
+			}
+		})
+	}
+}
--- a/gateway/grouper/grouper_test.go
+++ b/gateway/grouper/grouper_test.go
@@ -190,3 +190,17 @@
 		t.Errorf("total for a after it was removed: %+v, want the work of b", r)
 	}
 }
+
+// Guards against FAIR: service of a long time that a relay passes on as service of one moment,
+// because the first report of a member was not complete.
+func TestIncompleteFirstReportAddsNoOldService(t *testing.T) {
+	s := grouper.NewSums()
+	for _, r := range []sharer.Total{{Account: "b", Demand: 1e6, Served: 1e6}, {Account: "a", Demand: 1e6 + 500, Served: 1e6 + 500}} {
+		s.Set(0, "m", 1, grouper.Report{Accounts: []sharer.Total{r}})
+	}
+	for _, a := range s.TakeSum(0, true).Accounts {
+		if a.Account == "a" && a.Served > 500 {
+			t.Errorf("the sum has %v of account %q, want at most 500", a.Served, a.Account)
+		}
+	}
+}
