Test of an incomplete first report: totals as relays send them

Sums of a relay are marked as whole because they have all loads, although they list only the accounts that changed. A fix that goes by that mark alone would not mend them.

--- a/gateway/controller/shares_test.go
+++ b/gateway/controller/shares_test.go
@@ -124,8 +124,10 @@
 				clock.Add(int64(3 * time.Second))
 				waitUntil(func() bool { return d.Stats().Peers == 0 })
 			}
-			d.Received(report(c.total, false, served("b", lifetime)))        // "a" had no request since the last report
-			d.Received(report(c.total, false, served("a", lifetime+recent))) // now it had one
+			// Totals always have all loads, so that they are marked as whole. Those that list no
+			// daemons leave out accounts like other reports that are not complete.
+			d.Received(report(c.total, c.total, served("b", lifetime)))        // "a" had no request since the last report
+			d.Received(report(c.total, c.total, served("a", lifetime+recent))) // now it had one
 			if got := knownService(t, d, 1); got > recent {
 				t.Errorf("served %v in the window, want at most %v", got, recent)
 			}
