Count no old service of accounts that a first report left out

Cause: reports have cumulative totals. The first one from a source set the baseline of the accounts in it. If it was not complete, an account that it left out had no baseline, and its next total was counted from zero: all that the source had given it since its start, as service of this moment. Relays added it to their sums, and LearnRecent passed it on.

Now the first total of an account only sets its baseline, whenever it comes, unless a complete report of the same incarnation came before: then the account was not in it, so that its count has begun since, and all of it is new. Service that a baseline leaves out until the first complete report is learned from the Recent of that report. Sums and totals of relays are marked as Whole with accounts left out; whether a report has all accounts follows from its list of daemons, which only full ones have. The protocol stays as it is.

New tests guard the other side, too: service of an account that is new at a source after a complete report counts, in the shares and in the totals of a relay. Each fails if its mark is never set; the tests of old service fail if it is always set or follows from Whole. Existing tests only say in addition whether a report is complete; the model fleet of the queuer sends complete ones.

Not covered: a relay's sums lack the Recent, so that they leave out the service of an account between a first incomplete report of a member and its next total.

--- a/gateway/controller/report.go
+++ b/gateway/controller/report.go
@@ -16,7 +16,8 @@
 // service of its accounts, and the states of the store that it knows.
 type Report struct {
 	// Whole is set in a full report, which lists all targets with work and all accounts.
-	// Other reports only list what has changed.
+	// Other reports only list what has changed. Sums and totals always list all targets
+	// with work, so that Whole is set in them also if they are not full.
 	Whole    bool
 	Loads    []placer.Load
 	Accounts []sharer.Total
@@ -54,9 +55,13 @@
 
 // summable returns the part of the report that is added up over a group.
 func (r Report) summable() grouper.Report {
-	return grouper.Report{Complete: r.Whole, Loads: r.Loads, Accounts: r.Accounts, Spills: r.Spills, Streams: r.Streams}
+	return grouper.Report{Complete: r.Whole, AllAccounts: r.hasAllAccounts(), Loads: r.Loads, Accounts: r.Accounts, Spills: r.Spills, Streams: r.Streams}
 }
 
+// hasAllAccounts reports whether Accounts has all accounts. Whole does not tell full sums and
+// totals from others, but only full ones list daemons.
+func (r Report) hasAllAccounts() bool { return len(r.Daemons) > 0 }
+
 // Daemon is the name of a daemon, its peer address and its data centre; the latter two
 // are empty in most reports.
 type Daemon struct{ ID, Address, DataCentre string }
@@ -239,7 +244,7 @@
 	c.fleet.AddPeerSpills(now, r.Report.Spills)
 	c.versions.Learn(now, r.Report.Streams)
 	c.fleet.SetPeerLoads(now, key, r.Report.Loads, r.Report.Whole)
-	c.shares.SetPeer(now, key, r.Incarnation, r.Report.Accounts)
+	c.shares.SetPeer(now, key, r.Incarnation, r.Report.Accounts, r.Report.hasAllAccounts())
 	c.shares.LearnRecent(now, key, r.Incarnation, r.Report.Recent)
 	if c.plan.Relay {
 		c.totals.Set(now, key, r.Incarnation, r.Report.summable())
--- a/gateway/controller/shares_test.go
+++ b/gateway/controller/shares_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"monsoondeck.example/gateway/controller"
+	"monsoondeck.example/gateway/grouper"
 	"monsoondeck.example/gateway/placer"
 	"monsoondeck.example/gateway/receiver"
 	"monsoondeck.example/gateway/sharer"
@@ -134,3 +135,71 @@
 		})
 	}
 }
+
+// Guards against FAIR: service of an account that is new at a peer is missing in the shares,
+// although the peer had reported all its accounts before.
+func TestServiceOfNewAccountsIsCountedAfterAFullReport(t *testing.T) {
+	for name, total := range map[string]bool{"report of a peer": false, "total of a relay": true} {
+		t.Run(name, func(t *testing.T) {
+			d := start(t, func(o *controller.Options) {
+				o.Clock = func() time.Duration { return 3 * time.Second }
+				o.Peers = func() []controller.Daemon { return []controller.Daemon{{ID: "p"}} }
+				if total {
+					o.Host, o.DataCentre = daemonName(0), dataCentreName(0)
+					o.Peers = func() []controller.Daemon { return otherDaemons(0, 48) }
+				}
+			})
+			full := accountReport("p", total, 0)
+			full.Report.Whole, full.Report.Accounts, full.Report.Daemons = true, nil, []controller.Daemon{{ID: "p"}}
+			d.Received(full)
+			d.Received(accountReport("p", total, 500))
+			if got := knownService(t, d, 1); got != 500 {
+				t.Errorf("served %v in the window, want 500", got)
+			}
+		})
+	}
+}
+
+// Guards against FAIR: a relay leaves out the service of an account that is new at a member,
+// although the member had reported all its accounts before.
+func TestRelayPassesOnServiceOfNewAccounts(t *testing.T) {
+	const daemons = 48
+	var others []controller.Daemon
+	var plan grouper.Plan
+	host := ""
+	for i := 0; !plan.Relay; i++ {
+		var peers []grouper.Daemon
+		others, host = otherDaemons(i, daemons), daemonName(i)
+		for _, d := range others {
+			peers = append(peers, grouper.Daemon{ID: d.ID, DataCentre: d.DataCentre})
+		}
+		plan = grouper.New(grouper.Daemon{ID: host, DataCentre: dataCentreName(i)}, peers, func(string) bool { return true })
+	}
+	d := start(t, func(o *controller.Options) {
+		o.Host, o.DataCentre = host, string(plan.OwnGroup)
+		o.Clock = func() time.Duration { return time.Second }
+		o.Peers = func() []controller.Daemon { return others }
+	})
+	member := plan.Members[0]
+	full := accountReport(member, false, 0)
+	full.Report.Whole, full.Report.Accounts, full.Report.Daemons = true, nil, []controller.Daemon{{ID: member}}
+	d.Received(full)
+	d.Received(accountReport(member, false, 500))
+	d.Received(accountReport(member, false, 700))
+	most := 0.0
+	waitUntil(func() bool {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		for _, r := range d.reports {
+			for _, a := range r.Accounts {
+				if r.Total {
+					most = max(most, a.Served)
+				}
+			}
+		}
+		return most > 0
+	})
+	if most < 500 {
+		t.Errorf("the totals have %v of the account, want 500 or 700", most)
+	}
+}
--- a/gateway/grouper/grouper_test.go
+++ b/gateway/grouper/grouper_test.go
@@ -204,3 +204,20 @@
 		}
 	}
 }
+
+// Guards against FAIR: service of an account that is new at a member does not reach the others.
+func TestServiceOfNewAccountsIsAddedAfterAllWereReported(t *testing.T) {
+	s := grouper.NewSums()
+	report := func(all bool, account string, served float64) grouper.Report {
+		return grouper.Report{AllAccounts: all, Accounts: []sharer.Total{{Account: account, Demand: served, Served: served}}}
+	}
+	s.Set(0, "m", 1, report(true, "b", 1e6))
+	s.Set(0, "m", 1, report(false, "a", 500))
+	sum := s.TakeSum(0, true)
+	if want := (sharer.Total{Account: "a", Demand: 500, Served: 500}); len(sum.Accounts) != 1 || sum.Accounts[0] != want {
+		t.Errorf("sum %+v, want %+v", sum.Accounts, want)
+	}
+	if own := s.Without("x", sum); !sum.AllAccounts || !own.AllAccounts || s.TakeSum(0, false).AllAccounts {
+		t.Error("sums do not say whether they have all accounts")
+	}
+}
--- a/gateway/grouper/sums.go
+++ b/gateway/grouper/sums.go
@@ -43,6 +43,9 @@
 	loads     map[placer.Key]placer.Load
 	loadTimes map[placer.Key]time.Duration
 	totals    map[string]sharer.Total
+	// allAccounts is set after a report with all accounts: the count of an account that is
+	// not in totals has begun since.
+	allAccounts bool
 }
 
 // accountTotal is the sum of the totals of one account.
@@ -57,6 +60,9 @@
 	// Complete is set if Loads has all targets with load, and not only those whose load
 	// changed.
 	Complete bool
+	// AllAccounts is set if Accounts has all accounts with service, and not only those whose
+	// totals changed.
+	AllAccounts bool
 	// Loads has at most one load per target.
 	Loads []placer.Load
 	// Accounts has at most one total per account.
@@ -72,15 +78,15 @@
 	return &Sums{members: map[string]*member{}, totals: map[string]*accountTotal{}, contributions: map[string]map[string]sharer.Total{}}
 }
 
-// Set records the report of a member. The first totals of an incarnation only set
-// the baseline, since it is unknown when that service was given.
+// Set records the report of a member. The first total of an account only sets the
+// baseline, since it is unknown when that service was given, unless a report of the same
+// incarnation with all accounts came before.
 func (s *Sums) Set(now time.Duration, name string, incarnation uint64, r Report) {
 	m := s.members[name]
 	if m != nil && incarnation < m.incarnation {
 		return
 	}
-	first := m == nil || m.incarnation < incarnation
-	if first {
+	if m == nil || m.incarnation < incarnation {
 		m = &member{incarnation: incarnation, loads: map[placer.Key]placer.Load{}, loadTimes: map[placer.Key]time.Duration{}, totals: map[string]sharer.Total{}}
 		s.members[name] = m
 	}
@@ -92,9 +98,9 @@
 		m.loads[l.Target], m.loadTimes[l.Target] = l, now
 	}
 	for _, t := range r.Accounts {
-		old := m.totals[t.Account]
+		old, known := m.totals[t.Account]
 		m.totals[t.Account] = t
-		if first {
+		if !known && !m.allAccounts {
 			continue
 		}
 		sum := s.totals[t.Account]
@@ -108,6 +114,7 @@
 		sum.unreported = true
 		s.contribute(name, t.Account, demand, served)
 	}
+	m.allAccounts = m.allAccounts || r.AllAccounts
 	if room := maxPendingSpills - len(s.spills); room > 0 {
 		s.spills = append(s.spills, r.Spills[:min(len(r.Spills), room)]...)
 	}
@@ -134,7 +141,7 @@
 	if m := s.members[name]; m != nil {
 		own = m.loads
 	}
-	r := Report{Complete: sum.Complete, Spills: sum.Spills, Streams: sum.Streams}
+	r := Report{Complete: sum.Complete, AllAccounts: sum.AllAccounts, Spills: sum.Spills, Streams: sum.Streams}
 	for _, l := range sum.Loads {
 		if l = l.Sub(own[l.Target]); !l.Empty() {
 			r.Loads = append(r.Loads, l)
@@ -171,7 +178,7 @@
 			loads[id] = sum.Add(l)
 		}
 	}
-	r := Report{Complete: true, Spills: s.spills, Streams: versioner.Merge(s.streams)}
+	r := Report{Complete: true, AllAccounts: all, Spills: s.spills, Streams: versioner.Merge(s.streams)}
 	s.spills, s.streams, s.pendingStreams = nil, nil, 0
 	for _, l := range loads {
 		if !l.Empty() {
--- a/gateway/queuer/fleet_test.go
+++ b/gateway/queuer/fleet_test.go
@@ -287,14 +287,14 @@
 // report tells each daemon the work of all others.
 func (f *modelFleet) report(sums *grouper.Sums) {
 	for i, d := range f.daemons {
-		sums.Set(f.now, fmt.Sprint(i), 1, grouper.Report{Complete: true, Loads: d.fleet.TakeLoads(f.now, true), Accounts: d.shares.TakeTotals(true), Spills: d.fleet.TakeSpills()})
+		sums.Set(f.now, fmt.Sprint(i), 1, grouper.Report{Complete: true, AllAccounts: true, Loads: d.fleet.TakeLoads(f.now, true), Accounts: d.shares.TakeTotals(true), Spills: d.fleet.TakeSpills()})
 	}
 	all := sums.TakeSum(f.now, true)
 	for i, d := range f.daemons {
 		others := sums.Without(fmt.Sprint(i), all)
 		d.fleet.SetPeerLoads(f.now, "others", others.Loads, true)
 		d.fleet.AddPeerSpills(f.now, others.Spills)
-		d.shares.SetPeer(f.now, "others", 1, others.Accounts)
+		d.shares.SetPeer(f.now, "others", 1, others.Accounts, others.AllAccounts)
 	}
 	f.after(reportInterval, func() { f.report(sums) })
 }
--- a/gateway/sharer/sharer.go
+++ b/gateway/sharer/sharer.go
@@ -100,6 +100,9 @@
 type peer struct {
 	incarnation uint64
 	totals      map[string]Total
+	// complete is set after a complete report: the count of an account that is not in totals
+	// has begun since.
+	complete bool
 	// learned is set once the recent service that the peer knows is known here.
 	learned bool
 }
@@ -180,28 +183,29 @@
 	return totals
 }
 
-// SetPeer adds the increase of a peer's totals since its last report. The first
-// totals of an incarnation only set the baseline, since it is unknown when that
-// service was given.
-func (s *Shares) SetPeer(now time.Duration, name string, incarnation uint64, totals []Total) {
+// SetPeer adds the increase of a peer's totals since its last report; complete is set if
+// they are those of all its accounts. The first total of an account only sets the
+// baseline, since it is unknown when that service was given, unless a complete report of
+// the same incarnation came before.
+func (s *Shares) SetPeer(now time.Duration, name string, incarnation uint64, totals []Total, complete bool) {
 	p := s.peers[name]
 	if p == nil || p.incarnation < incarnation {
 		p = &peer{incarnation: incarnation, totals: map[string]Total{}}
 		s.peers[name] = p
-		for _, t := range totals {
-			p.totals[t.Account] = t
-		}
-		return
 	}
 	if incarnation < p.incarnation {
 		return
 	}
 	for _, t := range totals {
-		old := p.totals[t.Account]
+		old, known := p.totals[t.Account]
 		p.totals[t.Account] = t
+		if !known && !p.complete {
+			continue
+		}
 		demand, served := t.Since(old)
 		s.addToWindow(s.account(now, t.Account), demand, served)
 	}
+	p.complete = p.complete || complete
 }
 
 // Recent returns the service of the accounts within the window, as it is known here.
--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -56,18 +56,18 @@
 func TestServiceAtPeersCounts(t *testing.T) {
 	s := sharer.New(window)
 	s.SetCapacity(1000 / capacityMargin)
-	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "flood", Demand: 1e6, Served: 1e6}}) // only sets the baseline
+	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "flood", Demand: 1e6, Served: 1e6}}, false) // only sets the baseline
 	if got := s.Served(0, "flood"); got != 0 {
 		t.Errorf("served %v after the first report, want 0", got)
 	}
 	for range 2 { // repeated reports change nothing
-		s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "flood", Demand: 1e6 + 9000, Served: 1e6 + 5000}})
+		s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "flood", Demand: 1e6 + 9000, Served: 1e6 + 5000}}, false)
 	}
 	if got := s.Served(time.Second, "flood"); got != 5000 {
 		t.Errorf("served %v, want 5000", got)
 	}
-	s.SetPeer(time.Second, "p", 2, []sharer.Total{{Account: "flood", Demand: 10, Served: 10}})
-	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "flood", Demand: 2e6, Served: 2e6}})
+	s.SetPeer(time.Second, "p", 2, []sharer.Total{{Account: "flood", Demand: 10, Served: 10}}, false)
+	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "flood", Demand: 2e6, Served: 2e6}}, false)
 	if got := s.Served(time.Second, "flood"); got != 5000 {
 		t.Errorf("served %v after a restart of the peer and a late report, want 5000", got)
 	}
@@ -77,13 +77,13 @@
 // service of the window, so that the best-served account counts as within its share.
 func TestTotalsThatBeginAnewTakeNothingBack(t *testing.T) {
 	s := sharer.New(window)
-	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}})
-	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6 + 900, Served: 1e6 + 500}})
-	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 300, Served: 200}})
+	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}}, false)
+	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6 + 900, Served: 1e6 + 500}}, false)
+	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 300, Served: 200}}, false)
 	if got := s.Served(time.Second, "a"); got != 500 {
 		t.Errorf("served %v after the totals began anew, want 500", got)
 	}
-	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 400, Served: 250}})
+	s.SetPeer(time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 400, Served: 250}}, false)
 	if got := s.Served(time.Second, "a"); got != 550 {
 		t.Errorf("served %v after the next totals, want 550", got)
 	}
@@ -96,7 +96,7 @@
 	s.RecordService(0, "a", 300)
 	recent := []sharer.Total{{Account: "a", Demand: 1600, Served: 800}, {Account: "b", Demand: 160, Served: 160}}
 	for range 2 { // repeated reports change nothing
-		s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}})
+		s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}}, true)
 		s.LearnRecent(0, "p", 1, recent)
 	}
 	if a, b := s.Served(0, "a"), s.Served(0, "b"); a != 800 || b != 160 {
@@ -110,12 +110,41 @@
 	}
 }
 
+// Guards against FAIR and LOST: service that a peer gave before its first report here counts as
+// service of one moment, since that report left out the account; and against missing service
+// of accounts that a peer did not know when it last reported all of them.
+func TestFirstTotalOfAnAccountSetsTheBaseline(t *testing.T) {
+	first := []sharer.Total{{Account: "b", Demand: 1e6, Served: 1e6}}
+	for name, c := range map[string]struct {
+		firstComplete, secondComplete bool
+		want                          float64
+	}{
+		"no complete report before":   {false, false, 500},
+		"in a complete report itself": {false, true, 500},
+		"after a complete report":     {true, false, 1e6 + 500},
+	} {
+		s := sharer.New(window)
+		s.SetPeer(0, "p", 1, first, c.firstComplete)
+		for _, served := range []float64{1e6, 1e6 + 500} {
+			s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: served, Served: served}}, c.secondComplete)
+		}
+		if got := s.Served(0, "a"); got != c.want {
+			t.Errorf("%s: served %v, want %v", name, got, c.want)
+		}
+		s.SetPeer(0, "p", 2, first, false) // the peer has started again
+		s.SetPeer(0, "p", 2, []sharer.Total{{Account: "a", Demand: 300, Served: 300}}, false)
+		if got := s.Served(0, "a"); got != c.want {
+			t.Errorf("%s: served %v after a restart of the peer, want %v", name, got, c.want)
+		}
+	}
+}
+
 // Guards against service of a long silence that counts as service of one moment.
 func TestServiceDuringASilenceIsNotCounted(t *testing.T) {
 	s := sharer.New(window)
-	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}})
+	s.SetPeer(0, "p", 1, []sharer.Total{{Account: "a", Demand: 1e6, Served: 1e6}}, false)
 	s.RemovePeer("p")
-	s.SetPeer(10*time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 5e6, Served: 5e6}})
+	s.SetPeer(10*time.Second, "p", 1, []sharer.Total{{Account: "a", Demand: 5e6, Served: 5e6}}, false)
 	if got := s.Served(10*time.Second, "a"); got != 0 {
 		t.Errorf("served %v after a silence, want 0", got)
 	}
