--- a/gateway/sharer/sharer_test.go
+++ b/gateway/sharer/sharer_test.go
@@ -363,8 +363,8 @@
 			}
 		}
 		if now%(500*time.Millisecond) == 0 {
-			before.SetPeer(now, "after", 1, after.TakeTotals(true))
-			after.SetPeer(now, "before", 1, before.TakeTotals(true))
+			before.SetPeer(now, "after", 1, after.TakeTotals(true), true)
+			after.SetPeer(now, "before", 1, before.TakeTotals(true), true)
 		}
 	}
 	// The other account gets 400 a second and bounds this one to 640.
@@ -403,7 +403,7 @@
 		for i, s := range all {
 			for j, other := range all {
 				if i != j {
-					s.SetPeer(now, string(rune('A'+j)), 1, other.TakeTotals(true))
+					s.SetPeer(now, string(rune('A'+j)), 1, other.TakeTotals(true), true)
 				}
 			}
 		}
