Report proofs that a target has not crashed with full reports, too

Callers saw sound requests refused as partQuarantined after targets had been cut off. A proof that a target answers again under the same start is new evidence; if the next report is a full one, the daemon dropped it, since full reports list only what counts against parts, and no peer ever heard of it.

--- a/gateway/controller/evidence.go
+++ b/gateway/controller/evidence.go
@@ -314,13 +314,20 @@
 // takeEvidence returns the evidence for the next report. Relays of a large fleet also
 // forward that of others.
 func (c *Controller) takeEvidence(now time.Duration, whole bool) quarantiner.Evidence {
-	own, learned := c.quarantine.TakeNew(now)
-	switch {
-	case whole:
-		return c.quarantine.All(now)
-	case c.plan.Relay:
-		own.Incidents = append(own.Incidents, learned.Incidents...)
-		own.Proofs = append(own.Proofs, learned.Proofs...)
+	news, learned := c.quarantine.TakeNew(now)
+	if c.plan.Relay {
+		news.Incidents = append(news.Incidents, learned.Incidents...)
+		news.Proofs = append(news.Proofs, learned.Proofs...)
+	}
+	if !whole {
+		return news
+	}
+	all := c.quarantine.All(now)
+	for _, p := range news.Proofs {
+		// All omits proofs that a target has not crashed, and those on parts that are cleared.
+		if !slices.Contains(all.Proofs, p) {
+			all.Proofs = append(all.Proofs, p)
+		}
 	}
-	return own
+	return all
 }
