Reproduce FAIR: flooded hosts choke on callers that have left

Cause, in the model: the refused share follows the delay of a timer, which sees the run queue and not the queue of the kernel. The accept loop gets one turn of at most 10 ms or 16 refusals each time round the run queue, so that at a delay of 100 ms it can refuse 160 connections a second. With more callers than that, connections wait in the queue of the kernel for more than the second after which their callers leave. The daemon then reads and drops dead connections, which makes no timer late: it refuses nothing and serves nothing.

Another admission can be plugged in.

Not in the model: open connections, other accounts at the same hosts, readmission, memory and descriptor limits, engines that are short.

--- /dev/null
+++ b/gateway/shedder/flood_test.go
@@ -0,0 +1,454 @@
+package shedder_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"monsoondeck.example/gateway/shedder"
+)
+
+const (
+	// Processor time of a request on a new connection, on a whole core (BenchmarkProcessorTime).
+	floodAcceptCost, floodParseCost, floodDecideCost, floodSendCost = 40 * time.Microsecond, 80 * time.Microsecond, 40 * time.Microsecond, 80 * time.Microsecond
+	floodEventCost                                                  = 28 * time.Microsecond
+	floodRefuseCost                                                 = 100 * time.Microsecond
+	floodProbeCost                                                  = 60 * time.Microsecond
+	// floodCollectionCost is the processor time of a garbage collection.
+	floodCollectionCost = 6 * time.Millisecond
+	// floodEvents is the number of events of a response, floodServeCost its processor time.
+	floodEvents    = 23
+	floodServeCost = floodAcceptCost + floodParseCost + floodDecideCost + floodSendCost + floodEvents*floodEventCost
+
+	// acceptTurn is the time for which the accept loop may run before the scheduler of the
+	// runtime takes the processor from it, refusalsInARow the refusals after which it
+	// yields of itself.
+	acceptTurn, refusalsInARow = 10 * time.Millisecond, 16
+	// acceptQueueLength is the number of connections that the kernel keeps for a daemon.
+	acceptQueueLength = 4096
+
+	// floodPatience is the time after which a caller gives a request up, readPatience the time
+	// within which an attempt must be read, connectPatience that for a connection: an opening
+	// packet that was dropped is sent again after it, too late.
+	floodPatience, readPatience, connectPatience = 4 * time.Second, time.Second, time.Second
+	// floodObjective is the time within which an answer must begin to be on time.
+	floodObjective = time.Second
+	// minPause and maxPause bound the Retry-After of a busy host.
+	minPause, maxPause = 50 * time.Millisecond, 400 * time.Millisecond
+	// probeInterval is the time between two probes, the second miss of which takes a host out.
+	probeInterval, maxMisses = time.Second, 2
+
+	// floodSettled is the time that a host has to adapt, floodWindow the length of the windows
+	// that are judged after it, maxBehind how late a host may be.
+	floodSettled, floodWindow, maxBehind = 2 * time.Second, 2 * time.Second, 300 * time.Millisecond
+	floodDuration                        = 16 * time.Second
+)
+
+// admission decides which new connections a host serves.
+type admission interface {
+	// record takes the delay of a timer, every shedder.TimerInterval.
+	record(now, delay time.Duration)
+	// paused reports whether connections stay in the queue of the kernel for now.
+	paused(now time.Duration) bool
+	// admit decides on the connection that is next in the queue of the kernel.
+	admit(c pendingConnection) bool
+	// maxRefusals returns the refusals in a row after which the accept loop yields.
+	maxRefusals() int
+	// unready reports whether the balancer should send callers elsewhere.
+	unready(now time.Duration) bool
+}
+
+// pendingConnection is what a host can know of a connection before it has read from it.
+type pendingConnection struct {
+	now time.Duration
+	// waited is the time since its request arrived, lag how long the accept loop last waited
+	// for the processor.
+	waited, lag time.Duration
+}
+
+// delayAdmission is the admission as the gateway has it: by the mean delay of a timer.
+type delayAdmission struct {
+	shedder  *shedder.Shedder
+	spreader shedder.Spreader
+	share    float64
+}
+
+func newDelayAdmission(float64) admission { return &delayAdmission{shedder: shedder.New(0)} }
+
+func (a *delayAdmission) record(now, delay time.Duration) {
+	a.shedder.RecordTimerDelay(now, delay)
+	a.share = a.shedder.RefusedShare()
+}
+
+func (a *delayAdmission) paused(time.Duration) bool { return false }
+
+func (a *delayAdmission) admit(pendingConnection) bool {
+	return a.share < shedder.MinConnectionShare || a.spreader.Admit(a.share)
+}
+
+func (a *delayAdmission) maxRefusals() int { return refusalsInARow }
+
+func (a *delayAdmission) unready(now time.Duration) bool { return a.shedder.Unready(now) }
+
+// floodedHost is a host with one processor, a part of a core, that runs its tasks in the order
+// in which they become ready.
+type floodedHost struct {
+	*timeline
+	cores     float64
+	tasks     []task
+	running   bool
+	admission admission
+	// pending is the queue of the kernel, which takes queueLength connections. accepting is set
+	// while the accept loop has a task.
+	pending     []*attempt
+	queueLength int
+	accepting   bool
+	// misses is the number of probes in a row that were not answered with ready.
+	misses  int
+	seconds []floodSecond
+}
+
+// task is work that became ready at a time. run is called once the processor gets to it, and
+// returns the processor time of the work and what follows.
+type task struct {
+	ready time.Duration
+	run   func(waited time.Duration) (cost time.Duration, then func())
+}
+
+// floodSecond counts what happens at a host in a second.
+type floodSecond struct {
+	offered, read, onTime, late, refused, abandoned, dropped int
+	// stale counts what was read after its caller had left.
+	stale int
+	// timely counts the attempts offered in this second that began on time.
+	timely int
+	// behind is the longest wait for the processor, or of an admitted request for both the
+	// queue of the kernel and the processor.
+	behind time.Duration
+}
+
+func (h *floodedHost) second(at time.Duration) *floodSecond {
+	for len(h.seconds) <= int(at/time.Second) {
+		h.seconds = append(h.seconds, floodSecond{})
+	}
+	return &h.seconds[at/time.Second]
+}
+
+func (h *floodedHost) recordBehind(d time.Duration) {
+	s := h.second(h.now)
+	s.behind = max(s.behind, d)
+}
+
+// submit makes a task ready.
+func (h *floodedHost) submit(run func(waited time.Duration) (time.Duration, func())) {
+	h.tasks = append(h.tasks, task{h.now, run})
+	h.runNext()
+}
+
+// work makes a task with a known cost ready.
+func (h *floodedHost) work(cost time.Duration, then func()) {
+	h.submit(func(time.Duration) (time.Duration, func()) { return cost, then })
+}
+
+func (h *floodedHost) runNext() {
+	if h.running || len(h.tasks) == 0 {
+		return
+	}
+	t := h.tasks[0]
+	h.tasks = h.tasks[1:]
+	h.running = true
+	h.recordBehind(h.now - t.ready)
+	cost, then := t.run(h.now - t.ready)
+	h.after(h.elapsed(cost), func() {
+		then()
+		h.running = false
+		h.runNext()
+	})
+}
+
+// elapsed returns the time that this host needs for some processor time.
+func (h *floodedHost) elapsed(cost time.Duration) time.Duration {
+	return time.Duration(float64(cost) / h.cores)
+}
+
+func (h *floodedHost) start() {
+	h.tick()
+	h.collect()
+}
+
+func (h *floodedHost) tick() {
+	h.after(shedder.TimerInterval, func() {
+		h.submit(func(waited time.Duration) (time.Duration, func()) {
+			return 0, func() {
+				h.admission.record(h.now, waited)
+				h.accept()
+				h.tick()
+			}
+		})
+	})
+}
+
+func (h *floodedHost) collect() {
+	h.work(floodCollectionCost, func() {})
+	h.after(collectionInterval, h.collect)
+}
+
+// open lets a connection arrive and reports whether the queue of the kernel has room for it.
+func (h *floodedHost) open(a *attempt) bool {
+	h.second(h.now).offered++
+	if len(h.pending) >= h.queueLength {
+		h.second(h.now).dropped++
+		return false
+	}
+	h.pending = append(h.pending, a)
+	h.accept()
+	return true
+}
+
+// accept wakes the accept loop.
+func (h *floodedHost) accept() {
+	if h.accepting || len(h.pending) == 0 || h.admission.paused(h.now) {
+		return
+	}
+	h.accepting = true
+	h.submit(func(waited time.Duration) (time.Duration, func()) {
+		cost, then := h.acceptPending(waited)
+		return cost, func() {
+			then()
+			h.accepting = false
+			h.accept()
+		}
+	})
+}
+
+// acceptPending takes connections from the queue of the kernel for one turn.
+func (h *floodedHost) acceptPending(lag time.Duration) (cost time.Duration, then func()) {
+	var admitted, refused []*attempt
+	for len(h.pending) > 0 && len(refused) < h.admission.maxRefusals() && h.elapsed(cost) < acceptTurn {
+		a := h.pending[0]
+		h.pending = h.pending[1:]
+		now := h.now + h.elapsed(cost)
+		if h.admission.admit(pendingConnection{now: now, waited: now - a.sent, lag: lag}) {
+			cost += floodAcceptCost
+			admitted = append(admitted, a)
+		} else {
+			cost += floodRefuseCost
+			refused = append(refused, a)
+		}
+	}
+	return cost, func() {
+		for _, a := range refused {
+			h.refuse(a)
+		}
+		for _, a := range admitted {
+			h.work(floodParseCost, func() { h.decide(a) })
+		}
+	}
+}
+
+func (h *floodedHost) refuse(a *attempt) {
+	h.recordRead(a)
+	h.second(h.now).refused++
+	if !a.left {
+		a.refused()
+	}
+}
+
+func (h *floodedHost) recordRead(a *attempt) {
+	a.read = true
+	s := h.second(h.now)
+	s.read++
+	if a.left {
+		s.stale++
+	}
+}
+
+// decide looks whether the caller is still there, and sends its request to a target.
+func (h *floodedHost) decide(a *attempt) {
+	h.recordRead(a)
+	h.recordBehind(h.now - a.sent)
+	h.submit(func(time.Duration) (time.Duration, func()) {
+		if a.left {
+			return floodDecideCost, func() {}
+		}
+		return floodDecideCost, func() {
+			h.work(floodSendCost, func() { h.after(modelTargetTime, func() { h.respond(a) }) })
+		}
+	})
+}
+
+func (h *floodedHost) respond(a *attempt) {
+	h.work(floodEventCost, func() {
+		if h.now-a.sent <= floodObjective {
+			h.second(h.now).onTime++
+			h.second(a.sent).timely++
+		} else {
+			h.second(h.now).late++
+		}
+		for i := range floodEvents - 1 {
+			h.after(time.Duration(i+1)*modelEventGap, func() { h.work(floodEventCost, func() {}) })
+		}
+	})
+}
+
+// probe asks for the readiness, which must be known before the next probe.
+func (h *floodedHost) probe() {
+	ready := false
+	h.work(floodProbeCost, func() { ready = !h.admission.unready(h.now) })
+	h.after(probeInterval, func() {
+		h.misses++
+		if ready {
+			h.misses = 0
+		}
+		h.probe()
+	})
+}
+
+// flood is a client account whose callers all come to one host of their data centre at a time.
+type flood struct {
+	timeline
+	random *rand.Rand
+	hosts  []*floodedHost
+	// perSecond is the number of new requests.
+	perSecond float64
+}
+
+// attempt is one of at most two attempts of a request.
+type attempt struct {
+	sent       time.Duration
+	read, left bool
+	// refused is called when the attempt is refused.
+	refused func()
+}
+
+func newFlood(seed uint64, cores []float64, perSecond float64, newAdmission func(cores float64) admission) *flood {
+	f := &flood{random: rand.New(rand.NewPCG(seed, seed)), perSecond: perSecond}
+	for _, c := range cores {
+		f.hosts = append(f.hosts, &floodedHost{timeline: &f.timeline, cores: c, queueLength: acceptQueueLength, admission: newAdmission(c)})
+	}
+	return f
+}
+
+func (f *flood) run(duration time.Duration) {
+	for _, h := range f.hosts {
+		h.start()
+		f.after(time.Duration(f.random.Int64N(int64(probeInterval))), h.probe)
+	}
+	f.request()
+	f.runUntil(duration)
+	for _, h := range f.hosts {
+		h.second(duration) // a host that nobody came to has a row for each second, too
+	}
+}
+
+func (f *flood) request() {
+	deadline := f.now + floodPatience
+	h := f.choose(nil)
+	f.send(h, deadline, func() {
+		if other := f.choose(h); other != nil && f.now < deadline {
+			f.send(other, deadline, func() {})
+		}
+	})
+	f.after(time.Duration(f.random.ExpFloat64()/f.perSecond*float64(time.Second)), f.request)
+}
+
+// choose returns the first host in rotation apart from one; all are in rotation if fewer than
+// half are. It returns nil if there is no other.
+func (f *flood) choose(apart *floodedHost) *floodedHost {
+	out := 0
+	for _, h := range f.hosts {
+		if h.misses >= maxMisses {
+			out++
+		}
+	}
+	all := 2*(len(f.hosts)-out) < len(f.hosts)
+	for _, h := range f.hosts {
+		if h != apart && (all || h.misses < maxMisses) {
+			return h
+		}
+	}
+	return nil
+}
+
+// send sends a request to a host, and calls again when the caller may try another one.
+func (f *flood) send(h *floodedHost, deadline time.Duration, again func()) {
+	left := (deadline - f.now) / 3
+	a := &attempt{sent: f.now, refused: func() {
+		pause := minPause + time.Duration(f.random.Int64N(int64(maxPause-minPause)))
+		f.after(min(pause, (deadline-f.now)/3), again)
+	}}
+	if !h.open(a) {
+		f.after(connectPatience, again)
+		return
+	}
+	f.after(min(readPatience, left), func() {
+		if !a.read {
+			a.left = true
+			h.second(f.now).abandoned++
+			again()
+		}
+	})
+}
+
+// possible returns how many of the offered requests a host can serve in a time if it refuses
+// the others.
+func (h *floodedHost) possible(offered int, d time.Duration) float64 {
+	processorTime := h.cores*float64(d) - float64(d)/float64(collectionInterval)*float64(floodCollectionCost)
+	left := processorTime - float64(offered)*float64(floodRefuseCost)
+	return max(min(left/float64(floodServeCost-floodRefuseCost), float64(offered)), 0)
+}
+
+// check returns the windows in which the host served too little on time or was too far behind.
+func (h *floodedHost) check() (faults []string) {
+	const perWindow = int(floodWindow / time.Second)
+	last := int((floodDuration - floodObjective) / time.Second) // what begins later is not known
+	for from := int(floodSettled / time.Second); from+perWindow <= last; from += perWindow {
+		var sum floodSecond
+		for _, s := range h.seconds[from : from+perWindow] {
+			sum.offered += s.offered
+			sum.timely += s.timely
+			sum.behind = max(sum.behind, s.behind)
+		}
+		if possible := h.possible(sum.offered, floodWindow); float64(sum.timely) < 0.9*possible {
+			faults = append(faults, fmt.Sprintf("host of %.3f cores, from %d s on: %d of %d began on time, want 0.9 of the %.0f that the refusals leave", h.cores, from, sum.timely, sum.offered, possible))
+		}
+		if sum.behind > maxBehind {
+			faults = append(faults, fmt.Sprintf("host of %.3f cores, from %d s on: %v behind, want at most %v", h.cores, from, sum.behind, maxBehind))
+		}
+	}
+	return faults
+}
+
+// log prints what happened at each host by second.
+func (f *flood) log(t *testing.T) {
+	t.Helper()
+	for _, h := range f.hosts {
+		for i, s := range h.seconds[:floodDuration/time.Second] {
+			t.Logf("%.3f cores, second %2d: offered %4d, read %4d (%4d stale), on time %4d, late %4d, refused %4d, abandoned %4d, dropped %4d, behind %v",
+				h.cores, i, s.offered, s.read, s.stale, s.onTime, s.late, s.refused, s.abandoned, s.dropped, s.behind.Round(time.Millisecond))
+		}
+	}
+}
+
+// Load: an account floods one host, or three after each other, with 1 to 10 times the requests
+// that it can serve. Guards against FAIR: the account gets less than half of its due, because
+// the hosts that its callers come to choke on the flood and then stand idle.
+func TestFloodedHostsServeOnTimeWhatTheyCan(t *testing.T) {
+	for _, cores := range [][]float64{{0.144}, {0.48}, {0.8}, {0.48, 0.144, 0.8}} {
+		for _, times := range []float64{1, 2, 3, 5, 10} {
+			t.Run(fmt.Sprintf("%v cores, %v times", cores, times), func(t *testing.T) {
+				f := newFlood(1, cores, times*cores[0]*float64(time.Second)/float64(floodServeCost), newDelayAdmission)
+				f.run(floodDuration)
+				if testing.Verbose() {
+					f.log(t)
+				}
+				for _, h := range f.hosts {
+					for _, fault := range h.check() {
+						t.Error(fault)
+					}
+				}
+			})
+		}
+	}
+}
--- a/gateway/shedder/overload_test.go
+++ b/gateway/shedder/overload_test.go
@@ -28,11 +28,11 @@
 // processor is a model of a host without a network: one processor that runs tasks in the order
 // in which they become ready, as the scheduler of the runtime does.
 type processor struct {
-	now, busyUntil time.Duration
-	events         schedule
-	random         *rand.Rand
-	shedder        *shedder.Shedder
-	spreader       shedder.Spreader
+	timeline
+	busyUntil time.Duration
+	random    *rand.Rand
+	shedder   *shedder.Shedder
+	spreader  shedder.Spreader
 	// onTime and late count the responses that began by the time they did, refused the
 	// connections.
 	onTime, late, refused int
@@ -55,8 +55,23 @@
 	return last
 }
 
-func (p *processor) after(d time.Duration, call func()) {
-	heap.Push(&p.events, scheduled{p.now + d, call})
+// timeline is the time of a model and what happens in it.
+type timeline struct {
+	now    time.Duration
+	events schedule
+}
+
+func (t *timeline) after(d time.Duration, call func()) {
+	heap.Push(&t.events, scheduled{t.now + d, call})
+}
+
+// runUntil lets happen what is due by the given time or next after it.
+func (t *timeline) runUntil(end time.Duration) {
+	for t.now < end {
+		e := heap.Pop(&t.events).(scheduled)
+		t.now = e.at
+		e.call()
+	}
 }
 
 // run lets a task run behind those that are ready now, and calls then at its end.
@@ -125,11 +140,7 @@
 	p.collect()
 	var before processor
 	p.after(settled, func() { before = *p })
-	for p.now < duration {
-		e := heap.Pop(&p.events).(scheduled)
-		p.now = e.at
-		e.call()
-	}
+	p.runUntil(duration)
 	seconds := (duration - settled).Seconds()
 	return float64(p.onTime-before.onTime) / seconds, float64(p.late-before.late) / seconds, float64(p.refused-before.refused) / seconds
 }
