Flood model: count what a host can serve by slots of 0.2 s

When the balancer hands a flood over, thousands of callers come to a host in the last moments of a window. The test asked for the processor time of the whole window for them, which no admission can give in time. It now adds up what each slot of 0.2 s allows, and what the refusals of a slot take beyond it is paid by the next one.

--- a/gateway/shedder/flood_test.go
+++ b/gateway/shedder/flood_test.go
@@ -42,7 +42,11 @@
 	// floodSettled is the time that a host has to adapt, floodWindow the length of the windows
 	// that are judged after it, maxBehind how late a host may be.
 	floodSettled, floodWindow, maxBehind = 2 * time.Second, 2 * time.Second, 300 * time.Millisecond
-	floodDuration                        = 16 * time.Second
+	// floodSlot is the time within which processor time can be used for any request of a slot.
+	floodSlot = 200 * time.Millisecond
+	// floodSlots has one slot more than the duration, for the first event after it.
+	floodSlots    = int(floodDuration/floodSlot) + 1
+	floodDuration = 16 * time.Second
 )
 
 // admission decides which new connections a host serves.
@@ -107,6 +111,8 @@
 	// misses is the number of probes in a row that were not answered with ready.
 	misses  int
 	seconds []floodSecond
+	// offered is the number of attempts by slot.
+	offered [floodSlots]int
 }
 
 // task is work that became ready at a time. run is called once the processor gets to it, and
@@ -197,6 +203,7 @@
 // open lets a connection arrive and reports whether the queue of the kernel has room for it.
 func (h *floodedHost) open(a *attempt) bool {
 	h.second(h.now).offered++
+	h.offered[h.now/floodSlot]++
 	if len(h.pending) >= h.queueLength {
 		h.second(h.now).dropped++
 		return false
@@ -391,18 +398,24 @@
 	})
 }
 
-// possible returns how many of the offered requests a host can serve in a time if it refuses
-// the others.
-func (h *floodedHost) possible(offered int, d time.Duration) float64 {
-	processorTime := h.cores*float64(d) - float64(d)/float64(collectionInterval)*float64(floodCollectionCost)
-	left := processorTime - float64(offered)*float64(floodRefuseCost)
-	return max(min(left/float64(floodServeCost-floodRefuseCost), float64(offered)), 0)
+// possible returns how many of the requests that are offered in each slot a host can serve if it
+// refuses the others. What the refusals of one slot lack of processor time, the next one pays.
+func (h *floodedHost) possible() (requests [floodSlots]float64) {
+	perSlot := h.cores*float64(floodSlot) - float64(floodSlot)/float64(collectionInterval)*float64(floodCollectionCost)
+	debt := 0.0
+	for i, offered := range h.offered {
+		left := perSlot - debt - float64(offered)*float64(floodRefuseCost)
+		debt = max(-left, 0)
+		requests[i] = min(max(left, 0)/float64(floodServeCost-floodRefuseCost), float64(offered))
+	}
+	return requests
 }
 
 // check returns the windows in which the host served too little on time or was too far behind.
 func (h *floodedHost) check() (faults []string) {
 	const perWindow = int(floodWindow / time.Second)
 	last := int((floodDuration - floodObjective) / time.Second) // what begins later is not known
+	bySlot := h.possible()
 	for from := int(floodSettled / time.Second); from+perWindow <= last; from += perWindow {
 		var sum floodSecond
 		for _, s := range h.seconds[from : from+perWindow] {
@@ -410,7 +423,11 @@
 			sum.timely += s.timely
 			sum.behind = max(sum.behind, s.behind)
 		}
-		if possible := h.possible(sum.offered, floodWindow); float64(sum.timely) < 0.9*possible {
+		possible := 0.0
+		for _, p := range bySlot[from*int(time.Second/floodSlot) : (from+perWindow)*int(time.Second/floodSlot)] {
+			possible += p
+		}
+		if float64(sum.timely) < 0.9*possible {
 			faults = append(faults, fmt.Sprintf("host of %.3f cores, from %d s on: %d of %d began on time, want 0.9 of the %.0f that the refusals leave", h.cores, from, sum.timely, sum.offered, possible))
 		}
 		if sum.behind > maxBehind {
