Bound the queue of connections that wait to be accepted

A host that holds all it may leaves the rest to the kernel, up to 4,096, and accepted it in the order of arrival: each 1.0 s late, when its caller left. Now 250 connections a core may wait; the kernel drops the opening packets of more. In the model they come again after 1 s, when their callers leave.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -41,6 +41,15 @@
 	return s
 }
 
+// limitPending limits the connections that wait to be accepted in the kernel, which drops the
+// opening packets of others; 0 leaves the limit as it is.
+func (l *sheddingListener) limitPending(n int) (err error) {
+	if n > 0 {
+		l.control(func(fd uintptr) { err = unix.Listen(int(fd), n) })
+	}
+	return err
+}
+
 // shedding says what happens to a connection.
 type shedding int
 
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -423,3 +423,23 @@
 		t.Errorf("the connection was held for %v, want about %v", held, maxHeldTime)
 	}
 }
+
+// Load: more callers than may wait to be accepted. Guards against FAIR: a host that is behind
+// accepts callers in the order of arrival, each when it is about to leave.
+func TestListenerLimitsPendingConnections(t *testing.T) {
+	const limit = 4
+	s := startShedding(t)
+	if err := s.limitPending(limit); err != nil {
+		t.Fatal(err)
+	}
+	connected := 0
+	for range 3 * limit {
+		if c, err := net.DialTimeout("tcp", s.Addr().String(), 50*time.Millisecond); err == nil {
+			connected++
+			defer func() { _ = c.Close() }()
+		}
+	}
+	if connected < limit || connected > limit+1 {
+		t.Errorf("%d callers are connected, want %d", connected, limit)
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -126,6 +126,10 @@
 			socket := s.listener
 			g.readmitted = newReadmittedListener(socket.Addr())
 			g.listener = newSheddingListener(s.listener, g.shedConnection, g.newRefuser(), shedder.Divide(g.settings.Descriptors).Held)
+			if err := g.listener.limitPending(shedder.MaxPending(g.settings.Cores)); err != nil {
+				closeAll()
+				return nil, err
+			}
 			s.listener = g.listener
 			g.meterCallers(s, socket)
 			g.callerServer = s
--- a/gateway/shedder/flood_test.go
+++ b/gateway/shedder/flood_test.go
@@ -30,9 +30,6 @@
 	acceptTurn, rejectionsInARow, holdInterval = 10 * time.Millisecond, 16, 5 * time.Millisecond
 	// maxHeld is the number of connections that a host with 3,075 descriptors holds.
 	maxHeld = 153
-	// acceptQueueLength is the number of connections that the kernel keeps for a daemon.
-	acceptQueueLength = 4096
-
 	// floodPatience is the time after which a caller gives a request up, readPatience the time
 	// within which an attempt must be read, connectPatience that for a connection: an opening
 	// packet that was dropped is sent again after it, too late.
@@ -203,7 +200,7 @@
 func (h *floodedHost) open(a *attempt) bool {
 	h.second(h.now).offered++
 	h.offered[h.now/floodSlot]++
-	if len(h.pending) >= acceptQueueLength {
+	if len(h.pending) >= h.maxPending() {
 		h.second(h.now).dropped++
 		return false
 	}
@@ -212,6 +209,18 @@
 	return true
 }
 
+// reopen lets the opening packet of an attempt come again, when its caller is about to leave.
+func (h *floodedHost) reopen(a *attempt) {
+	if len(h.pending) < h.maxPending() {
+		a.left = true
+		h.pending = append(h.pending, a)
+		h.accept()
+	}
+}
+
+// maxPending returns the length of the queue of the kernel.
+func (h *floodedHost) maxPending() int { return shedder.MaxPending(h.cores) }
+
 // accept wakes the accept loop.
 func (h *floodedHost) accept() {
 	if h.accepting || len(h.pending) == 0 && (h.keepNext || len(h.held) == 0) {
@@ -498,7 +507,10 @@
 		f.after(min(pause, (deadline-f.now)/3), again)
 	}}
 	if !h.open(a) {
-		f.after(connectPatience, again)
+		f.after(connectPatience, func() {
+			h.reopen(a)
+			again()
+		})
 		return
 	}
 	f.after(min(readPatience, left), func() {
--- a/gateway/shedder/processor_budget.go
+++ b/gateway/shedder/processor_budget.go
@@ -29,6 +29,8 @@
 	// minMeasuredUse is the used part of the processor time from which the cost of a request
 	// is measured unless requests were refused: on an idle host, other work prevails.
 	minMeasuredUse = 0.5
+	// pendingPerCore is the number of connections that may wait in the kernel, for each core.
+	pendingPerCore = 250
 	// shareTimeConstant is the time over which the refused share is averaged.
 	shareTimeConstant = 300 * time.Millisecond
 )
@@ -72,6 +74,15 @@
 	return b
 }
 
+// MaxPending returns how many connections may wait to be accepted at a host with the given
+// processor time in cores, so that the oldest is accepted in time; 0 means no limit.
+func MaxPending(cores float64) int {
+	if cores <= 0 {
+		return 0
+	}
+	return max(int(pendingPerCore*cores), 1)
+}
+
 // Known reports whether the processor time of the host is known.
 func (b *ProcessorBudget) Known() bool { return b.cores > 0 }
 
