--- a/gateway/arrival_test.go
+++ b/gateway/arrival_test.go
@@ -2,37 +2,13 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// sinceLastData returns the time since data last arrived on the connection of a request,
-// whether it was read or not, as the kernel counts it (tcp(7), TCP_INFO).
-func sinceLastData(r *http.Request) (time.Duration, error) {
-	c, ok := r.Context().Value(connectionKey{}).(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var info *unix.TCPInfo
-	var errInfo error
-	err = raw.Control(func(fd uintptr) { info, errInfo = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err := errors.Join(err, errInfo); err != nil {
-		return 0, err
-	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
-}
-
 // Guards against a kernel that does not tell how long a request has waited before it was read,
 // in the accept queue or on a kept connection.
 func TestKernelTellsHowLongARequestWasUnread(t *testing.T) {
@@ -46,11 +22,7 @@
 	}
 	ages, release := make(chan time.Duration), make(chan struct{})
 	server := &http.Server{ConnContext: withConnection, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		age, err := sinceLastData(r)
-		if err != nil {
-			t.Error(err)
-		}
-		ages <- age
+		ages <- time.Since(arrived(r))
 		<-release
 	})}
 	defer func() { _ = server.Close() }()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,7 +196,7 @@
 	g.metrics = newMetrics(g)
 	g.receiver = receiver.New(receiver.Options{
 		Protocol: g.options.Protocol, Permits: g.controller, StreamOrigins: g.controller, Configs: g.controller, TargetClient: g.courier, TargetChecker: g.prober,
-		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, Tally: g.tally, CallerDisconnected: callerLeft, ResetOnClose: resetOnClose,
+		RetryBudget: newRetryBudgets(s, g.clock, func() int { return len(g.exchanger.Peers()) }), ShutdownState: g, LoadShedder: g.overload, Tally: g.tally, Arrived: arrived, CallerDisconnected: callerLeft, ResetOnClose: resetOnClose,
 		Memory: g.memory, ChargeHeader: chargeHeader,
 		Clock:   g.clock,
 		Logger:  recorder.Limit(g.logger, recorder.DefaultRate, g.clock),
--- a/gateway/meter/conn.go
+++ b/gateway/meter/conn.go
@@ -45,6 +45,10 @@
 	// served is set once a request was read.
 	served bool
 
+	// arrivedAt is the time at which the last request arrived; zero before the first. It is only
+	// used by handlers, of which one runs at a time.
+	arrivedAt time.Time
+
 	// written is the number of bytes that were written.
 	written atomic.Int64
 	// The fields below are only used by the sweep: whether the last one found bytes that the
@@ -165,6 +169,16 @@
 	return nil
 }
 
+// RecordArrival records the time at which a request arrived, and returns it. Requests arrive in
+// their order: no request has arrived before the one before it. It is called by the handler of
+// the request.
+func (c *Conn) RecordArrival(at time.Time) time.Time {
+	if at.After(c.arrivedAt) {
+		c.arrivedAt = at
+	}
+	return c.arrivedAt
+}
+
 // refuse answers a request that was not read and ends the connection.
 func (c *Conn) refuse(reason Reason, status int, buffer []byte) (int, error) {
 	c.ended = true
--- a/gateway/receiver/adopted_events_test.go
+++ b/gateway/receiver/adopted_events_test.go
@@ -29,7 +29,7 @@
 		memory := limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20})
 		p := &proxyRequest{
 			receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Protocol: plainProtocol{}, Memory: memory, Logger: slog.New(slog.DiscardHandler), Permits: &freeTarget{permit: &stallCounter{}}, Clock: func() time.Duration { return 0 }}),
-			route:    patientRoute, start: time.Now(), request: r, writer: answer, control: http.NewResponseController(answer),
+			route:    patientRoute, arrived: time.Now(), request: r, writer: answer, control: http.NewResponseController(answer),
 		}
 		ctx, cancel := context.WithCancelCause(t.Context())
 		permit := &stallCounter{}
--- a/gateway/receiver/aged_permit_test.go
+++ b/gateway/receiver/aged_permit_test.go
@@ -19,7 +19,7 @@
 func TestSilentTargetIsNotCancelledForAnAgedPermit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		other := &stallCounter{}
-		p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: agedPermit{other}}}), route: patientRoute, start: time.Now()}
+		p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: agedPermit{other}}}), route: patientRoute, arrived: time.Now()}
 		ctx, cancel := context.WithCancelCause(t.Context())
 		w := newStallWatch(ctx, p, &stallCounter{}, p.route.Timeout, cancel)
 		w.timerFired(w.due)
--- a/gateway/receiver/answer.go
+++ b/gateway/receiver/answer.go
@@ -75,7 +75,7 @@
 		p.breakOff()
 	}
 	permit.End(placer.Complete)
-	p.receiver.observeDuration(p.route.Name, time.Since(p.start))
+	p.receiver.observeDuration(p.route.Name, time.Since(p.arrived))
 	p.recordEnd("answered", response.Status)
 	return outcomeDone
 }
@@ -256,7 +256,7 @@
 		return outcomeFailed
 	}
 	p.startStream()
-	p.receiver.observeDuration(p.route.Name, time.Since(p.start))
+	p.receiver.observeDuration(p.route.Name, time.Since(p.arrived))
 	p.recordEnd("answered", p.stream.status)
 	return outcomeDone
 }
--- a/gateway/receiver/bench_test.go
+++ b/gateway/receiver/bench_test.go
@@ -84,7 +84,7 @@
 	return receiver.Options{
 		StreamOrigins: &streamOrigins{began: map[versioner.Stream]versioner.Origin{}},
 		Protocol:      protocol{}, Permits: &discardPermits{}, Configs: configs{&config}, TargetClient: benchClient{bytes.Repeat([]byte("y"), 2<<10)},
-		RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, Tally: tallier.New(8), CallerDisconnected: func(*http.Request) bool { return false }, ResetOnClose: func(*http.Request) {},
+		RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, Tally: tallier.New(8), Arrived: func(*http.Request) time.Time { return time.Now() }, CallerDisconnected: func(*http.Request) bool { return false }, ResetOnClose: func(*http.Request) {},
 		Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 30}), Clock: clock, ChargeHeader: func(*http.Request, int, int) error { return nil }, Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
--- a/gateway/receiver/failure.go
+++ b/gateway/receiver/failure.go
@@ -113,7 +113,7 @@
 	case !p.mayHaveRun && errors.Is(context.Cause(ctx), errEnding):
 		p.rejectStopping()
 	case !p.mayHaveRun:
-		p.reject(rejection{status: http.StatusServiceUnavailable, code: "noTarget", retryAfter: min(noTargetRetryAfter, p.timeLeft(ctx)/3)})
+		p.reject(rejection{status: http.StatusServiceUnavailable, code: "noTarget", retryAfter: max(min(noTargetRetryAfter, p.timeLeft(ctx)/3), 0)})
 	case errors.Is(context.Cause(ctx), errEnding):
 		p.reject(rejection{status: http.StatusGatewayTimeout, code: codeStopping})
 	case ctx.Err() != nil:
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -45,8 +45,9 @@
 	writer   http.ResponseWriter
 	control  *http.ResponseController
 	request  *http.Request
-	start    time.Time
-	info     RequestInfo
+	// arrived is the time at which the request arrived, perhaps long before it was read.
+	arrived time.Time
+	info    RequestInfo
 	// late is set if the request arrived when its caller could know that the daemon stops.
 	late bool
 	// version is that of the configuration by which the request was resolved.
@@ -106,7 +107,8 @@
 	takesUp, remembered bool
 	// streamRecorded is set once an event of the stream has been forwarded.
 	streamRecorded bool
-	// firstByte is the time to the first byte of the response; 0 if there is none yet.
+	// firstByte is the time from the arrival to the first byte of the response; 0 if there is
+	// none yet.
 	firstByte time.Duration
 	// lastData is the time at which the target of the current attempt last sent data, or at
 	// which the attempt began.
@@ -139,7 +141,7 @@
 	}
 	ctx, end := context.WithCancelCause(parent)
 	defer end(nil)
-	ctx, cancel := context.WithDeadline(ctx, p.start.Add(p.timeout()))
+	ctx, cancel := context.WithDeadline(ctx, p.arrived.Add(p.timeout()))
 	defer cancel()
 	defer func() {
 		if p.replacement != nil {
--- a/gateway/receiver/late_timer_test.go
+++ b/gateway/receiver/late_timer_test.go
@@ -45,7 +45,7 @@
 				p := &proxyRequest{
 					receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: &stallCounter{}}}),
 					route:    resolver.Route{Kind: resolver.Streaming, Resumable: true, MaxAttempts: 2, MaxEventGap: time.Hour, Timeout: 24 * time.Hour},
-					start:    time.Now(),
+					arrived:  time.Now(),
 				}
 				ctx, cancel := context.WithCancelCause(t.Context())
 				w := newStallWatch(ctx, p, &stallCounter{}, time.Hour, cancel)
@@ -67,7 +67,7 @@
 		p := &proxyRequest{
 			receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: &freeTarget{permit: &stallCounter{}}}),
 			route:    resolver.Route{Kind: resolver.NonIdempotent, MaxAttempts: 2, Timeout: time.Minute},
-			start:    time.Now(),
+			arrived:  time.Now(),
 		}
 		ctx, cancel := context.WithCancelCause(t.Context())
 		w := newStallWatch(ctx, p, &stallCounter{}, time.Minute, cancel)
--- a/gateway/receiver/patience_test.go
+++ b/gateway/receiver/patience_test.go
@@ -32,7 +32,7 @@
 func TestSearchLeavesTimeAsLongAsTheRequestHasSome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		permits := &refusals{}
-		p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: permits}), route: patientRoute, start: time.Now()}
+		p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}, RetryBudget: &budget{retries: 1}, Permits: permits}), route: patientRoute, arrived: time.Now()}
 		deadline, cancelDeadline := context.WithTimeout(t.Context(), p.route.Timeout)
 		defer cancelDeadline()
 		ctx, cancel := context.WithCancelCause(deadline)
@@ -54,8 +54,8 @@
 // wait, although its caller was there and the time of the request was not used up.
 func TestRequestWaitsForRoomUntilItsTimeIsUsedUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}}), route: patientRoute, start: time.Now(), mayHaveRun: true, attempts: 1, waits: 2}
-		p.stream = &streamState{started: true, lastForwarded: p.start}
+		p := &proxyRequest{receiver: New(Options{ShutdownState: notStopping{}}), route: patientRoute, arrived: time.Now(), mayHaveRun: true, attempts: 1, waits: 2}
+		p.stream = &streamState{started: true, lastForwarded: p.arrived}
 		ctx, cancel := context.WithTimeout(t.Context(), p.route.Timeout)
 		defer cancel()
 		time.Sleep(callerPatience(p.route))
--- a/gateway/receiver/receiver.go
+++ b/gateway/receiver/receiver.go
@@ -55,6 +55,9 @@
 	ShutdownState ShutdownState
 	LoadShedder   LoadShedder
 	Tally         Tally
+	// Arrived returns the time at which a request arrived, whose header was just read; the time
+	// of the call if that is unknown. It is called once for each request.
+	Arrived func(r *http.Request) time.Time
 	// CallerDisconnected reports whether the caller has closed its connection.
 	CallerDisconnected func(r *http.Request) bool
 	// ResetOnClose makes the connection of the request end with a reset when it is closed.
@@ -77,7 +80,7 @@
 	// Route is the name of the route; empty if there is none for the request. Outcome is
 	// "answered", the code of a rejection, or the way in which the response broke off.
 	Route, Outcome string
-	// FirstByte is the time from the start of the request to the first byte of the
+	// FirstByte is the time from the arrival of the request to the first byte of the
 	// response, or 0 if a target sent none. Total is the time to the end of the request.
 	FirstByte, Total time.Duration
 	// Resumption says what became of a stream that the caller took up again; empty for other
@@ -108,11 +111,12 @@
 func (rc *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rc.ActiveRequests.Add(1)
 	defer rc.ActiveRequests.Add(-1)
-	p := &proxyRequest{receiver: rc, writer: w, request: r, control: http.NewResponseController(w), start: time.Now()}
+	p := &proxyRequest{receiver: rc, writer: w, request: r, control: http.NewResponseController(w), arrived: rc.Arrived(r)}
 	p.info = rc.Protocol.ParseRequest(r)
 	if r.ContentLength != 0 {
+		// It counts from now, since the body may have arrived with the header and not been read.
 		// The error is ignored: response writers of tests may not support deadlines.
-		_ = p.control.SetReadDeadline(p.start.Add(bodyReadTimeout))
+		_ = p.control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	}
 	since, _, stopping := rc.ShutdownState.Stopping()
 	p.late = stopping && since > stopNoticeTime
@@ -206,7 +210,7 @@
 // were told to close; they are sent only if they cannot be cut at all.
 func (p *proxyRequest) requiredTime() time.Duration {
 	if p.late {
-		return p.timeout() - time.Since(p.start)
+		return p.timeout() - time.Since(p.arrived)
 	}
 	rc := p.receiver
 	rc.mutex.Lock()
--- a/gateway/receiver/record.go
+++ b/gateway/receiver/record.go
@@ -17,7 +17,7 @@
 // recordEnd reports the end of the request to metrics and log. Status 0 means that no
 // response was sent.
 func (p *proxyRequest) recordEnd(outcome string, status int) {
-	total := time.Since(p.start)
+	total := time.Since(p.arrived)
 	resumption := p.resumption(outcome)
 	p.receiver.Observe(Observation{Route: p.route.Name, Outcome: outcome, FirstByte: p.firstByte, Total: total, Resumption: resumption})
 	var longestPause time.Duration
@@ -37,7 +37,7 @@
 
 // recordFirstByte records that a response of a target begins.
 func (p *proxyRequest) recordFirstByte(status int) {
-	p.firstByte = time.Since(p.start)
+	p.firstByte = time.Since(p.arrived)
 	if status < http.StatusMultipleChoices {
 		p.receiver.Tally.Began(p.sharingAccount(), p.cost())
 	}
--- a/gateway/receiver/replacement.go
+++ b/gateway/receiver/replacement.go
@@ -43,13 +43,13 @@
 	return nextAttempt{firstWait: p.waits == 0, repetition: p.attempts > 0, mayHaveRun: p.mayHaveRun, excluded: p.excluded, silentSince: p.silentSince()}
 }
 
-// silentSince returns the time of the last event that reached the caller, or the start of
+// silentSince returns the time of the last event that reached the caller, or the arrival of
 // the request if there was none.
 func (p *proxyRequest) silentSince() time.Time {
 	if p.stream != nil && !p.stream.lastForwarded.IsZero() {
 		return p.stream.lastForwarded
 	}
-	return p.start
+	return p.arrived
 }
 
 // objectiveLeft returns the time within which the next attempt should begin to respond. A
@@ -57,7 +57,7 @@
 // is likely to wait, and then, as the caller is still there, as long as a new request.
 func (p *proxyRequest) objectiveLeft(next nextAttempt, timeLeft time.Duration) time.Duration {
 	objective := p.objective()
-	left := objective - time.Since(p.start)
+	left := objective - time.Since(p.arrived)
 	if next.mayHaveRun {
 		left = max(left, p.patienceLeft(next.silentSince, timeLeft), min(objective, lateLimit(timeLeft)))
 	}
--- a/gateway/receiver/suite_test.go
+++ b/gateway/receiver/suite_test.go
@@ -400,7 +400,7 @@
 		client:       &targetClient{replies: replies, started: make(chan struct{}), cancelled: make(chan struct{}), release: make(chan struct{})},
 	}
 	f.options = receiver.Options{
-		Protocol: protocol{}, Permits: f.permitSource, StreamOrigins: f.origins, Configs: configs{&config}, TargetClient: f.client, TargetChecker: f.checker, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, Tally: tallier.New(8), CallerDisconnected: func(*http.Request) bool { return false }, ResetOnClose: func(*http.Request) {},
+		Protocol: protocol{}, Permits: f.permitSource, StreamOrigins: f.origins, Configs: configs{&config}, TargetClient: f.client, TargetChecker: f.checker, RetryBudget: retryBudget{true}, ShutdownState: shutdownState{}, LoadShedder: loadShedder{}, Tally: tallier.New(8), Arrived: func(*http.Request) time.Time { return time.Now() }, CallerDisconnected: func(*http.Request) bool { return false }, ResetOnClose: func(*http.Request) {},
 		Memory: limiter.NewAdmission(limiter.AdmissionSettings{TotalBytes: 1 << 20}), Clock: clock, ChargeHeader: func(*http.Request, int, int) error { return nil }, Logger: slog.New(slog.DiscardHandler),
 		Observe: func(receiver.Observation) {},
 	}
--- a/gateway/receiver/versions.go
+++ b/gateway/receiver/versions.go
@@ -119,6 +119,6 @@
 		p.streamVersion.Store(&target.Version)
 	}
 	if p.resumable() {
-		p.receiver.StreamOrigins.BeganStream(p.streamKey(), versioner.Origin{Service: p.service, Version: *p.streamVersion.Load()}, p.callerTimeout()-time.Since(p.start))
+		p.receiver.StreamOrigins.BeganStream(p.streamKey(), versioner.Origin{Service: p.service, Version: *p.streamVersion.Load()}, p.callerTimeout()-time.Since(p.arrived))
 	}
 }
--- a/gateway/receiver/watch.go
+++ b/gateway/receiver/watch.go
@@ -78,7 +78,7 @@
 	mutex sync.Mutex
 	// stopSearch ends the search for another target; nil unless there is one.
 	stopSearch context.CancelFunc
-	// silentSince is the time of the last event that reached the caller, or of the start of
+	// silentSince is the time of the last event that reached the caller, or of the arrival of
 	// the request.
 	silentSince time.Time
 	// replacement is the permit for another target that the search has found.
