--- a/gateway/receiver/failure.go
+++ b/gateway/receiver/failure.go
@@ -16,25 +16,17 @@
 
 // handleSendError handles an attempt that ended without a response header.
 func (p *proxyRequest) handleSendError(ctx context.Context, permit Permit, err error) attemptOutcome {
-	target := permit.Decision().Choice.Target.ID
-	if errors.Is(err, courier.ErrWithdrawn) {
-		permit.End(placer.Unsent)
-		if errors.Is(err, courier.ErrSendingFull) {
+	if errors.Is(err, courier.ErrNotSent) {
+		target := permit.Decision().Choice.Target.ID
+		permit.End(p.unsentResult(ctx, err))
+		if !errors.Is(err, courier.ErrWithdrawn) || errors.Is(err, courier.ErrSendingFull) {
 			p.excluded = append(p.excluded, target)
 		}
 		p.keepRetry()
 		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
-		return outcomeRetry
-	}
-	if errors.Is(err, courier.ErrNotSent) {
-		result := placer.Unreachable
-		if errors.Is(err, courier.ErrRefused) {
-			result = placer.Absent
+		if !p.wanted(ctx) {
+			return outcomeFailed
 		}
-		permit.End(result)
-		p.excluded = append(p.excluded, target)
-		p.keepRetry()
-		p.log(logger.AttemptFailed, slog.String("target", target), slog.Bool("sent", false), slog.String("error", err.Error()))
 		return outcomeRetry
 	}
 	p.attempts++
@@ -42,6 +34,21 @@
 	return p.failAttempt(permit, p.failureResult(ctx, err), "no response", failureCause(ctx, err))
 }
 
+// unsentResult returns the result of an attempt that was not sent: Unsent if that says nothing
+// about the target.
+func (p *proxyRequest) unsentResult(ctx context.Context, err error) placer.Result {
+	switch {
+	case errors.Is(err, courier.ErrWithdrawn):
+		return placer.Unsent
+	case errors.Is(err, courier.ErrRefused):
+		return placer.Absent
+	case p.failureResult(ctx, err) == placer.Cancelled, p.timeLeft(ctx) < minTimeLeft:
+		// A connection attempt can end just before the context does, at the same deadline.
+		return placer.Unsent
+	}
+	return placer.Unreachable
+}
+
 // failureResult returns the result of an incomplete attempt that ended with the error:
 // Cancelled if the request was cancelled or timed out, Broken if the connection broke,
 // and Failed if the target failed or stalled.
@@ -101,7 +108,7 @@
 // fail ends a request for which there is no complete response and no further attempt.
 func (p *proxyRequest) fail(ctx context.Context) {
 	switch {
-	case p.request.Context().Err() != nil, p.stream == nil && p.receiver.CallerDisconnected(p.request):
+	case p.callerLeft():
 		p.recordEnd("abandoned", 0)
 		panic(http.ErrAbortHandler)
 	case p.stream != nil && p.stream.started:
--- a/gateway/receiver/job.go
+++ b/gateway/receiver/job.go
@@ -183,7 +183,7 @@
 		p.keepRetry()
 		return outcomeRetry
 	}
-	if p.stream == nil && p.receiver.CallerDisconnected(p.request) {
+	if p.callerLeft() {
 		permit.End(placer.Unsent)
 		return outcomeFailed
 	}
@@ -192,7 +192,7 @@
 		p.rejectStopping()
 		return outcomeDone
 	}
-	if p.request.Context().Err() != nil || timeLeft < minTimeLeft {
+	if timeLeft < minTimeLeft {
 		permit.End(placer.Unsent)
 		return outcomeFailed
 	}
@@ -279,7 +279,7 @@
 		Method: p.request.Method, URI: p.request.RequestURI, Host: p.request.Host, Body: p.body,
 		Header:        rc.Protocol.TargetHeader(p.request.Header, ForwardInfo{TargetID: target.ID, Account: p.account, TimeLeft: timeLeft, LastEventID: lastEventID, CopyFrom: permit.Decision().Choice.CopySource}),
 		NonRepeatable: !p.route.Repeatable(),
-		MaySend:       permit.TargetUsable,
+		MaySend:       func() bool { return ctx.Err() == nil && p.wanted(ctx) && permit.TargetUsable() },
 		Match: func(status int, h http.Header) courier.Match {
 			return rc.Protocol.InspectResponse(p.info.ID, status, h).Match
 		},
@@ -317,6 +317,18 @@
 	return p.forwardResponse(ctx, permit, response, info)
 }
 
+// callerLeft reports whether the caller has left. Once a response is being forwarded, only the
+// context of the request tells.
+func (p *proxyRequest) callerLeft() bool {
+	return p.request.Context().Err() != nil || p.stream == nil && p.receiver.CallerDisconnected(p.request)
+}
+
+// wanted reports whether the request is still worth sending: its caller is there and has time
+// left. That holds for a request that must not be repeated, too, since it has not been sent.
+func (p *proxyRequest) wanted(ctx context.Context) bool {
+	return !p.callerLeft() && p.timeLeft(ctx) >= minTimeLeft
+}
+
 // courierTarget returns the target to which a request for the entry is sent.
 func courierTarget(e registrar.Entry) courier.Target {
 	return courier.Target{ID: e.ID, Address: e.Address, Incarnation: e.Incarnation}
