Trim the budget of processor time to a delay of 30 ms

Now the budget is 0.95 of the processor time times a trim, which falls while timers are later than 30 ms and rises while the budget limits a host whose timers are not. A burst of 0.2 s makes the delay swing; it is 25 ms. What preferred requests may take is the same for a host, 0.1 s, but no longer a part of a burst.

TestBudgetFollowsTheMeasuredCost let all requests of 50 ms arrive in one moment and none until the next; such a host used 0.5 of its processor time, since a burst is 25 ms. They now arrive in ten parts of a tick; the numbers and the bounds are the same.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -212,12 +212,12 @@
 	return m.divider.RefusedShare(share, service)
 }
 
-// recordUse brings the budget and the readiness of the host up to date.
-func (m *overloadMonitor) recordUse(now time.Duration) {
+// recordUse brings the budget and the readiness of the host up to date by the delay of a timer.
+func (m *overloadMonitor) recordUse(now, delay time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if used, ok := m.processorTime(); ok && m.budget.Known() {
-		m.budget.RecordUse(now, used, m.shedder.DelayShare())
+		m.budget.RecordUse(now, used, delay)
 		m.shedder.RecordRefused(m.budget.RefusedShare(now))
 	}
 }
@@ -235,8 +235,9 @@
 		// After yielding it waits behind them, so that their waiting time is measured.
 		runtime.Gosched()
 		now := m.clock()
-		m.shedder.RecordTimerDelay(now, now-start-shedder.TimerInterval)
-		m.recordUse(now)
+		delay := now - start - shedder.TimerInterval
+		m.shedder.RecordTimerDelay(now, delay)
+		m.recordUse(now, delay)
 		m.shareBits.Store(math.Float64bits(m.shedder.RefusedShare()))
 		m.closeAfterAnswer.Store(m.shedder.ShouldCloseConnections(now))
 		m.reportRefused()
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -206,7 +206,7 @@
 		t.Error("an account with nearly the same service goes before the others")
 	}
 	for range 3 {
-		m.recordUse(now)
+		m.recordUse(now, 0)
 		now += 50 * time.Millisecond
 	}
 	if !m.shedder.Unready(now) && m.shedder.RefusedShare() < 0.5 {
--- a/gateway/shedder/flood_test.go
+++ b/gateway/shedder/flood_test.go
@@ -73,7 +73,7 @@
 // record takes the delay of a timer and the processor time that the host has used.
 func (a *admission) record(now, delay, used time.Duration) {
 	a.shedder.RecordTimerDelay(now, delay)
-	a.budget.RecordUse(now, used, a.shedder.DelayShare())
+	a.budget.RecordUse(now, used, delay)
 	a.shedder.RecordRefused(a.budget.RefusedShare(now))
 }
 
--- a/gateway/shedder/processor_budget.go
+++ b/gateway/shedder/processor_budget.go
@@ -8,13 +8,19 @@
 const (
 	// maxUse is the part of the processor time of the host that is planned for requests. The
 	// rest is for the exchange with other daemons, garbage collection and logs.
-	maxUse = 0.9
-	// burstTime is the time that the host may need for what it has admitted at once. It is
-	// below the shortest objective that callers use.
-	burstTime = 200 * time.Millisecond
-	// preferredDebt is the part of a burst by which requests of accounts that have had less
-	// than others may exceed the budget.
-	preferredDebt = 0.5
+	maxUse = 0.95
+	// burstTime is the time that the host may need for what it has admitted at once. It is a
+	// small part of the shortest objective that callers use.
+	burstTime = 25 * time.Millisecond
+	// targetDelay is the delay of timers to which the budget is trimmed. trimGain is the part
+	// by which the trim changes in a TimerInterval if there is no delay, and maxTrimError
+	// bounds how much faster it falls. minTrim and maxTrim bound the trim.
+	targetDelay            = 30 * time.Millisecond
+	trimGain, maxTrimError = 0.02, 3.0
+	minTrim, maxTrim       = 0.2, 1.2
+	// preferredTime is the time that the host may need for the requests of accounts that have
+	// had less than others, by which they may exceed the budget.
+	preferredTime = 100 * time.Millisecond
 	// refusalUse is the part of the processor time that refusals may take, so that a flood
 	// cannot take all of it.
 	refusalUse = 0.3
@@ -47,9 +53,9 @@
 	// of it, for refusals, in seconds, at the time updated.
 	balance, refusals float64
 	updated           time.Duration
-	// withheld is the share of the processor time that is not given out, because the host is
-	// behind with what it has admitted.
-	withheld float64
+	// trim is the part of the planned processor time that is given out. It falls while the host
+	// is behind with what it has admitted, and rises while the budget limits a host that is not.
+	trim float64
 	// used is the processor time of the process, at the time measured; usedSum and
 	// admittedSum are the decaying sums of what was used while the host was busy and of the
 	// requests that were admitted in that time.
@@ -68,7 +74,7 @@
 
 // NewProcessorBudget returns a ProcessorBudget for a host with the given processor time in cores; 0 means unknown.
 func NewProcessorBudget(cores float64) *ProcessorBudget {
-	b := &ProcessorBudget{cores: max(cores, 0)}
+	b := &ProcessorBudget{cores: max(cores, 0), trim: 1}
 	b.balance, b.refusals = b.burst(), refusalUse*b.burst()
 	b.usedSum, b.admittedSum = b.burst(), b.burst()/initialCost
 	return b
@@ -92,7 +98,7 @@
 // AdmitPreferred is like Admit, for a request that is admitted at the cost of those that come
 // later.
 func (b *ProcessorBudget) AdmitPreferred(now time.Duration) bool {
-	return b.take(now, -preferredDebt*b.burst())
+	return b.take(now, -maxUse*b.cores*preferredTime.Seconds())
 }
 
 func (b *ProcessorBudget) take(now time.Duration, least float64) bool {
@@ -157,14 +163,16 @@
 	return min(b.refusedRate/b.offeredRate, 1) * math.Exp(-float64(silence)/float64(shareTimeConstant))
 }
 
-// RecordUse records the processor time that the process has used since its start, and the share
-// of it that is withheld because the host is behind.
-func (b *ProcessorBudget) RecordUse(now, used time.Duration, withheld float64) {
+// RecordUse records the processor time that the process has used since its start, and the delay
+// of a timer. It is called every TimerInterval.
+func (b *ProcessorBudget) RecordUse(now, used, delay time.Duration) {
 	if !b.Known() {
 		return
 	}
 	b.refill(now)
-	b.withheld = withheld
+	if deviation := float64(targetDelay-delay) / float64(targetDelay); b.limited || deviation < 0 {
+		b.trim = min(max(b.trim*(1+trimGain*max(deviation, -maxTrimError)), minTrim), maxTrim)
+	}
 	interval, spent := now-b.measured, (used - b.used).Seconds()
 	if busy := spent >= minMeasuredUse*b.cores*interval.Seconds(); b.measured > 0 && (busy && b.admitted > 0 || b.limited) {
 		decay := math.Exp(-float64(interval) / float64(costTimeConstant))
@@ -187,7 +195,7 @@
 func (b *ProcessorBudget) refill(now time.Duration) {
 	elapsed := max(now-b.updated, 0).Seconds()
 	b.updated = max(now, b.updated)
-	b.balance = min(b.balance+elapsed*maxUse*b.cores*(1-b.withheld), b.burst())
+	b.balance = min(b.balance+elapsed*maxUse*b.cores*b.trim, b.burst())
 	b.refusals = min(b.refusals+elapsed*refusalUse*b.cores, refusalUse*b.burst())
 }
 
--- a/gateway/shedder/processor_budget_test.go
+++ b/gateway/shedder/processor_budget_test.go
@@ -9,11 +9,12 @@
 
 // budgetHost is a host whose requests take a part of their processor time later, as streams do.
 type budgetHost struct {
-	budget  *shedder.ProcessorBudget
-	shedder *shedder.Shedder
-	cores   float64
+	budget *shedder.ProcessorBudget
+	cores  float64
 	// backlog is the processor time of what was admitted and is not done, in seconds.
-	backlog  float64
+	backlog float64
+	// parts is the number of parts of a tick in which its requests arrive.
+	parts    int
 	now      time.Duration
 	used     time.Duration
 	admitted int
@@ -22,15 +23,16 @@
 }
 
 func newBudgetHost(cores float64) *budgetHost {
-	return &budgetHost{budget: shedder.NewProcessorBudget(cores), shedder: shedder.New(0), cores: cores}
+	return &budgetHost{budget: shedder.NewProcessorBudget(cores), parts: 1, cores: cores}
 }
 
 // offer lets a number of requests arrive in each tick, of which each costs the given processor
 // time.
 func (h *budgetHost) offer(duration time.Duration, perTick int, cost time.Duration) {
 	for end := h.now + duration; h.now < end; h.now += shedder.TimerInterval {
-		for range perTick {
-			if h.budget.Admit(h.now) {
+		for i := range perTick {
+			part := time.Duration(i * h.parts / perTick)
+			if h.budget.Admit(h.now + part*shedder.TimerInterval/time.Duration(h.parts)) {
 				h.admitted++
 				h.backlog += cost.Seconds()
 			}
@@ -40,8 +42,7 @@
 		h.used += time.Duration(spent * float64(time.Second))
 		behind := time.Duration(h.backlog / h.cores * float64(time.Second))
 		h.longest = max(h.longest, behind)
-		h.shedder.RecordTimerDelay(h.now, behind)
-		h.budget.RecordUse(h.now+shedder.TimerInterval, h.used, h.shedder.DelayShare())
+		h.budget.RecordUse(h.now+shedder.TimerInterval, h.used, behind)
 	}
 }
 
@@ -64,6 +65,7 @@
 	const settled, measured = 10 * time.Second, 10 * time.Second
 	for _, cost := range []time.Duration{200 * time.Microsecond, 500 * time.Microsecond, 2 * time.Millisecond} {
 		h := newBudgetHost(0.144)
+		h.parts = 10
 		h.offer(settled, 100, cost)
 		h.admitted, h.longest = 0, 0
 		h.offer(measured, 100, cost)
