Refusals forgive no debt of the budget

A refusal raised the balance to minus one burst, which forgave what requests of preferred accounts had taken beyond it. TestPreferredRequestsMayExceedTheBudget with refusals failed before.

--- a/gateway/shedder/processor_budget.go
+++ b/gateway/shedder/processor_budget.go
@@ -98,7 +98,7 @@
 // AdmitPreferred is like Admit, for a request that is admitted at the cost of those that come
 // later.
 func (b *ProcessorBudget) AdmitPreferred(now time.Duration) bool {
-	return b.take(now, -maxUse*b.cores*preferredTime.Seconds())
+	return b.take(now, -b.maxDebt())
 }
 
 func (b *ProcessorBudget) take(now time.Duration, least float64) bool {
@@ -139,7 +139,7 @@
 	}
 	b.refill(now)
 	// The debt is bounded, so that a flood that ends is forgotten soon.
-	b.balance = max(b.balance-refusalCost, -b.burst())
+	b.balance = max(b.balance-refusalCost, -b.maxDebt())
 	b.refusals = max(b.refusals-refusalCost, -refusalUse*b.burst())
 	b.rejected++
 	b.rate(now, 1)
@@ -191,6 +191,9 @@
 // burst returns the processor time of burstTime in seconds.
 func (b *ProcessorBudget) burst() float64 { return maxUse * b.cores * burstTime.Seconds() }
 
+// maxDebt returns the processor time by which the budget may be exceeded, in seconds.
+func (b *ProcessorBudget) maxDebt() float64 { return maxUse * b.cores * preferredTime.Seconds() }
+
 // refill adds the processor time since the last call.
 func (b *ProcessorBudget) refill(now time.Duration) {
 	elapsed := max(now-b.updated, 0).Seconds()
--- a/gateway/shedder/processor_budget_test.go
+++ b/gateway/shedder/processor_budget_test.go
@@ -147,6 +147,9 @@
 	if b.AdmitPreferred(0) {
 		t.Error("preferred requests have no limit")
 	}
+	for range 10 {
+		b.Refuse(0)
+	}
 	if b.Admit(50 * time.Millisecond) {
 		t.Error("what preferred requests took is not taken from later ones")
 	}
